Add workspace with core, conf, obs, net and plat crates and the design page

The object API client resolves lost write responses by reading back and repeating the conditional write; leases carry fencing numbers and are judged by monotonic clocks only. HTTP uses hyper on monoio's epoll driver; admin endpoints use monoio-http.

--- /dev/null
+++ b/bins/deckload/src/main.rs
@@ -0,0 +1,3 @@
+//! See docs/design.md.
+
+fn main() {}
--- /dev/null
+++ b/crates/conf/src/common.rs
@@ -0,0 +1,70 @@
+//! Settings that all daemons share.
+
+use std::net::SocketAddr;
+
+use deck_core::id::{DataCentreId, RegionId, VmId};
+
+use crate::{ConfError, Reader};
+
+/// Section `[vm]`: identity of the VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VmSettings {
+    /// Name of the VM, unique in the deployment.
+    pub id: VmId,
+    /// Data centre of the VM.
+    pub data_centre: DataCentreId,
+    /// Region of the VM.
+    pub region: RegionId,
+}
+
+impl VmSettings {
+    /// Reads section `[vm]`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if `id`, `data_centre` or `region` is missing.
+    pub fn try_read(reader: &Reader) -> Result<Self, ConfError> {
+        Ok(Self {
+            id: reader.required("vm", "id", "the VM's name")?,
+            data_centre: reader.required("vm", "data_centre", "a data centre, such as sofia-a")?,
+            region: reader.required("vm", "region", "a region, such as sofia")?,
+        })
+    }
+}
+
+/// Section `[log]`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Lowest level that is logged.
+    pub level: String,
+}
+
+impl LogSettings {
+    /// Reads section `[log]`; the level is `info` if it is not set.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if `level` is not a level.
+    pub fn try_read(reader: &Reader) -> Result<Self, ConfError> {
+        let levels = &["error", "warn", "info", "debug", "trace"];
+        Ok(Self { level: reader.word("log", "level", "info", levels)? })
+    }
+}
+
+/// Section `[admin]`: endpoints for the operators' monitoring.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdminSettings {
+    /// Address of `/livez`, `/readyz` and `/metrics`.
+    pub address: SocketAddr,
+}
+
+impl AdminSettings {
+    /// Reads section `[admin]`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if `address` is missing or not an address.
+    pub fn try_read(reader: &Reader) -> Result<Self, ConfError> {
+        Ok(Self { address: reader.address("admin", "address")? })
+    }
+}
--- /dev/null
+++ b/crates/core/src/id.rs
@@ -0,0 +1,41 @@
+//! Ids and counters used across crates.
+
+use rand::RngExt;
+
+/// Name of a VM that runs the daemons, unique in the deployment.
+pub type VmId = String;
+/// Name of a data centre, for example `sofia-a`.
+pub type DataCentreId = String;
+/// Name of a region, for example `sofia`.
+pub type RegionId = String;
+/// Name of an organisation that owns a share of the targets.
+pub type OrganisationId = String;
+/// Name of a target, unique in its pool.
+pub type TargetId = String;
+/// Name of a target pool.
+pub type PoolName = String;
+/// Name of a rollout job.
+pub type JobName = String;
+/// Identifier of one request, from the caller or made at the entry.
+pub type RequestId = String;
+/// Store revision; global and increasing with every write to the object API.
+pub type Revision = u64;
+/// Number of a lease acquisition; a later holder has a higher one.
+pub type FencingNumber = u64;
+/// Version of a model's weights.
+pub type WeightVersion = u64;
+/// Number that distinguishes two runs of the same process; later runs have higher ones.
+pub type Incarnation = u64;
+
+/// Returns a random 128-bit identifier as 32 hexadecimal digits.
+pub fn random_id() -> String {
+    format!("{:032x}", rand::rng().random::<u128>())
+}
+
+/// Returns an incarnation for this process: milliseconds since the Unix epoch at its start.
+pub fn new_incarnation() -> Incarnation {
+    let since_epoch = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or(std::time::Duration::ZERO);
+    since_epoch.as_millis() as Incarnation
+}
--- /dev/null
+++ b/crates/net/src/client.rs
@@ -0,0 +1,300 @@
+//! HTTP/1.1 client with a pool of idle connections.
+//!
+//! A connection returns to the pool only after the whole response has been read, so that a late
+//! or abandoned response can never be taken for the response to another request.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use monoio::{io::IntoPollIo, net::TcpStream};
+use monoio_compat::hyper::MonoioIo;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{Body, NetError};
+
+/// Settings of a client.
+#[derive(Debug, Clone)]
+pub struct ClientOptions {
+    /// Time in which a connection has to come about.
+    pub connect_timeout: Duration,
+    /// Idle connections kept for each address.
+    pub max_idle_per_address: usize,
+    /// Time after which an idle connection is no longer used.
+    pub idle_timeout: Duration,
+}
+
+impl Default for ClientOptions {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_secs(1),
+            max_idle_per_address: 32,
+            idle_timeout: Duration::from_secs(30),
+        }
+    }
+}
+
+/// HTTP client; clones share their idle connections.
+#[derive(Clone, Default)]
+pub struct Client {
+    options: ClientOptions,
+    pool: Rc<Pool>,
+}
+
+#[derive(Default)]
+struct Pool {
+    idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
+}
+
+struct IdleConnection {
+    sender: SendRequest<Body>,
+    since: Instant,
+}
+
+/// Response whose body is read in pieces.
+pub struct ClientResponse {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    body: Incoming,
+    address: SocketAddr,
+    /// Connection that returns to the pool after the whole body has been read.
+    sender: Option<SendRequest<Body>>,
+    pool: Rc<Pool>,
+    max_idle_per_address: usize,
+}
+
+impl Client {
+    /// Returns a client with the given settings.
+    pub fn new(options: ClientOptions) -> Self {
+        Self { options, pool: Rc::default() }
+    }
+
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// There is no timeout beyond that of the connection: callers wrap the call in
+    /// `monoio::time::timeout`. A dropped call closes its connection.
+    ///
+    /// # Errors
+    ///
+    /// [`NetError::may_have_been_sent`] tells whether the server may have received the request.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Body>,
+    ) -> Result<ClientResponse, NetError> {
+        set_host(&mut request, address);
+        while let Some(sender) = self.pool.take(address, self.options.idle_timeout) {
+            match self.exchange(address, sender, request).await {
+                Ok(response) => return Ok(response),
+                // The server closed the idle connection and nothing was sent: use another one.
+                Err((_, Some(unsent))) => request = unsent,
+                Err((error, None)) => return Err(error),
+            }
+        }
+        let sender = self.connect(address).await?;
+        self.exchange(address, sender, request).await.map_err(|(error, _)| error)
+    }
+
+    /// Sends a request on a connection that has not been used before.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`].
+    pub async fn send_fresh(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Body>,
+    ) -> Result<ClientResponse, NetError> {
+        set_host(&mut request, address);
+        let sender = self.connect(address).await?;
+        self.exchange(address, sender, request).await.map_err(|(error, _)| error)
+    }
+
+    /// Sends a JSON request and reads a JSON response of at most 16 MiB.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`], and [`NetError::Decode`] if the body is not of the expected form.
+    /// The status is returned as it is.
+    pub async fn json<T: Serialize, R: DeserializeOwned>(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Option<&T>,
+    ) -> Result<(StatusCode, R), NetError> {
+        const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+        let bytes = match body {
+            Some(body) => {
+                serde_json::to_vec(body).map_err(|error| NetError::Decode(error.to_string()))?
+            }
+            None => Vec::new(),
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Body::full(bytes))
+            .map_err(|error| NetError::Decode(error.to_string()))?;
+        let response = self.send(address, request).await?;
+        let status = response.status;
+        let bytes = response.collect(MAX_BODY_BYTES).await?;
+        let value =
+            serde_json::from_slice(&bytes).map_err(|error| NetError::Decode(error.to_string()))?;
+        Ok((status, value))
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Body>, NetError> {
+        let limit = self.options.connect_timeout;
+        let stream = match monoio::time::timeout(limit, TcpStream::connect_addr(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(NetError::Connect(address, error)),
+            Err(_) => return Err(NetError::ConnectTimeout(address, limit)),
+        };
+        let _ = stream.set_nodelay(true);
+        let stream = stream.into_poll_io().map_err(|error| NetError::Connect(address, error))?;
+        let (sender, connection) = http1::handshake(MonoioIo::new(stream))
+            .await
+            .map_err(|error| NetError::NotSent(address, error.to_string()))?;
+        monoio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(target: "net", "connection closed address={address} error={error}");
+            }
+        });
+        Ok(sender)
+    }
+
+    /// Sends `request` on one connection; gives the request back if no byte of it was sent.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        mut sender: SendRequest<Body>,
+        request: Request<Body>,
+    ) -> Result<ClientResponse, (NetError, Option<Request<Body>>)> {
+        if let Err(error) = sender.ready().await {
+            return Err((NetError::NotSent(address, error.to_string()), Some(request)));
+        }
+        match sender.try_send_request(request).await {
+            Ok(response) => {
+                let (parts, body): (_, Incoming) = Response::into_parts(response);
+                Ok(ClientResponse {
+                    status: parts.status,
+                    headers: parts.headers,
+                    body,
+                    address,
+                    sender: Some(sender),
+                    pool: self.pool.clone(),
+                    max_idle_per_address: self.options.max_idle_per_address,
+                })
+            }
+            Err(mut error) => match error.take_message() {
+                Some(unsent) => {
+                    let message = error.into_error().to_string();
+                    Err((NetError::NotSent(address, message), Some(unsent)))
+                }
+                None => {
+                    let message = error.into_error().to_string();
+                    Err((NetError::Exchange(address, message), None))
+                }
+            },
+        }
+    }
+}
+
+impl Pool {
+    fn take(&self, address: SocketAddr, idle_timeout: Duration) -> Option<SendRequest<Body>> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&address)?;
+        connections
+            .retain(|entry| !entry.sender.is_closed() && entry.since.elapsed() < idle_timeout);
+        let taken = connections.pop().map(|entry| entry.sender);
+        if connections.is_empty() {
+            idle.remove(&address);
+        }
+        taken
+    }
+
+    fn put(&self, address: SocketAddr, sender: SendRequest<Body>, max_idle: usize) {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(address).or_default();
+        if connections.len() < max_idle {
+            connections.push(IdleConnection { sender, since: Instant::now() });
+        }
+    }
+}
+
+impl ClientResponse {
+    /// Returns the next piece of the body; `None` after its proper end.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NetError::Body`] if the body is cut short.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, NetError> {
+        loop {
+            match self.body.frame().await {
+                None => {
+                    self.release();
+                    return Ok(None);
+                }
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+                Some(Err(error)) => {
+                    self.sender = None;
+                    return Err(NetError::Body(error.to_string()));
+                }
+            }
+        }
+    }
+
+    /// Receives the whole body of at most `limit_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NetError::BodyTooLarge`] above the limit and [`NetError::Body`] if the body is cut
+    /// short.
+    pub async fn collect(mut self, limit_bytes: usize) -> Result<Bytes, NetError> {
+        let mut received = Vec::new();
+        while let Some(chunk) = self.chunk().await? {
+            if received.len() + chunk.len() > limit_bytes {
+                return Err(NetError::BodyTooLarge(limit_bytes));
+            }
+            received.extend_from_slice(&chunk);
+        }
+        Ok(received.into())
+    }
+
+    /// Returns the address of the server.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn release(&mut self) {
+        if let Some(sender) = self.sender.take() {
+            self.pool.put(self.address, sender, self.max_idle_per_address);
+        }
+    }
+}
+
+fn set_host(request: &mut Request<Body>, address: SocketAddr) {
+    if !request.headers().contains_key(http::header::HOST)
+        && let Ok(host) = http::HeaderValue::from_str(&address.to_string())
+    {
+        request.headers_mut().insert(http::header::HOST, host);
+    }
+}
--- /dev/null
+++ b/crates/net/src/error.rs
@@ -0,0 +1,54 @@
+//! Errors of HTTP clients and servers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Error of the network layer.
+    #[derive(Debug)]
+    pub enum NetError {
+        /// A socket operation failed before any byte of a request was sent.
+        Connect(address: SocketAddr, error: std::io::Error) {
+            display("cannot connect to {address}: {error}")
+            source(error)
+        }
+        /// No connection came about in time; no byte of a request was sent.
+        ConnectTimeout(address: SocketAddr, limit: Duration) {
+            display("cannot connect to {address} within {} ms", limit.as_millis())
+        }
+        /// The connection closed before any byte of the request was sent.
+        NotSent(address: SocketAddr, message: String) {
+            display("request not sent to {address}: {message}")
+        }
+        /// The exchange failed after the request was sent, at least in part.
+        Exchange(address: SocketAddr, message: String) {
+            display("exchange with {address} failed: {message}")
+        }
+        /// The response body is larger than the limit.
+        BodyTooLarge(limit_bytes: usize) {
+            display("body is larger than {limit_bytes} bytes")
+        }
+        /// The body ended early or could not be read.
+        Body(message: String) {
+            display("body not received: {message}")
+        }
+        /// The body is not of the expected form.
+        Decode(message: String) {
+            display("unexpected body: {message}")
+        }
+        /// A local socket operation failed.
+        Io(error: std::io::Error) {
+            display("{error}")
+            source(error)
+            from()
+        }
+    }
+}
+
+impl NetError {
+    /// Returns whether the server may have received a part of the request.
+    pub fn may_have_been_sent(&self) -> bool {
+        !matches!(self, Self::Connect(..) | Self::ConnectTimeout(..) | Self::NotSent(..))
+    }
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,20 @@
+//! Runtime start, HTTP server and client, and server-sent events.
+//!
+//! HTTP that carries streams or faces callers uses `hyper` on the `monoio` runtime; see section 13
+//! of `docs/design.md` for the reason.
+
+pub mod admin;
+pub mod body;
+pub mod client;
+pub mod error;
+pub mod runtime;
+pub mod server;
+pub mod sse;
+
+pub use body::Body;
+pub use client::{Client, ClientOptions, ClientResponse};
+pub use error::NetError;
+pub use server::{ServerOptions, bind, serve};
+
+/// HTTP types, re-exported so that all crates use the same version.
+pub use http;
--- /dev/null
+++ b/crates/net/src/runtime.rs
@@ -0,0 +1,41 @@
+//! Start of the process's runtime and its stop signals.
+
+use std::future::Future;
+
+use deck_core::CancellationToken;
+use monoio::{LegacyDriver, RuntimeBuilder, io::AsyncReadRent, net::UnixStream};
+use signal_hook::consts::{SIGINT, SIGTERM};
+
+/// Runs `main` on a runtime of the current thread.
+///
+/// This is the only place that builds a runtime. The driver is epoll: io_uring must not be used.
+///
+/// # Errors
+///
+/// Returns an error if the runtime cannot be built.
+pub fn run<F: Future>(main: F) -> std::io::Result<F::Output> {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
+    Ok(runtime.block_on(main))
+}
+
+/// Returns a token that is cancelled by the first SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Returns an error if the signal handlers cannot be registered.
+pub fn stop_token() -> std::io::Result<CancellationToken> {
+    let token = CancellationToken::new();
+    let (receiver, sender) = std::os::unix::net::UnixStream::pair()?;
+    signal_hook::low_level::pipe::register(SIGTERM, sender.try_clone()?)?;
+    signal_hook::low_level::pipe::register(SIGINT, sender)?;
+    receiver.set_nonblocking(true)?;
+    let mut receiver = UnixStream::from_std(receiver)?;
+    let stop = token.clone();
+    monoio::spawn(async move {
+        let (result, _) = receiver.read(vec![0_u8; 1]).await;
+        if result.is_ok() {
+            stop.cancel();
+        }
+    });
+    Ok(token)
+}
--- /dev/null
+++ b/crates/net/src/sse.rs
@@ -0,0 +1,73 @@
+//! Server-sent events over HTTP bodies.
+
+use bytes::Bytes;
+use eventsource_stream::{EventStreamError, Eventsource};
+use futures_util::{Stream, StreamExt, stream::LocalBoxStream};
+use http::{HeaderValue, Response};
+
+use crate::{Body, ClientResponse, NetError, body::BodySender};
+
+/// One event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// Type of the event; `message` if the sender named none.
+    pub event: String,
+    /// Data of the event.
+    pub data: String,
+}
+
+/// Reader of the events of a response.
+pub struct EventReader {
+    events: LocalBoxStream<'static, Result<Event, NetError>>,
+}
+
+impl EventReader {
+    /// Reads events from the body of `response`.
+    pub fn new(response: ClientResponse) -> Self {
+        let events = chunks(response).eventsource().map(|item| match item {
+            Ok(event) => Ok(Event { event: event.event, data: event.data }),
+            Err(EventStreamError::Transport(error)) => Err(error),
+            Err(error) => Err(NetError::Decode(error.to_string())),
+        });
+        Self { events: events.boxed_local() }
+    }
+
+    /// Returns the next event; `None` after the proper end of the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NetError::Body`] if the body is cut short and [`NetError::Decode`] if it is not a
+    /// stream of events.
+    pub async fn next(&mut self) -> Result<Option<Event>, NetError> {
+        self.events.next().await.transpose()
+    }
+}
+
+fn chunks(response: ClientResponse) -> impl Stream<Item = Result<Bytes, NetError>> {
+    futures_util::stream::unfold(Some(response), |state| async move {
+        let mut response = state?;
+        match response.chunk().await {
+            Ok(Some(chunk)) => Some((Ok(chunk), Some(response))),
+            Ok(None) => None,
+            Err(error) => Some((Err(error), None)),
+        }
+    })
+}
+
+/// Returns the bytes of one event. `data` must not contain line breaks.
+pub fn encode(event: Option<&str>, data: &str) -> Bytes {
+    match event {
+        Some(event) => format!("event: {event}\ndata: {data}\n\n").into(),
+        None => format!("data: {data}\n\n").into(),
+    }
+}
+
+/// Returns a response that streams events, and the sender of its body.
+pub fn event_response() -> (BodySender, Response<Body>) {
+    let (sender, body) = Body::stream();
+    let mut response = Response::new(body);
+    let headers = response.headers_mut();
+    headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(http::header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    (sender, response)
+}
--- /dev/null
+++ b/crates/obs/src/lib.rs
@@ -0,0 +1,4 @@
+//! Logs and metrics of the daemons.
+
+pub mod logs;
+pub mod metrics;
--- /dev/null
+++ b/crates/obs/src/logs.rs
@@ -0,0 +1,25 @@
+//! Structured logs: one line an event with time, level, component and key=value fields.
+//!
+//! A component logs with its name as the `log` target, for example
+//! `log::warn!(target: "peer", "link closed peer={vm} error={error}")`.
+
+use simplelog::{ConfigBuilder, LevelFilter, SimpleLogger};
+
+/// Levels that a settings file may name.
+pub const LEVELS: &[&str] = &["error", "warn", "info", "debug", "trace"];
+
+/// Starts logging to standard error.
+///
+/// # Errors
+///
+/// Returns an error if a logger has been set before.
+pub fn try_init(level: &str) -> Result<(), log::SetLoggerError> {
+    let level = level.parse().unwrap_or(LevelFilter::Info);
+    let config = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_target_level(LevelFilter::Error)
+        .set_thread_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .build();
+    SimpleLogger::init(level, config)
+}
--- /dev/null
+++ b/crates/plat/src/lease.rs
@@ -0,0 +1,225 @@
+//! Leases in the object API, with fencing numbers.
+//!
+//! A lease is an object that its holder renews by conditional updates. Another candidate may take it
+//! after its `renewal` counter has not changed for the whole duration on the candidate's own
+//! monotonic clock, so no clocks are compared between VMs. Each acquisition raises the fencing
+//! number.
+//!
+//! [`LeaseCandidate`] and [`HeldLease`] are the two states of the life cycle: a candidate turns into
+//! a held lease by acquiring it, and a held lease turns back when it is lost or released.
+
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
+
+use deck_core::{
+    id::{FencingNumber, Revision, VmId},
+    object::{Envelope, LEASE_KIND, LeaseRecord},
+};
+
+use crate::{Object, Precondition, Store, StoreError};
+
+/// Settings of a lease.
+#[derive(Debug, Clone)]
+pub struct LeaseOptions {
+    /// Time after which an unchanged lease may be taken by another candidate.
+    pub duration: Duration,
+    /// How often a lost response is resolved by reading back.
+    pub resolve_tries: u32,
+}
+
+impl Default for LeaseOptions {
+    fn default() -> Self {
+        Self { duration: Duration::from_secs(9), resolve_tries: 3 }
+    }
+}
+
+/// A candidate for a lease that another one may hold.
+pub struct LeaseCandidate {
+    store: Store,
+    name: String,
+    holder: VmId,
+    address: String,
+    options: LeaseOptions,
+    /// The last state of the lease that was read, and when this state was first seen.
+    observed: Option<Observation>,
+}
+
+struct Observation {
+    revision: Revision,
+    record: LeaseRecord,
+    since: Instant,
+}
+
+/// A lease that this process holds.
+pub struct HeldLease {
+    candidate: LeaseCandidate,
+    record: LeaseRecord,
+    revision: Revision,
+    /// Start of the last successful write. The lease lasts `duration` from some moment after it.
+    last_write_start: Cell<Instant>,
+}
+
+/// Result of trying to acquire a lease.
+pub enum Acquire {
+    /// This process holds the lease now.
+    Held(HeldLease),
+    /// Another holder has it; holds the record as last read.
+    HeldElsewhere(LeaseCandidate, LeaseRecord),
+    /// The state of the lease is not known.
+    Failed(LeaseCandidate, StoreError),
+}
+
+impl LeaseCandidate {
+    /// Returns a candidate for the lease `name` in the name of `holder`, which serves at `address`.
+    pub fn new(
+        store: Store,
+        name: impl Into<String>,
+        holder: VmId,
+        address: impl Into<String>,
+        options: LeaseOptions,
+    ) -> Self {
+        let (name, address) = (name.into(), address.into());
+        Self { store, name, holder, address, options, observed: None }
+    }
+
+    /// Reads the lease and takes it if it is free.
+    ///
+    /// Call this at intervals well below the lease's duration: a lease whose holder is gone is free
+    /// only after it was seen unchanged for its whole duration.
+    pub async fn try_acquire(mut self) -> Acquire {
+        let current = match self.store.get(LEASE_KIND, &self.name).await {
+            Ok(current) => current,
+            Err(error) => return Acquire::Failed(self, error),
+        };
+        let (condition, fencing) = match current {
+            None => (Precondition::Absent, 1),
+            Some(object) => match self.observe(object) {
+                Ok((revision, record)) if self.is_free(&record) => {
+                    (Precondition::Revision(revision), record.fencing + 1)
+                }
+                Ok((_, record)) => return Acquire::HeldElsewhere(self, record),
+                Err(error) => return Acquire::Failed(self, error),
+            },
+        };
+        let record = LeaseRecord {
+            holder: self.holder.clone(),
+            address: self.address.clone(),
+            fencing,
+            duration_ms: self.options.duration.as_millis() as u64,
+            renewal: 0,
+            nonce: deck_core::id::random_id(),
+        };
+        let started = Instant::now();
+        match self.write(condition, &record).await {
+            Ok(revision) => Acquire::Held(HeldLease {
+                candidate: self,
+                record,
+                revision,
+                last_write_start: Cell::new(started),
+            }),
+            Err(error) => Acquire::Failed(self, error),
+        }
+    }
+
+    fn observe(&mut self, object: Object) -> Result<(Revision, LeaseRecord), StoreError> {
+        let record = parse_record(&object)?;
+        let unchanged = self.observed.as_ref().is_some_and(|seen| seen.revision == object.revision);
+        if !unchanged {
+            self.observed = Some(Observation {
+                revision: object.revision,
+                record: record.clone(),
+                since: Instant::now(),
+            });
+        }
+        Ok((object.revision, record))
+    }
+
+    /// Returns whether the observed lease was released or not renewed for its duration.
+    fn is_free(&self, record: &LeaseRecord) -> bool {
+        record.holder.is_empty()
+            || self.observed.as_ref().is_some_and(|seen| {
+                seen.since.elapsed() >= Duration::from_millis(seen.record.duration_ms)
+            })
+    }
+
+    async fn write(
+        &self,
+        condition: Precondition,
+        record: &LeaseRecord,
+    ) -> Result<Revision, StoreError> {
+        let value = serde_json::to_value(Envelope::new(record))
+            .map_err(|error| StoreError::Decode(error.to_string()))?;
+        let tries = self.options.resolve_tries;
+        self.store.put_resolved(LEASE_KIND, &self.name, condition, &value, tries).await
+    }
+}
+
+impl HeldLease {
+    /// Returns the fencing number that orders under this lease carry.
+    pub fn fencing(&self) -> FencingNumber {
+        self.record.fencing
+    }
+
+    /// Returns whether the holder may still act: two thirds of the duration have not passed since
+    /// the start of the last successful renewal. The last third covers the time between this check
+    /// and the effect of the act.
+    pub fn is_valid(&self) -> bool {
+        self.last_write_start.get().elapsed() < self.candidate.options.duration * 2 / 3
+    }
+
+    /// Returns how long the holder may still act without a renewal.
+    pub fn valid_for(&self) -> Duration {
+        (self.candidate.options.duration * 2 / 3)
+            .saturating_sub(self.last_write_start.get().elapsed())
+    }
+
+    /// Returns the time between renewals, a third of the duration.
+    pub fn renewal_interval(&self) -> Duration {
+        self.candidate.options.duration / 3
+    }
+
+    /// Renews the lease.
+    ///
+    /// # Errors
+    ///
+    /// After [`StoreError::Conflict`] the lease belongs to another holder. After any other error the
+    /// lease may be renewed later while [`HeldLease::is_valid`] holds.
+    pub async fn renew(&mut self) -> Result<(), StoreError> {
+        let mut record = self.record.clone();
+        record.renewal += 1;
+        let started = Instant::now();
+        let condition = Precondition::Revision(self.revision);
+        self.revision = self.candidate.write(condition, &record).await?;
+        self.record = record;
+        self.last_write_start.set(started);
+        Ok(())
+    }
+
+    /// Gives the lease up, so that another candidate can take it at once.
+    ///
+    /// # Errors
+    ///
+    /// After an error the lease ends by its duration.
+    pub async fn release(self) -> Result<(), StoreError> {
+        let record = LeaseRecord { holder: VmId::new(), ..self.record };
+        self.candidate.write(Precondition::Revision(self.revision), &record).await.map(drop)
+    }
+
+    /// Turns the lease back into a candidate after it was lost.
+    pub fn into_candidate(self) -> LeaseCandidate {
+        self.candidate
+    }
+}
+
+/// Reads the record of a lease object.
+///
+/// # Errors
+///
+/// Returns [`StoreError::Decode`] if the object is not a lease.
+pub fn parse_record(object: &Object) -> Result<LeaseRecord, StoreError> {
+    let envelope: Envelope<LeaseRecord> = serde_json::from_value(object.value.clone())
+        .map_err(|error| StoreError::Decode(error.to_string()))?;
+    Ok(envelope.spec)
+}
--- /dev/null
+++ b/crates/plat/src/lib.rs
@@ -0,0 +1,10 @@
+//! Clients of the platform: object API, leases and VM list.
+
+pub mod backoff;
+pub mod lease;
+pub mod store;
+pub mod vmlist;
+
+pub use backoff::Backoff;
+pub use lease::{HeldLease, LeaseCandidate, LeaseOptions};
+pub use store::{Object, Precondition, Store, StoreError, Watch, WatchEvent};
--- /dev/null
+++ b/crates/roll/src/lib.rs
@@ -0,0 +1,1 @@
+//! See docs/design.md.
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,172 @@
+//! Processes and waits for tests and test programs. Not part of the product.
+//!
+//! Every program prints a line `listening <name> <ip:port>` on standard output for each listener, so
+//! that tests can use port 0.
+
+use std::{
+    collections::HashMap,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::mpsc::{Receiver, channel},
+    time::{Duration, Instant},
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+
+/// Time that a test waits for an event before it fails. Generous: the machine may be busy.
+pub const EVENT_DEADLINE: Duration = Duration::from_secs(60);
+
+/// A process started by a test; it is killed when it is dropped.
+pub struct Process {
+    name: String,
+    child: Child,
+    lines: Receiver<String>,
+    listeners: HashMap<String, SocketAddr>,
+}
+
+/// Returns the path of a program of this workspace, built in the same profile as the caller.
+///
+/// # Panics
+///
+/// Panics if the program has not been built; run `cargo build --workspace` first.
+pub fn program(name: &str) -> PathBuf {
+    let mut directory = std::env::current_exe().expect("path of this process");
+    directory.pop();
+    if directory.ends_with("deps") {
+        directory.pop();
+    }
+    let path = directory.join(name);
+    assert!(path.exists(), "{name} is not built: run `cargo build --workspace` first");
+    path
+}
+
+impl Process {
+    /// Starts a program of this workspace.
+    ///
+    /// Its standard error goes to `log`, or to that of the test if `log` is `None`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program cannot be started.
+    pub fn start(name: &str, program_name: &str, arguments: &[&str], log: Option<&Path>) -> Self {
+        let stderr = match log {
+            Some(path) => {
+                let mut options = std::fs::OpenOptions::new();
+                let file = options.create(true).append(true).open(path).expect("log file");
+                Stdio::from(file)
+            }
+            None => Stdio::inherit(),
+        };
+        let mut child = Command::new(program(program_name))
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(stderr)
+            .spawn()
+            .expect("program starts");
+        let stdout = child.stdout.take().expect("piped standard output");
+        let (sender, lines) = channel();
+        std::thread::spawn(move || {
+            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                if sender.send(line).is_err() {
+                    break;
+                }
+            }
+        });
+        Self { name: name.to_owned(), child, lines, listeners: HashMap::new() }
+    }
+
+    /// Returns the address of a listener; waits until the program has printed it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program does not print it within [`EVENT_DEADLINE`].
+    pub fn address(&mut self, listener: &str) -> SocketAddr {
+        let deadline = Instant::now() + EVENT_DEADLINE;
+        while !self.listeners.contains_key(listener) {
+            let wait = deadline.saturating_duration_since(Instant::now());
+            let line = self.lines.recv_timeout(wait).unwrap_or_else(|error| {
+                panic!("{} has no listener {listener}: {error}", self.name)
+            });
+            let mut words = line.split(' ');
+            if words.next() == Some("listening")
+                && let (Some(name), Some(Ok(address))) =
+                    (words.next(), words.next().map(str::parse))
+            {
+                self.listeners.insert(name.to_owned(), address);
+            }
+        }
+        self.listeners[listener]
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Kills the process at once and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks the process to stop (SIGTERM).
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Freezes the process (SIGSTOP).
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets a frozen process go on (SIGCONT).
+    pub fn thaw(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process does not end within [`EVENT_DEADLINE`].
+    pub fn wait(&mut self) -> ExitStatus {
+        let deadline = Instant::now() + EVENT_DEADLINE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("own child") {
+                return status;
+            }
+            assert!(Instant::now() < deadline, "{} does not end", self.name);
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let _ = kill(Pid::from_raw(self.child.id().cast_signed()), signal);
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.thaw();
+        self.kill();
+    }
+}
+
+/// Runs `condition` until it holds.
+///
+/// # Panics
+///
+/// Panics if it does not hold within [`EVENT_DEADLINE`].
+pub async fn eventually<F: AsyncFnMut() -> bool>(what: &str, mut condition: F) {
+    let deadline = Instant::now() + EVENT_DEADLINE;
+    while !condition().await {
+        assert!(Instant::now() < deadline, "not within {EVENT_DEADLINE:?}: {what}");
+        monoio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
