--- /dev/null
+++ b/bins/deckstandin/src/engine_run.rs
@@ -0,0 +1,333 @@
+//! Execution of one completion: queue, prefill and decode.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use deck_core::{CancellationToken, hash::hash64};
+use deck_net::{Body, body::BodySender, http::Response, server::json_response, sse};
+use serde::Serialize;
+use serde_json::json;
+use tokio::sync::oneshot;
+
+use crate::{
+    cache::BYTES_PER_TOKEN,
+    common::{error_response, unit_interval},
+    engine::{CompletionRequest, Engine, QueueKey, RunRecord, RunState, TokenRange},
+};
+
+/// Tokens after which a stream that is to be cut breaks off.
+const CUT_AFTER_TOKENS: u32 = 5;
+
+/// One chunk of a stream, also the whole answer of a request without a stream.
+#[derive(Debug, Clone, Serialize)]
+struct Chunk {
+    id: String,
+    choices: [Choice; 1],
+    token_count: u32,
+    weight_version: u64,
+}
+
+#[derive(Debug, Clone, Serialize)]
+struct Choice {
+    index: u32,
+    text: String,
+    finish_reason: Option<&'static str>,
+}
+
+/// A request under way; leaving it frees its place in the batch.
+struct Execution {
+    engine: Rc<Engine>,
+    request: CompletionRequest,
+    cancel: CancellationToken,
+    record: usize,
+    /// Position of the next token.
+    position: u32,
+    /// Position at which the text ends.
+    end: u32,
+    cut: bool,
+}
+
+/// A place in the batch; dropping it passes it to the next waiting request.
+pub struct Place(Rc<Engine>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let next = self.0.batch.borrow_mut().waiting.pop_first();
+        match next {
+            // A request that has left refuses the place, which then passes on by its own drop.
+            Some((_, waiting)) => drop(waiting.send(Place(self.0.clone()))),
+            None => self.0.batch.borrow_mut().running -= 1,
+        }
+    }
+}
+
+/// Runs a request and streams its chunks.
+pub async fn run_streamed(engine: Rc<Engine>, request: CompletionRequest, sender: BodySender) {
+    let mut execution = Execution::new(engine, request);
+    let mut unused = Vec::new();
+    let state = monoio::select! {
+        state = execution.run(Some(&sender), &mut unused) => state,
+        () = sender.closed() => RunState::Disconnected,
+    };
+    execution.end_as(state);
+    match state {
+        RunState::Finished | RunState::Cancelled => {
+            let _ = sender.send(sse::encode(None, "[DONE]")).await;
+            sender.finish().await;
+        }
+        _ => {}
+    }
+}
+
+/// Runs a request and returns its whole text.
+pub async fn run_whole(engine: Rc<Engine>, request: CompletionRequest) -> Response<Body> {
+    let mut execution = Execution::new(engine, request);
+    let mut chunks = Vec::new();
+    // Dropped if the client leaves; `Execution::drop` then records the disconnection.
+    let state = execution.run(None, &mut chunks).await;
+    execution.end_as(state);
+    if state == RunState::Cut {
+        return error_response(500, "planned_error", "broken off");
+    }
+    let spans = execution.ranges();
+    let text: String = chunks.iter().map(|chunk| chunk.choices[0].text.as_str()).collect();
+    let finish_reason = chunks.last().and_then(|chunk| chunk.choices[0].finish_reason);
+    let answer = json!({
+        "id": execution.request.request_id,
+        "choices": [Choice { index: 0, text, finish_reason }],
+        "token_count": chunks.iter().map(|chunk| chunk.token_count).sum::<u32>(),
+        "weight_version": spans.last().map_or(0, |range| range.weight_version),
+        "ranges": spans,
+    });
+    json_response(200, &answer)
+}
+
+impl Execution {
+    fn new(engine: Rc<Engine>, request: CompletionRequest) -> Self {
+        let cancel = CancellationToken::new();
+        engine.cancels.borrow_mut().insert(request.request_id.clone(), cancel.clone());
+        let length = request.generate_tokens.unwrap_or_else(|| draw_length(&engine, &request));
+        let end = length.min(request.max_tokens).max(request.resume_tokens);
+        let record = RunRecord {
+            request_id: request.request_id.clone(),
+            state: RunState::Waiting,
+            ranges: Vec::new(),
+        };
+        let mut records = engine.records.borrow_mut();
+        if request.resume_text != text_of(&request.prompt, 0, request.resume_tokens) {
+            records.resume_mismatches += 1;
+        }
+        records.runs.push(record);
+        let record = records.runs.len() - 1;
+        drop(records);
+        let cut = engine.faults.update(|faults| {
+            let cut = faults.cut_streams > 0;
+            faults.cut_streams = faults.cut_streams.saturating_sub(1);
+            cut
+        });
+        let position = request.resume_tokens;
+        Self { engine, request, cancel, record, position, end, cut }
+    }
+
+    async fn run(&mut self, sender: Option<&BodySender>, chunks: &mut Vec<Chunk>) -> RunState {
+        let cancel = self.cancel.clone();
+        let finished = cancel.run_until_cancelled(self.run_to_end(sender, chunks)).await;
+        if let Some(state) = finished {
+            return state;
+        }
+        let chunk = self.chunk(String::new(), 0, Some("cancelled"));
+        deliver(chunk, sender, chunks).await;
+        RunState::Cancelled
+    }
+
+    async fn run_to_end(
+        &mut self,
+        sender: Option<&BodySender>,
+        chunks: &mut Vec<Chunk>,
+    ) -> RunState {
+        let _place = self.enter_batch().await;
+        self.set_state(RunState::Running);
+        self.crash_on_marker();
+        self.prefill().await;
+        let mut due = Instant::now();
+        if self.position == self.end {
+            deliver(self.chunk(String::new(), 0, Some("stop")), sender, chunks).await;
+        }
+        while self.position < self.end {
+            let token_time = self.engine.token_time(self.engine.batch.borrow().running);
+            let pause = token_time.max(Duration::from_millis(self.engine.options.chunk_ms));
+            monoio::time::sleep(pause).await;
+            // Tokens are counted from the time that passed, so that timer granularity does not
+            // change the decode speed.
+            let elapsed = Instant::now().saturating_duration_since(due);
+            let count = (elapsed.as_secs_f64() / token_time.as_secs_f64()) as u32;
+            let count = count.clamp(1, self.end - self.position);
+            due = Instant::now();
+            let chunk = self.generate(count);
+            if !deliver(chunk, sender, chunks).await {
+                return RunState::Disconnected;
+            }
+            if self.cut && self.position - self.request.resume_tokens >= CUT_AFTER_TOKENS {
+                return RunState::Cut;
+            }
+        }
+        RunState::Finished
+    }
+
+    async fn enter_batch(&self) -> Place {
+        let engine = &self.engine;
+        let waiting = {
+            let mut batch = engine.batch.borrow_mut();
+            batch.arrivals += 1;
+            if batch.running < engine.options.max_batch {
+                batch.running += 1;
+                let mut records = engine.records.borrow_mut();
+                records.peak_running = records.peak_running.max(batch.running);
+                None
+            } else {
+                let key = QueueKey { rank: self.rank(), sequence: batch.arrivals };
+                let (sender, receiver) = oneshot::channel();
+                batch.waiting.insert(key, sender);
+                Some(receiver)
+            }
+        };
+        match waiting {
+            None => Place(engine.clone()),
+            // The place passes from its last holder without a change of `running`.
+            Some(receiver) => match receiver.await {
+                Ok(place) => place,
+                // The queue lives as long as the engine, so its senders are not dropped.
+                Err(_) => std::future::pending().await,
+            },
+        }
+    }
+
+    fn rank(&self) -> i64 {
+        match &self.request.priority {
+            serde_json::Value::Number(number) => number.as_i64().unwrap_or(1),
+            serde_json::Value::String(name) if name == "interactive" => 0,
+            serde_json::Value::String(name) if name == "rollout" => 2,
+            _ => 1,
+        }
+    }
+
+    fn crash_on_marker(&self) {
+        let marker = self.engine.faults.get().crash_marker;
+        if !marker.is_empty() && self.request.prompt.contains(&marker) {
+            log::error!(target: "engine", "planned crash id={}", self.request.request_id);
+            std::process::exit(101);
+        }
+    }
+
+    async fn prefill(&self) {
+        let lookup = self.engine.cache.borrow_mut().enter(&self.request.prompt);
+        self.engine.records.borrow_mut().cached_prompt_tokens += lookup.cached_tokens as u64;
+        self.engine.publish_cache_events(lookup.events);
+        let prompt_tokens = self.request.prompt.len() / BYTES_PER_TOKEN;
+        let computed = prompt_tokens.saturating_sub(lookup.cached_tokens) as f64
+            + f64::from(self.request.resume_tokens);
+        let seconds =
+            computed * self.engine.slow_factor() / self.engine.options.prefill_tokens_per_s;
+        monoio::time::sleep(Duration::from_secs_f64(seconds)).await;
+    }
+
+    fn generate(&mut self, count: u32) -> Chunk {
+        let (from, to) = (self.position, self.position + count);
+        self.position = to;
+        let weight_version = self.engine.state.borrow().weight_version;
+        let range = TokenRange { weight_version, from, to };
+        // Recorded before the chunk is sent: a receiver never has tokens that the record lacks.
+        self.engine.journal.write(&json!({ "tokens": {
+            "request_id": self.request.request_id,
+            "weight_version": weight_version,
+            "from": from,
+            "to": to,
+        }}));
+        let mut records = self.engine.records.borrow_mut();
+        *records.tokens_by_version.entry(weight_version).or_default() += u64::from(count);
+        append_range(&mut records.runs[self.record].ranges, range);
+        drop(records);
+        let finish_reason = (to == self.end).then_some(if to == self.request.max_tokens {
+            "length"
+        } else {
+            "stop"
+        });
+        self.chunk(text_of(&self.request.prompt, from, to), count, finish_reason)
+    }
+
+    fn chunk(&self, text: String, token_count: u32, finish_reason: Option<&'static str>) -> Chunk {
+        Chunk {
+            id: self.request.request_id.clone(),
+            choices: [Choice { index: 0, text, finish_reason }],
+            token_count,
+            weight_version: self.engine.state.borrow().weight_version,
+        }
+    }
+
+    fn ranges(&self) -> Vec<TokenRange> {
+        self.engine.records.borrow().runs[self.record].ranges.clone()
+    }
+
+    fn set_state(&self, state: RunState) {
+        self.engine.records.borrow_mut().runs[self.record].state = state;
+    }
+
+    fn end_as(&self, state: RunState) {
+        self.set_state(state);
+    }
+}
+
+impl Drop for Execution {
+    fn drop(&mut self) {
+        self.engine.cancels.borrow_mut().remove(&self.request.request_id);
+        let mut records = self.engine.records.borrow_mut();
+        let state = &mut records.runs[self.record].state;
+        if matches!(state, RunState::Waiting | RunState::Running) {
+            *state = RunState::Disconnected;
+        }
+    }
+}
+
+/// Sends a chunk, or keeps it if there is no stream; returns whether the client is still there.
+async fn deliver(chunk: Chunk, sender: Option<&BodySender>, chunks: &mut Vec<Chunk>) -> bool {
+    match sender {
+        Some(sender) => {
+            let data = serde_json::to_string(&chunk).unwrap_or_default();
+            sender.send(sse::encode(None, &data)).await.is_ok()
+        }
+        None => {
+            chunks.push(chunk);
+            true
+        }
+    }
+}
+
+/// Returns the text of the tokens `from..to`; it depends on the prompt and the position only.
+pub fn text_of(prompt: &str, from: u32, to: u32) -> String {
+    let base = hash64(prompt.as_bytes());
+    (from..to)
+        .map(|position| {
+            let token = hash64(&(base ^ u64::from(position)).to_le_bytes());
+            format!("{:03x} ", token & 0xfff)
+        })
+        .collect()
+}
+
+/// Draws the length of a text from a Pareto distribution, by the prompt's hash.
+fn draw_length(engine: &Engine, request: &CompletionRequest) -> u32 {
+    let options = &engine.options;
+    let draw = unit_interval(options.seed, request.prompt.as_bytes());
+    let length = f64::from(options.min_tokens) / (1.0 - draw).powf(1.0 / options.length_exponent);
+    length as u32
+}
+
+fn append_range(ranges: &mut Vec<TokenRange>, range: TokenRange) {
+    match ranges.last_mut() {
+        Some(last) if last.weight_version == range.weight_version && last.to == range.from => {
+            last.to = range.to;
+        }
+        _ => ranges.push(range),
+    }
+}
--- /dev/null
+++ b/bins/deckstandin/src/objects.rs
@@ -0,0 +1,383 @@
+//! Stand-in for the object API.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bpaf::Bpaf;
+use deck_net::{
+    Body,
+    body::BodySender,
+    http::Response,
+    server::{drop_connection, json_response},
+    sse,
+};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::{
+    common::{
+        Call, FaultCell, StandinError, TokenBucket, error_response, not_found, serve,
+        unit_interval, unix_ms, with_header,
+    },
+    objects_store::{Condition, Event, Key, ObjectStore, Written},
+};
+
+/// Period of bookmarks; a waiting watch counts as one read in each.
+const BOOKMARK_PERIOD: Duration = Duration::from_secs(1);
+
+/// Options of the object API.
+#[derive(Debug, Clone, Bpaf)]
+pub struct ObjectsOptions {
+    /// Address to listen on; port 0 takes a free port.
+    #[bpaf(argument("IP:PORT"))]
+    pub listen: SocketAddr,
+    /// Writes per second before 429.
+    #[bpaf(argument("N"), fallback(400.0))]
+    pub writes_per_s: f64,
+    /// Reads per second before 429; a waiting watch is one read a second.
+    #[bpaf(argument("N"), fallback(2000.0))]
+    pub reads_per_s: f64,
+    /// Largest value in bytes.
+    #[bpaf(argument("BYTES"), fallback(deck_core::object::MAX_VALUE_BYTES))]
+    pub max_value_bytes: usize,
+    /// Events kept for watches; older ones are compacted.
+    #[bpaf(argument("N"), fallback(100_000))]
+    pub max_events: usize,
+    /// Keep all accepted writes in the records.
+    pub history: bool,
+}
+
+/// How calls fail in an outage.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outage {
+    /// No outage.
+    #[default]
+    None,
+    /// Calls are answered with 503; running watches break off.
+    Refuse,
+    /// Connections close without an answer; running watches break off.
+    Drop,
+}
+
+/// Faults of the object API.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct ObjectsFaults {
+    outage: Outage,
+    /// Wait before a call takes effect.
+    delay_ms: u64,
+    /// Wait between the effect of a call and its answer.
+    delay_response_ms: u64,
+    /// Number of coming writes that take effect and whose connection closes without an answer.
+    lose_responses: u32,
+    /// Probability that the response to a write is lost.
+    lose_probability: f64,
+    /// Seed of `lose_probability`.
+    seed: u64,
+}
+
+#[derive(Debug, Clone, Default, Serialize)]
+struct CallCounts {
+    reads: u64,
+    writes: u64,
+    watches_started: u64,
+    watches_open: u64,
+    rate_limited: u64,
+    refused_in_outage: u64,
+    conflicts: u64,
+    lost_responses: u64,
+    writes_by_kind: BTreeMap<String, u64>,
+}
+
+#[derive(Debug, Clone, Serialize)]
+struct HistoryEntry {
+    at_unix_ms: u64,
+    response_lost: bool,
+    #[serde(flatten)]
+    event: Event,
+}
+
+struct State {
+    options: ObjectsOptions,
+    faults: FaultCell<ObjectsFaults>,
+    store: RefCell<ObjectStore>,
+    write_bucket: RefCell<TokenBucket>,
+    read_bucket: RefCell<TokenBucket>,
+    counts: RefCell<CallCounts>,
+    history: RefCell<Vec<HistoryEntry>>,
+    changes: watch::Sender<u64>,
+    /// Number of writes; makes the draws of `lose_probability` differ.
+    draws: Cell<u64>,
+}
+
+/// Runs the stand-in until a stop signal.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound.
+pub async fn run(options: ObjectsOptions) -> Result<(), StandinError> {
+    let now = Instant::now();
+    let state = Rc::new(State {
+        faults: FaultCell::default(),
+        store: RefCell::new(ObjectStore::new(options.max_events)),
+        write_bucket: RefCell::new(TokenBucket::new(options.writes_per_s, now)),
+        read_bucket: RefCell::new(TokenBucket::new(options.reads_per_s, now)),
+        counts: RefCell::default(),
+        history: RefCell::default(),
+        changes: watch::channel(0).0,
+        draws: Cell::new(0),
+        options,
+    });
+    serve(state.options.listen, state.clone(), handle).await
+}
+
+async fn handle(state: Rc<State>, call: Call) -> Response<Body> {
+    match (call.method.as_str(), call.segments().as_slice()) {
+        ("POST", ["admin", "faults"]) => {
+            let response = state.faults.patch(&call);
+            // Wakes the watches, which break off in an outage.
+            state.changes.send_modify(|_| {});
+            response
+        }
+        ("POST", ["admin", "compact"]) => {
+            state.store.borrow_mut().compact();
+            json_response(200, &json!({}))
+        }
+        ("GET", ["admin", "records"]) => state.records(),
+        (method, ["v1", ..]) => {
+            let is_write = method != "GET";
+            if let Some(refusal) = state.refuse(is_write) {
+                return refusal;
+            }
+            if is_write {
+                // In a task of its own: a write takes effect even if its sender has left.
+                monoio::spawn(write(state, call)).await
+            } else {
+                read(state, call).await
+            }
+        }
+        _ => not_found(&call),
+    }
+}
+
+async fn write(state: Rc<State>, call: Call) -> Response<Body> {
+    let faults = state.faults.get();
+    sleep_ms(faults.delay_ms).await;
+    let segments = call.segments();
+    let ["v1", "objects", kind, name] = segments.as_slice() else { return not_found(&call) };
+    let key = Key { kind: (*kind).to_owned(), name: (*name).to_owned() };
+    let condition = match condition(&call) {
+        Ok(condition) => condition,
+        Err(response) => return *response,
+    };
+    let value = match call.method.as_str() {
+        "PUT" if call.body.len() > state.options.max_value_bytes => {
+            return error_response(413, "too_large", "value is above the size limit");
+        }
+        "PUT" => match call.json::<Value>() {
+            Ok(value) => Some(value),
+            Err(response) => return response,
+        },
+        "DELETE" => None,
+        _ => return not_found(&call),
+    };
+    let response = state.apply(key, condition, value);
+    sleep_ms(faults.delay_response_ms).await;
+    response
+}
+
+async fn read(state: Rc<State>, call: Call) -> Response<Body> {
+    let faults = state.faults.get();
+    sleep_ms(faults.delay_ms).await;
+    let response = match call.segments().as_slice() {
+        ["v1", "objects", kind, name] => {
+            let key = Key { kind: (*kind).to_owned(), name: (*name).to_owned() };
+            match state.store.borrow().get(&key) {
+                Some(object) => json_response(200, object),
+                None => error_response(404, "not_found", "no such object"),
+            }
+        }
+        ["v1", "objects", kind] => {
+            let store = state.store.borrow();
+            let items = store.list(kind);
+            json_response(200, &json!({ "revision": store.revision(), "items": items }))
+        }
+        ["v1", "watch"] => start_watch(&state, &call),
+        _ => not_found(&call),
+    };
+    sleep_ms(faults.delay_response_ms).await;
+    response
+}
+
+fn start_watch(state: &Rc<State>, call: &Call) -> Response<Body> {
+    let kinds: Vec<String> =
+        call.query_value("kinds").unwrap_or_default().split(',').map(str::to_owned).collect();
+    let Some(from) = call.query_value("from").and_then(|from| from.parse().ok()) else {
+        return error_response(400, "bad_request", "from: expected a revision");
+    };
+    if state.store.borrow().events_after(from, &kinds).is_none() {
+        return error_response(410, "compacted", "the revision has been compacted");
+    }
+    let (sender, response) = sse::event_response();
+    monoio::spawn(watch_events(state.clone(), kinds, from, sender));
+    response
+}
+
+/// Sends events until the receiver leaves, an outage starts or the events are compacted.
+async fn watch_events(state: Rc<State>, kinds: Vec<String>, mut from: u64, sender: BodySender) {
+    state.counts.borrow_mut().watches_started += 1;
+    state.counts.borrow_mut().watches_open += 1;
+    let mut changes = state.changes.subscribe();
+    let mut bookmark_due = Instant::now() + BOOKMARK_PERIOD;
+    loop {
+        if state.faults.get().outage != Outage::None {
+            break;
+        }
+        let events = state.store.borrow().events_after(from, &kinds);
+        let Some(events) = events else { break };
+        let revision = state.store.borrow().revision();
+        let mut open = true;
+        for event in &events {
+            let name = if event.value.is_some() { "put" } else { "delete" };
+            open = open && sender.send(sse::encode(Some(name), &to_text(event))).await.is_ok();
+        }
+        from = revision;
+        if Instant::now() >= bookmark_due {
+            state.read_bucket.borrow_mut().take(1.0, Instant::now());
+            state.counts.borrow_mut().reads += 1;
+            bookmark_due = Instant::now() + BOOKMARK_PERIOD;
+            let data = json!({ "revision": from }).to_string();
+            open = open && sender.send(sse::encode(Some("bookmark"), &data)).await.is_ok();
+        }
+        if !open {
+            break;
+        }
+        let wait = bookmark_due.saturating_duration_since(Instant::now());
+        monoio::select! {
+            _ = changes.changed() => {}
+            () = monoio::time::sleep(wait) => {}
+            () = sender.closed() => break,
+        }
+    }
+    state.counts.borrow_mut().watches_open -= 1;
+}
+
+impl State {
+    /// Counts a call and returns the response if it is refused.
+    fn refuse(&self, is_write: bool) -> Option<Response<Body>> {
+        let mut counts = self.counts.borrow_mut();
+        let bucket = if is_write {
+            counts.writes += 1;
+            &self.write_bucket
+        } else {
+            counts.reads += 1;
+            &self.read_bucket
+        };
+        match self.faults.get().outage {
+            Outage::None => {}
+            Outage::Refuse => {
+                counts.refused_in_outage += 1;
+                return Some(error_response(503, "unavailable", "outage"));
+            }
+            Outage::Drop => {
+                counts.refused_in_outage += 1;
+                return Some(drop_connection());
+            }
+        }
+        if bucket.borrow_mut().try_take(1.0, Instant::now()) {
+            return None;
+        }
+        counts.rate_limited += 1;
+        let response = error_response(429, "rate_limited", "call rate is above the limit");
+        Some(with_header(response, "retry-after", "1"))
+    }
+
+    fn apply(&self, key: Key, condition: Condition, value: Option<Value>) -> Response<Body> {
+        let kind = key.kind.clone();
+        let written = self.store.borrow_mut().write(key, condition, value);
+        let revision = match written {
+            Written::Accepted(revision) => revision,
+            Written::Conflict(current) => {
+                self.counts.borrow_mut().conflicts += 1;
+                return json_response(412, &json!({ "revision": current }));
+            }
+            Written::Missing => return error_response(404, "not_found", "no such object"),
+        };
+        let lost = self.draw_loss();
+        let mut counts = self.counts.borrow_mut();
+        *counts.writes_by_kind.entry(kind.clone()).or_default() += 1;
+        counts.lost_responses += u64::from(lost);
+        if self.options.history {
+            self.remember(revision, &kind, lost);
+        }
+        self.changes.send_replace(revision);
+        if lost { drop_connection() } else { json_response(200, &json!({ "revision": revision })) }
+    }
+
+    fn remember(&self, revision: u64, kind: &str, response_lost: bool) {
+        let store = self.store.borrow();
+        let events = store.events_after(revision - 1, &[kind.to_owned()]).unwrap_or_default();
+        let entries = events.into_iter().map(|event| HistoryEntry {
+            at_unix_ms: unix_ms(),
+            response_lost,
+            event,
+        });
+        self.history.borrow_mut().extend(entries);
+    }
+
+    fn draw_loss(&self) -> bool {
+        let draw = self.draws.get();
+        self.draws.set(draw + 1);
+        self.faults.update(|faults| {
+            if faults.lose_responses > 0 {
+                faults.lose_responses -= 1;
+                return true;
+            }
+            unit_interval(faults.seed, &draw.to_le_bytes()) < faults.lose_probability
+        })
+    }
+
+    fn records(&self) -> Response<Body> {
+        let store = self.store.borrow();
+        let records = json!({
+            "revision": store.revision(),
+            "counts": &*self.counts.borrow(),
+            "history": &*self.history.borrow(),
+        });
+        json_response(200, &records)
+    }
+}
+
+fn condition(call: &Call) -> Result<Condition, Box<Response<Body>>> {
+    if call.header("if-none-match") == Some("*") {
+        return Ok(Condition::Absent);
+    }
+    match call.header("if-match").map(|text| text.trim_matches('"').parse()) {
+        Some(Ok(revision)) => Ok(Condition::Revision(revision)),
+        Some(Err(_)) => {
+            let message = "If-Match: expected a revision in quotes";
+            Err(Box::new(error_response(400, "bad_request", message)))
+        }
+        None => {
+            let message = "a write needs If-Match or If-None-Match";
+            Err(Box::new(error_response(428, "precondition_required", message)))
+        }
+    }
+}
+
+fn to_text(event: &Event) -> String {
+    serde_json::to_string(event).unwrap_or_default()
+}
+
+async fn sleep_ms(wait_ms: u64) {
+    if wait_ms > 0 {
+        monoio::time::sleep(Duration::from_millis(wait_ms)).await;
+    }
+}
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,8 +1,6 @@
 //! HTTP/1.1 server with bounded heads, connections and slow senders.
 
-use std::{
-    cell::Cell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration,
-};
+use std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use deck_core::CancellationToken;
@@ -16,7 +14,7 @@
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 use tokio::sync::Notify;
 
-use crate::{Body, NetError};
+use crate::{Body, NetError, body::BodyAborted};
 
 /// Limits of a server.
 #[derive(Debug, Clone)]
@@ -106,7 +104,14 @@
     let Ok(stream) = stream.into_poll_io() else { return };
     let service = service_fn(move |request| {
         let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move {
+            let response = response.await;
+            // hyper closes the connection without a response when the service fails.
+            match response.extensions().get::<DropConnection>() {
+                Some(_) => Err(BodyAborted),
+                None => Ok(response),
+            }
+        }
     });
     let connection = http1::Builder::new()
         .timer(MonoioTimer)
@@ -175,6 +180,17 @@
     }
 }
 
+/// Marks a response in whose place the server closes the connection.
+#[derive(Clone, Copy)]
+struct DropConnection;
+
+/// Returns a response that is never sent: the server closes the connection without an answer.
+pub fn drop_connection() -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    response.extensions_mut().insert(DropConnection);
+    response
+}
+
 /// Returns a response with a JSON body.
 pub fn json_response<T: serde::Serialize>(status: u16, value: &T) -> Response<Body> {
     match serde_json::to_vec(value) {
