--- a/bins/deckstandin/src/common.rs
+++ b/bins/deckstandin/src/common.rs
@@ -14,6 +14,7 @@
 use deck_core::CancellationToken;
 use deck_net::{
     Body, ServerOptions,
+    body::BodySender,
     http::{HeaderMap, Method, Response},
     server::{json_response, read_body, text_response},
 };
@@ -157,6 +158,14 @@
     println!("listening {name} {address}");
 }
 
+/// Aborts a body after what has been sent has left.
+///
+/// The server drops what it has not flushed when a body is aborted, the head included.
+pub async fn abort_after_flush(sender: BodySender) {
+    monoio::time::sleep(Duration::from_millis(30)).await;
+    drop(sender);
+}
+
 /// Returns an error response with a JSON body.
 pub fn error_response(status: u16, code: &str, message: &str) -> Response<Body> {
     let body = serde_json::json!({ "error": { "code": code, "message": message } });
--- a/bins/deckstandin/src/engine.rs
+++ b/bins/deckstandin/src/engine.rs
@@ -248,6 +248,21 @@
     pub arrivals: u64,
 }
 
+impl Batch {
+    /// Returns the number of waiting requests whose client is still there.
+    fn waiting_count(&self) -> usize {
+        self.waiting.values().filter(|sender| !sender.is_closed()).count()
+    }
+}
+
+#[derive(Serialize)]
+struct StateReport<'a> {
+    #[serde(flatten)]
+    state: &'a EngineState,
+    /// Requests that run or wait.
+    running: usize,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct LoadSnapshot {
     at: Instant,
@@ -320,7 +335,7 @@
             Err(response) => response,
         },
         ("GET", ["v1", "load"]) => engine.load_report(Instant::now()),
-        ("GET", ["v1", "state"]) => json_response(200, &*engine.state.borrow()),
+        ("GET", ["v1", "state"]) => engine.state_report(),
         ("GET", ["v1", "cache_events"]) => {
             let (sender, response) = sse::event_response();
             monoio::spawn(send_cache_events(engine, sender));
@@ -361,6 +376,11 @@
             let response = with_header(response, "x-not-run", "1");
             return Some(if leaving { with_header(response, "x-leaving", "1") } else { response });
         }
+        if self.state.borrow().role != "serving" {
+            self.records.borrow_mut().refused += 1;
+            let response = error_response(503, "drained", "the engine takes no new work");
+            return Some(with_header(response, "x-not-run", "1"));
+        }
         if request.model != self.state.borrow().model {
             let message = format!("model {:?} is not loaded", request.model);
             let response = error_response(404, "unknown_model", &message);
@@ -389,6 +409,12 @@
         json_response(200, &report)
     }
 
+    fn state_report(&self) -> Response<Body> {
+        let batch = self.batch.borrow();
+        let running = batch.running + batch.waiting_count();
+        json_response(200, &StateReport { state: &self.state.borrow(), running })
+    }
+
     /// Factor on the engine's times, from the faults.
     pub fn slow_factor(&self) -> f64 {
         let faults = self.faults.get();
@@ -422,8 +448,7 @@
         monoio::time::sleep(Duration::from_millis(engine.options.load_lag_ms.max(1))).await;
         engine.load.set(previous);
         let batch = engine.batch.borrow();
-        let (running, waiting) =
-            (batch.running, batch.waiting.values().filter(|sender| !sender.is_closed()).count());
+        let (running, waiting) = (batch.running, batch.waiting_count());
         previous = LoadSnapshot { at: Instant::now(), running, waiting };
     }
 }
--- a/bins/deckstandin/src/engine_order.rs
+++ b/bins/deckstandin/src/engine_order.rs
@@ -28,11 +28,11 @@
     pub staged_version: Option<u64>,
     /// Adapter.
     pub adapter: Option<String>,
-    /// Role.
+    /// `serving`, or `drained`: refuses new completions as not run.
     pub role: String,
     /// State of the last order.
     pub swap_state: SwapState,
-    /// Highest fencing number of an accepted order.
+    /// Highest fencing number of an accepted order; 0 if they are not checked.
     pub fencing: u64,
 }
 
@@ -42,12 +42,10 @@
 pub enum SwapState {
     /// No order runs.
     Idle,
-    /// A version is being loaded beside the current one.
+    /// A version, model or adapter is being loaded.
     Staging,
     /// The staged version is taking over.
     Switching,
-    /// A model or adapter is being loaded.
-    Loading,
     /// The last order failed partway.
     Failed,
 }
@@ -107,7 +105,7 @@
             weight_version,
             staged_version: None,
             adapter: None,
-            role: "serve".to_owned(),
+            role: "serving".to_owned(),
             swap_state: SwapState::Idle,
             fencing: 0,
         }
@@ -131,12 +129,13 @@
         }
     }
 
-    fn begin(&mut self, order: &Order) {
-        self.fencing = self.fencing.max(order.fencing);
+    fn begin(&mut self, order: &Order, ignore_fencing: bool) {
+        if !ignore_fencing {
+            self.fencing = self.fencing.max(order.fencing);
+        }
         self.swap_state = match order.action {
-            Action::Stage => SwapState::Staging,
+            Action::Stage | Action::LoadModel | Action::LoadAdapter => SwapState::Staging,
             Action::Switch => SwapState::Switching,
-            Action::LoadModel | Action::LoadAdapter => SwapState::Loading,
             Action::SetRole => SwapState::Idle,
         };
         if order.action == Action::SetRole {
@@ -191,7 +190,7 @@
         let status = if code == "version_missing" { 400 } else { 409 };
         return error_response(status, code, "order refused");
     }
-    engine.state.borrow_mut().begin(&order);
+    engine.state.borrow_mut().begin(&order, engine.options.ignore_fencing);
     if order.action != Action::SetRole {
         monoio::spawn(execute(engine.clone(), order));
     }
--- a/bins/deckstandin/src/engine_run.rs
+++ b/bins/deckstandin/src/engine_run.rs
@@ -5,15 +5,16 @@
     time::{Duration, Instant},
 };
 
-use deck_core::{CancellationToken, hash::hash64};
+use deck_core::CancellationToken;
 use deck_net::{Body, body::BodySender, http::Response, server::json_response, sse};
+use deckstandin::text::{KEY_TOKENS, text_key, text_of};
 use serde::Serialize;
 use serde_json::json;
 use tokio::sync::oneshot;
 
 use crate::{
     cache::BYTES_PER_TOKEN,
-    common::{error_response, unit_interval},
+    common::{abort_after_flush, error_response, unit_interval},
     engine::{CompletionRequest, Engine, QueueKey, RunRecord, RunState, TokenRange},
 };
 
@@ -77,6 +78,7 @@
             let _ = sender.send(sse::encode(None, "[DONE]")).await;
             sender.finish().await;
         }
+        RunState::Cut => abort_after_flush(sender).await,
         _ => {}
     }
 }
@@ -241,6 +243,7 @@
         // Recorded before the chunk is sent: a receiver never has tokens that the record lacks.
         self.engine.journal.write(&json!({ "tokens": {
             "request_id": self.request.request_id,
+            "text_key": text_key(&text_of(&self.request.prompt, 0, KEY_TOKENS)),
             "weight_version": weight_version,
             "from": from,
             "to": to,
@@ -304,17 +307,6 @@
     }
 }
 
-/// Returns the text of the tokens `from..to`; it depends on the prompt and the position only.
-pub fn text_of(prompt: &str, from: u32, to: u32) -> String {
-    let base = hash64(prompt.as_bytes());
-    (from..to)
-        .map(|position| {
-            let token = hash64(&(base ^ u64::from(position)).to_le_bytes());
-            format!("{:03x} ", token & 0xfff)
-        })
-        .collect()
-}
-
 /// Draws the length of a text from a Pareto distribution, by the prompt's hash.
 fn draw_length(engine: &Engine, request: &CompletionRequest) -> u32 {
     let options = &engine.options;
--- /dev/null
+++ b/bins/deckstandin/src/lib.rs
@@ -0,0 +1,3 @@
+//! Parts of the stand-ins that other test programs share.
+
+pub mod text;
--- a/bins/deckstandin/src/service.rs
+++ b/bins/deckstandin/src/service.rs
@@ -5,18 +5,14 @@
 };
 
 use bpaf::Bpaf;
-use deck_net::{
-    Body,
-    http::{HeaderValue, Response},
-    server::json_response,
-};
+use deck_net::{Body, http::Response, server::json_response};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use crate::{
     common::{
-        Call, FaultCell, Journal, StandinError, announce, error_response, serve_on, unix_ms,
-        with_header,
+        Call, FaultCell, Journal, StandinError, abort_after_flush, announce, error_response,
+        serve_on, unix_ms, with_header,
     },
     forward::Forwarder,
 };
@@ -161,7 +157,7 @@
         AnswerFault::None => echo(call),
         AnswerFault::Error => error_response(500, "planned_error", "failed after execution"),
         AnswerFault::Lost => deck_net::server::drop_connection(),
-        AnswerFault::Cut => cut_answer(call).await,
+        AnswerFault::Cut => cut_answer(call),
         AnswerFault::Late(wait) => {
             monoio::time::sleep(wait).await;
             echo(call)
@@ -171,26 +167,24 @@
 }
 
 /// Returns an answer whose body ends early.
-async fn cut_answer(call: &Call) -> Response<Body> {
+fn cut_answer(call: &Call) -> Response<Body> {
     let (sender, body) = Body::stream();
     let mut response = echo(call);
     *response.body_mut() = body;
     let half = call.body.slice(..call.body.len() / 2);
     let half = if half.is_empty() { bytes::Bytes::from_static(b"cut") } else { half };
-    // The channel takes the chunk at once; dropping the sender then aborts the body.
-    let _ = sender.send(half).await;
+    monoio::spawn(async move {
+        let _ = sender.send(half).await;
+        abort_after_flush(sender).await;
+    });
     response
 }
 
+/// Returns the body, or the path of a request without a body.
 fn echo(call: &Call) -> Response<Body> {
-    let mut response = Response::new(Body::full(call.body.clone()));
+    let body = if call.body.is_empty() { call.path.clone().into() } else { call.body.clone() };
+    let mut response = Response::new(Body::full(body));
     let headers = response.headers_mut();
-    if let Ok(path) = HeaderValue::from_str(&call.path) {
-        headers.insert("x-echo-path", path);
-    }
-    if let Some(nonce) = call.headers.get("x-nonce") {
-        headers.insert("x-nonce", nonce.clone());
-    }
     if let Some(content_type) = call.headers.get("content-type") {
         headers.insert("content-type", content_type.clone());
     }
--- a/bins/deckstandin/src/trainer.rs
+++ b/bins/deckstandin/src/trainer.rs
@@ -43,6 +43,9 @@
     /// Samples in a group.
     #[bpaf(argument("N"), fallback(4))]
     pub group_size: u32,
+    /// Prompt of the job, in order, by which texts are checked; none means no check.
+    #[bpaf(argument("TEXT"), many)]
+    pub prompt: Vec<String>,
     /// First step.
     #[bpaf(argument("N"), fallback(0))]
     pub step: u64,
@@ -118,6 +121,8 @@
     pub step: u64,
     /// Group.
     pub group: u32,
+    /// Beginning of the text.
+    pub text_key: String,
     /// Spans as delivered.
     pub spans: Vec<VersionSpan>,
     /// Tokens as delivered.
--- a/bins/deckstandin/src/trainer_step.rs
+++ b/bins/deckstandin/src/trainer_step.rs
@@ -10,6 +10,7 @@
     Body, ClientResponse,
     http::{Method, Request, StatusCode, header},
 };
+use deckstandin::text::{text_key, text_of};
 use serde::Deserialize;
 use serde_json::json;
 
@@ -268,11 +269,26 @@
                 let count = sample.token_count;
                 return Some(format!("sample {id} has {count} tokens and spans of {spanned}"));
             }
+            if let Some(prompt) = self.prompt(step, group.group)
+                && sample.text != text_of(prompt, 0, sample.token_count)
+            {
+                return Some(format!("sample {id} has another text than the engine made"));
+            }
         }
         None
     }
 }
 
+impl Trainer {
+    /// Returns the prompt of a group, as `RolloutJob::prompt` does.
+    fn prompt(&self, step: u64, group: u32) -> Option<&str> {
+        let prompts = &self.options.prompt;
+        let number = step * u64::from(self.options.groups_per_step()) + u64::from(group);
+        let index = number.checked_rem(prompts.len() as u64)?;
+        prompts.get(index as usize).map(String::as_str)
+    }
+}
+
 fn sample_record(step: u64, version: u64, group: u32, sample: Sample) -> SampleRecord {
     let oldest = sample.spans.iter().map(|span| span.weight_version).min().unwrap_or(0);
     SampleRecord {
@@ -280,6 +296,7 @@
         id: sample.id,
         step,
         group,
+        text_key: text_key(&sample.text).to_owned(),
         token_count: sample.token_count,
         trainer_version: version,
         staleness_versions: version.saturating_sub(oldest),
--- a/bins/deckstandin/src/weights.rs
+++ b/bins/deckstandin/src/weights.rs
@@ -19,8 +19,8 @@
 use serde_json::json;
 
 use crate::common::{
-    Call, FaultCell, StandinError, TokenBucket, error_response, not_found, serve, unix_ms,
-    with_header,
+    Call, FaultCell, StandinError, TokenBucket, abort_after_flush, error_response, not_found,
+    serve, unix_ms, with_header,
 };
 
 const CHUNK_BYTES: u64 = 64 * 1024;
@@ -176,7 +176,9 @@
     monoio::spawn(async move {
         state.send_bytes(index, end_bytes, &sender).await;
         state.records.borrow_mut().running -= 1;
-        if !cut {
+        if cut {
+            abort_after_flush(sender).await;
+        } else {
             sender.finish().await;
         }
     });
--- a/bins/deckstandin/tests/others.rs
+++ b/bins/deckstandin/tests/others.rs
@@ -22,10 +22,12 @@
         let request = post("/book", &[("idempotency-key", "k")], "body");
         let failed = match service.client.send(service.address, request).await {
             Ok(response) => {
+                assert_ne!(fault, "lose_answers", "the connection closes without an answer");
                 assert_eq!(response.headers.contains_key("x-not-run"), executions == 0);
                 !response.status.is_success() || response.collect(100).await.is_err()
             }
             Err(error) => {
+                assert_eq!(fault, "lose_answers", "{error}");
                 assert!(error.may_have_been_sent());
                 true
             }
