--- /dev/null
+++ b/bins/deckctl/src/cli.rs
@@ -0,0 +1,139 @@
+//! Arguments of `deckctl`.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use bpaf::Bpaf;
+use deck_core::{id::Revision, object::Kind};
+
+/// Form of the output.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Output {
+    /// Text for people.
+    Text,
+    /// One JSON document, or one JSON document a line for `watch`.
+    Json,
+}
+
+impl std::str::FromStr for Output {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            other => Err(format!("{other:?} is not an output format; use text or json")),
+        }
+    }
+}
+
+const EXIT_CODES: &str = "Exit codes: 0 success, 1 unexpected error, 2 wrong arguments or an \
+    object that is not valid, 3 not found, 4 conflict with another change, 5 the object API does \
+    not answer, 6 the outcome of a write is not known, 7 diff found a difference";
+
+/// Writes desired state to the object API and shows status.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version, footer(EXIT_CODES))]
+pub struct Options {
+    /// Address of the object API
+    #[bpaf(long("object-api"), env("DECK_OBJECT_API"), argument("IP:PORT"), optional)]
+    pub object_api: Option<SocketAddr>,
+    /// Output format: text or json
+    #[bpaf(long("output"), short('o'), argument("FORMAT"), fallback(Output::Text))]
+    pub output: Output,
+    /// Time limit of one call on the object API, in milliseconds
+    #[bpaf(long("timeout-ms"), argument("MS"), fallback(5000))]
+    pub timeout_ms: u64,
+    /// What to do
+    #[bpaf(external(command))]
+    pub command: Command,
+}
+
+const APPLY_HELP: &str = "A file holds one object or a JSON array of objects of the form \
+    {\"kind\",\"name\",\"schema\",\"spec\"}. The write is conditional on the version that was read; with \
+    a \"revision\" in the file it is conditional on that revision (0: must not exist). \
+    Example: deckctl --object-api 127.0.0.1:7000 apply pool.json jobs.json";
+
+/// What to do.
+#[derive(Debug, Clone, Bpaf)]
+pub enum Command {
+    /// Creates or changes objects from files.
+    ///
+    /// A file holds one object or a JSON array of objects of the form
+    /// {"kind","name","schema","spec"}. The write is conditional on the version that was read; with
+    /// a "revision" in the file it is conditional on that revision (0: must not exist).
+    #[bpaf(
+        command,
+        footer("Example: deckctl --object-api 127.0.0.1:7000 apply pool.json jobs.json")
+    )]
+    Apply {
+        /// Check and compare, but write nothing
+        #[bpaf(long("dry-run"))]
+        dry_run: bool,
+        /// Files with objects
+        #[bpaf(positional("FILE"), some("name at least one file"))]
+        files: Vec<PathBuf>,
+    },
+    /// Shows objects in short.
+    #[bpaf(command, footer("Example: deckctl --object-api 127.0.0.1:7000 get TargetPool"))]
+    Get {
+        /// Kind: RolloutJob, OrganisationShare, TargetPool or ServiceObjective
+        #[bpaf(positional("KIND"))]
+        kind: Kind,
+        /// Name; all objects of the kind if it is left out
+        #[bpaf(positional("NAME"))]
+        name: Option<String>,
+    },
+    /// Shows one object with its status.
+    #[bpaf(
+        command,
+        footer("Example: deckctl --object-api 127.0.0.1:7000 describe RolloutJob seats")
+    )]
+    Describe {
+        /// Kind
+        #[bpaf(positional("KIND"))]
+        kind: Kind,
+        /// Name
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+    /// Compares files with the stored objects; exits with 7 if they differ.
+    #[bpaf(command, footer("Example: deckctl --object-api 127.0.0.1:7000 diff pool.json"))]
+    Diff {
+        /// Files with objects
+        #[bpaf(positional("FILE"), some("name at least one file"))]
+        files: Vec<PathBuf>,
+    },
+    /// Shows objects and status as they change.
+    #[bpaf(command, footer("Example: deckctl --object-api 127.0.0.1:7000 watch RolloutJob seats"))]
+    Watch {
+        /// End after this many changes
+        #[bpaf(long("count"), argument("N"), optional)]
+        count: Option<u64>,
+        /// Kind
+        #[bpaf(positional("KIND"))]
+        kind: Kind,
+        /// Name; all objects of the kind if it is left out
+        #[bpaf(positional("NAME"))]
+        name: Option<String>,
+    },
+    /// Deletes one object.
+    #[bpaf(command, footer("Example: deckctl --object-api 127.0.0.1:7000 delete RolloutJob seats"))]
+    Delete {
+        /// Delete only if the object still has this revision
+        #[bpaf(long("revision"), argument("REVISION"), optional)]
+        revision: Option<Revision>,
+        /// Kind
+        #[bpaf(positional("KIND"))]
+        kind: Kind,
+        /// Name
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+    /// Checks object files without the object API.
+    #[bpaf(command, footer("Example: deckctl check examples/vitosha/objects/*.json"))]
+    Check {
+        /// Files with objects
+        #[bpaf(positional("FILE"), some("name at least one file"))]
+        files: Vec<PathBuf>,
+    },
+}
--- a/bins/deckctl/src/main.rs
+++ b/bins/deckctl/src/main.rs
@@ -1,3 +1,51 @@
-//! See docs/design.md.
+//! `deckctl`: the operators' command line.
 
-fn main() {}
+mod cli;
+mod error;
+mod files;
+mod output;
+mod verbs;
+
+use std::process::ExitCode;
+
+use crate::{
+    cli::{Command, Options},
+    error::CtlError,
+};
+
+fn main() -> ExitCode {
+    let options = cli::options().run();
+    let result = deck_net::runtime::run(run(options)).map_err(CtlError::from).flatten();
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("deckctl: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+async fn run(options: Options) -> Result<(), CtlError> {
+    let Options { object_api, output, timeout_ms, command } = options;
+    if let Command::Check { files } = &command {
+        return verbs::check::run(files, output);
+    }
+    let address = object_api.ok_or(CtlError::NoObjectApi)?;
+    let timeout = std::time::Duration::from_millis(timeout_ms);
+    let store = deck_plat::Store::new(deck_net::Client::default(), address, timeout);
+    match command {
+        Command::Apply { dry_run, files } => {
+            verbs::apply::run(&store, &files, dry_run, output).await
+        }
+        Command::Get { kind, name } => verbs::get::run(&store, kind, name.as_deref(), output).await,
+        Command::Describe { kind, name } => verbs::describe::run(&store, kind, &name, output).await,
+        Command::Diff { files } => verbs::diff::run(&store, &files, output).await,
+        Command::Watch { kind, name, count } => {
+            verbs::watch::run(&store, kind, name.as_deref(), count, output).await
+        }
+        Command::Delete { revision, kind, name } => {
+            verbs::delete::run(&store, kind, &name, revision, output).await
+        }
+        Command::Check { .. } => Ok(()),
+    }
+}
--- /dev/null
+++ b/bins/deckctl/src/verbs.rs
@@ -0,0 +1,9 @@
+//! One module for each verb.
+
+pub mod apply;
+pub mod check;
+pub mod delete;
+pub mod describe;
+pub mod diff;
+pub mod get;
+pub mod watch;
