Add weight rollout: planner, pool owner, engine orders and relay

The owner plans from what targets report and keeps the serving floor; orders carry the lease's fencing number. Relays fetch each version once from the weight store. LeaseToken lets tasks check the lease right before they act.

--- a/bins/deckctl/src/cli.rs
+++ b/bins/deckctl/src/cli.rs
@@ -61,10 +61,7 @@
     /// A file holds one object or a JSON array of objects of the form
     /// {"kind","name","schema","spec"}. The write is conditional on the version that was read; with
     /// a "revision" in the file it is conditional on that revision (0: must not exist).
-    #[bpaf(
-        command,
-        footer("Example: deckctl --object-api 127.0.0.1:7000 apply pool.json jobs.json")
-    )]
+    #[bpaf(command, footer(APPLY_HELP))]
     Apply {
         /// Check and compare, but write nothing
         #[bpaf(long("dry-run"))]
--- a/crates/core/src/object.rs
+++ b/crates/core/src/object.rs
@@ -282,6 +282,9 @@
     /// Address (`ip:port`) of the weight store that the pool follows; only for engine pools.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub weight_store_address: Option<String>,
+    /// Addresses (`ip:port`) of VMs with a disk that relay weights from the weight store.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub weight_relays: Vec<String>,
     /// The targets.
     pub targets: Vec<Target>,
 }
@@ -337,6 +340,9 @@
         if let Some(address) = &self.weight_store_address {
             check_address("spec.weight_store_address", address)?;
         }
+        for (index, address) in self.weight_relays.iter().enumerate() {
+            check_address(&format!("spec.weight_relays[{index}]"), address)?;
+        }
         for (index, path) in self.idempotent_paths.iter().enumerate() {
             if !path.starts_with('/') {
                 let name = format!("spec.idempotent_paths[{index}]");
--- a/crates/plat/src/lease.rs
+++ b/crates/plat/src/lease.rs
@@ -10,16 +10,31 @@
 
 use std::{
     cell::Cell,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
 use deck_core::{
+    CancellationToken,
     id::{FencingNumber, Revision, VmId},
     object::{Envelope, LEASE_KIND, LeaseRecord},
 };
 
 use crate::{Object, Precondition, Store, StoreError};
 
+/// Returns the time between looks at a lease for the candidate of the given rank, best rank 0.
+///
+/// Most candidates never ask, to keep within the object API's rates. Ranks come from the liveness of
+/// VMs, not of the candidate processes on them, so a few lower ranks ask at longer intervals in case
+/// the process of the first two is down.
+pub fn candidate_interval(rank: usize) -> Option<Duration> {
+    match rank {
+        0..2 => Some(Duration::from_secs(2)),
+        2..8 => Some(Duration::from_secs(15)),
+        _ => None,
+    }
+}
+
 /// Settings of a lease.
 #[derive(Debug, Clone)]
 pub struct LeaseOptions {
@@ -58,7 +73,46 @@
     record: LeaseRecord,
     revision: Revision,
     /// Start of the last successful write. The lease lasts `duration` from some moment after it.
-    last_write_start: Cell<Instant>,
+    last_write_start: Rc<Cell<Instant>>,
+    ended: CancellationToken,
+}
+
+/// Read access to the validity of a held lease, for tasks that act under it.
+#[derive(Debug, Clone)]
+pub struct LeaseToken {
+    fencing: FencingNumber,
+    duration: Duration,
+    last_write_start: Rc<Cell<Instant>>,
+    /// Cancelled when the lease is lost or given up.
+    ended: CancellationToken,
+}
+
+impl LeaseToken {
+    /// Returns the fencing number that orders under this lease carry.
+    pub fn fencing(&self) -> FencingNumber {
+        self.fencing
+    }
+
+    /// Returns whether the holder may act now; check it right before each act.
+    ///
+    /// Two thirds of the duration must not have passed since the start of the last successful
+    /// renewal. The last third covers the time between this check and the effect of the act.
+    pub fn is_valid(&self) -> bool {
+        !self.ended.is_cancelled() && self.last_write_start.get().elapsed() < self.duration * 2 / 3
+    }
+
+    /// Waits until the lease is lost or given up.
+    pub async fn ended(&self) {
+        self.ended.cancelled().await;
+    }
+}
+
+/// How keeping a lease ended.
+pub enum Kept {
+    /// Another holder has taken the lease.
+    Lost(Box<LeaseCandidate>),
+    /// The lease was given up because the process stops.
+    Released,
 }
 
 /// Result of trying to acquire a lease.
@@ -117,7 +171,8 @@
                 candidate: self,
                 record,
                 revision,
-                last_write_start: Cell::new(started),
+                last_write_start: Rc::new(Cell::new(started)),
+                ended: CancellationToken::new(),
             }),
             Err(error) => Acquire::Failed(self, error),
         }
@@ -162,11 +217,51 @@
         self.record.fencing
     }
 
-    /// Returns whether the holder may still act: two thirds of the duration have not passed since
-    /// the start of the last successful renewal. The last third covers the time between this check
-    /// and the effect of the act.
+    /// Returns a token with which tasks check that the lease is valid.
+    pub fn token(&self) -> LeaseToken {
+        LeaseToken {
+            fencing: self.record.fencing,
+            duration: self.candidate.options.duration,
+            last_write_start: self.last_write_start.clone(),
+            ended: self.ended.clone(),
+        }
+    }
+
+    /// Returns whether the holder may still act, see [`LeaseToken::is_valid`].
     pub fn is_valid(&self) -> bool {
-        self.last_write_start.get().elapsed() < self.candidate.options.duration * 2 / 3
+        self.token().is_valid()
+    }
+
+    /// Renews the lease until it is lost, or until `cancel` is cancelled and it is given up.
+    ///
+    /// While the object API is down the lease is kept and renewed when it comes back, unless another
+    /// holder has taken it; meanwhile [`LeaseToken::is_valid`] tells that the holder must not act.
+    pub async fn keep(mut self, cancel: CancellationToken) -> Kept {
+        loop {
+            let wait = self.renewal_interval();
+            if cancel.run_until_cancelled(monoio::time::sleep(wait)).await.is_none() {
+                self.ended.cancel();
+                if let Err(error) = self.release().await {
+                    log::warn!(target: "lease", "release failed error={error}");
+                }
+                return Kept::Released;
+            }
+            match self.renew().await {
+                Ok(()) => {}
+                Err(StoreError::Conflict(_)) => {
+                    self.ended.cancel();
+                    return Kept::Lost(Box::new(self.into_candidate()));
+                }
+                Err(error) => {
+                    log::warn!(target: "lease", "not renewed lease={} error={error}", self.name());
+                }
+            }
+        }
+    }
+
+    /// Returns the lease's name.
+    pub fn name(&self) -> &str {
+        &self.candidate.name
     }
 
     /// Returns how long the holder may still act without a renewal.
@@ -203,12 +298,14 @@
     ///
     /// After an error the lease ends by its duration.
     pub async fn release(self) -> Result<(), StoreError> {
+        self.ended.cancel();
         let record = LeaseRecord { holder: VmId::new(), ..self.record };
         self.candidate.write(Precondition::Revision(self.revision), &record).await.map(drop)
     }
 
     /// Turns the lease back into a candidate after it was lost.
     pub fn into_candidate(self) -> LeaseCandidate {
+        self.ended.cancel();
         self.candidate
     }
 }
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -6,5 +6,5 @@
 pub mod vmlist;
 
 pub use backoff::Backoff;
-pub use lease::{HeldLease, LeaseCandidate, LeaseOptions};
+pub use lease::{Acquire, HeldLease, Kept, LeaseCandidate, LeaseOptions, LeaseToken};
 pub use store::{Object, Precondition, Store, StoreError, Watch, WatchEvent};
--- /dev/null
+++ b/crates/weight/src/owner.rs
@@ -0,0 +1,226 @@
+//! Ownership of pools by lease, and the loop that brings their targets to the newest weights.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use deck_core::{
+    CancellationToken,
+    hash::rendezvous_rank,
+    id::{PoolName, TargetId, VmId},
+    object::{PoolType, TargetPool},
+};
+use deck_net::Client;
+use deck_peer::{ConfigView, Member, MemberState};
+use deck_plat::{
+    Acquire, HeldLease, Kept, LeaseCandidate, LeaseOptions, LeaseToken, Store,
+    lease::candidate_interval,
+};
+use futures_util::{StreamExt, stream};
+
+use crate::{
+    plan::PlanOptions,
+    run::{PoolRun, RunOptions},
+};
+
+/// Time after which a VM that is no candidate looks at its rank again.
+const RANK_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Settings of a weight owner.
+#[derive(Debug, Clone, Default)]
+pub struct OwnerOptions {
+    /// Name of this VM.
+    pub vm: VmId,
+    /// Settings of the leases.
+    pub lease: LeaseOptions,
+    /// Settings of the planner; the serving floor comes from the pool.
+    pub plan: PlanOptions,
+    /// Intervals and time limits.
+    pub run: RunOptions,
+}
+
+/// Owner of the pools for which this VM holds the lease.
+#[derive(Clone)]
+pub struct WeightOwner {
+    client: Client,
+    store: Store,
+    config: ConfigView,
+    members: Rc<dyn Fn() -> Vec<Member>>,
+    options: Rc<OwnerOptions>,
+}
+
+impl WeightOwner {
+    /// Returns an owner; `members` returns the members that the local entry knows.
+    pub fn new(
+        client: Client,
+        store: Store,
+        config: ConfigView,
+        members: Rc<dyn Fn() -> Vec<Member>>,
+        options: OwnerOptions,
+    ) -> Self {
+        Self { client, store, config, members, options: Rc::new(options) }
+    }
+
+    /// Runs until `cancel` is cancelled, then releases all leases.
+    pub async fn run(self, cancel: CancellationToken) {
+        let mut changes = self.config.changes();
+        let mut tasks: HashMap<PoolName, PoolTask> = HashMap::new();
+        loop {
+            let wanted = followed_pools(&self.config);
+            for name in &wanted {
+                tasks.entry(name.clone()).or_insert_with(|| self.start_pool(name, &cancel));
+            }
+            tasks.retain(|name, task| {
+                let keep = wanted.contains(name);
+                if !keep {
+                    task.cancel.cancel();
+                }
+                keep
+            });
+            match cancel.run_until_cancelled(changes.changed()).await {
+                Some(Ok(())) => {}
+                Some(Err(_)) | None => break,
+            }
+        }
+        for task in tasks.into_values() {
+            task.cancel.cancel();
+            task.handle.await;
+        }
+    }
+
+    fn start_pool(&self, name: &str, cancel: &CancellationToken) -> PoolTask {
+        let cancel = cancel.child_token();
+        let handle = monoio::spawn(self.clone().run_pool(name.to_owned(), cancel.clone()));
+        PoolTask { cancel, handle }
+    }
+
+    async fn run_pool(self, pool: PoolName, cancel: CancellationToken) {
+        let mut candidate = self.candidate(&pool);
+        while !cancel.is_cancelled() {
+            let interval = candidate_interval(self.rank(&pool));
+            if interval.is_some() {
+                candidate = match candidate.try_acquire().await {
+                    Acquire::Held(held) => match self.own(&pool, held, &cancel).await {
+                        Kept::Lost(lost) => *lost,
+                        Kept::Released => return,
+                    },
+                    Acquire::HeldElsewhere(still, _) => still,
+                    Acquire::Failed(still, error) => {
+                        log::warn!(target: "weight", "lease not acquired pool={pool} error={error}");
+                        still
+                    }
+                };
+            }
+            let wait = interval.unwrap_or(RANK_INTERVAL);
+            cancel.run_until_cancelled(monoio::time::sleep(wait)).await;
+        }
+    }
+
+    /// Brings the pool's targets to the newest weights while the lease is held.
+    async fn own(&self, pool: &str, held: HeldLease, cancel: &CancellationToken) -> Kept {
+        let token = held.token();
+        log::info!(target: "weight", "lease acquired pool={pool} fencing={}", token.fencing());
+        let stop = cancel.child_token();
+        let keeper = monoio::spawn(held.keep(stop.clone()));
+        let mut run = PoolRun::new(
+            pool,
+            self.client.clone(),
+            self.store.clone(),
+            self.options.vm.clone(),
+            token.clone(),
+            self.options.run.clone(),
+        );
+        while !stop.is_cancelled() {
+            let round = self.round(pool, &mut run, &token);
+            futures_util::select_biased! {
+                () = Box::pin(futures_util::FutureExt::fuse(token.ended())) => break,
+                still_owner = Box::pin(futures_util::FutureExt::fuse(round)) => {
+                    if !still_owner {
+                        // A target has seen a higher fencing number: another VM owns the pool.
+                        stop.cancel();
+                    }
+                }
+            }
+            stop.run_until_cancelled(monoio::time::sleep(self.options.run.round_interval)).await;
+        }
+        let kept = keeper.await;
+        log::info!(target: "weight", "lease ended pool={pool} fencing={}", token.fencing());
+        match kept {
+            // Released because a target refused the fencing number: stay a candidate.
+            Kept::Released if !cancel.is_cancelled() => Kept::Lost(Box::new(self.candidate(pool))),
+            kept => kept,
+        }
+    }
+
+    /// Runs one round; returns false if a target has seen a newer owner.
+    async fn round(&self, pool: &str, run: &mut PoolRun, token: &LeaseToken) -> bool {
+        let Some((_, spec)) = self.config.pool(pool) else { return true };
+        let plan = PlanOptions {
+            serving_floor_percent: spec.serving_floor_percent,
+            ..self.options.plan.clone()
+        };
+        run.observe(&spec).await;
+        if !token.is_valid() {
+            run.report_invalid_lease();
+            return true;
+        }
+        let still_owner = run.order(&spec, &plan).await;
+        run.write_status(&spec).await;
+        still_owner
+    }
+
+    fn candidate(&self, pool: &str) -> LeaseCandidate {
+        LeaseCandidate::new(
+            self.store.clone(),
+            format!("pool-{pool}"),
+            self.options.vm.clone(),
+            String::new(),
+            self.options.lease.clone(),
+        )
+    }
+
+    /// Returns the rank of this VM among the live members for the pool's lease.
+    fn rank(&self, pool: &str) -> usize {
+        let members = (self.members)();
+        let live = members.iter().filter(|member| member.state == MemberState::Live);
+        let ranked = rendezvous_rank(pool, live.map(|member| member.vm.as_str()));
+        ranked.iter().position(|vm| *vm == self.options.vm).unwrap_or(usize::MAX)
+    }
+}
+
+struct PoolTask {
+    cancel: CancellationToken,
+    handle: monoio::task::JoinHandle<()>,
+}
+
+fn followed_pools(config: &ConfigView) -> Vec<PoolName> {
+    let pools = config.pools().into_iter();
+    pools.filter(|(_, _, pool)| follows_weights(pool)).map(|(name, _, _)| name).collect()
+}
+
+/// Returns whether a pool's engines follow a weight store.
+pub fn follows_weights(pool: &TargetPool) -> bool {
+    pool.pool_type == PoolType::Engine && pool.weight_store_address.is_some()
+}
+
+/// Runs `work` for all `items` with at most `limit` at a time.
+pub(crate) async fn for_each_limited<T, R, F: Future<Output = (TargetId, R)>>(
+    items: impl IntoIterator<Item = T>,
+    limit: usize,
+    work: impl Fn(T) -> F,
+) -> Vec<(TargetId, R)> {
+    stream::iter(items).map(work).buffer_unordered(limit).collect().await
+}
+
+/// Returns whether `interval` has passed since `last`, or there was no `last`.
+pub(crate) fn is_due(last: Option<Instant>, interval: Duration, now: Instant) -> bool {
+    last.is_none_or(|last| now.saturating_duration_since(last) >= interval)
+}
+
+/// Returns the address of a text that the object schema has checked.
+pub(crate) fn parse_address(text: &str) -> Option<SocketAddr> {
+    text.parse().ok()
+}
--- /dev/null
+++ b/crates/weight/src/plan.rs
@@ -0,0 +1,233 @@
+//! Decision which order goes to which target.
+//!
+//! Staging loads the new version beside the old one and does not disturb serving, so it is bounded
+//! only by the sources of the weights. Switching interrupts serving, so it happens in a rolling way
+//! that keeps the pool at or above its serving floor. A target whose swap failed is drained, ordered
+//! again and put back.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use deck_core::{
+    hash::rendezvous_rank,
+    id::{TargetId, WeightVersion},
+};
+
+use crate::engine::{EngineState, Role, SwapState};
+
+/// Settings of the planner.
+#[derive(Debug, Clone)]
+pub struct PlanOptions {
+    /// Transfers that one source serves at a time.
+    pub transfers_per_source: usize,
+    /// Part of the pool that keeps serving. Invariant: 0 to 100.
+    pub serving_floor_percent: u32,
+    /// Time after which an order that shows no effect in the target's report is sent again.
+    pub order_timeout: Duration,
+}
+
+impl Default for PlanOptions {
+    fn default() -> Self {
+        Self {
+            transfers_per_source: 8,
+            serving_floor_percent: 50,
+            order_timeout: Duration::from_secs(10),
+        }
+    }
+}
+
+/// One target as the owner sees it.
+#[derive(Debug, Clone)]
+pub struct TargetView {
+    /// The target.
+    pub id: TargetId,
+    /// Its last report; `None` if it does not answer.
+    pub state: Option<EngineState>,
+}
+
+/// An order to one target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Order {
+    /// Load a version beside the running one, from a source.
+    Stage {
+        /// Version to load.
+        version: WeightVersion,
+        /// Where the target fetches it.
+        source: SocketAddr,
+    },
+    /// Serve with the staged version.
+    Switch {
+        /// Version to switch to.
+        version: WeightVersion,
+    },
+    /// Take no new work.
+    Drain,
+    /// Take work again.
+    Serve,
+}
+
+/// An order that was sent and whose effect has not been reported yet.
+#[derive(Debug, Clone)]
+pub struct PendingOrder {
+    /// The order.
+    pub order: Order,
+    /// When it was sent.
+    pub since: Instant,
+}
+
+/// Input of one planning round.
+pub struct PlanInput<'a> {
+    /// All targets of the pool that are not leaving.
+    pub targets: &'a [TargetView],
+    /// Version that all targets should serve.
+    pub desired: WeightVersion,
+    /// Sources of the weights. The first is the weight store, the others are relays.
+    pub sources: &'a [SocketAddr],
+    /// Orders without reported effect.
+    pub pending: &'a HashMap<TargetId, PendingOrder>,
+    /// Time of the round.
+    pub now: Instant,
+}
+
+/// Returns the orders to send now.
+pub fn plan(input: &PlanInput<'_>, options: &PlanOptions) -> Vec<(TargetId, Order)> {
+    let mut budget = ServingBudget::new(input, options);
+    let mut transfers = TransferSlots::new(input, options);
+    let mut orders = Vec::new();
+    for target in input.targets {
+        let Some(state) = &target.state else { continue };
+        if is_pending(input, options, &target.id) {
+            continue;
+        }
+        if let Some(order) = next_order(&target.id, state, input, &mut budget, &mut transfers) {
+            orders.push((target.id.clone(), order));
+        }
+    }
+    orders
+}
+
+/// Returns whether a target needs no further order for `desired`.
+pub fn is_settled(state: &EngineState, desired: WeightVersion) -> bool {
+    state.weight_version == desired
+        && state.swap_state == SwapState::Idle
+        && state.role == Role::Serving
+}
+
+fn next_order(
+    id: &str,
+    state: &EngineState,
+    input: &PlanInput<'_>,
+    budget: &mut ServingBudget,
+    transfers: &mut TransferSlots,
+) -> Option<Order> {
+    let desired = input.desired;
+    match state.swap_state {
+        SwapState::Staging | SwapState::Switching => None,
+        SwapState::Failed if state.role == Role::Serving => {
+            budget.take_serving().then_some(Order::Drain)
+        }
+        // Calls that still run on a drained target keep the version on which they run.
+        SwapState::Failed if state.running > 0 => None,
+        SwapState::Failed => transfers.stage(id, desired),
+        SwapState::Idle if state.weight_version >= desired => {
+            (state.role == Role::Drained).then_some(Order::Serve)
+        }
+        SwapState::Idle if state.staged_version != Some(desired) => transfers.stage(id, desired),
+        SwapState::Idle => {
+            let allowed = state.role == Role::Drained || budget.take_serving();
+            allowed.then_some(Order::Switch { version: desired })
+        }
+    }
+}
+
+fn is_pending(input: &PlanInput<'_>, options: &PlanOptions, id: &str) -> bool {
+    input.pending.get(id).is_some_and(|pending| {
+        input.now.saturating_duration_since(pending.since) < options.order_timeout
+    })
+}
+
+/// How many serving targets may stop serving now.
+struct ServingBudget {
+    remaining: usize,
+}
+
+impl ServingBudget {
+    fn new(input: &PlanInput<'_>, options: &PlanOptions) -> Self {
+        let total = input.targets.len();
+        let floor = (total * options.serving_floor_percent as usize).div_ceil(100);
+        let serving = input.targets.iter().filter(|target| is_serving(input, options, target));
+        Self { remaining: serving.count().saturating_sub(floor) }
+    }
+
+    fn take_serving(&mut self) -> bool {
+        let allowed = self.remaining > 0;
+        self.remaining = self.remaining.saturating_sub(1);
+        allowed
+    }
+}
+
+/// Counts a target as serving only if it reports so and no order that interrupts it is pending.
+fn is_serving(input: &PlanInput<'_>, options: &PlanOptions, target: &TargetView) -> bool {
+    let interrupted = is_pending(input, options, &target.id)
+        && matches!(
+            input.pending.get(&target.id).map(|pending| &pending.order),
+            Some(Order::Switch { .. } | Order::Drain)
+        );
+    target.state.as_ref().is_some_and(|state| {
+        state.role == Role::Serving && state.swap_state != SwapState::Switching && !interrupted
+    })
+}
+
+/// Free transfer slots of the sources.
+struct TransferSlots {
+    free: HashMap<SocketAddr, usize>,
+    names: Vec<(String, SocketAddr)>,
+}
+
+impl TransferSlots {
+    fn new(input: &PlanInput<'_>, options: &PlanOptions) -> Self {
+        let mut free: HashMap<_, _> =
+            input.sources.iter().map(|source| (*source, options.transfers_per_source)).collect();
+        for target in input.targets {
+            let Some(pending) = input.pending.get(&target.id) else { continue };
+            if let Order::Stage { source, .. } = &pending.order
+                && Self::is_transferring(input, options, target)
+                && let Some(slots) = free.get_mut(source)
+            {
+                *slots = slots.saturating_sub(1);
+            }
+        }
+        let names = input.sources.iter().map(|source| (source.to_string(), *source)).collect();
+        Self { free, names }
+    }
+
+    /// A transfer occupies its source until the target reports the end of staging.
+    fn is_transferring(input: &PlanInput<'_>, options: &PlanOptions, target: &TargetView) -> bool {
+        let staging =
+            target.state.as_ref().is_some_and(|state| state.swap_state == SwapState::Staging);
+        staging || is_pending(input, options, &target.id)
+    }
+
+    /// Takes a slot of the source that ranks first for the target among those with a free slot.
+    ///
+    /// Relays come before the weight store, whose rate is limited; the ranking spreads the targets
+    /// evenly over the relays.
+    fn stage(&mut self, id: &str, version: WeightVersion) -> Option<Order> {
+        let (store, relays) = self.names.split_first()?;
+        let ranked = rendezvous_rank(id, relays.iter().map(|(name, _)| name.as_str()));
+        let ranked = ranked.into_iter().filter_map(|name| {
+            relays.iter().find(|(relay, _)| relay == name).map(|(_, address)| *address)
+        });
+        let candidates = ranked.chain(relays.is_empty().then_some(store.1));
+        for source in candidates {
+            if let Some(slots) = self.free.get_mut(&source).filter(|slots| **slots > 0) {
+                *slots -= 1;
+                return Some(Order::Stage { version, source });
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/weight/src/relay.rs
@@ -0,0 +1,214 @@
+//! Relay of weights on a VM with a disk.
+//!
+//! The weight store limits its rate, so each version leaves it once for each relay; the engines fetch
+//! from the relays. A version is visible only after it has been received whole.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    io::{Read, Write},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::Duration,
+};
+
+use deck_core::{id::WeightVersion, object::check_object_name};
+use deck_net::{
+    Body, Client, NetError,
+    body::BodySender,
+    http::{Method, Request, Response, StatusCode, header},
+    server::text_response,
+};
+use tokio::sync::Mutex;
+
+/// Bytes read from the disk at a time; small enough that other tasks are not held up.
+const CHUNK_BYTES: usize = 256 * 1024;
+/// Versions of a model that are kept: the one being served and the one before it.
+const KEPT_VERSIONS: usize = 2;
+
+/// Settings of a relay.
+#[derive(Debug, Clone)]
+pub struct RelayOptions {
+    /// Folder for bulk data.
+    pub data_folder: PathBuf,
+    /// Address of the weight store.
+    pub weight_store: SocketAddr,
+    /// Most transfers to engines at a time; further ones are refused with 429.
+    pub max_transfers: usize,
+    /// Time in which a chunk from the weight store has to arrive.
+    pub chunk_timeout: Duration,
+}
+
+/// Relay of weights.
+#[derive(Clone)]
+pub struct Relay {
+    options: Rc<RelayOptions>,
+    client: Client,
+    /// One lock for each version that is being fetched, so that it leaves the store only once.
+    fetches: Rc<RefCell<HashMap<PathBuf, Rc<Mutex<()>>>>>,
+    transfers: Rc<Cell<usize>>,
+}
+
+struct TransferGuard(Rc<Cell<usize>>);
+
+impl Drop for TransferGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Relay {
+    /// Returns a relay that keeps its files under the data folder.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the data folder cannot be created.
+    pub fn try_new(options: RelayOptions, client: Client) -> std::io::Result<Self> {
+        std::fs::create_dir_all(&options.data_folder)?;
+        Ok(Self {
+            options: Rc::new(options),
+            client,
+            fetches: Rc::default(),
+            transfers: Rc::default(),
+        })
+    }
+
+    /// Answers `GET /v1/weights/{model}/{version}`.
+    pub async fn respond<B>(&self, request: Request<B>) -> Response<Body> {
+        if request.method() != Method::GET {
+            return text_response(405, "only GET is allowed");
+        }
+        let Some((model, version)) = parse_path(request.uri().path()) else {
+            return text_response(404, "expected /v1/weights/{model}/{version}");
+        };
+        if self.transfers.get() >= self.options.max_transfers {
+            return retry_later(429, "all transfers of this relay are taken");
+        }
+        self.transfers.set(self.transfers.get() + 1);
+        let guard = TransferGuard(self.transfers.clone());
+        match self.open(&model, version).await {
+            Ok(file) => stream_file(file, guard),
+            Err(error) => {
+                log::warn!(target: "relay", "fetch failed model={model} version={version} error={error}");
+                retry_later(503, &error.to_string())
+            }
+        }
+    }
+
+    async fn open(&self, model: &str, version: WeightVersion) -> Result<std::fs::File, NetError> {
+        let path = self.options.data_folder.join(model).join(format!("{version}.weights"));
+        if let Ok(file) = std::fs::File::open(&path) {
+            return Ok(file);
+        }
+        let lock = self.fetches.borrow_mut().entry(path.clone()).or_default().clone();
+        let result = {
+            let _fetching = lock.lock().await;
+            match std::fs::File::open(&path) {
+                Ok(file) => Ok(file),
+                Err(_) => self.fetch(model, version, &path).await,
+            }
+        };
+        self.fetches.borrow_mut().remove(&path);
+        result
+    }
+
+    /// Fetches a version from the weight store into a partial file and renames it when it is whole.
+    async fn fetch(
+        &self,
+        model: &str,
+        version: WeightVersion,
+        path: &Path,
+    ) -> Result<std::fs::File, NetError> {
+        let folder = path.parent().unwrap_or(&self.options.data_folder);
+        std::fs::create_dir_all(folder)?;
+        let partial = path.with_extension("partial");
+        let mut file = std::fs::File::create(&partial)?;
+        let request = Request::builder()
+            .uri(format!("/v1/weights/{model}/{version}"))
+            .body(Body::empty())
+            .map_err(|error| NetError::Decode(error.to_string()))?;
+        let timeout = self.options.chunk_timeout;
+        let late = || NetError::Body("no data in time".to_owned());
+        let sent = self.client.send(self.options.weight_store, request);
+        let mut response = monoio::time::timeout(timeout, sent).await.map_err(|_| late())??;
+        if response.status != StatusCode::OK {
+            return Err(NetError::Decode(format!("weight store status {}", response.status)));
+        }
+        while let Some(chunk) =
+            monoio::time::timeout(timeout, response.chunk()).await.map_err(|_| late())??
+        {
+            file.write_all(&chunk)?;
+        }
+        file.flush()?;
+        std::fs::rename(&partial, path)?;
+        remove_old_versions(folder);
+        Ok(std::fs::File::open(path)?)
+    }
+}
+
+/// Returns model and version of a path. The model must be a valid name, which excludes `..` with a
+/// separator, so a path can not leave the data folder.
+fn parse_path(path: &str) -> Option<(String, WeightVersion)> {
+    let (model, version) = path.strip_prefix("/v1/weights/")?.split_once('/')?;
+    check_object_name(model).ok()?;
+    if model.starts_with('.') {
+        return None;
+    }
+    Some((model.to_owned(), version.parse().ok()?))
+}
+
+fn retry_later(status: u16, message: &str) -> Response<Body> {
+    let mut response = text_response(status, message);
+    let wait = deck_net::http::HeaderValue::from_static("1");
+    response.headers_mut().insert(header::RETRY_AFTER, wait);
+    response
+}
+
+fn stream_file(file: std::fs::File, guard: TransferGuard) -> Response<Body> {
+    let (sender, body) = Body::stream();
+    monoio::spawn(send_file(file, sender, guard));
+    Response::new(body)
+}
+
+async fn send_file(mut file: std::fs::File, sender: BodySender, guard: TransferGuard) {
+    let mut buffer = vec![0_u8; CHUNK_BYTES];
+    loop {
+        match file.read(&mut buffer) {
+            Ok(0) => {
+                sender.finish().await;
+                break;
+            }
+            Ok(count) => {
+                let chunk = bytes::Bytes::copy_from_slice(&buffer[..count]);
+                if sender.send(chunk).await.is_err() {
+                    break;
+                }
+            }
+            Err(error) => {
+                log::warn!(target: "relay", "read failed error={error}");
+                break;
+            }
+        }
+    }
+    drop(guard);
+}
+
+fn remove_old_versions(folder: &Path) {
+    let Ok(entries) = std::fs::read_dir(folder) else { return };
+    let mut versions: Vec<(WeightVersion, PathBuf)> = entries
+        .flatten()
+        .filter_map(|entry| {
+            let path = entry.path();
+            let whole = path.extension().is_some_and(|extension| extension == "weights");
+            let version = path.file_stem()?.to_str()?.parse().ok()?;
+            whole.then_some((version, path))
+        })
+        .collect();
+    versions.sort_unstable_by_key(|(version, _)| std::cmp::Reverse(*version));
+    for (_, path) in versions.into_iter().skip(KEPT_VERSIONS) {
+        if let Err(error) = std::fs::remove_file(&path) {
+            log::warn!(target: "relay", "old version not removed error={error}");
+        }
+    }
+}
