Rank only free sources in the weight rollout planner

Ruled out: the scan of pending orders; it is one pass over the targets. Change: stop when no slot is free, otherwise take the free source with the highest score in one pass. The choice is the same.

--- a/crates/weight/src/plan.rs
+++ b/crates/weight/src/plan.rs
@@ -12,7 +12,7 @@
 };
 
 use deck_core::{
-    hash::rendezvous_rank,
+    hash::rendezvous_score,
     id::{TargetId, WeightVersion},
 };
 
@@ -183,25 +183,41 @@
 
 /// Free transfer slots of the sources.
 struct TransferSlots {
-    free: HashMap<SocketAddr, usize>,
-    names: Vec<(String, SocketAddr)>,
+    sources: Vec<SourceSlots>,
+    /// Sum of the free slots of all sources that may be used.
+    total_free: usize,
+}
+
+struct SourceSlots {
+    name: String,
+    address: SocketAddr,
+    free: usize,
 }
 
 impl TransferSlots {
     fn new(input: &PlanInput<'_>, options: &PlanOptions) -> Self {
-        let mut free: HashMap<_, _> =
-            input.sources.iter().map(|source| (*source, options.transfers_per_source)).collect();
+        let mut used: HashMap<SocketAddr, usize> = HashMap::new();
         for target in input.targets {
             let Some(pending) = input.pending.get(&target.id) else { continue };
             if let Order::Stage { source, .. } = &pending.order
                 && Self::is_transferring(input, options, target)
-                && let Some(slots) = free.get_mut(source)
             {
-                *slots = slots.saturating_sub(1);
+                *used.entry(*source).or_default() += 1;
             }
         }
-        let names = input.sources.iter().map(|source| (source.to_string(), *source)).collect();
-        Self { free, names }
+        // The weight store, whose rate is limited, comes first in the list and serves targets only
+        // if there are no relays.
+        let usable = if input.sources.len() > 1 { &input.sources[1..] } else { input.sources };
+        let slots = |address: &SocketAddr| SourceSlots {
+            name: address.to_string(),
+            address: *address,
+            free: options
+                .transfers_per_source
+                .saturating_sub(used.get(address).copied().unwrap_or(0)),
+        };
+        let sources: Vec<_> = usable.iter().map(slots).collect();
+        let total_free = sources.iter().map(|source| source.free).sum();
+        Self { sources, total_free }
     }
 
     /// A transfer occupies its source until the target reports the end of staging.
@@ -211,23 +227,16 @@
         staging || is_pending(input, options, &target.id)
     }
 
-    /// Takes a slot of the source that ranks first for the target among those with a free slot.
-    ///
-    /// Relays come before the weight store, whose rate is limited; the ranking spreads the targets
-    /// evenly over the relays.
+    /// Takes a slot of the source that ranks first for the target among those with a free slot, which
+    /// spreads the targets evenly.
     fn stage(&mut self, id: &str, version: WeightVersion) -> Option<Order> {
-        let (store, relays) = self.names.split_first()?;
-        let ranked = rendezvous_rank(id, relays.iter().map(|(name, _)| name.as_str()));
-        let ranked = ranked.into_iter().filter_map(|name| {
-            relays.iter().find(|(relay, _)| relay == name).map(|(_, address)| *address)
-        });
-        let candidates = ranked.chain(relays.is_empty().then_some(store.1));
-        for source in candidates {
-            if let Some(slots) = self.free.get_mut(&source).filter(|slots| **slots > 0) {
-                *slots -= 1;
-                return Some(Order::Stage { version, source });
-            }
+        if self.total_free == 0 {
+            return None;
         }
-        None
+        let free = self.sources.iter_mut().filter(|source| source.free > 0);
+        let chosen = free.max_by_key(|source| rendezvous_score(id, &source.name))?;
+        chosen.free -= 1;
+        self.total_free -= 1;
+        Some(Order::Stage { version, source: chosen.address })
     }
 }
--- a/crates/weight/tests/plan.rs
+++ b/crates/weight/tests/plan.rs
@@ -101,7 +101,7 @@
     let sources = [address(1)];
     let options = PlanOptions::default();
     let none = HashMap::new();
-    let mut next = |targets: &[TargetView]| run_plan(targets, &sources, &none, &options);
+    let next = |targets: &[TargetView]| run_plan(targets, &sources, &none, &options);
 
     assert_eq!(next(&targets), [("t0".to_owned(), Order::Drain)]);
     let state = |targets: &mut Vec<TargetView>, change: fn(&mut EngineState)| {
