--- /dev/null
+++ b/crates/peer/src/local.rs
@@ -0,0 +1,185 @@
+//! Configuration and members for the other daemons of the same VM.
+//!
+//! `deckentry` serves `GET /local/config` on a loopback address: server-sent events `object` and
+//! `deleted` (an [`ObjectVersion`]), `synced` (after all objects) and `members` (a list of
+//! [`Member`]s).
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use deck_core::{CancellationToken, id::Revision, object::Kind};
+use deck_net::{
+    Body, Client, ServerOptions,
+    body::{BodyAborted, BodySender},
+    http::Request,
+    server::text_response,
+    sse::{self, EventReader},
+};
+use deck_plat::Backoff;
+use monoio::net::TcpListener;
+use serde::Serialize;
+use tokio::sync::watch;
+
+use crate::{ConfigView, Member, Peer, config::ObjectVersion};
+
+/// Waits between tries to reconnect to the local `deckentry`.
+const RECONNECT_BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+
+/// Serves the local interface until `drain` is cancelled.
+pub async fn serve(listener: TcpListener, peer: Peer, drain: CancellationToken) {
+    let stop = drain.clone();
+    let handler = move |request: Request<_>| {
+        let (peer, stop) = (peer.clone(), stop.clone());
+        async move {
+            if request.uri().path() != "/local/config" {
+                return text_response(404, "not found\n");
+            }
+            let (sender, response) = sse::event_response();
+            monoio::spawn(async move {
+                stop.run_until_cancelled(stream_events(peer, &sender)).await;
+                sender.finish().await;
+            });
+            response
+        }
+    };
+    deck_net::serve(listener, ServerOptions::default(), drain, handler).await;
+}
+
+async fn stream_events(peer: Peer, sender: &BodySender) -> Result<(), BodyAborted> {
+    let mut member_changes = peer.member_changes();
+    let mut config_changes = peer.config().changes();
+    let mut sent = HashMap::new();
+    let mut synced_sent = false;
+    send_event(sender, "members", &peer.members()).await?;
+    loop {
+        let synced = peer.config().is_synced();
+        send_objects(sender, &peer.config(), &mut sent).await?;
+        if synced && !synced_sent {
+            send_event(sender, "synced", &serde_json::json!({})).await?;
+            synced_sent = true;
+        }
+        let config = peer.config();
+        monoio::select! {
+            changed = config_changes.changed() => if changed.is_err() { return Ok(()) },
+            changed = member_changes.changed() => {
+                if changed.is_err() {
+                    return Ok(());
+                }
+                send_event(sender, "members", &peer.members()).await?;
+            }
+            () = config.wait_synced(), if !synced_sent => {}
+            () = sender.closed() => return Ok(()),
+        }
+    }
+}
+
+/// Sends the objects whose newest revision is not the one that was sent last.
+async fn send_objects(
+    sender: &BodySender,
+    config: &ConfigView,
+    sent: &mut HashMap<(Kind, String), Revision>,
+) -> Result<(), BodyAborted> {
+    for version in config.versions() {
+        let key = (version.kind, version.name.clone());
+        if sent.insert(key, version.revision) == Some(version.revision) {
+            continue;
+        }
+        let event = if version.value.is_some() { "object" } else { "deleted" };
+        send_event(sender, event, &version).await?;
+    }
+    Ok(())
+}
+
+async fn send_event<T: Serialize>(
+    sender: &BodySender,
+    event: &str,
+    value: &T,
+) -> Result<(), BodyAborted> {
+    let data = serde_json::to_string(value).map_err(|_| BodyAborted)?;
+    sender.send(sse::encode(Some(event), &data)).await
+}
+
+/// Configuration and members as the local `deckentry` has them; clones share their state.
+#[derive(Clone)]
+pub struct LocalView {
+    config: ConfigView,
+    members: Rc<RefCell<Vec<Member>>>,
+    member_changes: Rc<watch::Sender<u64>>,
+}
+
+impl LocalView {
+    /// Connects to the local interface at `address` and reconnects until `cancel` is cancelled.
+    ///
+    /// While there is no connection the view keeps its last state.
+    pub fn connect(client: Client, address: SocketAddr, cancel: CancellationToken) -> Self {
+        let view = Self {
+            config: ConfigView::default(),
+            members: Rc::default(),
+            member_changes: Rc::new(watch::Sender::new(0)),
+        };
+        let reader = view.clone();
+        monoio::spawn(async move {
+            cancel.run_until_cancelled(reader.run(client, address)).await;
+        });
+        view
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> ConfigView {
+        self.config.clone()
+    }
+
+    /// Returns the members, this VM included.
+    pub fn members(&self) -> Vec<Member> {
+        self.members.borrow().clone()
+    }
+
+    /// Returns a receiver that changes with each new list of members.
+    pub fn member_changes(&self) -> watch::Receiver<u64> {
+        self.member_changes.subscribe()
+    }
+
+    async fn run(self, client: Client, address: SocketAddr) {
+        let (initial, max) = RECONNECT_BACKOFF;
+        let mut backoff = Backoff::new(initial, max);
+        loop {
+            if let Err(error) = self.read_events(&client, address, &mut backoff).await {
+                log::debug!(target: "peer", "local interface not read error={error}");
+            }
+            monoio::time::sleep(backoff.next_wait()).await;
+        }
+    }
+
+    async fn read_events(
+        &self,
+        client: &Client,
+        address: SocketAddr,
+        backoff: &mut Backoff,
+    ) -> Result<(), deck_net::NetError> {
+        let request = Request::builder()
+            .uri("/local/config")
+            .body(Body::empty())
+            .map_err(|error| deck_net::NetError::Decode(error.to_string()))?;
+        let mut events = EventReader::new(client.send(address, request).await?);
+        while let Some(event) = events.next().await? {
+            backoff.reset();
+            let decoded = self.apply(&event.event, &event.data);
+            decoded.map_err(|error| deck_net::NetError::Decode(error.to_string()))?;
+        }
+        Ok(())
+    }
+
+    fn apply(&self, event: &str, data: &str) -> Result<(), serde_json::Error> {
+        match event {
+            "object" | "deleted" => {
+                self.config.apply(serde_json::from_str::<ObjectVersion>(data)?);
+            }
+            "synced" => self.config.set_synced(),
+            "members" => {
+                self.members.replace(serde_json::from_str(data)?);
+                self.member_changes.send_modify(|count| *count += 1);
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+}
