--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -170,3 +170,21 @@
         monoio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Runs `--check` of a program on a settings text; returns its exit code and standard error.
+///
+/// # Panics
+///
+/// Panics if the program cannot be run.
+pub fn check_settings(program_name: &str, text: &str) -> (Option<i32>, String) {
+    let name = format!("{program_name}-{}.ini", deck_core::id::random_id());
+    let file = std::env::temp_dir().join(name);
+    std::fs::write(&file, text).expect("settings file");
+    let output = Command::new(program(program_name))
+        .args(["--check", "--config"])
+        .arg(&file)
+        .output()
+        .expect("program runs");
+    std::fs::remove_file(&file).expect("own file");
+    (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+}
