--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod hash;
 pub mod id;
 pub mod object;
+pub mod priority;
 pub mod timer;
 
 /// Token that tells a task and everything below it to stop.
