--- /dev/null
+++ b/crates/conf/tests/reader.rs
@@ -0,0 +1,42 @@
+//! Typed reads of settings.
+
+use std::path::Path;
+
+use deck_conf::{ConfError, Reader};
+use test_case::test_case;
+
+fn reader(text: &str) -> Reader {
+    Reader::try_parse(Path::new("x.ini"), text).expect("INI")
+}
+
+/// Guards against a list that silently loses a malformed entry.
+#[test_case("", Some(0); "absent")]
+#[test_case("[a]\nlist = 127.0.0.1:1, 127.0.0.1:2\n", Some(2); "two")]
+#[test_case("[a]\nlist = 127.0.0.1:1, x\n", None; "malformed")]
+fn address_lists(text: &str, expected: Option<usize>) {
+    let addresses = reader(text).addresses("a", "list");
+    assert_eq!(addresses.ok().map(|addresses| addresses.len()), expected);
+}
+
+/// Guards against numbers outside their range.
+#[test_case("[a]\nn = 5\n", Some(5); "in range")]
+#[test_case("[a]\n", Some(3); "default")]
+#[test_case("[a]\nn = 11\n", None; "above")]
+#[test_case("[a]\nn = 0\n", None; "below")]
+#[test_case("[a]\nn = five\n", None; "no number")]
+fn numbers(text: &str, expected: Option<u32>) {
+    assert_eq!(reader(text).number("a", "n", 3, 1, 10).ok(), expected);
+}
+
+/// Guards against a misspelt key that is ignored.
+#[test]
+fn unread_keys_are_refused() {
+    let reader = reader("[a]\nknown = 1\nmisspelt = 2\n");
+    reader.text("a", "known");
+    match reader.finish() {
+        Err(ConfError::Unknown(_, section, key)) => {
+            assert_eq!((section.as_str(), key.as_str()), ("a", "misspelt"));
+        }
+        other => panic!("{other:?}"),
+    }
+}
--- /dev/null
+++ b/crates/core/tests/error.rs
@@ -0,0 +1,31 @@
+//! Table from error kind to answer.
+
+use std::collections::HashSet;
+
+use deck_core::error::{CallError, ErrorKind, RunState};
+
+/// Guards against two kinds that callers cannot tell apart.
+#[test]
+fn codes_are_unique() {
+    let codes: HashSet<_> = ErrorKind::ALL.iter().map(|kind| kind.row().code).collect();
+    assert_eq!(codes.len(), ErrorKind::ALL.len());
+}
+
+/// Guards against an answer whose `Retry-After` contradicts the table.
+#[test]
+fn retry_after_follows_the_table() {
+    for kind in ErrorKind::ALL {
+        let error = CallError::new(*kind, "x").with_retry_after(std::time::Duration::from_secs(3));
+        assert_eq!(error.retry_after.is_some(), kind.row().retry, "{kind:?}");
+        assert_eq!(error.body("id").error.retry_after_ms.is_some(), kind.row().retry, "{kind:?}");
+    }
+}
+
+/// Guards against a refusal after sending that claims that the request did not run.
+#[test]
+fn kinds_after_sending_do_not_claim_not_run() {
+    use ErrorKind::{AnswerTruncated, DeadlineExceeded, Internal, KeyOutcomeUnknown, TargetFailed};
+    for kind in [AnswerTruncated, DeadlineExceeded, Internal, KeyOutcomeUnknown, TargetFailed] {
+        assert_eq!(kind.row().run, RunState::Unknown, "{kind:?}");
+    }
+}
