--- a/bins/deckctl/src/cli.rs
+++ b/bins/deckctl/src/cli.rs
@@ -133,4 +133,54 @@
         #[bpaf(positional("FILE"), some("name at least one file"))]
         files: Vec<PathBuf>,
     },
+    /// Reports on service levels.
+    #[bpaf(command, footer("Example: deckctl report burn --history history.jsonl objectives.json"))]
+    Report {
+        /// Which report
+        #[bpaf(external(report))]
+        report: Report,
+    },
+}
+
+/// Reports on service levels.
+#[derive(Debug, Clone, Bpaf)]
+pub enum Report {
+    /// Scrapes the daemons' metrics into a history file.
+    #[bpaf(
+        command,
+        footer("Example: deckctl report record --admin 127.0.0.1:7104 --history history.jsonl")
+    )]
+    Record {
+        /// Address of a daemon's admin endpoints; may be repeated
+        #[bpaf(long("admin"), argument("IP:PORT"), some("name at least one daemon"))]
+        admin: Vec<SocketAddr>,
+        /// File to which scrapes are appended
+        #[bpaf(long("history"), argument("FILE"))]
+        history: PathBuf,
+        /// Time between scrapes, in milliseconds
+        #[bpaf(long("interval-ms"), argument("MS"), fallback(15_000))]
+        interval_ms: u64,
+        /// End after this many scrapes of each daemon
+        #[bpaf(long("count"), argument("N"), optional)]
+        count: Option<u64>,
+    },
+    /// Shows error budgets and burn rates.
+    #[bpaf(
+        command,
+        footer("Example: deckctl report burn --history history.jsonl --html burn.html slo.json")
+    )]
+    Burn {
+        /// File with scrapes, written by `report record`
+        #[bpaf(long("history"), argument("FILE"))]
+        history: PathBuf,
+        /// Write an HTML page with plots
+        #[bpaf(long("html"), argument("FILE"), optional)]
+        html: Option<PathBuf>,
+        /// A longer time between two scrapes of a daemon is shown as a gap, in milliseconds
+        #[bpaf(long("gap-after-ms"), argument("MS"), fallback(60_000))]
+        gap_after_ms: u64,
+        /// Files with ServiceObjective objects; without them they are read from the object API
+        #[bpaf(positional("FILE"), many)]
+        files: Vec<PathBuf>,
+    },
 }
--- a/bins/deckctl/src/error.rs
+++ b/bins/deckctl/src/error.rs
@@ -42,6 +42,15 @@
             display("{name}: {error}")
             source(error)
         }
+        /// A history file cannot be read or written.
+        History(file: PathBuf, error: deck_burn::history::HistoryError) {
+            display("{}: {error}", file.display())
+            source(error)
+        }
+        /// A plot cannot be drawn.
+        Plot(message: String) {
+            display("plot: {message}")
+        }
         /// The files differ from the stored objects.
         Different(count: usize) {
             display("{count} objects differ")
@@ -67,8 +76,12 @@
     /// Returns the exit code; `deckctl --help` lists them.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::Io(_) => 1,
-            Self::NoObjectApi | Self::File(..) | Self::Syntax(..) | Self::Object(..) => 2,
+            Self::Io(_) | Self::Plot(_) => 1,
+            Self::NoObjectApi
+            | Self::File(..)
+            | Self::Syntax(..)
+            | Self::Object(..)
+            | Self::History(..) => 2,
             Self::NotFound(_) => 3,
             Self::Conflict(..) => 4,
             Self::Store(_, StoreError::Unavailable(_) | StoreError::RateLimited(_)) => 5,
--- a/bins/deckctl/src/main.rs
+++ b/bins/deckctl/src/main.rs
@@ -30,6 +30,9 @@
     if let Command::Check { files } = &command {
         return verbs::check::run(files, output);
     }
+    if let Command::Report { report } = command {
+        return verbs::report::run(report, object_api, timeout_ms, output).await;
+    }
     let address = object_api.ok_or(CtlError::NoObjectApi)?;
     let timeout = std::time::Duration::from_millis(timeout_ms);
     let store = deck_plat::Store::new(deck_net::Client::default(), address, timeout);
@@ -46,6 +49,6 @@
         Command::Delete { revision, kind, name } => {
             verbs::delete::run(&store, kind, &name, revision, output).await
         }
-        Command::Check { .. } => Ok(()),
+        Command::Check { .. } | Command::Report { .. } => Ok(()),
     }
 }
--- a/bins/deckctl/src/verbs.rs
+++ b/bins/deckctl/src/verbs.rs
@@ -6,4 +6,5 @@
 pub mod describe;
 pub mod diff;
 pub mod get;
+pub mod report;
 pub mod watch;
--- /dev/null
+++ b/bins/deckctl/src/verbs/report.rs
@@ -0,0 +1,152 @@
+//! `report`: records metrics and shows error budgets.
+
+use std::{
+    fs::{File, OpenOptions},
+    io::BufReader,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use deck_burn::{
+    history::{self, HistoryError, Scrape},
+    html,
+    report::burn_report,
+};
+use deck_core::object::{AnySpec, Kind, ServiceObjective, parse_spec};
+use deck_net::{Body, Client, NetError, http::Request};
+use deck_plat::Store;
+
+use crate::{
+    cli::{Output, Report},
+    error::CtlError,
+    files,
+    output::print_json,
+};
+
+const MAX_METRICS_BYTES: usize = 16 * 1024 * 1024;
+
+/// Runs one of the reports.
+pub async fn run(
+    report: Report,
+    object_api: Option<SocketAddr>,
+    timeout_ms: u64,
+    output: Output,
+) -> Result<(), CtlError> {
+    let timeout = Duration::from_millis(timeout_ms);
+    match report {
+        Report::Record { admin, history, interval_ms, count } => {
+            let interval = Duration::from_millis(interval_ms);
+            record(&admin, &history, interval, count.unwrap_or(u64::MAX), timeout).await
+        }
+        Report::Burn { history, html, gap_after_ms, files } => {
+            let objectives = if files.is_empty() {
+                let address = object_api.ok_or(CtlError::NoObjectApi)?;
+                stored_objectives(&Store::new(Client::default(), address, timeout)).await?
+            } else {
+                file_objectives(&files)?
+            };
+            burn(&objectives, &history, html.as_deref(), gap_after_ms, output)
+        }
+    }
+}
+
+/// Scrapes each daemon `count` times. A daemon that does not answer leaves a gap in the history.
+async fn record(
+    admin: &[SocketAddr],
+    file: &Path,
+    interval: Duration,
+    count: u64,
+    timeout: Duration,
+) -> Result<(), CtlError> {
+    let client = Client::default();
+    for round in 0..count {
+        if round > 0 {
+            monoio::time::sleep(interval).await;
+        }
+        for address in admin {
+            match scrape(&client, *address, timeout).await {
+                Ok(scrape) => append(file, &scrape)?,
+                Err(error) => eprintln!("deckctl: {address} not scraped: {error}"),
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn scrape(client: &Client, address: SocketAddr, timeout: Duration) -> Result<Scrape, String> {
+    let request = Request::builder()
+        .uri("/metrics")
+        .body(Body::empty())
+        .map_err(|error| error.to_string())?;
+    let call = async {
+        let response = client.send(address, request).await?;
+        response.collect(MAX_METRICS_BYTES).await
+    };
+    let body = match monoio::time::timeout(timeout, call).await {
+        Ok(body) => body.map_err(|error: NetError| error.to_string())?,
+        Err(_) => return Err("no answer in time".to_owned()),
+    };
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let text = String::from_utf8_lossy(&body);
+    Scrape::try_parse(now.as_millis() as u64, &address.to_string(), &text)
+        .map_err(|error| error.to_string())
+}
+
+fn append(file: &Path, scrape: &Scrape) -> Result<(), CtlError> {
+    let failed = |error| CtlError::History(file.to_owned(), error);
+    let mut writer = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(file)
+        .map_err(|error| failed(HistoryError::from(error)))?;
+    history::append(&mut writer, scrape).map_err(failed)
+}
+
+fn burn(
+    objectives: &[(String, ServiceObjective)],
+    history_file: &Path,
+    html_file: Option<&Path>,
+    gap_after_ms: u64,
+    output: Output,
+) -> Result<(), CtlError> {
+    let failed = |error| CtlError::History(history_file.to_owned(), error);
+    let file = File::open(history_file).map_err(|error| failed(HistoryError::from(error)))?;
+    let scrapes = history::read(BufReader::new(file)).map_err(failed)?;
+    let report = burn_report(objectives, &scrapes, gap_after_ms);
+    if let Some(html_file) = html_file {
+        let page = html::page(&report).map_err(CtlError::Plot)?;
+        std::fs::write(html_file, page)
+            .map_err(|error| CtlError::File(html_file.to_owned(), error))?;
+    }
+    match output {
+        Output::Json => print_json(&report),
+        Output::Text => print!("{}", html::text(&report)),
+    }
+    Ok(())
+}
+
+async fn stored_objectives(store: &Store) -> Result<Vec<(String, ServiceObjective)>, CtlError> {
+    let kind = Kind::ServiceObjective.as_str();
+    let (_, objects) = store.list(kind).await.map_err(|error| CtlError::store(kind, error))?;
+    let mut objectives = Vec::new();
+    for object in objects {
+        match parse_spec(&object.value) {
+            Ok(objective) => objectives.push((object.name, objective)),
+            Err(error) => eprintln!("deckctl: {kind}/{} left out: {error}", object.name),
+        }
+    }
+    Ok(objectives)
+}
+
+fn file_objectives(files: &[PathBuf]) -> Result<Vec<(String, ServiceObjective)>, CtlError> {
+    let mut objectives = Vec::new();
+    for object in files::read_all(files)? {
+        // Files that hold other kinds too, such as a whole deployment, are allowed.
+        if let Ok(AnySpec::ServiceObjective(objective)) = AnySpec::parse(object.kind, &object.value)
+        {
+            objectives.push((object.name, objective));
+        }
+    }
+    Ok(objectives)
+}
--- /dev/null
+++ b/crates/burn/src/history.rs
@@ -0,0 +1,139 @@
+//! History of scrapes, one JSON document a line.
+
+use std::{
+    collections::BTreeMap,
+    io::{BufRead, Write},
+};
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+/// Metrics that the report reads; other ones are not kept.
+pub const KEPT_METRICS: &[&str] = &[
+    "deckentry_requests_total",
+    "deckentry_request_duration_seconds_bucket",
+    "deckroll_trainer_idle_seconds_total",
+    "deckroll_trainer_elapsed_seconds_total",
+    "deckroll_samples_delivered_total",
+];
+
+quick_error! {
+    /// Error of a history.
+    #[derive(Debug)]
+    pub enum HistoryError {
+        /// The file cannot be read or written.
+        Io(error: std::io::Error) {
+            display("{error}")
+            source(error)
+            from()
+        }
+        /// A line is not a scrape.
+        Syntax(line: usize, message: String) {
+            display("line {line}: {message}")
+        }
+        /// The metrics text is malformed.
+        Metrics(message: String) {
+            display("metrics: {message}")
+        }
+    }
+}
+
+/// One value of a counter.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Sample {
+    /// Metric name.
+    pub name: String,
+    /// Labels.
+    pub labels: BTreeMap<String, String>,
+    /// Value.
+    pub value: f64,
+}
+
+/// The metrics of one process at one time.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Scrape {
+    /// Time, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// Process, by the address of its admin endpoints.
+    pub source: String,
+    /// Values.
+    pub samples: Vec<Sample>,
+}
+
+impl Scrape {
+    /// Reads a scrape from the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HistoryError::Metrics`] if the text is malformed.
+    pub fn try_parse(at_ms: u64, source: &str, text: &str) -> Result<Self, HistoryError> {
+        let lines = text.lines().map(|line| Ok(line.to_owned()));
+        let parsed = prometheus_parse::Scrape::parse(lines)
+            .map_err(|error| HistoryError::Metrics(error.to_string()))?;
+        let mut samples = Vec::new();
+        for sample in parsed.samples {
+            let labels: BTreeMap<String, String> =
+                sample.labels.iter().map(|(key, value)| (key.clone(), value.clone())).collect();
+            match sample.value {
+                prometheus_parse::Value::Counter(value)
+                | prometheus_parse::Value::Gauge(value)
+                | prometheus_parse::Value::Untyped(value) => {
+                    push_kept(&mut samples, sample.metric, labels, value);
+                }
+                prometheus_parse::Value::Histogram(buckets) => {
+                    for bucket in buckets {
+                        let mut labels = labels.clone();
+                        labels.insert("le".to_owned(), bucket.less_than.to_string());
+                        let name = format!("{}_bucket", sample.metric);
+                        push_kept(&mut samples, name, labels, bucket.count);
+                    }
+                }
+                prometheus_parse::Value::Summary(_) => {}
+            }
+        }
+        Ok(Self { at_ms, source: source.to_owned(), samples })
+    }
+}
+
+fn push_kept(
+    samples: &mut Vec<Sample>,
+    name: String,
+    labels: BTreeMap<String, String>,
+    value: f64,
+) {
+    if KEPT_METRICS.contains(&name.as_str()) {
+        samples.push(Sample { name, labels, value });
+    }
+}
+
+/// Appends a scrape to a history.
+///
+/// # Errors
+///
+/// Returns [`HistoryError::Io`] if it cannot be written.
+pub fn append(writer: &mut impl Write, scrape: &Scrape) -> Result<(), HistoryError> {
+    let line =
+        serde_json::to_string(scrape).map_err(|error| HistoryError::Metrics(error.to_string()))?;
+    writeln!(writer, "{line}")?;
+    Ok(())
+}
+
+/// Reads a history.
+///
+/// # Errors
+///
+/// Returns [`HistoryError::Syntax`] with the line number of a line that is not a scrape.
+pub fn read(reader: impl BufRead) -> Result<Vec<Scrape>, HistoryError> {
+    let mut scrapes: Vec<Scrape> = Vec::new();
+    for (index, line) in reader.lines().enumerate() {
+        let line = line?;
+        if line.trim().is_empty() {
+            continue;
+        }
+        let scrape = serde_json::from_str(&line)
+            .map_err(|error| HistoryError::Syntax(index + 1, error.to_string()))?;
+        scrapes.push(scrape);
+    }
+    scrapes.sort_by_key(|scrape| scrape.at_ms);
+    Ok(scrapes)
+}
