--- a/crates/peer/src/config.rs
+++ b/crates/peer/src/config.rs
@@ -165,6 +165,25 @@
         newest.collect()
     }
 
+    /// Returns the accepted revision of each object that has one, deleted objects excluded.
+    pub fn accepted_revisions(&self) -> BTreeMap<(Kind, String), Revision> {
+        let entries = self.entries.borrow();
+        let accepted = entries.iter().filter(|(_, entry)| entry.accepted.is_some());
+        accepted.map(|(key, entry)| (key.clone(), entry.accepted_revision)).collect()
+    }
+
+    /// Returns the newest revision of an object, deletions included; 0 if none has been seen.
+    pub fn newest_revision(&self, kind: Kind, name: &str) -> Revision {
+        let entries = self.entries.borrow();
+        let entry = entries.get(&(kind, name.to_owned()));
+        entry.and_then(|entry| entry.newest.as_ref()).map_or(0, |newest| newest.revision)
+    }
+
+    /// Returns the newest version of an object, deletions included.
+    pub fn version(&self, kind: Kind, name: &str) -> Option<ObjectVersion> {
+        self.entries.borrow().get(&(kind, name.to_owned()))?.newest.clone()
+    }
+
     /// Returns the accepted revision of an object and the refused one, if the newest was refused.
     pub fn acceptance(&self, kind: Kind, name: &str) -> Option<(Revision, Option<RefusedVersion>)> {
         let entries = self.entries.borrow();
--- /dev/null
+++ b/crates/peer/src/connection.rs
@@ -0,0 +1,155 @@
+//! WebSocket connections between VMs.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use futures_util::{
+    SinkExt, StreamExt,
+    stream::{SplitSink, SplitStream},
+};
+use monoio::{io::IntoPollIo, net::TcpStream};
+use tokio_tungstenite::{
+    WebSocketStream, accept_async_with_config, client_async_with_config,
+    tungstenite::{self, protocol::WebSocketConfig},
+};
+
+use crate::{
+    peer::Shared,
+    wire::{Hello, MemberRecord, Message, PROTOCOL_VERSION, Purpose},
+};
+
+/// Size of the read and write buffers of a connection. A VM has dozens of connections and small
+/// messages; the library's default of 128 KiB would use megabytes.
+const BUFFER_BYTES: usize = 4 * 1024;
+
+/// Implements tokio's `AsyncRead` and `AsyncWrite`.
+type Io = <TcpStream as IntoPollIo>::PollIo;
+type Stream = WebSocketStream<Io>;
+
+/// An open connection after the exchange of hellos.
+pub(crate) struct Connection {
+    pub(crate) remote: MemberRecord,
+    pub(crate) purpose: Purpose,
+    pub(crate) sender: Sender,
+    pub(crate) receiver: Receiver,
+}
+
+/// Sending half of a connection.
+pub(crate) struct Sender(SplitSink<Stream, tungstenite::Message>);
+
+/// Receiving half of a connection.
+pub(crate) struct Receiver(SplitStream<Stream>);
+
+impl Sender {
+    /// Sends an encoded message.
+    pub(crate) async fn send(&mut self, bytes: Bytes) -> Result<(), String> {
+        self.0.send(tungstenite::Message::Binary(bytes)).await.map_err(|error| error.to_string())
+    }
+}
+
+impl Receiver {
+    /// Returns the next message; `None` after the other side closed the connection.
+    pub(crate) async fn next(&mut self, shared: &Shared) -> Result<Option<Message>, String> {
+        while let Some(frame) = self.0.next().await {
+            match frame.map_err(|error| error.to_string())? {
+                tungstenite::Message::Binary(bytes) => {
+                    let message = Message::decode(&bytes)?;
+                    shared.traffic.count_received(&message, bytes.len());
+                    return Ok(Some(message));
+                }
+                tungstenite::Message::Close(_) => return Ok(None),
+                tungstenite::Message::Text(_) => return Err("text message".to_owned()),
+                _ => {}
+            }
+        }
+        Ok(None)
+    }
+}
+
+/// Opens a connection to the peer listener at `address`, within the connect timeout.
+pub(crate) async fn dial(
+    shared: &Rc<Shared>,
+    address: SocketAddr,
+    purpose: Purpose,
+) -> Result<Connection, String> {
+    let opened = async {
+        let stream = TcpStream::connect_addr(address).await.map_err(|error| error.to_string())?;
+        let stream = prepare(stream)?;
+        let (stream, _) = client_async_with_config(url(shared), stream, config(shared))
+            .await
+            .map_err(|error| error.to_string())?;
+        let (mut sender, mut receiver) = split(stream);
+        send_hello(shared, &mut sender, purpose).await?;
+        let hello = receive_hello(shared, &mut receiver).await?;
+        Ok(Connection { remote: hello.member, purpose, sender, receiver })
+    };
+    match monoio::time::timeout(shared.options.connect_timeout, opened).await {
+        Ok(result) => result,
+        Err(_) => Err("connect timeout".to_owned()),
+    }
+}
+
+/// Answers a connection that another VM opened, within the connect timeout.
+pub(crate) async fn accept(shared: &Rc<Shared>, stream: TcpStream) -> Result<Connection, String> {
+    let accepted = async {
+        let stream = accept_async_with_config(prepare(stream)?, config(shared))
+            .await
+            .map_err(|error| error.to_string())?;
+        let (mut sender, mut receiver) = split(stream);
+        let hello = receive_hello(shared, &mut receiver).await?;
+        send_hello(shared, &mut sender, hello.purpose).await?;
+        Ok(Connection { remote: hello.member, purpose: hello.purpose, sender, receiver })
+    };
+    match monoio::time::timeout(shared.options.connect_timeout, accepted).await {
+        Ok(result) => result,
+        Err(_) => Err("handshake timeout".to_owned()),
+    }
+}
+
+/// URL of the upgrade request. Its path names the VM that opens the connection, for captures and
+/// for test programs that cut connections between chosen VMs.
+fn url(shared: &Shared) -> String {
+    let is_plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '.' | '_');
+    let vm: String = shared.options.vm.chars().filter(|c| is_plain(*c)).collect();
+    format!("ws://peer/{vm}")
+}
+
+fn prepare(stream: TcpStream) -> Result<Io, String> {
+    let _ = stream.set_nodelay(true);
+    stream.into_poll_io().map_err(|error| error.to_string())
+}
+
+fn config(shared: &Shared) -> Option<WebSocketConfig> {
+    let limit_bytes = Some(shared.options.max_message_bytes);
+    let config = WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
+        .max_message_size(limit_bytes)
+        .max_frame_size(limit_bytes);
+    Some(config)
+}
+
+fn split(stream: Stream) -> (Sender, Receiver) {
+    let (sink, stream) = stream.split();
+    (Sender(sink), Receiver(stream))
+}
+
+async fn send_hello(shared: &Shared, sender: &mut Sender, purpose: Purpose) -> Result<(), String> {
+    let member = shared.members.borrow().own();
+    let hello = Message::Hello(Hello { protocol_version: PROTOCOL_VERSION, purpose, member });
+    let bytes = hello.encode()?;
+    shared.traffic.count_sent(&hello, bytes.len());
+    sender.send(bytes).await
+}
+
+async fn receive_hello(shared: &Shared, receiver: &mut Receiver) -> Result<Hello, String> {
+    match receiver.next(shared).await? {
+        Some(Message::Hello(hello)) if hello.protocol_version == PROTOCOL_VERSION => Ok(hello),
+        Some(Message::Hello(hello)) => {
+            let found = hello.protocol_version;
+            Err(format!("protocol version {found}; this build has {PROTOCOL_VERSION}"))
+        }
+        Some(other) => Err(format!("message {} before hello", other.label())),
+        None => Err("closed before hello".to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/peer/src/dispatch.rs
@@ -0,0 +1,68 @@
+//! Handling of the messages that arrive on links and direct connections.
+
+use std::{collections::HashMap, rc::Rc};
+
+use crate::{
+    gossip,
+    links::Link,
+    peer::Shared,
+    probe, relay,
+    wire::{MemberRecord, Message},
+};
+
+/// Handles a message that arrived on a link.
+pub(crate) fn on_link(shared: &Rc<Shared>, link: &Rc<Link>, message: Message) {
+    match message {
+        Message::Ping(id) => link.send(shared, &Message::Ack(id)),
+        Message::Ack(id) => probe::answered(shared, id),
+        Message::ProbeFor(request) => {
+            let (shared, link) = (shared.clone(), link.clone());
+            monoio::spawn(async move {
+                if probe::probe_directly(&shared, &request.vm).await {
+                    link.send(&shared, &Message::Ack(request.id));
+                }
+            });
+        }
+        Message::Members(records) => shared.merge_members(records, Some(link.id)),
+        Message::MembersTable(records) => {
+            let newer = newer_records(shared.members.borrow().records(), &records);
+            shared.merge_members(records, Some(link.id));
+            if !newer.is_empty() {
+                link.send(shared, &Message::Members(newer));
+            }
+        }
+        Message::MembersDigest(digest) => answer_members_digest(shared, link, digest),
+        Message::ConfigNews(keys) => relay::on_news(shared, link, keys),
+        Message::ConfigFetch(keys) => relay::on_fetch(shared, link, &keys),
+        Message::ConfigObjects(versions) => relay::on_objects(shared, link, versions),
+        Message::ConfigDigest(digest) => relay::on_digest(shared, link, &digest),
+        Message::ConfigSummary(summary) => relay::on_summary(shared, link, summary),
+        Message::Values(records) => gossip::on_values(shared, link, records),
+        Message::ValueSummary(summary) => gossip::on_summary(shared, link, &summary),
+        Message::ValueFetch(fetch) => gossip::on_fetch(shared, link, &fetch),
+        Message::Prune(()) => link.eager.set(false),
+        Message::Hello(_) | Message::Request(_) | Message::Response(_) => {
+            log::warn!(target: "peer", "unexpected message peer={}", link.vm);
+            link.closed.cancel();
+        }
+    }
+}
+
+/// Sends all members if the other side has others; it answers with those that it has newer.
+fn answer_members_digest(shared: &Shared, link: &Link, digest: u64) {
+    let table = shared.members.borrow();
+    if digest != table.digest() {
+        let records = table.records();
+        drop(table);
+        link.send(shared, &Message::MembersTable(records));
+    }
+}
+
+/// Returns the records of `held` that are newer than those in `received` or missing from them.
+fn newer_records(held: Vec<MemberRecord>, received: &[MemberRecord]) -> Vec<MemberRecord> {
+    let ranks: HashMap<_, _> =
+        received.iter().map(|record| (record.vm.as_str(), record.rank())).collect();
+    let is_newer =
+        |record: &MemberRecord| ranks.get(record.vm.as_str()).is_none_or(|r| record.rank() > *r);
+    held.into_iter().filter(is_newer).collect()
+}
--- /dev/null
+++ b/crates/peer/src/gossip.rs
@@ -0,0 +1,125 @@
+//! Spread of published values over the links.
+//!
+//! Values are sent at once on the eager links, which form a spanning tree: a VM that receives a
+//! value twice prunes the link of the second copy. Versions of recent values go to one of the other
+//! links now and then; a VM that lacks one fetches it and makes that link eager, which repairs the
+//! tree.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use rand::RngExt;
+
+use crate::{
+    links::Link,
+    peer::Shared,
+    wire::{Message, ValueFetch, ValueRecord, ValueSummary},
+};
+
+/// Time between summaries of recent changes.
+const RECENT_SUMMARY_PERIOD: Duration = Duration::from_secs(1);
+/// Time between summaries of all values.
+const FULL_SUMMARY_PERIOD: Duration = Duration::from_secs(30);
+
+/// Sends changed values on the eager links in each gossip period.
+pub(crate) async fn send_changes(shared: Rc<Shared>) {
+    loop {
+        monoio::time::sleep(shared.options.gossip_period).await;
+        let member_count = shared.active_member_count().max(1);
+        let part = shared.options.values_budget_bytes_per_s as f64 / member_count as f64;
+        shared.values.borrow_mut().admit_own(Instant::now(), part);
+        for link in shared.links.borrow().all() {
+            send_changes_on(&shared, &link);
+        }
+    }
+}
+
+fn send_changes_on(shared: &Shared, link: &Link) {
+    let after = link.sent_change.get();
+    let values = shared.values.borrow();
+    link.sent_change.set(values.last_change());
+    if after == values.last_change() || !link.eager.get() {
+        return;
+    }
+    let records = values.changed_after(after, link.id);
+    drop(values);
+    if !records.is_empty() {
+        link.send(shared, &Message::Values(records));
+    }
+}
+
+/// Sends summaries: of recent changes to one link that is not eager, and rarely of all values.
+pub(crate) async fn send_summaries(shared: Rc<Shared>) {
+    // Changes before the last two summaries: each summary covers two periods.
+    let mut marks = [0, 0];
+    let mut next_full = Instant::now() + FULL_SUMMARY_PERIOD;
+    loop {
+        // Spread, so that VMs that started together do not send at the same time.
+        let factor = rand::rng().random_range(0.5..1.5);
+        monoio::time::sleep(RECENT_SUMMARY_PERIOD.mul_f64(factor)).await;
+        if next_full <= Instant::now() {
+            next_full = Instant::now() + FULL_SUMMARY_PERIOD;
+            if let Some(link) = shared.random_link(|_| true) {
+                send_full_summary(&shared, &link);
+            }
+        }
+        let last_change = shared.values.borrow().last_change();
+        if let Some(link) = shared.random_link(|link| !link.eager.get())
+            && marks[0] < last_change
+        {
+            let pairs = shared.values.borrow().summary(marks[0]);
+            link.send(&shared, &Message::ValueSummary(ValueSummary { pairs, recent: true }));
+        }
+        marks = [marks[1], last_change];
+    }
+}
+
+/// Sends the versions of all values.
+pub(crate) fn send_full_summary(shared: &Shared, link: &Link) {
+    let values = shared.values.borrow();
+    link.sent_change.set(values.last_change());
+    let pairs = values.summary(0);
+    drop(values);
+    link.send(shared, &Message::ValueSummary(ValueSummary { pairs, recent: false }));
+}
+
+/// Merges received values.
+pub(crate) fn on_values(shared: &Shared, link: &Link, records: Vec<ValueRecord>) {
+    let now = Instant::now();
+    let mut is_new = records.is_empty();
+    {
+        let mut values = shared.values.borrow_mut();
+        for record in records {
+            is_new |= values.merge(record, link.id, now);
+        }
+    }
+    if !is_new && shared.random_link(|other| other.id != link.id && other.eager.get()).is_some() {
+        link.eager.set(false);
+        link.send(shared, &Message::Prune(()));
+    }
+}
+
+/// Fetches the values of a summary that are not known here.
+pub(crate) fn on_summary(shared: &Shared, link: &Link, summary: &ValueSummary) {
+    let keys = shared.values.borrow().missing(&summary.pairs);
+    if keys.is_empty() {
+        return;
+    }
+    if summary.recent {
+        link.eager.set(true);
+    }
+    link.send(shared, &Message::ValueFetch(ValueFetch { keys, eager: summary.recent }));
+}
+
+/// Answers a fetch of values.
+pub(crate) fn on_fetch(shared: &Shared, link: &Link, fetch: &ValueFetch) {
+    if fetch.eager {
+        link.eager.set(true);
+    }
+    let records = shared.values.borrow().fetch(&fetch.keys);
+    if !records.is_empty() {
+        link.send(shared, &Message::Values(records));
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,13 +1,28 @@
 //! Links between VMs: membership, configuration relay, published values and requests.
 
 pub mod config;
+mod connection;
+mod dispatch;
 pub mod error;
+mod gossip;
+mod links;
 pub mod local;
 pub mod member;
+mod membership;
 pub mod options;
+pub mod partners;
 pub mod peer;
+mod probe;
+mod relay;
+mod request;
+mod shared;
+mod status;
+mod table;
 pub mod topic;
+pub mod traffic;
+mod values;
 mod watcher;
+mod wire;
 
 pub use config::ConfigView;
 pub use error::PeerError;
@@ -16,3 +31,4 @@
 pub use options::PeerOptions;
 pub use peer::Peer;
 pub use topic::{Published, Topic};
+pub use traffic::MessageTraffic;
--- a/crates/peer/src/options.rs
+++ b/crates/peer/src/options.rs
@@ -43,7 +43,8 @@
     pub value_expiry: Duration,
     /// Time between sends of changed values.
     pub gossip_period: Duration,
-    /// Time after which an unchanged value that is published again is sent again.
+    /// Time after which an unchanged value that is published again is sent again; later if the byte
+    /// budget is short.
     pub refresh_period: Duration,
     /// Bytes of published values that a VM may receive in a second; all VMs together keep to it,
     /// each one by its part.
@@ -90,7 +91,7 @@
             rejoin_period: Duration::from_secs(5),
             value_expiry: Duration::from_secs(10),
             gossip_period: Duration::from_millis(200),
-            refresh_period: Duration::from_secs(60),
+            refresh_period: Duration::from_secs(5),
             values_budget_bytes_per_s: 2_500,
             repair_period: Duration::from_secs(5),
             watchers_per_data_centre: 2,
--- a/crates/peer/src/peer.rs
+++ b/crates/peer/src/peer.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -13,12 +12,21 @@
 use deck_plat::Store;
 use futures_util::future::LocalBoxFuture;
 use monoio::net::TcpListener;
-use tokio::sync::watch;
-
-use crate::{ConfigView, Member, MemberState, PeerError, PeerOptions, Published, Topic, watcher};
+use tokio::sync::{Notify, watch};
+
+pub(crate) use crate::shared::Shared;
+use crate::{
+    ConfigView, Member, MemberState, PeerError, PeerOptions, Published, Topic, gossip, membership,
+    probe, relay, request, status,
+    table::MemberTable,
+    traffic::{MessageTraffic, Traffic},
+    values::ValueTable,
+    watcher,
+    wire::MemberRecord,
+};
 
-/// Function that answers requests of a topic.
-pub(crate) type Handler = dyn Fn(VmId, Bytes) -> LocalBoxFuture<'static, Bytes>;
+/// Time that the announcement of leaving gets to reach the partners.
+const LEAVE_FLUSH: Duration = Duration::from_millis(100);
 
 /// Links, membership, configuration and values of this process; clones share their state.
 #[derive(Clone)]
@@ -26,58 +34,58 @@
     shared: Rc<Shared>,
 }
 
-/// State of the peer part that its tasks share.
-pub(crate) struct Shared {
-    pub(crate) options: PeerOptions,
-    pub(crate) store: Store,
-    /// Calls on the object API for configuration.
-    pub(crate) store_calls: Cell<u64>,
-    pub(crate) config: ConfigView,
-    pub(crate) own: RefCell<Member>,
-    pub(crate) member_changes: watch::Sender<u64>,
-    values: RefCell<BTreeMap<Topic, (Bytes, Instant)>>,
-    handlers: RefCell<HashMap<Topic, Rc<Handler>>>,
-}
-
 impl Peer {
     /// Starts the tasks of the peer part on the current runtime; they end when `cancel` is
     /// cancelled.
     pub fn start(
         options: PeerOptions,
-        _listener: TcpListener,
+        listener: TcpListener,
         store: Store,
-        _vm_list: Option<SocketAddr>,
-        _timers: TimerService,
+        vm_list: Option<SocketAddr>,
+        timers: TimerService,
         cancel: CancellationToken,
     ) -> Self {
-        let own = Member {
-            vm: options.vm.clone(),
-            data_centre: options.data_centre.clone(),
-            region: options.region.clone(),
-            address: options.address.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))),
-            incarnation: options.incarnation,
-            state: MemberState::Live,
-        };
+        let now = Instant::now();
+        let has_others = vm_list.is_some() || !options.seeds.is_empty();
+        let grace = if has_others { options.join_grace } else { Duration::ZERO };
+        let own = own_record(&options, &listener);
         let shared = Rc::new(Shared {
-            options,
             store,
-            store_calls: Cell::new(0),
+            traffic: Traffic::new(options.metrics.as_ref()),
             config: ConfigView::default(),
-            own: RefCell::new(own),
+            members: RefCell::new(MemberTable::new(own, now)),
             member_changes: watch::Sender::new(0),
-            values: RefCell::default(),
+            values: RefCell::new(ValueTable::new(options.vm.clone(), options.incarnation, now)),
+            links: RefCell::default(),
+            directs: RefCell::default(),
+            relay: RefCell::default(),
             handlers: RefCell::default(),
+            probes: RefCell::default(),
+            dialling: RefCell::default(),
+            partners_changed: Notify::new(),
+            watcher_from: Cell::new(now + grace),
+            last_id: Cell::new(0),
+            cancel,
+            options,
         });
-        let watcher = watcher::run(shared.clone());
-        monoio::spawn(async move {
-            cancel.run_until_cancelled(watcher).await;
-        });
+        let probes = timers.every(shared.options.probe_period);
+        spawn(&shared, membership::accept(shared.clone(), listener));
+        spawn(&shared, membership::maintain_links(shared.clone()));
+        spawn(&shared, membership::join(shared.clone(), vm_list));
+        spawn(&shared, probe::run(shared.clone(), probes));
+        spawn(&shared, watcher::run(shared.clone()));
+        spawn(&shared, relay::announce_changes(shared.clone()));
+        spawn(&shared, relay::repair(shared.clone()));
+        spawn(&shared, gossip::send_changes(shared.clone()));
+        spawn(&shared, gossip::send_summaries(shared.clone()));
+        spawn(&shared, status::publish_in_force(shared.clone()));
+        spawn(&shared, status::write_status(shared.clone()));
         Self { shared }
     }
 
     /// Returns all known members, this VM included.
     pub fn members(&self) -> Vec<Member> {
-        vec![self.shared.own.borrow().clone()]
+        self.shared.members.borrow().members()
     }
 
     /// Returns a receiver that changes with each change of a member.
@@ -86,22 +94,33 @@
     }
 
     /// Publishes the value of this VM in a topic; it replaces the earlier one.
+    ///
+    /// Values are for small reports. All VMs together keep to
+    /// [`PeerOptions::values_budget_bytes_per_s`]: a value that changes more often than that allows
+    /// is sent less often, the newest one each time.
     pub fn publish(&self, topic: Topic, value: Bytes) {
-        self.shared.values.borrow_mut().insert(topic, (value, Instant::now()));
+        let period = self.shared.options.refresh_period;
+        self.shared.values.borrow_mut().publish(topic, value, Instant::now(), period);
     }
 
     /// Returns the latest value of each VM in a topic, that of this VM included.
+    ///
+    /// Values of earlier incarnations and of VMs that have been dead for
+    /// [`PeerOptions::value_expiry`] are left out.
     pub fn published(&self, topic: Topic) -> Vec<Published> {
         let values = self.shared.values.borrow();
-        let own = self.shared.own.borrow();
-        let published = values.get(&topic).map(|(value, since)| Published {
-            vm: own.vm.clone(),
-            data_centre: own.data_centre.clone(),
-            incarnation: own.incarnation,
-            value: value.clone(),
-            age: since.elapsed(),
+        let members = self.shared.members.borrow();
+        let current = values.of_topic(topic).filter_map(|(vm, entry)| {
+            let record = members.get(vm)?;
+            (record.incarnation <= entry.incarnation).then(|| Published {
+                vm: vm.clone(),
+                data_centre: record.data_centre.clone(),
+                incarnation: entry.incarnation,
+                value: entry.value.clone(),
+                age: entry.arrived.elapsed(),
+            })
         });
-        published.into_iter().collect()
+        current.collect()
     }
 
     /// Sends a request to another VM and waits for its response.
@@ -117,7 +136,7 @@
         timeout: Duration,
     ) -> Result<Bytes, PeerError> {
         if *vm != self.shared.options.vm {
-            return Err(PeerError::UnknownVm(vm.clone()));
+            return request::request(&self.shared, vm, topic, body, timeout).await;
         }
         let handler = self.shared.handlers.borrow().get(&topic).cloned();
         let Some(handler) = handler else { return Err(PeerError::NotServed(vm.clone(), topic)) };
@@ -138,19 +157,50 @@
         self.shared.config.clone()
     }
 
-    /// Announces that this VM stops; returns after the announcement was handed to the links.
+    /// Announces that this VM stops; returns after the announcement was sent to the partners.
+    ///
+    /// The links stay open until the peer part is cancelled, so that requests in flight complete.
     pub async fn leave(&self) {
-        self.shared.own.borrow_mut().state = MemberState::Leaving;
-        self.shared.member_changes.send_modify(|count| *count += 1);
+        let record = self.shared.members.borrow_mut().leave(Instant::now());
+        if let Some(record) = record {
+            self.shared.spread_members(vec![record], None);
+        }
+        monoio::time::sleep(LEAVE_FLUSH).await;
+    }
+
+    /// Returns the traffic since the start, by message type.
+    pub fn traffic(&self) -> Vec<MessageTraffic> {
+        self.shared.traffic.types()
+    }
+
+    /// Returns the number of calls on the object API for configuration and status since the start.
+    pub fn store_calls(&self) -> u64 {
+        self.shared.traffic.store_calls()
     }
-}
 
-impl Shared {
-    /// Waits until this VM is one of the watchers of its data centre.
-    pub(crate) async fn wait_for_watcher_role(&self) {}
+    /// Returns the VMs to which links are open.
+    pub fn linked_vms(&self) -> Vec<VmId> {
+        self.shared.links.borrow().all().iter().map(|link| link.vm.clone()).collect()
+    }
+}
 
-    /// Waits until this VM is no longer one of the watchers of its data centre.
-    pub(crate) async fn wait_for_watcher_role_lost(&self) {
-        std::future::pending().await
+fn own_record(options: &PeerOptions, listener: &TcpListener) -> MemberRecord {
+    let address = options.address.or_else(|| listener.local_addr().ok());
+    let address = address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+    MemberRecord {
+        vm: options.vm.clone(),
+        data_centre: options.data_centre.clone(),
+        region: options.region.clone(),
+        address,
+        incarnation: options.incarnation,
+        refutation: 0,
+        state: MemberState::Live,
     }
 }
+
+fn spawn(shared: &Rc<Shared>, task: impl Future<Output = ()> + 'static) {
+    let cancel = shared.cancel.clone();
+    monoio::spawn(async move {
+        cancel.run_until_cancelled(task).await;
+    });
+}
--- a/crates/peer/src/topic.rs
+++ b/crates/peer/src/topic.rs
@@ -8,7 +8,6 @@
 
 /// What a published value or a request is about.
 ///
-/// The order is the order in which values are sent when the byte budget is short.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Topic {
@@ -39,6 +38,12 @@
         Self::CallLookup,
         Self::TicketCall,
     ];
+
+    /// Returns whether values of the topic are sent before those of other topics when the byte
+    /// budget is short.
+    pub const fn is_urgent(self) -> bool {
+        matches!(self, Self::LeavingTargets | Self::CrashFingerprints)
+    }
 }
 
 /// Latest value that a VM published in a topic.
--- /dev/null
+++ b/crates/peer/src/traffic.rs
@@ -0,0 +1,108 @@
+//! Counts of the bytes that links and connections send and receive.
+
+use std::cell::{Cell, RefCell};
+
+use deck_obs::metrics::Metrics;
+use opentelemetry::{KeyValue, metrics::Counter};
+
+use crate::wire::Message;
+
+/// Largest header of a WebSocket frame of a message below 64 KiB, mask included.
+const FRAME_HEADER_BYTES: usize = 8;
+
+/// Traffic of one message type.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct MessageTraffic {
+    /// Type of the message.
+    pub message_type: &'static str,
+    /// Messages sent.
+    pub sent_count: u64,
+    /// Bytes sent, WebSocket frame headers included, TCP and IP headers excluded.
+    pub sent_bytes: u64,
+    /// Messages received.
+    pub received_count: u64,
+    /// Bytes received, counted as for `sent_bytes`.
+    pub received_bytes: u64,
+}
+
+impl MessageTraffic {
+    /// Returns whether the messages are control messages: all but requests between VMs, whose
+    /// bytes are part of the data path.
+    pub fn is_control(&self) -> bool {
+        !matches!(self.message_type, "request" | "response")
+    }
+}
+
+/// Counters of one process.
+pub(crate) struct Traffic {
+    types: RefCell<Vec<MessageTraffic>>,
+    sent: Option<Counter<u64>>,
+    received: Option<Counter<u64>>,
+    store_calls: Cell<u64>,
+    store_call_counter: Option<Counter<u64>>,
+}
+
+impl Traffic {
+    pub(crate) fn new(metrics: Option<&Metrics>) -> Self {
+        let types = Message::LABELS
+            .iter()
+            .map(|&message_type| MessageTraffic { message_type, ..MessageTraffic::default() })
+            .collect();
+        let meter = metrics.map(|metrics| metrics.meter("peer"));
+        let counter = |name, text| {
+            meter.as_ref().map(|meter| meter.u64_counter(name).with_description(text).build())
+        };
+        Self {
+            types: RefCell::new(types),
+            sent: counter("peer_sent_bytes_total", "Bytes sent to other VMs by message type"),
+            received: counter(
+                "peer_received_bytes_total",
+                "Bytes received from other VMs by message type",
+            ),
+            store_calls: Cell::new(0),
+            store_call_counter: counter(
+                "peer_store_calls_total",
+                "Calls on the object API for configuration and status",
+            ),
+        }
+    }
+
+    pub(crate) fn count_sent(&self, message: &Message, size_bytes: usize) {
+        let size_bytes = (size_bytes + FRAME_HEADER_BYTES) as u64;
+        if let Some(entry) = self.types.borrow_mut().get_mut(message.type_index()) {
+            entry.sent_count += 1;
+            entry.sent_bytes += size_bytes;
+        }
+        add(&self.sent, message.label(), size_bytes);
+    }
+
+    pub(crate) fn count_received(&self, message: &Message, size_bytes: usize) {
+        let size_bytes = (size_bytes + FRAME_HEADER_BYTES) as u64;
+        if let Some(entry) = self.types.borrow_mut().get_mut(message.type_index()) {
+            entry.received_count += 1;
+            entry.received_bytes += size_bytes;
+        }
+        add(&self.received, message.label(), size_bytes);
+    }
+
+    pub(crate) fn count_store_call(&self) {
+        self.store_calls.set(self.store_calls.get() + 1);
+        if let Some(counter) = &self.store_call_counter {
+            counter.add(1, &[]);
+        }
+    }
+
+    pub(crate) fn types(&self) -> Vec<MessageTraffic> {
+        self.types.borrow().clone()
+    }
+
+    pub(crate) fn store_calls(&self) -> u64 {
+        self.store_calls.get()
+    }
+}
+
+fn add(counter: &Option<Counter<u64>>, label: &'static str, size_bytes: u64) {
+    if let Some(counter) = counter {
+        counter.add(size_bytes, &[KeyValue::new("type", label)]);
+    }
+}
--- a/crates/peer/src/watcher.rs
+++ b/crates/peer/src/watcher.rs
@@ -64,7 +64,7 @@
     };
     *from = Some(start);
     let kinds: Vec<_> = Kind::ALL.iter().map(|kind| kind.as_str()).collect();
-    shared.store_calls.set(shared.store_calls.get() + 1);
+    shared.traffic.count_store_call();
     let mut watch = match shared.store.watch(&kinds, start).await {
         Err(StoreError::Compacted) => return Ok(End::ListAgain),
         other => other?,
@@ -100,7 +100,7 @@
 async fn list_all(shared: &Shared) -> Result<Revision, StoreError> {
     let mut oldest = Revision::MAX;
     for &kind in Kind::ALL {
-        shared.store_calls.set(shared.store_calls.get() + 1);
+        shared.traffic.count_store_call();
         let (revision, objects) = shared.store.list(kind.as_str()).await?;
         apply_list(&shared.config, kind, revision, objects);
         oldest = oldest.min(revision);
