--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,4 +1,4 @@
-//! Choice of a target for each call.
+//! Router: pools, their targets and the calls in flight on them.
 
 use std::{
     cell::RefCell,
@@ -10,11 +10,14 @@
 
 use deck_core::{
     id::{PoolName, TargetId},
-    object::{TargetPool, TargetState},
+    object::TargetPool,
     priority::Priority,
 };
 
-use crate::{PickError, RouterOptions};
+use crate::{
+    HealthState, InFlightGuard, PickError, RouteMember, RouterOptions, load::LengthClass,
+    pool::Pool,
+};
 
 /// What a call needs from a target.
 #[derive(Debug, Clone)]
@@ -76,63 +79,67 @@
     pub age: Duration,
 }
 
+/// State of one target of the subset, for metrics and status.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TargetView {
+    /// The target.
+    pub target: TargetId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Calls of this VM in flight on it.
+    pub calls: u32,
+    /// Those of them that are rollout work.
+    pub rollouts: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Health.
+    pub health: HealthState,
+}
+
 /// Chooses targets; clones share their state.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub struct Router {
-    #[expect(dead_code, reason = "used by the subset choice")]
     options: Rc<RouterOptions>,
-    pools: Rc<RefCell<HashMap<PoolName, Vec<Entry>>>>,
-}
-
-struct Entry {
-    id: TargetId,
-    address: SocketAddr,
-    leaving: bool,
-    in_flight: Rc<RefCell<u64>>,
+    state: Rc<RefCell<State>>,
 }
 
-/// Work of one call on a target; a guard dropped without [`finish`](Self::finish) counts as
-/// cancelled.
-#[derive(Debug)]
-pub struct InFlightGuard {
-    in_flight: Rc<RefCell<u64>>,
-    router: Router,
-    pool: PoolName,
-    target: TargetId,
-}
-
-impl std::fmt::Debug for Router {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Router").finish_non_exhaustive()
-    }
+#[derive(Debug, Default)]
+struct State {
+    pools: HashMap<PoolName, Rc<RefCell<Pool>>>,
+    members: Vec<RouteMember>,
 }
 
 impl Router {
     /// Returns a router without pools.
     pub fn new(options: RouterOptions) -> Self {
-        Self { options: Rc::new(options), pools: Rc::default() }
+        Self { options: Rc::new(options), state: Rc::default() }
+    }
+
+    /// Replaces the VMs that route to the same pools; they decide which targets each of them uses.
+    pub fn set_members(&self, mut members: Vec<RouteMember>) {
+        members.sort_unstable_by(|a, b| a.vm.cmp(&b.vm));
+        let mut state = self.state.borrow_mut();
+        if state.members == members {
+            return;
+        }
+        for pool in state.pools.values() {
+            pool.borrow_mut().update_subset(&members);
+        }
+        state.members = members;
     }
 
     /// Adds a pool or replaces its description; work in flight and health are kept.
     pub fn update_pool(&self, name: &str, pool: &TargetPool) {
-        let mut pools = self.pools.borrow_mut();
-        let old = pools.remove(name).unwrap_or_default();
-        let entries = pool.targets.iter().filter_map(|target| {
-            let address = target.address.parse().ok()?;
-            let known = old.iter().find(|entry| entry.id == target.id);
-            Some(Entry {
-                id: target.id.clone(),
-                address,
-                leaving: target.state == TargetState::Draining,
-                in_flight: known.map(|entry| entry.in_flight.clone()).unwrap_or_default(),
-            })
-        });
-        pools.insert(name.to_owned(), entries.collect());
+        let mut state = self.state.borrow_mut();
+        let State { pools, members } = &mut *state;
+        let new = || Rc::new(RefCell::new(Pool::new(name, self.options.clone())));
+        let known = pools.entry(name.to_owned()).or_insert_with(new);
+        known.borrow_mut().update(pool, members);
     }
 
-    /// Removes a pool.
+    /// Removes a pool; calls in flight end as usual.
     pub fn remove_pool(&self, name: &str) {
-        self.pools.borrow_mut().remove(name);
+        self.state.borrow_mut().pools.remove(name);
     }
 
     /// Chooses a target.
@@ -141,51 +148,62 @@
     ///
     /// Returns an error if the pool is unknown or none of its targets takes the call.
     pub fn pick(&self, request: &PickRequest<'_>) -> Result<Pick, PickError> {
-        let pools = self.pools.borrow();
         let unknown = || PickError::UnknownPool(request.pool.to_owned());
-        let entries = pools.get(request.pool).ok_or_else(unknown)?;
-        let entry = entries
-            .iter()
-            .filter(|entry| !entry.leaving && !request.exclude.contains(&entry.id))
-            .min_by_key(|entry| *entry.in_flight.borrow())
-            .ok_or_else(|| PickError::NoTarget(request.pool.to_owned()))?;
-        *entry.in_flight.borrow_mut() += 1;
-        let in_flight = InFlightGuard {
-            in_flight: entry.in_flight.clone(),
-            router: self.clone(),
-            pool: request.pool.to_owned(),
-            target: entry.id.clone(),
-        };
-        Ok(Pick { target: entry.id.clone(), address: entry.address, in_flight })
+        let pool = self.pool(request.pool).ok_or_else(unknown)?;
+        let chosen = pool.borrow_mut().choose(request)?;
+        let target = chosen.target;
+        let call =
+            pool.borrow_mut().start_call(&target, request.priority, chosen.probe, request.now);
+        let class = LengthClass::of(request.expected_tokens);
+        let (id, address) = (target.id.clone(), target.address);
+        let in_flight = InFlightGuard::new(pool, target, class, call);
+        Ok(Pick { target: id, address, in_flight })
     }
 
     /// Takes note of a load report.
-    pub fn load_report(&self, _pool: &str, _target: &str, _report: LoadReport, _now: Instant) {}
+    pub fn load_report(&self, pool: &str, target: &str, report: LoadReport, now: Instant) {
+        if let Some(pool) = self.pool(pool) {
+            pool.borrow_mut().load_report(target, &report, now);
+        }
+    }
 
-    /// Gives a target no new work from now on.
+    /// Gives a target no new work from now on, until the pool object no longer has it, lists it
+    /// with another address, or returns it from `draining` to `active`.
     pub fn mark_leaving(&self, pool: &str, target: &str) {
-        let mut pools = self.pools.borrow_mut();
-        let entries = pools.get_mut(pool).map(Vec::as_mut_slice).unwrap_or_default();
-        if let Some(entry) = entries.iter_mut().find(|entry| entry.id == target) {
-            entry.leaving = true;
-        }
+        self.set_leaving(pool, target, true);
     }
-}
 
-impl InFlightGuard {
-    /// Takes note of the first byte of the response.
-    pub fn first_byte(&mut self, _now: Instant) {}
+    /// Undoes [`mark_leaving`](Self::mark_leaving) for a target that has started again.
+    pub fn mark_returned(&self, pool: &str, target: &str) {
+        self.set_leaving(pool, target, false);
+    }
 
-    /// Ends the call. `tokens` is the number of generated tokens.
-    pub fn finish(self, outcome: Outcome, _tokens: u64, _now: Instant) {
-        if outcome == Outcome::Leaving {
-            self.router.mark_leaving(&self.pool, &self.target);
+    /// Returns the targets of a pool that this VM uses.
+    pub fn targets(&self, pool: &str) -> Vec<TargetView> {
+        let Some(pool) = self.pool(pool) else { return Vec::new() };
+        let pool = pool.borrow();
+        let view = |target: &Rc<crate::target::Target>| {
+            let state = target.state.borrow();
+            TargetView {
+                target: target.id.clone(),
+                address: target.address,
+                calls: state.load.calls(),
+                rollouts: state.load.rollouts(),
+                leaving: state.is_leaving(),
+                health: state.health.state,
+            }
+        };
+        pool.subset_targets().map(view).collect()
+    }
+
+    fn set_leaving(&self, pool: &str, target: &str, leaving: bool) {
+        let Some(pool) = self.pool(pool) else { return };
+        if let Some(target) = pool.borrow().find(target) {
+            target.state.borrow_mut().marked_leaving = leaving;
         }
     }
-}
 
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        *self.in_flight.borrow_mut() -= 1;
+    fn pool(&self, name: &str) -> Option<Rc<RefCell<Pool>>> {
+        self.state.borrow().pools.get(name).cloned()
     }
 }
