--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -4,8 +4,14 @@
 
 mod admission;
 mod budget;
+mod demand;
+mod estimate;
 mod options;
+mod pool;
+pub mod queue;
+pub mod share;
 
-pub use admission::{Admission, AdmitRequest, NamedShare, Permit, PoolCapacity, Published};
+pub use admission::{Admission, AdmitRequest, Admitted, NamedShare, Permit, PoolCapacity, Waiting};
 pub use budget::{HedgeBudget, RetryBudget};
+pub use demand::Published;
 pub use options::{AdmissionOptions, BudgetOptions};
