--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -1,1 +1,31 @@
-//! See docs/design.md.
+//! Life of one call on its way from a caller to a target: admission, dispatch, streaming, resume,
+//! retry, at-most-once execution and the response.
+
+mod answer;
+mod attempt;
+mod background;
+mod body;
+mod call;
+mod caller;
+mod claim;
+mod completion;
+pub mod crash;
+pub mod engine;
+mod exchange;
+pub mod head;
+mod load;
+pub mod metrics;
+mod once;
+pub mod options;
+mod pools;
+pub mod rate;
+pub mod record;
+mod service;
+mod shared;
+mod sweep;
+pub mod ticket;
+pub mod usage;
+mod wire;
+
+pub use caller::{Caller, CallerParts};
+pub use options::CallOptions;
--- /dev/null
+++ b/crates/call/src/metrics.rs
@@ -0,0 +1,306 @@
+//! Metrics of the data path.
+//!
+//! [`METRICS`] lists them all; a test compares the list with `docs/metrics.md`.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use deck_obs::metrics::{LATENCY_BOUNDS_S, Metrics};
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, Meter},
+};
+
+use crate::usage::DrawKey;
+
+/// Kind of a metric.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MetricKind {
+    /// Only grows.
+    Counter,
+    /// Grows and falls.
+    Gauge,
+    /// Distribution.
+    Histogram,
+}
+
+impl MetricKind {
+    /// Returns the name used in the reference.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Counter => "counter",
+            Self::Gauge => "gauge",
+            Self::Histogram => "histogram",
+        }
+    }
+}
+
+/// Description of one metric.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MetricRow {
+    /// Name.
+    pub name: &'static str,
+    /// Kind.
+    pub kind: MetricKind,
+    /// Unit.
+    pub unit: &'static str,
+    /// Labels, separated by commas.
+    pub labels: &'static str,
+    /// What it counts.
+    pub help: &'static str,
+}
+
+macro_rules! metrics {
+    ($($constant:ident = $name:literal, $kind:ident, $unit:literal, $labels:literal, $help:literal;)*) => {
+        $(const $constant: MetricRow = MetricRow {
+            name: $name,
+            kind: MetricKind::$kind,
+            unit: $unit,
+            labels: $labels,
+            help: $help,
+        };)*
+
+        /// All metrics of the data path.
+        pub const METRICS: &[MetricRow] = &[$($constant,)*];
+    };
+}
+
+metrics! {
+    REQUESTS = "deckentry_requests_total", Counter, "requests", "pool, organisation, code",
+        "Requests answered, by code of the error table or status class.";
+    DURATION = "deckentry_request_duration_seconds", Histogram, "seconds", "pool, priority",
+        "Time from the head of a request to the end of its answer.";
+    FIRST_BYTE = "deckentry_time_to_first_byte_seconds", Histogram, "seconds", "pool, priority",
+        "Time from the head of a request to the first byte of a target's answer.";
+    IN_FLIGHT = "deckentry_requests_in_flight", Gauge, "requests", "",
+        "Requests that are being served.";
+    BODY_BYTES = "deckentry_request_body_bytes", Gauge, "bytes", "",
+        "Memory that request bodies take.";
+    TRIES = "deckentry_tries_total", Counter, "tries", "pool, outcome",
+        "Requests sent to targets, by outcome.";
+    RETRIES = "deckentry_retries_total", Counter, "tries", "pool, reason",
+        "Tries after the first one, by reason.";
+    RESUMES = "deckentry_resumes_total", Counter, "tries", "pool",
+        "Completions continued on another engine with the text generated so far.";
+    CANCELS = "deckentry_cancels_total", Counter, "requests", "pool",
+        "Cancel orders sent to engines.";
+    CLAIMS = "deckentry_claims_total", Counter, "claims", "outcome",
+        "Idempotency keys claimed in the object API, by outcome.";
+    CLAIM_DELETES = "deckentry_claim_deletes_total", Counter, "claims", "outcome",
+        "Old claims deleted from the object API, by outcome.";
+    REPLAYS = "deckentry_replayed_answers_total", Counter, "answers", "source",
+        "Repeats of non-idempotent requests answered from a record, by its place.";
+    TICKETS = "deckentry_tickets_issued_total", Counter, "tickets", "",
+        "Tickets issued.";
+    RECORDS = "deckentry_records", Gauge, "records", "",
+        "Non-idempotent calls on record.";
+    RECORD_BYTES = "deckentry_record_bytes", Gauge, "bytes", "",
+        "Memory that recorded answers take.";
+    CRASHES = "deckentry_target_crashes_total", Counter, "crashes", "pool",
+        "Calls during which a target broke.";
+    TOKENS = "deckentry_tokens_total", Counter, "tokens", "organisation, job, pool",
+        "Tokens generated, counted once per call.";
+    ENGINE_TIME = "deckentry_engine_seconds_total", Counter, "seconds", "organisation, job, pool",
+        "Time that targets spent on calls.";
+    LOAD_POLLS = "deckentry_load_polls_total", Counter, "requests", "outcome",
+        "Load reports requested from engines, by outcome.";
+}
+
+/// Instruments of the data path; clones share them.
+#[derive(Clone)]
+pub struct CallMetrics {
+    inner: Rc<Instruments>,
+}
+
+struct Instruments {
+    requests: Counter<u64>,
+    duration: Histogram<f64>,
+    first_byte: Histogram<f64>,
+    in_flight: Gauge<u64>,
+    in_flight_count: Cell<u64>,
+    body_bytes: Gauge<u64>,
+    tries: Counter<u64>,
+    retries: Counter<u64>,
+    resumes: Counter<u64>,
+    cancels: Counter<u64>,
+    claims: Counter<u64>,
+    claim_deletes: Counter<u64>,
+    replays: Counter<u64>,
+    tickets: Counter<u64>,
+    records: Gauge<u64>,
+    record_bytes: Gauge<u64>,
+    crashes: Counter<u64>,
+    tokens: Counter<u64>,
+    engine_time: Counter<f64>,
+    load_polls: Counter<u64>,
+}
+
+fn counter(meter: &Meter, row: MetricRow) -> Counter<u64> {
+    meter.u64_counter(row.name).with_description(row.help).with_unit(row.unit).build()
+}
+
+fn gauge(meter: &Meter, row: MetricRow) -> Gauge<u64> {
+    meter.u64_gauge(row.name).with_description(row.help).with_unit(row.unit).build()
+}
+
+fn histogram(meter: &Meter, row: MetricRow) -> Histogram<f64> {
+    meter
+        .f64_histogram(row.name)
+        .with_description(row.help)
+        .with_unit(row.unit)
+        .with_boundaries(LATENCY_BOUNDS_S.to_vec())
+        .build()
+}
+
+fn label(name: &'static str, value: &str) -> KeyValue {
+    KeyValue::new(name, value.to_owned())
+}
+
+/// Counts a request as in flight until it is dropped.
+pub struct InFlight(CallMetrics);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let inner = &self.0.inner;
+        inner.in_flight_count.set(inner.in_flight_count.get() - 1);
+        inner.in_flight.record(inner.in_flight_count.get(), &[]);
+    }
+}
+
+impl CallMetrics {
+    /// Makes the instruments.
+    pub fn new(metrics: &Metrics) -> Self {
+        let meter = metrics.meter("call");
+        Self {
+            inner: Rc::new(Instruments {
+                requests: counter(&meter, REQUESTS),
+                duration: histogram(&meter, DURATION),
+                first_byte: histogram(&meter, FIRST_BYTE),
+                in_flight: gauge(&meter, IN_FLIGHT),
+                in_flight_count: Cell::new(0),
+                body_bytes: gauge(&meter, BODY_BYTES),
+                tries: counter(&meter, TRIES),
+                retries: counter(&meter, RETRIES),
+                resumes: counter(&meter, RESUMES),
+                cancels: counter(&meter, CANCELS),
+                claims: counter(&meter, CLAIMS),
+                claim_deletes: counter(&meter, CLAIM_DELETES),
+                replays: counter(&meter, REPLAYS),
+                tickets: counter(&meter, TICKETS),
+                records: gauge(&meter, RECORDS),
+                record_bytes: gauge(&meter, RECORD_BYTES),
+                crashes: counter(&meter, CRASHES),
+                tokens: counter(&meter, TOKENS),
+                engine_time: meter
+                    .f64_counter(ENGINE_TIME.name)
+                    .with_description(ENGINE_TIME.help)
+                    .with_unit(ENGINE_TIME.unit)
+                    .build(),
+                load_polls: counter(&meter, LOAD_POLLS),
+            }),
+        }
+    }
+
+    /// Counts a request in flight.
+    pub fn enter(&self) -> InFlight {
+        let count = self.inner.in_flight_count.get() + 1;
+        self.inner.in_flight_count.set(count);
+        self.inner.in_flight.record(count, &[]);
+        InFlight(self.clone())
+    }
+
+    /// Returns the number of requests in flight.
+    pub fn in_flight(&self) -> u64 {
+        self.inner.in_flight_count.get()
+    }
+
+    /// Counts an answered request.
+    pub fn answered(&self, pool: &str, organisation: &str, code: &str) {
+        let labels =
+            [label("pool", pool), label("organisation", organisation), label("code", code)];
+        self.inner.requests.add(1, &labels);
+    }
+
+    /// Records the duration of a request.
+    pub fn duration(&self, pool: &str, priority: &str, duration: Duration) {
+        let labels = [label("pool", pool), label("priority", priority)];
+        self.inner.duration.record(duration.as_secs_f64(), &labels);
+    }
+
+    /// Records the time to the first byte.
+    pub fn first_byte(&self, pool: &str, priority: &str, duration: Duration) {
+        let labels = [label("pool", pool), label("priority", priority)];
+        self.inner.first_byte.record(duration.as_secs_f64(), &labels);
+    }
+
+    /// Records the memory of request bodies.
+    pub fn body_bytes(&self, bytes: usize) {
+        self.inner.body_bytes.record(bytes as u64, &[]);
+    }
+
+    /// Counts a try.
+    pub fn tried(&self, pool: &str, outcome: &str) {
+        self.inner.tries.add(1, &[label("pool", pool), label("outcome", outcome)]);
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self, pool: &str, reason: &str) {
+        self.inner.retries.add(1, &[label("pool", pool), label("reason", reason)]);
+    }
+
+    /// Counts a resumed completion.
+    pub fn resumed(&self, pool: &str) {
+        self.inner.resumes.add(1, &[label("pool", pool)]);
+    }
+
+    /// Counts a cancel order.
+    pub fn cancelled(&self, pool: &str) {
+        self.inner.cancels.add(1, &[label("pool", pool)]);
+    }
+
+    /// Counts a claim.
+    pub fn claimed(&self, outcome: &str) {
+        self.inner.claims.add(1, &[label("outcome", outcome)]);
+    }
+
+    /// Counts a deleted claim.
+    pub fn claim_deleted(&self, outcome: &str) {
+        self.inner.claim_deletes.add(1, &[label("outcome", outcome)]);
+    }
+
+    /// Counts a replayed answer.
+    pub fn replayed(&self, source: &str) {
+        self.inner.replays.add(1, &[label("source", source)]);
+    }
+
+    /// Counts an issued ticket.
+    pub fn ticket_issued(&self) {
+        self.inner.tickets.add(1, &[]);
+    }
+
+    /// Records the size of the records.
+    pub fn records(&self, count: usize, bytes: usize) {
+        self.inner.records.record(count as u64, &[]);
+        self.inner.record_bytes.record(bytes as u64, &[]);
+    }
+
+    /// Counts a call during which a target broke.
+    pub fn crashed(&self, pool: &str) {
+        self.inner.crashes.add(1, &[label("pool", pool)]);
+    }
+
+    /// Counts the usage of a call.
+    pub fn used(&self, key: &DrawKey, tokens: u64, engine_time: Duration) {
+        let labels = [
+            label("organisation", &key.organisation),
+            label("job", &key.job),
+            label("pool", &key.pool),
+        ];
+        self.inner.tokens.add(tokens, &labels);
+        self.inner.engine_time.add(engine_time.as_secs_f64(), &labels);
+    }
+
+    /// Counts a requested load report.
+    pub fn load_polled(&self, outcome: &str) {
+        self.inner.load_polls.add(1, &[label("outcome", outcome)]);
+    }
+}
--- /dev/null
+++ b/crates/call/src/pools.rs
@@ -0,0 +1,92 @@
+//! Pools in force, as the data path needs them.
+
+use std::{collections::HashMap, rc::Rc};
+
+use deck_core::{
+    id::PoolName,
+    object::{PoolType, TargetPool, TargetState},
+};
+use deck_limit::{Admission, NamedShare, PoolCapacity};
+use deck_peer::ConfigView;
+use deck_route::Router;
+
+/// What the data path knows of a pool.
+#[derive(Debug)]
+pub(crate) struct PoolInfo {
+    pub(crate) name: PoolName,
+    pub(crate) spec: TargetPool,
+}
+
+impl PoolInfo {
+    /// Returns whether calls to `path` may be repeated whatever their method.
+    ///
+    /// A prefix ends at a path separator: `/read` covers `/read` and `/read/1`, not `/readmit`.
+    pub(crate) fn is_idempotent_path(&self, path: &str) -> bool {
+        let path = path.split('?').next().unwrap_or_default();
+        // A path with dot segments may mean another place to the target than to this check.
+        let has_dots = path.split('/').any(|segment| {
+            let plain = segment.to_ascii_lowercase().replace("%2e", ".");
+            plain == "." || plain == ".."
+        });
+        !has_dots
+            && self.spec.idempotent_paths.iter().any(|prefix| {
+                path.strip_prefix(prefix.as_str()).is_some_and(|rest| {
+                    rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/')
+                })
+            })
+    }
+}
+
+/// Pools by name and by model.
+#[derive(Default)]
+pub(crate) struct Pools {
+    by_name: HashMap<PoolName, Rc<PoolInfo>>,
+    by_model: HashMap<String, Rc<PoolInfo>>,
+}
+
+impl Pools {
+    pub(crate) fn service(&self, name: &str) -> Option<Rc<PoolInfo>> {
+        self.by_name.get(name).filter(|pool| pool.spec.pool_type == PoolType::Service).cloned()
+    }
+
+    pub(crate) fn engine(&self, model: &str) -> Option<Rc<PoolInfo>> {
+        self.by_model.get(model).cloned()
+    }
+
+    /// Brings pools, router and admission up to the configuration in force.
+    pub(crate) fn apply(&mut self, config: &ConfigView, router: &Router, admission: &Admission) {
+        let pools = config.pools();
+        for name in self.by_name.keys() {
+            if !pools.iter().any(|(current, ..)| current == name) {
+                router.remove_pool(name);
+                admission.remove_pool(name);
+            }
+        }
+        let mut by_name = HashMap::new();
+        let mut by_model = HashMap::new();
+        for (name, _, spec) in pools {
+            let unchanged = self.by_name.get(&name).filter(|info| info.spec == spec).cloned();
+            let info = unchanged.unwrap_or_else(|| {
+                router.update_pool(&name, &spec);
+                admission.set_capacity(&name, capacity(&spec));
+                Rc::new(PoolInfo { name: name.clone(), spec })
+            });
+            if let Some(model) = &info.spec.model {
+                by_model.entry(model.clone()).or_insert_with(|| info.clone());
+            }
+            by_name.insert(name, info);
+        }
+        self.by_name = by_name;
+        self.by_model = by_model;
+        let shares = config.shares().into_iter();
+        let shares: Vec<_> = shares
+            .map(|(organisation, _, share)| NamedShare { organisation, share })
+            .collect();
+        admission.set_shares(&shares);
+    }
+}
+
+fn capacity(spec: &TargetPool) -> PoolCapacity {
+    let active = spec.targets.iter().filter(|target| target.state == TargetState::Active).count();
+    PoolCapacity { slots: spec.slots_per_target.saturating_mul(active as u32) }
+}
--- /dev/null
+++ b/crates/call/src/usage.rs
@@ -0,0 +1,105 @@
+//! Usage accounting ("draw"): tokens and engine time per organisation, job and pool.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use deck_core::id::{Incarnation, JobName, OrganisationId, PoolName};
+use serde::{Deserialize, Serialize};
+
+/// Most combinations of organisation, job and pool that are published.
+const MAX_PUBLISHED: usize = 512;
+
+/// Who uses what.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct DrawKey {
+    /// Organisation.
+    pub organisation: OrganisationId,
+    /// Rollout job; empty for other calls.
+    pub job: JobName,
+    /// Pool.
+    pub pool: PoolName,
+}
+
+/// Counters since the start of the process. They never fall.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct DrawCounters {
+    /// Calls that were sent to a target.
+    pub calls: u64,
+    /// Tokens that engines generated for these calls.
+    pub tokens: u64,
+    /// Time that targets spent on these calls, all tries together.
+    pub engine_ms: u64,
+}
+
+/// Counters of one key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DrawEntry {
+    /// Key.
+    pub key: DrawKey,
+    /// Counters.
+    pub counters: DrawCounters,
+}
+
+/// What one VM publishes over `Topic::Draw`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DrawReport {
+    /// Process to which the counters belong; a later process starts from zero.
+    pub incarnation: Incarnation,
+    /// Counters, by key.
+    pub entries: Vec<DrawEntry>,
+}
+
+impl DrawReport {
+    /// Returns the encoded report (CBOR).
+    pub fn encode(&self) -> Bytes {
+        let mut bytes = Vec::new();
+        match ciborium::into_writer(self, &mut bytes) {
+            Ok(()) => bytes.into(),
+            Err(error) => {
+                log::error!(target: "call", "draw report not encoded error={error}");
+                Bytes::new()
+            }
+        }
+    }
+
+    /// Reads a report; `None` if it is malformed.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        ciborium::from_reader(bytes).ok()
+    }
+}
+
+/// Counters of this process; clones share them.
+#[derive(Clone, Default)]
+pub struct Draw {
+    counters: Rc<RefCell<HashMap<DrawKey, DrawCounters>>>,
+}
+
+impl Draw {
+    /// Counts one call at its end.
+    pub fn count(&self, key: &DrawKey, tokens: u64, engine_time: Duration) {
+        let mut counters = self.counters.borrow_mut();
+        let entry = counters.entry(key.clone()).or_default();
+        entry.calls += 1;
+        entry.tokens += tokens;
+        entry.engine_ms += engine_time.as_millis() as u64;
+    }
+
+    /// Returns the counters of a key.
+    pub fn get(&self, key: &DrawKey) -> DrawCounters {
+        self.counters.borrow().get(key).copied().unwrap_or_default()
+    }
+
+    /// Returns the report to publish; the largest users if there are too many.
+    pub fn report(&self, incarnation: Incarnation) -> DrawReport {
+        let counters = self.counters.borrow();
+        let mut entries: Vec<_> = counters
+            .iter()
+            .map(|(key, counters)| DrawEntry { key: key.clone(), counters: *counters })
+            .collect();
+        entries.sort_unstable_by(|a, b| {
+            b.counters.engine_ms.cmp(&a.counters.engine_ms).then_with(|| a.key.cmp(&b.key))
+        });
+        entries.truncate(MAX_PUBLISHED);
+        DrawReport { incarnation, entries }
+    }
+}
--- /dev/null
+++ b/crates/call/src/wire.rs
@@ -0,0 +1,108 @@
+//! Messages between entry VMs about non-idempotent calls, in CBOR.
+
+use bytes::Bytes;
+use deck_core::{
+    error::{CallError, ErrorKind},
+    id::{Incarnation, JobName, OrganisationId, PoolName, RequestId},
+    priority::Priority,
+};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::record::{KeyHash, RecordedAnswer, RecordedHeader};
+
+/// Question about a claim of the asked VM (`Topic::CallLookup`).
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LookupRequest {
+    pub(crate) key: KeyHash,
+    pub(crate) nonce: String,
+    pub(crate) incarnation: Incarnation,
+}
+
+/// Answer to a [`LookupRequest`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum LookupResponse {
+    /// The recorded answer.
+    Done(RecordedAnswer),
+    /// A try is running.
+    Running,
+    /// Nothing ran and nothing will run under the nonce.
+    Abandoned,
+    /// The outcome is not known.
+    Unknown,
+}
+
+/// Call with a ticket of the asked VM (`Topic::TicketCall`).
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct TicketCallRequest {
+    pub(crate) ticket: String,
+    pub(crate) request_id: RequestId,
+    pub(crate) organisation: OrganisationId,
+    pub(crate) pool: PoolName,
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) headers: Vec<RecordedHeader>,
+    pub(crate) priority: Priority,
+    pub(crate) job: Option<JobName>,
+    pub(crate) remaining_ms: u64,
+    #[serde(with = "serde_bytes")]
+    pub(crate) body: Vec<u8>,
+}
+
+/// Result of a call with a ticket.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum TicketCallResponse {
+    /// The target's answer.
+    Done(RecordedAnswer),
+    /// An error of the table.
+    Error(WireError),
+}
+
+/// An error of the table.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct WireError {
+    code: String,
+    message: String,
+    retry_after_ms: Option<u64>,
+}
+
+impl From<&CallError> for WireError {
+    fn from(error: &CallError) -> Self {
+        Self {
+            code: error.kind.row().code.to_owned(),
+            message: error.message.clone(),
+            retry_after_ms: error.retry_after.map(|wait| wait.as_millis() as u64),
+        }
+    }
+}
+
+impl From<WireError> for CallError {
+    fn from(error: WireError) -> Self {
+        let kind = ErrorKind::ALL.iter().copied().find(|kind| kind.row().code == error.code);
+        // A code of a later version: the outcome is not known here.
+        let kind = kind.unwrap_or(ErrorKind::KeyOutcomeUnknown);
+        let call_error = Self::new(kind, error.message);
+        match error.retry_after_ms {
+            Some(wait_ms) => call_error.with_retry_after(std::time::Duration::from_millis(wait_ms)),
+            None => call_error,
+        }
+    }
+}
+
+/// Encodes a message; an empty one if that fails, which no receiver can decode.
+pub(crate) fn encode<T: Serialize>(message: &T) -> Bytes {
+    let mut bytes = Vec::new();
+    match ciborium::into_writer(message, &mut bytes) {
+        Ok(()) => bytes.into(),
+        Err(error) => {
+            log::error!(target: "call", "message not encoded error={error}");
+            Bytes::new()
+        }
+    }
+}
+
+/// Decodes a message; `None` if it is malformed.
+pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    ciborium::from_reader(bytes).ok()
+}
