--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -12,7 +12,7 @@
 };
 use deck_net::{
     Body, ClientResponse, NetError,
-    http::{HeaderMap, HeaderValue, Method, Request, Uri, header},
+    http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header},
 };
 use deck_route::{InFlightGuard, Outcome, Pick, PickError, PickRequest};
 
@@ -236,10 +236,10 @@
 
 /// Returns how a target refused a call before running it; `None` if it did not.
 pub(crate) fn refusal(response: &ClientResponse) -> Option<Outcome> {
-    let says = |name| response.headers.get(name).is_some_and(|value| value == "1");
-    if response.status == 503 && says(&LEAVING) {
+    let says = |name: HeaderName| response.headers.get(name).is_some_and(|value| value == "1");
+    if response.status == 503 && says(LEAVING) {
         Some(Outcome::Leaving)
-    } else if response.status == 503 && says(&NOT_RUN) {
+    } else if response.status == 503 && says(NOT_RUN) {
         Some(Outcome::Refused)
     } else {
         None
--- a/crates/call/src/claim.rs
+++ b/crates/call/src/claim.rs
@@ -46,7 +46,7 @@
 /// Claim that this process holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct HeldClaim {
-    pub(crate) name: String,
+    pub(crate) key: KeyHash,
     pub(crate) revision: Revision,
 }
 
@@ -67,6 +67,11 @@
     hash_parts(&[organisation.as_bytes(), pool.as_bytes(), key.as_bytes()])
 }
 
+/// Returns the name of the claim object of a key.
+pub(crate) fn object_name(key: KeyHash) -> String {
+    format!("{key:032x}")
+}
+
 /// Returns the hash of a request.
 pub(crate) fn request_hash(call: &Call) -> RequestHash {
     let method = call.head.method.as_str().as_bytes();
@@ -106,7 +111,7 @@
         shared,
         call,
         key,
-        name: format!("{key:032x}"),
+        name: object_name(key),
         record: ClaimRecord {
             vm: shared.options.vm.clone(),
             incarnation: shared.options.incarnation,
@@ -183,7 +188,7 @@
 
     fn held(&self, revision: Revision) -> Claim {
         self.shared.metrics.claimed("held");
-        Claim::Held(HeldClaim { name: self.name.clone(), revision })
+        Claim::Held(HeldClaim { key: self.key, revision })
     }
 
     fn store_error(&self, error: &StoreError) -> Claim {
--- a/crates/call/src/pools.rs
+++ b/crates/call/src/pools.rs
@@ -1,9 +1,12 @@
 //! Pools in force, as the data path needs them.
 
-use std::{collections::HashMap, rc::Rc};
+use std::{
+    collections::{HashMap, HashSet},
+    rc::Rc,
+};
 
 use deck_core::{
-    id::PoolName,
+    id::{JobName, OrganisationId, PoolName},
     object::{PoolType, TargetPool, TargetState},
 };
 use deck_limit::{Admission, NamedShare, PoolCapacity};
@@ -42,6 +45,8 @@
 pub(crate) struct Pools {
     by_name: HashMap<PoolName, Rc<PoolInfo>>,
     by_model: HashMap<String, Rc<PoolInfo>>,
+    organisations: HashSet<OrganisationId>,
+    jobs: HashSet<JobName>,
 }
 
 impl Pools {
@@ -53,6 +58,14 @@
         self.by_model.get(model).cloned()
     }
 
+    pub(crate) fn is_organisation(&self, name: &str) -> bool {
+        self.organisations.contains(name)
+    }
+
+    pub(crate) fn is_job(&self, name: &str) -> bool {
+        self.jobs.contains(name)
+    }
+
     /// Brings pools, router and admission up to the configuration in force.
     pub(crate) fn apply(&mut self, config: &ConfigView, router: &Router, admission: &Admission) {
         let pools = config.pools();
@@ -78,6 +91,8 @@
         }
         self.by_name = by_name;
         self.by_model = by_model;
+        self.organisations = config.shares().into_iter().map(|(name, ..)| name).collect();
+        self.jobs = config.jobs().into_iter().map(|(name, ..)| name).collect();
         let shares = config.shares().into_iter();
         let shares: Vec<_> = shares
             .map(|(organisation, _, share)| NamedShare { organisation, share })
--- a/crates/call/src/record.rs
+++ b/crates/call/src/record.rs
@@ -65,12 +65,8 @@
     Running,
     /// A target answered.
     Done(Rc<RecordedAnswer>),
-    /// No byte left for a target, or the target refused before running. This process still holds
-    /// the claim.
+    /// No byte left for a target, or the target refused before running.
     Abandoned,
-    /// Abandoned, and another VM was told so. This process must not run the key under its old
-    /// claim: the other VM may have taken it over.
-    Released,
     /// The call may have run and there is no answer.
     Lost,
 }
@@ -125,6 +121,11 @@
     nonce: String,
     /// Whether the claim is known to be in the store under `nonce`, or needs no store.
     confirmed: bool,
+    /// Nonce of a claim about which another VM was told that nothing has run and nothing will run
+    /// under it. Invariant: never equal to `nonce`.
+    released: Option<String>,
+    /// Time of the last change of the state.
+    since: Instant,
     state: watch::Sender<RecordState>,
     /// Number of the newest entry in `order` for this record; older ones are void.
     turn: u64,
@@ -179,14 +180,12 @@
                 Begin::Again
             }
             RecordState::Abandoned => {
-                let nonce = Some(record.nonce.clone()).filter(|nonce| !nonce.is_empty());
-                self.set(key, RecordState::Running, now);
-                Begin::Reclaim(Reclaim { unconfirmed_nonce: nonce, released_nonce: None })
-            }
-            RecordState::Released => {
-                let nonce = Some(record.nonce.clone());
+                let reclaim = Reclaim {
+                    unconfirmed_nonce: Some(record.nonce.clone()).filter(|n| !n.is_empty()),
+                    released_nonce: record.released.clone(),
+                };
                 self.set(key, RecordState::Running, now);
-                Begin::Reclaim(Reclaim { unconfirmed_nonce: None, released_nonce: nonce })
+                Begin::Reclaim(reclaim)
             }
         }
     }
@@ -196,8 +195,15 @@
             return Begin::Full;
         }
         let state = watch::Sender::new(RecordState::Running);
-        let nonce = String::new();
-        let record = Record { request, nonce, confirmed: false, state, turn: 0 };
+        let record = Record {
+            request,
+            nonce: String::new(),
+            confirmed: false,
+            released: None,
+            since: now,
+            state,
+            turn: 0,
+        };
         self.records.insert(key, record);
         self.touch(key, now);
         Begin::New
@@ -240,6 +246,12 @@
     pub fn lookup(&mut self, key: KeyHash, nonce: &str, now: Instant) -> Lookup {
         self.expire(now);
         let Some(record) = self.records.get(&key) else { return Lookup::Unknown };
+        if nonce.is_empty() {
+            return Lookup::Unknown;
+        }
+        if record.released.as_deref() == Some(nonce) {
+            return Lookup::Abandoned;
+        }
         if record.nonce != nonce {
             return Lookup::Unknown;
         }
@@ -247,17 +259,44 @@
         match state {
             RecordState::Running => Lookup::Running,
             RecordState::Done(answer) => Lookup::Done(answer),
-            RecordState::Abandoned | RecordState::Released => {
-                self.set(key, RecordState::Released, now);
+            RecordState::Abandoned => {
+                self.release(key);
                 Lookup::Abandoned
             }
             RecordState::Lost => Lookup::Unknown,
         }
     }
 
-    /// Returns a receiver of the state of a record.
-    pub fn watch(&self, key: KeyHash) -> Option<watch::Receiver<RecordState>> {
-        self.records.get(&key).map(|record| record.state.subscribe())
+    /// Prepares the deletion of a key's claim from the store; the claim of an abandoned record has
+    /// to be taken again afterwards.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time before which the claim must stay.
+    pub fn prepare_deletion(
+        &mut self,
+        key: KeyHash,
+        keep: Duration,
+        now: Instant,
+    ) -> Result<(), Instant> {
+        let Some(record) = self.records.get(&key) else { return Ok(()) };
+        let running = *record.state.borrow() == RecordState::Running;
+        let since = if running { now } else { record.since };
+        if now < since + keep {
+            return Err(since + keep);
+        }
+        self.release(key);
+        Ok(())
+    }
+
+    /// Gives up the claim of a record: this process no longer runs the key under it.
+    fn release(&mut self, key: KeyHash) {
+        if let Some(record) = self.records.get_mut(&key)
+            && !record.nonce.is_empty()
+        {
+            record.released = Some(std::mem::take(&mut record.nonce));
+            record.confirmed = false;
+        }
     }
 
     /// Returns the number of records.
@@ -286,6 +325,7 @@
     fn touch(&mut self, key: KeyHash, now: Instant) {
         self.next_turn += 1;
         if let Some(record) = self.records.get_mut(&key) {
+            record.since = now;
             record.turn = self.next_turn;
             self.order.push_back(OrderEntry { key, turn: self.next_turn, since: now });
         }
