--- a/bins/deckentry/src/process.rs
+++ b/bins/deckentry/src/process.rs
@@ -51,8 +51,7 @@
 
     let running = start(&settings, peer_listener);
     let Running { peer, caller, readiness, metrics, drain, cancel, .. } = &running;
-    let admin =
-        admin::serve(admin_listener, metrics.clone(), readiness.clone(), cancel.clone());
+    let admin = admin::serve(admin_listener, metrics.clone(), readiness.clone(), cancel.clone());
     monoio::spawn(admin);
     monoio::spawn(deck_peer::local::serve(local_listener, peer.clone(), cancel.clone()));
     let handler = {
--- a/bins/deckentry/src/settings.rs
+++ b/bins/deckentry/src/settings.rs
@@ -170,13 +170,7 @@
         self.0.millis("limits", key, default.as_millis() as u64, min_ms, DAY_MS)
     }
 
-    fn size(
-        &self,
-        key: &str,
-        default: usize,
-        min: usize,
-        max: usize,
-    ) -> Result<usize, ConfError> {
+    fn size(&self, key: &str, default: usize, min: usize, max: usize) -> Result<usize, ConfError> {
         self.0.number("limits", key, default, min, max)
     }
 
--- a/crates/call/src/answer.rs
+++ b/crates/call/src/answer.rs
@@ -32,10 +32,7 @@
 
 /// Returns whether the connection closes after the error: the rest of the request is not read.
 fn closes_connection(kind: ErrorKind) -> bool {
-    matches!(
-        kind,
-        ErrorKind::RequestTimeout | ErrorKind::BodyTooLarge | ErrorKind::HeadTooLarge
-    )
+    matches!(kind, ErrorKind::RequestTimeout | ErrorKind::BodyTooLarge | ErrorKind::HeadTooLarge)
 }
 
 /// Sets the header that names the request.
@@ -89,10 +86,9 @@
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let map = response.headers_mut();
     for header in headers {
-        if let (Ok(name), Ok(value)) = (
-            HeaderName::from_bytes(header.name.as_bytes()),
-            HeaderValue::from_bytes(&header.value),
-        ) {
+        if let (Ok(name), Ok(value)) =
+            (HeaderName::from_bytes(header.name.as_bytes()), HeaderValue::from_bytes(&header.value))
+        {
             map.append(name, value);
         }
     }
--- a/crates/call/src/body.rs
+++ b/crates/call/src/body.rs
@@ -1,6 +1,10 @@
 //! Request bodies with bounds on size, time and total memory.
 
-use std::{cell::Cell, rc::Rc, time::Instant};
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use deck_core::error::{CallError, ErrorKind};
@@ -9,6 +13,11 @@
 
 use crate::{metrics::CallMetrics, options::BodyOptions};
 
+/// Most bytes of a refused body that are read and dropped.
+const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
+/// Longest time for which a refused body is read and dropped.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
 /// Memory of all request bodies of this process; clones share it.
 #[derive(Clone)]
 pub(crate) struct BodyMemory {
@@ -39,10 +48,6 @@
     ///
     /// Returns the refusal that the caller receives.
     pub(crate) async fn receive(&self, body: Incoming) -> Result<HeldBody, CallError> {
-        let declared = hyper::body::Body::size_hint(&body).lower();
-        if declared > self.options.max_bytes as u64 {
-            return Err(self.too_large());
-        }
         match monoio::time::timeout(self.options.timeout, self.receive_pieces(body)).await {
             Ok(received) => received,
             Err(_) => {
@@ -60,6 +65,18 @@
     }
 
     async fn receive_pieces(&self, mut body: Incoming) -> Result<HeldBody, CallError> {
+        let result = self.receive_bounded(&mut body).await;
+        if result.is_err() {
+            discard(body).await;
+        }
+        result
+    }
+
+    async fn receive_bounded(&self, body: &mut Incoming) -> Result<HeldBody, CallError> {
+        let declared = hyper::body::Body::size_hint(body).lower();
+        if declared > self.options.max_bytes as u64 {
+            return Err(self.too_large());
+        }
         let mut received = Vec::new();
         let mut reserved = self.reserve(0)?;
         while let Some(frame) = body.frame().await {
@@ -111,6 +128,23 @@
     }
 }
 
+/// Reads the rest of a refused body for a bounded time.
+///
+/// Closing a connection with unread bytes resets it, and the caller may lose the response that says
+/// what was wrong.
+async fn discard(mut body: Incoming) {
+    let mut read = 0;
+    let rest = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            read += frame.data_ref().map_or(0, Bytes::len);
+            if read > MAX_DISCARDED_BYTES {
+                return;
+            }
+        }
+    };
+    let _ = monoio::time::timeout(DISCARD_TIME, rest).await;
+}
+
 /// Waits for `future` until `deadline`; `None` after it.
 pub(crate) async fn until<F: Future>(deadline: Instant, future: F) -> Option<F::Output> {
     let wait = deadline.saturating_duration_since(Instant::now());
--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -94,8 +94,17 @@
     /// cancelled.
     pub fn start(options: CallOptions, parts: CallerParts, cancel: &CancellationToken) -> Self {
         let now = Instant::now();
-        let CallerParts { router, admission, budget, client, peer, store, timers, metrics, stopping } =
-            parts;
+        let CallerParts {
+            router,
+            admission,
+            budget,
+            client,
+            peer,
+            store,
+            timers,
+            metrics,
+            stopping,
+        } = parts;
         let metrics = CallMetrics::new(&metrics);
         let once_options = options.once.clone();
         let shared = Rc::new(Shared {
--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -82,11 +82,7 @@
     call.affinity = Some(hash64(prefix));
 }
 
-fn shape<'a>(
-    shared: &SharedRef,
-    call: &'a Call,
-    request: &'a CompletionRequest,
-) -> CallShape<'a> {
+fn shape<'a>(shared: &SharedRef, call: &'a Call, request: &'a CompletionRequest) -> CallShape<'a> {
     let default_tokens = u64::from(shared.options.tries.default_tokens);
     CallShape {
         model: &request.model,
@@ -270,8 +266,7 @@
             };
             let progress = self.generation.token_count > tokens_before;
             fruitless_tries = if progress { 0 } else { fruitless_tries + 1 };
-            if number == MAX_RESUMED_TRIES
-                || fruitless_tries >= self.shared.options.tries.max_tries
+            if number == MAX_RESUMED_TRIES || fruitless_tries >= self.shared.options.tries.max_tries
             {
                 return Err(self.give_up(message).into());
             }
--- a/crates/call/src/crash.rs
+++ b/crates/call/src/crash.rs
@@ -147,8 +147,7 @@
             .entry(fingerprint)
             .or_insert(Entry { counts: CrashCounts::default(), last: now });
         entry.last = now;
-        let count =
-            if alone { &mut entry.counts.alone } else { &mut entry.counts.in_company };
+        let count = if alone { &mut entry.counts.alone } else { &mut entry.counts.in_company };
         *count = count.saturating_add(1);
         self.version += 1;
     }
--- a/crates/call/src/exchange.rs
+++ b/crates/call/src/exchange.rs
@@ -97,10 +97,8 @@
 
 fn exchange_demand(shared: &SharedRef, now: Instant) {
     let live = shared.peer.members().into_iter();
-    let live: Vec<VmId> = live
-        .filter(|member| member.state != MemberState::Dead)
-        .map(|member| member.vm)
-        .collect();
+    let live: Vec<VmId> =
+        live.filter(|member| member.state != MemberState::Dead).map(|member| member.vm).collect();
     shared.admission.set_members(&live);
     shared.peer.publish(Topic::ShareDemand, shared.admission.demand_report(now));
     let published = others(shared, Topic::ShareDemand);
@@ -155,10 +153,7 @@
     shared.leaving_targets.borrow_mut().heard = still_published;
 }
 
-fn others(
-    shared: &SharedRef,
-    topic: Topic,
-) -> impl Iterator<Item = deck_peer::Published> + use<> {
+fn others(shared: &SharedRef, topic: Topic) -> impl Iterator<Item = deck_peer::Published> + use<> {
     let own = shared.options.vm.clone();
     shared.peer.published(topic).into_iter().filter(move |published| published.vm != own)
 }
--- a/crates/call/src/head.rs
+++ b/crates/call/src/head.rs
@@ -106,11 +106,7 @@
     /// # Errors
     ///
     /// Returns the refusal that the caller receives; its message names the offending header.
-    pub fn try_parse(
-        parts: &Parts,
-        options: &TryOptions,
-        now: Instant,
-    ) -> Result<Self, CallError> {
+    pub fn try_parse(parts: &Parts, options: &TryOptions, now: Instant) -> Result<Self, CallError> {
         check_text(&parts.headers)?;
         let route = route(&parts.method, parts.uri.path(), parts.uri.query())?;
         if let Some(id) = text(&parts.headers, &REQUEST_ID)
--- a/crates/call/src/load.rs
+++ b/crates/call/src/load.rs
@@ -96,8 +96,7 @@
     let Some((key, address)) = next else { return };
     let shared = shared.clone();
     monoio::spawn(async move {
-        let call =
-            shared.client.json::<(), LoadResponse>(Method::GET, address, "/v1/load", None);
+        let call = shared.client.json::<(), LoadResponse>(Method::GET, address, "/v1/load", None);
         match monoio::time::timeout(TIMEOUT, call).await {
             Ok(Ok((status, load))) if status.is_success() => {
                 shared.metrics.load_polled("ok");
--- a/crates/call/src/once.rs
+++ b/crates/call/src/once.rs
@@ -27,9 +27,7 @@
     service::{self, RunEnd},
     shared::SharedRef,
     ticket::Ticket,
-    wire::{
-        LookupRequest, LookupResponse, TicketCallRequest, TicketCallResponse, decode, encode,
-    },
+    wire::{LookupRequest, LookupResponse, TicketCallRequest, TicketCallResponse, decode, encode},
 };
 
 /// Time that the issuer of a ticket has beyond the deadline of the call to say how it ended.
@@ -133,8 +131,7 @@
     match right {
         Right::OwnTicket(ticket) => {
             let organisation = &call.head.organisation;
-            let taken =
-                shared.tickets.borrow_mut().take(ticket, organisation, Instant::now());
+            let taken = shared.tickets.borrow_mut().take(ticket, organisation, Instant::now());
             if !taken {
                 forget(shared, key);
                 let message = "the ticket was used or has expired, or was issued to another \
@@ -323,11 +320,7 @@
     })
 }
 
-async fn run_forwarded(
-    shared: &SharedRef,
-    from: &VmId,
-    request: TicketCallRequest,
-) -> OnceResult {
+async fn run_forwarded(shared: &SharedRef, from: &VmId, request: TicketCallRequest) -> OnceResult {
     let ticket = Ticket::parse(&request.ticket)
         .filter(|ticket| shared.tickets.borrow().is_own(ticket))
         .ok_or_else(|| {
@@ -356,10 +349,9 @@
     let started = Instant::now();
     let mut forwarded = HeaderMap::new();
     for header in &request.headers {
-        if let (Ok(name), Ok(value)) = (
-            HeaderName::from_bytes(header.name.as_bytes()),
-            HeaderValue::from_bytes(&header.value),
-        ) {
+        if let (Ok(name), Ok(value)) =
+            (HeaderName::from_bytes(header.name.as_bytes()), HeaderValue::from_bytes(&header.value))
+        {
             forwarded.append(name, value);
         }
     }
--- a/crates/call/src/pools.rs
+++ b/crates/call/src/pools.rs
@@ -94,9 +94,8 @@
         self.organisations = config.shares().into_iter().map(|(name, ..)| name).collect();
         self.jobs = config.jobs().into_iter().map(|(name, ..)| name).collect();
         let shares = config.shares().into_iter();
-        let shares: Vec<_> = shares
-            .map(|(organisation, _, share)| NamedShare { organisation, share })
-            .collect();
+        let shares: Vec<_> =
+            shares.map(|(organisation, _, share)| NamedShare { organisation, share }).collect();
         admission.set_shares(&shares);
     }
 }
--- a/crates/call/src/record.rs
+++ b/crates/call/src/record.rs
@@ -152,13 +152,7 @@
 impl Records {
     /// Returns an empty set of records.
     pub fn new(options: OnceOptions) -> Self {
-        Self {
-            options,
-            records: HashMap::new(),
-            order: VecDeque::new(),
-            bytes: 0,
-            next_turn: 0,
-        }
+        Self { options, records: HashMap::new(), order: VecDeque::new(), bytes: 0, next_turn: 0 }
     }
 
     /// Begins a try of `key`.
--- a/crates/call/src/shared.rs
+++ b/crates/call/src/shared.rs
@@ -18,19 +18,9 @@
 use tokio::sync::Notify;
 
 use crate::{
-    body::BodyMemory,
-    call::Call,
-    claim::Deletions,
-    crash::CrashTracker,
-    exchange::LeavingTargets,
-    load::LoadPolls,
-    metrics::CallMetrics,
-    options::CallOptions,
-    pools::Pools,
-    rate::TokenBucket,
-    record::Records,
-    ticket::Tickets,
-    usage::Draw,
+    body::BodyMemory, call::Call, claim::Deletions, crash::CrashTracker, exchange::LeavingTargets,
+    load::LoadPolls, metrics::CallMetrics, options::CallOptions, pools::Pools, rate::TokenBucket,
+    record::Records, ticket::Tickets, usage::Draw,
 };
 
 pub(crate) struct Shared {
--- /dev/null
+++ b/crates/call/tests/metrics.rs
@@ -0,0 +1,43 @@
+//! Metrics reference: the page and the code list the same metrics.
+
+use deck_call::metrics::{CallMetrics, METRICS};
+use deck_obs::metrics::Metrics;
+
+const PAGE: &str = include_str!("../../../docs/metrics.md");
+
+/// Guards against metrics that are added, renamed or removed without the reference.
+#[test]
+fn reference_matches_the_code() {
+    let documented: Vec<&str> =
+        PAGE.lines().filter(|line| line.starts_with("| `deckentry_")).collect();
+    let expected: Vec<String> = METRICS
+        .iter()
+        .map(|row| {
+            let kind = row.kind.as_str();
+            format!("| `{}` | {kind} | {} | {} | {} |", row.name, row.unit, row.labels, row.help)
+        })
+        .collect();
+    assert_eq!(documented, expected);
+}
+
+/// Guards against rows of the list that no instrument has, and against names without a unit.
+#[test]
+fn instruments_render_under_their_names() {
+    let metrics = Metrics::default();
+    let call = CallMetrics::new(&metrics);
+    let in_flight = call.enter();
+    call.answered("pool", "org", "ok");
+    call.duration("pool", "interactive", std::time::Duration::from_millis(3));
+    call.tried("pool", "ok");
+    let text = metrics.render();
+    assert!(text.contains("deckentry_requests_in_flight 1"), "{text}");
+    let counted = "deckentry_requests_total{code=\"ok\",organisation=\"org\",pool=\"pool\"} 1";
+    assert!(text.contains(counted), "{text}");
+    assert!(text.contains("deckentry_request_duration_seconds_count"), "{text}");
+    drop(in_flight);
+    assert!(metrics.render().contains("deckentry_requests_in_flight 0"));
+    for row in METRICS {
+        let is_counter = row.kind.as_str() == "counter";
+        assert_eq!(row.name.ends_with("_total"), is_counter, "{}", row.name);
+    }
+}
--- /dev/null
+++ b/crates/call/tests/records.rs
@@ -0,0 +1,210 @@
+//! Records, tickets and claim rate: no key may run twice because of a bound or a race.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use deck_call::{
+    options::OnceOptions,
+    rate::TokenBucket,
+    record::{Begin, Lookup, Reclaim, RecordState, RecordedAnswer, Records},
+    ticket::{Ticket, Tickets},
+};
+
+const KEY: u128 = 7;
+const REQUEST: u128 = 70;
+
+fn answer(size_bytes: usize) -> Rc<RecordedAnswer> {
+    let body = vec![b'x'; size_bytes];
+    Rc::new(RecordedAnswer { status: 200, headers: Vec::new(), body, target: "t".to_owned() })
+}
+
+fn records(options: OnceOptions) -> (Records, Instant) {
+    (Records::new(options), Instant::now())
+}
+
+/// Guards against a repeat that runs while or after the first try runs.
+#[test]
+fn repeat_waits_and_gets_the_recorded_answer() {
+    let (mut records, now) = records(OnceOptions::default());
+    assert!(matches!(records.begin(KEY, REQUEST, now), Begin::New));
+    assert!(matches!(records.begin(KEY, REQUEST, now), Begin::Wait(_)));
+    records.end(KEY, RecordState::Done(answer(3)), now);
+    let Begin::Done(recorded) = records.begin(KEY, REQUEST, now) else { panic!("not recorded") };
+    assert_eq!(recorded.body, b"xxx");
+}
+
+/// Guards against a key that answers for another request.
+#[test]
+fn another_request_under_the_same_key_is_refused() {
+    let (mut records, now) = records(OnceOptions::default());
+    assert!(matches!(records.begin(KEY, REQUEST, now), Begin::New));
+    assert!(matches!(records.begin(KEY, REQUEST + 1, now), Begin::Reused));
+}
+
+/// Guards against a second run after the first one's answer was lost.
+#[test]
+fn lost_outcome_never_runs_again() {
+    let (mut records, now) = records(OnceOptions::default());
+    assert!(matches!(records.begin(KEY, REQUEST, now), Begin::New));
+    records.end(KEY, RecordState::Lost, now);
+    assert!(matches!(records.begin(KEY, REQUEST, now), Begin::Lost));
+}
+
+/// Guards against two owners: an abandoned claim that was given to another VM must be taken again
+/// through the store.
+#[test]
+fn released_claim_is_not_run_from_memory() {
+    let (mut records, now) = records(OnceOptions::default());
+    assert!(matches!(records.begin(KEY, REQUEST, now), Begin::New));
+    records.set_nonce(KEY, "first");
+    records.confirm(KEY);
+    records.end(KEY, RecordState::Abandoned, now);
+    assert!(matches!(records.begin(KEY, REQUEST, now), Begin::Again));
+    records.end(KEY, RecordState::Abandoned, now);
+
+    assert_eq!(records.lookup(KEY, "first", now), Lookup::Abandoned);
+    let Begin::Reclaim(reclaim) = records.begin(KEY, REQUEST, now) else { panic!("ran at once") };
+    let released_nonce = Some("first".to_owned());
+    assert_eq!(reclaim, Reclaim { unconfirmed_nonce: None, released_nonce });
+    // The other VM may ask again while this one tries to take the key back.
+    records.set_nonce(KEY, "second");
+    assert_eq!(records.lookup(KEY, "first", now), Lookup::Abandoned);
+    assert_eq!(records.lookup(KEY, "second", now), Lookup::Running);
+}
+
+/// Guards against a claim whose write was lost and that is then run without asking the store.
+#[test]
+fn unconfirmed_claim_is_taken_again_under_its_nonce() {
+    let (mut records, now) = records(OnceOptions::default());
+    assert!(matches!(records.begin(KEY, REQUEST, now), Begin::New));
+    records.set_nonce(KEY, "lost");
+    records.end(KEY, RecordState::Abandoned, now);
+    let Begin::Reclaim(reclaim) = records.begin(KEY, REQUEST, now) else { panic!("ran at once") };
+    assert_eq!(reclaim.unconfirmed_nonce.as_deref(), Some("lost"));
+}
+
+/// Guards against a key that runs from memory after its claim was deleted, while another VM claims
+/// it anew.
+#[test]
+fn deletion_waits_for_its_time_and_gives_the_claim_up() {
+    let keep = Duration::from_secs(10);
+    let (mut records, now) = records(OnceOptions::default());
+    assert!(matches!(records.begin(KEY, REQUEST, now), Begin::New));
+    records.set_nonce(KEY, "first");
+    records.confirm(KEY);
+    let later = now + keep * 2;
+    assert_eq!(records.prepare_deletion(KEY, keep, later), Err(later + keep), "it runs");
+    records.end(KEY, RecordState::Abandoned, later);
+    assert_eq!(records.prepare_deletion(KEY, keep, later), Err(later + keep), "it just ended");
+    assert_eq!(records.prepare_deletion(KEY, keep, later + keep), Ok(()));
+    assert!(matches!(records.begin(KEY, REQUEST, later + keep), Begin::Reclaim(_)));
+}
+
+/// Guards against memory without bound, and against an answer that is dropped and run again.
+#[test]
+fn answers_are_bounded_in_size_and_dropped_ones_stay_lost() {
+    let options = OnceOptions { max_record_bytes: 2500, ..OnceOptions::default() };
+    let (mut records, now) = records(options);
+    for key in 0..4 {
+        assert!(matches!(records.begin(key, REQUEST, now), Begin::New));
+        records.end(key, RecordState::Done(answer(1000)), now);
+    }
+    assert!(records.answer_bytes() <= 2500);
+    assert!(matches!(records.begin(0, REQUEST, now), Begin::Lost));
+    assert!(matches!(records.begin(3, REQUEST, now), Begin::Done(_)));
+}
+
+/// Guards against memory without bound by the number of keys; running ones are never dropped.
+#[test]
+fn records_are_bounded_in_number() {
+    let options = OnceOptions { max_records: 2, ..OnceOptions::default() };
+    let (mut records, now) = records(options);
+    assert!(matches!(records.begin(1, REQUEST, now), Begin::New));
+    assert!(matches!(records.begin(2, REQUEST, now), Begin::New));
+    assert!(matches!(records.begin(3, REQUEST, now), Begin::Full));
+    records.end(1, RecordState::Lost, now);
+    assert!(matches!(records.begin(3, REQUEST, now), Begin::New));
+    assert_eq!(records.len(), 2);
+}
+
+/// Guards against records that are kept for ever, and against running ones that are dropped.
+#[test]
+fn records_expire_but_not_while_they_run() {
+    let keep = Duration::from_secs(5);
+    let options = OnceOptions { record_keep: keep, ..OnceOptions::default() };
+    let (mut records, now) = records(options);
+    assert!(matches!(records.begin(1, REQUEST, now), Begin::New));
+    assert!(matches!(records.begin(2, REQUEST, now), Begin::New));
+    records.end(2, RecordState::Done(answer(1)), now);
+    assert!(matches!(records.begin(1, REQUEST, now + keep * 3), Begin::Wait(_)));
+    assert_eq!(records.len(), 1);
+    assert_eq!(records.answer_bytes(), 0);
+}
+
+/// Guards against a ticket that runs twice, for another organisation or after its time.
+#[test]
+fn ticket_is_taken_once_by_its_organisation_in_time() {
+    let options = OnceOptions {
+        ticket_keep: Duration::from_secs(5),
+        max_tickets: 2,
+        ..OnceOptions::default()
+    };
+    let now = Instant::now();
+    let mut tickets = Tickets::new("vm.a".to_owned(), 3, options);
+    let first = tickets.issue("sofia", now).expect("ticket");
+    let parsed = Ticket::parse(&first.to_string()).expect("parses");
+    assert_eq!(parsed, first);
+    assert!(tickets.is_own(&parsed));
+    assert!(!tickets.take(&parsed, "other", now));
+    assert!(tickets.take(&parsed, "sofia", now));
+    assert!(!tickets.take(&parsed, "sofia", now));
+
+    let late = tickets.issue("sofia", now).expect("ticket");
+    assert!(!tickets.take(&late, "sofia", now + Duration::from_secs(5)));
+}
+
+/// Guards against memory without bound by tickets that nobody uses.
+#[test]
+fn unused_tickets_are_bounded() {
+    let options = OnceOptions { max_tickets: 2, ..OnceOptions::default() };
+    let now = Instant::now();
+    let mut tickets = Tickets::new("vm".to_owned(), 3, options);
+    let first = tickets.issue("sofia", now).expect("ticket");
+    assert!(tickets.issue("sofia", now).is_some());
+    assert!(tickets.issue("sofia", now).is_none());
+    assert!(tickets.take(&first, "sofia", now));
+    assert!(tickets.issue("sofia", now).is_some());
+}
+
+/// Guards against a ticket of an earlier process of the same VM that runs again.
+#[test]
+fn ticket_of_another_process_is_not_own() {
+    let now = Instant::now();
+    let mut old = Tickets::new("vm".to_owned(), 3, OnceOptions::default());
+    let new = Tickets::new("vm".to_owned(), 4, OnceOptions::default());
+    let ticket = old.issue("sofia", now).expect("ticket");
+    assert!(!new.is_own(&ticket));
+}
+
+/// Guards against claims above the rate that the object API was promised.
+#[test]
+fn claim_rate_holds_over_time() {
+    let mut now = Instant::now();
+    let mut bucket = TokenBucket::new(20.0, now);
+    let mut taken = 0;
+    for _ in 0..1000 {
+        if bucket.try_take(now).is_ok() {
+            taken += 1;
+        }
+        now += Duration::from_millis(10);
+    }
+    assert!((200..=220).contains(&taken), "{taken} in 10 s at 20 per second");
+    let wait = loop {
+        if let Err(wait) = bucket.try_take(now) {
+            break wait;
+        }
+    };
+    assert!(bucket.try_take(now + wait + Duration::from_micros(1)).is_ok());
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod client;
 pub mod error;
+pub mod framing;
 pub mod runtime;
 pub mod server;
 pub mod sse;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,7 +1,12 @@
 //! HTTP/1.1 server with bounded heads, connections and slow senders.
 
 use std::{
-    cell::Cell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration,
+    cell::Cell,
+    convert::Infallible,
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -16,7 +21,13 @@
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 use tokio::sync::Notify;
 
-use crate::{Body, NetError};
+use crate::{Body, NetError, framing::Inspection};
+
+/// Time without a new connection after which a draining listener is closed.
+const LAST_ACCEPT: Duration = Duration::from_millis(20);
+
+/// Longest time in which a draining listener accepts; new connections may come without end.
+const LAST_ACCEPT_TOTAL: Duration = Duration::from_secs(1);
 
 /// Limits of a server.
 #[derive(Debug, Clone)]
@@ -66,20 +77,11 @@
 {
     let handler = Rc::new(handler);
     let open = Rc::new(OpenConnections::default());
-    while let Some(accepted) = drain.run_until_cancelled(listener.accept()).await {
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                // Out of file descriptors, for example: accepting again at once would spin.
-                log::warn!(target: "net", "accept failed error={error}");
-                monoio::time::sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
+    let start = |stream: TcpStream| {
         let _ = stream.set_nodelay(true);
         if open.count.get() >= options.max_connections {
             monoio::spawn(refuse_connection(stream));
-            continue;
+            return;
         }
         let guard = open.clone().enter();
         let handler = handler.clone();
@@ -89,6 +91,24 @@
             serve_connection(stream, &options, drain, handler).await;
             drop(guard);
         });
+    };
+    while let Some(accepted) = drain.run_until_cancelled(listener.accept()).await {
+        match accepted {
+            Ok((stream, _)) => start(stream),
+            Err(error) => {
+                // Out of file descriptors, for example: accepting again at once would spin.
+                log::warn!(target: "net", "accept failed error={error}");
+                monoio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+    // Closing the listener would reset connections that are established and not yet accepted.
+    let accepted_until = Instant::now() + LAST_ACCEPT_TOTAL;
+    while let Ok(Ok((stream, _))) = monoio::time::timeout(LAST_ACCEPT, listener.accept()).await {
+        start(stream);
+        if Instant::now() >= accepted_until {
+            break;
+        }
     }
     drop(listener);
     open.wait_until_empty().await;
@@ -104,6 +124,9 @@
     F: Future<Output = Response<Body>> + 'static,
 {
     let Ok(stream) = stream.into_poll_io() else { return };
+    let inspection = Inspection::default();
+    let stream = inspection.stream(MonoioIo::new(stream));
+    let handler = inspection.service(handler);
     let service = service_fn(move |request| {
         let response = handler(request);
         async move { Ok::<_, Infallible>(response.await) }
@@ -112,7 +135,7 @@
         .timer(MonoioTimer)
         .header_read_timeout(options.head_timeout)
         .max_buf_size(options.max_head_bytes.max(8192))
-        .serve_connection(MonoioIo::new(stream), service);
+        .serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
     let finished = drain.run_until_cancelled(connection.as_mut()).await;
     let result = match finished {
--- /dev/null
+++ b/crates/net/tests/framing.rs
@@ -0,0 +1,33 @@
+//! Inspection of request framing: ambiguous heads are found, others are not.
+
+use deck_net::framing::FramingInspector;
+use test_case::test_case;
+
+const BOTH: &str =
+    "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+const BOTH_REVERSED: &str =
+    "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\nCONTENT-LENGTH:3\r\n\r\n0\r\n\r\n";
+const LENGTH: &str = "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello";
+const CHUNKED: &str = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n\
+    5;x=y\r\nhello\r\n0\r\nTrailer: t\r\n\r\n";
+/// A body that looks like an ambiguous head.
+const BODY_LIKE_HEAD: &str = "POST / HTTP/1.1\r\nContent-Length: 52\r\n\r\n\
+    \r\nG\r\nContent-Length: 1\r\nTransfer-Encoding: a\r\n\r\n....";
+
+/// Guards against request smuggling by ambiguous framing, and against refusing proper requests
+/// whose body looks like a head; whatever the pieces in which the bytes arrive.
+#[test_case(&[BOTH], Some(1))]
+#[test_case(&[BOTH_REVERSED], Some(1))]
+#[test_case(&[LENGTH, CHUNKED, LENGTH, BOTH_REVERSED], Some(4); "after others")]
+#[test_case(&[LENGTH, CHUNKED, "GET / HTTP/1.1\r\n\r\n", LENGTH], None; "proper ones")]
+#[test_case(&[BODY_LIKE_HEAD, LENGTH], None; "body like a head")]
+fn ambiguous_head_is_found(requests: &[&str], expected: Option<u64>) {
+    let bytes = requests.concat();
+    for piece_bytes in [1, 2, 3, 7, 64, bytes.len()] {
+        let mut inspector = FramingInspector::default();
+        for piece in bytes.as_bytes().chunks(piece_bytes) {
+            inspector.inspect(piece);
+        }
+        assert_eq!(inspector.ambiguous(), expected, "pieces of {piece_bytes}");
+    }
+}
