--- a/crates/call/src/exchange.rs
+++ b/crates/call/src/exchange.rs
@@ -67,7 +67,7 @@
     }
 
     /// Returns the list to publish if it has changed.
-    fn to_publish(&mut self, now: Instant) -> Option<Vec<LeavingTarget>> {
+    fn changed_list(&mut self, now: Instant) -> Option<Vec<LeavingTarget>> {
         let before = self.own.len();
         self.own.retain(|_, noted| now.duration_since(noted.at) < LEAVING_PUBLISHED);
         if !std::mem::take(&mut self.changed) && self.own.len() == before {
@@ -133,7 +133,7 @@
 }
 
 fn exchange_leaving(shared: &SharedRef, now: Instant) {
-    let list = shared.leaving_targets.borrow_mut().to_publish(now);
+    let list = shared.leaving_targets.borrow_mut().changed_list(now);
     if let Some(list) = list {
         shared.peer.publish(Topic::LeavingTargets, encode(&list));
     }
