--- a/crates/peer/tests/common/store.rs
+++ b/crates/peer/tests/common/store.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 
 type ObjectKey = (String, String);
+type Objects = BTreeMap<ObjectKey, (Revision, Value)>;
 
 #[derive(Clone)]
 struct Event {
@@ -28,11 +29,11 @@
 #[derive(Default)]
 struct State {
     revision: Revision,
-    objects: BTreeMap<ObjectKey, (Revision, Value)>,
+    objects: Objects,
     events: Vec<Event>,
     compacted_to: Revision,
     /// Answers of lists instead of the current state.
-    stale: Option<(Revision, BTreeMap<ObjectKey, (Revision, Value)>)>,
+    stale: Option<(Revision, Objects)>,
 }
 
 /// Address of the store that can fail on its own.
@@ -40,14 +41,21 @@
     pub address: SocketAddr,
     /// Whether calls are refused with 503 and watches are cut.
     pub is_down: Cell<bool>,
-    /// Whether bookmarks and events are withheld without closing the watch.
-    pub is_silent: Cell<bool>,
+    /// Watches started before this count of calls send nothing any more but stay open.
+    pub silent_before: Cell<u64>,
     /// Writes whose response is still to be lost after they took effect.
     pub lost_responses: Cell<u32>,
     pub watches: Cell<u32>,
     pub calls: Cell<u64>,
 }
 
+impl Door {
+    /// Cuts the open watches off without closing them.
+    pub fn silence_open_watches(&self) {
+        self.silent_before.set(self.calls.get() + 1);
+    }
+}
+
 /// The store; clones share their state.
 #[derive(Clone, Default)]
 pub struct TestStore {
@@ -62,7 +70,7 @@
         let door = Rc::new(Door {
             address: listener.local_addr().expect("address"),
             is_down: Cell::new(false),
-            is_silent: Cell::new(false),
+            silent_before: Cell::new(0),
             lost_responses: Cell::new(0),
             watches: Cell::new(0),
             calls: Cell::new(0),
@@ -212,6 +220,7 @@
     }
 
     async fn send_events(&self, door: &Door, kinds: &str, mut from: Revision, sender: &BodySender) {
+        let started_at = door.calls.get();
         while !door.is_down.get() {
             let events: Vec<_> = self
                 .state
@@ -221,7 +230,7 @@
                 .filter(|event| event.revision > from)
                 .cloned()
                 .collect();
-            if !door.is_silent.get() {
+            if started_at >= door.silent_before.get() {
                 for event in events {
                     from = event.revision;
                     if kinds.split(',').any(|kind| kind == event.key.0)
--- /dev/null
+++ b/crates/peer/tests/membership.rs
@@ -0,0 +1,181 @@
+//! Detection of dead members, refutation, and members that come back.
+
+mod common;
+
+use std::{net::SocketAddr, time::Duration};
+
+use common::{Cluster, Node, eventually, fast_options, pool, pool_kind, run, wait_joined};
+use deck_core::{CancellationToken, timer::TimerService};
+use deck_net::Client;
+use deck_peer::{MemberState, Peer, PeerOptions};
+use deck_plat::Store;
+
+fn refs(nodes: &[Node]) -> Vec<&Node> {
+    nodes.iter().collect()
+}
+
+/// Guards against a dead VM that stays in ranks, and against a restarted one that stays dead.
+#[test]
+fn dead_vm_is_detected_and_its_next_run_is_live() {
+    run(async {
+        let cluster = Cluster::default();
+        let mut nodes = cluster.start_many("a", 4).await;
+        let first = nodes.pop().expect("node");
+        let (vm, incarnation) = (first.vm.clone(), incarnation(&nodes[0], &first.vm));
+        drop(first);
+        eventually("dead everywhere", async || {
+            nodes.iter().all(|node| node.state_of(&vm) == Some(MemberState::Dead))
+        })
+        .await;
+        let again = cluster.start(&vm, "a");
+        let mut all = refs(&nodes);
+        all.push(&again);
+        wait_joined(&all).await;
+        assert!(self::incarnation(&nodes[0], &vm) > incarnation);
+    });
+}
+
+fn incarnation(node: &Node, vm: &str) -> u64 {
+    let members = node.peer.members();
+    members.iter().find(|member| member.vm == vm).map_or(0, |member| member.incarnation)
+}
+
+/// Guards against a VM that is declared dead because a single path to it is broken.
+#[test]
+fn one_broken_path_kills_nobody() {
+    run(async {
+        let cluster = Cluster::default();
+        let nodes = cluster.start_many("a", 4).await;
+        cluster.network.cut(&[&nodes[0]], &[&nodes[1]]);
+        let rounds = fast_options().suspicion_timeout.as_millis() * 3 / 20;
+        for _ in 0..rounds {
+            for node in &nodes {
+                for other in &nodes {
+                    let state = node.state_of(&other.vm);
+                    assert_ne!(state, Some(MemberState::Dead), "{} at {}", other.vm, node.vm);
+                }
+            }
+            monoio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
+
+/// Guards against a suspected VM that cannot clear itself, and against a refutation that looks
+/// like a new process.
+#[test]
+fn suspected_vm_refutes_and_keeps_its_incarnation() {
+    run(async {
+        let cluster = Cluster::default();
+        let patient = |vm: &str| PeerOptions {
+            vm: vm.to_owned(),
+            data_centre: "a".to_owned(),
+            suspicion_timeout: Duration::from_secs(3600),
+            ..fast_options()
+        };
+        let nodes: Vec<_> =
+            ["a-0", "a-1", "a-2"].iter().map(|vm| cluster.start_with(patient(vm))).collect();
+        wait_joined(&refs(&nodes)).await;
+        let incarnation = incarnation(&nodes[0], "a-2");
+        cluster.network.cut(&[&nodes[2]], &[&nodes[0], &nodes[1]]);
+        eventually("suspected", async || {
+            nodes[..2].iter().all(|node| node.state_of("a-2") == Some(MemberState::Suspect))
+        })
+        .await;
+        cluster.network.heal();
+        wait_joined(&refs(&nodes)).await;
+        assert_eq!(self::incarnation(&nodes[0], "a-2"), incarnation);
+    });
+}
+
+/// Guards against a VM that leaves and is treated as a failure, or keeps its roles.
+#[test]
+fn leaving_is_announced_at_once() {
+    run(async {
+        let cluster = Cluster::default();
+        let nodes = cluster.start_many("a", 3).await;
+        nodes[1].peer.leave().await;
+        eventually("leaving everywhere", async || {
+            nodes.iter().all(|node| node.state_of("a-1") == Some(MemberState::Leaving))
+        })
+        .await;
+        eventually("its watch has moved", async || {
+            nodes[1].door.watches.get() == 0 && nodes[0].door.watches.get() == 1
+        })
+        .await;
+    });
+}
+
+/// A VM on a thread of its own, which can be blocked as a paused process is.
+struct FrozenNode {
+    freeze: std::sync::mpsc::Sender<Duration>,
+    stop: std::sync::mpsc::Sender<()>,
+    states: std::sync::mpsc::Receiver<(u32, Vec<(String, MemberState)>)>,
+    thread: std::thread::JoinHandle<()>,
+}
+
+fn start_on_thread(seeds: Vec<SocketAddr>, store: SocketAddr) -> FrozenNode {
+    let (freeze, freezes) = std::sync::mpsc::channel::<Duration>();
+    let (stop, stops) = std::sync::mpsc::channel();
+    let (report, states) = std::sync::mpsc::channel();
+    let thread = std::thread::spawn(move || {
+        run(async move {
+            let cancel = CancellationToken::new();
+            let listener = deck_net::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+            let options = PeerOptions {
+                vm: "frozen".to_owned(),
+                data_centre: "a".to_owned(),
+                seeds,
+                ..fast_options()
+            };
+            let timers = TimerService::start(cancel.clone());
+            let store = Store::new(Client::default(), store, Duration::from_millis(500));
+            let peer = Peer::start(options, listener, store, None, timers, cancel.clone());
+            while stops.try_recv().is_err() {
+                if let Ok(pause) = freezes.try_recv() {
+                    std::thread::sleep(pause);
+                }
+                let members = peer.members().into_iter().map(|m| (m.vm, m.state)).collect();
+                let slots = peer.config().pool("ranks").map_or(0, |(_, p)| p.slots_per_target);
+                let _ = report.send((slots, members));
+                monoio::time::sleep(Duration::from_millis(5)).await;
+            }
+            cancel.cancel();
+        });
+    });
+    FrozenNode { freeze, stop, states, thread }
+}
+
+/// Guards against a paused VM that, when it goes on, stays dead, keeps the old configuration or
+/// declares the others dead because it did not read their answers.
+#[test]
+fn frozen_vm_comes_back() {
+    run(async {
+        let cluster = Cluster::default();
+        cluster.store.put(pool_kind(), "ranks", pool(1));
+        let nodes = cluster.start_many("a", 3).await;
+        let door = cluster.store.open_door(&nodes[0].cancel);
+        let frozen = start_on_thread(nodes.iter().map(|node| node.address).collect(), door.address);
+        let sees = |state| nodes.iter().all(|node| node.state_of("frozen") == Some(state));
+        eventually("joined", async || sees(MemberState::Live)).await;
+        let mut last = (0, Vec::new());
+        eventually("it has the configuration and the members", async || {
+            frozen.states.try_iter().for_each(|state| last = state);
+            last.0 == 1 && last.1.len() == 4
+        })
+        .await;
+        frozen.freeze.send(Duration::from_secs(4)).expect("thread runs");
+        eventually("dead while it is frozen", async || sees(MemberState::Dead)).await;
+        cluster.store.put(pool_kind(), "ranks", pool(2));
+        eventually("live again", async || sees(MemberState::Live)).await;
+        eventually("it has the new configuration", async || {
+            frozen.states.try_iter().any(|(slots, members)| {
+                let dead = members.iter().find(|(_, state)| *state == MemberState::Dead);
+                assert_eq!(dead, None, "the frozen VM declared another one dead");
+                slots == 2
+            })
+        })
+        .await;
+        frozen.stop.send(()).expect("thread runs");
+        frozen.thread.join().expect("thread ends");
+    });
+}
--- /dev/null
+++ b/crates/peer/tests/partners.rs
@@ -0,0 +1,97 @@
+//! Choice of partners and watchers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use deck_peer::{
+    Member, MemberState,
+    partners::{choose_partners, status_writer, watchers},
+};
+use test_case::test_case;
+
+fn members(data_centres: usize, per_data_centre: usize) -> Vec<Member> {
+    let member = |number: usize| Member {
+        vm: format!("vm-{number}"),
+        data_centre: format!("dc-{}", number % data_centres),
+        region: "region".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        incarnation: 1,
+        state: MemberState::Live,
+    };
+    (0..data_centres * per_data_centre).map(member).collect()
+}
+
+fn is_connected(members: &[Member], links: &BTreeMap<String, BTreeSet<String>>) -> bool {
+    let mut seen = BTreeSet::from([members[0].vm.clone()]);
+    let mut open = vec![members[0].vm.clone()];
+    while let Some(vm) = open.pop() {
+        let incoming = links.iter().filter(|(_, to)| to.contains(&vm)).map(|(from, _)| from);
+        for next in links[&vm].iter().chain(incoming) {
+            if seen.insert(next.clone()) {
+                open.push(next.clone());
+            }
+        }
+    }
+    seen.len() == members.len()
+}
+
+/// Guards against a graph that falls apart, or that needs more links than allowed, at some size.
+#[test_case(1, 1)]
+#[test_case(1, 8)]
+#[test_case(4, 2; "today's size")]
+#[test_case(8, 1; "one vm in each data centre")]
+#[test_case(3, 20)]
+#[test_case(8, 41; "design size")]
+fn graph_is_connected_and_bounded(data_centres: usize, per_data_centre: usize) {
+    let mut members = members(data_centres, per_data_centre);
+    // Members die one after the other, by a fixed order that leaves no pattern of names.
+    while !members.is_empty() {
+        for (own_count, other_count) in [(5, 3), (1, 1)] {
+            let links: BTreeMap<_, _> = members
+                .iter()
+                .map(|own| (own.vm.clone(), choose_partners(own, &members, own_count, other_count)))
+                .collect();
+            for (vm, partners) in &links {
+                assert!(partners.len() <= own_count + other_count, "{vm} has {partners:?}");
+                assert!(!partners.contains(vm));
+            }
+            assert!(is_connected(&members, &links), "{} members", members.len());
+        }
+        let gone = (members.len() / 3).max(1);
+        for step in 0..gone {
+            members.remove(step * 7 % members.len());
+        }
+    }
+}
+
+/// Guards against a VM that comes or goes and moves the links of many others.
+#[test]
+fn one_death_changes_few_links() {
+    let all = members(8, 41);
+    let mut rest = all.clone();
+    rest.remove(100);
+    let changed: usize = rest
+        .iter()
+        .map(|own| {
+            let before = choose_partners(own, &all, 5, 3);
+            choose_partners(own, &rest, 5, 3).difference(&before).count()
+        })
+        .sum();
+    assert!(changed <= 30, "{changed} links changed");
+}
+
+/// Guards against dead or leaving VMs that keep a role.
+#[test_case(MemberState::Live, true)]
+#[test_case(MemberState::Suspect, true; "a suspicion moves no role")]
+#[test_case(MemberState::Leaving, false)]
+#[test_case(MemberState::Dead, false)]
+fn roles_follow_the_state(state: MemberState, keeps: bool) {
+    let mut members = members(2, 6);
+    let first = watchers(&members, "dc-0", 2)[0].to_owned();
+    let writer = status_writer(&members, 2).expect("a writer").to_owned();
+    for member in members.iter_mut().filter(|m| m.vm == first || m.vm == writer) {
+        member.state = state;
+    }
+    assert_eq!(watchers(&members, "dc-0", 2).contains(&first.as_str()), keeps);
+    assert_eq!(watchers(&members, "dc-0", 2).len(), 2);
+    assert_eq!(status_writer(&members, 2) == Some(writer.as_str()), keeps);
+}
--- a/crates/peer/tests/relay.rs
+++ b/crates/peer/tests/relay.rs
@@ -2,7 +2,15 @@
 
 mod common;
 
-use common::{Cluster, Node, eventually, pool, pool_kind, run, wait_slots};
+use std::time::Duration;
+
+use common::{
+    Cluster, Node, eventually, malformed_pool, pool, pool_kind, run, wait_joined, wait_slots,
+};
+use deck_core::object::{AcceptStatus, Kind};
+use deck_net::Client;
+use deck_peer::MemberState;
+use deck_plat::{Precondition, Store};
 
 fn refs(nodes: &[Node]) -> Vec<&Node> {
     nodes.iter().collect()
@@ -28,3 +36,248 @@
         assert!(nodes.iter().all(|node| node.peer.config().is_synced()));
     });
 }
+
+/// Guards against a data centre that gets no changes after its watchers died.
+#[test]
+fn others_take_over_from_dead_watchers() {
+    run(async {
+        let cluster = Cluster::default();
+        cluster.store.put(pool_kind(), "ranks", pool(1));
+        let mut nodes = cluster.start_many("a", 5).await;
+        eventually("two watches", async || watching(&nodes).len() == 2).await;
+        let dead = watching(&nodes);
+        nodes.retain(|node| !dead.contains(&node.vm));
+        eventually("two other watches", async || watching(&nodes).len() == 2).await;
+        cluster.store.put(pool_kind(), "ranks", pool(2));
+        wait_slots(&refs(&nodes), "ranks", Some(2)).await;
+    });
+}
+
+fn watching(nodes: &[Node]) -> Vec<String> {
+    let watching = nodes.iter().filter(|node| node.door.watches.get() > 0);
+    watching.map(|node| node.vm.clone()).collect()
+}
+
+/// Guards against two sides of a partition that stay apart, or that bring old versions back when
+/// they meet again.
+#[test]
+fn partition_heals_without_reverting() {
+    run(async {
+        let cluster = Cluster::default();
+        cluster.store.put(pool_kind(), "ranks", pool(1));
+        cluster.store.put(pool_kind(), "gone", pool(1));
+        let left = cluster.start_many("a", 3).await;
+        let right = cluster.start_many("b", 3).await;
+        let all: Vec<_> = left.iter().chain(&right).collect();
+        wait_joined(&all).await;
+        wait_slots(&all, "gone", Some(1)).await;
+
+        cluster.network.cut(&refs(&left), &refs(&right));
+        right.iter().for_each(|node| node.door.is_down.set(true));
+        eventually("the sides count each other as dead", async || {
+            left.iter().all(|node| dead_count(node) == 3)
+                && right.iter().all(|node| dead_count(node) == 3)
+        })
+        .await;
+        cluster.store.put(pool_kind(), "ranks", pool(2));
+        cluster.store.delete(pool_kind(), "gone");
+        wait_slots(&refs(&left), "ranks", Some(2)).await;
+        wait_slots(&refs(&left), "gone", None).await;
+        assert!(right.iter().all(|node| node.slots("ranks") == Some(1)), "right is cut off");
+
+        cluster.network.heal();
+        // The store stays down for the right side: only the links can bring the changes.
+        wait_slots(&all, "ranks", Some(2)).await;
+        wait_slots(&all, "gone", None).await;
+        wait_joined(&all).await;
+        assert!(left.iter().all(|node| node.slots("ranks") == Some(2)));
+        assert!(left.iter().all(|node| node.slots("gone").is_none()));
+    });
+}
+
+fn dead_count(node: &Node) -> usize {
+    let members = node.peer.members();
+    members.iter().filter(|member| member.state == MemberState::Dead).count()
+}
+
+/// Guards against an old version that comes back by a list from a stale replica.
+#[test]
+fn stale_list_reverts_nothing() {
+    run(async {
+        let cluster = Cluster::default();
+        cluster.store.put(pool_kind(), "ranks", pool(1));
+        cluster.store.put(pool_kind(), "gone", pool(1));
+        cluster.store.freeze_lists();
+        cluster.store.delete(pool_kind(), "gone");
+        cluster.store.put(pool_kind(), "ranks", pool(2));
+        cluster.store.put(pool_kind(), "new", pool(3));
+        let nodes = cluster.start_many("a", 3).await;
+        wait_slots(&refs(&nodes), "new", Some(3)).await;
+        wait_slots(&refs(&nodes), "gone", None).await;
+        // The first VM of a data centre lists and gets the stale state.
+        let late = cluster.start("b-0", "b");
+        eventually("it watches", async || late.door.watches.get() == 1).await;
+        wait_joined(&[&late, &nodes[0], &nodes[1], &nodes[2]]).await;
+        wait_slots(&[&late], "ranks", Some(2)).await;
+        for _ in 0..50 {
+            for node in &nodes {
+                assert_eq!(node.slots("ranks"), Some(2), "reverted on {}", node.vm);
+                assert_eq!(node.slots("gone"), None, "deletion reverted on {}", node.vm);
+                assert_eq!(node.slots("new"), Some(3), "creation reverted on {}", node.vm);
+            }
+            monoio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+}
+
+/// Guards against deletions that are missed because the store compacted their events.
+#[test]
+fn deletion_behind_a_compaction_is_found_by_a_list() {
+    run(async {
+        let cluster = Cluster::default();
+        cluster.store.put(pool_kind(), "gone", pool(1));
+        let nodes = cluster.start_many("a", 3).await;
+        wait_slots(&refs(&nodes), "gone", Some(1)).await;
+        nodes.iter().for_each(|node| node.door.is_down.set(true));
+        eventually("no watch", async || watching(&nodes).is_empty()).await;
+        cluster.store.delete(pool_kind(), "gone");
+        cluster.store.put(pool_kind(), "new", pool(2));
+        cluster.store.compact();
+        nodes.iter().for_each(|node| node.door.is_down.set(false));
+        wait_slots(&refs(&nodes), "new", Some(2)).await;
+        wait_slots(&refs(&nodes), "gone", None).await;
+    });
+}
+
+/// Guards against a watch that was cut off without notice and delivers nothing any more.
+#[test]
+fn silent_watch_is_opened_anew() {
+    run(async {
+        let cluster = Cluster::default();
+        let nodes = cluster.start_many("a", 2).await;
+        eventually("two watches", async || watching(&nodes).len() == 2).await;
+        nodes.iter().for_each(|node| node.door.silence_open_watches());
+        cluster.store.put(pool_kind(), "ranks", pool(7));
+        wait_slots(&refs(&nodes), "ranks", Some(7)).await;
+    });
+}
+
+/// Guards against a VM that cannot start, or starts with a part of the configuration, while the
+/// store is down.
+#[test]
+fn restart_in_an_outage_gets_everything_from_partners() {
+    run(async {
+        let cluster = Cluster::default();
+        for number in 0..200 {
+            cluster.store.put(pool_kind(), &format!("pool-{number}"), pool(number + 1));
+        }
+        cluster.store.put(pool_kind(), "gone", pool(1));
+        cluster.store.delete(pool_kind(), "gone");
+        let mut nodes = cluster.start_many("a", 3).await;
+        wait_slots(&refs(&nodes), "pool-199", Some(200)).await;
+        nodes.iter().for_each(|node| node.door.is_down.set(true));
+        nodes.pop();
+        let restarted = cluster.start("a-2", "a");
+        restarted.door.is_down.set(true);
+        restarted.peer.config().wait_synced().await;
+        assert_eq!(restarted.peer.config().pools().len(), 200, "synced before it was complete");
+        assert_eq!(restarted.slots("gone"), None);
+    });
+}
+
+/// Guards against a VM that declares itself ready without any configuration.
+#[test]
+fn vm_without_store_and_partners_is_not_synced() {
+    run(async {
+        let cluster = Cluster::default();
+        let node = cluster.start("a-0", "a");
+        node.door.is_down.set(true);
+        eventually("calls on the store", async || node.door.calls.get() > 3).await;
+        assert!(!node.peer.config().is_synced());
+        node.door.is_down.set(false);
+        node.peer.config().wait_synced().await;
+    });
+}
+
+/// Guards against VMs that keep different versions after conflicting writes.
+#[test]
+fn race_of_two_operators_ends_with_one_version_everywhere() {
+    run(async {
+        let cluster = Cluster::default();
+        let first = cluster.store.put(pool_kind(), "ranks", pool(1));
+        let nodes = cluster.start_many("a", 4).await;
+        wait_slots(&refs(&nodes), "ranks", Some(1)).await;
+        let client =
+            |node: &Node| Store::new(Client::default(), node.door.address, Duration::from_secs(5));
+        let (one, two) = (client(&nodes[0]), client(&nodes[1]));
+        let condition = Precondition::Revision(first);
+        let (value_one, value_two) = (pool(10), pool(20));
+        let (one, two) = futures_util::future::join(
+            one.put(pool_kind(), "ranks", condition, &value_one),
+            two.put(pool_kind(), "ranks", condition, &value_two),
+        )
+        .await;
+        assert!(one.is_ok() != two.is_ok(), "exactly one write wins: {one:?} {two:?}");
+        let winner = if one.is_ok() { 10 } else { 20 };
+        wait_slots(&refs(&nodes), "ranks", Some(winner)).await;
+    });
+}
+
+/// Guards against a malformed object that replaces the accepted one, and against a refusal that
+/// the operator cannot see.
+#[test]
+fn malformed_object_is_reported_and_never_in_force() {
+    run(async {
+        let cluster = Cluster::default();
+        let good = cluster.store.put(pool_kind(), "ranks", pool(5));
+        let nodes = cluster.start_many("a", 3).await;
+        wait_slots(&refs(&nodes), "ranks", Some(5)).await;
+        let bad = cluster.store.put(pool_kind(), "ranks", malformed_pool());
+        eventually("status states the refusal", async || {
+            status(&cluster, "ranks").is_some_and(|status| {
+                status.accepted_revision == good
+                    && status.refused.is_some_and(|refused| {
+                        refused.revision == bad && refused.reason.contains("colour")
+                    })
+            })
+        })
+        .await;
+        wait_slots(&refs(&nodes), "ranks", Some(5)).await;
+        let repaired = cluster.store.put(pool_kind(), "ranks", pool(6));
+        wait_slots(&refs(&nodes), "ranks", Some(6)).await;
+        eventually("status states the acceptance everywhere", async || {
+            status(&cluster, "ranks").is_some_and(|status| {
+                (status.accepted_revision, status.refused, status.in_force_vms, status.live_vms)
+                    == (repaired, None, 3, 3)
+            })
+        })
+        .await;
+    });
+}
+
+fn status(cluster: &Cluster, name: &str) -> Option<AcceptStatus> {
+    let (_, value) = cluster.store.get(Kind::TargetPool.status_kind(), name)?;
+    serde_json::from_value(value["spec"].clone()).ok()
+}
+
+/// Guards against a status that is wrong or missing after the response to its write was lost, and
+/// against status objects of objects that no longer exist.
+#[test]
+fn status_is_right_after_lost_responses() {
+    run(async {
+        let cluster = Cluster::default();
+        let nodes = cluster.start_many("a", 2).await;
+        nodes.iter().for_each(|node| node.door.lost_responses.set(2));
+        let revision = cluster.store.put(pool_kind(), "ranks", pool(1));
+        eventually("status is complete", async || {
+            status(&cluster, "ranks").is_some_and(|status| {
+                status.accepted_revision == revision && status.in_force_vms == 2
+            })
+        })
+        .await;
+        let lost: u32 = nodes.iter().map(|node| node.door.lost_responses.get()).sum();
+        assert!(lost < 4, "no response was lost");
+        cluster.store.delete(pool_kind(), "ranks");
+        eventually("status is deleted", async || status(&cluster, "ranks").is_none()).await;
+    });
+}
--- /dev/null
+++ b/crates/peer/tests/values.rs
@@ -0,0 +1,172 @@
+//! Published values, requests between VMs and the local interface.
+
+mod common;
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use common::{Cluster, Node, eventually, pool, pool_kind, run, wait_joined};
+use deck_core::CancellationToken;
+use deck_net::Client;
+use deck_peer::{LocalView, MemberState, PeerError, Topic, local};
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+fn value_at(node: &Node, vm: &str, topic: Topic) -> Option<Bytes> {
+    let published = node.peer.published(topic);
+    published.into_iter().find(|entry| entry.vm == vm).map(|entry| entry.value)
+}
+
+/// Guards against values that do not reach all VMs, older ones that replace newer ones, and values
+/// of dead VMs that are counted for ever.
+#[test]
+fn newest_value_of_each_vm_reaches_all_and_expires_with_its_vm() {
+    run(async {
+        let cluster = Cluster::default();
+        let mut nodes = cluster.start_many("a", 6).await;
+        nodes.extend(cluster.start_many("b", 6).await);
+        wait_joined(&nodes.iter().collect::<Vec<_>>()).await;
+        for round in 0..5_u8 {
+            for node in &nodes {
+                node.peer.publish(Topic::ShareDemand, Bytes::from(vec![round; 100]));
+            }
+            monoio::time::sleep(Duration::from_millis(30)).await;
+        }
+        let last = Bytes::from(vec![4; 100]);
+        eventually("the last values are everywhere", async || {
+            nodes.iter().all(|node| {
+                let published = node.peer.published(Topic::ShareDemand);
+                published.len() == 12 && published.iter().all(|entry| entry.value == last)
+            })
+        })
+        .await;
+        let dead = nodes.pop().expect("node").vm.clone();
+        eventually("the value of the dead VM is gone", async || {
+            nodes.iter().all(|node| value_at(node, &dead, Topic::ShareDemand).is_none())
+        })
+        .await;
+        assert!(nodes.iter().all(|n| n.peer.published(Topic::ShareDemand).len() == 11));
+    });
+}
+
+/// Guards against a topic that changes all the time and keeps the other topics from being sent.
+#[test]
+fn busy_topic_does_not_starve_others() {
+    run(async {
+        let cluster = Cluster::default();
+        let mut options = common::fast_options();
+        options.values_budget_bytes_per_s = 2_000;
+        let start = |vm: &str| {
+            let (vm, data_centre) = (vm.to_owned(), "a".to_owned());
+            cluster.start_with(deck_peer::PeerOptions { vm, data_centre, ..options.clone() })
+        };
+        let nodes = [start("a-0"), start("a-1")];
+        wait_joined(&[&nodes[0], &nodes[1]]).await;
+        let mut round = 0_u32;
+        eventually("both topics arrive", async || {
+            round += 1;
+            let mut busy = vec![0; 400];
+            busy[..4].copy_from_slice(&round.to_le_bytes());
+            nodes[0].peer.publish(Topic::ShareDemand, busy.into());
+            nodes[0].peer.publish(Topic::Draw, Bytes::from_static(b"draw"));
+            value_at(&nodes[1], "a-0", Topic::ShareDemand).is_some()
+                && value_at(&nodes[1], "a-0", Topic::Draw).is_some()
+        })
+        .await;
+    });
+}
+
+/// Guards against responses that go to the wrong request, and against errors that hide whether the
+/// request may have run.
+#[test]
+fn requests_reach_any_vm_and_errors_tell_what_is_known() {
+    run(async {
+        let cluster = Cluster::default();
+        let nodes = cluster.start_many("a", 3).await;
+        nodes[1].peer.serve(Topic::CallLookup, |from, body| {
+            Box::pin(async move {
+                // Later requests are answered earlier.
+                let wait = 50_u64.saturating_sub(u64::from(body[0]) * 10);
+                monoio::time::sleep(Duration::from_millis(wait)).await;
+                Bytes::from([from.as_bytes(), &body].concat())
+            })
+        });
+        nodes[1].peer.serve(Topic::TicketCall, |_, _| {
+            Box::pin(async { std::future::pending::<Bytes>().await })
+        });
+        let vm = nodes[1].vm.clone();
+        let calls = (0..5_u8).map(|number| {
+            let body = Bytes::from(vec![number; 100_000]);
+            nodes[0].peer.request(&vm, Topic::CallLookup, body, TIMEOUT)
+        });
+        let responses = futures_util::future::join_all(calls).await;
+        for (number, response) in responses.into_iter().enumerate() {
+            let expected = [b"a-0".as_slice(), &vec![number as u8; 100_000]].concat();
+            assert!(response.expect("response") == expected, "response of another request");
+        }
+
+        let ask = async |vm: &str, topic, body: Bytes, timeout| {
+            let error = nodes[0].peer.request(&vm.to_owned(), topic, body, timeout).await;
+            error.expect_err("an error")
+        };
+        let error = ask("nobody", Topic::CallLookup, Bytes::new(), TIMEOUT).await;
+        assert_eq!(error, PeerError::UnknownVm("nobody".to_owned()));
+        let error = ask("a-2", Topic::CallLookup, Bytes::new(), TIMEOUT).await;
+        assert_eq!(error, PeerError::NotServed("a-2".to_owned(), Topic::CallLookup));
+        let short = Duration::from_millis(200);
+        let error = ask("a-1", Topic::TicketCall, Bytes::new(), short).await;
+        assert!(error.may_have_arrived(), "{error}");
+        let large = Bytes::from(vec![0; 5 * 1024 * 1024]);
+        let error = ask("a-1", Topic::TicketCall, large, TIMEOUT).await;
+        assert!(matches!(error, PeerError::TooLarge(..)), "{error}");
+
+        let (lost, ()) = futures_util::future::join(
+            ask("a-1", Topic::TicketCall, Bytes::new(), TIMEOUT),
+            async {
+                monoio::time::sleep(Duration::from_millis(50)).await;
+                nodes[1].cancel.cancel();
+            },
+        )
+        .await;
+        assert!(lost.may_have_arrived(), "{lost}");
+        let error = ask("a-1", Topic::TicketCall, Bytes::new(), TIMEOUT).await;
+        assert!(!error.may_have_arrived(), "{error}");
+    });
+}
+
+/// Guards against local daemons that miss changes, or see less than `deckentry` after a reconnect.
+#[test]
+fn local_view_follows_its_entry_and_reconnects() {
+    run(async {
+        let cluster = Cluster::default();
+        cluster.store.put(pool_kind(), "ranks", pool(1));
+        let nodes = cluster.start_many("a", 2).await;
+        let listen = |address| deck_net::bind(address).expect("bind");
+        let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let address = listener.local_addr().expect("address");
+        let drain = CancellationToken::new();
+        let served = monoio::spawn(local::serve(listener, nodes[0].peer.clone(), drain.clone()));
+        let stop = CancellationToken::new();
+        let view = LocalView::connect(Client::default(), address, stop.clone());
+        view.config().wait_synced().await;
+        let slots = || view.config().pool("ranks").map(|(_, pool)| pool.slots_per_target);
+        assert_eq!(slots(), Some(1));
+        eventually("two live members", async || {
+            view.members().iter().filter(|m| m.state == MemberState::Live).count() == 2
+        })
+        .await;
+
+        drain.cancel();
+        served.await;
+        cluster.store.put(pool_kind(), "ranks", pool(2));
+        common::wait_slots(&[&nodes[0]], "ranks", Some(2)).await;
+        assert_eq!(slots(), Some(1), "the view keeps its last state");
+        let drain = CancellationToken::new();
+        monoio::spawn(local::serve(listen(address), nodes[0].peer.clone(), drain.clone()));
+        eventually("the change arrives", async || slots() == Some(2)).await;
+        cluster.store.delete(pool_kind(), "ranks");
+        eventually("the deletion arrives", async || slots().is_none()).await;
+        stop.cancel();
+        drain.cancel();
+    });
+}
