--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -406,8 +406,7 @@
                 }
             };
             if event.data == "[DONE]" {
-                attempt.finish(Outcome::Ok, tokens);
-                return Ok(End::Complete);
+                return Ok(self.stream_ended(attempt, tokens));
             }
             let chunk = match parse_chunk(&event.data, id) {
                 Ok(chunk) => chunk,
@@ -416,6 +415,10 @@
                     return Ok(End::Broke(message));
                 }
             };
+            if chunk.is_cancelled() {
+                attempt.finish(Outcome::Failed, tokens);
+                return Ok(End::Broke("the engine cancelled the request".to_owned()));
+            }
             tokens += u64::from(chunk.token_count);
             self.call.add_tokens(u64::from(chunk.token_count));
             self.generation.add(&chunk);
@@ -429,8 +432,8 @@
         }
     }
 
-    /// Decides on a stream that ended without `[DONE]`. The last chunk names the reason of the end,
-    /// so a stream that has one is whole.
+    /// Decides on a stream that ended. The last chunk names the reason of the end: a stream without
+    /// one is cut short even after `[DONE]`, and one that has it is whole even without `[DONE]`.
     fn stream_ended(&self, attempt: Attempt, tokens: u64) -> End {
         if self.generation.finish_reason.is_some() {
             attempt.finish(Outcome::Ok, tokens);
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::Cell,
-    convert::Infallible,
     future::Future,
     net::SocketAddr,
     rc::Rc,
@@ -21,7 +20,7 @@
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 use tokio::sync::Notify;
 
-use crate::{Body, NetError, framing::Inspection};
+use crate::{Body, NetError, body::BodyAborted, framing::Inspection};
 
 /// Time without a new connection after which a draining listener is closed.
 const LAST_ACCEPT: Duration = Duration::from_millis(20);
@@ -129,7 +128,14 @@
     let handler = inspection.service(handler);
     let service = service_fn(move |request| {
         let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move {
+            let response = response.await;
+            // hyper closes the connection without a response when the service fails.
+            match response.extensions().get::<DropConnection>() {
+                Some(_) => Err(BodyAborted),
+                None => Ok(response),
+            }
+        }
     });
     let connection = http1::Builder::new()
         .timer(MonoioTimer)
@@ -198,6 +204,17 @@
     }
 }
 
+/// Marks a response in whose place the server closes the connection.
+#[derive(Clone, Copy)]
+struct DropConnection;
+
+/// Returns a response that is never sent: the server closes the connection without an answer.
+pub fn drop_connection() -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    response.extensions_mut().insert(DropConnection);
+    response
+}
+
 /// Returns a response with a JSON body.
 pub fn json_response<T: serde::Serialize>(status: u16, value: &T) -> Response<Body> {
     match serde_json::to_vec(value) {
