--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -83,13 +83,32 @@
         })
     }
 
-    /// Sends a request and waits for the head of the answer until `until`.
+    /// Sends a request and waits for the head of the answer until `deadline`.
     pub(crate) async fn send(
         &mut self,
         request: Request<Body>,
         deadline: Instant,
     ) -> Result<ClientResponse, SendError> {
-        let sent = self.shared.client.send(self.address, request);
+        let client = self.shared.client.clone();
+        self.sent(client.send(self.address, request), deadline).await
+    }
+
+    /// As [`Attempt::send`], on a connection that has carried no other request: a repeated answer
+    /// to an earlier request cannot be taken for this one's.
+    pub(crate) async fn send_fresh(
+        &mut self,
+        request: Request<Body>,
+        deadline: Instant,
+    ) -> Result<ClientResponse, SendError> {
+        let client = self.shared.client.clone();
+        self.sent(client.send_fresh(self.address, request), deadline).await
+    }
+
+    async fn sent(
+        &mut self,
+        sent: impl Future<Output = Result<ClientResponse, NetError>>,
+        deadline: Instant,
+    ) -> Result<ClientResponse, SendError> {
         match until(deadline, sent).await {
             Some(Ok(response)) => {
                 if let Some(in_flight) = &mut self.in_flight {
@@ -239,7 +258,7 @@
     let says = |name: HeaderName| response.headers.get(name).is_some_and(|value| value == "1");
     if response.status == 503 && says(LEAVING) {
         Some(Outcome::Leaving)
-    } else if response.status == 503 && says(NOT_RUN) {
+    } else if response.status.as_u16() >= 400 && says(NOT_RUN) {
         Some(Outcome::Refused)
     } else {
         None
--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -38,6 +38,13 @@
     pub weight_version: WeightVersion,
 }
 
+impl Chunk {
+    /// Returns whether the engine gave the request up. Its text goes on elsewhere.
+    pub fn is_cancelled(&self) -> bool {
+        self.choices.iter().any(|choice| choice.finish_reason.as_deref() == Some("cancelled"))
+    }
+}
+
 /// Collected answer to a completion.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Completion {
--- a/crates/call/src/service.rs
+++ b/crates/call/src/service.rs
@@ -268,7 +268,7 @@
         let message = "the deadline passed before the request left for a target";
         return Ok(RunEnd::NotRun(CallError::new(ErrorKind::DeadlineBeforeRun, message)));
     }
-    let response = match attempt.send(request, call.head.deadline).await {
+    let response = match attempt.send_fresh(request, call.head.deadline).await {
         Ok(response) => response,
         Err(SendError::NotSent(error)) => {
             attempt.finish(Outcome::Crashed, 0);
