--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -24,6 +24,11 @@
 
 use crate::{Body, NetError};
 
+/// Time for which a connection is idle before it is used again. A faulty server may answer a request
+/// twice; the second answer arrives while the connection is idle, which closes it, and is not taken
+/// for the answer to the next request.
+const SETTLE_TIME: Duration = Duration::from_millis(2);
+
 /// Settings of a client.
 #[derive(Debug, Clone)]
 pub struct ClientOptions {
@@ -220,7 +225,9 @@
         let connections = idle.get_mut(&address)?;
         connections
             .retain(|entry| !entry.sender.is_closed() && entry.since.elapsed() < idle_timeout);
-        let taken = connections.pop().map(|entry| entry.sender);
+        // The connection that is idle for longest is the first one.
+        let settled = connections.first().is_some_and(|entry| entry.since.elapsed() >= SETTLE_TIME);
+        let taken = settled.then(|| connections.remove(0).sender);
         if connections.is_empty() {
             idle.remove(&address);
         }
