--- a/bins/deckscenario/src/main.rs
+++ b/bins/deckscenario/src/main.rs
@@ -1,3 +1,67 @@
-//! See docs/design.md.
+//! Runs scenario files against separate processes.
 
-fn main() {}
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::Instant,
+};
+
+use bpaf::Bpaf;
+use deckscenario::{command, error::ScenarioError, run};
+
+/// Runs scenario files one after the other.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Seed in place of that of the file.
+    #[bpaf(argument("N"), optional)]
+    seed: Option<u64>,
+    /// Keep the files of scenarios that succeed as well.
+    keep: bool,
+    /// Directory for logs and journals; the system's directory for temporary files if absent.
+    #[bpaf(argument("DIR"), fallback(std::env::temp_dir()))]
+    directory: PathBuf,
+    /// Check the files without running them.
+    check: bool,
+    /// Scenario files.
+    #[bpaf(positional("FILE"), some("at least one scenario file"))]
+    files: Vec<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    let _ = deck_obs::logs::try_init("warn");
+    let mut failed = 0;
+    for file in &options.files {
+        if let Err(error) = run_file(&options, file) {
+            failed += 1;
+            println!("FAILED {}: {error}", file.display());
+        }
+    }
+    println!("{} scenarios, {failed} failed", options.files.len());
+    if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn run_file(options: &Options, file: &Path) -> Result<(), ScenarioError> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| ScenarioError::File(file.to_owned(), error))?;
+    let scenario = command::parse(&text)?;
+    if options.check {
+        return Ok(());
+    }
+    let seed = options.seed.unwrap_or(scenario.seed);
+    let name = file.file_stem().unwrap_or_default().to_string_lossy();
+    let directory = options.directory.join(format!("deckscenario-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&directory)
+        .map_err(|error| ScenarioError::File(directory.clone(), error))?;
+    println!("running {} seed {seed} files {}", file.display(), directory.display());
+    let started = Instant::now();
+    let ran = deck_net::runtime::run(run::run(&scenario, seed, directory.clone()))
+        .map_err(|error| ScenarioError::File(directory.clone(), error))?;
+    ran?;
+    if !options.keep {
+        let _ = std::fs::remove_dir_all(&directory);
+    }
+    println!("ok {} seed {seed} in {} ms", file.display(), started.elapsed().as_millis());
+    Ok(())
+}
--- /dev/null
+++ b/bins/deckscenario/tests/language.rs
@@ -0,0 +1,46 @@
+//! The scenario language.
+
+use deckscenario::{
+    command::{Command, parse},
+    error::ScenarioError,
+    parse::statements,
+};
+use test_case::test_case;
+
+/// Guards against JSON values that are split at blanks, and blocks that swallow further lines.
+#[test]
+fn words_json_and_blocks_are_told_apart() {
+    let text = "# comment\n\na \"b c\" {\"d\": [1, \"}\"]} e=f\nblock <<END\n x\nEND\nlast\n";
+    let statements = statements(text).expect("valid");
+    assert_eq!(statements[0].words, ["a", "b c", "{\"d\": [1, \"}\"]}", "e=f"]);
+    assert_eq!(statements[1].block.as_deref(), Some(" x\n"));
+    assert_eq!((statements[2].line, statements[2].words[0].as_str()), (7, "last"));
+}
+
+/// Guards against a misspelt line that is skipped.
+#[test_case("expct a b == 1", "\"expct\" is not a command"; "unknown command")]
+#[test_case("expect a b = 1", "expected ==, !=, <, <=, > or >="; "unknown operator")]
+#[test_case("sleep soon", "\"soon\" is not a number"; "malformed number")]
+#[test_case("kill", "expected a name"; "missing name")]
+#[test_case("finish a b", "one word too many"; "surplus word")]
+#[test_case("check everything a", "expected executions"; "unknown invariant")]
+#[test_case("fault a {\"b\": 1", "not closed"; "open bracket")]
+#[test_case("settings a <<END", "no line END"; "open block")]
+fn malformed_line_is_refused_with_its_number(line: &str, message: &str) {
+    let error = parse(&format!("guards \"x\"\n{line}\n")).expect_err("malformed").to_string();
+    assert!(error.starts_with("line 2: ") && error.contains(message), "{error}");
+}
+
+/// Guards against a scenario that does not say why it exists.
+#[test]
+fn scenario_without_guards_is_refused() {
+    assert!(matches!(parse("sleep 1"), Err(ScenarioError::Syntax(1, _))));
+}
+
+/// Guards against a race whose second spec is taken for the first.
+#[test]
+fn race_has_two_specs() {
+    let scenario = parse("guards x\nrace store K n {\"a\": 1} {\"b\": 2}").expect("valid");
+    let Command::Race { specs, .. } = &scenario.commands[0].command else { panic!("not a race") };
+    assert_eq!(*specs, ["{\"a\": 1}", "{\"b\": 2}"]);
+}
--- /dev/null
+++ b/bins/deckscenario/tests/scenarios.rs
@@ -0,0 +1,44 @@
+//! Whole scenarios with stand-ins only, and scenarios with a planted fault that have to fail.
+
+use std::{path::PathBuf, process::Command};
+
+use test_case::test_case;
+
+struct Ran {
+    succeeded: bool,
+    output: String,
+}
+
+fn run(file: &str) -> Ran {
+    let file = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(file);
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let output = Command::new(deck_testkit::program("deckscenario"))
+        .arg("--directory")
+        .arg(directory)
+        .arg(file)
+        .output()
+        .expect("runs");
+    let text = [output.stdout, output.stderr].concat();
+    Ran { succeeded: output.status.success(), output: String::from_utf8_lossy(&text).into_owned() }
+}
+
+#[test_case("store-lost-response")]
+#[test_case("engine-crash-and-swap")]
+#[test_case("service-faults")]
+fn scenario_with_standins_succeeds(name: &str) {
+    let ran = run(&format!("../../scenarios/{name}.scn"));
+    assert!(ran.succeeded, "{}", ran.output);
+    assert!(ran.output.contains("seed"), "the seed is printed");
+}
+
+/// Guards against checks that a broken system passes.
+#[test_case("executions", "key k1 ran 2 times")]
+#[test_case("bookings", "ran 2 times")]
+#[test_case("mismatch", "executions is 0, expected Equal 1")]
+#[test_case("race", "object API unavailable")]
+#[test_case("terminate", "engine ended with")]
+fn planted_fault_fails_the_scenario(name: &str, message: &str) {
+    let ran = run(&format!("tests/planted/{name}.scn"));
+    assert!(!ran.succeeded, "{}", ran.output);
+    assert!(ran.output.contains(message), "{}", ran.output);
+}
--- a/bins/deckstandin/src/trainer.rs
+++ b/bins/deckstandin/src/trainer.rs
@@ -113,6 +113,8 @@
 /// Record of an accepted sample.
 #[derive(Debug, Clone, Serialize)]
 pub struct SampleRecord {
+    /// Process of the trainer.
+    pub run: u64,
     /// Time of receipt.
     pub at_unix_ms: u64,
     /// Id.
@@ -187,6 +189,8 @@
     pub journal: Journal,
     /// Client.
     pub client: Client,
+    /// Number of this run of the process; a later run keeps no samples.
+    pub run: u64,
     started: Instant,
 }
 
@@ -201,6 +205,7 @@
         records: RefCell::default(),
         journal: Journal::try_open(options.journal.as_deref())?,
         client: Client::default(),
+        run: deck_core::id::new_incarnation(),
         started: Instant::now(),
         options,
     });
@@ -221,6 +226,13 @@
 }
 
 impl Trainer {
+    /// Records an answer that breaks the protocol.
+    pub fn note_violation(&self, message: String) {
+        log::warn!(target: "trainer", "violation: {message}");
+        self.journal.write(&json!({ "violation": message }));
+        self.records.borrow_mut().violations.push(message);
+    }
+
     /// Trains on a complete step and publishes the next version.
     pub async fn train(&self, version: u64) {
         let slow_ms = self.faults.get().slow_ms;
--- a/bins/deckstandin/src/trainer_step.rs
+++ b/bins/deckstandin/src/trainer_step.rs
@@ -197,6 +197,11 @@
     fn note_step(&self, step: u64, started: Instant, complete: Instant) {
         let wait_ms = (complete - started).as_millis() as u64;
         let train_ms = complete.elapsed().as_millis() as u64;
+        self.journal.write(&json!({ "step": {
+            "run": self.run,
+            "step": step,
+            "samples_per_step": self.options.samples_per_step,
+        }}));
         let mut records = self.records.borrow_mut();
         records.idle_ms += wait_ms;
         records.steps.push(StepRecord { step, wait_ms, train_ms });
@@ -209,7 +214,7 @@
         }
         if answer.step != progress.step {
             let message = format!("answer for step {} to step {}", answer.step, progress.step);
-            self.records.borrow_mut().violations.push(message);
+            self.note_violation(message);
             return;
         }
         if !answer.groups.is_empty() && self.take_planned_drop() {
@@ -231,23 +236,25 @@
     }
 
     fn receive_group(&self, progress: &mut Progress, group: Group) {
-        let mut records = self.records.borrow_mut();
         let Some(held) = progress.held.held.get_mut(group.group as usize) else {
-            records.violations.push(format!("group {} is not part of a step", group.group));
+            self.note_violation(format!("group {} is not part of a step", group.group));
             return;
         };
         if *held {
-            records.duplicate_groups += 1;
+            let duplicate = json!({ "step": progress.step, "group": group.group });
+            self.journal.write(&json!({ "duplicate": duplicate }));
+            self.records.borrow_mut().duplicate_groups += 1;
             return;
         }
         if let Some(message) = self.violation(progress.step, &group) {
             // Not marked as held: the trainer does not train on an incomplete group.
-            records.violations.push(message);
+            self.note_violation(message);
             return;
         }
         *held = true;
+        let mut records = self.records.borrow_mut();
         for sample in group.samples {
-            let record = sample_record(progress.step, progress.version, group.group, sample);
+            let record = sample_record(self.run, progress, group.group, sample);
             self.journal.write(&json!({ "sample": record }));
             records.samples.push(record);
         }
@@ -289,17 +296,18 @@
     }
 }
 
-fn sample_record(step: u64, version: u64, group: u32, sample: Sample) -> SampleRecord {
+fn sample_record(run: u64, progress: &Progress, group: u32, sample: Sample) -> SampleRecord {
     let oldest = sample.spans.iter().map(|span| span.weight_version).min().unwrap_or(0);
     SampleRecord {
+        run,
         at_unix_ms: unix_ms(),
         id: sample.id,
-        step,
+        step: progress.step,
         group,
         text_key: text_key(&sample.text).to_owned(),
         token_count: sample.token_count,
-        trainer_version: version,
-        staleness_versions: version.saturating_sub(oldest),
+        trainer_version: progress.version,
+        staleness_versions: progress.version.saturating_sub(oldest),
         spans: sample.spans,
     }
 }
