--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod backoff;
 pub mod lease;
+pub mod status;
 pub mod store;
 pub mod vmlist;
 
--- a/crates/weight/src/engine.rs
+++ b/crates/weight/src/engine.rs
@@ -30,6 +30,8 @@
     Staging,
     /// The engine is switching versions.
     Switching,
+    /// A model or adapter is being loaded.
+    Loading,
     /// The last load or switch failed.
     Failed,
 }
--- a/crates/weight/src/plan.rs
+++ b/crates/weight/src/plan.rs
@@ -125,7 +125,7 @@
 ) -> Option<Order> {
     let desired = input.desired;
     match state.swap_state {
-        SwapState::Staging | SwapState::Switching => None,
+        SwapState::Staging | SwapState::Switching | SwapState::Loading => None,
         SwapState::Failed if state.role == Role::Serving => {
             budget.take_serving().then_some(Order::Drain)
         }
--- a/crates/weight/src/run.rs
+++ b/crates/weight/src/run.rs
@@ -8,10 +8,11 @@
 
 use deck_core::{
     id::{PoolName, TargetId, VmId, WeightVersion},
-    object::{Envelope, Kind, Target, TargetPool, TargetState},
+    object::{Kind, Target, TargetPool, TargetState},
 };
 use deck_net::Client;
-use deck_plat::{LeaseToken, Precondition, Store, StoreError};
+use deck_plat::{LeaseToken, Store, StoreError};
+use serde_json::{Map, Value};
 
 use crate::{
     engine::{self, EngineError, EngineState, Role, SwapState},
@@ -187,19 +188,22 @@
     }
 
     async fn put_status(&self, status: &PoolStatus) -> Result<(), StoreError> {
-        let kind = Kind::TargetPool.status_kind();
-        let value = serde_json::to_value(Envelope::new(status))
-            .map_err(|error| StoreError::Decode(error.to_string()))?;
-        let current = self.store.get(kind, &self.pool).await?;
-        let newer_owner = current.as_ref().is_some_and(|current| {
-            current.value["spec"]["fencing"].as_u64() > Some(self.token.fencing())
-        });
-        if newer_owner {
-            return Ok(());
-        }
-        let condition = current
-            .map_or(Precondition::Absent, |current| Precondition::Revision(current.revision));
-        self.store.put(kind, &self.pool, condition, &value).await.map(drop)
+        let fields =
+            serde_json::to_value(status).map_err(|error| StoreError::Decode(error.to_string()))?;
+        let Value::Object(fields) = fields else { return Ok(()) };
+        let fencing = self.token.fencing();
+        let is_newest_owner = |stored: &Map<String, Value>| {
+            stored.get("fencing").and_then(Value::as_u64) <= Some(fencing)
+        };
+        deck_plat::status::merge(
+            &self.store,
+            Kind::TargetPool,
+            &self.pool,
+            &fields,
+            is_newest_owner,
+        )
+        .await
+        .map(drop)
     }
 
     async fn poll_version(&mut self, spec: &TargetPool) {
