--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -197,7 +197,7 @@
         };
     let organisation = organisation_label(shared, &parts);
     shared.metrics.answered(&pool, organisation, code);
-    shared.metrics.duration(&pool, priority, started.elapsed());
+    shared.metrics.duration(&pool, organisation, priority, started.elapsed());
     log::debug!(target: "call", "answered request={id} pool={pool} code={code}");
     if shared.stopping.is_cancelled() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/call/src/metrics.rs
+++ b/crates/call/src/metrics.rs
@@ -67,7 +67,7 @@
 metrics! {
     REQUESTS = "deckentry_requests_total", Counter, "requests", "pool, organisation, code",
         "Requests answered, by code of the error table or status class.";
-    DURATION = "deckentry_request_duration_seconds", Histogram, "seconds", "pool, priority",
+    DURATION = "deckentry_request_duration_seconds", Histogram, "seconds", "pool, organisation, priority",
         "Time from the head of a request to the end of its answer.";
     FIRST_BYTE = "deckentry_time_to_first_byte_seconds", Histogram, "seconds", "pool, priority",
         "Time from the head of a request to the first byte of a target's answer.";
@@ -221,8 +221,12 @@
     }
 
     /// Records the duration of a request.
-    pub fn duration(&self, pool: &str, priority: &str, duration: Duration) {
-        let labels = [label("pool", pool), label("priority", priority)];
+    pub fn duration(&self, pool: &str, organisation: &str, priority: &str, duration: Duration) {
+        let labels = [
+            label("pool", pool),
+            label("organisation", organisation),
+            label("priority", priority),
+        ];
         self.inner.duration.record(duration.as_secs_f64(), &labels);
     }
 
