--- a/bins/deckentry/src/process.rs
+++ b/bins/deckentry/src/process.rs
@@ -108,10 +108,12 @@
             data_centre: settings.vm.data_centre.clone(),
             subset_size: settings.limits.subset_size,
             seed: incarnation,
+            ..RouterOptions::default()
         }),
         admission: Admission::new(AdmissionOptions {
             vm: settings.vm.id.clone(),
             max_wait: settings.limits.max_queue_wait,
+            ..AdmissionOptions::default()
         }),
         budget: RetryBudget::new(BudgetOptions::default()),
         client: Client::new(ClientOptions {
--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -406,7 +406,8 @@
                 }
             };
             if event.data == "[DONE]" {
-                return Ok(self.stream_ended(attempt, tokens));
+                attempt.finish(Outcome::Ok, tokens);
+                return Ok(End::Complete);
             }
             let chunk = match parse_chunk(&event.data, id) {
                 Ok(chunk) => chunk,
@@ -432,8 +433,8 @@
         }
     }
 
-    /// Decides on a stream that ended. The last chunk names the reason of the end: a stream without
-    /// one is cut short even after `[DONE]`, and one that has it is whole even without `[DONE]`.
+    /// Decides on a stream that ended without `[DONE]`. The last chunk names the reason of the end,
+    /// so a stream that has one is whole.
     fn stream_ended(&self, attempt: Attempt, tokens: u64) -> End {
         if self.generation.finish_reason.is_some() {
             attempt.finish(Outcome::Ok, tokens);
