--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -47,6 +47,10 @@
     usage::Draw,
 };
 
+/// Reads of claims that are allowed for each write. The object API takes about five times as many
+/// reads as writes.
+const CLAIM_READS_PER_WRITE: f64 = 5.0;
+
 /// What a [`Caller`] works with.
 pub struct CallerParts {
     /// Target choice.
@@ -126,6 +130,10 @@
                 once_options,
             )),
             claim_rate: RefCell::new(TokenBucket::new(options.once.claims_per_s, now)),
+            claim_read_rate: RefCell::new(TokenBucket::new(
+                options.once.claims_per_s * CLAIM_READS_PER_WRITE,
+                now,
+            )),
             deletions: RefCell::default(),
             crashes: RefCell::new(CrashTracker::new(options.crash.clone())),
             suspect_ended: Notify::new(),
--- a/crates/call/src/claim.rs
+++ b/crates/call/src/claim.rs
@@ -97,13 +97,14 @@
     request: RequestHash,
     reclaim: &Reclaim,
 ) -> Claim {
-    if let Err(wait) = shared.claim_rate.borrow_mut().try_take(Instant::now()) {
-        shared.metrics.claimed("rate_limited");
-        let error = CallError::new(
-            ErrorKind::ClaimRateExceeded,
-            "new idempotency keys come faster than the limit; tickets have no such limit",
-        );
-        return Claim::NotRun(error.with_retry_after(wait));
+    // A repeat of a key that another VM holds needs no write, so it is found by a read when writes
+    // are short.
+    let now = Instant::now();
+    let rate_wait = shared.claim_rate.borrow_mut().try_take(now).err();
+    if let Some(wait) = rate_wait
+        && shared.claim_read_rate.borrow_mut().try_take(now).is_err()
+    {
+        return rate_exceeded(shared, wait);
     }
     let nonce = reclaim.unconfirmed_nonce.clone().unwrap_or_else(random_id);
     shared.records.borrow_mut().set_nonce(key, &nonce);
@@ -120,7 +121,13 @@
         },
         released_nonce: reclaim.released_nonce.as_deref(),
     };
-    match until(call.head.deadline, claimer.run()).await {
+    let run = async {
+        match rate_wait {
+            None => claimer.run().await,
+            Some(wait) => claimer.run_without_write(wait).await,
+        }
+    };
+    match until(call.head.deadline, run).await {
         Some(claim) => claim,
         None => {
             shared.metrics.claimed("deadline");
@@ -130,6 +137,13 @@
     }
 }
 
+fn rate_exceeded(shared: &SharedRef, wait: Duration) -> Claim {
+    shared.metrics.claimed("rate_limited");
+    let message = "new idempotency keys come faster than the limit; tickets have no such limit";
+    let error = CallError::new(ErrorKind::ClaimRateExceeded, message);
+    Claim::NotRun(error.with_retry_after(wait))
+}
+
 struct Claimer<'a> {
     shared: &'a SharedRef,
     call: &'a Call,
@@ -179,6 +193,26 @@
         self.elsewhere(ErrorKind::KeyInProgress, "other tries of the key are under way")
     }
 
+    /// Finds out what became of a key without a write.
+    async fn run_without_write(&self, wait: Duration) -> Claim {
+        let object = match self.shared.store.get(CALL_CLAIM_KIND, &self.name).await {
+            Ok(Some(object)) => object,
+            Ok(None) => return rate_exceeded(self.shared, wait),
+            Err(error) => return self.store_error(&error),
+        };
+        let claim = match parse(&object) {
+            Ok(claim) => claim,
+            Err(error) => return self.store_error(&error),
+        };
+        if claim == self.record {
+            return self.held(object.revision);
+        }
+        match self.examine(&claim).await {
+            Found::Free => rate_exceeded(self.shared, wait),
+            Found::Settled(settled) => settled,
+        }
+    }
+
     async fn write(&self, condition: Precondition) -> Result<Revision, StoreError> {
         let value = serde_json::to_value(Envelope::new(&self.record))
             .map_err(|error| StoreError::Decode(error.to_string()))?;
--- a/crates/call/src/shared.rs
+++ b/crates/call/src/shared.rs
@@ -39,6 +39,8 @@
     pub(crate) records: RefCell<Records>,
     pub(crate) tickets: RefCell<Tickets>,
     pub(crate) claim_rate: RefCell<TokenBucket>,
+    /// Rate of reads of claims when no write is left.
+    pub(crate) claim_read_rate: RefCell<TokenBucket>,
     pub(crate) deletions: RefCell<Deletions>,
     pub(crate) crashes: RefCell<CrashTracker>,
     /// Notified when a suspect leaves a target.
