--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -63,6 +63,10 @@
     UnknownOrganisation => 403, "unknown_organisation", NotRun, false;
     /// No pool serves the path or model.
     UnknownPool => 404, "unknown_pool", NotRun, false;
+    /// No rollout job has this name, or this VM does not own it.
+    UnknownJob => 404, "unknown_job", NotRun, false;
+    /// Another VM owns the rollout job.
+    StaleOwner => 503, "stale_owner", NotRun, true;
     /// The method is not allowed on this path.
     MethodNotAllowed => 405, "method_not_allowed", NotRun, false;
     /// The body was not received in time.
--- /dev/null
+++ b/crates/roll/src/service.rs
@@ -0,0 +1,158 @@
+//! HTTP interface for trainers.
+
+use std::{rc::Rc, time::Duration};
+
+use deck_core::{
+    CancellationToken,
+    error::{CallError, ErrorKind},
+};
+use deck_net::{
+    Body, NetError,
+    http::{HeaderValue, Method, Request, Response, header},
+    server::{json_response, read_body},
+};
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use crate::{
+    owner::RollOwner,
+    protocol::{PullRequest, PullResponse},
+};
+
+/// Largest pull. A bitmap of the largest step takes 16 KiB.
+const MAX_PULL_BYTES: usize = 64 * 1024;
+/// Time in which the body of a pull has to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Answer to `GET /v1/jobs`.
+#[derive(Debug, Serialize)]
+struct JobList {
+    /// Jobs that this VM owns.
+    owned: Vec<String>,
+}
+
+/// Handler of the listener for trainers; clones share their state.
+#[derive(Clone)]
+pub struct TrainerService {
+    owner: RollOwner,
+    drain: CancellationToken,
+}
+
+impl TrainerService {
+    /// Returns a handler; when `drain` is cancelled pulls that wait are answered at once.
+    pub fn new(owner: RollOwner, drain: CancellationToken) -> Self {
+        Self { owner, drain }
+    }
+
+    /// Answers a request.
+    pub async fn respond(self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+        let method = request.method().clone();
+        match segments.as_slice() {
+            ["v1", "jobs"] if method == Method::GET => {
+                json_response(200, &JobList { owned: self.owner.active_names() })
+            }
+            ["v1", "jobs", job] if method == Method::GET => self.status(job),
+            ["v1", "jobs", job, "pull"] if method == Method::POST => {
+                match self.pull(job, request.into_body()).await {
+                    Ok(response) => response,
+                    Err(error) => error_response(&error),
+                }
+            }
+            ["v1", "jobs", ..] => {
+                let message = format!(
+                    "{method} {path}: expected GET /v1/jobs, GET /v1/jobs/JOB or POST /v1/jobs/JOB/pull"
+                );
+                error_response(&CallError::new(ErrorKind::MethodNotAllowed, message))
+            }
+            _ => error_response(&CallError::new(ErrorKind::UnknownJob, format!("no path {path}"))),
+        }
+    }
+
+    fn status(&self, job: &str) -> Response<Body> {
+        match self.owner.active(job) {
+            Some(active) => json_response(200, &active.local_status()),
+            None => error_response(&CallError::new(
+                ErrorKind::UnknownJob,
+                format!("this VM does not own job {job}"),
+            )),
+        }
+    }
+
+    async fn pull(&self, job: &str, body: Incoming) -> Result<Response<Body>, CallError> {
+        let body = match monoio::time::timeout(BODY_TIMEOUT, read_body(body, MAX_PULL_BYTES)).await
+        {
+            Ok(Ok(body)) => body,
+            Ok(Err(NetError::BodyTooLarge(limit))) => {
+                let message = format!("a pull has at most {limit} bytes");
+                return Err(CallError::new(ErrorKind::BodyTooLarge, message));
+            }
+            Ok(Err(error)) => {
+                return Err(CallError::new(ErrorKind::BadRequest, error.to_string()));
+            }
+            Err(_) => {
+                let message = "the body of the pull did not arrive in time";
+                return Err(CallError::new(ErrorKind::RequestTimeout, message));
+            }
+        };
+        let request: PullRequest = serde_json::from_slice(&body)
+            .map_err(|error| CallError::new(ErrorKind::BadRequest, format!("pull: {error}")))?;
+        let response = match self.owner.active(job) {
+            Some(active) => active.pull(&request, &self.drain).await?,
+            None => return self.redirect(job, &request).await,
+        };
+        Ok(json_response::<PullResponse>(200, &response))
+    }
+
+    /// Sends a trainer to the owner of the job.
+    async fn redirect(
+        &self,
+        job: &str,
+        request: &PullRequest,
+    ) -> Result<Response<Body>, CallError> {
+        let parts = self.owner.parts();
+        if parts.config.is_synced() && !parts.config.jobs().iter().any(|(name, ..)| name == job) {
+            return Err(CallError::new(ErrorKind::UnknownJob, format!("no job {job}")));
+        }
+        let vm = &parts.options.vm;
+        let owner = self.owner.lookup().owner(job, vm, request.owner_fencing).await;
+        let not_known = || {
+            let message = format!("the owner of job {job} is not known yet");
+            CallError::new(ErrorKind::NotReady, message)
+        };
+        let location = format!("http://{}/v1/jobs/{job}/pull", owner.ok_or_else(not_known)?);
+        let location = HeaderValue::from_str(&location).map_err(|_| not_known())?;
+        let mut response = Response::new(Body::empty());
+        *response.status_mut() = deck_net::http::StatusCode::TEMPORARY_REDIRECT;
+        response.headers_mut().insert(header::LOCATION, location);
+        Ok(response)
+    }
+}
+
+/// Returns the answer that belongs to an error.
+fn error_response(error: &CallError) -> Response<Body> {
+    let request_id = deck_core::id::random_id();
+    let mut response = json_response(error.kind.row().status, &error.body(&request_id));
+    if let Some(wait) = error.retry_after {
+        // The header counts in whole seconds; a trainer must not come back too early.
+        let seconds = wait.as_millis().div_ceil(1000) as u64;
+        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+/// Serves trainers until `drain` is cancelled and all pulls in flight are answered.
+pub async fn serve(
+    listener: monoio::net::TcpListener,
+    options: deck_net::ServerOptions,
+    owner: RollOwner,
+    drain: CancellationToken,
+) {
+    let service = Rc::new(TrainerService::new(owner, drain.clone()));
+    let handler = move |request| {
+        let service = TrainerService::clone(&service);
+        service.respond(request)
+    };
+    deck_net::serve(listener, options, drain, handler).await;
+}
