--- a/bins/deckroll/src/settings.rs
+++ b/bins/deckroll/src/settings.rs
@@ -156,7 +156,7 @@
 fn read_pull(reader: &Reader) -> Result<PullOptions, ConfError> {
     let default = PullOptions::default();
     Ok(PullOptions {
-        default_wait: reader.millis("pull", "default_wait_ms", 10_000, 0, 600_000)?,
+        default_wait: reader.millis("pull", "default_wait_ms", 5000, 0, 600_000)?,
         max_wait: reader.millis("pull", "max_wait_ms", 60_000, 0, 600_000)?,
         max_response_bytes: reader.number(
             "pull",
--- a/crates/roll/src/generate.rs
+++ b/crates/roll/src/generate.rs
@@ -15,6 +15,8 @@
 
 /// Largest error body that is read.
 const MAX_ERROR_BYTES: usize = 64 * 1024;
+/// Finish reasons of a complete text.
+const COMPLETE_REASONS: &[&str] = &["stop", "length"];
 /// Wait after a refusal that names none.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -186,6 +188,12 @@
     let Some(choice) = body.choices.into_iter().next() else {
         return Err(GenerateError::Failed("chunk without a choice".to_owned()));
     };
+    // An engine that ends a request by order says so in the reason; the text is not complete.
+    if let Some(reason) = &choice.finish_reason
+        && !COMPLETE_REASONS.contains(&reason.as_str())
+    {
+        return Err(GenerateError::Failed(format!("engine ended the generation: {reason}")));
+    }
     Ok(Chunk {
         text: choice.text,
         token_count: body.token_count,
--- a/crates/roll/src/options.rs
+++ b/crates/roll/src/options.rs
@@ -78,7 +78,7 @@
 impl Default for PullOptions {
     fn default() -> Self {
         Self {
-            default_wait: Duration::from_secs(10),
+            default_wait: Duration::from_secs(5),
             max_wait: Duration::from_secs(60),
             max_response_bytes: 4 * 1024 * 1024,
             locate_interval: Duration::from_secs(1),
