--- a/crates/call/src/metrics.rs
+++ b/crates/call/src/metrics.rs
@@ -222,11 +222,8 @@
 
     /// Records the duration of a request.
     pub fn duration(&self, pool: &str, organisation: &str, priority: &str, duration: Duration) {
-        let labels = [
-            label("pool", pool),
-            label("organisation", organisation),
-            label("priority", priority),
-        ];
+        let labels =
+            [label("pool", pool), label("organisation", organisation), label("priority", priority)];
         self.inner.duration.record(duration.as_secs_f64(), &labels);
     }
 
--- a/crates/call/tests/metrics.rs
+++ b/crates/call/tests/metrics.rs
@@ -27,7 +27,7 @@
     let call = CallMetrics::new(&metrics);
     let in_flight = call.enter();
     call.answered("pool", "org", "ok");
-    call.duration("pool", "interactive", std::time::Duration::from_millis(3));
+    call.duration("pool", "organisation", "interactive", std::time::Duration::from_millis(3));
     call.tried("pool", "ok");
     let text = metrics.render();
     assert!(text.contains("deckentry_requests_in_flight 1"), "{text}");
