--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -47,6 +47,10 @@
     usage::Draw,
 };
 
+/// Reads of claims that are allowed for each write. The object API takes about five times as many
+/// reads as writes.
+const CLAIM_READS_PER_WRITE: f64 = 5.0;
+
 /// What a [`Caller`] works with.
 pub struct CallerParts {
     /// Target choice.
@@ -126,6 +130,10 @@
                 once_options,
             )),
             claim_rate: RefCell::new(TokenBucket::new(options.once.claims_per_s, now)),
+            claim_read_rate: RefCell::new(TokenBucket::new(
+                options.once.claims_per_s * CLAIM_READS_PER_WRITE,
+                now,
+            )),
             deletions: RefCell::default(),
             crashes: RefCell::new(CrashTracker::new(options.crash.clone())),
             suspect_ended: Notify::new(),
@@ -197,7 +205,7 @@
         };
     let organisation = organisation_label(shared, &parts);
     shared.metrics.answered(&pool, organisation, code);
-    shared.metrics.duration(&pool, priority, started.elapsed());
+    shared.metrics.duration(&pool, organisation, priority, started.elapsed());
     log::debug!(target: "call", "answered request={id} pool={pool} code={code}");
     if shared.stopping.is_cancelled() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
