--- a/bins/deckscenario/src/command.rs
+++ b/bins/deckscenario/src/command.rs
@@ -1,5 +1,7 @@
 //! Commands of the scenario language.
 
+use std::path::Path;
+
 use crate::{
     error::ScenarioError,
     parse::{Statement, statements},
@@ -119,13 +121,40 @@
     Check { invariant: Invariant, arguments: Vec<String> },
 }
 
-/// Reads a scenario.
+/// Reads a scenario file.
+///
+/// # Errors
+///
+/// Returns an error if a file cannot be read, or one that names the line and what is expected there.
+pub fn read(file: &Path) -> Result<Scenario, ScenarioError> {
+    let text = read_text(file)?;
+    parse(&text, file.parent().unwrap_or(Path::new("")))
+}
+
+/// Reads a scenario from a text; `include FILE` takes the commands of a file below `directory`.
 ///
 /// # Errors
 ///
-/// Returns an error that names the line and what is expected there.
-pub fn parse(text: &str) -> Result<Scenario, ScenarioError> {
+/// As [`read`].
+pub fn parse(text: &str, directory: &Path) -> Result<Scenario, ScenarioError> {
     let mut scenario = Scenario { guards: String::new(), seed: 1, commands: Vec::new() };
+    add_statements(&mut scenario, text, directory)?;
+    if scenario.guards.is_empty() {
+        let message = "no guards line names the failure that the scenario guards against";
+        return Err(ScenarioError::Syntax(1, message.to_owned()));
+    }
+    Ok(scenario)
+}
+
+fn read_text(file: &Path) -> Result<String, ScenarioError> {
+    std::fs::read_to_string(file).map_err(|error| ScenarioError::File(file.to_owned(), error))
+}
+
+fn add_statements(
+    scenario: &mut Scenario,
+    text: &str,
+    directory: &Path,
+) -> Result<(), ScenarioError> {
     for statement in statements(text)? {
         let line = statement.line;
         match statement.words[0].as_str() {
@@ -136,6 +165,13 @@
                         ScenarioError::Syntax(line, "seed: expected a number".to_owned())
                     })?;
             }
+            "include" => {
+                let file = directory.join(statement.words[1..].concat());
+                let included = read_text(&file)?;
+                add_statements(scenario, &included, directory).map_err(|error| {
+                    ScenarioError::Syntax(line, format!("{}: {error}", file.display()))
+                })?;
+            }
             _ => {
                 let command =
                     command(statement).map_err(|message| ScenarioError::Syntax(line, message))?;
@@ -143,11 +179,7 @@
             }
         }
     }
-    if scenario.guards.is_empty() {
-        let message = "no guards line names the failure that the scenario guards against";
-        return Err(ScenarioError::Syntax(1, message.to_owned()));
-    }
-    Ok(scenario)
+    Ok(())
 }
 
 /// Arguments of a statement in order.
--- a/bins/deckscenario/src/main.rs
+++ b/bins/deckscenario/src/main.rs
@@ -43,9 +43,7 @@
 }
 
 fn run_file(options: &Options, file: &Path) -> Result<(), ScenarioError> {
-    let text = std::fs::read_to_string(file)
-        .map_err(|error| ScenarioError::File(file.to_owned(), error))?;
-    let scenario = command::parse(&text)?;
+    let scenario = command::read(file)?;
     if options.check {
         return Ok(());
     }
--- a/bins/deckscenario/src/run.rs
+++ b/bins/deckscenario/src/run.rs
@@ -40,6 +40,7 @@
     client: Client,
     running_loads: BTreeMap<String, RunningLoad>,
     reports: BTreeMap<String, Value>,
+    loads_started: u64,
     seed: u64,
 }
 
@@ -64,6 +65,7 @@
         client: Client::default(),
         running_loads: BTreeMap::new(),
         reports: BTreeMap::new(),
+        loads_started: 0,
         seed,
     };
     for located in &scenario.commands {
@@ -308,7 +310,7 @@
             arguments.iter().map(|argument| self.world.expand(argument)).collect();
         let log = std::fs::File::create(self.world.directory().join(format!("{name}.log")))?;
         let child = Program::new(deck_testkit::program("deckload"))
-            .args(["--seed", &self.seed.to_string(), "--list-bookings"])
+            .args(["--seed", &self.next_load_seed().to_string(), "--list-bookings"])
             .args(arguments?)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
@@ -318,6 +320,12 @@
         Ok(())
     }
 
+    /// Returns a seed of its own for each load, so that no two loads use the same keys.
+    fn next_load_seed(&mut self) -> u64 {
+        self.loads_started += 1;
+        self.seed.wrapping_mul(1000) + self.loads_started
+    }
+
     fn finish_load(&mut self, name: &str) -> Result<(), CommandError> {
         let mut load = self
             .running_loads
@@ -332,7 +340,12 @@
             return Err(format!("load {name} ended with {status}").into());
         }
         std::fs::write(self.world.directory().join(format!("{name}.json")), &report)?;
-        self.reports.insert(name.to_owned(), serde_json::from_str(&report)?);
+        let report: Value = serde_json::from_str(&report)?;
+        self.world.set_variable(format!("{name}.sent"), report["sent"].to_string());
+        for (class, counts) in report["classes"].as_object().into_iter().flatten() {
+            self.world.set_variable(format!("{name}.sent.{class}"), counts["sent"].to_string());
+        }
+        self.reports.insert(name.to_owned(), report);
         Ok(())
     }
 
--- a/bins/deckscenario/src/world.rs
+++ b/bins/deckscenario/src/world.rs
@@ -34,12 +34,20 @@
     seed: u64,
     templates: BTreeMap<String, String>,
     members: BTreeMap<String, Member>,
+    /// Results of finished loads.
+    variables: BTreeMap<String, String>,
 }
 
 impl World {
     /// Returns a world without processes whose files go to `directory`.
     pub fn new(directory: PathBuf, seed: u64) -> Self {
-        Self { directory, seed, templates: BTreeMap::new(), members: BTreeMap::new() }
+        Self {
+            directory,
+            seed,
+            templates: BTreeMap::new(),
+            members: BTreeMap::new(),
+            variables: BTreeMap::new(),
+        }
     }
 
     /// Keeps a template of a settings file.
@@ -47,6 +55,11 @@
         self.templates.insert(name, text);
     }
 
+    /// Sets a variable that texts refer to.
+    pub fn set_variable(&mut self, name: String, value: String) {
+        self.variables.insert(name, value);
+    }
+
     /// Starts a stand-in.
     ///
     /// # Errors
@@ -241,6 +254,9 @@
             "dir" => return Some(self.directory.display().to_string()),
             _ => {}
         }
+        if let Some(value) = self.variables.get(variable) {
+            return Some(value.clone());
+        }
         let (name, listener) = variable.rsplit_once('.')?;
         self.address(name, listener).map(|address| address.to_string())
     }
--- a/bins/deckscenario/tests/language.rs
+++ b/bins/deckscenario/tests/language.rs
@@ -1,5 +1,7 @@
 //! The scenario language.
 
+use std::path::Path;
+
 use deckscenario::{
     command::{Command, parse},
     error::ScenarioError,
@@ -27,20 +29,23 @@
 #[test_case("fault a {\"b\": 1", "not closed"; "open bracket")]
 #[test_case("settings a <<END", "no line END"; "open block")]
 fn malformed_line_is_refused_with_its_number(line: &str, message: &str) {
-    let error = parse(&format!("guards \"x\"\n{line}\n")).expect_err("malformed").to_string();
+    let error = parse(&format!("guards \"x\"\n{line}\n"), Path::new(""))
+        .expect_err("malformed")
+        .to_string();
     assert!(error.starts_with("line 2: ") && error.contains(message), "{error}");
 }
 
 /// Guards against a scenario that does not say why it exists.
 #[test]
 fn scenario_without_guards_is_refused() {
-    assert!(matches!(parse("sleep 1"), Err(ScenarioError::Syntax(1, _))));
+    assert!(matches!(parse("sleep 1", Path::new("")), Err(ScenarioError::Syntax(1, _))));
 }
 
 /// Guards against a race whose second spec is taken for the first.
 #[test]
 fn race_has_two_specs() {
-    let scenario = parse("guards x\nrace store K n {\"a\": 1} {\"b\": 2}").expect("valid");
+    let scenario =
+        parse("guards x\nrace store K n {\"a\": 1} {\"b\": 2}", Path::new("")).expect("valid");
     let Command::Race { specs, .. } = &scenario.commands[0].command else { panic!("not a race") };
     assert_eq!(*specs, ["{\"a\": 1}", "{\"b\": 2}"]);
 }
