--- a/bins/deckstandin/src/service.rs
+++ b/bins/deckstandin/src/service.rs
@@ -180,7 +180,7 @@
     response
 }
 
-/// Returns the body, or the path of a request without a body.
+/// Returns the body, or the path of a request without a body. The path is a header too.
 fn echo(call: &Call) -> Response<Body> {
     let body = if call.body.is_empty() { call.path.clone().into() } else { call.body.clone() };
     let mut response = Response::new(Body::full(body));
@@ -188,6 +188,9 @@
     if let Some(content_type) = call.headers.get("content-type") {
         headers.insert("content-type", content_type.clone());
     }
+    if let Ok(path) = call.path.parse() {
+        headers.insert("x-echo-path", path);
+    }
     response
 }
 
