--- a/bins/deckentry/src/process.rs
+++ b/bins/deckentry/src/process.rs
@@ -113,6 +113,7 @@
         admission: Admission::new(AdmissionOptions {
             vm: settings.vm.id.clone(),
             max_wait: settings.limits.max_queue_wait,
+            ..AdmissionOptions::default()
         }),
         budget: RetryBudget::new(BudgetOptions::default()),
         client: Client::new(ClientOptions {
--- a/bins/deckentry/tests/common/mod.rs
+++ b/bins/deckentry/tests/common/mod.rs
@@ -50,13 +50,20 @@
 }
 
 /// Answer to a request of a test.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct Answer {
     pub status: u16,
     pub headers: HeaderMap,
     pub body: Vec<u8>,
 }
 
+impl std::fmt::Debug for Answer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let body = String::from_utf8_lossy(&self.body);
+        write!(f, "{} {}", self.status, body.chars().take(600).collect::<String>())
+    }
+}
+
 impl Answer {
     pub fn json(&self) -> Value {
         serde_json::from_slice(&self.body).unwrap_or_else(|error| panic!("{error}: {self:?}"))
--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -15,6 +15,7 @@
     http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header},
 };
 use deck_route::{InFlightGuard, Outcome, Pick, PickError, PickRequest};
+use monoio::net::TcpStream;
 
 use crate::{
     body::until,
@@ -29,6 +30,11 @@
 /// Pause between two picks of a call that found no target.
 const PICK_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time for a connection that tells whether a target still listens.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time in which a process that ends closes its sockets.
+const CLOSING_TIME: Duration = Duration::from_millis(20);
+
 /// A try that occupies a place on a target. Dropping it counts as cancelled.
 pub(crate) struct Attempt {
     shared: SharedRef,
@@ -145,22 +151,42 @@
         }
     }
 
-    /// Ends the try after the target broke while it may have run the call.
-    pub(crate) fn crashed(self, error: &NetError, tokens: u64) {
+    /// Ends the try after the connection broke while the target may have run the call.
+    ///
+    /// Only a target that no longer listens counts as crashed: a cut connection or answer says
+    /// nothing about the request.
+    pub(crate) async fn broke(self, error: &NetError, tokens: u64) {
+        let crashed = !still_listens(self.address).await;
         log::warn!(
             target: "call",
-            "target broke request={} pool={} target={} suspect={} error={error}",
+            "connection broke request={} pool={} target={} crashed={crashed} suspect={} \
+             error={error}",
             self.call.head.request_id, self.key.pool, self.key.target, self.suspect
         );
-        self.shared.metrics.crashed(&self.key.pool);
-        let now = Instant::now();
-        let mut crashes = self.shared.crashes.borrow_mut();
-        crashes.crashed(self.call.fingerprint, &self.key, self.suspect, now);
-        drop(crashes);
+        if crashed {
+            self.shared.metrics.crashed(&self.key.pool);
+            let mut crashes = self.shared.crashes.borrow_mut();
+            crashes.crashed(self.call.fingerprint, &self.key, self.suspect, Instant::now());
+        }
         self.finish(Outcome::Crashed, tokens);
     }
 }
 
+/// Returns whether a target accepts connections.
+async fn still_listens(address: SocketAddr) -> bool {
+    if !accepts(address).await {
+        return false;
+    }
+    // The listener of a process that ends may close a moment after its connections.
+    monoio::time::sleep(CLOSING_TIME).await;
+    accepts(address).await
+}
+
+async fn accepts(address: SocketAddr) -> bool {
+    let connected = monoio::time::timeout(PROBE_TIMEOUT, TcpStream::connect_addr(address)).await;
+    matches!(connected, Ok(Ok(_)))
+}
+
 impl Drop for Attempt {
     fn drop(&mut self) {
         self.call.add_engine_time(self.started.elapsed());
--- a/crates/call/src/background.rs
+++ b/crates/call/src/background.rs
@@ -6,13 +6,16 @@
 use deck_peer::Topic;
 
 use crate::{
-    exchange::exchange,
+    exchange::{exchange_crashes, exchange_demand, exchange_leaving},
     load,
     shared::SharedRef,
     sweep::{Orphans, delete_next},
 };
 
-/// Time between two exchanges of demand and crash fingerprints. Lent share is reclaimed within 2 s.
+/// Time between two exchanges of crash fingerprints and leaving targets. They are published only
+/// when they change.
+const FAULT_PERIOD: Duration = Duration::from_millis(100);
+/// Time between two exchanges of demand. Lent share is reclaimed within 2 s.
 const EXCHANGE_PERIOD: Duration = Duration::from_millis(500);
 /// Time between two publications of usage counters.
 const DRAW_PERIOD: Duration = Duration::from_secs(5);
@@ -21,6 +24,7 @@
 pub(crate) fn start(shared: &SharedRef, timers: &TimerService, cancel: &CancellationToken) {
     spawn(cancel, apply_configuration(shared.clone()));
     spawn(cancel, exchange_values(shared.clone(), timers.clone()));
+    spawn(cancel, exchange_faults(shared.clone(), timers.clone()));
     spawn(cancel, publish_draw(shared.clone(), timers.clone()));
     spawn(cancel, poll_loads(shared.clone(), timers.clone()));
     spawn(cancel, delete_claims(shared.clone(), timers.clone()));
@@ -47,9 +51,17 @@
 
 async fn exchange_values(shared: SharedRef, timers: TimerService) {
     let mut ticks = timers.every(EXCHANGE_PERIOD);
+    while let Some(tick) = ticks.next().await {
+        exchange_demand(&shared, tick.at);
+    }
+}
+
+async fn exchange_faults(shared: SharedRef, timers: TimerService) {
+    let mut ticks = timers.every(FAULT_PERIOD);
     let mut last_crash_version = 0;
     while let Some(tick) = ticks.next().await {
-        exchange(&shared, &mut last_crash_version, tick.at);
+        exchange_crashes(&shared, &mut last_crash_version, tick.at);
+        exchange_leaving(&shared, tick.at);
     }
 }
 
--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -68,8 +68,10 @@
     Complete,
     /// Nothing ran at this target.
     NotRun,
-    /// The target failed.
+    /// The connection to the target broke.
     Broke(String),
+    /// The target failed in another way.
+    Failed(String),
     /// The caller is gone.
     CallerGone,
 }
@@ -220,6 +222,8 @@
     output: Output,
     generation: Generation,
     failed: Vec<TargetId>,
+    /// Whether a target broke during this call.
+    broke_before: bool,
 }
 
 impl<'a> Run<'a> {
@@ -230,7 +234,8 @@
         output: Output,
     ) -> Self {
         let generation = Generation::default();
-        Self { shared, call, request, output, generation, failed: Vec::new() }
+        let failed = Vec::new();
+        Self { shared, call, request, output, generation, failed, broke_before: false }
     }
 
     fn take_head(&mut self) -> Option<oneshot::Sender<Result<TargetId, Failure>>> {
@@ -262,7 +267,8 @@
                     return Err(CallError::new(ErrorKind::Internal, message).into());
                 }
                 End::NotRun => ("not_run", "the target refused the request".to_owned()),
-                End::Broke(message) => ("failed", message),
+                End::Broke(message) => ("broke", message),
+                End::Failed(message) => ("failed", message),
             };
             let progress = self.generation.token_count > tokens_before;
             fruitless_tries = if progress { 0 } else { fruitless_tries + 1 };
@@ -270,9 +276,7 @@
             {
                 return Err(self.give_up(message).into());
             }
-            // A resumed generation repeats no work, so it does not take from the retry budget.
-            let repeats = reason == "failed" && self.generation.token_count == 0;
-            if repeats && !self.shared.try_take_retry(self.call) {
+            if !self.may_try_again(reason) {
                 return Err(self.give_up(format!("no retry budget left; {message}")).into());
             }
             self.shared.metrics.retried(&self.call.pool.name, reason);
@@ -284,6 +288,19 @@
         Err(self.give_up("too many tries".to_owned()).into())
     }
 
+    /// Decides on a further try after one that ended for `reason`.
+    ///
+    /// A resumed generation repeats no work, so it does not take from the retry budget. Neither
+    /// does the first try after a target broke: all calls in flight there need one at the same
+    /// moment, and a budget in proportion to the load would fail most of them.
+    fn may_try_again(&mut self, reason: &str) -> bool {
+        match reason {
+            "not_run" => true,
+            "broke" if !std::mem::replace(&mut self.broke_before, true) => true,
+            _ => self.generation.token_count > 0 || self.shared.try_take_retry(self.call),
+        }
+    }
+
     fn give_up(&self, message: String) -> CallError {
         if self.generation.token_count > 0 {
             CallError::new(ErrorKind::AnswerTruncated, message)
@@ -318,7 +335,7 @@
                 return Ok(End::NotRun);
             }
             Err(SendError::Broke(error)) => {
-                attempt.crashed(&error, 0);
+                attempt.broke(&error, 0).await;
                 return Ok(End::Broke(error.to_string()));
             }
             Err(SendError::TimedOut) => return self.timed_out(attempt),
@@ -343,7 +360,7 @@
     fn timed_out(&self, attempt: Attempt) -> Result<End, Failure> {
         attempt.finish(Outcome::TimedOut, 0);
         if Instant::now() < self.call.head.deadline {
-            return Ok(End::Broke("the engine sent nothing for too long".to_owned()));
+            return Ok(End::Failed("the engine sent nothing for too long".to_owned()));
         }
         let message = "the deadline passed while an engine ran the request";
         Err(CallError::new(ErrorKind::DeadlineExceeded, message).into())
@@ -374,7 +391,7 @@
         }
         self.call.set_may_have_run();
         attempt.finish(Outcome::Failed, 0);
-        Ok(End::Broke(format!("the engine answered with status {status}")))
+        Ok(End::Failed(format!("the engine answered with status {status}")))
     }
 
     async fn read_stream(
@@ -398,10 +415,10 @@
                 }
                 Some(Err(NetError::Decode(message))) => {
                     attempt.finish(Outcome::Failed, tokens);
-                    return Ok(End::Broke(message));
+                    return Ok(End::Failed(message));
                 }
                 Some(Err(error)) => {
-                    attempt.crashed(&error, tokens);
+                    attempt.broke(&error, tokens).await;
                     return Ok(End::Broke(error.to_string()));
                 }
             };
@@ -413,12 +430,12 @@
                 Ok(chunk) => chunk,
                 Err(message) => {
                     attempt.finish(Outcome::Failed, tokens);
-                    return Ok(End::Broke(message));
+                    return Ok(End::Failed(message));
                 }
             };
             if chunk.is_cancelled() {
                 attempt.finish(Outcome::Failed, tokens);
-                return Ok(End::Broke("the engine cancelled the request".to_owned()));
+                return Ok(End::Failed("the engine cancelled the request".to_owned()));
             }
             tokens += u64::from(chunk.token_count);
             self.call.add_tokens(u64::from(chunk.token_count));
@@ -441,7 +458,7 @@
             return End::Complete;
         }
         attempt.finish(Outcome::Failed, tokens);
-        End::Broke("the engine ended the stream early".to_owned())
+        End::Failed("the engine ended the stream early".to_owned())
     }
 
     /// Sends a chunk to the caller; returns whether the caller is still there.
--- a/crates/call/src/exchange.rs
+++ b/crates/call/src/exchange.rs
@@ -88,14 +88,8 @@
     }
 }
 
-/// Publishes this VM's values and takes over those of the others.
-pub(crate) fn exchange(shared: &SharedRef, last_crash_version: &mut u64, now: Instant) {
-    exchange_demand(shared, now);
-    exchange_crashes(shared, last_crash_version, now);
-    exchange_leaving(shared, now);
-}
-
-fn exchange_demand(shared: &SharedRef, now: Instant) {
+/// Publishes this VM's demand and takes over that of the others.
+pub(crate) fn exchange_demand(shared: &SharedRef, now: Instant) {
     let live = shared.peer.members().into_iter();
     let live: Vec<VmId> =
         live.filter(|member| member.state != MemberState::Dead).map(|member| member.vm).collect();
@@ -114,7 +108,8 @@
     shared.admission.apply_reports(&reports, now);
 }
 
-fn exchange_crashes(shared: &SharedRef, last_version: &mut u64, now: Instant) {
+/// Publishes this VM's crash fingerprints and takes over those of the others.
+pub(crate) fn exchange_crashes(shared: &SharedRef, last_version: &mut u64, now: Instant) {
     let (list, version) = {
         let mut crashes = shared.crashes.borrow_mut();
         (crashes.to_publish(now), crashes.version())
@@ -132,7 +127,8 @@
     shared.crashes.borrow_mut().set_others(crashes);
 }
 
-fn exchange_leaving(shared: &SharedRef, now: Instant) {
+/// Publishes targets that announced that they leave and takes over those that others know.
+pub(crate) fn exchange_leaving(shared: &SharedRef, now: Instant) {
     let list = shared.leaving_targets.borrow_mut().changed_list(now);
     if let Some(list) = list {
         shared.peer.publish(Topic::LeavingTargets, encode(&list));
--- a/crates/call/src/service.rs
+++ b/crates/call/src/service.rs
@@ -33,11 +33,30 @@
 
 /// How one try of an idempotent call ended without an answer.
 struct Failed {
-    /// Whether the target refused before running, or was not reached.
-    not_run: bool,
+    reason: FailReason,
     message: String,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FailReason {
+    /// The target refused before running, or was not reached.
+    NotRun,
+    /// The connection broke.
+    Broke,
+    /// The target answered with an error.
+    Failed,
+}
+
+impl FailReason {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Broke => "broke",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// How a run of a non-idempotent call ended.
 pub(crate) enum RunEnd {
     /// The target answered.
@@ -68,6 +87,7 @@
 ) -> Result<(Answer, Permit), CallError> {
     let permit = shared.admit(call).await?;
     let mut failed_at: Vec<TargetId> = Vec::new();
+    let mut broke_before = false;
     for number in 1.. {
         let attempt = Attempt::start(shared, call, &failed_at).await?;
         let target = attempt.target.clone();
@@ -75,19 +95,24 @@
             Ok(answer) => return Ok((answer, permit)),
             Err(failed) => failed,
         };
-        let kind = match (call.may_have_run(), failed.not_run) {
-            (true, _) => ErrorKind::TargetFailed,
-            (false, _) => ErrorKind::TargetRefused,
+        let kind = match call.may_have_run() {
+            true => ErrorKind::TargetFailed,
+            false => ErrorKind::TargetRefused,
         };
         if number >= shared.options.tries.max_tries {
             return Err(CallError::new(kind, failed.message));
         }
-        if !failed.not_run && !shared.try_take_retry(call) {
+        // The first try after a target broke is free, see `completion::Run::may_try_again`.
+        let free = match failed.reason {
+            FailReason::NotRun => true,
+            FailReason::Broke => !std::mem::replace(&mut broke_before, true),
+            FailReason::Failed => false,
+        };
+        if !free && !shared.try_take_retry(call) {
             let message = format!("no retry budget left; {}", failed.message);
             return Err(CallError::new(kind, message));
         }
-        let reason = if failed.not_run { "not_run" } else { "failed" };
-        shared.metrics.retried(&call.pool.name, reason);
+        shared.metrics.retried(&call.pool.name, failed.reason.as_str());
         failed_at.push(target);
     }
     Err(CallError::new(ErrorKind::Internal, "no tries allowed"))
@@ -101,16 +126,16 @@
     let headers = &call.head.forwarded;
     let body = Body::full(call.body());
     let request = target_request(call, call.head.method.clone(), &call.path, headers, body)?;
-    let failed = |not_run, message: String| Ok(Err(Failed { not_run, message }));
+    let failed = |reason, message: String| Ok(Err(Failed { reason, message }));
     let mut response = match attempt.send(request, call.head.deadline).await {
         Ok(response) => response,
         Err(SendError::NotSent(error)) => {
             attempt.finish(Outcome::Crashed, 0);
-            return failed(true, error.to_string());
+            return failed(FailReason::NotRun, error.to_string());
         }
         Err(SendError::Broke(error)) => {
-            attempt.crashed(&error, 0);
-            return failed(false, error.to_string());
+            attempt.broke(&error, 0).await;
+            return failed(FailReason::Broke, error.to_string());
         }
         Err(SendError::TimedOut) => {
             attempt.finish(Outcome::TimedOut, 0);
@@ -119,21 +144,21 @@
     };
     if let Some(outcome) = refusal(&response) {
         attempt.finish(outcome, 0);
-        return failed(true, "the target refused the request".to_owned());
+        return failed(FailReason::NotRun, "the target refused the request".to_owned());
     }
     call.set_may_have_run();
     if matches!(response.status.as_u16(), 502..=504) {
         let message = format!("the target answered with status {}", response.status);
         attempt.finish(Outcome::Failed, 0);
-        return failed(false, message);
+        return failed(FailReason::Failed, message);
     }
     let limit = shared.options.body.answer_prefix_bytes;
     match until(call.head.deadline, read_prefix(&mut response, limit)).await {
         Some(Ok((prefix, is_whole))) => Ok(Ok(Answer { attempt, response, prefix, is_whole })),
         Some(Err(error)) => {
             let message = error.to_string();
-            attempt.crashed(&error, 0);
-            failed(false, message)
+            attempt.broke(&error, 0).await;
+            failed(FailReason::Broke, message)
         }
         None => {
             attempt.finish(Outcome::TimedOut, 0);
@@ -213,7 +238,7 @@
                     return;
                 }
                 Some(Err(error)) => {
-                    attempt.crashed(&error, 0);
+                    attempt.broke(&error, 0).await;
                     return;
                 }
                 None => {
@@ -275,7 +300,7 @@
             return Err(error.to_string());
         }
         Err(SendError::Broke(error)) => {
-            attempt.crashed(&error, 0);
+            attempt.broke(&error, 0).await;
             let error = CallError::new(ErrorKind::TargetFailed, error.to_string());
             return Ok(RunEnd::Unknown(error));
         }
@@ -312,7 +337,7 @@
             let message = format!("the target's answer was not received: {error}");
             match error {
                 NetError::BodyTooLarge(_) => attempt.finish(Outcome::Ok, 0),
-                _ => attempt.crashed(&error, 0),
+                _ => attempt.broke(&error, 0).await,
             }
             RunEnd::Unknown(CallError::new(ErrorKind::AnswerTruncated, message))
         }
--- a/crates/obs/src/logs.rs
+++ b/crates/obs/src/logs.rs
@@ -3,7 +3,7 @@
 //! A component logs with its name as the `log` target, for example
 //! `log::warn!(target: "peer", "link closed peer={vm} error={error}")`.
 
-use simplelog::{ConfigBuilder, LevelFilter, SimpleLogger};
+use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
 
 /// Levels that a settings file may name.
 pub const LEVELS: &[&str] = &["error", "warn", "info", "debug", "trace"];
@@ -21,5 +21,6 @@
         .set_thread_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
         .build();
-    SimpleLogger::init(level, config)
+    // `SimpleLogger` writes all but errors to standard output, where programs print their listeners.
+    WriteLogger::init(level, config, std::io::stderr())
 }
