--- a/bins/deckscenario/src/command.rs
+++ b/bins/deckscenario/src/command.rs
@@ -84,6 +84,8 @@
     Thaw { names: Vec<String> },
     /// `terminate NAME..`: SIGTERM and wait for a successful end.
     Terminate { names: Vec<String> },
+    /// `alive COUNT NAME..`: so many of these stand-ins answer.
+    Alive { count: usize, names: Vec<String> },
     /// `exits NAME`: waits for the end of the process.
     Exits { name: String },
     /// `restart NAME ARGUMENT..`: starts it again on the same addresses. Arguments replace those of
@@ -258,6 +260,11 @@
         "freeze" => Command::Freeze { names: words.names()? },
         "thaw" => Command::Thaw { names: words.names()? },
         "terminate" => Command::Terminate { names: words.names()? },
+        "alive" => {
+            let count = words.next("a number")?;
+            let count = count.parse().map_err(|_| format!("alive: {count:?} is not a number"))?;
+            Command::Alive { count, names: words.names()? }
+        }
         "exits" => Command::Exits { name: words.next("a name")? },
         "restart" => Command::Restart { name: words.next("a name")?, arguments: words.all() },
         "cut" => Command::Link { names: words.names()?, mode: "cut" },
--- a/bins/deckscenario/src/run.rs
+++ b/bins/deckscenario/src/run.rs
@@ -93,6 +93,7 @@
                     self.wait_until_ready(name).await?;
                 }
             }
+            Command::Alive { count, names } => self.expect_alive(*count, names).await?,
             Command::Kill { .. }
             | Command::Freeze { .. }
             | Command::Thaw { .. }
@@ -182,6 +183,20 @@
         Err(format!("{name} is not ready within {EVENT_DEADLINE:?}: {seen}").into())
     }
 
+    async fn expect_alive(&self, count: usize, names: &[String]) -> Result<(), CommandError> {
+        let mut alive = Vec::new();
+        for name in names {
+            let address = self.world.admin_address(name)?;
+            if self.send(address, "GET", "/admin/records", &[], "").await.is_ok() {
+                alive.push(name.as_str());
+            }
+        }
+        if alive.len() == count {
+            return Ok(());
+        }
+        Err(format!("{} are alive, expected {count}: {}", alive.len(), alive.join(" ")).into())
+    }
+
     async fn set_faults(&self, name: &str, faults: Value) -> Result<(), CommandError> {
         let address = self.world.admin_address(name)?;
         let body = faults.to_string();
@@ -244,7 +259,8 @@
             .body(Body::full(body.to_owned()))
             .map_err(|error| CommandError::Failed(error.to_string()))?;
         let exchange = async {
-            let response = self.client.send(address, request).await?;
+            // A connection of before a kill would break the first call after a restart.
+            let response = self.client.send_fresh(address, request).await?;
             let status = response.status.as_u16();
             Ok((status, response.collect(MAX_ANSWER_BYTES).await?))
         };
--- a/bins/deckscenario/tests/scenarios.rs
+++ b/bins/deckscenario/tests/scenarios.rs
@@ -1,4 +1,4 @@
-//! Whole scenarios with stand-ins only, and scenarios with a planted fault that have to fail.
+//! Whole scenarios, and scenarios with a planted fault that have to fail.
 
 use std::{path::PathBuf, process::Command};
 
@@ -31,12 +31,29 @@
     assert!(ran.output.contains("seed"), "the seed is printed");
 }
 
+#[test_case("bookings-once")]
+#[test_case("store-outage")]
+#[test_case("engine-crash-resume")]
+#[test_case("graceful-stop")]
+#[test_case("operators-race")]
+#[test_case("rollout-owner-lost")]
+#[test_case("poison-request")]
+#[test_case("target-leaving")]
+#[test_case("slow-target")]
+#[test_case("regions-partitioned")]
+#[test_case("trainer-restarts")]
+fn scenario_with_daemons_succeeds(name: &str) {
+    let ran = run(&format!("../../scenarios/{name}.scn"));
+    assert!(ran.succeeded, "{}", ran.output);
+}
+
 /// Guards against checks that a broken system passes.
 #[test_case("executions", "key k1 ran 2 times")]
 #[test_case("bookings", "ran 2 times")]
 #[test_case("mismatch", "executions is 0, expected Equal 1")]
 #[test_case("race", "object API unavailable")]
 #[test_case("terminate", "engine ended with")]
+#[test_case("alive", "0 are alive, expected 1")]
 fn planted_fault_fails_the_scenario(name: &str, message: &str) {
     let ran = run(&format!("tests/planted/{name}.scn"));
     assert!(!ran.succeeded, "{}", ran.output);
