--- a/crates/call/src/body.rs
+++ b/crates/call/src/body.rs
@@ -47,15 +47,19 @@
     /// # Errors
     ///
     /// Returns the refusal that the caller receives.
-    pub(crate) async fn receive(&self, body: Incoming) -> Result<HeldBody, CallError> {
-        match monoio::time::timeout(self.options.timeout, self.receive_pieces(body)).await {
-            Ok(received) => received,
+    pub(crate) async fn receive(&self, mut body: Incoming) -> Result<HeldBody, CallError> {
+        let received = self.receive_bounded(&mut body);
+        let error = match monoio::time::timeout(self.options.timeout, received).await {
+            Ok(Ok(received)) => return Ok(received),
+            Ok(Err(error)) => error,
             Err(_) => {
                 let limit_ms = self.options.timeout.as_millis();
                 let message = format!("the body was not received within {limit_ms} ms");
-                Err(CallError::new(ErrorKind::RequestTimeout, message))
+                return Err(CallError::new(ErrorKind::RequestTimeout, message));
             }
-        }
+        };
+        discard(body).await;
+        Err(error)
     }
 
     /// Takes over a body that another VM received.
@@ -64,14 +68,6 @@
         Ok(HeldBody { bytes, _reserved: reserved })
     }
 
-    async fn receive_pieces(&self, mut body: Incoming) -> Result<HeldBody, CallError> {
-        let result = self.receive_bounded(&mut body).await;
-        if result.is_err() {
-            discard(body).await;
-        }
-        result
-    }
-
     async fn receive_bounded(&self, body: &mut Incoming) -> Result<HeldBody, CallError> {
         let declared = hyper::body::Body::size_hint(body).lower();
         if declared > self.options.max_bytes as u64 {
--- a/crates/call/src/exchange.rs
+++ b/crates/call/src/exchange.rs
@@ -2,12 +2,13 @@
 //! usage.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     time::{Duration, Instant},
 };
 
 use deck_core::id::{Incarnation, PoolName, TargetId, VmId};
 use deck_peer::{MemberState, Topic};
+use deck_route::RouteMember;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -16,13 +17,11 @@
     wire::{decode, encode},
 };
 
-/// Time for which a target that announced that it leaves is published. Gossip takes seconds.
-const LEAVING_PUBLISHED: Duration = Duration::from_secs(30);
+/// Time for which a target that announced that it leaves gets no work and is published. Then a call
+/// tries it again: the target may have started anew, and one that still leaves refuses the call.
+const LEAVING_PUBLISHED: Duration = Duration::from_secs(60);
 /// Most leaving targets that are published.
 const MAX_LEAVING: usize = 64;
-/// Age of a published list of leaving targets after which it is ignored: the target may be back.
-const MAX_LEAVING_AGE: Duration = Duration::from_secs(60);
-
 /// A target that announced that it is leaving.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 struct LeavingTarget {
@@ -49,7 +48,7 @@
 #[derive(Default)]
 pub(crate) struct LeavingTargets {
     own: HashMap<TargetKey, Noted>,
-    heard: HashSet<Heard>,
+    heard: HashMap<Heard, TargetKey>,
     next_number: u64,
     changed: bool,
 }
@@ -66,11 +65,18 @@
         self.changed = true;
     }
 
+    /// Forgets announcements whose time is over and returns their targets.
+    fn expire(&mut self, now: Instant) -> Vec<TargetKey> {
+        let over = |noted: &Noted| now.duration_since(noted.at) >= LEAVING_PUBLISHED;
+        let expired = self.own.extract_if(|_, noted| over(noted)).map(|(key, _)| key);
+        let expired: Vec<_> = expired.collect();
+        self.changed |= !expired.is_empty();
+        expired
+    }
+
     /// Returns the list to publish if it has changed.
-    fn changed_list(&mut self, now: Instant) -> Option<Vec<LeavingTarget>> {
-        let before = self.own.len();
-        self.own.retain(|_, noted| now.duration_since(noted.at) < LEAVING_PUBLISHED);
-        if !std::mem::take(&mut self.changed) && self.own.len() == before {
+    fn changed_list(&mut self) -> Option<Vec<LeavingTarget>> {
+        if !std::mem::take(&mut self.changed) {
             return None;
         }
         let mut list: Vec<_> = self
@@ -90,11 +96,24 @@
 
 /// Publishes this VM's demand and takes over that of the others.
 pub(crate) fn exchange_demand(shared: &SharedRef, now: Instant) {
-    let live = shared.peer.members().into_iter();
-    let live: Vec<VmId> =
-        live.filter(|member| member.state != MemberState::Dead).map(|member| member.vm).collect();
-    shared.admission.set_members(&live);
-    shared.peer.publish(Topic::ShareDemand, shared.admission.demand_report(now));
+    let members = shared.peer.members();
+    let (mut vms, mut routing) = (Vec::new(), Vec::new());
+    for member in members {
+        match member.state {
+            MemberState::Leaving => shared.admission.remove_member(&member.vm),
+            MemberState::Dead => {}
+            MemberState::Live | MemberState::Suspect => {
+                let (vm, data_centre) = (member.vm.clone(), member.data_centre);
+                routing.push(RouteMember { vm, data_centre });
+                vms.push(member.vm);
+            }
+        }
+    }
+    shared.admission.set_members(&vms);
+    shared.router.set_members(routing);
+    if shared.admission.is_report_due(now) {
+        shared.peer.publish(Topic::ShareDemand, shared.admission.demand_report(now));
+    }
     let published = others(shared, Topic::ShareDemand);
     let reports: Vec<_> = published
         .map(|report| deck_limit::Published {
@@ -106,6 +125,7 @@
         })
         .collect();
     shared.admission.apply_reports(&reports, now);
+    shared.admission.tick(now);
 }
 
 /// Publishes this VM's crash fingerprints and takes over those of the others.
@@ -129,24 +149,31 @@
 
 /// Publishes targets that announced that they leave and takes over those that others know.
 pub(crate) fn exchange_leaving(shared: &SharedRef, now: Instant) {
-    let list = shared.leaving_targets.borrow_mut().changed_list(now);
-    if let Some(list) = list {
+    let mut state = shared.leaving_targets.borrow_mut();
+    let mut returned = state.expire(now);
+    if let Some(list) = state.changed_list() {
         shared.peer.publish(Topic::LeavingTargets, encode(&list));
     }
-    let mut still_published = HashSet::new();
+    let mut heard = HashMap::new();
     for published in others(shared, Topic::LeavingTargets) {
         let Some(list) = decode::<Vec<LeavingTarget>>(&published.value) else { continue };
-        for leaving in list {
+        for LeavingTarget { pool, target, number } in list {
             let (vm, incarnation) = (published.vm.clone(), published.incarnation);
-            let heard = Heard { vm, incarnation, number: leaving.number };
-            let is_new = !shared.leaving_targets.borrow().heard.contains(&heard);
-            if is_new && published.age < MAX_LEAVING_AGE {
-                shared.router.mark_leaving(&leaving.pool, &leaving.target);
+            let announcement = Heard { vm, incarnation, number };
+            let key = TargetKey { pool, target };
+            if state.heard.remove(&announcement).is_none() {
+                shared.router.mark_leaving(&key.pool, &key.target);
             }
-            still_published.insert(heard);
+            heard.insert(announcement, key);
+        }
+    }
+    returned.extend(std::mem::replace(&mut state.heard, heard).into_values());
+    for key in returned {
+        let still_known = state.own.contains_key(&key) || state.heard.values().any(|k| *k == key);
+        if !still_known {
+            shared.router.mark_returned(&key.pool, &key.target);
         }
     }
-    shared.leaving_targets.borrow_mut().heard = still_published;
 }
 
 fn others(shared: &SharedRef, topic: Topic) -> impl Iterator<Item = deck_peer::Published> + use<> {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -130,6 +130,15 @@
         self.signal(Signal::SIGCONT);
     }
 
+    /// Returns the status of the process if it has ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process cannot be waited for.
+    pub fn try_wait(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("own child")
+    }
+
     /// Waits for the end of the process.
     ///
     /// # Panics
