--- a/bins/deckentry/tests/path.rs
+++ b/bins/deckentry/tests/path.rs
@@ -52,6 +52,11 @@
         })
         .await;
         assert!(metrics.contains("deckentry_request_duration_seconds_count"), "{metrics}");
+        eventually("load reports of the engine are read", async || {
+            let metrics = world.metrics(&entry).await;
+            metrics.contains("deckentry_load_polls_total{outcome=\"ok\"}")
+        })
+        .await;
     });
 }
 
--- a/crates/call/src/claim.rs
+++ b/crates/call/src/claim.rs
@@ -299,12 +299,13 @@
     }
 }
 
-/// Returns whether a process has certainly ended, as far as membership tells.
+/// Returns whether a process has ended, as far as membership tells.
 ///
-/// The answer only chooses between two errors that both say `unknown`.
+/// The answer only chooses between two errors that both say `unknown`. A VM that is not a member
+/// may be one that this VM has not heard of yet: dead ones are remembered for hours.
 pub(crate) fn process_is_gone(members: &[Member], vm: &str, incarnation: Incarnation) -> bool {
     match members.iter().find(|member| member.vm == vm) {
-        None => true,
+        None => false,
         Some(member) => member.state == MemberState::Dead || member.incarnation != incarnation,
     }
 }
--- a/crates/call/src/record.rs
+++ b/crates/call/src/record.rs
@@ -15,6 +15,9 @@
 
 use crate::options::OnceOptions;
 
+/// Void entries of the order beyond which they are removed.
+const MAX_VOID_ENTRIES: usize = 1024;
+
 /// Hash of organisation, pool and key, or of a ticket.
 pub type KeyHash = u128;
 /// Hash of method, path and body of a request.
@@ -139,10 +142,13 @@
     records: HashMap<KeyHash, Record>,
     /// Keys by age of their last change; entries whose turn is not that of the record are void.
     order: VecDeque<OrderEntry>,
+    /// Keys with an answer by age; entries whose turn is not that of the record are void.
+    answers: VecDeque<OrderEntry>,
     bytes: usize,
     next_turn: u64,
 }
 
+#[derive(Clone, Copy)]
 struct OrderEntry {
     key: KeyHash,
     turn: u64,
@@ -152,7 +158,14 @@
 impl Records {
     /// Returns an empty set of records.
     pub fn new(options: OnceOptions) -> Self {
-        Self { options, records: HashMap::new(), order: VecDeque::new(), bytes: 0, next_turn: 0 }
+        Self {
+            options,
+            records: HashMap::new(),
+            order: VecDeque::new(),
+            answers: VecDeque::new(),
+            bytes: 0,
+            next_turn: 0,
+        }
     }
 
     /// Begins a try of `key`.
@@ -310,10 +323,14 @@
 
     fn set(&mut self, key: KeyHash, state: RecordState, now: Instant) {
         let Some(record) = self.records.get_mut(&key) else { return };
+        let is_answer = matches!(state, RecordState::Done(_));
         self.bytes += size_of_state(&state);
         let old = record.state.send_replace(state);
         self.bytes -= size_of_state(&old);
         self.touch(key, now);
+        if is_answer && let Some(entry) = self.order.back() {
+            self.answers.push_back(*entry);
+        }
     }
 
     fn touch(&mut self, key: KeyHash, now: Instant) {
@@ -323,6 +340,15 @@
             record.turn = self.next_turn;
             self.order.push_back(OrderEntry { key, turn: self.next_turn, since: now });
         }
+        // A key that is refused again and again leaves void entries.
+        if self.order.len() > 2 * self.records.len() + MAX_VOID_ENTRIES {
+            let records = &self.records;
+            let current = |entry: &OrderEntry| {
+                records.get(&entry.key).is_some_and(|record| record.turn == entry.turn)
+            };
+            self.order.retain(current);
+            self.answers.retain(current);
+        }
     }
 
     /// Drops records whose time is over. Running ones stay.
@@ -350,7 +376,15 @@
 
     /// Drops the oldest record that is not running; returns whether there was one.
     fn drop_oldest(&mut self) -> bool {
-        match self.oldest(|state| *state != RecordState::Running) {
+        while self.order.front().is_some_and(|entry| !self.is_current(entry)) {
+            self.order.pop_front();
+        }
+        let mut current = self.order.iter().filter(|entry| self.is_current(entry));
+        let oldest = current.find(|entry| {
+            let record = self.records.get(&entry.key);
+            record.is_some_and(|record| *record.state.borrow() != RecordState::Running)
+        });
+        match oldest.map(|entry| entry.key) {
             Some(key) => {
                 self.remove(key);
                 true
@@ -361,23 +395,19 @@
 
     /// Replaces the oldest answer by the note that it is lost.
     fn lose_oldest_answer(&mut self) -> bool {
-        let Some(key) = self.oldest(|state| matches!(state, RecordState::Done(_))) else {
-            return false;
-        };
-        if let Some(record) = self.records.get_mut(&key) {
-            let old = record.state.send_replace(RecordState::Lost);
-            self.bytes -= size_of_state(&old);
+        while let Some(entry) = self.answers.pop_front() {
+            let is_current = self.is_current(&entry);
+            if is_current && let Some(record) = self.records.get_mut(&entry.key) {
+                let old = record.state.send_replace(RecordState::Lost);
+                self.bytes -= size_of_state(&old);
+                return true;
+            }
         }
-        true
+        false
     }
 
-    fn oldest(&self, select: impl Fn(&RecordState) -> bool) -> Option<KeyHash> {
-        let current = self.order.iter().filter(|entry| {
-            self.records
-                .get(&entry.key)
-                .is_some_and(|record| record.turn == entry.turn && select(&record.state.borrow()))
-        });
-        current.map(|entry| entry.key).next()
+    fn is_current(&self, entry: &OrderEntry) -> bool {
+        self.records.get(&entry.key).is_some_and(|record| record.turn == entry.turn)
     }
 
     fn remove(&mut self, key: KeyHash) {
--- a/crates/call/src/ticket.rs
+++ b/crates/call/src/ticket.rs
@@ -12,6 +12,9 @@
 /// First part of every ticket; distinguishes tickets from keys that callers choose.
 pub const TICKET_PREFIX: &str = "ticket.";
 
+/// Used tickets in the order of issue beyond which they are removed.
+const MAX_USED_ENTRIES: usize = 1024;
+
 /// Parts of a ticket.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ticket {
@@ -101,5 +104,10 @@
             self.unused.remove(&oldest.nonce);
             self.order.pop_front();
         }
+        // Used tickets behind an unused one.
+        if self.order.len() > 2 * self.unused.len() + MAX_USED_ENTRIES {
+            let unused = &self.unused;
+            self.order.retain(|issued| unused.contains_key(&issued.nonce));
+        }
     }
 }
--- a/crates/call/src/usage.rs
+++ b/crates/call/src/usage.rs
@@ -6,8 +6,9 @@
 use deck_core::id::{Incarnation, JobName, OrganisationId, PoolName};
 use serde::{Deserialize, Serialize};
 
-/// Most combinations of organisation, job and pool that are published.
-const MAX_PUBLISHED: usize = 512;
+/// Most combinations of organisation, job and pool that are published. A report of 64 takes about
+/// 6 KB, which gossip carries at most every 5 s.
+const MAX_PUBLISHED: usize = 64;
 
 /// Who uses what.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/call/tests/records.rs
+++ b/crates/call/tests/records.rs
@@ -116,6 +116,26 @@
     assert!(matches!(records.begin(3, REQUEST, now), Begin::Done(_)));
 }
 
+/// Guards against an answer that stays in memory because an older, newer or refused key hides it.
+#[test]
+fn answers_are_dropped_in_order_of_age_among_other_records() {
+    let options = OnceOptions { max_record_bytes: 1500, ..OnceOptions::default() };
+    let (mut records, now) = records(options);
+    for key in 0..3000 {
+        assert!(matches!(records.begin(key, REQUEST, now), Begin::New));
+        let state = if key % 2 == 0 { RecordState::Abandoned } else { RecordState::Lost };
+        records.end(key, state, now);
+        assert!(!matches!(records.begin(key, REQUEST, now), Begin::New));
+    }
+    for key in [5001, 5002] {
+        assert!(matches!(records.begin(key, REQUEST, now), Begin::New));
+        records.end(key, RecordState::Done(answer(1000)), now);
+    }
+    assert!(records.answer_bytes() <= 1500);
+    assert!(matches!(records.begin(5001, REQUEST, now), Begin::Lost));
+    assert!(matches!(records.begin(5002, REQUEST, now), Begin::Done(_)));
+}
+
 /// Guards against memory without bound by the number of keys; running ones are never dropped.
 #[test]
 fn records_are_bounded_in_number() {
