--- a/bins/deckentry/tests/once.rs
+++ b/bins/deckentry/tests/once.rs
@@ -334,3 +334,35 @@
         .await;
     });
 }
+
+/// Guards against store writes beyond those that `docs/calls.md` counts on: a key costs one write
+/// and one delete, a ticket none, and a repeat none that takes effect.
+#[test]
+fn store_writes_per_call() {
+    run(async {
+        const CALLS: u64 = 50;
+        let world = World::start();
+        let limits = "claims_per_s = 500\nclaim_deletes_per_s = 500\nclaim_keep_ms = 1000";
+        let (service, first, second) = two_entries(&world, limits).await;
+        let claim_writes = async || {
+            let counts = world.records(&world.objects).await["counts"].clone();
+            counts["writes_by_kind"]["CallClaim"].as_u64().unwrap_or(0)
+        };
+        let mut tickets = Vec::new();
+        for _ in 0..CALLS {
+            let ticket = world.ticket(&first).await;
+            assert_eq!(world.book(&second, &ticket, "seat").await.status, 200);
+            tickets.push(ticket);
+        }
+        assert_eq!(claim_writes().await, 0);
+        for number in 0..CALLS {
+            let key = format!("k{number}");
+            assert_eq!(world.book(&first, &key, "seat").await.status, 200);
+            assert_eq!(world.book(&second, &key, "seat").await.status, 200);
+        }
+        eventually("the claims are deleted", async || claim_writes().await == 2 * CALLS).await;
+        for key in &tickets {
+            assert_eq!(world.executions(&service, key).await, 1);
+        }
+    });
+}
--- /dev/null
+++ b/crates/call/src/cancel.rs
@@ -0,0 +1,68 @@
+//! Cancel orders to engines.
+
+use std::{net::SocketAddr, time::Duration};
+
+use deck_net::{
+    Body,
+    http::{Method, Request, Uri},
+};
+
+use crate::{
+    attempt::{Attempt, json_headers},
+    call::Call,
+    engine::CancelRequest,
+    shared::SharedRef,
+};
+
+/// Time for a cancel order.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Tells an engine to cancel a request unless the request came to its end.
+pub(crate) struct CancelOnDrop {
+    shared: SharedRef,
+    pool: String,
+    address: SocketAddr,
+    /// `None` after the request came to its end.
+    request_id: Option<String>,
+}
+
+impl CancelOnDrop {
+    pub(crate) fn new(
+        shared: &SharedRef,
+        call: &Call,
+        attempt: &Attempt,
+        request_id: String,
+    ) -> Self {
+        Self {
+            shared: shared.clone(),
+            pool: call.pool.name.clone(),
+            address: attempt.address,
+            request_id: Some(request_id),
+        }
+    }
+
+    /// Notes that the request came to its end at the engine.
+    pub(crate) fn disarm(mut self) {
+        self.request_id = None;
+    }
+}
+
+impl Drop for CancelOnDrop {
+    fn drop(&mut self) {
+        let Some(request_id) = self.request_id.take() else { return };
+        self.shared.metrics.cancelled(&self.pool);
+        let (client, address) = (self.shared.client.clone(), self.address);
+        monoio::spawn(async move {
+            let order = CancelRequest { request_id };
+            let Ok(body) = serde_json::to_vec(&order) else { return };
+            let mut request = Request::new(Body::full(body));
+            *request.method_mut() = Method::POST;
+            *request.uri_mut() = Uri::from_static("/v1/cancel");
+            *request.headers_mut() = json_headers();
+            let sent = monoio::time::timeout(CANCEL_TIMEOUT, client.send(address, request)).await;
+            if !matches!(sent, Ok(Ok(_))) {
+                log::debug!(target: "call", "cancel order not delivered address={address}");
+            }
+        });
+    }
+}
--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -1,9 +1,6 @@
 //! Completions: generation with resume on another engine, streamed or collected.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Instant};
 
 use deck_core::{
     error::{CallError, ErrorKind},
@@ -25,7 +22,8 @@
     attempt::{Attempt, SendError, json_headers, refusal, target_request},
     body::until,
     call::Call,
-    engine::{CancelRequest, Chunk, CompletionRequest, Generation},
+    cancel::CancelOnDrop,
+    engine::{Chunk, CompletionRequest, Generation},
     record::RecordedAnswer,
     shared::SharedRef,
 };
@@ -37,8 +35,6 @@
 const AFFINITY_PROMPT_BYTES: usize = 1024;
 /// Largest error body of an engine that is passed on.
 const MAX_ERROR_BYTES: usize = 64 * 1024;
-/// Time for a cancel order.
-const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// How a call ended without a completion.
 pub(crate) enum Failure {
@@ -484,47 +480,3 @@
     }
     Ok(chunk)
 }
-
-/// Tells an engine to cancel a request unless the request came to its end.
-struct CancelOnDrop {
-    shared: SharedRef,
-    pool: String,
-    address: std::net::SocketAddr,
-    /// `None` after the request came to its end.
-    request_id: Option<String>,
-}
-
-impl CancelOnDrop {
-    fn new(shared: &SharedRef, call: &Call, attempt: &Attempt, request_id: String) -> Self {
-        Self {
-            shared: shared.clone(),
-            pool: call.pool.name.clone(),
-            address: attempt.address,
-            request_id: Some(request_id),
-        }
-    }
-
-    fn disarm(mut self) {
-        self.request_id = None;
-    }
-}
-
-impl Drop for CancelOnDrop {
-    fn drop(&mut self) {
-        let Some(request_id) = self.request_id.take() else { return };
-        self.shared.metrics.cancelled(&self.pool);
-        let (client, address) = (self.shared.client.clone(), self.address);
-        monoio::spawn(async move {
-            let order = CancelRequest { request_id };
-            let Ok(body) = serde_json::to_vec(&order) else { return };
-            let mut request = Request::new(Body::full(body));
-            *request.method_mut() = Method::POST;
-            *request.uri_mut() = deck_net::http::Uri::from_static("/v1/cancel");
-            *request.headers_mut() = json_headers();
-            let sent = monoio::time::timeout(CANCEL_TIMEOUT, client.send(address, request)).await;
-            if !matches!(sent, Ok(Ok(_))) {
-                log::debug!(target: "call", "cancel order not delivered address={address}");
-            }
-        });
-    }
-}
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -7,6 +7,7 @@
 mod body;
 mod call;
 mod caller;
+mod cancel;
 mod claim;
 mod completion;
 pub mod crash;
