--- a/bins/deckroll/tests/common/mod.rs
+++ b/bins/deckroll/tests/common/mod.rs
@@ -79,15 +79,18 @@
 
     /// Brings an engine to a version without a stop.
     pub async fn switch(&self, version: u64) {
-        let order = json!({"fencing": 1, "action": "stage", "version": version});
-        self.call(Method::POST, "/v1/order", &order).await;
-        deck_testkit::eventually("the version is staged", async || {
-            let state = self.call(Method::GET, "/v1/state", &Value::Null).await.1;
-            state["staged_version"] == version
-        })
-        .await;
-        let order = json!({"fencing": 1, "action": "switch", "version": version});
-        self.call(Method::POST, "/v1/order", &order).await;
+        for (action, field) in [("stage", "staged_version"), ("switch", "weight_version")] {
+            let order = json!({"fencing": 1, "action": action, "version": version});
+            // An engine that still works on the last order refuses the next one.
+            deck_testkit::eventually("the engine takes the order", async || {
+                self.call(Method::POST, "/v1/order", &order).await.0 < 300
+            })
+            .await;
+            deck_testkit::eventually("the engine has done the order", async || {
+                self.call(Method::GET, "/v1/state", &Value::Null).await.1[field] == version
+            })
+            .await;
+        }
     }
 }
 
--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -167,8 +167,14 @@
         fields.insert("priority".to_owned(), Value::from(priority));
         fields.insert("request_id".to_owned(), Value::from(id));
         if so_far.token_count > 0 {
-            fields.insert("resume_text".to_owned(), Value::from(so_far.text.as_str()));
-            fields.insert("resume_tokens".to_owned(), Value::from(so_far.token_count));
+            // A caller may itself continue an earlier generation; its part comes first.
+            let earlier_text =
+                fields.get("resume_text").and_then(Value::as_str).unwrap_or_default();
+            let text = format!("{earlier_text}{}", so_far.text);
+            let earlier_tokens = fields.get("resume_tokens").and_then(Value::as_u64).unwrap_or(0);
+            let tokens = earlier_tokens + u64::from(so_far.token_count);
+            fields.insert("resume_text".to_owned(), Value::from(text));
+            fields.insert("resume_tokens".to_owned(), Value::from(tokens));
         }
         serde_json::to_vec(&fields).unwrap_or_default()
     }
--- a/crates/roll/src/bitmap.rs
+++ b/crates/roll/src/bitmap.rs
@@ -32,7 +32,7 @@
     /// Returns an error if the text is not hexadecimal or names a group that does not exist.
     pub fn try_parse(text: &str, groups: u32) -> Result<Self, BitmapError> {
         let not_hex = || BitmapError::NotHex(text.chars().take(64).collect());
-        if !text.len().is_multiple_of(2) || !text.is_ascii() {
+        if !text.len().is_multiple_of(2) || !text.bytes().all(|digit| digit.is_ascii_hexdigit()) {
             return Err(not_hex());
         }
         let digits = (0..text.len()).step_by(2).map(|at| text.get(at..at + 2));
--- a/crates/roll/src/board.rs
+++ b/crates/roll/src/board.rs
@@ -4,13 +4,18 @@
 //! around it run the calls. All methods take the time as an argument.
 
 mod group;
+mod handover;
 mod stats;
 
-use std::{collections::BTreeMap, rc::Rc, time::Instant};
+use std::{
+    collections::BTreeMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use deck_core::{
     id::{JobName, WeightVersion},
-    object::{RolloutJob, sample_id},
+    object::RolloutJob,
 };
 
 use self::group::{Group, Slot, Step};
@@ -20,10 +25,12 @@
     forecast::Forecast,
     length::LengthModel,
     options::BoardOptions,
-    protocol::{GroupDelivery, SampleDelivery},
     sample::{SampleKey, SampleText},
 };
 
+/// Time for which a report of an engine's version outweighs reports of older versions.
+const ENGINE_REPORT_KEEP: Duration = Duration::from_secs(3);
+
 /// What the trainer said in its last pull.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TrainerState {
@@ -35,6 +42,13 @@
     pub held: GroupBitmap,
 }
 
+/// Version that an engine reported.
+#[derive(Debug, Clone, Copy)]
+struct EngineReport {
+    version: WeightVersion,
+    at: Instant,
+}
+
 /// A sample to generate.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Work {
@@ -75,9 +89,8 @@
     steps: BTreeMap<u64, Step>,
     forecast: Forecast,
     lengths: LengthModel,
-    /// Newest version that an engine reported. An engine that restarts with an older version does
-    /// not lower it.
-    engine_version: Option<WeightVersion>,
+    /// Newest version that engines reported lately, and when.
+    engine: Option<EngineReport>,
     /// Earliest start of the next probe while the engines are too old.
     probe_at: Option<Instant>,
     running: u32,
@@ -99,7 +112,7 @@
             steps: BTreeMap::new(),
             forecast: Forecast::default(),
             lengths,
-            engine_version: None,
+            engine: None,
             probe_at: None,
             running: 0,
             buffered_bytes: 0,
@@ -115,7 +128,7 @@
 
     /// Returns the newest version that an engine reported.
     pub fn engine_version(&self) -> Option<WeightVersion> {
-        self.engine_version
+        self.engine.map(|report| report.version)
     }
 
     /// Returns the counters.
@@ -193,8 +206,8 @@
         let ahead_steps = if self.options.look_ahead { self.options.max_ahead_steps } else { 0 };
         for number in first..=first + ahead_steps {
             let required = self.required_version(number, now)?;
-            let is_old = self.engine_version.is_some_and(|version| version < required);
-            if number > first && (is_old || self.engine_version.is_none() || self.is_full()) {
+            let is_old = self.engine_version().is_some_and(|version| version < required);
+            if number > first && (is_old || self.engine_version().is_none() || self.is_full()) {
                 return None;
             }
             if is_old && self.options.look_ahead && !self.may_probe(now) {
@@ -261,9 +274,18 @@
     }
 
     /// Takes note of tokens that an engine reported.
-    pub fn observe_engine(&mut self, version: WeightVersion, tokens: u32) {
+    ///
+    /// One engine that restarts with an older version must not stop the work on the others, so an
+    /// older version counts only after no newer one was reported for a while.
+    pub fn observe_engine(&mut self, version: WeightVersion, tokens: u32, now: Instant) {
         self.stats.generated_tokens += u64::from(tokens);
-        self.engine_version = Some(self.engine_version.map_or(version, |old| old.max(version)));
+        let keeps = |report: EngineReport| {
+            report.version > version
+                && now.saturating_duration_since(report.at) < ENGINE_REPORT_KEEP
+        };
+        if !self.engine.is_some_and(keeps) {
+            self.engine = Some(EngineReport { version, at: now });
+        }
     }
 
     /// Takes a finished sample. Returns the group if it is complete and can be scored.
@@ -330,35 +352,6 @@
         group.is_some_and(|group| group.score_epoch == Some(work.epoch))
     }
 
-    /// Returns the whole, scored and fresh groups of the trainer's step that it does not hold.
-    ///
-    /// At most `max_bytes` of text, but always one group if there is any.
-    pub fn ready_groups(&mut self, max_bytes: usize) -> Vec<GroupDelivery> {
-        let Some(trainer) = self.trainer.clone() else { return Vec::new() };
-        let bound = self.spec.staleness_bound_versions;
-        let required = trainer.version.saturating_sub(bound);
-        let mut bytes = 0;
-        let mut ready = Vec::new();
-        let Some(step) = self.steps.get_mut(&trainer.step) else { return ready };
-        for (number, group) in step.groups.iter_mut().enumerate() {
-            let number = number as u32;
-            if trainer.held.contains(number) || !group.is_fresh(required) {
-                continue;
-            }
-            let Some(scores) = &group.scores else { continue };
-            let size = group.text_bytes();
-            if !ready.is_empty() && bytes + size > max_bytes {
-                break;
-            }
-            bytes += size;
-            let samples = deliveries(&self.job, trainer.step, number, group, scores);
-            self.stats.note_staleness(trainer.version, group);
-            group.handed_over = true;
-            ready.push(GroupDelivery { group: number, samples });
-        }
-        ready
-    }
-
     /// Starts stale samples again: those that the trainer's own version rules out, and those of later
     /// steps that the forecast rules out if the engines can do better.
     fn renew_stale(&mut self, now: Instant) {
@@ -369,7 +362,7 @@
                 trainer.version.saturating_sub(self.spec.staleness_bound_versions)
             } else {
                 match self.required_version(number, now) {
-                    Some(required) if self.engine_version >= Some(required) => required,
+                    Some(required) if self.engine_version() >= Some(required) => required,
                     _ => continue,
                 }
             };
@@ -397,31 +390,6 @@
         }
     }
 
-    /// Frees the groups that the trainer holds, and starts a group again that it lost.
-    fn apply_held(&mut self) {
-        let Some(trainer) = &self.trainer else { return };
-        let Some(step) = self.steps.get_mut(&trainer.step) else { return };
-        for (number, group) in step.groups.iter_mut().enumerate() {
-            let held = trainer.held.contains(number as u32);
-            if held && !group.freed {
-                self.buffered_bytes = self.buffered_bytes.saturating_sub(group.text_bytes());
-                self.stats.confirm(group);
-                self.last_epoch += 1;
-                *group = Group::freed(group.samples.len(), self.last_epoch);
-            } else if !held && group.freed {
-                self.last_epoch += 1;
-                *group = Group::new(group.samples.len(), self.last_epoch);
-            }
-        }
-    }
-
-    /// Counts what was handed over of the steps that the trainer has left: it holds all of it.
-    fn confirm_finished_steps(&mut self, next: u64) {
-        for (_, step) in self.steps.range(..next) {
-            step.groups.iter().filter(|g| g.handed_over).for_each(|g| self.stats.confirm(g));
-        }
-    }
-
     fn drop_steps(&mut self, gone: impl Fn(u64) -> bool) {
         let mut freed_bytes = 0;
         self.steps.retain(|number, step| {
@@ -463,30 +431,6 @@
     }
 }
 
-fn deliveries(
-    job: &JobName,
-    step: u64,
-    number: u32,
-    group: &Group,
-    scores: &[f64],
-) -> Vec<SampleDelivery> {
-    let texts = group.samples.iter().filter_map(|sample| match &sample.slot {
-        Slot::Done(text) => Some(text),
-        _ => None,
-    });
-    let scored = texts.zip(scores).enumerate();
-    scored
-        .map(|(index, (text, score))| SampleDelivery {
-            id: sample_id(job, step, number, index as u32),
-            index: index as u32,
-            text: text.text.clone(),
-            token_count: text.token_count,
-            score: *score,
-            spans: text.spans.clone(),
-        })
-        .collect()
-}
-
 /// Returns the index of a group's prompt, see [`RolloutJob::prompt`].
 fn prompt_index(spec: &RolloutJob, step: u64, group: u32) -> usize {
     let index = step.wrapping_mul(u64::from(spec.groups_per_step())) + u64::from(group);
--- a/crates/roll/src/job.rs
+++ b/crates/roll/src/job.rs
@@ -257,9 +257,10 @@
 
 impl Observer for SampleObserver<'_> {
     fn chunk(&self, chunk: &Chunk, text: &SampleText) -> bool {
+        let now = Instant::now();
         let mut board = self.job.board.borrow_mut();
-        board.observe_engine(chunk.weight_version, chunk.token_count);
-        board.is_useful(&self.key, text, Instant::now())
+        board.observe_engine(chunk.weight_version, chunk.token_count, now);
+        board.is_useful(&self.key, text, now)
     }
 
     fn take_second_attempt(&self) -> bool {
--- a/crates/roll/src/job/pull.rs
+++ b/crates/roll/src/job/pull.rs
@@ -42,6 +42,8 @@
         let trainer = TrainerState { step: request.step, version: request.trainer_version, held };
         self.board.borrow_mut().apply_pull(trainer, started);
         self.work.send_modify(|count| *count += 1);
+        // Wakes the pulls that this one replaces.
+        self.ready.send_modify(|count| *count += 1);
 
         let options = &self.parts.options.pull;
         let wait = request.wait_ms.map_or(options.default_wait, Duration::from_millis);
@@ -61,17 +63,16 @@
         let mut ready = self.ready.subscribe();
         loop {
             self.check_ownership(request).await?;
-            let superseded = self.last_pull.get() != number;
-            let groups = match superseded {
-                // The trainer has asked again; a newer pull says what it holds now.
-                true => Vec::new(),
-                false => {
-                    let max_bytes = self.parts.options.pull.max_response_bytes;
-                    self.board.borrow_mut().ready_groups(max_bytes)
-                }
-            };
+            if self.last_pull.get() != number {
+                // Only the newest pull says what the trainer holds now. Not an empty answer: two
+                // trainers that pull the same job by mistake would ask in turn without a pause.
+                let message = "a newer pull of the same job has come";
+                return Err(CallError::new(ErrorKind::NotReady, message));
+            }
+            let max_bytes = self.parts.options.pull.max_response_bytes;
+            let groups = self.board.borrow_mut().ready_groups(max_bytes);
             let remaining = deadline.saturating_duration_since(Instant::now());
-            if !groups.is_empty() || superseded || remaining.is_zero() || drain.is_cancelled() {
+            if !groups.is_empty() || remaining.is_zero() || drain.is_cancelled() {
                 let owner_fencing = self.fencing();
                 return Ok(PullResponse { owner_fencing, step: request.step, groups });
             }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -37,7 +37,7 @@
 pub fn program(name: &str) -> PathBuf {
     let mut directory = std::env::current_exe().expect("path of this process");
     directory.pop();
-    if directory.ends_with("deps") {
+    if directory.ends_with("deps") || directory.ends_with("examples") {
         directory.pop();
     }
     let path = directory.join(name);
