--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -37,7 +37,7 @@
 pub fn program(name: &str) -> PathBuf {
     let mut directory = std::env::current_exe().expect("path of this process");
     directory.pop();
-    if directory.ends_with("deps") {
+    if directory.ends_with("deps") || directory.ends_with("examples") {
         directory.pop();
     }
     let path = directory.join(name);
@@ -130,6 +130,15 @@
         self.signal(Signal::SIGCONT);
     }
 
+    /// Returns the status of the process if it has ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process cannot be waited for.
+    pub fn try_wait(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("own child")
+    }
+
     /// Waits for the end of the process.
     ///
     /// # Panics
