--- a/bins/deckscenario/src/command.rs
+++ b/bins/deckscenario/src/command.rs
@@ -37,6 +37,19 @@
     pub value: String,
 }
 
+impl Binding {
+    /// Reads `key=value`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if there is no `=`.
+    pub fn try_parse(word: &str) -> Result<Self, String> {
+        let (key, value) =
+            word.split_once('=').ok_or_else(|| format!("{word:?}: expected key=value"))?;
+        Ok(Self { key: key.to_owned(), value: value.to_owned() })
+    }
+}
+
 /// Where a value is read: a load report, or a path at a process.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Source {
@@ -89,7 +102,7 @@
     /// `exits NAME`: waits for the end of the process.
     Exits { name: String },
     /// `restart NAME ARGUMENT..`: starts it again on the same addresses. Arguments replace those of
-    /// the start for a stand-in.
+    /// the start for a stand-in, and are further or changed bindings for a daemon.
     Restart { name: String, arguments: Vec<String> },
     /// `cut LINK..`, `stall LINK..`, `heal LINK..`.
     Link { names: Vec<String>, mode: &'static str },
@@ -214,7 +227,7 @@
     }
 
     fn bindings(&mut self) -> Result<Vec<Binding>, String> {
-        self.all().iter().map(|word| binding(word)).collect()
+        self.all().iter().map(|word| Binding::try_parse(word)).collect()
     }
 
     fn comparison(&mut self) -> Result<(Source, Comparison), String> {
@@ -316,18 +329,12 @@
         if word.starts_with(['{', '[']) {
             body = word;
         } else {
-            headers.push(binding(&word)?);
+            headers.push(Binding::try_parse(&word)?);
         }
     }
     Ok(Command::Call { name, method, path, status, body, headers })
 }
 
-fn binding(word: &str) -> Result<Binding, String> {
-    let (key, value) =
-        word.split_once('=').ok_or_else(|| format!("{word:?}: expected key=value"))?;
-    Ok(Binding { key: key.to_owned(), value: value.to_owned() })
-}
-
 fn source(word: &str) -> Source {
     let (name, path) = match word.find('/') {
         Some(at) => (&word[..at], &word[at..]),
--- a/bins/deckscenario/src/world.rs
+++ b/bins/deckscenario/src/world.rs
@@ -104,7 +104,8 @@
         Ok(())
     }
 
-    /// Starts an ended process again on its addresses; `arguments` replace those of a stand-in.
+    /// Starts an ended process again on its addresses; `arguments` replace those of a
+    /// stand-in, or single bindings of a daemon.
     ///
     /// # Errors
     ///
@@ -112,10 +113,18 @@
     pub fn restart(&mut self, name: &str, arguments: &[String]) -> Result<(), CommandError> {
         let member = self.member(name)?;
         let (mut launch, listeners) = (member.launch.clone(), member.listeners.clone());
-        if let Launch::Standin { arguments: old, .. } = &mut launch
-            && !arguments.is_empty()
-        {
-            *old = arguments.to_vec();
+        match &mut launch {
+            Launch::Standin { arguments: old, .. } if !arguments.is_empty() => {
+                *old = arguments.to_vec();
+            }
+            Launch::Standin { .. } => {}
+            Launch::Daemon { bindings, .. } => {
+                for argument in arguments {
+                    let binding = Binding::try_parse(argument)?;
+                    bindings.retain(|old| old.key != binding.key);
+                    bindings.push(binding);
+                }
+            }
         }
         // Ends a process that is still there, which frees its addresses.
         self.members.remove(name);
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -25,6 +25,9 @@
 /// Time without a new connection after which a draining listener is closed.
 const LAST_ACCEPT: Duration = Duration::from_millis(20);
 
+/// Time in which the first request of a connection has to arrive at a draining server.
+const FIRST_REQUEST: Duration = Duration::from_secs(1);
+
 /// Longest time in which a draining listener accepts; new connections may come without end.
 const LAST_ACCEPT_TOTAL: Duration = Duration::from_secs(1);
 
@@ -126,7 +129,10 @@
     let inspection = Inspection::default();
     let stream = inspection.stream(MonoioIo::new(stream));
     let handler = inspection.service(handler);
+    let has_request = Rc::new(Cell::new(false));
+    let noted = has_request.clone();
     let service = service_fn(move |request| {
+        noted.set(true);
         let response = handler(request);
         async move {
             let response = response.await;
@@ -147,8 +153,16 @@
     let result = match finished {
         Some(result) => result,
         None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            // hyper closes a connection at once that has no request yet. A request that is on its
+            // way would then end without an answer, and its sender could not tell whether it ran.
+            let wait = if has_request.get() { Duration::ZERO } else { FIRST_REQUEST };
+            match monoio::time::timeout(wait, connection.as_mut()).await {
+                Ok(result) => result,
+                Err(_) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
         }
     };
     if let Err(error) = result {
--- a/crates/net/tests/http.rs
+++ b/crates/net/tests/http.rs
@@ -166,6 +166,28 @@
     .expect("runtime")
 }
 
+/// Guards against a request that ends without an answer because the stop came between its
+/// connection and its first byte.
+#[test]
+fn first_request_of_a_connection_is_answered_after_the_stop() {
+    deck_net::runtime::run(async {
+        use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+        let drain = CancellationToken::new();
+        let (address, served) = start_server(&drain);
+        let mut stream = monoio::net::TcpStream::connect(address).await.expect("connect");
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        drain.cancel();
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        let request = b"GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".to_vec();
+        stream.write_all(request).await.0.expect("write");
+        let (count, answer) = stream.read(vec![0_u8; 1024]).await;
+        let answer = String::from_utf8_lossy(&answer[..count.expect("read")]).into_owned();
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+        served.await;
+    })
+    .expect("runtime");
+}
+
 #[test]
 fn admin_endpoints_answer() {
     deck_net::runtime::run(async {
