--- a/bins/deckscenario/src/check.rs
+++ b/bins/deckscenario/src/check.rs
@@ -148,6 +148,42 @@
     (position < to).then_some(position)
 }
 
+/// The orders that one engine accepted never have a lower fencing number than an earlier one, and
+/// never make it switch to an older version.
+pub fn versions(engine: &[Entry]) -> Vec<String> {
+    let mut violations = Vec::new();
+    let (mut highest_fencing, mut highest_version) = (0, 0);
+    for entry in engine {
+        let Entry::Order(order) = entry else { continue };
+        if !order.accepted {
+            continue;
+        }
+        if order.fencing < highest_fencing {
+            let found = order.fencing;
+            violations.push(format!("fencing number {found} accepted after {highest_fencing}"));
+        }
+        highest_fencing = highest_fencing.max(order.fencing);
+        let switches = matches!(order.action.as_str(), "switch" | "load_model");
+        if let Some(version) = order.version.filter(|_| switches) {
+            if version < highest_version {
+                violations.push(format!("switched from version {highest_version} to {version}"));
+            }
+            highest_version = highest_version.max(version);
+        }
+    }
+    violations
+}
+
+/// Targets ran at most `factor` times the calls that were sent, and `constant` more.
+pub fn load_factor(factor: f64, constant: u64, sent: u64, entries: &[Entry]) -> Vec<String> {
+    let ran = entries.iter().filter(|entry| matches!(entry, Entry::Execution(_))).count();
+    let bound = factor * sent as f64 + constant as f64;
+    if ran as f64 <= bound {
+        return Vec::new();
+    }
+    vec![format!("{ran} runs for {sent} calls, at most {bound:.0} are allowed")]
+}
+
 /// Returns whether a request belongs to a sample: the same id, with or without the number of a try.
 fn is_of_sample(request_id: &str, sample_id: &str) -> bool {
     request_id
--- a/bins/deckscenario/src/command.rs
+++ b/bins/deckscenario/src/command.rs
@@ -72,6 +72,12 @@
     Spans,
     /// `staleness BOUND TRAINER..`: no sample is older than the bound.
     Staleness,
+    /// `versions ENGINE..`: accepted orders never go back in fencing number or version. Only for
+    /// engines that check fencing numbers.
+    Versions,
+    /// `load-factor FACTOR CONSTANT LOAD SERVICE..`: services ran at most FACTOR times the calls
+    /// of the load, and CONSTANT more.
+    LoadFactor,
     /// `configuration STORE`: the accepted revision of an object never falls.
     Configuration,
 }
@@ -350,10 +356,13 @@
         "samples" => Invariant::Samples,
         "spans" => Invariant::Spans,
         "staleness" => Invariant::Staleness,
+        "versions" => Invariant::Versions,
+        "load-factor" => Invariant::LoadFactor,
         "configuration" => Invariant::Configuration,
         _ => {
             return Err(format!(
-                "{name:?}: expected executions, bookings, samples, spans, staleness or configuration"
+                "{name:?}: expected executions, bookings, samples, spans, staleness, versions, \
+                 load-factor or configuration"
             ));
         }
     })
--- a/bins/deckscenario/src/records.rs
+++ b/bins/deckscenario/src/records.rs
@@ -16,7 +16,7 @@
     /// An engine made tokens.
     Tokens(Tokens),
     /// An engine received an order.
-    Order(Value),
+    Order(Order),
     /// A trainer accepted a sample.
     Sample(Sample),
     /// A trainer finished a step.
@@ -49,6 +49,19 @@
     pub to: u32,
 }
 
+/// Order as an engine received it.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Order {
+    /// Fencing number.
+    pub fencing: u64,
+    /// `stage`, `switch`, `load_model`, `load_adapter` or `set_role`.
+    pub action: String,
+    /// Weight version, if the action has one.
+    pub version: Option<u64>,
+    /// Whether the engine accepted it.
+    pub accepted: bool,
+}
+
 /// Sample as a trainer accepted it.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 pub struct Sample {
--- a/bins/deckscenario/src/run.rs
+++ b/bins/deckscenario/src/run.rs
@@ -415,9 +415,8 @@
             Invariant::Executions => check::executions(&self.journals(arguments)?),
             Invariant::Bookings => {
                 let (load, services) = first(arguments, "a load")?;
-                let report =
-                    self.reports.get(load).ok_or_else(|| format!("no finished load {load}"))?;
-                let bookings: Vec<Booking> = serde_json::from_value(report["bookings"].clone())?;
+                let bookings = self.report(load)?["bookings"].clone();
+                let bookings: Vec<Booking> = serde_json::from_value(bookings)?;
                 check::bookings(&bookings, &self.journals(services)?)
             }
             Invariant::Samples => check::samples(&self.journals(arguments)?),
@@ -428,10 +427,24 @@
                 check::spans(&trainers, &engines)
             }
             Invariant::Staleness => {
-                let (bound, trainers) = first(arguments, "a bound")?;
-                let bound = bound.parse().map_err(|_| format!("{bound:?} is not a number"))?;
+                let (bound, trainers) = number(arguments, "a bound")?;
                 check::staleness(&self.journals(trainers)?, bound)
             }
+            Invariant::Versions => {
+                let mut violations = Vec::new();
+                for engine in arguments {
+                    let found = check::versions(&self.journals(std::slice::from_ref(engine))?);
+                    violations.extend(found.iter().map(|found| format!("{engine}: {found}")));
+                }
+                violations
+            }
+            Invariant::LoadFactor => {
+                let (factor, rest) = number(arguments, "a factor")?;
+                let (constant, rest) = number(rest, "a constant")?;
+                let (load, services) = first(rest, "a load")?;
+                let sent = self.report(load)?["sent"].as_u64().unwrap_or(0);
+                check::load_factor(factor, constant, sent, &self.journals(services)?)
+            }
             Invariant::Configuration => {
                 let (store, _) = first(arguments, "a store")?;
                 let path = "/admin/records".to_owned();
@@ -448,6 +461,10 @@
         Err(format!("{invariant:?}: {count} violations: {}", shown.join("; ")).into())
     }
 
+    fn report(&self, load: &str) -> Result<&Value, CommandError> {
+        self.reports.get(load).ok_or_else(|| format!("there is no finished load {load}").into())
+    }
+
     fn journals(&self, names: &[String]) -> Result<Vec<Entry>, CommandError> {
         if names.is_empty() {
             return Err("a check needs the names of stand-ins".to_owned().into());
@@ -467,6 +484,15 @@
     Ok((split.0, split.1))
 }
 
+fn number<'a, T: std::str::FromStr>(
+    arguments: &'a [String],
+    what: &str,
+) -> Result<(T, &'a [String]), CommandError> {
+    let (word, rest) = first(arguments, what)?;
+    let number = word.parse().map_err(|_| format!("{word:?} is not {what}"))?;
+    Ok((number, rest))
+}
+
 fn condition(current: Option<&Object>) -> Precondition {
     current.map_or(Precondition::Absent, |object| Precondition::Revision(object.revision))
 }
--- a/bins/deckscenario/tests/checkers.rs
+++ b/bins/deckscenario/tests/checkers.rs
@@ -116,6 +116,27 @@
     assert_eq!(check::configuration(&history).is_empty(), is_sound);
 }
 
+fn order(fencing: u64, action: &str, version: u64, accepted: bool) -> Value {
+    json!({ "order": { "fencing": fencing, "action": action, "version": version,
+        "accepted": accepted } })
+}
+
+#[test_case(json!([order(1, "switch", 2, true), order(2, "switch", 3, true)]), true; "forward")]
+#[test_case(json!([order(1, "switch", 3, true), order(1, "switch", 2, true)]), false; "older version")]
+#[test_case(json!([order(2, "stage", 2, true), order(1, "stage", 2, true)]), false; "stale fencing")]
+#[test_case(json!([order(2, "switch", 3, true), order(1, "switch", 2, false)]), true;
+    "stale order refused")]
+fn order_that_goes_back_is_found(orders: Value, is_sound: bool) {
+    assert_eq!(check::versions(&entries(orders)).is_empty(), is_sound);
+}
+
+#[test_case(12, true; "at the bound")]
+#[test_case(13, false; "above the bound")]
+fn multiplied_load_is_found(runs: usize, is_sound: bool) {
+    let ran = entries(json!(vec![json!({ "execution": { "key": null } }); runs]));
+    assert_eq!(check::load_factor(1.1, 1, 10, &ran).is_empty(), is_sound);
+}
+
 /// Guards against expectations on an absent place that hold.
 #[test_case("a.0.b", Relation::Equal, "1", true; "present")]
 #[test_case("a.#", Relation::Equal, "1", true; "length")]
--- a/bins/deckscenario/tests/scenarios.rs
+++ b/bins/deckscenario/tests/scenarios.rs
@@ -31,17 +31,19 @@
     assert!(ran.output.contains("seed"), "the seed is printed");
 }
 
-#[test_case("bookings-once")]
-#[test_case("store-outage")]
-#[test_case("engine-crash-resume")]
-#[test_case("graceful-stop")]
-#[test_case("operators-race")]
-#[test_case("rollout-owner-lost")]
-#[test_case("poison-request")]
-#[test_case("target-leaving")]
-#[test_case("slow-target")]
-#[test_case("regions-partitioned")]
-#[test_case("trainer-restarts")]
+#[test_case("bookings-once"; "bookings_once")]
+#[test_case("store-outage"; "store_outage")]
+#[test_case("engine-crash-resume"; "engine_crash_resume")]
+#[test_case("graceful-stop"; "graceful_stop")]
+#[test_case("operators-race"; "operators_race")]
+#[test_case("rollout-owner-lost"; "rollout_owner_lost")]
+#[test_case("poison-request"; "poison_request")]
+#[test_case("target-leaving"; "target_leaving")]
+#[test_case("slow-target"; "slow_target")]
+#[test_case("regions-partitioned"; "regions_partitioned")]
+#[test_case("trainer-restarts"; "trainer_restarts")]
+#[test_case("weights-owner-paused"; "weights_owner_paused")]
+#[test_case("retry-storm"; "retry_storm")]
 fn scenario_with_daemons_succeeds(name: &str) {
     let ran = run(&format!("../../scenarios/{name}.scn"));
     assert!(ran.succeeded, "{}", ran.output);
