--- a/bins/deckstandin/src/service.rs
+++ b/bins/deckstandin/src/service.rs
@@ -180,7 +180,7 @@
     response
 }
 
-/// Returns the body, or the path of a request without a body. The path is a header too.
+/// Returns the body, or the path of a request without a body. Path and nonce are headers too.
 fn echo(call: &Call) -> Response<Body> {
     let body = if call.body.is_empty() { call.path.clone().into() } else { call.body.clone() };
     let mut response = Response::new(Body::full(body));
@@ -191,6 +191,9 @@
     if let Ok(path) = call.path.parse() {
         headers.insert("x-echo-path", path);
     }
+    if let Some(nonce) = call.headers.get("x-nonce") {
+        headers.insert("x-nonce", nonce.clone());
+    }
     response
 }
 
--- a/crates/burn/src/indicator.rs
+++ b/crates/burn/src/indicator.rs
@@ -12,6 +12,12 @@
 /// Code of the requests that were answered without an error.
 pub const OK_CODE: &str = "ok";
 
+/// Code of the requests that a target answered with a status from 400 to 499: the caller received the
+/// target's own, whole answer.
+const TARGET_REFUSAL_CODE: &str = "target_4xx";
+/// Code of the requests that a target answered with a status from 500.
+const TARGET_FAULT_CODE: &str = "target_5xx";
+
 /// Counts of one stretch of time.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Counts {
@@ -59,8 +65,10 @@
 /// Statuses 500 and above, and outcomes that are unknown, are faults of the service. Other errors are
 /// mistakes of the caller. An unknown code counts as a fault, so that a new kind is not overlooked.
 pub fn classify(code: &str) -> CodeClass {
-    if code == OK_CODE {
-        return CodeClass::Good;
+    match code {
+        OK_CODE | TARGET_REFUSAL_CODE => return CodeClass::Good,
+        TARGET_FAULT_CODE => return CodeClass::Bad,
+        _ => {}
     }
     let kind = ErrorKind::ALL.iter().find(|kind| kind.row().code == code);
     match kind {
--- a/crates/burn/tests/burn.rs
+++ b/crates/burn/tests/burn.rs
@@ -154,5 +154,7 @@
         assert_eq!(classify(kind.row().code), CodeClass::Bad, "{kind:?}");
     }
     assert_eq!(classify("not_in_the_table"), CodeClass::Bad);
+    assert_eq!(classify("target_5xx"), CodeClass::Bad);
+    assert_eq!(classify("target_4xx"), CodeClass::Good);
     assert_eq!(classify("share_exhausted"), CodeClass::OwnShare);
 }
