--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -1,6 +1,9 @@
 //! Completions: generation with resume on another engine, streamed or collected.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use deck_core::{
     error::{CallError, ErrorKind},
@@ -33,6 +36,8 @@
 const MAX_RESUMED_TRIES: u32 = 16;
 /// First bytes of the prompt that decide its affinity.
 const AFFINITY_PROMPT_BYTES: usize = 1024;
+/// Time for the event that ends a stream early.
+const ERROR_EVENT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest error body of an engine that is passed on.
 const MAX_ERROR_BYTES: usize = 64 * 1024;
 
@@ -193,12 +198,12 @@
                 target: "call",
                 "stream cut short request={} error={error}", call.head.request_id
             );
-            let _ = sender.send(error_event(&error, &call.head.request_id)).await;
+            send_error(&sender, &error, &call.head.request_id).await;
         }
         (Err(Failure::Answer(answer)), None) => {
             let message = format!("the engine refused to resume with status {}", answer.status);
             let error = CallError::new(ErrorKind::AnswerTruncated, message);
-            let _ = sender.send(error_event(&error, &call.head.request_id)).await;
+            send_error(&sender, &error, &call.head.request_id).await;
         }
         (Ok(_), _) => {
             let _ = sender.send(sse::encode(None, "[DONE]")).await;
@@ -210,6 +215,12 @@
     }
 }
 
+/// Tells the caller why the stream ends early; a caller that reads nothing is not waited for.
+async fn send_error(sender: &BodySender, error: &CallError, request_id: &str) {
+    let sent = sender.send(error_event(error, request_id));
+    let _ = until(Instant::now() + ERROR_EVENT_TIMEOUT, sent).await;
+}
+
 /// Generation of one call over as many engines as it takes.
 struct Run<'a> {
     shared: &'a SharedRef,
@@ -465,7 +476,11 @@
         }
         chunk.id.clone_from(&self.call.head.request_id);
         match serde_json::to_string(&chunk) {
-            Ok(data) => sender.send(sse::encode(None, &data)).await.is_ok(),
+            // A caller that stops reading holds a place on the engine until its deadline only.
+            Ok(data) => {
+                let sent = sender.send(sse::encode(None, &data));
+                matches!(until(self.call.head.deadline, sent).await, Some(Ok(())))
+            }
             Err(_) => false,
         }
     }
--- a/crates/call/src/service.rs
+++ b/crates/call/src/service.rs
@@ -222,13 +222,15 @@
     let in_flight = shared.metrics.enter();
     monoio::spawn(async move {
         let _held = (permit, in_flight);
-        if sender.send(prefix).await.is_err() {
+        // A caller that stops reading holds a place on the target until its deadline only.
+        let deadline = call.head.deadline;
+        if !matches!(until(deadline, sender.send(prefix)).await, Some(Ok(()))) {
             return;
         }
         loop {
-            match until(call.head.deadline, response.chunk()).await {
+            match until(deadline, response.chunk()).await {
                 Some(Ok(Some(chunk))) => {
-                    if sender.send(chunk).await.is_err() {
+                    if !matches!(until(deadline, sender.send(chunk)).await, Some(Ok(()))) {
                         return;
                     }
                 }
