--- a/bins/deckentry/tests/common/mod.rs
+++ b/bins/deckentry/tests/common/mod.rs
@@ -277,7 +277,7 @@
         String::from_utf8(answer.body).expect("text")
     }
 
-    /// Waits until `entry` knows `count` members that are live.
+    /// Waits for published values to reach the other VMs.
     pub async fn settle(&self) {
         monoio::time::sleep(Duration::from_millis(1500)).await;
     }
--- a/bins/deckentry/tests/engines.rs
+++ b/bins/deckentry/tests/engines.rs
@@ -190,6 +190,54 @@
     });
 }
 
+/// Guards against entry VMs that send work to a target that told another one that it leaves.
+#[test]
+fn leaving_target_is_announced_to_other_entries() {
+    run(async {
+        let world = World::start();
+        let (engines, first) = engines(&world, &[&[], &[]], "").await;
+        let second = world.entry("e2", &[first.peer], "").await;
+        world.faults(&engines[0], json!({ "leaving": true })).await;
+        // Until the announcement has arrived, the second VM may ask the target itself.
+        let refused = async || world.records(&engines[0]).await["refused"].as_u64().expect("count");
+        let mut number = 0;
+        eventually("the target was asked once", async || {
+            number += 1;
+            let body = request(&format!("p{number}"), 5, false);
+            world.complete(&first, &body).await.status == 200 && refused().await == 1
+        })
+        .await;
+        world.settle().await;
+        for number in 0..20 {
+            let body = request(&format!("q{number}"), 5, false);
+            assert_eq!(world.complete(&second, &body).await.status, 200);
+        }
+        assert_eq!(refused().await, 1);
+    });
+}
+
+/// Guards against a call that waits for an engine that has stopped without closing its connection.
+#[test]
+fn frozen_engine_is_left_after_the_idle_timeout() {
+    run(async {
+        let world = World::start();
+        let (engines, entry) = engines(&world, &[&[], &[]], "target_idle_timeout_ms = 700").await;
+        let body = request("seat", 150, false);
+        let completed = world.complete(&entry, &body);
+        let frozen = async {
+            let index = busy_engine(&world, &engines).await;
+            engines[index].process.freeze();
+            index
+        };
+        let (answer, frozen) = join(completed, frozen).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(token_sum(&answer.json()), 150);
+        let other = format!("t{}", 1 - frozen);
+        assert_eq!(answer.header("x-target"), Some(other.as_str()));
+        engines[frozen].process.thaw();
+    });
+}
+
 /// Guards against calls that run beyond their deadline, and against `not_run` for one that ran.
 #[test]
 fn deadline_ends_the_call_and_cancels_at_the_engine() {
