--- /dev/null
+++ b/crates/route/tests/choice.rs
@@ -0,0 +1,198 @@
+//! Choice among healthy targets.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{POOL, count, members, options, pick, pool, request, router, view};
+use deck_core::{object::TargetState, priority::Priority};
+use deck_route::{
+    LoadReport, Outcome, PickError, PickRequest, Router, RouterOptions,
+    predict::{CallShape, LengthPredictor, PredictorOptions},
+};
+
+fn report(running: u32) -> LoadReport {
+    let age = Duration::ZERO;
+    LoadReport { running, waiting: 0, max_batch: 8, tokens_per_s: 100.0, age }
+}
+
+/// Guards against interactive calls finding all slots taken by rollouts.
+#[test]
+fn rollouts_leave_slots_free() {
+    let router = router(&pool(4, 1, 8));
+    let now = Instant::now();
+    let request = request(Priority::Rollout, now);
+    let picks: Vec<_> =
+        std::iter::repeat_with(|| router.pick(&request)).take(100).map_while(Result::ok).collect();
+    assert_eq!(picks.len(), 4 * 6);
+    let error = router.pick(&request).unwrap_err();
+    assert!(matches!(error, PickError::Busy(_, retry) if retry > Duration::ZERO), "{error:?}");
+    assert!(router.targets(POOL).iter().all(|view| view.rollouts == 6));
+    pick(&router, Priority::Interactive, now);
+}
+
+/// Guards against rollouts of several VMs adding up to all slots of a target: a load report shows
+/// the calls of the others.
+#[test]
+fn rollouts_of_other_vms_count() {
+    let router = router(&pool(4, 1, 8));
+    router.set_members(members(4, 1));
+    let now = Instant::now();
+    for target in router.targets(POOL) {
+        router.load_report(POOL, &target.target, report(4), now);
+    }
+    let request = request(Priority::Rollout, now);
+    let picks: Vec<_> =
+        std::iter::repeat_with(|| router.pick(&request)).take(100).map_while(Result::ok).collect();
+    assert_eq!(picks.len(), 4 * 2);
+}
+
+/// Guards against a long rollout counting no more than a short call when the next one is placed.
+#[test]
+fn long_work_weighs_more() {
+    let router = router(&pool(2, 1, 8));
+    let now = Instant::now();
+    let long = pick(&router, Priority::Rollout, now);
+    let exclude = [long.target.clone()];
+    let beside = PickRequest { exclude: &exclude, ..request(Priority::Batch, now) };
+    let _short: Vec<_> = (0..5).map(|_| router.pick(&beside).unwrap()).collect();
+    let next = pick(&router, Priority::Rollout, now);
+    assert_ne!(next.target, long.target, "five calls of 50 tokens weigh less than one of 2,000");
+}
+
+/// Guards against load reports being ignored, and against old ones being believed.
+#[test]
+fn load_reports_are_discounted_by_age() {
+    let router = router(&pool(2, 1, 8));
+    let now = Instant::now();
+    router.load_report(POOL, "t0", report(7), now);
+    router.load_report(POOL, "t1", report(0), now);
+    let part_of_t0 = |now| {
+        let picks = (0..400).map(|_| pick(&router, Priority::Batch, now).target);
+        count(&picks.collect::<Vec<_>>(), "t0")
+    };
+    assert_eq!(part_of_t0(now), 0);
+    // After 20 half-lives both look alike, but for a millionth of the reported difference; one call
+    // in flight outweighs it.
+    let later = now + Duration::from_secs(20);
+    let _busy = loop {
+        let pick = pick(&router, Priority::Batch, later);
+        if pick.target == "t1" {
+            break pick;
+        }
+    };
+    assert!(part_of_t0(later) > 100);
+}
+
+/// Guards against calls leaving the data centre while it has room, and against staying there when
+/// it has none.
+#[test]
+fn own_data_centre_is_preferred_unless_loaded() {
+    let router = router(&pool(8, 2, 4));
+    let now = Instant::now();
+    let mut picks = Vec::new();
+    for _ in 0..10 {
+        picks.push(pick(&router, Priority::Batch, now));
+    }
+    assert!(picks.iter().all(|pick| target_number(&pick.target).is_multiple_of(2)));
+    for _ in 0..14 {
+        picks.push(pick(&router, Priority::Batch, now));
+    }
+    let remote = picks.iter().filter(|pick| !target_number(&pick.target).is_multiple_of(2)).count();
+    assert!((4..=12).contains(&remote), "{remote} of 24 calls to the other data centre");
+}
+
+fn target_number(target: &str) -> usize {
+    target[1..].parse().unwrap()
+}
+
+/// Guards against the calls of a group losing the cached prefix, and against a hot prefix
+/// overloading its target.
+#[test]
+fn affinity_holds_until_the_target_is_loaded() {
+    let router = router(&pool(8, 1, 8));
+    let now = Instant::now();
+    let request = PickRequest { affinity: Some(42), ..request(Priority::Batch, now) };
+    let first: Vec<_> = (0..20).map(|_| router.pick(&request).unwrap().target).collect();
+    assert_eq!(count(&first, &first[0]), 20);
+    let held: Vec<_> = (0..40).map(|_| router.pick(&request).unwrap()).collect();
+    let on_first = held.iter().filter(|pick| pick.target == first[0]).count();
+    assert!(on_first <= 10, "{on_first} of 40 on one of 8 targets");
+}
+
+/// Guards against a leaving target receiving new work, also when an unchanged pool object is
+/// applied again, and against it staying out after it returned.
+#[test]
+fn leaving_target_gets_no_new_work() {
+    let mut spec = pool(2, 1, 8);
+    let router = router(&spec);
+    let now = Instant::now();
+    let first = pick(&router, Priority::Batch, now);
+    let leaving = first.target.clone();
+    first.in_flight.finish(Outcome::Leaving, 0, now);
+    router.update_pool(POOL, &spec);
+    let picks: Vec<_> = (0..50).map(|_| pick(&router, Priority::Batch, now).target).collect();
+    assert_eq!(count(&picks, &leaving), 0);
+    for state in [TargetState::Draining, TargetState::Active] {
+        spec.targets.iter_mut().filter(|t| t.id == leaving).for_each(|t| t.state = state);
+        router.update_pool(POOL, &spec);
+    }
+    let picks: Vec<_> = (0..50).map(|_| pick(&router, Priority::Batch, now).target).collect();
+    assert!(count(&picks, &leaving) > 0);
+}
+
+/// Guards against calls in flight being lost or counted twice when the pool changes.
+#[test]
+fn calls_in_flight_survive_updates() {
+    let spec = pool(2, 1, 8);
+    let router = router(&spec);
+    let now = Instant::now();
+    let held = pick(&router, Priority::Batch, now);
+    router.update_pool(POOL, &spec);
+    assert_eq!(view(&router, &held.target).calls, 1);
+    let target = held.target.clone();
+    router.update_pool(POOL, &pool(0, 1, 8));
+    assert!(matches!(router.pick(&request(Priority::Batch, now)), Err(PickError::NoTarget(_))));
+    router.remove_pool(POOL);
+    assert!(matches!(router.pick(&request(Priority::Batch, now)), Err(PickError::UnknownPool(_))));
+    drop(held);
+    router.update_pool(POOL, &spec);
+    assert_eq!(view(&router, &target).calls, 0);
+}
+
+/// Guards against two VMs that start with the same seed making the same choices.
+#[test]
+fn vms_choose_differently() {
+    let choices = |vm: &str| {
+        let router = Router::new(RouterOptions { vm: vm.to_owned(), ..options() });
+        router.update_pool(POOL, &pool(8, 1, 8));
+        let now = Instant::now();
+        (0..20).map(|_| pick(&router, Priority::Batch, now).target).collect::<Vec<_>>()
+    };
+    assert_ne!(choices("vm0"), choices("vm1"));
+    assert_eq!(choices("vm0"), choices("vm0"));
+}
+
+/// Guards against predictions that ignore the prompt, and against memory that grows with the number
+/// of prompts.
+#[test]
+fn length_is_predicted_from_similar_calls() {
+    fn shape(prompt: &str) -> CallShape<'_> {
+        CallShape { model: "m", organisation: "o", prompt, max_tokens: 4000 }
+    }
+    let options = PredictorOptions { max_entries: 100, ..PredictorOptions::default() };
+    let mut predictor = LengthPredictor::new(options);
+    assert_eq!(predictor.predict(&shape("x")), 2000);
+    for _ in 0..20 {
+        predictor.record(&shape("short: "), 20);
+        predictor.record(&shape("long: "), 3000);
+    }
+    assert!(predictor.predict(&shape("short: ")) < 300);
+    assert!(predictor.predict(&shape("long: ")) > 2500);
+    assert!((500..2500).contains(&predictor.predict(&shape("other"))));
+    for number in 0..10_000 {
+        predictor.record(&shape(&number.to_string()), 10);
+    }
+    let text = format!("{predictor:?}");
+    assert!(text.matches("calls:").count() <= 100);
+}
