--- a/crates/peer/src/peer.rs
+++ b/crates/peer/src/peer.rs
@@ -17,7 +17,7 @@
 pub(crate) use crate::shared::Shared;
 use crate::{
     ConfigView, Member, MemberState, PeerError, PeerOptions, Published, Topic, gossip, membership,
-    probe, relay, request, status,
+    probe, relay, request, shared, status,
     table::MemberTable,
     traffic::{MessageTraffic, Traffic},
     values::ValueTable,
@@ -63,6 +63,9 @@
             probes: RefCell::default(),
             dialling: RefCell::default(),
             partners_changed: Notify::new(),
+            member_news: RefCell::default(),
+            member_news_added: Notify::new(),
+            overloaded_until: Cell::new(now),
             watcher_from: Cell::new(now + grace),
             last_id: Cell::new(0),
             cancel,
@@ -72,6 +75,7 @@
         spawn(&shared, membership::accept(shared.clone(), listener));
         spawn(&shared, membership::maintain_links(shared.clone()));
         spawn(&shared, membership::join(shared.clone(), vm_list));
+        spawn(&shared, shared::send_member_news(shared.clone()));
         spawn(&shared, probe::run(shared.clone(), probes));
         spawn(&shared, watcher::run(shared.clone()));
         spawn(&shared, relay::announce_changes(shared.clone()));
@@ -85,7 +89,7 @@
 
     /// Returns all known members, this VM included.
     pub fn members(&self) -> Vec<Member> {
-        self.shared.members.borrow().members()
+        self.shared.members.borrow().members().to_vec()
     }
 
     /// Returns a receiver that changes with each change of a member.
--- a/crates/peer/src/probe.rs
+++ b/crates/peer/src/probe.rs
@@ -20,23 +20,27 @@
 /// Probes that a link may leave unanswered in a row while its VM answers elsewhere.
 const MAX_MISSED_PROBES: u32 = 2;
 
+/// Longest time for which one pause keeps this process from judging others.
+const MAX_OVERLOAD: Duration = Duration::from_secs(5);
+
 /// Probes one link in each period, one after the other, and lets suspicions expire.
 pub(crate) async fn run(shared: Rc<Shared>, mut ticks: Ticks) {
     let mut last_tick = Instant::now();
-    let mut last_vm = VmId::new();
+    let mut order = Vec::new();
     while ticks.next().await.is_some() {
         let now = Instant::now();
         let gap = now.saturating_duration_since(last_tick);
         last_tick = now;
-        if gap > shared.options.probe_period * 3 {
-            // This process was paused: the silence of the others proves nothing.
+        if gap > shared.options.probe_period + shared.options.probe_timeout {
+            // This process was paused or has too little CPU time: it may not have read the answers
+            // of the others, so their silence proves nothing.
             log::warn!(target: "peer", "process was paused gap_ms={}", gap.as_millis());
+            shared.overloaded_until.set(now + gap.min(MAX_OVERLOAD));
             shared.members.borrow_mut().extend_suspicions(now);
             continue;
         }
         shared.expire_members(now);
-        if let Some(link) = next_link(&shared, &last_vm) {
-            last_vm = link.vm.clone();
+        if let Some(link) = next_link(&shared, &mut order) {
             let probe = probe_link(shared.clone(), link);
             let cancel = shared.cancel.clone();
             monoio::spawn(async move {
@@ -46,9 +50,26 @@
     }
 }
 
-fn next_link(shared: &Shared, last_vm: &str) -> Option<Rc<Link>> {
-    let links = shared.links.borrow().all();
-    links.iter().find(|link| link.vm.as_str() > last_vm).or_else(|| links.first()).cloned()
+/// Returns the next link of a round over all links in random order.
+///
+/// With the same order on all VMs, VMs that started together would all probe the same one at a
+/// time, and a dead one could wait a whole round for its first probe.
+fn next_link(shared: &Shared, order: &mut Vec<VmId>) -> Option<Rc<Link>> {
+    let links = shared.links.borrow();
+    loop {
+        match order.pop() {
+            Some(vm) => {
+                if let Some(link) = links.get(&vm) {
+                    return Some(link);
+                }
+            }
+            None if links.len() == 0 => return None,
+            None => {
+                order.extend(links.all().iter().map(|link| link.vm.clone()));
+                order.shuffle(&mut rand::rng());
+            }
+        }
+    }
 }
 
 async fn probe_link(shared: Rc<Shared>, link: Rc<Link>) {
@@ -85,9 +106,10 @@
     if probe_directly(&shared, &vm).await || probe_indirectly(&shared, &vm).await {
         return;
     }
-    let limit = shared.options.probe_timeout * 3 + shared.options.probe_period;
-    if started.elapsed() > limit || shared.cancel.is_cancelled() {
-        // Timeouts passed while this process was paused or overloaded.
+    // The limit is the sum of the timeouts of both probes and some delay.
+    let limit = shared.options.probe_timeout * 4;
+    let is_overloaded = started.elapsed() > limit || Instant::now() < shared.overloaded_until.get();
+    if is_overloaded || shared.cancel.is_cancelled() {
         return;
     }
     let suspected = shared.members.borrow_mut().suspect(&vm, Instant::now());
--- a/crates/peer/src/shared.rs
+++ b/crates/peer/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -16,7 +16,7 @@
 
 use crate::{
     ConfigView, MemberState, PeerOptions, Topic,
-    links::{self, Link, LinkTable},
+    links::{Link, LinkTable},
     partners,
     relay::RelayState,
     request::Direct,
@@ -33,6 +33,34 @@
 /// itself for a watcher, as it knows few others.
 const SETTLE: Duration = Duration::from_millis(500);
 
+/// Time over which changed members are collected. When a rack fails or many VMs start, one message
+/// with many members replaces many messages.
+const NEWS_PERIOD: Duration = Duration::from_millis(20);
+
+/// A changed member that is to be sent.
+pub(crate) struct MemberNews {
+    record: MemberRecord,
+    /// Link from which the record came.
+    except: Option<LinkId>,
+}
+
+/// Sends changed members on the links.
+pub(crate) async fn send_member_news(shared: Rc<Shared>) {
+    loop {
+        shared.member_news_added.notified().await;
+        monoio::time::sleep(NEWS_PERIOD).await;
+        let news = shared.member_news.take();
+        let links = shared.links.borrow().all();
+        for link in links {
+            let for_link = news.values().filter(|entry| entry.except != Some(link.id));
+            let records: Vec<_> = for_link.map(|entry| entry.record.clone()).collect();
+            if !records.is_empty() {
+                link.send(&shared, &Message::Members(records));
+            }
+        }
+    }
+}
+
 /// State of the peer part that its tasks share.
 pub(crate) struct Shared {
     pub(crate) options: PeerOptions,
@@ -51,6 +79,12 @@
     /// VMs to which a link is being opened.
     pub(crate) dialling: RefCell<BTreeSet<VmId>>,
     pub(crate) partners_changed: Notify,
+    /// Changed members that are still to be sent, the newest record of each.
+    pub(crate) member_news: RefCell<BTreeMap<VmId, MemberNews>>,
+    pub(crate) member_news_added: Notify,
+    /// Time until which this process does not judge the silence of others: it was paused or has
+    /// too little CPU time to read their answers.
+    pub(crate) overloaded_until: Cell<Instant>,
     /// Time from which this VM may take the role of a watcher.
     pub(crate) watcher_from: Cell<Instant>,
     pub(crate) last_id: Cell<u64>,
@@ -92,12 +126,18 @@
         self.spread_members(answers, None);
     }
 
-    /// Sends changed records on all links but `except` and tells the tasks of this process.
+    /// Hands changed records to [`send_member_news`], which sends them on all links but `except`,
+    /// and tells the tasks of this process.
     pub(crate) fn spread_members(&self, records: Vec<MemberRecord>, except: Option<LinkId>) {
         if records.is_empty() {
             return;
         }
-        links::broadcast(self, &Message::Members(records), except);
+        let mut news = self.member_news.borrow_mut();
+        for record in records {
+            news.insert(record.vm.clone(), MemberNews { record, except });
+        }
+        drop(news);
+        self.member_news_added.notify_one();
         self.notify_member_change();
     }
 
--- a/crates/peer/src/table.rs
+++ b/crates/peer/src/table.rs
@@ -1,7 +1,9 @@
 //! Member table: merges what other VMs report and decides when a member counts as dead.
 
 use std::{
+    cell::RefCell,
     collections::BTreeMap,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -22,13 +24,16 @@
 pub(crate) struct MemberTable {
     own: VmId,
     entries: BTreeMap<VmId, Entry>,
+    /// The entries as members; `None` after a change. Roles and partners are computed from all
+    /// members after each change, and copying hundreds of members each time is most of the cost.
+    members: RefCell<Option<Rc<[Member]>>>,
 }
 
 impl MemberTable {
     pub(crate) fn new(own: MemberRecord, now: Instant) -> Self {
         let vm = own.vm.clone();
         let entries = BTreeMap::from([(vm.clone(), Entry { record: own, since: now })]);
-        Self { own: vm, entries }
+        Self { own: vm, entries, members: RefCell::default() }
     }
 
     /// Merges a record and returns the record to pass on if it changed the table.
@@ -51,6 +56,7 @@
         }
         let entry = Entry { record: record.clone(), since: now };
         self.entries.insert(record.vm.clone(), entry);
+        self.members.take();
         Some(record)
     }
 
@@ -73,6 +79,7 @@
             own.record.refutation = report.refutation + 1;
         }
         own.since = now;
+        self.members.take();
         Some(own.record.clone())
     }
 
@@ -84,6 +91,7 @@
         }
         entry.record.state = MemberState::Suspect;
         entry.since = now;
+        self.members.take();
         Some(entry.record.clone())
     }
 
@@ -92,6 +100,7 @@
         let entry = self.entries.get_mut(&self.own)?;
         entry.record.state = MemberState::Leaving;
         entry.since = now;
+        self.members.take();
         Some(entry.record.clone())
     }
 
@@ -104,6 +113,7 @@
         dead_retention: Duration,
     ) -> Vec<VmId> {
         let mut died = Vec::new();
+        self.members.take();
         for (vm, entry) in &mut self.entries {
             let age = now.saturating_duration_since(entry.since);
             let is_over = match entry.record.state {
@@ -142,8 +152,12 @@
         self.entries.get(vm).map(|entry| &entry.record)
     }
 
-    pub(crate) fn members(&self) -> Vec<Member> {
-        self.entries.values().map(|entry| entry.record.to_member()).collect()
+    pub(crate) fn members(&self) -> Rc<[Member]> {
+        let mut members = self.members.borrow_mut();
+        let current = members.get_or_insert_with(|| {
+            self.entries.values().map(|entry| entry.record.to_member()).collect()
+        });
+        current.clone()
     }
 
     pub(crate) fn records(&self) -> Vec<MemberRecord> {
