--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -30,6 +30,7 @@
         serving_floor_percent: 50,
         idempotent_paths: Vec::new(),
         weight_store_address: None,
+        weight_relays: Vec::new(),
         targets: (0..targets).map(target).collect(),
     }
 }
