--- a/crates/call/tests/records.rs
+++ b/crates/call/tests/records.rs
@@ -228,3 +228,22 @@
     };
     assert!(bucket.try_take(now + wait + Duration::from_micros(1)).is_ok());
 }
+
+/// Guards against refused callers that all come back for the same token.
+#[test]
+fn refused_claims_come_back_one_after_the_other() {
+    let now = Instant::now();
+    let mut bucket = TokenBucket::new(10.0, now);
+    while bucket.try_take(now).is_ok() {}
+    let mut waits: Vec<_> = (0..20).filter_map(|_| bucket.try_take(now).err()).collect();
+    for pair in waits.windows(2) {
+        assert!(pair[1] >= pair[0] + Duration::from_millis(99), "{waits:?}");
+    }
+    waits.insert(0, Duration::from_millis(100));
+    for wait in waits {
+        let at = now + wait + Duration::from_micros(10);
+        assert!(bucket.try_take(at).is_ok(), "nothing after {wait:?}");
+    }
+    let far = (0..10_000).filter_map(|_| bucket.try_take(now).err()).max();
+    assert!(far.is_some_and(|wait| wait <= Duration::from_secs(10)), "{far:?}");
+}
