--- a/bins/deckentry/src/settings.rs
+++ b/bins/deckentry/src/settings.rs
@@ -207,6 +207,7 @@
         max_connections: limits.size("max_connections", 2000, 1, 100_000)?,
         max_head_bytes: limits.size("max_head_bytes", 16 * 1024, 8192, 1024 * 1024)?,
         head_timeout: limits.millis("head_timeout_ms", Duration::from_secs(10), 10)?,
+        write_timeout: limits.millis("write_timeout_ms", Duration::from_secs(60), 10)?,
     })
 }
 
--- a/bins/deckentry/tests/hostile.rs
+++ b/bins/deckentry/tests/hostile.rs
@@ -9,10 +9,11 @@
 };
 
 use common::{Entry, ORGANISATION, World};
-use deck_testkit::EVENT_DEADLINE;
+use deck_testkit::{EVENT_DEADLINE, eventually};
 use test_case::test_case;
 
 const LIMITS: &str = "max_connections = 20\nhead_timeout_ms = 700\nbody_timeout_ms = 700\n\
+    write_timeout_ms = 700\n\
     max_body_bytes = 100000\nmax_total_body_bytes = 400000";
 
 fn run<F: Future<Output = ()>>(test: F) {
@@ -195,3 +196,31 @@
         world.wait_service(&entry, "booking").await;
     });
 }
+
+/// Guards against callers that stop reading and hold connection and memory for ever.
+#[test]
+fn caller_that_stops_reading_is_cut() {
+    const REQUESTS: usize = 300;
+    const BODY_BYTES: usize = 90_000;
+    run(async {
+        let (world, entry) = world().await;
+        let mut stream = connect(entry.caller);
+        let mut sender = stream.try_clone().expect("clone");
+        let sending = std::thread::spawn(move || {
+            let mut request = head(&format!("Content-Length: {BODY_BYTES}\r\n"));
+            request.extend(std::iter::repeat_n(b'x', BODY_BYTES));
+            // Ends with an error when the server closes the connection.
+            (0..REQUESTS).all(|_| sender.write_all(&request).is_ok())
+        });
+        eventually("the request ends", async || {
+            let metrics = world.metrics(&entry).await;
+            metrics.contains("deckentry_requests_in_flight 0") && sending.is_finished()
+        })
+        .await;
+        let answer = read_to_end(&mut stream);
+        let answers = answer.matches("HTTP/1.1 200").count();
+        assert!(answers < REQUESTS, "all answers were sent to a caller that did not read");
+        sending.join().expect("sender");
+        world.wait_service(&entry, "booking").await;
+    });
+}
--- a/crates/net/src/framing.rs
+++ b/crates/net/src/framing.rs
@@ -11,6 +11,7 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use http::{HeaderValue, Request, Response, header};
@@ -179,8 +180,9 @@
 
 impl Inspection {
     /// Wraps the stream of the connection.
-    pub(crate) fn stream<S>(&self, stream: S) -> InspectedStream<S> {
-        InspectedStream { stream, inspector: self.inspector.clone() }
+    pub(crate) fn stream<S>(&self, stream: S, write_timeout: Duration) -> InspectedStream<S> {
+        let inspector = self.inspector.clone();
+        InspectedStream { stream, inspector, write_timeout, stalled: None }
     }
 
     /// Wraps the service of the connection: an ambiguous request is refused.
@@ -212,10 +214,33 @@
     response
 }
 
-/// Stream whose received bytes are inspected.
+/// Stream whose received bytes are inspected, and whose writes have to go on.
 pub(crate) struct InspectedStream<S> {
     stream: S,
     inspector: Rc<RefCell<FramingInspector>>,
+    write_timeout: Duration,
+    /// Runs while the receiver takes no bytes.
+    stalled: Option<Pin<Box<monoio::time::Sleep>>>,
+}
+
+impl<S> InspectedStream<S> {
+    /// Passes on the result of a write, or an error if writes have been pending for too long.
+    fn check_stall<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<std::io::Result<T>>,
+    ) -> Poll<std::io::Result<T>> {
+        if written.is_ready() {
+            self.stalled = None;
+            return written;
+        }
+        let timeout = self.write_timeout;
+        let stalled = self.stalled.get_or_insert_with(|| Box::pin(monoio::time::sleep(timeout)));
+        match stalled.as_mut().poll(cx) {
+            Poll::Ready(()) => Poll::Ready(Err(std::io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
+    }
 }
 
 impl<S: Read + Unpin> Read for InspectedStream<S> {
@@ -244,7 +269,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.check_stall(cx, written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
@@ -264,6 +290,7 @@
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.check_stall(cx, written)
     }
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -37,6 +37,9 @@
     pub max_connections: usize,
     /// Time in which a request head has to arrive.
     pub head_timeout: Duration,
+    /// Time without a byte that the receiver of a response takes, after which the connection
+    /// closes.
+    pub write_timeout: Duration,
 }
 
 impl Default for ServerOptions {
@@ -45,6 +48,7 @@
             max_head_bytes: 64 * 1024,
             max_connections: 10_000,
             head_timeout: Duration::from_secs(10),
+            write_timeout: Duration::from_secs(60),
         }
     }
 }
@@ -124,7 +128,7 @@
 {
     let Ok(stream) = stream.into_poll_io() else { return };
     let inspection = Inspection::default();
-    let stream = inspection.stream(MonoioIo::new(stream));
+    let stream = inspection.stream(MonoioIo::new(stream), options.write_timeout);
     let handler = inspection.service(handler);
     let service = service_fn(move |request| {
         let response = handler(request);
