Take retries after broken connections from the retry budget

Cause: the first retry of a call after a broken connection was free, so a pool whose targets keep breaking connections saw up to twice its load. Ruled out: the budget itself; with errors in place of broken connections the load stayed within 1.1 times. A larger reserve instead of free retries would have to cover all calls in flight on a target for each organisation. Change: the free retry is only for a target that crashed, which means that it no longer listens. This adds at most the calls in flight once for each crash.

--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -155,7 +155,9 @@
     ///
     /// Only a target that no longer listens counts as crashed: a cut connection or answer says
     /// nothing about the request.
-    pub(crate) async fn broke(self, error: &NetError, tokens: u64) {
+    ///
+    /// Returns whether the target crashed.
+    pub(crate) async fn broke(self, error: &NetError, tokens: u64) -> bool {
         let crashed = !still_listens(self.address).await;
         log::warn!(
             target: "call",
@@ -169,6 +171,7 @@
             crashes.crashed(self.call.fingerprint, &self.key, self.suspect, Instant::now());
         }
         self.finish(Outcome::Crashed, tokens);
+        crashed
     }
 }
 
--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -70,7 +70,7 @@
     /// Nothing ran at this target.
     NotRun,
     /// The connection to the target broke.
-    Broke(String),
+    Broke { crashed: bool, message: String },
     /// The target failed in another way.
     Failed(String),
     /// The caller is gone.
@@ -230,7 +230,7 @@
     generation: Generation,
     failed: Vec<TargetId>,
     /// Whether a target broke during this call.
-    broke_before: bool,
+    crashed_before: bool,
 }
 
 impl<'a> Run<'a> {
@@ -242,7 +242,7 @@
     ) -> Self {
         let generation = Generation::default();
         let failed = Vec::new();
-        Self { shared, call, request, output, generation, failed, broke_before: false }
+        Self { shared, call, request, output, generation, failed, crashed_before: false }
     }
 
     fn take_head(&mut self) -> Option<oneshot::Sender<Result<TargetId, Failure>>> {
@@ -274,7 +274,8 @@
                     return Err(CallError::new(ErrorKind::Internal, message).into());
                 }
                 End::NotRun => ("not_run", "the target refused the request".to_owned()),
-                End::Broke(message) => ("broke", message),
+                End::Broke { crashed: true, message } => ("crashed", message),
+                End::Broke { crashed: false, message } => ("broke", message),
                 End::Failed(message) => ("failed", message),
             };
             let progress = self.generation.token_count > tokens_before;
@@ -298,12 +299,14 @@
     /// Decides on a further try after one that ended for `reason`.
     ///
     /// A resumed generation repeats no work, so it does not take from the retry budget. Neither
-    /// does the first try after a target broke: all calls in flight there need one at the same
-    /// moment, and a budget in proportion to the load would fail most of them.
+    /// does the first try after a target crashed: all calls in flight there need one at the same
+    /// moment, and a budget in proportion to the load would fail most of them. This adds at most the
+    /// calls in flight once for each crash. A connection that breaks while the target still listens
+    /// takes from the budget: an unhealthy target can break connections without end.
     fn may_try_again(&mut self, reason: &str) -> bool {
         match reason {
             "not_run" => true,
-            "broke" if !std::mem::replace(&mut self.broke_before, true) => true,
+            "crashed" if !std::mem::replace(&mut self.crashed_before, true) => true,
             _ => self.generation.token_count > 0 || self.shared.try_take_retry(self.call),
         }
     }
@@ -342,8 +345,8 @@
                 return Ok(End::NotRun);
             }
             Err(SendError::Broke(error)) => {
-                attempt.broke(&error, 0).await;
-                return Ok(End::Broke(error.to_string()));
+                let crashed = attempt.broke(&error, 0).await;
+                return Ok(End::Broke { crashed, message: error.to_string() });
             }
             Err(SendError::TimedOut) => return self.timed_out(attempt),
         };
@@ -425,8 +428,8 @@
                     return Ok(End::Failed(message));
                 }
                 Some(Err(error)) => {
-                    attempt.broke(&error, tokens).await;
-                    return Ok(End::Broke(error.to_string()));
+                    let crashed = attempt.broke(&error, tokens).await;
+                    return Ok(End::Broke { crashed, message: error.to_string() });
                 }
             };
             if event.data == "[DONE]" {
--- a/crates/call/src/service.rs
+++ b/crates/call/src/service.rs
@@ -41,16 +41,23 @@
 enum FailReason {
     /// The target refused before running, or was not reached.
     NotRun,
-    /// The connection broke.
+    /// The target crashed.
+    Crashed,
+    /// The connection broke and the target still listens.
     Broke,
     /// The target answered with an error.
     Failed,
 }
 
 impl FailReason {
+    fn after_broken(crashed: bool) -> Self {
+        if crashed { Self::Crashed } else { Self::Broke }
+    }
+
     fn as_str(self) -> &'static str {
         match self {
             Self::NotRun => "not_run",
+            Self::Crashed => "crashed",
             Self::Broke => "broke",
             Self::Failed => "failed",
         }
@@ -87,7 +94,7 @@
 ) -> Result<(Answer, Permit), CallError> {
     let permit = shared.admit(call).await?;
     let mut failed_at: Vec<TargetId> = Vec::new();
-    let mut broke_before = false;
+    let mut crashed_before = false;
     for number in 1.. {
         let attempt = Attempt::start(shared, call, &failed_at).await?;
         let target = attempt.target.clone();
@@ -102,11 +109,11 @@
         if number >= shared.options.tries.max_tries {
             return Err(CallError::new(kind, failed.message));
         }
-        // The first try after a target broke is free, see `completion::Run::may_try_again`.
+        // The first try after a crash is free, see `completion::Run::may_try_again`.
         let free = match failed.reason {
             FailReason::NotRun => true,
-            FailReason::Broke => !std::mem::replace(&mut broke_before, true),
-            FailReason::Failed => false,
+            FailReason::Crashed => !std::mem::replace(&mut crashed_before, true),
+            FailReason::Broke | FailReason::Failed => false,
         };
         if !free && !shared.try_take_retry(call) {
             let message = format!("no retry budget left; {}", failed.message);
@@ -134,8 +141,8 @@
             return failed(FailReason::NotRun, error.to_string());
         }
         Err(SendError::Broke(error)) => {
-            attempt.broke(&error, 0).await;
-            return failed(FailReason::Broke, error.to_string());
+            let reason = FailReason::after_broken(attempt.broke(&error, 0).await);
+            return failed(reason, error.to_string());
         }
         Err(SendError::TimedOut) => {
             attempt.finish(Outcome::TimedOut, 0);
@@ -157,8 +164,8 @@
         Some(Ok((prefix, is_whole))) => Ok(Ok(Answer { attempt, response, prefix, is_whole })),
         Some(Err(error)) => {
             let message = error.to_string();
-            attempt.broke(&error, 0).await;
-            failed(FailReason::Broke, message)
+            let reason = FailReason::after_broken(attempt.broke(&error, 0).await);
+            failed(reason, message)
         }
         None => {
             attempt.finish(Outcome::TimedOut, 0);
@@ -339,7 +346,7 @@
             let message = format!("the target's answer was not received: {error}");
             match error {
                 NetError::BodyTooLarge(_) => attempt.finish(Outcome::Ok, 0),
-                _ => attempt.broke(&error, 0).await,
+                _ => drop(attempt.broke(&error, 0).await),
             }
             RunEnd::Unknown(CallError::new(ErrorKind::AnswerTruncated, message))
         }
