--- a/bins/deckentry/tests/once.rs
+++ b/bins/deckentry/tests/once.rs
@@ -366,3 +366,27 @@
         }
     });
 }
+
+/// Guards against claims of dead VMs that fill the object API, and against their deletion while a
+/// call under them may still be sent.
+#[test]
+fn claims_of_a_dead_vm_are_deleted_after_the_longest_deadline() {
+    run(async {
+        let world = World::start();
+        let limits = "claim_keep_ms = 1000\nmax_deadline_ms = 2000\ndefault_deadline_ms = 2000";
+        let (service, mut first, second) = two_entries(&world, limits).await;
+        let claims = async || {
+            let path = "/v1/objects/CallClaim";
+            let list = world.send(world.objects.address, "GET", path, &[], "").await.json();
+            list["items"].as_array().map_or(0, Vec::len)
+        };
+        assert_eq!(world.book(&first, "k", "seat").await.status, 200);
+        first.process.kill();
+        let killed = Instant::now();
+        eventually("the claim is deleted", async || claims().await == 0).await;
+        // The claim counts from when the other VM first saw it without a live owner.
+        assert!(killed.elapsed() >= Duration::from_secs(3), "after {:?}", killed.elapsed());
+        assert_eq!(world.executions(&service, "k").await, 1);
+        drop(second);
+    });
+}
--- a/crates/call/src/claim.rs
+++ b/crates/call/src/claim.rs
@@ -310,7 +310,8 @@
     }
 }
 
-fn parse(object: &Object) -> Result<ClaimRecord, StoreError> {
+/// Reads a claim object.
+pub(crate) fn parse(object: &Object) -> Result<ClaimRecord, StoreError> {
     let envelope: Envelope<ClaimRecord> = serde_json::from_value(object.value.clone())
         .map_err(|error| StoreError::Decode(error.to_string()))?;
     Ok(envelope.spec)
--- a/crates/call/src/sweep.rs
+++ b/crates/call/src/sweep.rs
@@ -7,9 +7,12 @@
 
 use deck_core::{hash::rendezvous_rank, id::Revision, object::CALL_CLAIM_KIND};
 use deck_peer::MemberState;
-use deck_plat::StoreError;
+use deck_plat::{Object, StoreError};
 
-use crate::{claim::object_name, shared::SharedRef};
+use crate::{
+    claim::{self, object_name},
+    shared::SharedRef,
+};
 
 /// Pause after a failed deletion.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
@@ -57,8 +60,12 @@
 }
 
 impl Orphans {
-    /// Reads all claims and deletes those that have not changed for twice the time for which
-    /// claims are kept, on this VM's own clock. Only the first-ranked VM does so.
+    /// Reads all claims and deletes those of ended processes that have not changed for long enough,
+    /// on this VM's own clock. Only the first-ranked VM does so.
+    ///
+    /// A process that counts as ended may be frozen with a call under way. No call is sent after its
+    /// deadline, so a claim that is older than the longest deadline protects no call that may still
+    /// be sent; after the time for which claims are kept it may go.
     pub(crate) async fn sweep(&mut self, shared: &SharedRef) {
         if !is_sweeper(shared) {
             self.seen.clear();
@@ -66,16 +73,8 @@
         }
         let Ok((_, objects)) = shared.store.list(CALL_CLAIM_KIND).await else { return };
         let now = Instant::now();
-        let mut seen = HashMap::new();
-        for object in objects.into_iter().take(MAX_SEEN) {
-            let known = self.seen.remove(&object.name);
-            let known = known.filter(|orphan| orphan.revision == object.revision);
-            let since = known.map_or(now, |orphan| orphan.since);
-            seen.insert(object.name, Orphan { revision: object.revision, since });
-        }
-        self.seen = seen;
-        // The owner deletes its claims after once the time; twice leaves those of live owners alone.
-        let keep = shared.options.once.claim_keep * 2;
+        self.note(shared, objects, now);
+        let keep = shared.options.tries.max_deadline + shared.options.once.claim_keep;
         let old: Vec<_> = self
             .seen
             .iter()
@@ -88,6 +87,28 @@
             monoio::time::sleep(pause).await;
         }
     }
+
+    fn note(&mut self, shared: &SharedRef, objects: Vec<Object>, now: Instant) {
+        let members = shared.peer.members();
+        let is_owned = |object: &Object| {
+            claim::parse(object).is_ok_and(|claim| {
+                members.iter().any(|member| {
+                    member.vm == claim.vm
+                        && member.incarnation == claim.incarnation
+                        && member.state != MemberState::Dead
+                })
+            })
+        };
+        let orphans = objects.into_iter().filter(|object| !is_owned(object)).take(MAX_SEEN);
+        let mut seen = HashMap::new();
+        for object in orphans {
+            let known = self.seen.remove(&object.name);
+            let known = known.filter(|orphan| orphan.revision == object.revision);
+            let since = known.map_or(now, |orphan| orphan.since);
+            seen.insert(object.name, Orphan { revision: object.revision, since });
+        }
+        self.seen = seen;
+    }
 }
 
 fn is_sweeper(shared: &SharedRef) -> bool {
