--- a/bins/deckscenario/src/command.rs
+++ b/bins/deckscenario/src/command.rs
@@ -37,6 +37,19 @@
     pub value: String,
 }
 
+impl Binding {
+    /// Reads `key=value`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if there is no `=`.
+    pub fn try_parse(word: &str) -> Result<Self, String> {
+        let (key, value) =
+            word.split_once('=').ok_or_else(|| format!("{word:?}: expected key=value"))?;
+        Ok(Self { key: key.to_owned(), value: value.to_owned() })
+    }
+}
+
 /// Where a value is read: a load report, or a path at a process.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Source {
@@ -59,6 +72,12 @@
     Spans,
     /// `staleness BOUND TRAINER..`: no sample is older than the bound.
     Staleness,
+    /// `versions ENGINE..`: accepted orders never go back in fencing number or version. Only for
+    /// engines that check fencing numbers.
+    Versions,
+    /// `load-factor FACTOR CONSTANT LOAD SERVICE..`: services ran at most FACTOR times the calls
+    /// of the load, and CONSTANT more.
+    LoadFactor,
     /// `configuration STORE`: the accepted revision of an object never falls.
     Configuration,
 }
@@ -89,7 +108,7 @@
     /// `exits NAME`: waits for the end of the process.
     Exits { name: String },
     /// `restart NAME ARGUMENT..`: starts it again on the same addresses. Arguments replace those of
-    /// the start for a stand-in.
+    /// the start for a stand-in, and are further or changed bindings for a daemon.
     Restart { name: String, arguments: Vec<String> },
     /// `cut LINK..`, `stall LINK..`, `heal LINK..`.
     Link { names: Vec<String>, mode: &'static str },
@@ -214,7 +233,7 @@
     }
 
     fn bindings(&mut self) -> Result<Vec<Binding>, String> {
-        self.all().iter().map(|word| binding(word)).collect()
+        self.all().iter().map(|word| Binding::try_parse(word)).collect()
     }
 
     fn comparison(&mut self) -> Result<(Source, Comparison), String> {
@@ -316,18 +335,12 @@
         if word.starts_with(['{', '[']) {
             body = word;
         } else {
-            headers.push(binding(&word)?);
+            headers.push(Binding::try_parse(&word)?);
         }
     }
     Ok(Command::Call { name, method, path, status, body, headers })
 }
 
-fn binding(word: &str) -> Result<Binding, String> {
-    let (key, value) =
-        word.split_once('=').ok_or_else(|| format!("{word:?}: expected key=value"))?;
-    Ok(Binding { key: key.to_owned(), value: value.to_owned() })
-}
-
 fn source(word: &str) -> Source {
     let (name, path) = match word.find('/') {
         Some(at) => (&word[..at], &word[at..]),
@@ -343,10 +356,13 @@
         "samples" => Invariant::Samples,
         "spans" => Invariant::Spans,
         "staleness" => Invariant::Staleness,
+        "versions" => Invariant::Versions,
+        "load-factor" => Invariant::LoadFactor,
         "configuration" => Invariant::Configuration,
         _ => {
             return Err(format!(
-                "{name:?}: expected executions, bookings, samples, spans, staleness or configuration"
+                "{name:?}: expected executions, bookings, samples, spans, staleness, versions, \
+                 load-factor or configuration"
             ));
         }
     })
