Make the retry reserve a setting of deckentry, 10 by default

With the library's reserve of 3 the test of idempotent retries used it up after retries after broken connections began to take from the budget.

--- a/bins/deckentry/src/process.rs
+++ b/bins/deckentry/src/process.rs
@@ -115,7 +115,10 @@
             max_wait: settings.limits.max_queue_wait,
             ..AdmissionOptions::default()
         }),
-        budget: RetryBudget::new(BudgetOptions::default()),
+        budget: RetryBudget::new(BudgetOptions {
+            reserve_attempts: f64::from(settings.limits.retry_reserve),
+            ..BudgetOptions::default()
+        }),
         client: Client::new(ClientOptions {
             connect_timeout: settings.limits.target_connect_timeout,
             ..ClientOptions::default()
--- a/bins/deckentry/src/settings.rs
+++ b/bins/deckentry/src/settings.rs
@@ -75,6 +75,8 @@
     pub target_connect_timeout: Duration,
     /// Largest number of targets of a pool that this VM uses.
     pub subset_size: usize,
+    /// Retries that an organisation may make in a pool before it has made calls.
+    pub retry_reserve: u32,
     /// Longest wait of a call for a free slot.
     pub max_queue_wait: Duration,
     /// Load reports requested per second.
@@ -194,6 +196,7 @@
                 10,
             )?,
             subset_size: limits.size("subset_size", 24, 1, 10_000)?,
+            retry_reserve: reader.number("limits", "retry_reserve", 10, 0, 10_000)?,
             max_queue_wait: limits.millis("max_queue_wait_ms", Duration::from_secs(2), 0)?,
             load_polls_per_s: reader.number("limits", "load_polls_per_s", 20, 0, 1000)?,
             drain_delay: limits.millis("drain_delay_ms", Duration::from_secs(3), 0)?,
