--- a/bins/deckscenario/src/check.rs
+++ b/bins/deckscenario/src/check.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::records::{Booking, Entry, Sample, Span, Tokens, Write};
+use crate::records::{Booking, Entry, Received, Sample, Span, Tokens, Write};
 
 /// Counts the executions by key.
 pub fn executions_by_key(entries: &[Entry]) -> BTreeMap<&str, u64> {
@@ -184,6 +184,24 @@
     vec![format!("{ran} runs for {sent} calls, at most {bound:.0} are allowed")]
 }
 
+/// An organisation received `share_percent` of the tokens of a load, within `tolerance_percent`.
+pub fn share(
+    organisation: &str,
+    share_percent: f64,
+    tolerance_percent: f64,
+    received: &[Received],
+) -> Vec<String> {
+    let total: u64 = received.iter().map(|entry| entry.tokens).sum();
+    let own = received.iter().filter(|entry| entry.organisation == organisation);
+    let own: u64 = own.map(|entry| entry.tokens).sum();
+    let found_percent = own as f64 * 100.0 / total as f64;
+    // Without any tokens the share is not a number, which is not within any tolerance.
+    if (found_percent - share_percent).abs() <= tolerance_percent {
+        return Vec::new();
+    }
+    vec![format!("{organisation} received {found_percent:.1}% of the tokens, not {share_percent}%")]
+}
+
 /// Returns whether a request belongs to a sample: the same id, with or without the number of a try.
 fn is_of_sample(request_id: &str, sample_id: &str) -> bool {
     request_id
--- a/bins/deckscenario/src/command.rs
+++ b/bins/deckscenario/src/command.rs
@@ -78,6 +78,8 @@
     /// `load-factor FACTOR CONSTANT LOAD SERVICE..`: services ran at most FACTOR times the calls
     /// of the load, and CONSTANT more.
     LoadFactor,
+    /// `share ORGANISATION PERCENT TOLERANCE LOAD`: the organisation's part of the load's tokens.
+    Share,
     /// `configuration STORE`: the accepted revision of an object never falls.
     Configuration,
 }
@@ -134,6 +136,9 @@
     Finish { name: String },
     /// `sleep MS`.
     Sleep { wait_ms: u64 },
+    /// `mark VARIABLE NAME[/PATH] PLACE PLUS`: sets a variable to a number in a record and PLUS, to
+    /// wait for progress from here on.
+    Mark { variable: String, source: Source, place: String, plus: u64 },
     /// `wait NAME[/PATH] PLACE RELATION VALUE`: waits until it holds.
     Wait { source: Source, comparison: Comparison },
     /// `expect NAME[/PATH] PLACE RELATION VALUE`: it has to hold now.
@@ -310,6 +315,14 @@
             let wait_ms = wait.parse().map_err(|_| format!("sleep: {wait:?} is not a number"))?;
             Command::Sleep { wait_ms }
         }
+        "mark" => {
+            let variable = words.next("a variable")?;
+            let source = source(&words.next("a process or load")?);
+            let place = words.next("a place in the record")?;
+            let plus = words.next("a number")?;
+            let plus = plus.parse().map_err(|_| format!("mark: {plus:?} is not a number"))?;
+            Command::Mark { variable, source, place, plus }
+        }
         "wait" => {
             let (source, comparison) = words.comparison()?;
             Command::Wait { source, comparison }
@@ -358,11 +371,12 @@
         "staleness" => Invariant::Staleness,
         "versions" => Invariant::Versions,
         "load-factor" => Invariant::LoadFactor,
+        "share" => Invariant::Share,
         "configuration" => Invariant::Configuration,
         _ => {
             return Err(format!(
                 "{name:?}: expected executions, bookings, samples, spans, staleness, versions, \
-                 load-factor or configuration"
+                 load-factor, share or configuration"
             ));
         }
     })
--- a/bins/deckscenario/src/records.rs
+++ b/bins/deckscenario/src/records.rs
@@ -119,6 +119,27 @@
     pub never_run: bool,
 }
 
+/// What an organisation received in a load.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Received {
+    /// The organisation.
+    pub organisation: String,
+    /// Tokens of complete answers.
+    pub tokens: u64,
+}
+
+impl Received {
+    /// Reads the organisations of a load report.
+    pub fn of_report(report: &Value) -> Vec<Self> {
+        let organisations = report["organisations"].as_object().into_iter().flatten();
+        let received = organisations.map(|(organisation, counts)| Self {
+            organisation: organisation.clone(),
+            tokens: counts["tokens"].as_u64().unwrap_or(0),
+        });
+        received.collect()
+    }
+}
+
 /// Accepted write in the history of the object API.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Write {
--- a/bins/deckscenario/src/run.rs
+++ b/bins/deckscenario/src/run.rs
@@ -24,7 +24,7 @@
     check,
     command::{Binding, Command, Invariant, Scenario, Source},
     error::{CommandError, ScenarioError},
-    records::{Booking, Entry, Write, read_journal},
+    records::{Booking, Entry, Received, Write, read_journal},
     value::{Comparison, literal, lookup},
     world::World,
 };
@@ -122,6 +122,11 @@
             Command::Sleep { wait_ms } => {
                 monoio::time::sleep(Duration::from_millis(*wait_ms)).await;
             }
+            Command::Mark { variable, source, place, plus } => {
+                let found = lookup(&self.read(source).await?, place);
+                let number = found.as_u64().ok_or_else(|| format!("{place} is {found}"))?;
+                self.world.set_variable(variable.clone(), (number + plus).to_string());
+            }
             Command::Wait { source, comparison } => self.wait(source, comparison).await?,
             Command::Expect { source, comparison } => {
                 let found = self.read(source).await?;
@@ -445,6 +450,14 @@
                 let sent = self.report(load)?["sent"].as_u64().unwrap_or(0);
                 check::load_factor(factor, constant, sent, &self.journals(services)?)
             }
+            Invariant::Share => {
+                let (organisation, rest) = first(arguments, "an organisation")?;
+                let (percent, rest) = number(rest, "a percentage")?;
+                let (tolerance, rest) = number(rest, "a tolerance")?;
+                let (load, _) = first(rest, "a load")?;
+                let received = Received::of_report(self.report(load)?);
+                check::share(organisation, percent, tolerance, &received)
+            }
             Invariant::Configuration => {
                 let (store, _) = first(arguments, "a store")?;
                 let path = "/admin/records".to_owned();
--- a/bins/deckscenario/tests/checkers.rs
+++ b/bins/deckscenario/tests/checkers.rs
@@ -2,7 +2,7 @@
 
 use deckscenario::{
     check,
-    records::{Booking, Entry, Write},
+    records::{Booking, Entry, Received, Write},
     value::{Relation, literal, lookup},
 };
 use serde_json::{Value, from_value, json};
@@ -137,6 +137,15 @@
     assert_eq!(check::load_factor(1.1, 1, 10, &ran).is_empty(), is_sound);
 }
 
+#[test_case(json!({ "a": { "tokens": 75 }, "b": { "tokens": 25 } }), true; "as promised")]
+#[test_case(json!({ "a": { "tokens": 50 }, "b": { "tokens": 50 } }), false; "too little")]
+#[test_case(json!({ "a": { "tokens": 0 }, "b": { "tokens": 0 } }), false; "nothing at all")]
+#[test_case(json!({}), false; "no organisations")]
+fn missed_share_is_found(organisations: Value, is_sound: bool) {
+    let received = Received::of_report(&json!({ "organisations": organisations }));
+    assert_eq!(check::share("a", 75.0, 10.0, &received).is_empty(), is_sound);
+}
+
 /// Guards against expectations on an absent place that hold.
 #[test_case("a.0.b", Relation::Equal, "1", true; "present")]
 #[test_case("a.#", Relation::Equal, "1", true; "length")]
--- a/bins/deckscenario/tests/language.rs
+++ b/bins/deckscenario/tests/language.rs
@@ -23,6 +23,7 @@
 #[test_case("expct a b == 1", "\"expct\" is not a command"; "unknown command")]
 #[test_case("expect a b = 1", "expected ==, !=, <, <=, > or >="; "unknown operator")]
 #[test_case("sleep soon", "\"soon\" is not a number"; "malformed number")]
+#[test_case("mark a b c d", "\"d\" is not a number"; "malformed addend")]
 #[test_case("kill", "expected a name"; "missing name")]
 #[test_case("finish a b", "one word too many"; "surplus word")]
 #[test_case("check everything a", "expected executions"; "unknown invariant")]
--- a/bins/deckscenario/tests/scenarios.rs
+++ b/bins/deckscenario/tests/scenarios.rs
@@ -43,6 +43,8 @@
 #[test_case("regions-partitioned"; "regions_partitioned")]
 #[test_case("trainer-restarts"; "trainer_restarts")]
 #[test_case("weights-owner-paused"; "weights_owner_paused")]
+#[test_case("rollout-store-outage"; "rollout_store_outage")]
+#[test_case("shares"; "shares")]
 fn scenario_with_daemons_succeeds(name: &str) {
     let ran = run(&format!("../../scenarios/{name}.scn"));
     assert!(ran.succeeded, "{}", ran.output);
--- a/bins/deckstandin/tests/engine.rs
+++ b/bins/deckstandin/tests/engine.rs
@@ -188,3 +188,35 @@
         assert_eq!(receive(&mut low, 100).await.tokens, 3);
     });
 }
+
+/// Guards against load reports and cache events that are as fresh and complete as no engine's.
+#[test]
+fn load_reports_lag_and_cache_events_have_gaps() {
+    run(async {
+        let engine =
+            Standin::start(&["engine", "--load-lag-ms", "200", "--cache-event-loss", "0.5"]);
+        let mut running = start_stream(&engine, request("a", 100_000)).await;
+        receive(&mut running, 1).await;
+        let load = async || engine.json("GET", "/v1/load", Value::Null).await.1;
+        eventually("the report shows the request", async || load().await["running"] == 1).await;
+        let report = load().await;
+        assert!(report["report_age_ms"].as_u64() >= Some(100), "{report}");
+
+        let events = deck_net::http::Request::get("/v1/cache_events");
+        let events = events.body(deck_net::Body::empty()).expect("request");
+        let response = engine.client.send(engine.address, events).await.expect("response");
+        let mut events = EventReader::new(response);
+        for number in 0..40 {
+            let mut other = request(&format!("r{number}"), 1);
+            other["prompt"] = json!(format!("{number:0>64}"));
+            receive(&mut start_stream(&engine, other).await, 10).await;
+        }
+        let mut sequences = Vec::new();
+        for _ in 0..8 {
+            let event = events.next().await.expect("event").expect("open");
+            let event: Value = serde_json::from_str(&event.data).expect("JSON");
+            sequences.push(event["sequence"].as_u64().expect("sequence"));
+        }
+        assert!(sequences.windows(2).any(|pair| pair[1] > pair[0] + 1), "{sequences:?}");
+    });
+}
