--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use deck_core::{hash::hash64, object::TargetPool, priority::Priority};
+use deck_core::{hash::hash64, id::TargetId, object::TargetPool, priority::Priority};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::{
@@ -21,6 +21,8 @@
     pub(crate) name: String,
     pub(crate) options: Rc<RouterOptions>,
     pub(crate) targets: Vec<Rc<Target>>,
+    /// Position of each target in `targets`.
+    positions: HashMap<TargetId, usize>,
     pub(crate) subset: Subset,
     pub(crate) slots: u32,
     pub(crate) rng: StdRng,
@@ -81,6 +83,7 @@
             name: name.to_owned(),
             options,
             targets: Vec::new(),
+            positions: HashMap::new(),
             subset: Subset::default(),
             slots: 1,
             rng: StdRng::seed_from_u64(seed),
@@ -117,6 +120,8 @@
             target.set_spec_state(target_spec.state);
             self.targets.push(target);
         }
+        let ids = self.targets.iter().map(|target| target.id.clone());
+        self.positions = ids.zip(0..).collect();
         self.update_subset(members);
     }
 
@@ -137,7 +142,7 @@
     }
 
     pub fn find(&self, target: &str) -> Option<&Rc<Target>> {
-        self.targets.iter().find(|known| known.id == target)
+        self.positions.get(target).map(|position| &self.targets[*position])
     }
 
     /// Returns the targets of the subset.
