--- a/crates/route/examples/route_bench/figures.rs
+++ b/crates/route/examples/route_bench/figures.rs
@@ -106,33 +106,75 @@
     }
 }
 
-fn run_all(setup: &Setup, jobs: &[Job]) -> [Results; 3] {
-    Choice::ALL.map(|choice| Run::new(setup, jobs, Policy::new(choice, setup, None), None).run())
+/// Runs of the same setup with different seeds whose calls are counted together. One run of a small
+/// deployment has too few calls for a p99.9.
+const SEEDS: u64 = 5;
+
+/// Calls of one policy.
+struct Pooled {
+    short_wait: Histogram<u64>,
+    short_total: Histogram<u64>,
+    rollout_total: Histogram<u64>,
 }
 
-/// Returns quantiles in milliseconds of a time of the calls of one priority, after a warm-up of a
-/// tenth of the run.
-fn quantiles<const N: usize>(
-    setup: &Setup,
-    jobs: &[Job],
-    results: &Results,
-    priority: Priority,
-    first_byte: bool,
-    quantiles: [f64; N],
-) -> [f64; N] {
-    let mut histogram = Histogram::<u64>::new(3).expect("3 digits are supported");
-    for ended in &results.ended {
-        let job = &jobs[ended.job];
-        if job.priority == priority && job.arrival_s > setup.duration_s / 10.0 {
-            let time_s = if first_byte { ended.first_byte_s } else { ended.total_s };
+impl Pooled {
+    fn new() -> Self {
+        let histogram = || Histogram::new(3).expect("3 digits are supported");
+        Self { short_wait: histogram(), short_total: histogram(), rollout_total: histogram() }
+    }
+
+    /// Adds the calls after a warm-up of a tenth of the run.
+    fn add(&mut self, setup: &Setup, jobs: &[Job], results: &Results) {
+        let record = |histogram: &mut Histogram<u64>, time_s: f64| {
             histogram.record((time_s * 1e6) as u64).expect("the histogram grows");
+        };
+        for ended in &results.ended {
+            let job = &jobs[ended.job];
+            if job.arrival_s <= setup.duration_s / 10.0 {
+                continue;
+            }
+            if job.priority == Priority::Rollout {
+                record(&mut self.rollout_total, ended.total_s);
+            } else {
+                record(&mut self.short_wait, ended.first_byte_s);
+                record(&mut self.short_total, ended.total_s);
+            }
         }
     }
-    quantiles.map(|quantile| histogram.value_at_quantile(quantile) as f64 / 1e3)
 }
 
-fn columns<const N: usize>(rows: [[f64; N]; 3]) -> [[f64; 3]; N] {
-    std::array::from_fn(|column| rows.map(|row| row[column]))
+fn quantiles_ms(histogram: &Histogram<u64>) -> [f64; 3] {
+    [0.5, 0.99, 0.999].map(|quantile| histogram.value_at_quantile(quantile) as f64 / 1e3)
+}
+
+/// Runs all policies on the same workloads.
+fn run_all(size: &Size, slowed_targets: usize, load: f64, seed: u64) -> [Pooled; 3] {
+    let mut pooled = std::array::from_fn(|_| Pooled::new());
+    for seed in seed * SEEDS..(seed + 1) * SEEDS {
+        let setup = size.setup(slowed_targets, seed);
+        let jobs = jobs(&setup, &workload(&setup, load));
+        for (choice, pooled) in Choice::ALL.into_iter().zip(&mut pooled) {
+            let results = Run::new(&setup, &jobs, Policy::new(choice, &setup, None), None).run();
+            pooled.add(&setup, &jobs, &results);
+        }
+        if size.name == "design" {
+            break;
+        }
+    }
+    pooled
+}
+
+/// Prints quantiles of one histogram of all policies.
+fn compare_quantiles(
+    name: &str,
+    pooled: &[Pooled; 3],
+    histogram: impl Fn(&Pooled) -> &Histogram<u64>,
+    bound: &str,
+) {
+    let rows = pooled.each_ref().map(|pooled| quantiles_ms(histogram(pooled)));
+    for (index, quantile) in ["p50", "p99", "p99.9"].iter().enumerate() {
+        compare(format!("{name}_{quantile}"), &rows.map(|row| row[index]), "ms", bound);
+    }
 }
 
 const NO_BOUND: &str = "none stated";
@@ -140,44 +182,21 @@
 /// Wait of interactive calls for their first token while rollouts keep the targets busy.
 pub fn head_of_line(size: &Size, seed: u64) {
     for load in [0.6, 0.75] {
-        let setup = size.setup(0, seed);
-        let jobs = jobs(&setup, &workload(&setup, load));
-        let results = run_all(&setup, &jobs);
-        let waits = results.each_ref().map(|results| {
-            quantiles(&setup, &jobs, results, Priority::Interactive, true, [0.5, 0.99, 0.999])
-        });
+        let pooled = run_all(size, 0, load, seed);
         let name = format!("{}.head_of_line_load{load}", size.name);
-        for (quantile, values) in ["p50", "p99", "p99.9"].iter().zip(columns(waits)) {
-            compare(format!("{name}.short_wait_{quantile}"), &values, "ms", NO_BOUND);
-        }
-        let rollouts = results.each_ref().map(|results| {
-            quantiles(&setup, &jobs, results, Priority::Rollout, false, [0.5, 0.99])
-        });
-        for (quantile, values) in ["p50", "p99"].iter().zip(columns(rollouts)) {
-            let bound = "240000 (section 1: all samples of a step within 4 minutes)";
-            compare(format!("{name}.rollout_total_{quantile}"), &values, "ms", bound);
-        }
-        let done = results.each_ref().map(|results| rollouts_done(&jobs, results));
+        compare_quantiles(&format!("{name}.short_wait"), &pooled, |p| &p.short_wait, NO_BOUND);
+        let bound = "240000 (section 1: all samples of a step within 4 minutes)";
+        compare_quantiles(&format!("{name}.rollout_total"), &pooled, |p| &p.rollout_total, bound);
+        let done = pooled.each_ref().map(|pooled| pooled.rollout_total.len() as f64);
         compare(format!("{name}.rollouts_done"), &done, "calls", NO_BOUND);
     }
 }
 
-fn rollouts_done(jobs: &[Job], results: &Results) -> f64 {
-    let is_rollout = |job: usize| jobs[job].priority == Priority::Rollout;
-    results.ended.iter().filter(|ended| is_rollout(ended.job)).count() as f64
-}
-
 /// Latency of interactive calls while a fifth of the targets has moments of slowness.
 pub fn slowed_targets(size: &Size, seed: u64) {
-    let setup = size.setup(size.targets / 5, seed);
-    let jobs = jobs(&setup, &workload(&setup, 0.5));
-    let totals = run_all(&setup, &jobs).map(|results| {
-        quantiles(&setup, &jobs, &results, Priority::Interactive, false, [0.5, 0.99, 0.999])
-    });
-    for (quantile, values) in ["p50", "p99", "p99.9"].iter().zip(columns(totals)) {
-        let name = format!("{}.slowed_targets.short_total_{quantile}", size.name);
-        compare(name, &values, "ms", NO_BOUND);
-    }
+    let pooled = run_all(size, size.targets / 5, 0.5, seed);
+    let name = format!("{}.slowed_targets.short_total", size.name);
+    compare_quantiles(&name, &pooled, |p| &p.short_total, NO_BOUND);
 }
 
 /// Tokens per second of calls that ended before their deadline.
@@ -236,30 +255,25 @@
 
 /// Interactive latency with and without staged duplicates, a fifth of the targets slowed.
 pub fn hedging(size: &Size, seed: u64) {
-    let setup = size.setup(size.targets / 5, seed);
     for (load, delay_s) in [(0.5, 0.1), (0.5, 0.3), (0.75, 0.1)] {
-        let jobs = jobs(&setup, &workload(&setup, load));
-        let run = |hedging| {
-            let policy = Policy::new(Choice::Chosen, &setup, None);
-            let results = Run::new(&setup, &jobs, policy, hedging).run();
-            let times = quantiles(
-                &setup,
-                &jobs,
-                &results,
-                Priority::Interactive,
-                false,
-                [0.5, 0.99, 0.999],
-            );
-            (times, results.hedges, results.attempts)
-        };
-        let retries = RetryBudget::new(BudgetOptions {
-            reserve_attempts: 1e9,
-            max_balance_attempts: 1e9,
-            ..BudgetOptions::default()
-        });
-        let budget = HedgeBudget::new(BudgetOptions::hedge(), retries);
-        let (without, ..) = run(None);
-        let (with, hedges, attempts) = run(Some(Hedging { delay_s, budget }));
+        let mut with = Pooled::new();
+        let mut without = Pooled::new();
+        let (mut hedges, mut attempts) = (0, 0);
+        for seed in seed * SEEDS..(seed + 1) * SEEDS {
+            let setup = size.setup(size.targets / 5, seed);
+            let jobs = jobs(&setup, &workload(&setup, load));
+            let run = |hedging| {
+                let policy = Policy::new(Choice::Chosen, &setup, None);
+                Run::new(&setup, &jobs, policy, hedging).run()
+            };
+            let budget = HedgeBudget::new(BudgetOptions::hedge(), unlimited_retries());
+            without.add(&setup, &jobs, &run(None));
+            let results = run(Some(Hedging { delay_s, budget }));
+            with.add(&setup, &jobs, &results);
+            hedges += results.hedges;
+            attempts += results.attempts;
+        }
+        let [with, without] = [with, without].map(|pooled| quantiles_ms(&pooled.short_total));
         let name = format!("{}.hedging_load{load}_delay{:.0}ms", size.name, delay_s * 1e3);
         for (index, quantile) in ["p50", "p99", "p99.9"].iter().enumerate() {
             let base = Some(("no_hedging", without[index]));
@@ -277,6 +291,12 @@
     }
 }
 
+/// Returns a retry budget that leaves the bound to the hedging budget.
+fn unlimited_retries() -> RetryBudget {
+    let plenty = BudgetOptions { reserve_attempts: 1e9, ..BudgetOptions::default() };
+    RetryBudget::new(BudgetOptions { max_balance_attempts: 1e9, ..plenty })
+}
+
 /// Attempts per call while a pool fails a part of its calls.
 pub fn retries() {
     for failing_percent in [10, 50, 100] {
