Consider other data centres from a quarter of a target's slots

Cause: with 10 targets in 4 data centres a VM filled its 2 or 3 local targets to 90% before it looked further, so that rollouts and short calls crowded there while others were idle.

Change: spill_load from 0.9 to 0.25.

The test of the preference for the own data centre now sets the option that it tests, and another one checks the default.

--- a/crates/route/src/options.rs
+++ b/crates/route/src/options.rs
@@ -44,7 +44,7 @@
             data_centre: String::new(),
             subset_size: 64,
             remote_subset_percent: 25,
-            spill_load: 0.9,
+            spill_load: 0.25,
             remote_load_factor: 1.5,
             affinity_load_factor: 1.5,
             rollout_slots_percent: 75,
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -88,7 +88,8 @@
 /// it has none.
 #[test]
 fn own_data_centre_is_preferred_unless_loaded() {
-    let router = router(&pool(8, 2, 4));
+    let router = Router::new(RouterOptions { spill_load: 0.9, ..options() });
+    router.update_pool(POOL, &pool(8, 2, 4));
     let now = Instant::now();
     let mut picks = Vec::new();
     for _ in 0..10 {
@@ -102,6 +103,17 @@
     assert!((4..=12).contains(&remote), "{remote} of 24 calls to the other data centre");
 }
 
+/// Guards against calls crossing data centres while the own one is idle, with the default options.
+#[test]
+fn idle_data_centre_keeps_its_calls() {
+    let router = router(&pool(8, 2, 8));
+    let now = Instant::now();
+    for _ in 0..200 {
+        let pick = pick(&router, Priority::Interactive, now);
+        assert!(target_number(&pick.target).is_multiple_of(2));
+    }
+}
+
 fn target_number(target: &str) -> usize {
     target[1..].parse().unwrap()
 }
