--- a/crates/peer/examples/peer_scale.rs
+++ b/crates/peer/examples/peer_scale.rs
@@ -104,15 +104,7 @@
     let freeze = start_frozen_node(&options, store.address, &board);
     let nodes = options.nodes;
     // The VM that will be frozen is one more.
-    wait_until("all VMs joined", || {
-        std::thread::sleep(Duration::from_secs(2));
-        eprintln!(
-            "dbg joined {} cpu {:.1}",
-            board.joined.load(Ordering::Relaxed),
-            cpu_s(&cpu_clocks)
-        );
-        board.joined.load(Ordering::Relaxed) >= nodes
-    });
+    wait_until("all VMs joined", || board.joined.load(Ordering::Relaxed) >= nodes);
     let mode = if options.direct { "direct" } else { "relay" };
     println!("mode {mode}, nodes {nodes}, data_centres {}", options.data_centres);
     println!("join_time {:.2} s", started.elapsed().as_secs_f64());
@@ -290,37 +282,51 @@
 ) {
     monoio::spawn(publish(peer.clone(), cancel.clone()));
     monoio::spawn(record_changes(peer.clone(), board.clone()));
-    let mut is_joined = false;
-    let mut detected = None;
+    monoio::spawn(record_members(name.clone(), peer.clone(), nodes, board.clone()));
     let mut sampled = 0;
     loop {
-        monoio::time::sleep(Duration::from_millis(5)).await;
-        if !is_joined && peer.config().is_synced() {
-            let live = peer.members().iter().filter(|m| m.state == MemberState::Live).count();
-            if live > nodes {
-                is_joined = true;
-                board.joined.fetch_add(1, Ordering::Relaxed);
-            }
-        }
+        monoio::time::sleep(Duration::from_millis(100)).await;
         let sample = board.sample.load(Ordering::Relaxed);
         if sample != sampled {
             sampled = sample;
             board.store_calls.lock().expect("lock").push(peer.store_calls());
             board.samples.lock().expect("lock")[number] = peer.traffic();
         }
+        if board.kill.lock().expect("lock").as_ref() == Some(&name) {
+            cancel.cancel();
+            return;
+        }
+    }
+}
+
+/// Reports when all members are live, and when the victim is dead.
+async fn record_members(name: String, peer: Peer, nodes: usize, board: Arc<Board>) {
+    let mut changes = peer.member_changes();
+    peer.config().wait_synced().await;
+    let mut is_joined = false;
+    let mut detected = None;
+    loop {
+        let members = peer.members();
+        let live = members.iter().filter(|m| m.state == MemberState::Live).count();
+        if !is_joined && live > nodes {
+            is_joined = true;
+            board.joined.fetch_add(1, Ordering::Relaxed);
+        }
+        let is_dead = |vm: &str| members.iter().any(|m| m.vm == vm && m.state == MemberState::Dead);
         let victim = board.victim.lock().expect("lock").clone();
         if let Some((vm, since)) = victim
             && vm != name
             && detected.as_ref() != Some(&vm)
-            && peer.members().iter().any(|m| m.vm == vm && m.state == MemberState::Dead)
+            && is_dead(&vm)
         {
             board.detections.lock().expect("lock").push(since.elapsed());
             detected = Some(vm);
         }
-        if board.kill.lock().expect("lock").as_ref() == Some(&name) {
-            cancel.cancel();
+        if changes.changed().await.is_err() {
             return;
         }
+        // Bounds the cost of this program itself, which looks at all members each time.
+        monoio::time::sleep(Duration::from_millis(100)).await;
     }
 }
 
--- a/crates/peer/src/links.rs
+++ b/crates/peer/src/links.rs
@@ -24,7 +24,8 @@
     wire::{MemberRecord, Message},
 };
 
-/// Messages that wait to be written on a link. A peer that is that far behind is cut off; it gets
+/// Messages that wait to be written on a link; their bytes are at most those of the largest
+/// message. A peer that is that far behind is cut off; it gets
 /// what it missed by comparing digests after it has reconnected.
 const QUEUE_MESSAGES: usize = 512;
 
@@ -45,6 +46,8 @@
     pub(crate) missed_probes: Cell<u32>,
     pub(crate) fetches: RefCell<FetchQueue>,
     queue: mpsc::Sender<Bytes>,
+    /// Bytes of the messages in the queue.
+    queued_bytes: Cell<usize>,
     /// Cancelled when the link has to close.
     pub(crate) closed: CancellationToken,
 }
@@ -59,9 +62,12 @@
 
     fn send_encoded(&self, shared: &Shared, message: &Message, bytes: Bytes) {
         let size_bytes = bytes.len();
-        match self.queue.try_send(bytes) {
-            Ok(()) => shared.traffic.count_sent(message, size_bytes),
-            Err(_) => self.closed.cancel(),
+        let queued_bytes = self.queued_bytes.get() + size_bytes;
+        if queued_bytes <= shared.options.max_message_bytes && self.queue.try_send(bytes).is_ok() {
+            self.queued_bytes.set(queued_bytes);
+            shared.traffic.count_sent(message, size_bytes);
+        } else {
+            self.closed.cancel();
         }
     }
 }
@@ -130,6 +136,7 @@
             missed_probes: Cell::new(0),
             fetches: RefCell::default(),
             queue,
+            queued_bytes: Cell::new(0),
             closed: CancellationToken::new(),
         });
         self.links.insert(vm, link.clone());
@@ -174,7 +181,7 @@
     gossip::send_full_summary(&shared, &link);
 
     let result = monoio::select! {
-        result = write(&mut sender, outgoing) => result,
+        result = write(&link, &mut sender, outgoing) => result,
         result = read(&shared, &link, receiver) => result,
         () = link.closed.cancelled() => Ok(()),
         () = shared.cancel.cancelled() => Ok(()),
@@ -188,9 +195,15 @@
     }
 }
 
-async fn write(sender: &mut Sender, mut outgoing: mpsc::Receiver<Bytes>) -> Result<(), String> {
+async fn write(
+    link: &Link,
+    sender: &mut Sender,
+    mut outgoing: mpsc::Receiver<Bytes>,
+) -> Result<(), String> {
     while let Some(bytes) = outgoing.recv().await {
+        let size_bytes = bytes.len();
         sender.send(bytes).await?;
+        link.queued_bytes.set(link.queued_bytes.get() - size_bytes);
     }
     Ok(())
 }
--- a/crates/peer/src/membership.rs
+++ b/crates/peer/src/membership.rs
@@ -20,6 +20,8 @@
 
 /// Longest time between checks of the links.
 const CHECK_PERIOD: Duration = Duration::from_secs(1);
+/// Least time between two choices of partners.
+const BATCH_PERIOD: Duration = Duration::from_millis(100);
 /// Time for which a link that is no longer chosen stays open, so that news that is under way
 /// arrives.
 const LINGER: Duration = Duration::from_secs(3);
@@ -80,8 +82,9 @@
             open_link(&shared, vm);
         }
         close_links(&shared, &chosen);
-        // Many changes at a time, such as the failure of a rack, are handled together.
-        monoio::time::sleep(Duration::from_millis(20)).await;
+        // Many changes at a time, such as the failure of a rack, are handled together: choosing
+        // partners costs about 0.1 ms at 330 members.
+        monoio::time::sleep(BATCH_PERIOD).await;
     }
 }
 
--- a/crates/peer/src/peer.rs
+++ b/crates/peer/src/peer.rs
@@ -67,6 +67,7 @@
             member_news_added: Notify::new(),
             overloaded_until: Cell::new(now),
             watcher_from: Cell::new(now + grace),
+            poor_health: Cell::new(0),
             last_id: Cell::new(0),
             cancel,
             options,
--- a/crates/peer/src/probe.rs
+++ b/crates/peer/src/probe.rs
@@ -20,6 +20,8 @@
 /// Probes that a link may leave unanswered in a row while its VM answers elsewhere.
 const MAX_MISSED_PROBES: u32 = 2;
 
+/// Bound of the factor by which timeouts grow while this process is slow.
+const MAX_POOR_HEALTH: u32 = 8;
 /// Longest time for which one pause keeps this process from judging others.
 const MAX_OVERLOAD: Duration = Duration::from_secs(5);
 
@@ -50,6 +52,24 @@
     }
 }
 
+/// Returns the time in which a probe has to be answered.
+///
+/// A VM whose own probes fail one after the other is more likely slow itself than surrounded by
+/// dead VMs, so it waits longer before it suspects others ("Lifeguard: Local Health Awareness for
+/// More Accurate Failure Detection", A. Dadgar, J. Phillips, J. Currey).
+fn timeout(shared: &Shared) -> Duration {
+    shared.options.probe_timeout * (1 + shared.poor_health.get())
+}
+
+fn improve_health(shared: &Shared) {
+    shared.poor_health.set(shared.poor_health.get().saturating_sub(1));
+}
+
+/// Records a sign that this process is slow: an unanswered probe, or a suspicion of this VM.
+pub(crate) fn worsen_health(shared: &Shared) {
+    shared.poor_health.set((shared.poor_health.get() + 1).min(MAX_POOR_HEALTH));
+}
+
 /// Returns the next link of a round over all links in random order.
 ///
 /// With the same order on all VMs, VMs that started together would all probe the same one at a
@@ -75,11 +95,13 @@
 async fn probe_link(shared: Rc<Shared>, link: Rc<Link>) {
     let pending = PendingProbe::register(&shared);
     link.send(&shared, &Message::Ping(pending.id));
-    if pending.wait_answered(shared.options.probe_timeout).await {
+    if pending.wait_answered(timeout(&shared)).await {
+        improve_health(&shared);
         link.missed_probes.set(0);
         remind_suspect(&shared, &link);
         return;
     }
+    worsen_health(&shared);
     link.missed_probes.set(link.missed_probes.get() + 1);
     if link.missed_probes.get() >= MAX_MISSED_PROBES {
         // The end of the link starts a verification of its VM.
@@ -103,11 +125,11 @@
         return;
     }
     let started = Instant::now();
+    // The sum of the timeouts of both probes and some delay.
+    let limit = timeout(&shared) * 4;
     if probe_directly(&shared, &vm).await || probe_indirectly(&shared, &vm).await {
         return;
     }
-    // The limit is the sum of the timeouts of both probes and some delay.
-    let limit = shared.options.probe_timeout * 4;
     let is_overloaded = started.elapsed() > limit || Instant::now() < shared.overloaded_until.get();
     if is_overloaded || shared.cancel.is_cancelled() {
         return;
@@ -138,7 +160,7 @@
         }
         false
     };
-    monoio::time::timeout(shared.options.probe_timeout, probed).await.unwrap_or(false)
+    monoio::time::timeout(timeout(shared), probed).await.unwrap_or(false)
 }
 
 async fn probe_indirectly(shared: &Rc<Shared>, vm: &VmId) -> bool {
@@ -154,7 +176,7 @@
         let request = ProbeFor { id: pending.id, vm: vm.clone() };
         helper.send(shared, &Message::ProbeFor(request));
     }
-    pending.wait_answered(shared.options.probe_timeout * 2).await
+    pending.wait_answered(timeout(shared) * 2).await
 }
 
 /// A probe whose answer is awaited; forgotten when it is dropped.
--- a/crates/peer/src/shared.rs
+++ b/crates/peer/src/shared.rs
@@ -17,7 +17,7 @@
 use crate::{
     ConfigView, MemberState, PeerOptions, Topic,
     links::{Link, LinkTable},
-    partners,
+    partners, probe,
     relay::RelayState,
     request::Direct,
     table::MemberTable,
@@ -33,9 +33,11 @@
 /// itself for a watcher, as it knows few others.
 const SETTLE: Duration = Duration::from_millis(500);
 
+/// Least time between two checks whether this VM is a watcher.
+const ROLE_PERIOD: Duration = Duration::from_millis(50);
 /// Time over which changed members are collected. When a rack fails or many VMs start, one message
 /// with many members replaces many messages.
-const NEWS_PERIOD: Duration = Duration::from_millis(20);
+const NEWS_PERIOD: Duration = Duration::from_millis(50);
 
 /// A changed member that is to be sent.
 pub(crate) struct MemberNews {
@@ -87,6 +89,8 @@
     pub(crate) overloaded_until: Cell<Instant>,
     /// Time from which this VM may take the role of a watcher.
     pub(crate) watcher_from: Cell<Instant>,
+    /// Signs in a row that this process is slow, see [`probe::worsen_health`].
+    pub(crate) poor_health: Cell<u32>,
     pub(crate) last_id: Cell<u64>,
     pub(crate) cancel: CancellationToken,
 }
@@ -112,9 +116,15 @@
         {
             let mut table = self.members.borrow_mut();
             for record in records {
+                let is_own = record.vm == self.options.vm;
                 match table.merge(record.clone(), now) {
                     // Not the record that came: its sender needs the changed one too.
-                    Some(changed) if changed != record => answers.push(changed),
+                    Some(changed) if changed != record => {
+                        if is_own {
+                            probe::worsen_health(self);
+                        }
+                        answers.push(changed);
+                    }
                     Some(changed) => news.push(changed),
                     None => {}
                 }
@@ -189,6 +199,7 @@
                     return;
                 }
                 let _ = changes.changed().await;
+                monoio::time::sleep(ROLE_PERIOD).await;
             } else {
                 // The first link may bring the time forward.
                 monoio::time::sleep(wait.min(Duration::from_millis(50))).await;
@@ -201,6 +212,7 @@
         let mut changes = self.member_changes.subscribe();
         while self.is_watcher() {
             let _ = changes.changed().await;
+            monoio::time::sleep(ROLE_PERIOD).await;
         }
     }
 
