--- a/crates/peer/src/gossip.rs
+++ b/crates/peer/src/gossip.rs
@@ -20,6 +20,9 @@
 
 /// Time between summaries of recent changes.
 const RECENT_SUMMARY_PERIOD: Duration = Duration::from_secs(1);
+/// Eager links above which a VM takes no further one, so that no VM becomes the hub of the tree and
+/// sends many times as much as the others. A VM that is turned away finds another link.
+const MAX_EAGER_LINKS: usize = 4;
 /// Time between summaries of all values.
 const FULL_SUMMARY_PERIOD: Duration = Duration::from_secs(30);
 
@@ -52,8 +55,8 @@
 
 /// Sends summaries: of recent changes to one link that is not eager, and rarely of all values.
 pub(crate) async fn send_summaries(shared: Rc<Shared>) {
-    // Changes before the last two summaries: each summary covers two periods.
-    let mut marks = [0, 0];
+    // Last changes at the starts of the last periods, the oldest first.
+    let mut marks = [0; 4];
     let mut next_full = Instant::now() + FULL_SUMMARY_PERIOD;
     loop {
         // Spread, so that VMs that started together do not send at the same time.
@@ -65,14 +68,17 @@
                 send_full_summary(&shared, &link);
             }
         }
-        let last_change = shared.values.borrow().last_change();
-        if let Some(link) = shared.random_link(|link| !link.eager.get())
-            && marks[0] < last_change
+        // Two periods, without the latest two: a value that is still on its way on the eager links
+        // would be fetched too, and the fetch would add a link to the tree for nothing.
+        let recent = marks[0] + 1..=marks[2];
+        if !recent.is_empty()
+            && let Some(link) = shared.random_link(|link| !link.eager.get())
         {
-            let pairs = shared.values.borrow().summary(marks[0]);
+            let pairs = shared.values.borrow().summary(recent);
             link.send(&shared, &Message::ValueSummary(ValueSummary { pairs, recent: true }));
         }
-        marks = [marks[1], last_change];
+        marks.rotate_left(1);
+        marks[3] = shared.values.borrow().last_change();
     }
 }
 
@@ -80,7 +86,7 @@
 pub(crate) fn send_full_summary(shared: &Shared, link: &Link) {
     let values = shared.values.borrow();
     link.sent_change.set(values.last_change());
-    let pairs = values.summary(0);
+    let pairs = values.summary(0..=values.last_change());
     drop(values);
     link.send(shared, &Message::ValueSummary(ValueSummary { pairs, recent: false }));
 }
@@ -115,7 +121,8 @@
 
 /// Answers a fetch of values.
 pub(crate) fn on_fetch(shared: &Shared, link: &Link, fetch: &ValueFetch) {
-    if fetch.eager {
+    let eager_count = shared.links.borrow().all().iter().filter(|link| link.eager.get()).count();
+    if fetch.eager && eager_count < MAX_EAGER_LINKS {
         link.eager.set(true);
     }
     let records = shared.values.borrow().fetch(&fetch.keys);
--- a/crates/peer/src/options.rs
+++ b/crates/peer/src/options.rs
@@ -92,7 +92,7 @@
             value_expiry: Duration::from_secs(10),
             gossip_period: Duration::from_millis(200),
             refresh_period: Duration::from_secs(5),
-            values_budget_bytes_per_s: 2_500,
+            values_budget_bytes_per_s: 2_000,
             repair_period: Duration::from_secs(5),
             watchers_per_data_centre: 2,
             watch_idle_timeout: Duration::from_secs(15),
--- a/crates/peer/src/values.rs
+++ b/crates/peer/src/values.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
+    ops::RangeInclusive,
     time::{Duration, Instant},
 };
 
@@ -199,10 +200,10 @@
             .collect()
     }
 
-    /// Returns the versions of all values that changed after `after`.
-    pub(crate) fn summary(&self, after: u64) -> ByteBuf {
+    /// Returns the versions of all values whose last change is in `changes`.
+    pub(crate) fn summary(&self, changes: RangeInclusive<u64>) -> ByteBuf {
         let mut pairs = Vec::new();
-        for key in self.changes.range(after + 1..).map(|(_, key)| key) {
+        for key in self.changes.range(changes).map(|(_, key)| key) {
             let Some(entry) = self.entries.get(key) else { continue };
             pairs.extend_from_slice(&key_hash(key, entry.incarnation).to_le_bytes());
             pairs.extend_from_slice(&(entry.sequence as u32).to_le_bytes());
