--- a/crates/route/examples/route_bench/policy.rs
+++ b/crates/route/examples/route_bench/policy.rs
@@ -72,6 +72,7 @@
         serving_floor_percent: 50,
         idempotent_paths: Vec::new(),
         weight_store_address: None,
+        weight_relays: Vec::new(),
         targets: (0..setup.targets).map(target).collect(),
     }
 }
