--- /dev/null
+++ b/bins/deckcapacity/src/lib.rs
@@ -0,0 +1,5 @@
+//! Capacity measurement: sweeps over sizes, straight lines fitted to them, and plots.
+
+pub mod fit;
+pub mod plot;
+pub mod point;
--- a/bins/deckdemo/src/account.rs
+++ b/bins/deckdemo/src/account.rs
@@ -8,12 +8,11 @@
 };
 use serde_json::Value;
 
-use crate::{
-    deployment::{
-        Deployment, ENGINES, LIVE, Run, SAMPLES_PER_STEP, SERVICES, STALENESS_BOUND_VERSIONS,
-        STEPS, TRAINING,
-    },
-    error::DemoError,
+use deckdemo::error::DemoError;
+
+use crate::deployment::{
+    Deployment, ENGINES, LIVE, Run, SAMPLES_PER_STEP, SERVICES, STALENESS_BOUND_VERSIONS, STEPS,
+    TRAINING,
 };
 
 /// Prints the account.
--- a/bins/deckdemo/src/deployment.rs
+++ b/bins/deckdemo/src/deployment.rs
@@ -4,14 +4,15 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::Child,
-    time::{Duration, Instant},
 };
 
-use deck_testkit::EVENT_DEADLINE;
 use deckscenario::{command::Binding, world::World};
 use serde_json::{Value, json};
 
-use crate::{error::DemoError, tools};
+use deckdemo::{
+    error::DemoError,
+    tools::{self, wait_for, wait_ready},
+};
 
 /// Steps that the trainer takes.
 pub const STEPS: u64 = 2;
@@ -105,7 +106,8 @@
         self.set_vm_list()?;
         for (vm, _) in VMS {
             for program in ["entry", "roll", "weight"] {
-                self.wait_ready(&format!("{vm}-{program}"))?;
+                let name = format!("{vm}-{program}");
+                wait_ready(&name, self.address(&name, "admin")?)?;
             }
         }
         Ok(())
@@ -136,19 +138,6 @@
         tools::put(vmlist, "/admin/vms", &json!({ "vms": vms })).map(drop)
     }
 
-    fn wait_ready(&self, name: &str) -> Result<(), DemoError> {
-        let address = self.address(name, "admin")?;
-        wait_for(&format!("{name} is ready"), || {
-            let client = deck_net::Client::default();
-            let request = deck_net::http::Request::builder()
-                .uri("/readyz")
-                .body(deck_net::Body::empty())
-                .map_err(|error| DemoError::Program(name.to_owned(), error.to_string()))?;
-            let response = deck_net::runtime::run(client.send(address, request))?;
-            Ok(response.is_ok_and(|response| response.status.is_success()))
-        })
-    }
-
     fn apply_objects(&self) -> Result<(), DemoError> {
         let file = self.directory.join("objects.json");
         std::fs::write(&file, serde_json::to_string_pretty(&self.objects()?)?)?;
@@ -358,17 +347,3 @@
 fn path_text(path: &Path) -> String {
     path.display().to_string()
 }
-
-fn wait_for(
-    what: &str,
-    mut condition: impl FnMut() -> Result<bool, DemoError>,
-) -> Result<(), DemoError> {
-    let deadline = Instant::now() + EVENT_DEADLINE;
-    while !condition()? {
-        if Instant::now() > deadline {
-            return Err(DemoError::Program("demo".to_owned(), format!("not in time: {what}")));
-        }
-        std::thread::sleep(Duration::from_millis(100));
-    }
-    Ok(())
-}
--- /dev/null
+++ b/bins/deckdemo/src/lib.rs
@@ -0,0 +1,4 @@
+//! Parts of the demonstration that the capacity measurement uses too.
+
+pub mod error;
+pub mod tools;
--- a/bins/deckdemo/src/main.rs
+++ b/bins/deckdemo/src/main.rs
@@ -5,14 +5,14 @@
 
 mod account;
 mod deployment;
-mod error;
-mod tools;
 
 use std::{path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
 
-use crate::{deployment::Deployment, error::DemoError};
+use deckdemo::error::DemoError;
+
+use crate::deployment::Deployment;
 
 /// Runs a small deployment and prints an account.
 #[derive(Debug, Clone, Bpaf)]
--- a/bins/deckdemo/src/tools.rs
+++ b/bins/deckdemo/src/tools.rs
@@ -3,10 +3,14 @@
 use std::{
     net::SocketAddr,
     process::{Child, Command, Stdio},
+    time::{Duration, Instant},
 };
 
-use deck_net::{Client, http::Method};
-use deck_testkit::program;
+use deck_net::{
+    Body, Client,
+    http::{Method, Request},
+};
+use deck_testkit::{EVENT_DEADLINE, program};
 use serde_json::Value;
 
 use crate::error::DemoError;
@@ -66,3 +70,30 @@
         Err(error) => Err(failed(error.to_string())),
     }
 }
+
+/// Runs `condition` until it holds.
+pub fn wait_for(
+    what: &str,
+    mut condition: impl FnMut() -> Result<bool, DemoError>,
+) -> Result<(), DemoError> {
+    let deadline = Instant::now() + EVENT_DEADLINE;
+    while !condition()? {
+        if Instant::now() > deadline {
+            return Err(DemoError::Program("wait".to_owned(), format!("not in time: {what}")));
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    Ok(())
+}
+
+/// Waits until the daemon whose admin listener is at `address` is ready.
+pub fn wait_ready(name: &str, address: SocketAddr) -> Result<(), DemoError> {
+    wait_for(&format!("{name} is ready"), || {
+        let request = Request::builder()
+            .uri("/readyz")
+            .body(Body::empty())
+            .map_err(|error| DemoError::Program(name.to_owned(), error.to_string()))?;
+        let response = deck_net::runtime::run(Client::default().send(address, request))?;
+        Ok(response.is_ok_and(|response| response.status.is_success()))
+    })
+}
