--- a/bins/deckscenario/src/error.rs
+++ b/bins/deckscenario/src/error.rs
@@ -17,6 +17,10 @@
         Command(line: usize, message: String) {
             display("line {line}: {message}")
         }
+        /// A stop signal ended the scenario.
+        Stopped {
+            display("stopped by a signal")
+        }
         /// A file cannot be read or written.
         File(path: PathBuf, error: std::io::Error) {
             display("{}: {error}", path.display())
--- a/bins/deckscenario/src/main.rs
+++ b/bins/deckscenario/src/main.rs
@@ -31,14 +31,18 @@
 fn main() -> ExitCode {
     let options = options().run();
     let _ = deck_obs::logs::try_init("warn");
-    let mut failed = 0;
+    let (mut ran, mut failed) = (0, 0);
     for file in &options.files {
+        ran += 1;
         if let Err(error) = run_file(&options, file) {
             failed += 1;
             println!("FAILED {}: {error}", file.display());
+            if matches!(error, ScenarioError::Stopped) {
+                break;
+            }
         }
     }
-    println!("{} scenarios, {failed} failed", options.files.len());
+    println!("{ran} scenarios, {failed} failed");
     if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
@@ -54,9 +58,14 @@
         .map_err(|error| ScenarioError::File(directory.clone(), error))?;
     println!("running {} seed {seed} files {}", file.display(), directory.display());
     let started = Instant::now();
-    let ran = deck_net::runtime::run(run::run(&scenario, seed, directory.clone()))
-        .map_err(|error| ScenarioError::File(directory.clone(), error))?;
-    ran?;
+    let io_error = |error| ScenarioError::File(directory.clone(), error);
+    deck_net::runtime::run(async {
+        // A stop signal drops the scenario, which ends its processes.
+        let stop = deck_net::runtime::stop_token().map_err(io_error)?;
+        let ran = stop.run_until_cancelled(run::run(&scenario, seed, directory.clone())).await;
+        ran.unwrap_or(Err(ScenarioError::Stopped))
+    })
+    .map_err(io_error)??;
     if !options.keep {
         let _ = std::fs::remove_dir_all(&directory);
     }
--- a/bins/deckscenario/tests/scenarios.rs
+++ b/bins/deckscenario/tests/scenarios.rs
@@ -1,7 +1,12 @@
 //! Whole scenarios, and scenarios with a planted fault that have to fail.
 
-use std::{path::PathBuf, process::Command};
+use std::{
+    path::PathBuf,
+    process::Command,
+    time::{Duration, Instant},
+};
 
+use deck_testkit::{EVENT_DEADLINE, Process};
 use test_case::test_case;
 
 struct Ran {
@@ -69,3 +74,41 @@
     assert!(!ran.succeeded, "{}", ran.output);
     assert!(ran.output.contains(message), "{}", ran.output);
 }
+
+/// Guards against processes that go on after a scenario has been interrupted.
+#[test]
+fn stop_signal_ends_the_processes_of_a_scenario() {
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("stop");
+    std::fs::create_dir_all(&directory).expect("directory");
+    let file = directory.join("endless.scn");
+    let text = "guards x\nstandin service service\n\
+        load get --entry ${service.http} --duration-ms 1 --get-per-s 1\nsleep 3600000\n";
+    std::fs::write(&file, text).expect("file");
+    let arguments = ["--directory", &directory.display().to_string(), &file.display().to_string()];
+    let mut runner = Process::start("runner", "deckscenario", &arguments, None);
+    let run_directory = directory.join(format!("deckscenario-{}-endless", runner.id()));
+    // The log of the load is created after the service has started.
+    let deadline = Instant::now() + EVENT_DEADLINE;
+    while !run_directory.join("get.log").exists() {
+        assert!(Instant::now() < deadline, "the scenario starts");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let children = children_of(runner.id());
+    assert!(!children.is_empty(), "the service runs");
+    runner.terminate();
+    assert!(!runner.wait().success());
+    for child in children {
+        assert!(!is_running(child), "process {child} has ended");
+    }
+    std::fs::remove_dir_all(&directory).expect("removed");
+}
+
+fn children_of(parent: u32) -> Vec<u32> {
+    let path = format!("/proc/{parent}/task/{parent}/children");
+    let children = std::fs::read_to_string(path).expect("own child");
+    children.split_whitespace().map(|id| id.parse().expect("id")).collect()
+}
+
+fn is_running(id: u32) -> bool {
+    PathBuf::from(format!("/proc/{id}")).exists()
+}
