--- a/bins/deckentry/tests/path.rs
+++ b/bins/deckentry/tests/path.rs
@@ -83,8 +83,13 @@
         assert_eq!(world.executions(&service, "k1").await, 1);
 
         let headers = [("x-organisation", ORGANISATION)];
-        let answer = world.send(entry.caller, "POST", "/services/booking/x", &headers, "").await;
-        assert_eq!(answer.error(), ("key_required".to_owned(), "not_run".to_owned()));
+        // Paths that a target may read as one outside the idempotent prefix.
+        for path in ["x", "queryx", "query/../x", "query/%2E%2e/x", "query/..%2fx", "query/..%5Cx"]
+        {
+            let path = format!("/services/booking/{path}");
+            let answer = world.send(entry.caller, "POST", &path, &headers, "").await;
+            assert_eq!(answer.error(), ("key_required".to_owned(), "not_run".to_owned()), "{path}");
+        }
         let answer = world.send(entry.caller, "GET", "/services/none/x", &headers, "").await;
         assert_eq!(answer.error(), ("unknown_pool".to_owned(), "not_run".to_owned()));
         let headers = [("x-organisation", "stranger")];
--- a/crates/call/src/pools.rs
+++ b/crates/call/src/pools.rs
@@ -26,12 +26,12 @@
     /// A prefix ends at a path separator: `/read` covers `/read` and `/read/1`, not `/readmit`.
     pub(crate) fn is_idempotent_path(&self, path: &str) -> bool {
         let path = path.split('?').next().unwrap_or_default();
-        // A path with dot segments may mean another place to the target than to this check.
-        let has_dots = path.split('/').any(|segment| {
-            let plain = segment.to_ascii_lowercase().replace("%2e", ".");
-            plain == "." || plain == ".."
-        });
-        !has_dots
+        // A path with dot segments or encoded separators may mean another place to the target than
+        // to this check.
+        let plain = path.to_ascii_lowercase().replace("%2e", ".");
+        let is_ambiguous = plain.split('/').any(|segment| segment == "." || segment == "..")
+            || ["%2f", "%5c", "%25", "\\"].iter().any(|separator| plain.contains(separator));
+        !is_ambiguous
             && self.spec.idempotent_paths.iter().any(|prefix| {
                 path.strip_prefix(prefix.as_str()).is_some_and(|rest| {
                     rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/')
--- a/crates/call/src/record.rs
+++ b/crates/call/src/record.rs
@@ -171,6 +171,7 @@
     /// Begins a try of `key`.
     pub fn begin(&mut self, key: KeyHash, request: RequestHash, now: Instant) -> Begin {
         self.expire(now);
+        self.release_old_claim(key, now);
         let Some(record) = self.records.get(&key) else {
             return self.insert(key, request, now);
         };
@@ -296,6 +297,19 @@
         Ok(())
     }
 
+    /// Gives up an abandoned claim that is as old as claims are kept: this process may have been
+    /// frozen, and another VM may have deleted the claim meanwhile.
+    fn release_old_claim(&mut self, key: KeyHash, now: Instant) {
+        let keep = self.options.claim_keep;
+        let is_old = self.records.get(&key).is_some_and(|record| {
+            let abandoned = *record.state.borrow() == RecordState::Abandoned;
+            abandoned && now.saturating_duration_since(record.since) >= keep
+        });
+        if is_old {
+            self.release(key);
+        }
+    }
+
     /// Gives up the claim of a record: this process no longer runs the key under it.
     fn release(&mut self, key: KeyHash) {
         if let Some(record) = self.records.get_mut(&key)
--- a/crates/call/tests/records.rs
+++ b/crates/call/tests/records.rs
@@ -102,6 +102,21 @@
     assert!(matches!(records.begin(KEY, REQUEST, later + keep), Begin::Reclaim(_)));
 }
 
+/// Guards against a process that thaws after its claims were swept and runs a key from memory.
+#[test]
+fn old_claim_is_not_run_from_memory() {
+    let options = OnceOptions::default();
+    let (mut records, now) = records(options.clone());
+    assert!(matches!(records.begin(KEY, REQUEST, now), Begin::New));
+    records.set_nonce(KEY, "first");
+    records.confirm(KEY);
+    records.end(KEY, RecordState::Abandoned, now);
+    let Begin::Reclaim(reclaim) = records.begin(KEY, REQUEST, now + options.claim_keep) else {
+        panic!("ran at once")
+    };
+    assert_eq!(reclaim.released_nonce.as_deref(), Some("first"));
+}
+
 /// Guards against memory without bound, and against an answer that is dropped and run again.
 #[test]
 fn answers_are_bounded_in_size_and_dropped_ones_stay_lost() {
