--- a/crates/call/src/answer.rs
+++ b/crates/call/src/answer.rs
@@ -1,18 +1,25 @@
 //! Responses to callers.
 
+use std::time::{Duration, Instant};
+
 use bytes::Bytes;
 use deck_core::error::{CallError, ErrorKind};
 use deck_net::{
     Body,
+    body::BodySender,
     http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header},
     server::json_response,
 };
 
 use crate::{
+    body::until,
     head::{HOP_BY_HOP, REQUEST_ID, TARGET},
     record::{RecordedAnswer, RecordedHeader},
 };
 
+/// Time for the event that ends a stream early.
+const ERROR_EVENT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Returns the response for an error, from the one table of error kinds.
 pub fn error_response(error: &CallError, request_id: &str) -> Response<Body> {
     let row = error.kind.row();
@@ -100,7 +107,13 @@
 /// Returns the bytes of the event that ends a stream which cannot be completed.
 ///
 /// Such a stream has no `[DONE]`.
-pub fn error_event(error: &CallError, request_id: &str) -> Bytes {
+fn error_event(error: &CallError, request_id: &str) -> Bytes {
     let body = serde_json::to_string(&error.body(request_id)).unwrap_or_default();
     deck_net::sse::encode(Some("error"), &body)
 }
+
+/// Tells the caller why the stream ends early; a caller that reads nothing is not waited for.
+pub(crate) async fn send_error(sender: &BodySender, error: &CallError, request_id: &str) {
+    let sent = sender.send(error_event(error, request_id));
+    let _ = until(Instant::now() + ERROR_EVENT_TIMEOUT, sent).await;
+}
--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -1,9 +1,6 @@
 //! Completions: generation with resume on another engine, streamed or collected.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Instant};
 
 use deck_core::{
     error::{CallError, ErrorKind},
@@ -21,7 +18,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    answer::{self, error_event, error_response},
+    answer::{self, error_response, send_error},
     attempt::{Attempt, SendError, json_headers, refusal, target_request},
     body::until,
     call::Call,
@@ -36,8 +33,6 @@
 const MAX_RESUMED_TRIES: u32 = 16;
 /// First bytes of the prompt that decide its affinity.
 const AFFINITY_PROMPT_BYTES: usize = 1024;
-/// Time for the event that ends a stream early.
-const ERROR_EVENT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest error body of an engine that is passed on.
 const MAX_ERROR_BYTES: usize = 64 * 1024;
 
@@ -215,12 +210,6 @@
     }
 }
 
-/// Tells the caller why the stream ends early; a caller that reads nothing is not waited for.
-async fn send_error(sender: &BodySender, error: &CallError, request_id: &str) {
-    let sent = sender.send(error_event(error, request_id));
-    let _ = until(Instant::now() + ERROR_EVENT_TIMEOUT, sent).await;
-}
-
 /// Generation of one call over as many engines as it takes.
 struct Run<'a> {
     shared: &'a SharedRef,
