--- a/crates/roll/src/board.rs
+++ b/crates/roll/src/board.rs
@@ -7,11 +7,7 @@
 mod handover;
 mod stats;
 
-use std::{
-    collections::BTreeMap,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, rc::Rc, time::Instant};
 
 use deck_core::{
     id::{JobName, WeightVersion},
@@ -24,12 +20,17 @@
     bitmap::GroupBitmap,
     forecast::Forecast,
     length::LengthModel,
+    mix::EngineMix,
     options::BoardOptions,
     sample::{SampleKey, SampleText},
 };
 
-/// Time for which a report of an engine's version outweighs reports of older versions.
-const ENGINE_REPORT_KEEP: Duration = Duration::from_secs(3);
+/// Part of the pool that must be new enough before work of a later step starts. During a rollout of
+/// weights the engines that still lag would make samples that are stale when their step comes.
+const LOOK_AHEAD_FRESH_SHARE: f64 = 0.9;
+/// Tokens up to which a sample of a later step is given up because of a forecast. The forecast may be
+/// wrong, so longer ones go on.
+const EARLY_TOKENS: u32 = 32;
 
 /// What the trainer said in its last pull.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,13 +43,6 @@
     pub held: GroupBitmap,
 }
 
-/// Version that an engine reported.
-#[derive(Debug, Clone, Copy)]
-struct EngineReport {
-    version: WeightVersion,
-    at: Instant,
-}
-
 /// A sample to generate.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Work {
@@ -89,8 +83,8 @@
     steps: BTreeMap<u64, Step>,
     forecast: Forecast,
     lengths: LengthModel,
-    /// Newest version that engines reported lately, and when.
-    engine: Option<EngineReport>,
+    /// Versions that engines reported lately.
+    engines: EngineMix,
     /// Earliest start of the next probe while the engines are too old.
     probe_at: Option<Instant>,
     running: u32,
@@ -112,7 +106,7 @@
             steps: BTreeMap::new(),
             forecast: Forecast::default(),
             lengths,
-            engine: None,
+            engines: EngineMix::default(),
             probe_at: None,
             running: 0,
             buffered_bytes: 0,
@@ -126,9 +120,9 @@
         self.trainer.as_ref()
     }
 
-    /// Returns the newest version that an engine reported.
+    /// Returns the newest version that engines reported lately.
     pub fn engine_version(&self) -> Option<WeightVersion> {
-        self.engine.map(|report| report.version)
+        self.engines.newest()
     }
 
     /// Returns the counters.
@@ -184,16 +178,28 @@
 
     /// Returns whether a running sample may still be handed over, given what it has so far.
     pub fn is_useful(&self, key: &SampleKey, text: &SampleText, now: Instant) -> bool {
-        let current = self.sample_epoch(key) == Some(key.epoch);
-        // A forecast may be wrong, so only the version that the trainer has now ends running work of
-        // a later step.
-        let trainer = self.trainer.as_ref();
-        let required = match trainer.is_some_and(|trainer| trainer.step == key.step) {
-            true => self.required_version(key.step, now),
-            false => trainer
-                .map(|trainer| trainer.version.saturating_sub(self.spec.staleness_bound_versions)),
+        let Some(trainer) = &self.trainer else { return false };
+        if self.sample_epoch(key) != Some(key.epoch) {
+            return false;
+        }
+        let required = if trainer.step == key.step || self.may_give_up_early(key, text, now) {
+            self.required_version(key.step, now)
+        } else {
+            Some(trainer.version.saturating_sub(self.spec.staleness_bound_versions))
         };
-        current && required.is_none_or(|required| text.is_fresh(required))
+        required.is_none_or(|required| text.is_fresh(required))
+    }
+
+    /// Returns whether a sample of a later step has just begun and other engines would do better.
+    fn may_give_up_early(&self, key: &SampleKey, text: &SampleText, now: Instant) -> bool {
+        text.token_count <= EARLY_TOKENS && self.may_look_ahead(key.step, now)
+    }
+
+    /// Returns whether the pool is new enough for work of a later step.
+    fn may_look_ahead(&self, step: u64, now: Instant) -> bool {
+        let required = self.required_version(step, now);
+        let share = required.and_then(|required| self.engines.fresh_share(required));
+        share.is_some_and(|share| share >= LOOK_AHEAD_FRESH_SHARE)
     }
 
     /// Chooses the next sample to start: the earliest step first, in it the groups with the longest
@@ -206,10 +212,10 @@
         let ahead_steps = if self.options.look_ahead { self.options.max_ahead_steps } else { 0 };
         for number in first..=first + ahead_steps {
             let required = self.required_version(number, now)?;
-            let is_old = self.engine_version().is_some_and(|version| version < required);
-            if number > first && (is_old || self.engine_version().is_none() || self.is_full()) {
+            if number > first && (self.is_full() || !self.may_look_ahead(number, now)) {
                 return None;
             }
+            let is_old = self.engine_version().is_some_and(|version| version < required);
             if is_old && self.options.look_ahead && !self.may_probe(now) {
                 return None;
             }
@@ -274,18 +280,9 @@
     }
 
     /// Takes note of tokens that an engine reported.
-    ///
-    /// One engine that restarts with an older version must not stop the work on the others, so an
-    /// older version counts only after no newer one was reported for a while.
     pub fn observe_engine(&mut self, version: WeightVersion, tokens: u32, now: Instant) {
         self.stats.generated_tokens += u64::from(tokens);
-        let keeps = |report: EngineReport| {
-            report.version > version
-                && now.saturating_duration_since(report.at) < ENGINE_REPORT_KEEP
-        };
-        if !self.engine.is_some_and(keeps) {
-            self.engine = Some(EngineReport { version, at: now });
-        }
+        self.engines.observe(version, tokens, now);
     }
 
     /// Takes a finished sample. Returns the group if it is complete and can be scored.
--- a/crates/roll/src/lib.rs
+++ b/crates/roll/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod length;
 pub mod locate;
 pub mod metrics;
+pub mod mix;
 pub mod options;
 pub mod owner;
 pub mod protocol;
--- a/crates/roll/src/window.rs
+++ b/crates/roll/src/window.rs
@@ -19,7 +19,7 @@
     }
 }
 
-/// Additive increase on success, multiplicative decrease on refusal.
+/// Additive increase on success, multiplicative decrease on refusal, fast growth at the start.
 #[derive(Debug, Clone)]
 pub struct Window {
     options: WindowOptions,
@@ -28,13 +28,15 @@
     running: u32,
     not_before: Option<Instant>,
     reduced_at: Option<Instant>,
+    /// Whether the pool has refused nothing yet.
+    unrefused: bool,
 }
 
 impl Window {
     /// Returns a window.
     pub fn new(options: WindowOptions) -> Self {
         let limit = f64::from(options.initial.clamp(1, options.max.max(1)));
-        Self { options, limit, running: 0, not_before: None, reduced_at: None }
+        Self { options, limit, running: 0, not_before: None, reduced_at: None, unrefused: true }
     }
 
     /// Returns whether one more generation may start.
@@ -63,14 +65,19 @@
     }
 
     /// Takes note of a generation that the pool took. Grows only if the window was in use.
+    ///
+    /// Until the first refusal it grows by one for each generation, afterwards by one for each
+    /// window of them.
     pub fn accepted(&mut self) {
         if f64::from(self.running) * 2.0 >= self.limit {
-            self.limit = (self.limit + 1.0 / self.limit).min(f64::from(self.options.max));
+            let growth = if self.unrefused { 1.0 } else { 1.0 / self.limit };
+            self.limit = (self.limit + growth).min(f64::from(self.options.max));
         }
     }
 
     /// Takes note of a refusal with the time after which the pool wants to be asked again.
     pub fn refused(&mut self, retry_after: Duration, now: Instant) {
+        self.unrefused = false;
         let until = now + retry_after;
         self.not_before = Some(self.not_before.map_or(until, |at| at.max(until)));
         let due = |at: Instant| now.saturating_duration_since(at) >= self.options.reduce_interval;
--- a/crates/roll/tests/parts.rs
+++ b/crates/roll/tests/parts.rs
@@ -8,6 +8,7 @@
     forecast::Forecast,
     length::LengthModel,
     locate::redirect_target,
+    mix::EngineMix,
     sample::SampleText,
     window::{Window, WindowOptions},
 };
@@ -106,6 +107,20 @@
     assert_eq!(forecast.trainer_version(0, now), Some(11));
 }
 
+/// Guards against a stop of all work because one engine restarted with an older version, and against
+/// a belief in new weights that all engines have lost.
+#[test]
+fn mix_forgets_versions_that_no_engine_reports() {
+    let start = Instant::now();
+    let mut mix = EngineMix::default();
+    assert_eq!((mix.newest(), mix.fresh_share(0)), (None, None));
+    mix.observe(5, 30, start);
+    mix.observe(4, 10, start + Duration::from_millis(1100));
+    assert_eq!((mix.newest(), mix.fresh_share(5)), (Some(5), Some(0.75)));
+    mix.observe(4, 10, start + Duration::from_secs(60));
+    assert_eq!((mix.newest(), mix.fresh_share(5)), (Some(4), Some(0.0)));
+}
+
 /// Guards against a prediction from another prompt.
 #[test]
 fn lengths_are_kept_by_prompt() {
