--- a/bins/deckscenario/src/command.rs
+++ b/bins/deckscenario/src/command.rs
@@ -1,5 +1,7 @@
 //! Commands of the scenario language.
 
+use std::path::Path;
+
 use crate::{
     error::ScenarioError,
     parse::{Statement, statements},
@@ -35,6 +37,19 @@
     pub value: String,
 }
 
+impl Binding {
+    /// Reads `key=value`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if there is no `=`.
+    pub fn try_parse(word: &str) -> Result<Self, String> {
+        let (key, value) =
+            word.split_once('=').ok_or_else(|| format!("{word:?}: expected key=value"))?;
+        Ok(Self { key: key.to_owned(), value: value.to_owned() })
+    }
+}
+
 /// Where a value is read: a load report, or a path at a process.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Source {
@@ -57,6 +72,14 @@
     Spans,
     /// `staleness BOUND TRAINER..`: no sample is older than the bound.
     Staleness,
+    /// `versions ENGINE..`: accepted orders never go back in fencing number or version. Only for
+    /// engines that check fencing numbers.
+    Versions,
+    /// `load-factor FACTOR CONSTANT LOAD SERVICE..`: services ran at most FACTOR times the calls
+    /// of the load, and CONSTANT more.
+    LoadFactor,
+    /// `share ORGANISATION PERCENT TOLERANCE LOAD`: the organisation's part of the load's tokens.
+    Share,
     /// `configuration STORE`: the accepted revision of an object never falls.
     Configuration,
 }
@@ -82,10 +105,12 @@
     Thaw { names: Vec<String> },
     /// `terminate NAME..`: SIGTERM and wait for a successful end.
     Terminate { names: Vec<String> },
+    /// `alive COUNT NAME..`: so many of these stand-ins answer.
+    Alive { count: usize, names: Vec<String> },
     /// `exits NAME`: waits for the end of the process.
     Exits { name: String },
     /// `restart NAME ARGUMENT..`: starts it again on the same addresses. Arguments replace those of
-    /// the start for a stand-in.
+    /// the start for a stand-in, and are further or changed bindings for a daemon.
     Restart { name: String, arguments: Vec<String> },
     /// `cut LINK..`, `stall LINK..`, `heal LINK..`.
     Link { names: Vec<String>, mode: &'static str },
@@ -111,6 +136,9 @@
     Finish { name: String },
     /// `sleep MS`.
     Sleep { wait_ms: u64 },
+    /// `mark VARIABLE NAME[/PATH] PLACE PLUS`: sets a variable to a number in a record and PLUS, to
+    /// wait for progress from here on.
+    Mark { variable: String, source: Source, place: String, plus: u64 },
     /// `wait NAME[/PATH] PLACE RELATION VALUE`: waits until it holds.
     Wait { source: Source, comparison: Comparison },
     /// `expect NAME[/PATH] PLACE RELATION VALUE`: it has to hold now.
@@ -119,13 +147,40 @@
     Check { invariant: Invariant, arguments: Vec<String> },
 }
 
-/// Reads a scenario.
+/// Reads a scenario file.
+///
+/// # Errors
+///
+/// Returns an error if a file cannot be read, or one that names the line and what is expected there.
+pub fn read(file: &Path) -> Result<Scenario, ScenarioError> {
+    let text = read_text(file)?;
+    parse(&text, file.parent().unwrap_or(Path::new("")))
+}
+
+/// Reads a scenario from a text; `include FILE` takes the commands of a file below `directory`.
 ///
 /// # Errors
 ///
-/// Returns an error that names the line and what is expected there.
-pub fn parse(text: &str) -> Result<Scenario, ScenarioError> {
+/// As [`read`].
+pub fn parse(text: &str, directory: &Path) -> Result<Scenario, ScenarioError> {
     let mut scenario = Scenario { guards: String::new(), seed: 1, commands: Vec::new() };
+    add_statements(&mut scenario, text, directory)?;
+    if scenario.guards.is_empty() {
+        let message = "no guards line names the failure that the scenario guards against";
+        return Err(ScenarioError::Syntax(1, message.to_owned()));
+    }
+    Ok(scenario)
+}
+
+fn read_text(file: &Path) -> Result<String, ScenarioError> {
+    std::fs::read_to_string(file).map_err(|error| ScenarioError::File(file.to_owned(), error))
+}
+
+fn add_statements(
+    scenario: &mut Scenario,
+    text: &str,
+    directory: &Path,
+) -> Result<(), ScenarioError> {
     for statement in statements(text)? {
         let line = statement.line;
         match statement.words[0].as_str() {
@@ -136,6 +191,13 @@
                         ScenarioError::Syntax(line, "seed: expected a number".to_owned())
                     })?;
             }
+            "include" => {
+                let file = directory.join(statement.words[1..].concat());
+                let included = read_text(&file)?;
+                add_statements(scenario, &included, directory).map_err(|error| {
+                    ScenarioError::Syntax(line, format!("{}: {error}", file.display()))
+                })?;
+            }
             _ => {
                 let command =
                     command(statement).map_err(|message| ScenarioError::Syntax(line, message))?;
@@ -143,11 +205,7 @@
             }
         }
     }
-    if scenario.guards.is_empty() {
-        let message = "no guards line names the failure that the scenario guards against";
-        return Err(ScenarioError::Syntax(1, message.to_owned()));
-    }
-    Ok(scenario)
+    Ok(())
 }
 
 /// Arguments of a statement in order.
@@ -180,7 +238,7 @@
     }
 
     fn bindings(&mut self) -> Result<Vec<Binding>, String> {
-        self.all().iter().map(|word| binding(word)).collect()
+        self.all().iter().map(|word| Binding::try_parse(word)).collect()
     }
 
     fn comparison(&mut self) -> Result<(Source, Comparison), String> {
@@ -226,6 +284,11 @@
         "freeze" => Command::Freeze { names: words.names()? },
         "thaw" => Command::Thaw { names: words.names()? },
         "terminate" => Command::Terminate { names: words.names()? },
+        "alive" => {
+            let count = words.next("a number")?;
+            let count = count.parse().map_err(|_| format!("alive: {count:?} is not a number"))?;
+            Command::Alive { count, names: words.names()? }
+        }
         "exits" => Command::Exits { name: words.next("a name")? },
         "restart" => Command::Restart { name: words.next("a name")?, arguments: words.all() },
         "cut" => Command::Link { names: words.names()?, mode: "cut" },
@@ -252,6 +315,14 @@
             let wait_ms = wait.parse().map_err(|_| format!("sleep: {wait:?} is not a number"))?;
             Command::Sleep { wait_ms }
         }
+        "mark" => {
+            let variable = words.next("a variable")?;
+            let source = source(&words.next("a process or load")?);
+            let place = words.next("a place in the record")?;
+            let plus = words.next("a number")?;
+            let plus = plus.parse().map_err(|_| format!("mark: {plus:?} is not a number"))?;
+            Command::Mark { variable, source, place, plus }
+        }
         "wait" => {
             let (source, comparison) = words.comparison()?;
             Command::Wait { source, comparison }
@@ -277,18 +348,12 @@
         if word.starts_with(['{', '[']) {
             body = word;
         } else {
-            headers.push(binding(&word)?);
+            headers.push(Binding::try_parse(&word)?);
         }
     }
     Ok(Command::Call { name, method, path, status, body, headers })
 }
 
-fn binding(word: &str) -> Result<Binding, String> {
-    let (key, value) =
-        word.split_once('=').ok_or_else(|| format!("{word:?}: expected key=value"))?;
-    Ok(Binding { key: key.to_owned(), value: value.to_owned() })
-}
-
 fn source(word: &str) -> Source {
     let (name, path) = match word.find('/') {
         Some(at) => (&word[..at], &word[at..]),
@@ -304,10 +369,14 @@
         "samples" => Invariant::Samples,
         "spans" => Invariant::Spans,
         "staleness" => Invariant::Staleness,
+        "versions" => Invariant::Versions,
+        "load-factor" => Invariant::LoadFactor,
+        "share" => Invariant::Share,
         "configuration" => Invariant::Configuration,
         _ => {
             return Err(format!(
-                "{name:?}: expected executions, bookings, samples, spans, staleness or configuration"
+                "{name:?}: expected executions, bookings, samples, spans, staleness, versions, \
+                 load-factor, share or configuration"
             ));
         }
     })
--- a/bins/deckscenario/src/run.rs
+++ b/bins/deckscenario/src/run.rs
@@ -24,7 +24,7 @@
     check,
     command::{Binding, Command, Invariant, Scenario, Source},
     error::{CommandError, ScenarioError},
-    records::{Booking, Entry, Write, read_journal},
+    records::{Booking, Entry, Received, Write, read_journal},
     value::{Comparison, literal, lookup},
     world::World,
 };
@@ -40,6 +40,7 @@
     client: Client,
     running_loads: BTreeMap<String, RunningLoad>,
     reports: BTreeMap<String, Value>,
+    loads_started: u64,
     seed: u64,
 }
 
@@ -64,6 +65,7 @@
         client: Client::default(),
         running_loads: BTreeMap::new(),
         reports: BTreeMap::new(),
+        loads_started: 0,
         seed,
     };
     for located in &scenario.commands {
@@ -91,6 +93,7 @@
                     self.wait_until_ready(name).await?;
                 }
             }
+            Command::Alive { count, names } => self.expect_alive(*count, names).await?,
             Command::Kill { .. }
             | Command::Freeze { .. }
             | Command::Thaw { .. }
@@ -119,6 +122,11 @@
             Command::Sleep { wait_ms } => {
                 monoio::time::sleep(Duration::from_millis(*wait_ms)).await;
             }
+            Command::Mark { variable, source, place, plus } => {
+                let found = lookup(&self.read(source).await?, place);
+                let number = found.as_u64().ok_or_else(|| format!("{place} is {found}"))?;
+                self.world.set_variable(variable.clone(), (number + plus).to_string());
+            }
             Command::Wait { source, comparison } => self.wait(source, comparison).await?,
             Command::Expect { source, comparison } => {
                 let found = self.read(source).await?;
@@ -180,6 +188,20 @@
         Err(format!("{name} is not ready within {EVENT_DEADLINE:?}: {seen}").into())
     }
 
+    async fn expect_alive(&self, count: usize, names: &[String]) -> Result<(), CommandError> {
+        let mut alive = Vec::new();
+        for name in names {
+            let address = self.world.admin_address(name)?;
+            if self.send(address, "GET", "/admin/records", &[], "").await.is_ok() {
+                alive.push(name.as_str());
+            }
+        }
+        if alive.len() == count {
+            return Ok(());
+        }
+        Err(format!("{} are alive, expected {count}: {}", alive.len(), alive.join(" ")).into())
+    }
+
     async fn set_faults(&self, name: &str, faults: Value) -> Result<(), CommandError> {
         let address = self.world.admin_address(name)?;
         let body = faults.to_string();
@@ -242,7 +264,8 @@
             .body(Body::full(body.to_owned()))
             .map_err(|error| CommandError::Failed(error.to_string()))?;
         let exchange = async {
-            let response = self.client.send(address, request).await?;
+            // A connection of before a kill would break the first call after a restart.
+            let response = self.client.send_fresh(address, request).await?;
             let status = response.status.as_u16();
             Ok((status, response.collect(MAX_ANSWER_BYTES).await?))
         };
@@ -308,7 +331,7 @@
             arguments.iter().map(|argument| self.world.expand(argument)).collect();
         let log = std::fs::File::create(self.world.directory().join(format!("{name}.log")))?;
         let child = Program::new(deck_testkit::program("deckload"))
-            .args(["--seed", &self.seed.to_string(), "--list-bookings"])
+            .args(["--seed", &self.next_load_seed().to_string(), "--list-bookings"])
             .args(arguments?)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
@@ -318,6 +341,12 @@
         Ok(())
     }
 
+    /// Returns a seed of its own for each load, so that no two loads use the same keys.
+    fn next_load_seed(&mut self) -> u64 {
+        self.loads_started += 1;
+        self.seed.wrapping_mul(1000) + self.loads_started
+    }
+
     fn finish_load(&mut self, name: &str) -> Result<(), CommandError> {
         let mut load = self
             .running_loads
@@ -332,7 +361,12 @@
             return Err(format!("load {name} ended with {status}").into());
         }
         std::fs::write(self.world.directory().join(format!("{name}.json")), &report)?;
-        self.reports.insert(name.to_owned(), serde_json::from_str(&report)?);
+        let report: Value = serde_json::from_str(&report)?;
+        self.world.set_variable(format!("{name}.sent"), report["sent"].to_string());
+        for (class, counts) in report["classes"].as_object().into_iter().flatten() {
+            self.world.set_variable(format!("{name}.sent.{class}"), counts["sent"].to_string());
+        }
+        self.reports.insert(name.to_owned(), report);
         Ok(())
     }
 
@@ -386,9 +420,8 @@
             Invariant::Executions => check::executions(&self.journals(arguments)?),
             Invariant::Bookings => {
                 let (load, services) = first(arguments, "a load")?;
-                let report =
-                    self.reports.get(load).ok_or_else(|| format!("no finished load {load}"))?;
-                let bookings: Vec<Booking> = serde_json::from_value(report["bookings"].clone())?;
+                let bookings = self.report(load)?["bookings"].clone();
+                let bookings: Vec<Booking> = serde_json::from_value(bookings)?;
                 check::bookings(&bookings, &self.journals(services)?)
             }
             Invariant::Samples => check::samples(&self.journals(arguments)?),
@@ -399,10 +432,32 @@
                 check::spans(&trainers, &engines)
             }
             Invariant::Staleness => {
-                let (bound, trainers) = first(arguments, "a bound")?;
-                let bound = bound.parse().map_err(|_| format!("{bound:?} is not a number"))?;
+                let (bound, trainers) = number(arguments, "a bound")?;
                 check::staleness(&self.journals(trainers)?, bound)
             }
+            Invariant::Versions => {
+                let mut violations = Vec::new();
+                for engine in arguments {
+                    let found = check::versions(&self.journals(std::slice::from_ref(engine))?);
+                    violations.extend(found.iter().map(|found| format!("{engine}: {found}")));
+                }
+                violations
+            }
+            Invariant::LoadFactor => {
+                let (factor, rest) = number(arguments, "a factor")?;
+                let (constant, rest) = number(rest, "a constant")?;
+                let (load, services) = first(rest, "a load")?;
+                let sent = self.report(load)?["sent"].as_u64().unwrap_or(0);
+                check::load_factor(factor, constant, sent, &self.journals(services)?)
+            }
+            Invariant::Share => {
+                let (organisation, rest) = first(arguments, "an organisation")?;
+                let (percent, rest) = number(rest, "a percentage")?;
+                let (tolerance, rest) = number(rest, "a tolerance")?;
+                let (load, _) = first(rest, "a load")?;
+                let received = Received::of_report(self.report(load)?);
+                check::share(organisation, percent, tolerance, &received)
+            }
             Invariant::Configuration => {
                 let (store, _) = first(arguments, "a store")?;
                 let path = "/admin/records".to_owned();
@@ -419,6 +474,10 @@
         Err(format!("{invariant:?}: {count} violations: {}", shown.join("; ")).into())
     }
 
+    fn report(&self, load: &str) -> Result<&Value, CommandError> {
+        self.reports.get(load).ok_or_else(|| format!("there is no finished load {load}").into())
+    }
+
     fn journals(&self, names: &[String]) -> Result<Vec<Entry>, CommandError> {
         if names.is_empty() {
             return Err("a check needs the names of stand-ins".to_owned().into());
@@ -438,6 +497,15 @@
     Ok((split.0, split.1))
 }
 
+fn number<'a, T: std::str::FromStr>(
+    arguments: &'a [String],
+    what: &str,
+) -> Result<(T, &'a [String]), CommandError> {
+    let (word, rest) = first(arguments, what)?;
+    let number = word.parse().map_err(|_| format!("{word:?} is not {what}"))?;
+    Ok((number, rest))
+}
+
 fn condition(current: Option<&Object>) -> Precondition {
     current.map_or(Precondition::Absent, |object| Precondition::Revision(object.revision))
 }
--- a/bins/deckscenario/src/world.rs
+++ b/bins/deckscenario/src/world.rs
@@ -34,12 +34,20 @@
     seed: u64,
     templates: BTreeMap<String, String>,
     members: BTreeMap<String, Member>,
+    /// Results of finished loads.
+    variables: BTreeMap<String, String>,
 }
 
 impl World {
     /// Returns a world without processes whose files go to `directory`.
     pub fn new(directory: PathBuf, seed: u64) -> Self {
-        Self { directory, seed, templates: BTreeMap::new(), members: BTreeMap::new() }
+        Self {
+            directory,
+            seed,
+            templates: BTreeMap::new(),
+            members: BTreeMap::new(),
+            variables: BTreeMap::new(),
+        }
     }
 
     /// Keeps a template of a settings file.
@@ -47,6 +55,11 @@
         self.templates.insert(name, text);
     }
 
+    /// Sets a variable that texts refer to.
+    pub fn set_variable(&mut self, name: String, value: String) {
+        self.variables.insert(name, value);
+    }
+
     /// Starts a stand-in.
     ///
     /// # Errors
@@ -91,7 +104,8 @@
         Ok(())
     }
 
-    /// Starts an ended process again on its addresses; `arguments` replace those of a stand-in.
+    /// Starts an ended process again on its addresses; `arguments` replace those of a
+    /// stand-in, or single bindings of a daemon.
     ///
     /// # Errors
     ///
@@ -99,10 +113,18 @@
     pub fn restart(&mut self, name: &str, arguments: &[String]) -> Result<(), CommandError> {
         let member = self.member(name)?;
         let (mut launch, listeners) = (member.launch.clone(), member.listeners.clone());
-        if let Launch::Standin { arguments: old, .. } = &mut launch
-            && !arguments.is_empty()
-        {
-            *old = arguments.to_vec();
+        match &mut launch {
+            Launch::Standin { arguments: old, .. } if !arguments.is_empty() => {
+                *old = arguments.to_vec();
+            }
+            Launch::Standin { .. } => {}
+            Launch::Daemon { bindings, .. } => {
+                for argument in arguments {
+                    let binding = Binding::try_parse(argument)?;
+                    bindings.retain(|old| old.key != binding.key);
+                    bindings.push(binding);
+                }
+            }
         }
         // Ends a process that is still there, which frees its addresses.
         self.members.remove(name);
@@ -241,6 +263,9 @@
             "dir" => return Some(self.directory.display().to_string()),
             _ => {}
         }
+        if let Some(value) = self.variables.get(variable) {
+            return Some(value.clone());
+        }
         let (name, listener) = variable.rsplit_once('.')?;
         self.address(name, listener).map(|address| address.to_string())
     }
--- a/crates/call/src/claim.rs
+++ b/crates/call/src/claim.rs
@@ -299,17 +299,19 @@
     }
 }
 
-/// Returns whether a process has certainly ended, as far as membership tells.
+/// Returns whether a process has ended, as far as membership tells.
 ///
-/// The answer only chooses between two errors that both say `unknown`.
+/// The answer only chooses between two errors that both say `unknown`. A VM that is not a member
+/// may be one that this VM has not heard of yet: dead ones are remembered for hours.
 pub(crate) fn process_is_gone(members: &[Member], vm: &str, incarnation: Incarnation) -> bool {
     match members.iter().find(|member| member.vm == vm) {
-        None => true,
+        None => false,
         Some(member) => member.state == MemberState::Dead || member.incarnation != incarnation,
     }
 }
 
-fn parse(object: &Object) -> Result<ClaimRecord, StoreError> {
+/// Reads a claim object.
+pub(crate) fn parse(object: &Object) -> Result<ClaimRecord, StoreError> {
     let envelope: Envelope<ClaimRecord> = serde_json::from_value(object.value.clone())
         .map_err(|error| StoreError::Decode(error.to_string()))?;
     Ok(envelope.spec)
--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -25,7 +25,8 @@
     attempt::{Attempt, SendError, json_headers, refusal, target_request},
     body::until,
     call::Call,
-    engine::{CancelRequest, Chunk, CompletionRequest, Generation},
+    cancel::CancelOnDrop,
+    engine::{Chunk, CompletionRequest, Generation},
     record::RecordedAnswer,
     shared::SharedRef,
 };
@@ -35,10 +36,10 @@
 const MAX_RESUMED_TRIES: u32 = 16;
 /// First bytes of the prompt that decide its affinity.
 const AFFINITY_PROMPT_BYTES: usize = 1024;
+/// Time for the event that ends a stream early.
+const ERROR_EVENT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest error body of an engine that is passed on.
 const MAX_ERROR_BYTES: usize = 64 * 1024;
-/// Time for a cancel order.
-const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// How a call ended without a completion.
 pub(crate) enum Failure {
@@ -69,7 +70,7 @@
     /// Nothing ran at this target.
     NotRun,
     /// The connection to the target broke.
-    Broke(String),
+    Broke { crashed: bool, message: String },
     /// The target failed in another way.
     Failed(String),
     /// The caller is gone.
@@ -197,12 +198,12 @@
                 target: "call",
                 "stream cut short request={} error={error}", call.head.request_id
             );
-            let _ = sender.send(error_event(&error, &call.head.request_id)).await;
+            send_error(&sender, &error, &call.head.request_id).await;
         }
         (Err(Failure::Answer(answer)), None) => {
             let message = format!("the engine refused to resume with status {}", answer.status);
             let error = CallError::new(ErrorKind::AnswerTruncated, message);
-            let _ = sender.send(error_event(&error, &call.head.request_id)).await;
+            send_error(&sender, &error, &call.head.request_id).await;
         }
         (Ok(_), _) => {
             let _ = sender.send(sse::encode(None, "[DONE]")).await;
@@ -214,6 +215,12 @@
     }
 }
 
+/// Tells the caller why the stream ends early; a caller that reads nothing is not waited for.
+async fn send_error(sender: &BodySender, error: &CallError, request_id: &str) {
+    let sent = sender.send(error_event(error, request_id));
+    let _ = until(Instant::now() + ERROR_EVENT_TIMEOUT, sent).await;
+}
+
 /// Generation of one call over as many engines as it takes.
 struct Run<'a> {
     shared: &'a SharedRef,
@@ -223,7 +230,7 @@
     generation: Generation,
     failed: Vec<TargetId>,
     /// Whether a target broke during this call.
-    broke_before: bool,
+    crashed_before: bool,
 }
 
 impl<'a> Run<'a> {
@@ -235,7 +242,7 @@
     ) -> Self {
         let generation = Generation::default();
         let failed = Vec::new();
-        Self { shared, call, request, output, generation, failed, broke_before: false }
+        Self { shared, call, request, output, generation, failed, crashed_before: false }
     }
 
     fn take_head(&mut self) -> Option<oneshot::Sender<Result<TargetId, Failure>>> {
@@ -267,7 +274,8 @@
                     return Err(CallError::new(ErrorKind::Internal, message).into());
                 }
                 End::NotRun => ("not_run", "the target refused the request".to_owned()),
-                End::Broke(message) => ("broke", message),
+                End::Broke { crashed: true, message } => ("crashed", message),
+                End::Broke { crashed: false, message } => ("broke", message),
                 End::Failed(message) => ("failed", message),
             };
             let progress = self.generation.token_count > tokens_before;
@@ -291,12 +299,14 @@
     /// Decides on a further try after one that ended for `reason`.
     ///
     /// A resumed generation repeats no work, so it does not take from the retry budget. Neither
-    /// does the first try after a target broke: all calls in flight there need one at the same
-    /// moment, and a budget in proportion to the load would fail most of them.
+    /// does the first try after a target crashed: all calls in flight there need one at the same
+    /// moment, and a budget in proportion to the load would fail most of them. This adds at most the
+    /// calls in flight once for each crash. A connection that breaks while the target still listens
+    /// takes from the budget: an unhealthy target can break connections without end.
     fn may_try_again(&mut self, reason: &str) -> bool {
         match reason {
             "not_run" => true,
-            "broke" if !std::mem::replace(&mut self.broke_before, true) => true,
+            "crashed" if !std::mem::replace(&mut self.crashed_before, true) => true,
             _ => self.generation.token_count > 0 || self.shared.try_take_retry(self.call),
         }
     }
@@ -335,8 +345,8 @@
                 return Ok(End::NotRun);
             }
             Err(SendError::Broke(error)) => {
-                attempt.broke(&error, 0).await;
-                return Ok(End::Broke(error.to_string()));
+                let crashed = attempt.broke(&error, 0).await;
+                return Ok(End::Broke { crashed, message: error.to_string() });
             }
             Err(SendError::TimedOut) => return self.timed_out(attempt),
         };
@@ -418,8 +428,8 @@
                     return Ok(End::Failed(message));
                 }
                 Some(Err(error)) => {
-                    attempt.broke(&error, tokens).await;
-                    return Ok(End::Broke(error.to_string()));
+                    let crashed = attempt.broke(&error, tokens).await;
+                    return Ok(End::Broke { crashed, message: error.to_string() });
                 }
             };
             if event.data == "[DONE]" {
@@ -469,7 +479,11 @@
         }
         chunk.id.clone_from(&self.call.head.request_id);
         match serde_json::to_string(&chunk) {
-            Ok(data) => sender.send(sse::encode(None, &data)).await.is_ok(),
+            // A caller that stops reading holds a place on the engine until its deadline only.
+            Ok(data) => {
+                let sent = sender.send(sse::encode(None, &data));
+                matches!(until(self.call.head.deadline, sent).await, Some(Ok(())))
+            }
             Err(_) => false,
         }
     }
@@ -484,47 +498,3 @@
     }
     Ok(chunk)
 }
-
-/// Tells an engine to cancel a request unless the request came to its end.
-struct CancelOnDrop {
-    shared: SharedRef,
-    pool: String,
-    address: std::net::SocketAddr,
-    /// `None` after the request came to its end.
-    request_id: Option<String>,
-}
-
-impl CancelOnDrop {
-    fn new(shared: &SharedRef, call: &Call, attempt: &Attempt, request_id: String) -> Self {
-        Self {
-            shared: shared.clone(),
-            pool: call.pool.name.clone(),
-            address: attempt.address,
-            request_id: Some(request_id),
-        }
-    }
-
-    fn disarm(mut self) {
-        self.request_id = None;
-    }
-}
-
-impl Drop for CancelOnDrop {
-    fn drop(&mut self) {
-        let Some(request_id) = self.request_id.take() else { return };
-        self.shared.metrics.cancelled(&self.pool);
-        let (client, address) = (self.shared.client.clone(), self.address);
-        monoio::spawn(async move {
-            let order = CancelRequest { request_id };
-            let Ok(body) = serde_json::to_vec(&order) else { return };
-            let mut request = Request::new(Body::full(body));
-            *request.method_mut() = Method::POST;
-            *request.uri_mut() = deck_net::http::Uri::from_static("/v1/cancel");
-            *request.headers_mut() = json_headers();
-            let sent = monoio::time::timeout(CANCEL_TIMEOUT, client.send(address, request)).await;
-            if !matches!(sent, Ok(Ok(_))) {
-                log::debug!(target: "call", "cancel order not delivered address={address}");
-            }
-        });
-    }
-}
--- a/crates/call/tests/records.rs
+++ b/crates/call/tests/records.rs
@@ -116,6 +116,26 @@
     assert!(matches!(records.begin(3, REQUEST, now), Begin::Done(_)));
 }
 
+/// Guards against an answer that stays in memory because an older, newer or refused key hides it.
+#[test]
+fn answers_are_dropped_in_order_of_age_among_other_records() {
+    let options = OnceOptions { max_record_bytes: 1500, ..OnceOptions::default() };
+    let (mut records, now) = records(options);
+    for key in 0..3000 {
+        assert!(matches!(records.begin(key, REQUEST, now), Begin::New));
+        let state = if key % 2 == 0 { RecordState::Abandoned } else { RecordState::Lost };
+        records.end(key, state, now);
+        assert!(!matches!(records.begin(key, REQUEST, now), Begin::New));
+    }
+    for key in [5001, 5002] {
+        assert!(matches!(records.begin(key, REQUEST, now), Begin::New));
+        records.end(key, RecordState::Done(answer(1000)), now);
+    }
+    assert!(records.answer_bytes() <= 1500);
+    assert!(matches!(records.begin(5001, REQUEST, now), Begin::Lost));
+    assert!(matches!(records.begin(5002, REQUEST, now), Begin::Done(_)));
+}
+
 /// Guards against memory without bound by the number of keys; running ones are never dropped.
 #[test]
 fn records_are_bounded_in_number() {
@@ -208,3 +228,22 @@
     };
     assert!(bucket.try_take(now + wait + Duration::from_micros(1)).is_ok());
 }
+
+/// Guards against refused callers that all come back for the same token.
+#[test]
+fn refused_claims_come_back_one_after_the_other() {
+    let now = Instant::now();
+    let mut bucket = TokenBucket::new(10.0, now);
+    while bucket.try_take(now).is_ok() {}
+    let mut waits: Vec<_> = (0..20).filter_map(|_| bucket.try_take(now).err()).collect();
+    for pair in waits.windows(2) {
+        assert!(pair[1] >= pair[0] + Duration::from_millis(99), "{waits:?}");
+    }
+    waits.insert(0, Duration::from_millis(100));
+    for wait in waits {
+        let at = now + wait + Duration::from_micros(10);
+        assert!(bucket.try_take(at).is_ok(), "nothing after {wait:?}");
+    }
+    let far = (0..10_000).filter_map(|_| bucket.try_take(now).err()).max();
+    assert!(far.is_some_and(|wait| wait <= Duration::from_secs(10)), "{far:?}");
+}
