Avoid targets with old weights for samples and second attempts

A target with old weights gives up its samples at once, looks idle and attracted all work of the groups that prefer it: a step did not end until the target had new weights. The entry takes X-Avoid-Targets.

--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -241,7 +241,7 @@
         output: Output,
     ) -> Self {
         let generation = Generation::default();
-        let failed = Vec::new();
+        let failed = call.head.avoid.clone();
         Self { shared, call, request, output, generation, failed, crashed_before: false }
     }
 
--- a/crates/call/src/head.rs
+++ b/crates/call/src/head.rs
@@ -4,7 +4,7 @@
 
 use deck_core::{
     error::{CallError, ErrorKind},
-    id::{JobName, OrganisationId, PoolName, RequestId, random_id},
+    id::{JobName, OrganisationId, PoolName, RequestId, TargetId, random_id},
     priority::Priority,
 };
 use deck_net::http::{HeaderMap, HeaderName, Method, header, request::Parts};
@@ -23,6 +23,8 @@
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 /// Header with the rollout job.
 pub const JOB: HeaderName = HeaderName::from_static("x-job");
+/// Header with targets that the call should not go to if others take work, separated by commas.
+pub const AVOID_TARGETS: HeaderName = HeaderName::from_static("x-avoid-targets");
 /// Header of a response that names the target.
 pub const TARGET: HeaderName = HeaderName::from_static("x-target");
 /// Header by which a target says that it is leaving.
@@ -32,6 +34,8 @@
 
 /// Longest idempotency key or ticket, in bytes.
 const MAX_KEY_BYTES: usize = 256;
+/// Most targets that a call can avoid.
+const MAX_AVOIDED: usize = 16;
 /// Longest request identifier, in bytes.
 const MAX_REQUEST_ID_BYTES: usize = 128;
 
@@ -86,6 +90,8 @@
     pub job: Option<JobName>,
     /// Idempotency key or ticket, if any.
     pub key: Option<String>,
+    /// Targets that the call should not go to if others take work.
+    pub avoid: Vec<TargetId>,
     /// Headers that go to the target.
     pub forwarded: HeaderMap,
 }
@@ -129,6 +135,7 @@
             deadline: now + deadline(&parts.headers, options)?,
             job: text(&parts.headers, &JOB).filter(|job| !job.is_empty()).map(str::to_owned),
             key: key(&parts.headers)?,
+            avoid: avoid(&parts.headers),
             forwarded: forwarded(&parts.headers),
         })
     }
@@ -226,6 +233,11 @@
     }
 }
 
+fn avoid(headers: &HeaderMap) -> Vec<TargetId> {
+    let names = text(headers, &AVOID_TARGETS).unwrap_or_default().split(',').map(str::trim);
+    names.filter(|name| !name.is_empty()).take(MAX_AVOIDED).map(str::to_owned).collect()
+}
+
 fn forwarded(headers: &HeaderMap) -> HeaderMap {
     let named_by_connection: Vec<String> = headers
         .get_all(header::CONNECTION)
--- a/crates/call/src/once.rs
+++ b/crates/call/src/once.rs
@@ -366,6 +366,7 @@
         priority: request.priority,
         deadline: started + Duration::from_millis(request.remaining_ms),
         job: request.job,
+        avoid: Vec::new(),
         key: Some(request.ticket),
         forwarded,
     };
--- a/crates/roll/src/attempt.rs
+++ b/crates/roll/src/attempt.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use deck_core::id::TargetId;
 use deck_net::Client;
 use futures_util::future::{Either, select};
 
@@ -37,6 +38,9 @@
     /// Takes note of a chunk. Returns whether the sample is still of use.
     fn chunk(&self, chunk: &Chunk, text: &SampleText) -> bool;
 
+    /// Takes note of the version of the first tokens that came from a target.
+    fn first_chunk(&self, target: &TargetId, chunk: &Chunk);
+
     /// Returns whether a second attempt may start, and takes it from the budget.
     fn take_second_attempt(&self) -> bool;
 }
@@ -60,7 +64,7 @@
     pub async fn run(&self, mut text: SampleText) -> Outcome {
         let started = Instant::now();
         let limit = self.options.limit;
-        let opened = monoio::time::timeout(limit, self.open(&text)).await;
+        let opened = monoio::time::timeout(limit, self.open(&text, None)).await;
         let mut generation = match opened {
             Ok(Ok(generation)) => generation,
             Ok(Err(error)) => return self.ended(text, error),
@@ -79,6 +83,9 @@
                 }
                 Err(error) => return self.ended(text, error),
             };
+            if let Some(target) = generation.target().filter(|_| !began) {
+                self.observer.first_chunk(target, &chunk);
+            }
             began = true;
             text.push(&chunk.text, chunk.token_count, chunk.weight_version);
             if !self.observer.chunk(&chunk, &text) {
@@ -93,8 +100,14 @@
         }
     }
 
-    async fn open(&self, text: &SampleText) -> Result<Generation, GenerateError> {
-        Generation::start(self.client, self.entry, &self.request, text).await
+    async fn open(
+        &self,
+        text: &SampleText,
+        stalled: Option<TargetId>,
+    ) -> Result<Generation, GenerateError> {
+        let mut request = self.request.clone();
+        request.avoid.extend(stalled);
+        Generation::start(self.client, self.entry, &request, text).await
     }
 
     /// Returns the next chunk and the generation that goes on.
@@ -129,9 +142,10 @@
         first: Generation,
         text: &SampleText,
     ) -> Result<(Generation, Option<Chunk>), GenerateError> {
+        let stalled = first.target().cloned();
         let first = Box::pin(advance(first));
         let second = Box::pin(async {
-            let generation = self.open(text).await?;
+            let generation = self.open(text, stalled).await?;
             advance(generation).await
         });
         let winner = async {
--- a/crates/roll/src/generate.rs
+++ b/crates/roll/src/generate.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use deck_core::{error::ErrorBody, id::WeightVersion};
+use deck_core::{
+    error::ErrorBody,
+    id::{TargetId, WeightVersion},
+};
 use deck_net::{
     Body, Client, ClientResponse, NetError,
     http::{Request, StatusCode, header},
@@ -60,6 +63,8 @@
     pub max_tokens: u32,
     /// Time limit.
     pub limit: Duration,
+    /// Targets that should not run it if others take work.
+    pub avoid: Vec<TargetId>,
 }
 
 #[derive(Serialize)]
@@ -108,6 +113,8 @@
 pub struct Generation {
     events: EventReader,
     finished: bool,
+    /// Target that made the first piece.
+    target: Option<TargetId>,
 }
 
 impl Generation {
@@ -141,13 +148,21 @@
             .header("X-Priority", "rollout")
             .header("X-Deadline-Ms", request.limit.as_millis().to_string())
             .header("X-Request-Id", deck_core::id::random_id())
+            .header("X-Avoid-Targets", request.avoid.join(","))
             .body(Body::full(body))
             .map_err(|error| GenerateError::Failed(error.to_string()))?;
         let response = client.send(entry, http_request).await?;
         if response.status != StatusCode::OK {
             return Err(refusal(response).await);
         }
-        Ok(Self { events: EventReader::new(response), finished: false })
+        let target = response.headers.get("x-target").and_then(|name| name.to_str().ok());
+        let target = target.map(str::to_owned);
+        Ok(Self { events: EventReader::new(response), finished: false, target })
+    }
+
+    /// Returns the target that makes the first piece; a later one may come from another target.
+    pub fn target(&self) -> Option<&TargetId> {
+        self.target.as_ref()
     }
 
     /// Returns the next piece; `None` after the proper end.
--- a/crates/roll/src/job.rs
+++ b/crates/roll/src/job.rs
@@ -11,7 +11,7 @@
 
 use deck_core::{
     CancellationToken,
-    id::{FencingNumber, JobName},
+    id::{FencingNumber, JobName, TargetId},
     object::RolloutJob,
 };
 use deck_net::Client;
@@ -28,6 +28,7 @@
     sample::{SampleKey, SampleText},
     score,
     status::JobStatus,
+    targets::TargetVersions,
     window::Window,
 };
 
@@ -70,6 +71,7 @@
     /// Number of the newest pull; older ones that still wait are answered at once.
     last_pull: Cell<u64>,
     second_attempts: Cell<u64>,
+    targets: RefCell<TargetVersions>,
     last_error: RefCell<Option<String>>,
     store_error: RefCell<Option<String>>,
     /// Tokens that earlier owners wrote into the status.
@@ -99,6 +101,7 @@
             work: watch::Sender::new(0),
             last_pull: Cell::new(0),
             second_attempts: Cell::new(0),
+            targets: RefCell::default(),
             last_error: RefCell::default(),
             store_error: RefCell::default(),
             earlier_draw_tokens: Cell::new(0),
@@ -180,8 +183,10 @@
     }
 
     fn request(&self, work: &Work, model: String) -> GenerateRequest {
+        let now = Instant::now();
         let board = self.board.borrow();
         let spec = board.spec();
+        let required = board.required_version(work.key.step, now).unwrap_or_default();
         GenerateRequest {
             model,
             organisation: spec.organisation.clone(),
@@ -189,6 +194,7 @@
             prompt: work.prompt.clone(),
             max_tokens: spec.max_tokens,
             limit: self.parts.options.attempt.limit,
+            avoid: self.targets.borrow().older_than(required, now),
         }
     }
 
@@ -263,6 +269,11 @@
         board.is_useful(&self.key, text, now)
     }
 
+    fn first_chunk(&self, target: &TargetId, chunk: &Chunk) {
+        let mut targets = self.job.targets.borrow_mut();
+        targets.observe(target, chunk.weight_version, Instant::now());
+    }
+
     fn take_second_attempt(&self) -> bool {
         let started = self.job.board.borrow().stats().started_samples;
         let percent = u64::from(self.job.parts.options.attempt.second_attempt_percent);
--- a/crates/roll/src/lib.rs
+++ b/crates/roll/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod score;
 pub mod service;
 pub mod status;
+pub mod targets;
 pub mod window;
 
 pub use options::RollOptions;
--- a/crates/roll/tests/parts.rs
+++ b/crates/roll/tests/parts.rs
@@ -10,6 +10,7 @@
     locate::redirect_target,
     mix::EngineMix,
     sample::SampleText,
+    targets::TargetVersions,
     window::{Window, WindowOptions},
 };
 use test_case::test_case;
@@ -121,6 +122,19 @@
     assert_eq!((mix.newest(), mix.fresh_share(5)), (Some(4), Some(0.0)));
 }
 
+/// Guards against work that goes again and again to a target with old weights, and against one that
+/// is avoided for ever.
+#[test]
+fn lagging_targets_are_avoided_for_a_while() {
+    let now = Instant::now();
+    let mut targets = TargetVersions::default();
+    targets.observe("engine-0", 4, now);
+    targets.observe("engine-1", 5, now);
+    assert_eq!(targets.older_than(5, now), ["engine-0"]);
+    assert!(targets.older_than(4, now).is_empty());
+    assert!(targets.older_than(5, now + Duration::from_secs(10)).is_empty());
+}
+
 /// Guards against a prediction from another prompt.
 #[test]
 fn lengths_are_kept_by_prompt() {
