--- a/crates/roll/src/job/report.rs
+++ b/crates/roll/src/job/report.rs
@@ -14,14 +14,23 @@
     /// Writes the status and records metrics until the job ends here.
     pub async fn report(self: Rc<Self>) {
         let mut writer = StatusWriter::new(self.parts.store.clone(), self.name.clone());
-        match writer.read().await {
-            Ok(Some(earlier)) => self.continue_status(&earlier),
-            Ok(None) => {}
-            Err(error) => self.note_store(Err(error)),
-        }
+        let mut continued = false;
         let mut recorded = BoardStats::default();
         while !self.stop.is_cancelled() {
-            self.note_store(writer.write(self.status()).await);
+            // Not written before the earlier status was read: its draw would be lost.
+            let written = match continued {
+                true => Ok(()),
+                false => writer.read().await.map(|earlier| {
+                    continued = true;
+                    if let Some(earlier) = earlier {
+                        self.continue_status(&earlier);
+                    }
+                }),
+            };
+            self.note_store(match written {
+                Ok(()) => writer.write(self.status()).await,
+                Err(error) => Err(error),
+            });
             let stats = self.board.borrow().stats().clone();
             let window = self.window.borrow().limit();
             self.parts.metrics.record(&self.name, &recorded, &stats, window);
--- a/crates/roll/src/status.rs
+++ b/crates/roll/src/status.rs
@@ -6,6 +6,7 @@
 };
 use deck_plat::{Precondition, Store, StoreError};
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 /// Content of a `RolloutJobStatus` object.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -82,6 +83,9 @@
 
     /// Writes the status if it differs from the last one written.
     ///
+    /// Fields that other daemons write into the same object (the acceptance of the job's newest
+    /// version) stay.
+    ///
     /// # Errors
     ///
     /// Returns an error if the object API does not answer, or [`StoreError::Conflict`] if an owner
@@ -90,23 +94,38 @@
         if self.last.as_ref() == Some(&status) {
             return Ok(());
         }
+        let mut result = self.try_write(&status).await;
+        // Another daemon may have written its fields between the read and the write.
+        if matches!(result, Err(StoreError::Conflict(_))) {
+            result = self.try_write(&status).await;
+        }
+        result?;
+        self.last = Some(status);
+        Ok(())
+    }
+
+    async fn try_write(&self, status: &JobStatus) -> Result<(), StoreError> {
         let kind = Kind::RolloutJob.status_kind();
         let current = self.store.get(kind, &self.job).await?;
-        let condition = match current {
-            None => Precondition::Absent,
-            Some(object) => {
-                let revision = object.revision;
-                let read = serde_json::from_value::<Envelope<JobStatus>>(object.value).ok();
-                if read.is_some_and(|read| read.spec.fencing > status.fencing) {
-                    return Err(StoreError::Conflict(Some(revision)));
-                }
-                Precondition::Revision(revision)
-            }
+        let (condition, stored) = match current {
+            None => (Precondition::Absent, Value::Null),
+            Some(object) => (Precondition::Revision(object.revision), object.value),
         };
-        let value = serde_json::to_value(Envelope::new(&status))
-            .map_err(|error| StoreError::Decode(error.to_string()))?;
-        self.store.put(kind, &self.job, condition, &value).await?;
-        self.last = Some(status);
-        Ok(())
+        let newer = stored["spec"]["fencing"].as_u64().is_some_and(|other| other > status.fencing);
+        if newer {
+            return Err(StoreError::Conflict(None));
+        }
+        let value =
+            merged_value(&stored, status).map_err(|error| StoreError::Decode(error.to_string()))?;
+        self.store.put(kind, &self.job, condition, &value).await.map(drop)
+    }
+}
+
+/// Returns the stored value with the fields of `status` replaced.
+fn merged_value(stored: &Value, status: &JobStatus) -> Result<Value, serde_json::Error> {
+    let mut spec = stored["spec"].as_object().cloned().unwrap_or_default();
+    if let Value::Object(fields) = serde_json::to_value(status)? {
+        spec.extend(fields);
     }
+    serde_json::to_value(Envelope::new(spec))
 }
