--- a/crates/roll/src/lib.rs
+++ b/crates/roll/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod length;
 pub mod locate;
 pub mod metrics;
+pub mod mix;
 pub mod options;
 pub mod owner;
 pub mod protocol;
@@ -16,6 +17,7 @@
 pub mod score;
 pub mod service;
 pub mod status;
+pub mod targets;
 pub mod window;
 
 pub use options::RollOptions;
