--- a/crates/peer/src/gossip.rs
+++ b/crates/peer/src/gossip.rs
@@ -77,11 +77,27 @@
             let pairs = shared.values.borrow().summary(recent);
             link.send(&shared, &Message::ValueSummary(ValueSummary { pairs, recent: true }));
         }
+        shed_eager_link(&shared);
         marks.rotate_left(1);
         marks[3] = shared.values.borrow().last_change();
     }
 }
 
+/// Returns the number of eager links.
+fn eager_link_count(shared: &Shared) -> usize {
+    shared.links.borrow().all().iter().filter(|link| link.eager.get()).count()
+}
+
+/// Prunes one eager link if there are too many; its VM finds another one by the next summaries.
+fn shed_eager_link(shared: &Shared) {
+    if eager_link_count(shared) > MAX_EAGER_LINKS
+        && let Some(link) = shared.random_link(|link| link.eager.get())
+    {
+        link.eager.set(false);
+        link.send(shared, &Message::Prune(()));
+    }
+}
+
 /// Sends the versions of all values.
 pub(crate) fn send_full_summary(shared: &Shared, link: &Link) {
     let values = shared.values.borrow();
--- a/crates/peer/src/membership.rs
+++ b/crates/peer/src/membership.rs
@@ -28,8 +28,9 @@
 /// Time in which the VM list has to answer.
 const VM_LIST_TIMEOUT: Duration = Duration::from_secs(2);
 /// Every that many attempts to rejoin, a live member without a link is contacted, so that tables
-/// that differ without anybody noticing are compared.
-const ROUNDS_PER_LIVE_CONTACT: u64 = 12;
+/// that differ without anybody noticing are compared. At 330 members a contact costs about 16 KB of
+/// summaries.
+const ROUNDS_PER_LIVE_CONTACT: u64 = 60;
 
 /// Accepts connections of other VMs.
 pub(crate) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
