--- a/bins/deckcapacity/src/deployment.rs
+++ b/bins/deckcapacity/src/deployment.rs
@@ -4,7 +4,7 @@
 
 use deckdemo::{
     error::DemoError,
-    tools::{put, wait_ready},
+    tools::{create_object, wait_ready},
 };
 use deckscenario::{command::Binding, world::World};
 use serde_json::{Value, json};
@@ -82,9 +82,7 @@
 
     /// Writes an object.
     pub fn apply(&self, kind: &str, name: &str, spec: &Value) -> Result<(), DemoError> {
-        let store = self.address("store", "http")?;
-        let path = format!("/v1/objects/{kind}/{name}");
-        put(store, &path, &json!({ "schema": 1, "spec": spec })).map(drop)
+        create_object(self.address("store", "http")?, kind, name, spec)
     }
 
     /// Returns the usage of a daemon.
--- a/bins/deckdemo/src/tools.rs
+++ b/bins/deckdemo/src/tools.rs
@@ -10,8 +10,9 @@
     Body, Client,
     http::{Method, Request},
 };
+use deck_plat::{Precondition, Store};
 use deck_testkit::{EVENT_DEADLINE, program};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::error::DemoError;
 
@@ -54,6 +55,22 @@
     exchange(Method::PUT, address, path, Some(body))
 }
 
+/// Creates an object in the object API.
+pub fn create_object(
+    store: SocketAddr,
+    kind: &str,
+    name: &str,
+    spec: &Value,
+) -> Result<(), DemoError> {
+    let store = Store::new(Client::default(), store, Duration::from_secs(10));
+    let value = json!({ "schema": 1, "spec": spec });
+    let write = store.put(kind, name, Precondition::Absent, &value);
+    match deck_net::runtime::run(write)? {
+        Ok(_) => Ok(()),
+        Err(error) => Err(DemoError::Program(format!("{kind}/{name}"), error.to_string())),
+    }
+}
+
 fn exchange(
     method: Method,
     address: SocketAddr,
