--- a/bins/deckweight/src/settings.rs
+++ b/bins/deckweight/src/settings.rs
@@ -76,6 +76,7 @@
                     10_000,
                 )?,
                 order_timeout: millis("rollout", "order_timeout_ms", 10_000, 100, 600_000)?,
+                unreachable_grace: millis("rollout", "unreachable_grace_ms", 10_000, 100, 600_000)?,
                 ..PlanOptions::default()
             },
             run: RunOptions {
--- a/crates/plat/src/lease.rs
+++ b/crates/plat/src/lease.rs
@@ -145,7 +145,12 @@
     pub async fn try_acquire(mut self) -> Acquire {
         let current = match self.store.get(LEASE_KIND, &self.name).await {
             Ok(current) => current,
-            Err(error) => return Acquire::Failed(self, error),
+            Err(error) => {
+                // The holder cannot renew either while the object API is down. Counting the outage
+                // as missed renewals would move all leases at once when it ends.
+                self.observed = None;
+                return Acquire::Failed(self, error);
+            }
         };
         let (condition, fencing) = match current {
             None => (Precondition::Absent, 1),
--- a/crates/weight/examples/weight_plan.rs
+++ b/crates/weight/examples/weight_plan.rs
@@ -84,6 +84,7 @@
             .map(|(index, model)| TargetView {
                 id: format!("t{index}"),
                 state: Some(model.state.clone()),
+                unreachable_since: None,
             })
             .collect();
         let input =
--- a/crates/weight/src/plan.rs
+++ b/crates/weight/src/plan.rs
@@ -27,6 +27,10 @@
     pub serving_floor_percent: u32,
     /// Time after which an order that shows no effect in the target's report is sent again.
     pub order_timeout: Duration,
+    /// Time after which a target that does not answer no longer counts as a part of the pool. Until
+    /// then its absence uses up the serving budget; after that a crashed target must not hold up the
+    /// rollout, because waiting does not bring its capacity back.
+    pub unreachable_grace: Duration,
 }
 
 impl Default for PlanOptions {
@@ -35,6 +39,7 @@
             transfers_per_source: 8,
             serving_floor_percent: 50,
             order_timeout: Duration::from_secs(10),
+            unreachable_grace: Duration::from_secs(10),
         }
     }
 }
@@ -46,6 +51,8 @@
     pub id: TargetId,
     /// Its last report; `None` if it does not answer.
     pub state: Option<EngineState>,
+    /// Since when it does not answer; `None` if it answers or was never asked.
+    pub unreachable_since: Option<Instant>,
 }
 
 /// An order to one target.
@@ -156,7 +163,7 @@
 
 impl ServingBudget {
     fn new(input: &PlanInput<'_>, options: &PlanOptions) -> Self {
-        let total = input.targets.len();
+        let total = input.targets.iter().filter(|target| !is_gone(input, options, target)).count();
         let floor = (total * options.serving_floor_percent as usize).div_ceil(100);
         let serving = input.targets.iter().filter(|target| is_serving(input, options, target));
         Self { remaining: serving.count().saturating_sub(floor) }
@@ -169,6 +176,13 @@
     }
 }
 
+/// Returns whether a target has not answered for longer than the grace time.
+fn is_gone(input: &PlanInput<'_>, options: &PlanOptions, target: &TargetView) -> bool {
+    target.unreachable_since.is_some_and(|since| {
+        input.now.saturating_duration_since(since) >= options.unreachable_grace
+    })
+}
+
 /// Counts a target as serving only if it reports so and no order that interrupts it is pending.
 fn is_serving(input: &PlanInput<'_>, options: &PlanOptions, target: &TargetView) -> bool {
     let interrupted = is_pending(input, options, &target.id)
--- a/crates/weight/src/run.rs
+++ b/crates/weight/src/run.rs
@@ -76,6 +76,7 @@
 struct Report {
     state: Option<EngineState>,
     polled: Instant,
+    unreachable_since: Option<Instant>,
 }
 
 impl PoolRun {
@@ -125,7 +126,12 @@
             });
         for (id, state) in states.await {
             self.remove_completed(&id, state.as_ref());
-            self.reports.insert(id, Report { state, polled: now });
+            let before = self.reports.get(&id).and_then(|report| report.unreachable_since);
+            let unreachable_since = match state {
+                Some(_) => None,
+                None => before.or(Some(now)),
+            };
+            self.reports.insert(id, Report { state, polled: now, unreachable_since });
         }
     }
 
@@ -290,9 +296,13 @@
     }
 
     fn views(&self, spec: &TargetPool) -> Vec<TargetView> {
-        let view = |target: &Target| TargetView {
-            id: target.id.clone(),
-            state: self.reports.get(&target.id).and_then(|report| report.state.clone()),
+        let view = |target: &Target| {
+            let report = self.reports.get(&target.id);
+            TargetView {
+                id: target.id.clone(),
+                state: report.and_then(|report| report.state.clone()),
+                unreachable_since: report.and_then(|report| report.unreachable_since),
+            }
         };
         active_targets(spec).into_iter().map(view).collect()
     }
--- a/crates/weight/tests/plan.rs
+++ b/crates/weight/tests/plan.rs
@@ -30,7 +30,11 @@
 }
 
 fn views(states: Vec<EngineState>) -> Vec<TargetView> {
-    let view = |(index, state)| TargetView { id: format!("t{index}"), state: Some(state) };
+    let view = |(index, state)| TargetView {
+        id: format!("t{index}"),
+        state: Some(state),
+        unreachable_since: None,
+    };
     states.into_iter().enumerate().map(view).collect()
 }
 
@@ -68,6 +72,17 @@
     assert!(run_plan(&targets, &[address(1)], &HashMap::new(), &PlanOptions::default()).is_empty());
 }
 
+/// Guards against a rollout that stands still because a crashed target uses up the serving budget.
+#[test_case(1, 0; "within the grace time")]
+#[test_case(11, 1; "after the grace time")]
+fn a_target_that_is_gone_does_not_hold_up_the_rollout(unreachable_s: u64, expected: usize) {
+    let mut targets = views(vec![engine(1, Some(2)); 3]);
+    targets[0].state = None;
+    targets[0].unreachable_since = Instant::now().checked_sub(Duration::from_secs(unreachable_s));
+    let orders = run_plan(&targets, &[address(1)], &HashMap::new(), &PlanOptions::default());
+    assert_eq!(orders.len(), expected);
+}
+
 /// Guards against a second wave that starts before the first one's effect has been reported.
 #[test]
 fn a_switch_order_counts_until_its_effect_is_reported() {
