--- a/crates/burn/src/history.rs
+++ b/crates/burn/src/history.rs
@@ -14,7 +14,7 @@
     "deckentry_request_duration_seconds_bucket",
     "deckroll_trainer_idle_seconds_total",
     "deckroll_trainer_elapsed_seconds_total",
-    "deckroll_samples_delivered_total",
+    "deckroll_samples_sent_total",
 ];
 
 quick_error! {
--- a/crates/burn/src/indicator.rs
+++ b/crates/burn/src/indicator.rs
@@ -100,7 +100,7 @@
         Indicator::TrainerIdle if name == "deckroll_trainer_idle_seconds_total" => {
             Some(Counts { good: -value, ..Counts::default() })
         }
-        Indicator::Staleness { bound_versions } if name == "deckroll_samples_delivered_total" => {
+        Indicator::Staleness { bound_versions } if name == "deckroll_samples_sent_total" => {
             let staleness: u64 = label("staleness_versions")?.parse().ok()?;
             let good = if staleness <= *bound_versions { value } else { 0.0 };
             Some(Counts { good, total: value, ..Counts::default() })
--- a/crates/roll/src/job.rs
+++ b/crates/roll/src/job.rs
@@ -23,7 +23,7 @@
     attempt::{Attempt, Observer, Outcome},
     board::{Board, ScoreWork, Work},
     generate::{Chunk, GenerateRequest},
-    metrics::RollMetrics,
+    metrics::{JobLabels, RollMetrics},
     options::RollOptions,
     sample::{SampleKey, SampleText},
     score,
@@ -70,6 +70,8 @@
     work: watch::Sender<u64>,
     /// Number of the newest pull; older ones that still wait are answered at once.
     last_pull: Cell<u64>,
+    /// When the last pull was answered.
+    pull_ended: Cell<Option<Instant>>,
     second_attempts: Cell<u64>,
     targets: RefCell<TargetVersions>,
     last_error: RefCell<Option<String>>,
@@ -80,6 +82,10 @@
 }
 
 impl ActiveJob {
+    fn labels(&self) -> JobLabels {
+        JobLabels::new(&self.name, self.board.borrow().spec())
+    }
+
     /// Returns the job; `stop` is cancelled when this VM no longer owns it.
     pub fn new(
         name: JobName,
@@ -100,6 +106,7 @@
             ready: watch::Sender::new(0),
             work: watch::Sender::new(0),
             last_pull: Cell::new(0),
+            pull_ended: Cell::new(None),
             second_attempts: Cell::new(0),
             targets: RefCell::default(),
             last_error: RefCell::default(),
--- a/crates/roll/src/job/pull.rs
+++ b/crates/roll/src/job/pull.rs
@@ -49,10 +49,25 @@
         let wait = request.wait_ms.map_or(options.default_wait, Duration::from_millis);
         let deadline = started + wait.min(options.max_wait);
         let response = self.wait_for_groups(request, number, deadline, drain).await;
-        self.parts.metrics.record_pull(&self.name, started.elapsed());
+        self.record_pull(request, started, response.as_ref().ok());
         response
     }
 
+    fn record_pull(
+        &self,
+        request: &PullRequest,
+        started: Instant,
+        response: Option<&PullResponse>,
+    ) {
+        let labels = self.labels();
+        let since_last = self.pull_ended.replace(Some(Instant::now())).map(|at| at.elapsed());
+        self.parts.metrics.record_pull(&labels, started.elapsed(), since_last);
+        if let Some(response) = response {
+            let version = request.trainer_version;
+            self.parts.metrics.record_sent(&labels, &response.groups, version);
+        }
+    }
+
     async fn wait_for_groups(
         &self,
         request: &PullRequest,
--- a/crates/roll/src/job/report.rs
+++ b/crates/roll/src/job/report.rs
@@ -33,7 +33,7 @@
             });
             let stats = self.board.borrow().stats().clone();
             let window = self.window.borrow().limit();
-            self.parts.metrics.record(&self.name, &recorded, &stats, window);
+            self.parts.metrics.record(&self.labels(), &recorded, &stats, window);
             recorded = stats;
             let wait = monoio::time::sleep(self.parts.options.status_interval);
             self.stop.run_until_cancelled(wait).await;
--- a/crates/roll/src/metrics.rs
+++ b/crates/roll/src/metrics.rs
@@ -1,81 +1,148 @@
-//! Metrics of rollout jobs.
+//! Metrics of rollout jobs. `docs/metrics.md` lists them; a test compares the two.
 
-use deck_obs::metrics::Metrics;
+use std::time::Duration;
+
+use deck_core::object::RolloutJob;
+use deck_obs::metrics::{LATENCY_BOUNDS_S, Metrics};
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
 };
 
-use crate::board::BoardStats;
+use crate::{board::BoardStats, protocol::GroupDelivery};
+
+/// Row of the metrics reference.
+#[derive(Debug, Clone, Copy)]
+pub struct MetricRow {
+    /// Name.
+    pub name: &'static str,
+    /// `counter`, `gauge` or `histogram`.
+    pub kind: &'static str,
+    /// Unit.
+    pub unit: &'static str,
+    /// Labels besides `organisation`, `pool` and `job`.
+    pub labels: &'static str,
+    /// Meaning.
+    pub help: &'static str,
+}
 
-/// Instruments; every point carries the label `job`.
+macro_rules! rows {
+    ($($row:ident = $name:literal, $kind:literal, $unit:literal, $labels:literal, $help:literal;)*) => {
+        $(const $row: MetricRow = MetricRow {
+            name: $name, kind: $kind, unit: $unit, labels: $labels, help: $help,
+        };)*
+
+        /// All metrics, in the order of the reference.
+        pub const METRICS: &[MetricRow] = &[$($row,)*];
+    };
+}
+
+rows! {
+    DELIVERED = "deckroll_samples_delivered_total", "counter", "samples", "",
+        "Samples that the trainer confirmed to hold.";
+    SENT = "deckroll_samples_sent_total", "counter", "samples", "staleness_versions",
+        "Samples handed over, by how many versions they were behind the trainer; a resend counts again.";
+    STARTED = "deckroll_samples_started_total", "counter", "samples", "",
+        "Starts of samples.";
+    REGENERATED = "deckroll_samples_regenerated_total", "counter", "samples", "",
+        "Samples started again because they were stale.";
+    GENERATED = "deckroll_tokens_generated_total", "counter", "tokens", "",
+        "Tokens received from engines.";
+    THROWN_AWAY = "deckroll_tokens_thrown_away_total", "counter", "tokens", "",
+        "Tokens of samples that were not used.";
+    WINDOW = "deckroll_window", "gauge", "samples", "",
+        "Bound on concurrent generations.";
+    PULL = "deckroll_pull_duration_seconds", "histogram", "seconds", "",
+        "Time from a pull to its answer.";
+    IDLE = "deckroll_trainer_idle_seconds_total", "counter", "seconds", "",
+        "Time in which a pull of the trainer waited for samples.";
+    ELAPSED = "deckroll_trainer_elapsed_seconds_total", "counter", "seconds", "",
+        "Time from the trainer's first pull at this owner to the end of its last one.";
+}
+
+/// Instruments; clones share their state.
 #[derive(Debug, Clone)]
 pub struct RollMetrics {
-    delivered_samples: Counter<u64>,
-    started_samples: Counter<u64>,
-    regenerated_samples: Counter<u64>,
-    generated_tokens: Counter<u64>,
-    thrown_away_tokens: Counter<u64>,
-    staleness_versions: Gauge<u64>,
+    delivered: Counter<u64>,
+    sent: Counter<u64>,
+    started: Counter<u64>,
+    regenerated: Counter<u64>,
+    generated: Counter<u64>,
+    thrown_away: Counter<u64>,
     window: Gauge<u64>,
-    pull_wait_s: Histogram<f64>,
+    pull: Histogram<f64>,
+    idle: Counter<f64>,
+    elapsed: Counter<f64>,
+}
+
+/// Labels of one job.
+#[derive(Debug, Clone)]
+pub struct JobLabels([KeyValue; 3]);
+
+impl JobLabels {
+    /// Returns the labels of the job `name`.
+    pub fn new(name: &str, spec: &RolloutJob) -> Self {
+        Self([
+            KeyValue::new("organisation", spec.organisation.clone()),
+            KeyValue::new("pool", spec.pool.clone()),
+            KeyValue::new("job", name.to_owned()),
+        ])
+    }
 }
 
 impl RollMetrics {
     /// Creates the instruments.
     pub fn new(metrics: &Metrics) -> Self {
         let meter = metrics.meter("roll");
-        let counter = |name: &'static str, text: &'static str| {
-            meter.u64_counter(name).with_description(text).build()
-        };
-        let gauge = |name: &'static str, text: &'static str| {
-            meter.u64_gauge(name).with_description(text).build()
-        };
+        let count = |row: MetricRow| meter.u64_counter(row.name).with_description(row.help).build();
+        let seconds =
+            |row: MetricRow| meter.f64_counter(row.name).with_description(row.help).build();
         Self {
-            delivered_samples: counter(
-                "roll_delivered_samples_total",
-                "Samples that the trainer confirmed to hold",
-            ),
-            started_samples: counter("roll_started_samples_total", "Starts of samples"),
-            regenerated_samples: counter(
-                "roll_regenerated_samples_total",
-                "Samples started again because they were stale",
-            ),
-            generated_tokens: counter("roll_generated_tokens_total", "Tokens from engines"),
-            thrown_away_tokens: counter(
-                "roll_thrown_away_tokens_total",
-                "Tokens generated for nothing",
-            ),
-            staleness_versions: gauge(
-                "roll_staleness_max_versions",
-                "Largest staleness of a sample at hand-over",
-            ),
-            window: gauge("roll_window", "Bound on concurrent generations"),
-            pull_wait_s: meter
-                .f64_histogram("roll_pull_wait_seconds")
-                .with_description("Time from a pull to its answer")
-                .with_boundaries(deck_obs::metrics::LATENCY_BOUNDS_S.to_vec())
+            delivered: count(DELIVERED),
+            sent: count(SENT),
+            started: count(STARTED),
+            regenerated: count(REGENERATED),
+            generated: count(GENERATED),
+            thrown_away: count(THROWN_AWAY),
+            window: meter.u64_gauge(WINDOW.name).with_description(WINDOW.help).build(),
+            pull: meter
+                .f64_histogram(PULL.name)
+                .with_description(PULL.help)
+                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
                 .build(),
+            idle: seconds(IDLE),
+            elapsed: seconds(ELAPSED),
         }
     }
 
     /// Adds what changed between two readings of a job's counters.
-    pub fn record(&self, job: &str, before: &BoardStats, after: &BoardStats, window: u32) {
-        let labels = [KeyValue::new("job", job.to_owned())];
+    pub fn record(&self, labels: &JobLabels, before: &BoardStats, after: &BoardStats, window: u32) {
         let add = |counter: &Counter<u64>, before: u64, after: u64| {
-            counter.add(after.saturating_sub(before), &labels);
+            counter.add(after.saturating_sub(before), &labels.0);
         };
-        add(&self.delivered_samples, before.delivered_samples, after.delivered_samples);
-        add(&self.started_samples, before.started_samples, after.started_samples);
-        add(&self.regenerated_samples, before.regenerated_samples, after.regenerated_samples);
-        add(&self.generated_tokens, before.generated_tokens, after.generated_tokens);
-        add(&self.thrown_away_tokens, before.thrown_away_tokens, after.thrown_away_tokens);
-        self.staleness_versions.record(after.staleness_max_versions, &labels);
-        self.window.record(u64::from(window), &labels);
+        add(&self.delivered, before.delivered_samples, after.delivered_samples);
+        add(&self.started, before.started_samples, after.started_samples);
+        add(&self.regenerated, before.regenerated_samples, after.regenerated_samples);
+        add(&self.generated, before.generated_tokens, after.generated_tokens);
+        add(&self.thrown_away, before.thrown_away_tokens, after.thrown_away_tokens);
+        self.window.record(u64::from(window), &labels.0);
+    }
+
+    /// Records a pull that took `wait`; `since_last` is the time since the end of the pull before.
+    pub fn record_pull(&self, labels: &JobLabels, wait: Duration, since_last: Option<Duration>) {
+        self.pull.record(wait.as_secs_f64(), &labels.0);
+        self.idle.add(wait.as_secs_f64(), &labels.0);
+        self.elapsed.add(since_last.unwrap_or(wait).as_secs_f64(), &labels.0);
     }
 
-    /// Records the time that a pull took.
-    pub fn record_pull(&self, job: &str, wait: std::time::Duration) {
-        self.pull_wait_s.record(wait.as_secs_f64(), &[KeyValue::new("job", job.to_owned())]);
+    /// Records groups that are handed over to a trainer of version `trainer_version`.
+    pub fn record_sent(&self, labels: &JobLabels, groups: &[GroupDelivery], trainer_version: u64) {
+        for sample in groups.iter().flat_map(|group| &group.samples) {
+            let oldest = sample.spans.iter().map(|span| span.weight_version).min();
+            let staleness = trainer_version.saturating_sub(oldest.unwrap_or(trainer_version));
+            let mut labels = labels.0.to_vec();
+            labels.push(KeyValue::new("staleness_versions", staleness.to_string()));
+            self.sent.add(1, &labels);
+        }
     }
 }
--- /dev/null
+++ b/crates/roll/tests/metrics.rs
@@ -0,0 +1,74 @@
+//! Metrics reference of `deckroll`, and the metrics that the burn report reads.
+
+use std::time::Duration;
+
+use deck_core::object::{RolloutJob, VersionSpan};
+use deck_obs::metrics::Metrics;
+use deck_roll::{
+    metrics::{JobLabels, METRICS, RollMetrics},
+    protocol::{GroupDelivery, SampleDelivery},
+};
+
+const PAGE: &str = include_str!("../../../docs/metrics.md");
+
+fn job() -> RolloutJob {
+    RolloutJob {
+        organisation: "o".to_owned(),
+        pool: "p".to_owned(),
+        scorer_address: "127.0.0.1:9".to_owned(),
+        samples_per_step: 2,
+        group_size: 2,
+        staleness_bound_versions: 1,
+        max_tokens: 8,
+        step_deadline_ms: 1000,
+        prompts: vec!["a".to_owned()],
+        paused: false,
+    }
+}
+
+/// Guards against metrics that are added, renamed or removed without the reference.
+#[test]
+fn reference_matches_the_code() {
+    let documented: Vec<&str> =
+        PAGE.lines().filter(|line| line.starts_with("| `deckroll_")).collect();
+    let expected: Vec<String> = METRICS
+        .iter()
+        .map(|row| {
+            let (kind, unit, labels, help) = (row.kind, row.unit, row.labels, row.help);
+            format!("| `{}` | {kind} | {unit} | {labels} | {help} |", row.name)
+        })
+        .collect();
+    assert_eq!(documented, expected);
+}
+
+/// Guards against an idle time above the elapsed time, and a staleness under the wrong label.
+#[test]
+fn idle_time_and_staleness_are_counted() {
+    let metrics = Metrics::default();
+    let roll = RollMetrics::new(&metrics);
+    let labels = JobLabels::new("j", &job());
+    roll.record_pull(&labels, Duration::from_secs(2), None);
+    roll.record_pull(&labels, Duration::from_secs(1), Some(Duration::from_secs(4)));
+    let spans = vec![
+        VersionSpan { weight_version: 4, token_count: 1 },
+        VersionSpan { weight_version: 5, token_count: 1 },
+    ];
+    let sample = SampleDelivery {
+        id: "j/0/0/0".to_owned(),
+        index: 0,
+        text: "a b".to_owned(),
+        token_count: 2,
+        score: 0.5,
+        spans,
+    };
+    roll.record_sent(&labels, &[GroupDelivery { group: 0, samples: vec![sample] }], 5);
+    let text = metrics.render();
+    let labels = "job=\"j\",organisation=\"o\",pool=\"p\"";
+    for expected in [
+        format!("deckroll_trainer_idle_seconds_total{{{labels}}} 3"),
+        format!("deckroll_trainer_elapsed_seconds_total{{{labels}}} 6"),
+        format!("deckroll_samples_sent_total{{{labels},staleness_versions=\"1\"}} 1"),
+    ] {
+        assert!(text.contains(&expected), "{expected} is not in {text}");
+    }
+}
