--- a/bins/deckdemo/src/deployment.rs
+++ b/bins/deckdemo/src/deployment.rs
@@ -225,6 +225,21 @@
                     99.0,
                 )
             ),
+            object(
+                "ServiceObjective",
+                "trainer-busy",
+                objective(TRAINING, "rank-models", json!({ "type": "trainer_idle" }), 50.0)
+            ),
+            object(
+                "ServiceObjective",
+                "sample-staleness",
+                objective(
+                    TRAINING,
+                    "rank-models",
+                    json!({ "type": "staleness", "bound_versions": STALENESS_BOUND_VERSIONS }),
+                    99.0,
+                )
+            ),
         ]))
     }
 
