--- a/bins/deckentry/src/process.rs
+++ b/bins/deckentry/src/process.rs
@@ -18,6 +18,10 @@
 
 use crate::settings::Settings;
 
+/// Age at which a published demand report no longer counts. At 330 VMs a value is renewed every 20 to
+/// 25 s only (`docs/membership.md`), so a bound near that would take healthy VMs for silent ones.
+const REPORT_MAX_AGE: Duration = Duration::from_secs(60);
+
 /// Time to hand the announcement that this VM stops to the peer links.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval at which the end of the last request in flight is checked.
@@ -113,6 +117,7 @@
         admission: Admission::new(AdmissionOptions {
             vm: settings.vm.id.clone(),
             max_wait: settings.limits.max_queue_wait,
+            report_max_age: REPORT_MAX_AGE,
             ..AdmissionOptions::default()
         }),
         budget: RetryBudget::new(BudgetOptions {
