--- a/bins/deckentry/src/process.rs
+++ b/bins/deckentry/src/process.rs
@@ -20,6 +20,9 @@
 
 /// Time to hand the announcement that this VM stops to the peer links.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for the last usage counters to reach the status: two write periods, because a new writer
+/// waits for one before its first write.
+const USAGE_TIMEOUT: Duration = Duration::from_secs(11);
 /// Interval at which the end of the last request in flight is checked.
 const IDLE_CHECK: Duration = Duration::from_millis(10);
 
@@ -162,6 +165,10 @@
         let requests = running.caller.in_flight();
         log::warn!(target: "entry", "requests cut at the drain timeout requests={requests}");
     }
+    let folded = running.caller.publish_last_usage();
+    if monoio::time::timeout(USAGE_TIMEOUT, folded).await.is_err() {
+        log::warn!(target: "entry", "last usage not yet in the status");
+    }
     running.cancel.cancel();
     log::info!(target: "entry", "stopped");
 }
--- a/crates/call/src/background.rs
+++ b/crates/call/src/background.rs
@@ -3,13 +3,13 @@
 use std::time::{Duration, Instant};
 
 use deck_core::{CancellationToken, timer::TimerService};
-use deck_peer::Topic;
 
 use crate::{
     exchange::{exchange_crashes, exchange_demand, exchange_leaving},
     load,
     shared::SharedRef,
     sweep::{Orphans, delete_next},
+    usage_status,
 };
 
 /// Time between two exchanges of crash fingerprints and leaving targets. They are published only
@@ -26,6 +26,7 @@
     spawn(cancel, exchange_values(shared.clone(), timers.clone()));
     spawn(cancel, exchange_faults(shared.clone(), timers.clone()));
     spawn(cancel, publish_draw(shared.clone(), timers.clone()));
+    spawn(cancel, usage_status::write_usage(shared.clone(), timers.clone()));
     spawn(cancel, poll_loads(shared.clone(), timers.clone()));
     spawn(cancel, delete_claims(shared.clone(), timers.clone()));
     spawn(cancel, sweep_orphans(shared.clone(), timers.clone()));
@@ -68,10 +69,7 @@
 async fn publish_draw(shared: SharedRef, timers: TimerService) {
     let mut ticks = timers.every(DRAW_PERIOD);
     while ticks.next().await.is_some() {
-        let report = shared.draw.report(shared.options.incarnation);
-        if !report.entries.is_empty() {
-            shared.peer.publish(Topic::Draw, report.encode());
-        }
+        usage_status::publish(&shared);
     }
 }
 
--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -45,6 +45,7 @@
     shared::{Shared, SharedRef},
     ticket::Tickets,
     usage::Draw,
+    usage_status,
 };
 
 /// Reads of claims that are allowed for each write. The object API takes about five times as many
@@ -158,6 +159,15 @@
         async move { serve(&shared, request).await }
     }
 
+    /// Publishes the last usage counters of this process and waits until they are in the status of
+    /// the organisations.
+    ///
+    /// The wait has no bound of its own: it lasts as long as an outage of the object API.
+    pub async fn publish_last_usage(&self) {
+        usage_status::publish(&self.shared);
+        usage_status::wait_folded(&self.shared).await;
+    }
+
     /// Returns the number of requests that are being served, abandoned non-idempotent ones included.
     pub fn in_flight(&self) -> u64 {
         self.shared.metrics.in_flight()
--- /dev/null
+++ b/crates/call/src/fold.rs
@@ -0,0 +1,158 @@
+//! Totals of usage in the status of an organisation, and the folding of published counters into
+//! them.
+
+use deck_core::id::{Incarnation, JobName, OrganisationId, PoolName, VmId};
+use serde::{Deserialize, Serialize};
+
+use crate::usage::{DrawCounters, DrawReport};
+
+/// Time after which the entry of a VM that is neither a live member nor publishes is dropped.
+///
+/// A process that comes back after a longer absence would be counted again, so the time is well
+/// above the partitions of an hour that the deployment has to expect. At 1,100 replaced VMs a day
+/// with new names, about 280 entries are kept.
+pub const ABSENT_KEEP_S: u64 = 6 * 3600;
+
+/// Usage of one pool by one job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PoolUsage {
+    /// Pool.
+    pub pool: PoolName,
+    /// Rollout job; empty for other calls.
+    pub job: JobName,
+    /// Calls that were sent to a target.
+    pub calls: u64,
+    /// Tokens that engines generated for these calls.
+    pub tokens: u64,
+    /// Time that targets spent on these calls, all tries together.
+    pub engine_ms: u64,
+}
+
+/// Counters of one VM that are already part of the totals.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FoldedVm {
+    /// The VM.
+    pub vm: VmId,
+    /// Process to which the counters belong. Invariant: it never falls while the entry exists.
+    pub incarnation: Incarnation,
+    /// Since when the VM is absent, in seconds since the Unix epoch.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub absent_since_unix_s: Option<u64>,
+    /// Counters. Invariant: they never fall while the incarnation stays.
+    pub counters: Vec<PoolUsage>,
+}
+
+/// Fields of `OrganisationShareStatus` that hold usage.
+///
+/// Invariant: `usage_folded` and `usage` are written together, so a report that is folded again
+/// adds nothing.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrganisationUsage {
+    /// Totals, sorted by pool and job.
+    #[serde(default)]
+    pub usage: Vec<PoolUsage>,
+    /// Folded counters, sorted by VM; one entry for each VM.
+    #[serde(default)]
+    pub usage_folded: Vec<FoldedVm>,
+}
+
+impl OrganisationUsage {
+    /// Adds what `report` of `vm` counts for `organisation` beyond the folded counters.
+    ///
+    /// A report of an earlier incarnation than the folded one is ignored.
+    pub fn fold(&mut self, organisation: &OrganisationId, vm: &VmId, report: &DrawReport) {
+        let entries: Vec<_> =
+            report.entries.iter().filter(|entry| entry.key.organisation == *organisation).collect();
+        if entries.is_empty() {
+            return;
+        }
+        let folded = folded_vm(&mut self.usage_folded, vm, report.incarnation);
+        if report.incarnation < folded.incarnation {
+            return;
+        }
+        if report.incarnation > folded.incarnation {
+            folded.incarnation = report.incarnation;
+            folded.counters.clear();
+        }
+        for entry in entries {
+            let known = pool_usage(&mut folded.counters, &entry.key.pool, &entry.key.job);
+            let added = known.raise_to(entry.counters);
+            pool_usage(&mut self.usage, &entry.key.pool, &entry.key.job).add(added);
+        }
+    }
+
+    /// Marks the VMs that `is_present` does not know as absent, and drops the entries of those that
+    /// have been absent for [`ABSENT_KEEP_S`]. The totals stay.
+    pub fn drop_absent(&mut self, is_present: impl Fn(&VmId) -> bool, now_unix_s: u64) {
+        for folded in &mut self.usage_folded {
+            folded.absent_since_unix_s = match folded.absent_since_unix_s {
+                _ if is_present(&folded.vm) => None,
+                Some(since) => Some(since),
+                None => Some(now_unix_s),
+            };
+        }
+        self.usage_folded.retain(|folded| {
+            let since = folded.absent_since_unix_s.unwrap_or(now_unix_s);
+            now_unix_s.saturating_sub(since) < ABSENT_KEEP_S
+        });
+    }
+
+    /// Returns whether all that `report` of `vm` counts for `organisation` is in the totals.
+    pub fn contains(&self, organisation: &OrganisationId, vm: &VmId, report: &DrawReport) -> bool {
+        let mut folded = self.clone();
+        folded.fold(organisation, vm, report);
+        folded == *self
+    }
+}
+
+impl PoolUsage {
+    /// Raises the counters to `counters` and returns by how much each one rose.
+    fn raise_to(&mut self, counters: DrawCounters) -> DrawCounters {
+        let raise = |known: &mut u64, counter: u64| {
+            let added = counter.saturating_sub(*known);
+            *known += added;
+            added
+        };
+        DrawCounters {
+            calls: raise(&mut self.calls, counters.calls),
+            tokens: raise(&mut self.tokens, counters.tokens),
+            engine_ms: raise(&mut self.engine_ms, counters.engine_ms),
+        }
+    }
+
+    fn add(&mut self, added: DrawCounters) {
+        self.calls += added.calls;
+        self.tokens += added.tokens;
+        self.engine_ms += added.engine_ms;
+    }
+}
+
+fn folded_vm<'a>(
+    folded: &'a mut Vec<FoldedVm>,
+    vm: &VmId,
+    incarnation: Incarnation,
+) -> &'a mut FoldedVm {
+    let found = folded.binary_search_by(|entry| entry.vm.cmp(vm));
+    let index = found.unwrap_or_else(|index| {
+        let (vm, counters) = (vm.clone(), Vec::new());
+        folded.insert(index, FoldedVm { vm, incarnation, absent_since_unix_s: None, counters });
+        index
+    });
+    &mut folded[index]
+}
+
+fn pool_usage<'a>(
+    usage: &'a mut Vec<PoolUsage>,
+    pool: &PoolName,
+    job: &JobName,
+) -> &'a mut PoolUsage {
+    let found = usage.binary_search_by(|entry| (&entry.pool, &entry.job).cmp(&(pool, job)));
+    let index = found.unwrap_or_else(|index| {
+        let (pool, job) = (pool.clone(), job.clone());
+        usage.insert(index, PoolUsage { pool, job, calls: 0, tokens: 0, engine_ms: 0 });
+        index
+    });
+    &mut usage[index]
+}
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod crash;
 pub mod engine;
 mod exchange;
+pub mod fold;
 pub mod head;
 mod load;
 pub mod metrics;
@@ -26,6 +27,7 @@
 mod sweep;
 pub mod ticket;
 pub mod usage;
+pub mod usage_status;
 mod wire;
 
 pub use caller::{Caller, CallerParts};
--- /dev/null
+++ b/crates/call/tests/fold.rs
@@ -0,0 +1,122 @@
+//! Folding of usage counters: each published count is in the totals once.
+
+use deck_call::{
+    fold::{ABSENT_KEEP_S, OrganisationUsage},
+    usage::{DrawCounters, DrawEntry, DrawKey, DrawReport},
+    usage_status::usage_writer,
+};
+use deck_peer::{Member, MemberState};
+use test_case::test_case;
+
+const ORGANISATION: &str = "jonotuoli";
+
+fn entry(organisation: &str, job: &str, tokens: u64) -> DrawEntry {
+    let key = DrawKey {
+        organisation: organisation.to_owned(),
+        job: job.to_owned(),
+        pool: "rank".to_owned(),
+    };
+    DrawEntry { key, counters: DrawCounters { calls: 1, tokens, engine_ms: 2 * tokens } }
+}
+
+fn report(incarnation: u64, tokens: u64) -> DrawReport {
+    DrawReport { incarnation, entries: vec![entry(ORGANISATION, "j", tokens)] }
+}
+
+fn fold(usage: &mut OrganisationUsage, vm: &str, report: &DrawReport) {
+    usage.fold(&ORGANISATION.to_owned(), &vm.to_owned(), report);
+}
+
+fn tokens(usage: &OrganisationUsage) -> u64 {
+    usage.usage.iter().map(|usage| usage.tokens).sum()
+}
+
+/// Guards against counts that are added twice or lost. Each case is a series of reports of one VM
+/// (incarnation, tokens) and the total after all of them.
+#[test_case(&[(1, 10)], 10; "first report")]
+#[test_case(&[(1, 10), (1, 10)], 10; "repeated report")]
+#[test_case(&[(1, 10), (1, 25)], 25; "later report")]
+#[test_case(&[(1, 25), (1, 10), (1, 26)], 26; "older report after a newer one")]
+#[test_case(&[(1, 25), (2, 10)], 35; "restart, lower counter")]
+#[test_case(&[(1, 25), (2, 40)], 65; "restart, higher counter")]
+#[test_case(&[(1, 25), (2, 10), (1, 30), (2, 11)], 36; "late report of the earlier process")]
+fn reports_of_one_vm(reports: &[(u64, u64)], total: u64) {
+    let mut usage = OrganisationUsage::default();
+    for &(incarnation, tokens) in reports {
+        fold(&mut usage, "a", &report(incarnation, tokens));
+    }
+    assert_eq!(tokens(&usage), total);
+    assert_eq!(usage.usage[0].engine_ms, 2 * total);
+}
+
+/// Guards against totals that differ between pools, jobs and organisations.
+#[test]
+fn keys_are_kept_apart() {
+    let entries = vec![entry(ORGANISATION, "j", 3), entry(ORGANISATION, "", 4), entry("b", "j", 9)];
+    let mut usage = OrganisationUsage::default();
+    fold(&mut usage, "a", &DrawReport { incarnation: 1, entries });
+    let found: Vec<_> = usage.usage.iter().map(|u| (u.job.as_str(), u.tokens)).collect();
+    assert_eq!(found, [("", 4), ("j", 3)]);
+}
+
+/// Guards against a change of writer or a lost response that counts twice: whichever of two states
+/// the store kept, folding the same reports again ends with the same totals.
+#[test_case(true; "lost write took effect")]
+#[test_case(false; "lost write took no effect")]
+fn next_writer_continues_from_the_stored_state(took_effect: bool) {
+    let mut stored = OrganisationUsage::default();
+    fold(&mut stored, "a", &report(1, 10));
+    let mut written = stored.clone();
+    fold(&mut written, "a", &report(1, 30));
+    fold(&mut written, "b", &report(7, 5));
+    if took_effect {
+        stored = written;
+    }
+    let text = serde_json::to_string(&stored).expect("text");
+    let mut next: OrganisationUsage = serde_json::from_str(&text).expect("usage");
+    fold(&mut next, "b", &report(7, 6));
+    fold(&mut next, "a", &report(1, 30));
+    assert_eq!(tokens(&next), 36);
+    assert!(next.contains(&ORGANISATION.to_owned(), &"a".to_owned(), &report(1, 30)));
+    assert!(!next.contains(&ORGANISATION.to_owned(), &"a".to_owned(), &report(1, 31)));
+}
+
+/// Guards against entries that stay for ever, and against totals that go with them.
+#[test]
+fn absent_vms_are_dropped_and_their_usage_stays() {
+    let mut usage = OrganisationUsage::default();
+    fold(&mut usage, "a", &report(1, 10));
+    fold(&mut usage, "b", &report(1, 20));
+    usage.drop_absent(|vm| vm == "b", 100);
+    usage.drop_absent(|vm| vm == "b", 99 + ABSENT_KEEP_S);
+    assert_eq!(usage.usage_folded.len(), 2, "kept until the time is over");
+    usage.drop_absent(|_| true, 100 + ABSENT_KEEP_S);
+    assert_eq!(usage.usage_folded.len(), 2, "a VM that is back starts a new absence");
+    usage.drop_absent(|vm| vm == "b", 200 + ABSENT_KEEP_S);
+    usage.drop_absent(|vm| vm == "b", 200 + 2 * ABSENT_KEEP_S);
+    let vms: Vec<_> = usage.usage_folded.iter().map(|folded| folded.vm.as_str()).collect();
+    assert_eq!(vms, ["b"]);
+    assert_eq!(tokens(&usage), 30);
+}
+
+/// Guards against a leaving or dead VM that stays the writer, and against none at the end.
+#[test]
+fn writer_is_one_live_member() {
+    let member = |vm: &str, state| Member {
+        vm: vm.to_owned(),
+        data_centre: "fi-south-a".to_owned(),
+        region: "fi-south".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        incarnation: 1,
+        state,
+    };
+    let mut members: Vec<_> = ["a", "b", "c"].map(|vm| member(vm, MemberState::Live)).into();
+    for left in [MemberState::Leaving, MemberState::Dead, MemberState::Suspect] {
+        let first = usage_writer(&members).expect("writer").to_owned();
+        let index = members.iter().position(|m| m.vm == first).expect("member");
+        members[index].state = left;
+        assert_ne!(usage_writer(&members), Some(first.as_str()));
+    }
+    let last = usage_writer(&members).expect("a leaving VM").to_owned();
+    assert!(members.iter().any(|m| m.vm == last && m.state == MemberState::Leaving));
+}
