--- a/bins/deckentry/tests/usage.rs
+++ b/bins/deckentry/tests/usage.rs
@@ -56,6 +56,24 @@
     .await;
 }
 
+/// Checks that usage was written at most once each 5 s, and once more for each change of writer.
+async fn check_write_rate(world: &World, writer_changes: u64) {
+    let records = world.records(&world.objects).await;
+    let (mut last, mut times_unix_ms) = (Value::Null, Vec::new());
+    for event in records["history"].as_array().expect("history") {
+        let usage = &event["value"]["spec"]["usage"];
+        if event["kind"] == "OrganisationShareStatus" && *usage != last {
+            last = usage.clone();
+            times_unix_ms.push(event["at_unix_ms"].as_u64().expect("time"));
+        }
+    }
+    assert!(times_unix_ms.len() > 3, "writes at {times_unix_ms:?}");
+    let elapsed_ms = times_unix_ms[times_unix_ms.len() - 1] - times_unix_ms[0];
+    let most = elapsed_ms / 5000 + 2 + writer_changes;
+    assert!(times_unix_ms.len() as u64 <= most, "more than {most} writes: {times_unix_ms:?}");
+    println!("usage writes {} in {elapsed_ms} ms", times_unix_ms.len());
+}
+
 /// Guards against usage that is lost or counted twice when responses to writes are lost, the
 /// object API is down, the writer changes and a VM restarts.
 #[test]
@@ -78,9 +96,19 @@
         assert_eq!(jobs, [(&json!(""), &json!(5)), (&json!("unlisted"), &json!(7))]);
         assert!(found.iter().all(|usage| usage["engine_ms"].as_u64() > Some(0)), "{found:?}");
 
-        // Each VM stops once, the writer too; what it did last is in the status at its end.
-        let mut calls = 12;
         let mut entries = [first, second];
+        // Usage of a time without the object API is folded after it.
+        world.faults(&world.objects, json!({ "outage": "refuse" })).await;
+        generate(&world, &entries[0], 4, None).await;
+        let refused =
+            async || world.records(&world.objects).await["counts"]["refused_in_outage"].as_u64();
+        let before = refused().await;
+        eventually("calls on the object API fail", async || refused().await > before).await;
+        world.faults(&world.objects, json!({ "outage": "none" })).await;
+        wait_usage(&world, &engines, 16).await;
+
+        // Each VM stops once, the writer too; what it did last is in the status at its end.
+        let mut calls = 16;
         for index in 0..2 {
             generate(&world, &entries[index], 3, None).await;
             entries[index].process.terminate();
@@ -94,5 +122,6 @@
             calls += 2;
             wait_usage(&world, &engines, calls).await;
         }
+        check_write_rate(&world, 4).await;
     });
 }
