--- a/bins/deckentry/tests/usage.rs
+++ b/bins/deckentry/tests/usage.rs
@@ -56,6 +56,16 @@
     .await;
 }
 
+/// Returns what an operator sees of the organisation.
+fn describe(world: &World) -> String {
+    let output = std::process::Command::new(deck_testkit::program("deckctl"))
+        .args(["--object-api", &world.objects.address.to_string()])
+        .args(["describe", "OrganisationShare", ORGANISATION])
+        .output()
+        .expect("deckctl runs");
+    String::from_utf8(output.stdout).expect("text")
+}
+
 /// Checks that usage was written at most once each 5 s, and once more for each change of writer.
 async fn check_write_rate(world: &World, writer_changes: u64) {
     let records = world.records(&world.objects).await;
@@ -96,6 +106,10 @@
         assert_eq!(jobs, [(&json!(""), &json!(5)), (&json!("unlisted"), &json!(7))]);
         assert!(found.iter().all(|usage| usage["engine_ms"].as_u64() > Some(0)), "{found:?}");
 
+        let described = describe(&world);
+        assert!(described.contains("usage[1].job: unlisted"), "{described}");
+        assert!(described.contains("usage[1].calls: 7"), "{described}");
+
         let mut entries = [first, second];
         // Usage of a time without the object API is folded after it.
         world.faults(&world.objects, json!({ "outage": "refuse" })).await;
