--- a/bins/deckscenario/tests/scenarios.rs
+++ b/bins/deckscenario/tests/scenarios.rs
@@ -51,6 +51,7 @@
 #[test_case("rollout-store-outage"; "rollout_store_outage")]
 #[test_case("shares"; "shares")]
 #[test_case("retry-storm"; "retry_storm")]
+#[test_case("swap-in-sample"; "swap_in_sample")]
 fn scenario_with_daemons_succeeds(name: &str) {
     let ran = run(&format!("../../scenarios/{name}.scn"));
     assert!(ran.succeeded, "{}", ran.output);
