--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod member;
 mod membership;
 pub mod options;
+pub mod ownership;
 pub mod partners;
 pub mod peer;
 mod probe;
--- a/crates/weight/src/owner.rs
+++ b/crates/weight/src/owner.rs
@@ -1,7 +1,6 @@
 //! Ownership of pools by lease, and the loop that brings their targets to the newest weights.
 
 use std::{
-    collections::HashMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -9,16 +8,15 @@
 
 use deck_core::{
     CancellationToken,
-    hash::rendezvous_rank,
     id::{PoolName, TargetId, VmId},
     object::{PoolType, TargetPool},
 };
 use deck_net::Client;
-use deck_peer::{ConfigView, Member, MemberState};
-use deck_plat::{
-    Acquire, HeldLease, Kept, LeaseCandidate, LeaseOptions, LeaseToken, Store,
-    lease::candidate_interval,
+use deck_peer::{
+    ConfigView, Member,
+    ownership::{Ownership, supervise},
 };
+use deck_plat::{HeldLease, Kept, LeaseOptions, LeaseToken, Store};
 use futures_util::{StreamExt, stream};
 
 use crate::{
@@ -26,9 +24,6 @@
     run::{PoolRun, RunOptions},
 };
 
-/// Time after which a VM that is no candidate looks at its rank again.
-const RANK_INTERVAL: Duration = Duration::from_secs(2);
-
 /// Settings of a weight owner.
 #[derive(Debug, Clone, Default)]
 pub struct OwnerOptions {
@@ -48,7 +43,7 @@
     client: Client,
     store: Store,
     config: ConfigView,
-    members: Rc<dyn Fn() -> Vec<Member>>,
+    ownership: Ownership,
     options: Rc<OwnerOptions>,
 }
 
@@ -61,62 +56,26 @@
         members: Rc<dyn Fn() -> Vec<Member>>,
         options: OwnerOptions,
     ) -> Self {
-        Self { client, store, config, members, options: Rc::new(options) }
+        let ownership = Ownership {
+            store: store.clone(),
+            members,
+            vm: options.vm.clone(),
+            address: String::new(),
+            prefix: "pool",
+            lease: options.lease.clone(),
+        };
+        Self { client, store, config, ownership, options: Rc::new(options) }
     }
 
     /// Runs until `cancel` is cancelled, then releases all leases.
     pub async fn run(self, cancel: CancellationToken) {
-        let mut changes = self.config.changes();
-        let mut tasks: HashMap<PoolName, PoolTask> = HashMap::new();
-        loop {
-            let wanted = followed_pools(&self.config);
-            for name in &wanted {
-                tasks.entry(name.clone()).or_insert_with(|| self.start_pool(name, &cancel));
-            }
-            tasks.retain(|name, task| {
-                let keep = wanted.contains(name);
-                if !keep {
-                    task.cancel.cancel();
-                }
-                keep
-            });
-            match cancel.run_until_cancelled(changes.changed()).await {
-                Some(Ok(())) => {}
-                Some(Err(_)) | None => break,
-            }
-        }
-        for task in tasks.into_values() {
-            task.cancel.cancel();
-            task.handle.await;
-        }
-    }
-
-    fn start_pool(&self, name: &str, cancel: &CancellationToken) -> PoolTask {
-        let cancel = cancel.child_token();
-        let handle = monoio::spawn(self.clone().run_pool(name.to_owned(), cancel.clone()));
-        PoolTask { cancel, handle }
+        let start = |pool, cancel| self.clone().run_pool(pool, cancel);
+        supervise(&self.config, &cancel, followed_pools, start).await;
     }
 
     async fn run_pool(self, pool: PoolName, cancel: CancellationToken) {
-        let mut candidate = self.candidate(&pool);
-        while !cancel.is_cancelled() {
-            let interval = candidate_interval(self.rank(&pool));
-            if interval.is_some() {
-                candidate = match candidate.try_acquire().await {
-                    Acquire::Held(held) => match self.own(&pool, held, &cancel).await {
-                        Kept::Lost(lost) => *lost,
-                        Kept::Released => return,
-                    },
-                    Acquire::HeldElsewhere(still, _) => still,
-                    Acquire::Failed(still, error) => {
-                        log::warn!(target: "weight", "lease not acquired pool={pool} error={error}");
-                        still
-                    }
-                };
-            }
-            let wait = interval.unwrap_or(RANK_INTERVAL);
-            cancel.run_until_cancelled(monoio::time::sleep(wait)).await;
-        }
+        let own = async |held| self.own(&pool, held, &cancel).await;
+        self.ownership.contend(&pool, &cancel, own, |_| {}).await;
     }
 
     /// Brings the pool's targets to the newest weights while the lease is held.
@@ -148,11 +107,7 @@
         }
         let kept = keeper.await;
         log::info!(target: "weight", "lease ended pool={pool} fencing={}", token.fencing());
-        match kept {
-            // Released because a target refused the fencing number: stay a candidate.
-            Kept::Released if !cancel.is_cancelled() => Kept::Lost(Box::new(self.candidate(pool))),
-            kept => kept,
-        }
+        kept
     }
 
     /// Runs one round; returns false if a target has seen a newer owner.
@@ -171,29 +126,6 @@
         run.write_status(&spec).await;
         still_owner
     }
-
-    fn candidate(&self, pool: &str) -> LeaseCandidate {
-        LeaseCandidate::new(
-            self.store.clone(),
-            format!("pool-{pool}"),
-            self.options.vm.clone(),
-            String::new(),
-            self.options.lease.clone(),
-        )
-    }
-
-    /// Returns the rank of this VM among the live members for the pool's lease.
-    fn rank(&self, pool: &str) -> usize {
-        let members = (self.members)();
-        let live = members.iter().filter(|member| member.state == MemberState::Live);
-        let ranked = rendezvous_rank(pool, live.map(|member| member.vm.as_str()));
-        ranked.iter().position(|vm| *vm == self.options.vm).unwrap_or(usize::MAX)
-    }
-}
-
-struct PoolTask {
-    cancel: CancellationToken,
-    handle: monoio::task::JoinHandle<()>,
 }
 
 fn followed_pools(config: &ConfigView) -> Vec<PoolName> {
