--- a/bins/deckentry/src/process.rs
+++ b/bins/deckentry/src/process.rs
@@ -21,8 +21,8 @@
 /// Time to hand the announcement that this VM stops to the peer links.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for the last usage counters to reach the status: two write periods, because a new writer
-/// waits for one before its first write.
-const USAGE_TIMEOUT: Duration = Duration::from_secs(11);
+/// waits for one before its first write, and time for the counters to reach it.
+const USAGE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Interval at which the end of the last request in flight is checked.
 const IDLE_CHECK: Duration = Duration::from_millis(10);
 
