--- a/bins/deckentry/src/process.rs
+++ b/bins/deckentry/src/process.rs
@@ -1,9 +1,10 @@
 //! Life of the process: start of all parts and graceful shutdown.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use deck_call::{Caller, CallerParts};
 use deck_core::{CancellationToken, id::new_incarnation, timer::TimerService};
+use deck_daemon::listen;
 use deck_limit::{Admission, AdmissionOptions, BudgetOptions, RetryBudget};
 use deck_net::{
     Client, ClientOptions,
@@ -75,15 +76,6 @@
     Ok(())
 }
 
-/// Binds a listener and prints its address, which tells the chosen port if port 0 was asked for.
-fn listen(name: &str, address: SocketAddr) -> std::io::Result<TcpListener> {
-    let listener = deck_net::bind(address).map_err(|error| {
-        std::io::Error::new(error.kind(), format!("listener {name} on {address}: {error}"))
-    })?;
-    println!("listening {name} {}", listener.local_addr()?);
-    Ok(listener)
-}
-
 fn start(settings: &Settings, peer_listener: TcpListener) -> Running {
     let (stopping, drain, cancel) =
         (CancellationToken::new(), CancellationToken::new(), CancellationToken::new());
--- a/bins/deckentry/src/settings.rs
+++ b/bins/deckentry/src/settings.rs
@@ -87,13 +87,8 @@
     pub drain_timeout: Duration,
 }
 
-impl Settings {
-    /// Reads and checks a settings file.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error that names file, section, key, the value seen and what is allowed.
-    pub fn try_open(file: &Path) -> Result<Self, ConfError> {
+impl deck_daemon::Settings for Settings {
+    fn try_open(file: &Path) -> Result<Self, ConfError> {
         let reader = Reader::try_open(file)?;
         let settings = Self {
             vm: VmSettings::try_read(&reader)?,
@@ -107,6 +102,12 @@
         Ok(settings)
     }
 
+    fn log_level(&self) -> &str {
+        &self.log.level
+    }
+}
+
+impl Settings {
     /// Returns the settings of the data path.
     pub fn call_options(&self, incarnation: Incarnation) -> CallOptions {
         CallOptions {
--- a/bins/deckroll/src/process.rs
+++ b/bins/deckroll/src/process.rs
@@ -3,12 +3,12 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use deck_core::CancellationToken;
+use deck_daemon::listen;
 use deck_net::{Client, ClientOptions, ServerOptions, admin, runtime};
 use deck_obs::metrics::Metrics;
 use deck_peer::local::LocalView;
 use deck_plat::Store;
 use deck_roll::{RollOptions, RollOwner, job::JobParts, metrics::RollMetrics, service};
-use monoio::net::TcpListener;
 
 use crate::settings::Settings;
 
@@ -66,15 +66,6 @@
     Ok(())
 }
 
-/// Binds a listener and prints its address, which tells the chosen port if port 0 was asked for.
-fn listen(name: &str, address: SocketAddr) -> std::io::Result<TcpListener> {
-    let listener = deck_net::bind(address).map_err(|error| {
-        std::io::Error::new(error.kind(), format!("listener {name} on {address}: {error}"))
-    })?;
-    println!("listening {name} {}", listener.local_addr()?);
-    Ok(listener)
-}
-
 fn options(settings: &Settings, address: SocketAddr) -> RollOptions {
     RollOptions {
         lease: settings.lease.clone(),
--- a/bins/deckroll/src/settings.rs
+++ b/bins/deckroll/src/settings.rs
@@ -49,19 +49,20 @@
     pub log: LogSettings,
 }
 
-impl Settings {
-    /// Reads and checks a settings file.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error that names file, section, key, the value seen and what is allowed.
-    pub fn try_open(file: &Path) -> Result<Self, ConfError> {
+impl deck_daemon::Settings for Settings {
+    fn try_open(file: &Path) -> Result<Self, ConfError> {
         let reader = Reader::try_open(file)?;
         let settings = Self::try_read(&reader)?;
         reader.finish()?;
         Ok(settings)
     }
 
+    fn log_level(&self) -> &str {
+        &self.log.level
+    }
+}
+
+impl Settings {
     fn try_read(reader: &Reader) -> Result<Self, ConfError> {
         let advertised = match reader.text("listen", "trainer_advertised") {
             Some(_) => Some(reader.address("listen", "trainer_advertised")?),
--- a/bins/deckweight/src/settings.rs
+++ b/bins/deckweight/src/settings.rs
@@ -43,15 +43,20 @@
     pub options: RelayOptions,
 }
 
-impl Settings {
-    /// Reads and checks a settings file.
-    pub fn try_open(file: &Path) -> Result<Self, ConfError> {
+impl deck_daemon::Settings for Settings {
+    fn try_open(file: &Path) -> Result<Self, ConfError> {
         let reader = Reader::try_open(file)?;
         let settings = Self::try_read(&reader)?;
         reader.finish()?;
         Ok(settings)
     }
 
+    fn log_level(&self) -> &str {
+        &self.log.level
+    }
+}
+
+impl Settings {
     fn try_read(reader: &Reader) -> Result<Self, ConfError> {
         let millis =
             |section, key, default, min, max| reader.millis(section, key, default, min, max);
