--- a/bins/deckcapacity/src/sweep.rs
+++ b/bins/deckcapacity/src/sweep.rs
@@ -27,6 +27,7 @@
 
 /// Runs all sweeps and prints their points.
 pub fn run(directory: &Path, duration_ms: u64) -> Result<(), DemoError> {
+    idle(&directory.join("idle"), duration_ms)?;
     for rate in CALLS_PER_S {
         calls(&directory.join(format!("calls-{rate}")), *rate, duration_ms)?;
     }
@@ -45,6 +46,29 @@
     Ok(())
 }
 
+/// Processor time and memory of the daemons of a VM without load and without what it could own.
+fn idle(directory: &Path, duration_ms: u64) -> Result<(), DemoError> {
+    let mut deployment = Deployment::start(directory, 0)?;
+    let daemons = [("entry", "deckentry"), ("roll", "deckroll"), ("weight", "deckweight")];
+    for (name, program) in daemons {
+        deployment.start_daemon(name, program)?;
+    }
+    sleep(Duration::from_secs(3));
+    let mut before = Vec::new();
+    for (name, _) in daemons {
+        before.push(deployment.usage(name)?);
+    }
+    sleep(Duration::from_millis(duration_ms * 2));
+    let seconds = duration_ms as f64 * 2.0 / 1000.0;
+    for ((name, _), before) in daemons.into_iter().zip(before) {
+        let after = deployment.usage(name)?;
+        let cpu_ms = (after.cpu_ms - before.cpu_ms) / seconds;
+        print(&format!("{name}_idle_cpu"), 1.0, "vms", cpu_ms, "ms/s");
+        print(&format!("{name}_idle_memory"), 1.0, "vms", after.memory_kb, "KB");
+    }
+    Ok(())
+}
+
 /// Processor time of an entry by the rate of plain calls.
 fn calls(directory: &Path, rate: u32, duration_ms: u64) -> Result<(), DemoError> {
     let mut deployment = Deployment::start(directory, 0)?;
