--- a/bins/deckdemo/src/account.rs
+++ b/bins/deckdemo/src/account.rs
@@ -96,7 +96,7 @@
         let calls = run.load["organisations"][organisation]["tokens"].as_u64().unwrap_or(0);
         println!("  {organisation:<12} calls {calls:>8}");
     }
-    println!("  {TRAINING:<12} job   {:>8}", run.job["status"]["draw_tokens"]);
+    println!("  {TRAINING:<12} job   {:>8}", run.job["status"]["usage_tokens"]);
     let made: u64 = journals(deployment, ENGINES)?
         .iter()
         .map(|entry| match entry {
--- a/bins/deckroll/tests/owners.rs
+++ b/bins/deckroll/tests/owners.rs
@@ -154,12 +154,12 @@
         eventually("the status has the fields of all daemons", async || {
             // A daemon that replaced the whole object would remove the fields of the others.
             let spec = cluster.object("RolloutJobStatus", JOB).await["value"]["spec"].clone();
-            spec["accepted_revision"].is_u64() && spec["draw_tokens"].is_u64()
+            spec["accepted_revision"].is_u64() && spec["usage_tokens"].is_u64()
         })
         .await;
         let written = cluster.object("RolloutJobStatus", JOB).await;
         assert_eq!(written["value"]["spec"]["owner"], format!("vm-{owner}"));
-        assert!(written["value"]["spec"]["draw_tokens"].as_u64() > Some(0), "{written}");
+        assert!(written["value"]["spec"]["usage_tokens"].as_u64() > Some(0), "{written}");
     })
     .expect("runtime");
 }
--- a/crates/call/src/background.rs
+++ b/crates/call/src/background.rs
@@ -18,14 +18,14 @@
 /// Time between two exchanges of demand. Lent share is reclaimed within 2 s.
 const EXCHANGE_PERIOD: Duration = Duration::from_millis(500);
 /// Time between two publications of usage counters.
-const DRAW_PERIOD: Duration = Duration::from_secs(5);
+const USAGE_PERIOD: Duration = Duration::from_secs(5);
 
 /// Starts all periodic tasks; they end when `cancel` is cancelled.
 pub(crate) fn start(shared: &SharedRef, timers: &TimerService, cancel: &CancellationToken) {
     spawn(cancel, apply_configuration(shared.clone()));
     spawn(cancel, exchange_values(shared.clone(), timers.clone()));
     spawn(cancel, exchange_faults(shared.clone(), timers.clone()));
-    spawn(cancel, publish_draw(shared.clone(), timers.clone()));
+    spawn(cancel, publish_usage(shared.clone(), timers.clone()));
     spawn(cancel, usage_status::write_usage(shared.clone(), timers.clone()));
     spawn(cancel, poll_loads(shared.clone(), timers.clone()));
     spawn(cancel, delete_claims(shared.clone(), timers.clone()));
@@ -66,8 +66,8 @@
     }
 }
 
-async fn publish_draw(shared: SharedRef, timers: TimerService) {
-    let mut ticks = timers.every(DRAW_PERIOD);
+async fn publish_usage(shared: SharedRef, timers: TimerService) {
+    let mut ticks = timers.every(USAGE_PERIOD);
     while ticks.next().await.is_some() {
         usage_status::publish(&shared);
     }
--- a/crates/call/src/call.rs
+++ b/crates/call/src/call.rs
@@ -15,7 +15,7 @@
     head::CallHead,
     pools::PoolInfo,
     shared::Shared,
-    usage::DrawKey,
+    usage::UsageKey,
 };
 
 /// One call. Its usage is counted once, when it is dropped.
@@ -115,8 +115,8 @@
         CallError::new(kind, message)
     }
 
-    pub(crate) fn draw_key(&self) -> DrawKey {
-        DrawKey {
+    pub(crate) fn usage_key(&self) -> UsageKey {
+        UsageKey {
             organisation: self.head.organisation.clone(),
             job: self.head.job.clone().unwrap_or_default(),
             pool: self.pool.name.clone(),
@@ -129,9 +129,9 @@
         if self.tries.get() == 0 {
             return;
         }
-        let key = self.draw_key();
+        let key = self.usage_key();
         let (tokens, time) = (self.tokens.get(), self.engine_time.get());
-        self.shared.draw.count(&key, tokens, time);
+        self.shared.usage.count(&key, tokens, time);
         self.shared.metrics.used(&key, tokens, time);
     }
 }
--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -44,7 +44,7 @@
     service,
     shared::{Shared, SharedRef},
     ticket::Tickets,
-    usage::Draw,
+    usage::UsageTable,
     usage_status,
 };
 
@@ -120,7 +120,7 @@
             client,
             peer,
             store,
-            draw: Draw::default(),
+            usage: UsageTable::default(),
             bodies: BodyMemory::new(options.body.clone(), metrics.clone()),
             metrics,
             pools: RefCell::new(Pools::default()),
--- a/crates/call/src/fold.rs
+++ b/crates/call/src/fold.rs
@@ -4,7 +4,7 @@
 use deck_core::id::{Incarnation, JobName, OrganisationId, PoolName, VmId};
 use serde::{Deserialize, Serialize};
 
-use crate::usage::{DrawCounters, DrawReport};
+use crate::usage::{UsageCounters, UsageReport};
 
 /// Time after which the entry of a VM that is neither a live member nor publishes is dropped.
 ///
@@ -62,7 +62,7 @@
     /// Adds what `report` of `vm` counts for `organisation` beyond the folded counters.
     ///
     /// A report of an earlier incarnation than the folded one is ignored.
-    pub fn fold(&mut self, organisation: &OrganisationId, vm: &VmId, report: &DrawReport) {
+    pub fn fold(&mut self, organisation: &OrganisationId, vm: &VmId, report: &UsageReport) {
         let entries: Vec<_> =
             report.entries.iter().filter(|entry| entry.key.organisation == *organisation).collect();
         if entries.is_empty() {
@@ -100,7 +100,7 @@
     }
 
     /// Returns whether all that `report` of `vm` counts for `organisation` is in the totals.
-    pub fn contains(&self, organisation: &OrganisationId, vm: &VmId, report: &DrawReport) -> bool {
+    pub fn contains(&self, organisation: &OrganisationId, vm: &VmId, report: &UsageReport) -> bool {
         let mut folded = self.clone();
         folded.fold(organisation, vm, report);
         folded == *self
@@ -109,20 +109,20 @@
 
 impl PoolUsage {
     /// Raises the counters to `counters` and returns by how much each one rose.
-    fn raise_to(&mut self, counters: DrawCounters) -> DrawCounters {
+    fn raise_to(&mut self, counters: UsageCounters) -> UsageCounters {
         let raise = |known: &mut u64, counter: u64| {
             let added = counter.saturating_sub(*known);
             *known += added;
             added
         };
-        DrawCounters {
+        UsageCounters {
             calls: raise(&mut self.calls, counters.calls),
             tokens: raise(&mut self.tokens, counters.tokens),
             engine_ms: raise(&mut self.engine_ms, counters.engine_ms),
         }
     }
 
-    fn add(&mut self, added: DrawCounters) {
+    fn add(&mut self, added: UsageCounters) {
         self.calls += added.calls;
         self.tokens += added.tokens;
         self.engine_ms += added.engine_ms;
--- a/crates/call/src/metrics.rs
+++ b/crates/call/src/metrics.rs
@@ -10,7 +10,7 @@
     metrics::{Counter, Gauge, Histogram, Meter},
 };
 
-use crate::usage::DrawKey;
+use crate::usage::UsageKey;
 
 /// Kind of a metric.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -290,7 +290,7 @@
     }
 
     /// Counts the usage of a call.
-    pub fn used(&self, key: &DrawKey, tokens: u64, engine_time: Duration) {
+    pub fn used(&self, key: &UsageKey, tokens: u64, engine_time: Duration) {
         let labels = [
             label("organisation", &key.organisation),
             label("job", &key.job),
--- a/crates/call/src/shared.rs
+++ b/crates/call/src/shared.rs
@@ -20,7 +20,7 @@
 use crate::{
     body::BodyMemory, call::Call, claim::Deletions, crash::CrashTracker, exchange::LeavingTargets,
     load::LoadPolls, metrics::CallMetrics, options::CallOptions, pools::Pools, rate::TokenBucket,
-    record::Records, ticket::Tickets, usage::Draw,
+    record::Records, ticket::Tickets, usage::UsageTable,
 };
 
 pub(crate) struct Shared {
@@ -33,7 +33,7 @@
     pub(crate) peer: Peer,
     pub(crate) store: Store,
     pub(crate) metrics: CallMetrics,
-    pub(crate) draw: Draw,
+    pub(crate) usage: UsageTable,
     pub(crate) bodies: BodyMemory,
     pub(crate) pools: RefCell<Pools>,
     pub(crate) records: RefCell<Records>,
--- a/crates/call/src/usage.rs
+++ b/crates/call/src/usage.rs
@@ -1,4 +1,4 @@
-//! Usage accounting ("draw"): tokens and engine time per organisation, job and pool.
+//! Usage accounting: tokens and engine time per organisation, job and pool.
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
@@ -12,7 +12,7 @@
 
 /// Who uses what.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct DrawKey {
+pub struct UsageKey {
     /// Organisation.
     pub organisation: OrganisationId,
     /// Rollout job; empty for other calls.
@@ -23,7 +23,7 @@
 
 /// Counters since the start of the process. They never fall.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct DrawCounters {
+pub struct UsageCounters {
     /// Calls that were sent to a target.
     pub calls: u64,
     /// Tokens that engines generated for these calls.
@@ -34,30 +34,30 @@
 
 /// Counters of one key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DrawEntry {
+pub struct UsageEntry {
     /// Key.
-    pub key: DrawKey,
+    pub key: UsageKey,
     /// Counters.
-    pub counters: DrawCounters,
+    pub counters: UsageCounters,
 }
 
-/// What one VM publishes over `Topic::Draw`.
+/// What one VM publishes over `Topic::Usage`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DrawReport {
+pub struct UsageReport {
     /// Process to which the counters belong; a later process starts from zero.
     pub incarnation: Incarnation,
     /// Counters, by key.
-    pub entries: Vec<DrawEntry>,
+    pub entries: Vec<UsageEntry>,
 }
 
-impl DrawReport {
+impl UsageReport {
     /// Returns the encoded report (CBOR).
     pub fn encode(&self) -> Bytes {
         let mut bytes = Vec::new();
         match ciborium::into_writer(self, &mut bytes) {
             Ok(()) => bytes.into(),
             Err(error) => {
-                log::error!(target: "call", "draw report not encoded error={error}");
+                log::error!(target: "call", "usage report not encoded error={error}");
                 Bytes::new()
             }
         }
@@ -71,13 +71,13 @@
 
 /// Counters of this process; clones share them.
 #[derive(Clone, Default)]
-pub struct Draw {
-    counters: Rc<RefCell<HashMap<DrawKey, DrawCounters>>>,
+pub struct UsageTable {
+    counters: Rc<RefCell<HashMap<UsageKey, UsageCounters>>>,
 }
 
-impl Draw {
+impl UsageTable {
     /// Counts one call at its end.
-    pub fn count(&self, key: &DrawKey, tokens: u64, engine_time: Duration) {
+    pub fn count(&self, key: &UsageKey, tokens: u64, engine_time: Duration) {
         let mut counters = self.counters.borrow_mut();
         let entry = counters.entry(key.clone()).or_default();
         entry.calls += 1;
@@ -86,21 +86,21 @@
     }
 
     /// Returns the counters of a key.
-    pub fn get(&self, key: &DrawKey) -> DrawCounters {
+    pub fn get(&self, key: &UsageKey) -> UsageCounters {
         self.counters.borrow().get(key).copied().unwrap_or_default()
     }
 
     /// Returns the report to publish; the largest users if there are too many.
-    pub fn report(&self, incarnation: Incarnation) -> DrawReport {
+    pub fn report(&self, incarnation: Incarnation) -> UsageReport {
         let counters = self.counters.borrow();
         let mut entries: Vec<_> = counters
             .iter()
-            .map(|(key, counters)| DrawEntry { key: key.clone(), counters: *counters })
+            .map(|(key, counters)| UsageEntry { key: key.clone(), counters: *counters })
             .collect();
         entries.sort_unstable_by(|a, b| {
             b.counters.engine_ms.cmp(&a.counters.engine_ms).then_with(|| a.key.cmp(&b.key))
         });
         entries.truncate(MAX_PUBLISHED);
-        DrawReport { incarnation, entries }
+        UsageReport { incarnation, entries }
     }
 }
--- a/crates/call/src/usage_status.rs
+++ b/crates/call/src/usage_status.rs
@@ -15,7 +15,7 @@
 use deck_plat::{Object, Precondition, StoreError};
 use serde_json::{Map, Value};
 
-use crate::{fold::OrganisationUsage, shared::SharedRef, usage::DrawReport};
+use crate::{fold::OrganisationUsage, shared::SharedRef, usage::UsageReport};
 
 /// Time between two writes of one organisation's usage.
 const FOLD_PERIOD: Duration = Duration::from_secs(5);
@@ -41,14 +41,14 @@
 /// Report of one VM.
 struct VmReport {
     vm: VmId,
-    report: DrawReport,
+    report: UsageReport,
 }
 
 /// Publishes the counters of this process.
 pub(crate) fn publish(shared: &SharedRef) {
-    let report = shared.draw.report(shared.options.incarnation);
+    let report = shared.usage.report(shared.options.incarnation);
     if !report.entries.is_empty() {
-        shared.peer.publish(Topic::Draw, report.encode());
+        shared.peer.publish(Topic::Usage, report.encode());
     }
 }
 
@@ -72,9 +72,9 @@
 
 /// Waits until the counters of this process are in the status objects.
 pub(crate) async fn wait_folded(shared: &SharedRef) {
-    let report = shared.draw.report(shared.options.incarnation);
+    let report = shared.usage.report(shared.options.incarnation);
     for (organisation, ..) in shared.config.shares() {
-        let counts = |entry: &crate::usage::DrawEntry| entry.key.organisation == organisation;
+        let counts = |entry: &crate::usage::UsageEntry| entry.key.organisation == organisation;
         if !report.entries.iter().any(counts) {
             continue;
         }
@@ -95,10 +95,10 @@
     members: &[Member],
     known: &mut HashMap<OrganisationId, OrganisationUsage>,
 ) {
-    let published = shared.peer.published(Topic::Draw).into_iter();
+    let published = shared.peer.published(Topic::Usage).into_iter();
     let reports: Vec<_> = published
         .filter_map(|value| {
-            Some(VmReport { report: DrawReport::decode(&value.value)?, vm: value.vm })
+            Some(VmReport { report: UsageReport::decode(&value.value)?, vm: value.vm })
         })
         .collect();
     let is_present = |vm: &VmId| {
--- a/crates/call/tests/fold.rs
+++ b/crates/call/tests/fold.rs
@@ -2,7 +2,7 @@
 
 use deck_call::{
     fold::{ABSENT_KEEP_S, OrganisationUsage},
-    usage::{DrawCounters, DrawEntry, DrawKey, DrawReport},
+    usage::{UsageCounters, UsageEntry, UsageKey, UsageReport},
     usage_status::usage_writer,
 };
 use deck_peer::{Member, MemberState};
@@ -10,20 +10,20 @@
 
 const ORGANISATION: &str = "jonotuoli";
 
-fn entry(organisation: &str, job: &str, tokens: u64) -> DrawEntry {
-    let key = DrawKey {
+fn entry(organisation: &str, job: &str, tokens: u64) -> UsageEntry {
+    let key = UsageKey {
         organisation: organisation.to_owned(),
         job: job.to_owned(),
         pool: "rank".to_owned(),
     };
-    DrawEntry { key, counters: DrawCounters { calls: 1, tokens, engine_ms: 2 * tokens } }
+    UsageEntry { key, counters: UsageCounters { calls: 1, tokens, engine_ms: 2 * tokens } }
 }
 
-fn report(incarnation: u64, tokens: u64) -> DrawReport {
-    DrawReport { incarnation, entries: vec![entry(ORGANISATION, "j", tokens)] }
+fn report(incarnation: u64, tokens: u64) -> UsageReport {
+    UsageReport { incarnation, entries: vec![entry(ORGANISATION, "j", tokens)] }
 }
 
-fn fold(usage: &mut OrganisationUsage, vm: &str, report: &DrawReport) {
+fn fold(usage: &mut OrganisationUsage, vm: &str, report: &UsageReport) {
     usage.fold(&ORGANISATION.to_owned(), &vm.to_owned(), report);
 }
 
@@ -54,7 +54,7 @@
 fn keys_are_kept_apart() {
     let entries = vec![entry(ORGANISATION, "j", 3), entry(ORGANISATION, "", 4), entry("b", "j", 9)];
     let mut usage = OrganisationUsage::default();
-    fold(&mut usage, "a", &DrawReport { incarnation: 1, entries });
+    fold(&mut usage, "a", &UsageReport { incarnation: 1, entries });
     let found: Vec<_> = usage.usage.iter().map(|u| (u.job.as_str(), u.tokens)).collect();
     assert_eq!(found, [("", 4), ("j", 3)]);
 }
--- a/crates/call/tests/usage.rs
+++ b/crates/call/tests/usage.rs
@@ -2,24 +2,24 @@
 
 use std::time::Duration;
 
-use deck_call::usage::{Draw, DrawCounters, DrawKey, DrawReport};
+use deck_call::usage::{UsageCounters, UsageKey, UsageReport, UsageTable};
 
-fn key(organisation: &str, job: &str) -> DrawKey {
-    DrawKey { organisation: organisation.to_owned(), job: job.to_owned(), pool: "rank".to_owned() }
+fn key(organisation: &str, job: &str) -> UsageKey {
+    UsageKey { organisation: organisation.to_owned(), job: job.to_owned(), pool: "rank".to_owned() }
 }
 
 /// Guards against usage that is lost or mixed up between organisations and jobs on its way.
 #[test]
 fn report_carries_the_counters_of_each_key() {
-    let draw = Draw::default();
-    draw.count(&key("a", "j1"), 100, Duration::from_millis(1500));
-    draw.count(&key("a", "j1"), 50, Duration::from_millis(500));
-    draw.count(&key("a", ""), 7, Duration::from_millis(10));
-    draw.count(&key("b", "j1"), 1, Duration::from_millis(1));
-    let report = DrawReport::decode(&draw.report(9).encode()).expect("report");
+    let usage = UsageTable::default();
+    usage.count(&key("a", "j1"), 100, Duration::from_millis(1500));
+    usage.count(&key("a", "j1"), 50, Duration::from_millis(500));
+    usage.count(&key("a", ""), 7, Duration::from_millis(10));
+    usage.count(&key("b", "j1"), 1, Duration::from_millis(1));
+    let report = UsageReport::decode(&usage.report(9).encode()).expect("report");
     assert_eq!(report.incarnation, 9);
     let found: Vec<_> = report.entries.iter().map(|entry| (&entry.key, entry.counters)).collect();
-    let counters = |calls, tokens, engine_ms| DrawCounters { calls, tokens, engine_ms };
+    let counters = |calls, tokens, engine_ms| UsageCounters { calls, tokens, engine_ms };
     assert_eq!(
         found,
         [
@@ -28,19 +28,19 @@
             (&key("b", "j1"), counters(1, 1, 1)),
         ]
     );
-    assert_eq!(draw.get(&key("b", "")), DrawCounters::default());
+    assert_eq!(usage.get(&key("b", "")), UsageCounters::default());
 }
 
 /// Guards against reports that take more than the links carry, and against malformed ones.
 #[test]
 fn report_is_bounded_and_malformed_ones_are_refused() {
-    let draw = Draw::default();
+    let usage = UsageTable::default();
     for number in 0..1000_u64 {
         let key = key(&format!("organisation-{number}"), "a-job-of-some-length");
-        draw.count(&key, 1, Duration::from_millis(number));
+        usage.count(&key, 1, Duration::from_millis(number));
     }
-    let report = draw.report(u64::MAX);
+    let report = usage.report(u64::MAX);
     assert_eq!(report.entries[0].key.organisation, "organisation-999", "the largest users first");
     assert!(report.encode().len() < 10_000, "{} bytes", report.encode().len());
-    assert_eq!(DrawReport::decode(b"no report"), None);
+    assert_eq!(UsageReport::decode(b"no report"), None);
 }
--- a/crates/peer/examples/peer_scale.rs
+++ b/crates/peer/examples/peer_scale.rs
@@ -353,7 +353,7 @@
     while !cancel.is_cancelled() {
         peer.publish(Topic::ShareDemand, random(100));
         if round.is_multiple_of(5) {
-            peer.publish(Topic::Draw, random(60));
+            peer.publish(Topic::Usage, random(60));
         }
         round += 1;
         monoio::time::sleep(Duration::from_secs(1)).await;
--- a/crates/peer/src/topic.rs
+++ b/crates/peer/src/topic.rs
@@ -20,7 +20,7 @@
     /// Revisions of the configuration in force.
     InForceRevisions,
     /// Usage counters.
-    Draw,
+    Usage,
     /// Request for the recorded response of a call.
     CallLookup,
     /// Call forwarded to the issuer of its ticket.
@@ -34,7 +34,7 @@
         Self::CrashFingerprints,
         Self::ShareDemand,
         Self::InForceRevisions,
-        Self::Draw,
+        Self::Usage,
         Self::CallLookup,
         Self::TicketCall,
     ];
--- a/crates/peer/tests/values.rs
+++ b/crates/peer/tests/values.rs
@@ -74,10 +74,10 @@
             value_at(&nodes[1], "a-0", Topic::ShareDemand).is_some()
         })
         .await;
-        nodes[0].peer.publish(Topic::Draw, Bytes::from_static(b"draw"));
+        nodes[0].peer.publish(Topic::Usage, Bytes::from_static(b"usage"));
         eventually("the other topic arrives", async || {
             publish_busy();
-            value_at(&nodes[1], "a-0", Topic::Draw).is_some()
+            value_at(&nodes[1], "a-0", Topic::Usage).is_some()
         })
         .await;
     });
--- a/crates/roll/src/job.rs
+++ b/crates/roll/src/job.rs
@@ -77,7 +77,7 @@
     last_error: RefCell<Option<String>>,
     store_error: RefCell<Option<String>>,
     /// Tokens that earlier owners wrote into the status.
-    earlier_draw_tokens: Cell<u64>,
+    earlier_usage_tokens: Cell<u64>,
     lease_check: Cell<Option<Instant>>,
 }
 
@@ -111,7 +111,7 @@
             targets: RefCell::default(),
             last_error: RefCell::default(),
             store_error: RefCell::default(),
-            earlier_draw_tokens: Cell::new(0),
+            earlier_usage_tokens: Cell::new(0),
             lease_check: Cell::new(None),
         })
     }
@@ -258,7 +258,7 @@
 
     /// Takes over what an earlier owner wrote.
     pub fn continue_status(&self, earlier: &JobStatus) {
-        self.earlier_draw_tokens.set(earlier.draw_tokens);
+        self.earlier_usage_tokens.set(earlier.usage_tokens);
     }
 }
 
--- a/crates/roll/src/job/report.rs
+++ b/crates/roll/src/job/report.rs
@@ -17,7 +17,7 @@
         let mut continued = false;
         let mut recorded = BoardStats::default();
         while !self.stop.is_cancelled() {
-            // Not written before the earlier status was read: its draw would be lost.
+            // Not written before the earlier status was read: its usage would be lost.
             let written = match continued {
                 true => Ok(()),
                 false => writer.read().await.map(|earlier| {
@@ -63,7 +63,7 @@
             staleness_max_versions: stats.staleness_max_versions,
             regenerated_share: stats.regenerated_share(),
             thrown_away_share: stats.thrown_away_share(),
-            draw_tokens: self.earlier_draw_tokens.get() + stats.generated_tokens,
+            usage_tokens: self.earlier_usage_tokens.get() + stats.generated_tokens,
             last_error: self.last_error.borrow().clone(),
         }
     }
--- a/crates/roll/src/status.rs
+++ b/crates/roll/src/status.rs
@@ -33,7 +33,7 @@
     pub thrown_away_share: f64,
     /// Usage: tokens generated for the job, earlier owners included. A crash of an owner loses what
     /// it had not written yet.
-    pub draw_tokens: u64,
+    pub usage_tokens: u64,
     /// Last error; kept until another one replaces it.
     pub last_error: Option<String>,
 }
