--- a/crates/call/src/options.rs
+++ b/crates/call/src/options.rs
@@ -117,7 +117,8 @@
             claim_keep: Duration::from_secs(3600),
             resolve_tries: 4,
             lookup_timeout: Duration::from_secs(2),
-            record_keep: Duration::from_secs(900),
+            // Longer than claims are kept: a claim without its record can only be answered as unknown.
+            record_keep: Duration::from_secs(7200),
             max_records: 100_000,
             max_record_bytes: 32 * 1024 * 1024,
             ticket_keep: Duration::from_secs(600),
