--- /dev/null
+++ b/crates/weight/tests/relay.rs
@@ -0,0 +1,144 @@
+//! Relay of weights against the weight store stand-in.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use deck_core::CancellationToken;
+use deck_net::{
+    Body, Client, ServerOptions,
+    http::{Method, Request},
+};
+use deck_testkit::Process;
+use deck_weight::relay::{Relay, RelayOptions};
+use futures_util::future::join;
+use serde_json::{Value, json};
+use test_case::test_case;
+
+struct World {
+    _store: Process,
+    store: SocketAddr,
+    relay: SocketAddr,
+    folder: PathBuf,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl World {
+    async fn start(max_transfers: usize, size_bytes: usize) -> Self {
+        let size = size_bytes.to_string();
+        let arguments = ["weights", "--listen", "127.0.0.1:0", "--model", "m", "--version", "1"];
+        let arguments = [&arguments[..], &["--size-bytes", &size]].concat();
+        let mut process = Process::start("weights", "deckstandin", &arguments, None);
+        let store = process.address("http");
+        let folder = std::env::temp_dir().join(format!("relay-{}", deck_core::id::random_id()));
+        let options = RelayOptions {
+            data_folder: folder.clone(),
+            weight_store: store,
+            max_transfers,
+            chunk_timeout: Duration::from_secs(10),
+        };
+        let relay = Relay::try_new(options, Client::default()).expect("data folder");
+        let listener = deck_net::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+        let address = listener.local_addr().expect("address");
+        let handler = move |request| {
+            let relay = relay.clone();
+            async move { relay.respond(request).await }
+        };
+        let options = ServerOptions::default();
+        monoio::spawn(deck_net::serve(listener, options, CancellationToken::new(), handler));
+        Self { _store: process, store, relay: address, folder }
+    }
+
+    /// Returns status and length of an answer of the relay.
+    async fn get(&self, path: &str) -> (u16, usize) {
+        let request = Request::builder().uri(path).body(Body::empty()).expect("request");
+        let response = Client::default().send(self.relay, request).await.expect("answer");
+        let status = response.status.as_u16();
+        let body = response.collect(100_000_000).await.expect("whole body");
+        (status, body.len())
+    }
+
+    async fn publish(&self, version: u64) {
+        let path = format!("/v1/weights/m/{version}");
+        let body = json!({ "size_bytes": 1000 });
+        let (status, _) = Client::default()
+            .json::<_, Value>(Method::PUT, self.store, &path, Some(&body))
+            .await
+            .expect("stand-in");
+        assert!(status.is_success());
+    }
+
+    async fn downloads(&self) -> usize {
+        let (_, records) = Client::default()
+            .json::<(), Value>(Method::GET, self.store, "/admin/records", None)
+            .await
+            .expect("stand-in");
+        records["downloads"].as_array().expect("downloads").len()
+    }
+}
+
+fn run<F: Future<Output = ()>>(test: F) {
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// Guards against a version that leaves the rate-limited store once for each engine.
+#[test]
+fn a_version_leaves_the_store_once() {
+    run(async {
+        let world = World::start(8, 600_000).await;
+        let path = "/v1/weights/m/1";
+        assert_eq!(join(world.get(path), world.get(path)).await, ((200, 600_000), (200, 600_000)));
+        assert_eq!(world.get(path).await, (200, 600_000));
+        assert_eq!(world.downloads().await, 1);
+    });
+}
+
+/// Guards against a disk that fills with old versions.
+#[test]
+fn old_versions_are_removed() {
+    run(async {
+        let world = World::start(8, 600_000).await;
+        for version in 2..=4 {
+            world.publish(version).await;
+            assert_eq!(world.get(&format!("/v1/weights/m/{version}")).await, (200, 1000));
+        }
+        let mut files: Vec<_> = std::fs::read_dir(world.folder.join("m"))
+            .expect("folder of the model")
+            .map(|entry| entry.expect("file").file_name().into_string().expect("name"))
+            .collect();
+        files.sort();
+        assert_eq!(files, ["3.weights", "4.weights"]);
+    });
+}
+
+/// Guards against files outside the data folder and against versions that do not exist.
+#[test_case("/v1/weights/../1", 404; "parent folder")]
+#[test_case("/v1/weights/..%2fm/1", 404; "encoded separator")]
+#[test_case("/v1/weights/m/one", 404; "no version")]
+#[test_case("/v1/weights/m/99", 503; "version that the store does not have")]
+fn other_paths_are_refused(path: &str, status: u16) {
+    run(async {
+        let world = World::start(8, 600_000).await;
+        assert_eq!(world.get(path).await.0, status);
+        assert!(!world.folder.join("m").join("99.weights").exists());
+    });
+}
+
+/// Guards against more transfers at a time than the disk and link of a small VM carry.
+#[test]
+fn transfers_are_bounded() {
+    run(async {
+        // More than socket buffers hold, so that the transfer lasts until its answer is read.
+        let size_bytes = 40_000_000;
+        let world = World::start(1, size_bytes).await;
+        let path = "/v1/weights/m/1";
+        let request = Request::builder().uri(path).body(Body::empty()).expect("request");
+        let held = Client::default().send(world.relay, request).await.expect("answer");
+        assert_eq!(world.get(path).await.0, 429);
+        assert_eq!(held.collect(size_bytes).await.expect("whole body").len(), size_bytes);
+        assert_eq!(world.get(path).await, (200, size_bytes));
+    });
+}
