--- a/bins/deckctl/src/main.rs
+++ b/bins/deckctl/src/main.rs
@@ -13,8 +13,22 @@
     error::CtlError,
 };
 
+/// Exit code for wrong arguments; `deckctl --help` lists all codes.
+const WRONG_ARGUMENTS: u8 = 2;
+const HELP_WIDTH_COLUMNS: usize = 100;
+
 fn main() -> ExitCode {
-    let options = cli::options().run();
+    let options = match cli::options().run_inner(bpaf::Args::current_args()) {
+        Ok(options) => options,
+        Err(failure) => {
+            failure.print_message(HELP_WIDTH_COLUMNS);
+            return if failure.exit_code() == 0 {
+                ExitCode::SUCCESS
+            } else {
+                WRONG_ARGUMENTS.into()
+            };
+        }
+    };
     let result = deck_net::runtime::run(run(options)).map_err(CtlError::from).flatten();
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,8 +10,9 @@
 use deck_conf::ConfError;
 use monoio::net::TcpListener;
 
-/// Exit code for settings that are not valid.
+/// Exit code for arguments or settings that are not valid.
 const INVALID_SETTINGS: u8 = 2;
+const HELP_WIDTH_COLUMNS: usize = 100;
 
 /// What a daemon is.
 #[derive(Debug, Clone, Copy)]
@@ -42,13 +43,20 @@
 
 /// Reads arguments and settings, starts logs and the runtime, and runs `daemon`.
 ///
-/// With `--check` the settings are checked and the daemon is not run. The exit code is 2 if the
-/// settings are not valid and 1 after any other error.
+/// With `--check` the settings are checked and the daemon is not run. The exit code is 2 if
+/// arguments or settings are not valid and 1 after any other error.
 pub fn main<S: Settings, F>(about: About, daemon: impl FnOnce(S) -> F) -> ExitCode
 where
     F: Future<Output = std::io::Result<()>>,
 {
-    let arguments = arguments(about).run();
+    let arguments = match arguments(about).run_inner(bpaf::Args::current_args()) {
+        Ok(arguments) => arguments,
+        Err(failure) => {
+            failure.print_message(HELP_WIDTH_COLUMNS);
+            let is_help = failure.exit_code() == 0;
+            return if is_help { ExitCode::SUCCESS } else { ExitCode::from(INVALID_SETTINGS) };
+        }
+    };
     let settings = match S::try_open(&arguments.config) {
         Ok(settings) => settings,
         Err(error) => {
