--- a/bins/deckweight/src/process.rs
+++ b/bins/deckweight/src/process.rs
@@ -9,6 +9,7 @@
 use deck_peer::local::LocalView;
 use deck_plat::Store;
 use deck_weight::{
+    metrics::WeightMetrics,
     owner::{OwnerOptions, WeightOwner},
     relay::Relay,
 };
@@ -22,7 +23,8 @@
     let readiness = admin::Readiness::new("no configuration yet");
     let client = Client::default();
     let store = Store::new(client.clone(), settings.object_api, settings.object_api_timeout);
-    start_admin(&settings, &readiness, &end)?;
+    let metrics = Metrics::default();
+    start_admin(&settings, &metrics, &readiness, &end)?;
     if let Some(relay) = settings.relay {
         start_relay(relay, &client, &end)?;
     }
@@ -40,7 +42,9 @@
         run: settings.run,
     };
     let config = view.config();
-    let owner = WeightOwner::new(client, store, config, Rc::new(move || view.members()), options);
+    let members = Rc::new(move || view.members());
+    let metrics = WeightMetrics::new(&metrics);
+    let owner = WeightOwner::new(client, store, config, members, options, metrics);
     owner.run(stop).await;
     readiness.set_not_ready("stopping");
     log::info!(target: "deckweight", "stopped, leases released");
@@ -50,11 +54,12 @@
 
 fn start_admin(
     settings: &Settings,
+    metrics: &Metrics,
     readiness: &admin::Readiness,
     end: &CancellationToken,
 ) -> std::io::Result<()> {
     let listener = listen("admin", settings.admin.address)?;
-    monoio::spawn(admin::serve(listener, Metrics::default(), readiness.clone(), end.clone()));
+    monoio::spawn(admin::serve(listener, metrics.clone(), readiness.clone(), end.clone()));
     Ok(())
 }
 
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod logs;
 pub mod metrics;
+pub mod reference;
--- a/crates/peer/src/traffic.rs
+++ b/crates/peer/src/traffic.rs
@@ -2,11 +2,36 @@
 
 use std::cell::{Cell, RefCell};
 
-use deck_obs::metrics::Metrics;
+use deck_obs::{metrics::Metrics, reference::MetricRow};
 use opentelemetry::{KeyValue, metrics::Counter};
 
 use crate::wire::Message;
 
+const SENT: MetricRow = MetricRow {
+    name: "peer_sent_bytes_total",
+    kind: "counter",
+    unit: "bytes",
+    labels: "type",
+    help: "Bytes sent to other VMs, by type of message.",
+};
+const RECEIVED: MetricRow = MetricRow {
+    name: "peer_received_bytes_total",
+    kind: "counter",
+    unit: "bytes",
+    labels: "type",
+    help: "Bytes received from other VMs, by type of message.",
+};
+const STORE_CALLS: MetricRow = MetricRow {
+    name: "peer_store_calls_total",
+    kind: "counter",
+    unit: "calls",
+    labels: "",
+    help: "Calls on the object API for configuration and status.",
+};
+
+/// Metrics of the peer links, in the order of the reference `docs/metrics.md`.
+pub const METRICS: &[MetricRow] = &[SENT, RECEIVED, STORE_CALLS];
+
 /// Largest header of a WebSocket frame of a message below 64 KiB, mask included.
 const FRAME_HEADER_BYTES: usize = 8;
 
@@ -49,21 +74,17 @@
             .map(|&message_type| MessageTraffic { message_type, ..MessageTraffic::default() })
             .collect();
         let meter = metrics.map(|metrics| metrics.meter("peer"));
-        let counter = |name, text| {
-            meter.as_ref().map(|meter| meter.u64_counter(name).with_description(text).build())
+        let counter = |row: MetricRow| {
+            meter
+                .as_ref()
+                .map(|meter| meter.u64_counter(row.name).with_description(row.help).build())
         };
         Self {
             types: RefCell::new(types),
-            sent: counter("peer_sent_bytes_total", "Bytes sent to other VMs by message type"),
-            received: counter(
-                "peer_received_bytes_total",
-                "Bytes received from other VMs by message type",
-            ),
+            sent: counter(SENT),
+            received: counter(RECEIVED),
             store_calls: Cell::new(0),
-            store_call_counter: counter(
-                "peer_store_calls_total",
-                "Calls on the object API for configuration and status",
-            ),
+            store_call_counter: counter(STORE_CALLS),
         }
     }
 
--- /dev/null
+++ b/crates/peer/tests/metrics.rs
@@ -0,0 +1,13 @@
+//! Metrics reference of the peer links.
+
+use deck_obs::reference::documented_rows;
+use deck_peer::traffic::METRICS;
+
+const PAGE: &str = include_str!("../../../docs/metrics.md");
+
+/// Guards against metrics that are added, renamed or removed without the reference.
+#[test]
+fn reference_matches_the_code() {
+    let expected: Vec<_> = METRICS.iter().map(|row| row.table_row()).collect();
+    assert_eq!(documented_rows(PAGE, "peer_"), expected);
+}
--- a/crates/roll/src/metrics.rs
+++ b/crates/roll/src/metrics.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use deck_core::object::RolloutJob;
-use deck_obs::metrics::{LATENCY_BOUNDS_S, Metrics};
+use deck_obs::{
+    metrics::{LATENCY_BOUNDS_S, Metrics},
+    reference::MetricRow,
+};
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
@@ -11,21 +14,6 @@
 
 use crate::{board::BoardStats, protocol::GroupDelivery};
 
-/// Row of the metrics reference.
-#[derive(Debug, Clone, Copy)]
-pub struct MetricRow {
-    /// Name.
-    pub name: &'static str,
-    /// `counter`, `gauge` or `histogram`.
-    pub kind: &'static str,
-    /// Unit.
-    pub unit: &'static str,
-    /// Labels besides `organisation`, `pool` and `job`.
-    pub labels: &'static str,
-    /// Meaning.
-    pub help: &'static str,
-}
-
 macro_rules! rows {
     ($($row:ident = $name:literal, $kind:literal, $unit:literal, $labels:literal, $help:literal;)*) => {
         $(const $row: MetricRow = MetricRow {
--- a/crates/roll/tests/metrics.rs
+++ b/crates/roll/tests/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use deck_core::object::{RolloutJob, VersionSpan};
-use deck_obs::metrics::Metrics;
+use deck_obs::{metrics::Metrics, reference::documented_rows};
 use deck_roll::{
     metrics::{JobLabels, METRICS, RollMetrics},
     protocol::{GroupDelivery, SampleDelivery},
@@ -29,16 +29,8 @@
 /// Guards against metrics that are added, renamed or removed without the reference.
 #[test]
 fn reference_matches_the_code() {
-    let documented: Vec<&str> =
-        PAGE.lines().filter(|line| line.starts_with("| `deckroll_")).collect();
-    let expected: Vec<String> = METRICS
-        .iter()
-        .map(|row| {
-            let (kind, unit, labels, help) = (row.kind, row.unit, row.labels, row.help);
-            format!("| `{}` | {kind} | {unit} | {labels} | {help} |", row.name)
-        })
-        .collect();
-    assert_eq!(documented, expected);
+    let expected: Vec<_> = METRICS.iter().map(|row| row.table_row()).collect();
+    assert_eq!(documented_rows(PAGE, "deckroll_"), expected);
 }
 
 /// Guards against an idle time above the elapsed time, and a staleness under the wrong label.
--- a/crates/weight/src/lib.rs
+++ b/crates/weight/src/lib.rs
@@ -5,6 +5,7 @@
 //! it was told.
 
 pub mod engine;
+pub mod metrics;
 pub mod owner;
 pub mod plan;
 pub mod relay;
--- a/crates/weight/src/owner.rs
+++ b/crates/weight/src/owner.rs
@@ -20,6 +20,7 @@
 use futures_util::{StreamExt, stream};
 
 use crate::{
+    metrics::WeightMetrics,
     plan::PlanOptions,
     run::{PoolRun, RunOptions},
 };
@@ -45,6 +46,7 @@
     config: ConfigView,
     ownership: Ownership,
     options: Rc<OwnerOptions>,
+    metrics: WeightMetrics,
 }
 
 impl WeightOwner {
@@ -55,6 +57,7 @@
         config: ConfigView,
         members: Rc<dyn Fn() -> Vec<Member>>,
         options: OwnerOptions,
+        metrics: WeightMetrics,
     ) -> Self {
         let ownership = Ownership {
             store: store.clone(),
@@ -64,7 +67,7 @@
             prefix: "pool",
             lease: options.lease.clone(),
         };
-        Self { client, store, config, ownership, options: Rc::new(options) }
+        Self { client, store, config, ownership, options: Rc::new(options), metrics }
     }
 
     /// Runs until `cancel` is cancelled, then releases all leases.
@@ -91,6 +94,7 @@
             self.options.vm.clone(),
             token.clone(),
             self.options.run.clone(),
+            self.metrics.clone(),
         );
         while !stop.is_cancelled() {
             let round = self.round(pool, &mut run, &token);
--- a/crates/weight/src/run.rs
+++ b/crates/weight/src/run.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     engine::{self, EngineError, EngineState, Role, SwapState},
+    metrics::WeightMetrics,
     owner::{for_each_limited, is_due, parse_address},
     plan::{Order, PendingOrder, PlanInput, PlanOptions, TargetView, is_settled, plan},
     source,
@@ -71,6 +72,7 @@
     status_written: Option<Instant>,
     last_status: Option<PoolStatus>,
     lease_was_valid: bool,
+    metrics: WeightMetrics,
 }
 
 struct Report {
@@ -87,6 +89,7 @@
         vm: VmId,
         token: LeaseToken,
         options: RunOptions,
+        metrics: WeightMetrics,
     ) -> Self {
         Self {
             pool: pool.to_owned(),
@@ -102,6 +105,7 @@
             status_written: None,
             last_status: None,
             lease_was_valid: true,
+            metrics,
         }
     }
 
@@ -179,6 +183,7 @@
         let now = Instant::now();
         let status =
             PoolStatus::new(self.vm.clone(), self.token.fencing(), desired, &self.views(spec));
+        self.metrics.pool(&self.pool, &status);
         if !is_due(self.status_written, self.options.status_interval, now)
             || self.last_status.as_ref() == Some(&status)
         {
@@ -251,7 +256,10 @@
             return Err(EngineError::Timeout);
         };
         let timeout = self.options.call_timeout;
-        engine::send_order(&self.client, address, self.token.fencing(), order, timeout).await
+        let fencing = self.token.fencing();
+        let result = engine::send_order(&self.client, address, fencing, order, timeout).await;
+        self.metrics.ordered(&self.pool, order, &result);
+        result
     }
 
     fn handle_results(&mut self, results: Vec<(TargetId, Result<(), EngineError>)>) -> bool {
--- /dev/null
+++ b/crates/weight/tests/metrics.rs
@@ -0,0 +1,48 @@
+//! Metrics reference of `deckweight`.
+
+use deck_obs::{metrics::Metrics, reference::documented_rows};
+use deck_weight::{
+    engine::EngineError,
+    metrics::{METRICS, WeightMetrics},
+    plan::Order,
+    status::PoolStatus,
+};
+
+const PAGE: &str = include_str!("../../../docs/metrics.md");
+
+/// Guards against metrics that are added, renamed or removed without the reference.
+#[test]
+fn reference_matches_the_code() {
+    let expected: Vec<_> = METRICS.iter().map(|row| row.table_row()).collect();
+    assert_eq!(documented_rows(PAGE, "deckweight_"), expected);
+}
+
+/// Guards against orders and states under the wrong label.
+#[test]
+fn orders_and_states_are_recorded() {
+    let metrics = Metrics::default();
+    let weight = WeightMetrics::new(&metrics);
+    weight.ordered("p", &Order::Drain, &Ok(()));
+    weight.ordered("p", &Order::Switch { version: 2 }, &Err(EngineError::StaleFencing));
+    let status = PoolStatus {
+        owner: "vm".to_owned(),
+        fencing: 1,
+        desired_version: 2,
+        targets: 3,
+        settled: 1,
+        staged: 0,
+        failed: vec!["t1".to_owned()],
+        unreachable: Vec::new(),
+    };
+    weight.pool("p", &status);
+    let text = metrics.render();
+    for expected in [
+        "deckweight_orders_total{order=\"drain\",outcome=\"accepted\",pool=\"p\"} 1",
+        "deckweight_orders_total{order=\"switch\",outcome=\"stale_fencing\",pool=\"p\"} 1",
+        "deckweight_targets{pool=\"p\",state=\"settled\"} 1",
+        "deckweight_targets{pool=\"p\",state=\"failed\"} 1",
+        "deckweight_desired_version{pool=\"p\"} 2",
+    ] {
+        assert!(text.contains(expected), "{expected} is not in {text}");
+    }
+}
