--- a/bins/deckctl/src/cli.rs
+++ b/bins/deckctl/src/cli.rs
@@ -126,10 +126,16 @@
         #[bpaf(positional("NAME"))]
         name: String,
     },
-    /// Checks object files without the object API.
-    #[bpaf(command, footer("Example: deckctl check examples/vitosha/objects/*.json"))]
+    /// Checks object files and settings files (.ini) without the object API.
+    #[bpaf(
+        command,
+        footer("Example: deckctl check examples/vitosha/objects/*.json examples/vitosha/*.ini")
+    )]
     Check {
-        /// Files with objects
+        /// Program of the settings files; without it their names say it, such as deckentry.ini
+        #[bpaf(long("program"), argument("NAME"), optional)]
+        program: Option<String>,
+        /// Files with objects or settings
         #[bpaf(positional("FILE"), some("name at least one file"))]
         files: Vec<PathBuf>,
     },
--- a/bins/deckctl/src/error.rs
+++ b/bins/deckctl/src/error.rs
@@ -28,6 +28,17 @@
             display("{}: {name}: {error}", file.display())
             source(error)
         }
+        /// A settings file is not valid.
+        Settings(error: deck_conf::ConfError) {
+            display("{error}")
+            source(error)
+            from()
+        }
+        /// It is not known whose settings a file holds.
+        UnknownProgram(file: PathBuf) {
+            display("{}: name the program with --program: deckentry, deckroll or deckweight",
+                file.display())
+        }
         /// The object does not exist.
         NotFound(name: String) {
             display("{name} does not exist")
@@ -77,6 +88,7 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Io(_) | Self::Plot(_) => 1,
+            Self::Settings(_) | Self::UnknownProgram(_) => 2,
             Self::NoObjectApi
             | Self::File(..)
             | Self::Syntax(..)
--- a/bins/deckctl/src/main.rs
+++ b/bins/deckctl/src/main.rs
@@ -41,8 +41,8 @@
 
 async fn run(options: Options) -> Result<(), CtlError> {
     let Options { object_api, output, timeout_ms, command } = options;
-    if let Command::Check { files } = &command {
-        return verbs::check::run(files, output);
+    if let Command::Check { program, files } = &command {
+        return verbs::check::run(files, program.as_deref(), output);
     }
     if let Command::Report { report } = command {
         return verbs::report::run(report, object_api, timeout_ms, output).await;
--- a/bins/deckctl/tests/examples.rs
+++ b/bins/deckctl/tests/examples.rs
@@ -27,10 +27,11 @@
 
 /// Guards against examples that a new user cannot apply.
 #[test]
-fn objects_are_valid() {
+fn objects_and_settings_pass_check() {
     let output = Command::new(program("deckctl"))
         .arg("check")
         .args(example_files("json"))
+        .args(example_files("ini"))
         .output()
         .expect("program runs");
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
--- a/bins/deckctl/tests/exit_codes.rs
+++ b/bins/deckctl/tests/exit_codes.rs
@@ -29,6 +29,9 @@
 #[test_case(&["get", "Unknown"], 2; "unknown kind")]
 #[test_case(&["get", "TargetPool"], 2; "no object API named")]
 #[test_case(&["check", "/nonexistent.json"], 2; "no such file")]
+#[test_case(&["check", "sample.ini"], 2; "settings of no known program")]
+#[test_case(&["check", "--program", "deckentry", "../deckentry/sample.ini"], 0; "valid settings")]
+#[test_case(&["check", "--program", "deckroll", "../deckentry/sample.ini"], 2; "settings of another program")]
 #[test_case(&["--object-api", "127.0.0.1:1", "get", "TargetPool"], 5; "object API not reachable")]
 fn exit_codes_without_an_object_api(arguments: &[&str], expected: i32) {
     let (code, text) = deckctl(arguments);
--- /dev/null
+++ b/bins/deckentry/src/lib.rs
@@ -0,0 +1,3 @@
+//! Settings of `deckentry`, which `deckctl check` reads too.
+
+pub mod settings;
--- a/bins/deckentry/src/main.rs
+++ b/bins/deckentry/src/main.rs
@@ -5,7 +5,6 @@
 use deck_daemon::About;
 
 mod process;
-mod settings;
 
 const ABOUT: About = About {
     name: "deckentry",
--- a/bins/deckentry/src/process.rs
+++ b/bins/deckentry/src/process.rs
@@ -17,7 +17,7 @@
 use deck_route::{Router, RouterOptions};
 use monoio::net::TcpListener;
 
-use crate::settings::Settings;
+use deckentry::settings::Settings;
 
 /// Age at which a published demand report no longer counts. At 330 VMs a value is renewed every 20 to
 /// 25 s only (`docs/membership.md`), so a bound near that would take healthy VMs for silent ones.
--- /dev/null
+++ b/bins/deckroll/src/lib.rs
@@ -0,0 +1,3 @@
+//! Settings of `deckroll`, which `deckctl check` reads too.
+
+pub mod settings;
--- a/bins/deckroll/src/main.rs
+++ b/bins/deckroll/src/main.rs
@@ -1,7 +1,6 @@
 //! `deckroll`: runs the rollout jobs that this VM owns and hands samples to trainers.
 
 mod process;
-mod settings;
 
 use std::process::ExitCode;
 
--- a/bins/deckroll/src/process.rs
+++ b/bins/deckroll/src/process.rs
@@ -10,7 +10,7 @@
 use deck_plat::Store;
 use deck_roll::{RollOptions, RollOwner, job::JobParts, metrics::RollMetrics, service};
 
-use crate::settings::Settings;
+use deckroll::settings::Settings;
 
 /// Runs the process until a stop signal.
 ///
--- /dev/null
+++ b/bins/deckweight/src/lib.rs
@@ -0,0 +1,3 @@
+//! Settings of `deckweight`, which `deckctl check` reads too.
+
+pub mod settings;
--- a/bins/deckweight/src/main.rs
+++ b/bins/deckweight/src/main.rs
@@ -1,7 +1,6 @@
 //! `deckweight`: brings new weights to the engines of the pools that this VM owns.
 
 mod process;
-mod settings;
 
 use std::process::ExitCode;
 
--- a/bins/deckweight/src/process.rs
+++ b/bins/deckweight/src/process.rs
@@ -14,7 +14,7 @@
     relay::Relay,
 };
 
-use crate::settings::{RelaySettings, Settings};
+use deckweight::settings::{RelaySettings, Settings};
 
 /// Runs the daemon until it is asked to stop.
 pub async fn run(settings: Settings) -> std::io::Result<()> {
