Retry a failed lease renewal after a quarter of the renewal interval

After one failed call the next try came only when the holder had to stop acting, so a single lost call of the object API stopped orders for a moment.

--- a/crates/plat/src/lease.rs
+++ b/crates/plat/src/lease.rs
@@ -242,8 +242,8 @@
     /// While the object API is down the lease is kept and renewed when it comes back, unless another
     /// holder has taken it; meanwhile [`LeaseToken::is_valid`] tells that the holder must not act.
     pub async fn keep(mut self, cancel: CancellationToken) -> Kept {
+        let mut wait = self.renewal_interval();
         loop {
-            let wait = self.renewal_interval();
             if cancel.run_until_cancelled(monoio::time::sleep(wait)).await.is_none() {
                 self.ended.cancel();
                 if let Err(error) = self.release().await {
@@ -252,12 +252,15 @@
                 return Kept::Released;
             }
             match self.renew().await {
-                Ok(()) => {}
+                Ok(()) => wait = self.renewal_interval(),
                 Err(StoreError::Conflict(_)) => {
                     self.ended.cancel();
                     return Kept::Lost(Box::new(self.into_candidate()));
                 }
                 Err(error) => {
+                    // A single failed call must not use up half of the time in which the holder may
+                    // act without a renewal.
+                    wait = self.renewal_interval() / 4;
                     log::warn!(target: "lease", "not renewed lease={} error={error}", self.name());
                 }
             }
