--- a/bins/deckcapacity/src/main.rs
+++ b/bins/deckcapacity/src/main.rs
@@ -15,7 +15,8 @@
 use deckdemo::error::DemoError;
 
 /// Measures how the cost of each role grows with its load.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 enum Command {
     /// Runs separate processes at several sizes and prints the points.
--- a/bins/deckctl/src/cli.rs
+++ b/bins/deckctl/src/cli.rs
@@ -31,7 +31,8 @@
     not answer, 6 the outcome of a write is not known, 7 diff found a difference";
 
 /// Writes desired state to the object API and shows status.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(options, version, footer(EXIT_CODES))]
 pub struct Options {
     /// Address of the object API
@@ -54,7 +55,8 @@
     Example: deckctl --object-api 127.0.0.1:7000 apply pool.json jobs.json";
 
 /// What to do.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 pub enum Command {
     /// Creates or changes objects from files.
     ///
@@ -149,7 +151,8 @@
 }
 
 /// Reports on service levels.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 pub enum Report {
     /// Scrapes the daemons' metrics into a history file.
     #[bpaf(
--- a/bins/deckctl/src/output.rs
+++ b/bins/deckctl/src/output.rs
@@ -8,7 +8,8 @@
 use crate::cli::Output;
 
 /// What a verb did with one object.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct Action {
     /// Kind and name.
     pub object: String,
--- a/bins/deckdemo/src/main.rs
+++ b/bins/deckdemo/src/main.rs
@@ -15,7 +15,8 @@
 use crate::deployment::Deployment;
 
 /// Runs a small deployment and prints an account.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 struct Options {
     /// Directory for logs, settings, objects and the burn report
--- a/bins/deckload/src/exchange.rs
+++ b/bins/deckload/src/exchange.rs
@@ -22,7 +22,8 @@
 pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
 /// How a call ended for its caller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// Whole answer to the own request.
--- a/bins/deckload/src/main.rs
+++ b/bins/deckload/src/main.rs
@@ -24,7 +24,8 @@
 use report::Report;
 
 /// Generates load and prints a JSON report.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 struct Options {
     /// Address of an entry; several may be given.
--- a/bins/deckload/src/plan.rs
+++ b/bins/deckload/src/plan.rs
@@ -8,7 +8,8 @@
 use crate::Options;
 
 /// Class of a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Class {
     /// Short interactive completion.
--- a/bins/deckload/src/report.rs
+++ b/bins/deckload/src/report.rs
@@ -18,7 +18,8 @@
 const MAX_LATENCY_US: u64 = 3_600_000_000;
 
 /// Outcome of one booking.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 struct Booking {
     key: Option<String>,
     class: Class,
@@ -30,7 +31,8 @@
 }
 
 /// An answer that was not the one to the request.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 struct Mismatch {
     class: Class,
     nonce: String,
@@ -47,7 +49,8 @@
     first_token: Latencies,
 }
 
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 struct OrganisationReport {
     sent: u64,
     ok: u64,
--- a/bins/deckscenario/src/main.rs
+++ b/bins/deckscenario/src/main.rs
@@ -10,7 +10,8 @@
 use deckscenario::{command, error::ScenarioError, run};
 
 /// Runs scenario files one after the other.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 struct Options {
     /// Seed in place of that of the file.
--- a/bins/deckscenario/src/records.rs
+++ b/bins/deckscenario/src/records.rs
@@ -8,7 +8,8 @@
 use crate::error::CommandError;
 
 /// Entry of a journal.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Entry {
     /// A service ran a call.
@@ -28,14 +29,16 @@
 }
 
 /// Run of one call.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Execution {
     /// Idempotency key.
     pub key: Option<String>,
 }
 
 /// Tokens `from..to` of a text.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Tokens {
     /// Request.
     pub request_id: String,
@@ -50,7 +53,8 @@
 }
 
 /// Order as an engine received it.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Order {
     /// Fencing number.
     pub fencing: u64,
@@ -63,7 +67,8 @@
 }
 
 /// Sample as a trainer accepted it.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Sample {
     /// Process of the trainer; a restarted one keeps no samples.
     pub run: u64,
@@ -80,7 +85,8 @@
 }
 
 /// Tokens of one weight version.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Span {
     /// Weight version.
     pub weight_version: u64,
@@ -89,7 +95,8 @@
 }
 
 /// Finished step of a trainer.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Step {
     /// Process of the trainer.
     pub run: u64,
@@ -100,7 +107,8 @@
 }
 
 /// Group that came although it was held.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Duplicate {
     /// Step.
     pub step: u64,
@@ -109,7 +117,8 @@
 }
 
 /// Booking in a load report.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Booking {
     /// Key or ticket; `None` if there was never one.
     pub key: Option<String>,
@@ -141,7 +150,8 @@
 }
 
 /// Accepted write in the history of the object API.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
 pub struct Write {
     /// Kind.
     pub kind: String,
--- a/bins/deckstandin/src/cache.rs
+++ b/bins/deckstandin/src/cache.rs
@@ -10,7 +10,8 @@
 pub const BYTES_PER_TOKEN: usize = 4;
 
 /// Change of the prefix cache, as published by `GET /v1/cache_events`.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct CacheEvent {
     /// Number of the event; a gap means that events were lost.
     pub sequence: u64,
--- a/bins/deckstandin/src/engine.rs
+++ b/bins/deckstandin/src/engine.rs
@@ -30,7 +30,8 @@
 const CACHE_EVENT_BACKLOG: usize = 1024;
 
 /// Options of an engine.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 pub struct EngineOptions {
     /// Address to listen on; port 0 takes a free port.
     #[bpaf(argument("IP:PORT"))]
@@ -94,7 +95,8 @@
 }
 
 /// Faults of an engine.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineFaults {
     /// The process ends at once.
@@ -131,7 +133,8 @@
 }
 
 /// Body of `POST /v1/completions`.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 pub struct CompletionRequest {
     /// Model; a request for another model is refused.
     pub model: String,
@@ -165,7 +168,8 @@
 }
 
 /// State of one execution of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunState {
     /// In the queue.
@@ -183,7 +187,8 @@
 }
 
 /// Tokens of one weight version, `from..to` in the request's text.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct TokenRange {
     /// Weight version that made the tokens.
     pub weight_version: u64,
@@ -194,7 +199,8 @@
 }
 
 /// Record of one execution of a request.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct RunRecord {
     /// The request.
     pub request_id: String,
@@ -204,13 +210,15 @@
     pub ranges: Vec<TokenRange>,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 struct CancelRequest {
     request_id: String,
 }
 
 /// Records of an engine.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 pub struct EngineRecords {
     /// All executions.
     pub runs: Vec<RunRecord>,
--- a/bins/deckstandin/src/engine_order.rs
+++ b/bins/deckstandin/src/engine_order.rs
@@ -16,7 +16,8 @@
 };
 
 /// State that `GET /v1/state` returns.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct EngineState {
     /// Number of this run of the process.
     pub incarnation: u64,
@@ -37,7 +38,8 @@
 }
 
 /// State of the last order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum SwapState {
     /// No order runs.
@@ -51,7 +53,8 @@
 }
 
 /// Body of `POST /v1/order`.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 pub struct Order {
     fencing: u64,
     action: Action,
@@ -69,7 +72,8 @@
 }
 
 /// What an order asks for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Action {
     /// Load a version beside the current one.
@@ -85,7 +89,8 @@
 }
 
 /// Record of an order.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct OrderRecord {
     at_unix_ms: u64,
     fencing: u64,
--- a/bins/deckstandin/src/engine_run.rs
+++ b/bins/deckstandin/src/engine_run.rs
@@ -22,7 +22,8 @@
 const CUT_AFTER_TOKENS: u32 = 5;
 
 /// One chunk of a stream, also the whole answer of a request without a stream.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 struct Chunk {
     id: String,
     choices: [Choice; 1],
@@ -30,7 +31,8 @@
     weight_version: u64,
 }
 
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 struct Choice {
     index: u32,
     text: String,
--- a/bins/deckstandin/src/forward.rs
+++ b/bins/deckstandin/src/forward.rs
@@ -20,7 +20,8 @@
 const CHUNKS_UNDER_WAY: usize = 1024;
 
 /// State of a link.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LinkMode {
     /// Forwards.
@@ -33,7 +34,8 @@
 }
 
 /// Counters of a forwarder.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 pub struct ForwardCounts {
     /// Connections accepted.
     pub accepted: u64,
--- a/bins/deckstandin/src/link.rs
+++ b/bins/deckstandin/src/link.rs
@@ -12,7 +12,8 @@
 };
 
 /// Options of a link.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 pub struct LinkOptions {
     /// Address to listen on; port 0 takes a free port.
     #[bpaf(argument("IP:PORT"))]
@@ -29,7 +30,8 @@
 }
 
 /// Faults of a link.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct LinkFaults {
     mode: LinkMode,
--- a/bins/deckstandin/src/main.rs
+++ b/bins/deckstandin/src/main.rs
@@ -25,7 +25,8 @@
 use common::StandinError;
 
 /// Stand-ins for the systems around cowslipdeck.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 enum Command {
     /// Object API with conditional writes and watches.
--- a/bins/deckstandin/src/objects.rs
+++ b/bins/deckstandin/src/objects.rs
@@ -32,7 +32,8 @@
 const BOOKMARK_PERIOD: Duration = Duration::from_secs(1);
 
 /// Options of the object API.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 pub struct ObjectsOptions {
     /// Address to listen on; port 0 takes a free port.
     #[bpaf(argument("IP:PORT"))]
@@ -54,7 +55,8 @@
 }
 
 /// How calls fail in an outage.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outage {
     /// No outage.
@@ -67,7 +69,8 @@
 }
 
 /// Faults of the object API.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct ObjectsFaults {
     outage: Outage,
@@ -83,7 +86,8 @@
     seed: u64,
 }
 
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 struct CallCounts {
     reads: u64,
     writes: u64,
@@ -96,7 +100,8 @@
     writes_by_kind: BTreeMap<String, u64>,
 }
 
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 struct HistoryEntry {
     at_unix_ms: u64,
     response_lost: bool,
--- a/bins/deckstandin/src/objects_store.rs
+++ b/bins/deckstandin/src/objects_store.rs
@@ -27,7 +27,8 @@
 }
 
 /// One accepted write.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct Event {
     /// Kind.
     pub kind: String,
--- a/bins/deckstandin/src/scorer.rs
+++ b/bins/deckstandin/src/scorer.rs
@@ -12,7 +12,8 @@
 };
 
 /// Options of the scorer.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 pub struct ScorerOptions {
     /// Address to listen on; port 0 takes a free port.
     #[bpaf(argument("IP:PORT"))]
@@ -23,7 +24,8 @@
 }
 
 /// Faults of the scorer.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct ScorerFaults {
     /// Additional time of each call.
@@ -33,7 +35,8 @@
     outage: bool,
 }
 
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 struct ScorerRecords {
     calls: u64,
     errors: u64,
--- a/bins/deckstandin/src/service.rs
+++ b/bins/deckstandin/src/service.rs
@@ -21,7 +21,8 @@
 const REPEAT_HEADER: &str = "x-standin-repeat";
 
 /// Options of the plain service.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 pub struct ServiceOptions {
     /// Address to listen on; port 0 takes a free port.
     #[bpaf(argument("IP:PORT"))]
@@ -35,7 +36,8 @@
 }
 
 /// Faults of the plain service. Those with a count concern the coming calls.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct ServiceFaults {
     /// Additional time of each call, before its execution.
@@ -59,7 +61,8 @@
     crash_marker: String,
 }
 
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 struct Execution {
     at_unix_ms: u64,
     method: String,
@@ -67,7 +70,8 @@
     key: Option<String>,
 }
 
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 struct ServiceRecords {
     executions: u64,
     refused: u64,
--- a/bins/deckstandin/src/trainer.rs
+++ b/bins/deckstandin/src/trainer.rs
@@ -20,7 +20,8 @@
 };
 
 /// Options of a trainer.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 pub struct TrainerOptions {
     /// Address to listen on; port 0 takes a free port.
     #[bpaf(argument("IP:PORT"))]
@@ -80,7 +81,8 @@
 }
 
 /// Faults of a trainer.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct TrainerFaults {
     /// Coming answers with samples that are lost after they were received.
@@ -94,7 +96,8 @@
 }
 
 /// A sample as delivered.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Sample {
     /// `{job}/{step}/{group}/{index}`.
     pub id: String,
@@ -111,7 +114,8 @@
 }
 
 /// Record of an accepted sample.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct SampleRecord {
     /// Process of the trainer.
     pub run: u64,
@@ -136,7 +140,8 @@
 }
 
 /// Record of a finished step.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct StepRecord {
     /// The step.
     pub step: u64,
@@ -147,7 +152,8 @@
 }
 
 /// Records of a trainer.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 pub struct TrainerRecords {
     /// Step that is being pulled.
     pub step: u64,
--- a/bins/deckstandin/src/vmlist.rs
+++ b/bins/deckstandin/src/vmlist.rs
@@ -15,7 +15,8 @@
 use crate::common::{Call, FaultCell, StandinError, error_response, not_found, serve};
 
 /// Options of the VM list.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 pub struct VmListOptions {
     /// Address to listen on; port 0 takes a free port.
     #[bpaf(argument("IP:PORT"))]
@@ -26,7 +27,8 @@
 }
 
 /// Faults of the VM list.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct VmListFaults {
     lag_ms: u64,
--- a/bins/deckstandin/src/weights.rs
+++ b/bins/deckstandin/src/weights.rs
@@ -26,7 +26,8 @@
 const CHUNK_BYTES: u64 = 64 * 1024;
 
 /// Options of the weight store.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 pub struct WeightsOptions {
     /// Address to listen on; port 0 takes a free port.
     #[bpaf(argument("IP:PORT"))]
@@ -49,7 +50,8 @@
 }
 
 /// Faults of the weight store.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct WeightsFaults {
     outage: bool,
@@ -61,7 +63,8 @@
     slow_ms: u64,
 }
 
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 struct Published {
     at_unix_ms: u64,
     model: String,
@@ -69,7 +72,8 @@
     size_bytes: u64,
 }
 
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 struct Download {
     at_unix_ms: u64,
     model: String,
@@ -78,7 +82,8 @@
     complete: bool,
 }
 
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 struct WeightsRecords {
     published: Vec<Published>,
     downloads: Vec<Download>,
--- a/crates/burn/src/history.rs
+++ b/crates/burn/src/history.rs
@@ -39,7 +39,8 @@
 }
 
 /// One value of a counter.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Sample {
     /// Metric name.
     pub name: String,
@@ -50,7 +51,8 @@
 }
 
 /// The metrics of one process at one time.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Scrape {
     /// Time, in milliseconds since the Unix epoch.
     pub at_ms: u64,
--- a/crates/burn/src/indicator.rs
+++ b/crates/burn/src/indicator.rs
@@ -19,7 +19,8 @@
 const TARGET_FAULT_CODE: &str = "target_5xx";
 
 /// Counts of one stretch of time.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Counts {
     /// Good events.
     pub good: f64,
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -48,7 +48,8 @@
 ];
 
 /// Report over all objectives.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct BurnReport {
     /// First scrape; absent if the history is empty.
     pub from_ms: Option<u64>,
@@ -61,7 +62,8 @@
 }
 
 /// Report of one objective.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ObjectiveReport {
     /// Name of the objective.
     pub name: String,
@@ -86,7 +88,8 @@
 }
 
 /// State of one alert rule.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Alert {
     /// Name of the rule.
     pub name: String,
@@ -101,7 +104,8 @@
 }
 
 /// One point of a plot.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Point {
     /// End of the stretch.
     pub at_ms: u64,
--- a/crates/burn/src/series.rs
+++ b/crates/burn/src/series.rs
@@ -22,7 +22,8 @@
 }
 
 /// A time in which a process was not scraped.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Gap {
     /// Process.
     pub source: String,
--- a/crates/call/src/claim.rs
+++ b/crates/call/src/claim.rs
@@ -30,7 +30,8 @@
 const MAX_ROUNDS: u32 = 8;
 
 /// Value of a claim.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct ClaimRecord {
     /// VM that may run the call.
--- a/crates/call/src/crash.rs
+++ b/crates/call/src/crash.rs
@@ -29,7 +29,8 @@
 }
 
 /// Crashes of one fingerprint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct CrashCounts {
     /// Crashes while other suspects or unsuspected calls may have been the cause.
     pub in_company: u32,
@@ -45,7 +46,8 @@
 }
 
 /// Crashes of one fingerprint as published to the other VMs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PublishedCrash {
     /// The fingerprint.
     pub fingerprint: Fingerprint,
--- a/crates/call/src/engine.rs
+++ b/crates/call/src/engine.rs
@@ -9,7 +9,8 @@
 use serde_json::{Map, Value};
 
 /// One choice of a chunk.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Choice {
     /// Index of the choice; always 0.
     #[serde(default)]
@@ -23,7 +24,8 @@
 }
 
 /// One chunk of a streamed completion.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Chunk {
     /// Request to which the chunk belongs.
     #[serde(default)]
@@ -46,7 +48,8 @@
 }
 
 /// Collected answer to a completion.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Completion {
     /// Request to which the answer belongs.
     pub id: String,
@@ -181,7 +184,8 @@
 }
 
 /// Order to cancel a request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CancelRequest {
     /// The request.
     pub request_id: String,
--- a/crates/call/src/exchange.rs
+++ b/crates/call/src/exchange.rs
@@ -23,7 +23,8 @@
 /// Most leaving targets that are published.
 const MAX_LEAVING: usize = 64;
 /// A target that announced that it is leaving.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 struct LeavingTarget {
     pool: PoolName,
     target: TargetId,
--- a/crates/call/src/fold.rs
+++ b/crates/call/src/fold.rs
@@ -14,7 +14,8 @@
 pub const ABSENT_KEEP_S: u64 = 6 * 3600;
 
 /// Usage of one pool by one job.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PoolUsage {
     /// Pool.
@@ -30,7 +31,8 @@
 }
 
 /// Counters of one VM that are already part of the totals.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FoldedVm {
     /// The VM.
@@ -48,7 +50,8 @@
 ///
 /// Invariant: `usage_folded` and `usage` are written together, so a report that is folded again
 /// adds nothing.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OrganisationUsage {
     /// Totals, sorted by pool and job.
     #[serde(default)]
--- a/crates/call/src/load.rs
+++ b/crates/call/src/load.rs
@@ -21,7 +21,8 @@
 const TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Answer of `GET /v1/load`.
-#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Deserialize)]
 struct LoadResponse {
     running: u32,
     waiting: u32,
--- a/crates/call/src/record.rs
+++ b/crates/call/src/record.rs
@@ -24,7 +24,8 @@
 pub type RequestHash = u128;
 
 /// Whole answer of a target.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RecordedAnswer {
     /// Status.
     pub status: u16,
@@ -38,7 +39,8 @@
 }
 
 /// One header of a recorded answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RecordedHeader {
     /// Name.
     pub name: String,
--- a/crates/call/src/usage.rs
+++ b/crates/call/src/usage.rs
@@ -11,7 +11,8 @@
 const MAX_PUBLISHED: usize = 64;
 
 /// Who uses what.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct UsageKey {
     /// Organisation.
     pub organisation: OrganisationId,
@@ -22,7 +23,8 @@
 }
 
 /// Counters since the start of the process. They never fall.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct UsageCounters {
     /// Calls that were sent to a target.
     pub calls: u64,
@@ -33,7 +35,8 @@
 }
 
 /// Counters of one key.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UsageEntry {
     /// Key.
     pub key: UsageKey,
@@ -42,7 +45,8 @@
 }
 
 /// What one VM publishes over `Topic::Usage`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UsageReport {
     /// Process to which the counters belong; a later process starts from zero.
     pub incarnation: Incarnation,
--- a/crates/call/src/wire.rs
+++ b/crates/call/src/wire.rs
@@ -11,7 +11,8 @@
 use crate::record::{KeyHash, RecordedAnswer, RecordedHeader};
 
 /// Question about a claim of the asked VM (`Topic::CallLookup`).
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct LookupRequest {
     pub(crate) key: KeyHash,
     pub(crate) nonce: String,
@@ -19,7 +20,8 @@
 }
 
 /// Answer to a [`LookupRequest`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum LookupResponse {
     /// The recorded answer.
@@ -33,7 +35,8 @@
 }
 
 /// Call with a ticket of the asked VM (`Topic::TicketCall`).
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct TicketCallRequest {
     pub(crate) ticket: String,
     pub(crate) request_id: RequestId,
@@ -50,7 +53,8 @@
 }
 
 /// Result of a call with a ticket.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum TicketCallResponse {
     /// The target's answer.
@@ -60,7 +64,8 @@
 }
 
 /// An error of the table.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct WireError {
     code: String,
     message: String,
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -5,7 +5,8 @@
 use crate::id::RequestId;
 
 /// Whether a request ran on a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunState {
     /// No byte of the request left for a target, or the target refused it before running it.
@@ -163,14 +164,16 @@
 impl std::error::Error for CallError {}
 
 /// JSON body of an error answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorBody {
     /// The error.
     pub error: ErrorDetail,
 }
 
 /// Content of an error answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorDetail {
     /// Machine-readable code, see [`ErrorRow::code`].
     pub code: String,
--- a/crates/core/src/object.rs
+++ b/crates/core/src/object.rs
@@ -47,7 +47,8 @@
 }
 
 /// Kinds of objects that operators write.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub enum Kind {
     /// A rollout job.
     RolloutJob,
@@ -109,7 +110,8 @@
 pub const CALL_CLAIM_KIND: &str = "CallClaim";
 
 /// Stored form of a value.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Envelope<T> {
     /// Schema version of `spec`.
@@ -139,7 +141,8 @@
 }
 
 /// A rollout job: samples of a model for one trainer.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RolloutJob {
     /// Organisation on whose share the job draws.
@@ -205,7 +208,8 @@
 }
 
 /// Shares of one organisation; the object's name is the organisation.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct OrganisationShare {
     /// Promised shares, one entry a pool.
@@ -213,7 +217,8 @@
 }
 
 /// Promised share of an organisation in one pool.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PoolShare {
     /// The pool.
@@ -240,7 +245,8 @@
 }
 
 /// What the targets of a pool are.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PoolType {
     /// Model engines with the completions interface.
@@ -250,7 +256,8 @@
 }
 
 /// Whether the targets of a pool refuse orders with an old fencing number.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FencingCheck {
     /// Targets refuse an order whose fencing number is lower than one they have seen.
@@ -260,7 +267,8 @@
 }
 
 /// A pool of targets that serve the same model or service.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TargetPool {
     /// Engines or plain services.
@@ -294,7 +302,8 @@
 }
 
 /// Whether a target takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TargetState {
     /// Takes work.
@@ -305,7 +314,8 @@
 }
 
 /// One target of a pool.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Target {
     /// Name, unique in the pool.
@@ -364,7 +374,8 @@
 }
 
 /// A service-level objective of one organisation in one pool.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceObjective {
     /// The organisation.
@@ -380,7 +391,8 @@
 }
 
 /// What a service-level objective measures.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "type", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Indicator {
     /// Calls answered without an error of ours.
@@ -414,7 +426,8 @@
 }
 
 /// Whether the daemons accepted the newest version of an object.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AcceptStatus {
     /// Revision that is in force.
     pub accepted_revision: Revision,
@@ -428,7 +441,8 @@
 }
 
 /// A refused version of an object.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RefusedVersion {
     /// Its revision.
     pub revision: Revision,
@@ -437,7 +451,8 @@
 }
 
 /// Value of a lease.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LeaseRecord {
     /// Current holder; empty after a release.
@@ -455,7 +470,8 @@
 }
 
 /// A stretch of a sample's tokens made by one weight version.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct VersionSpan {
     /// Weight version that the engine reported for these tokens.
     pub weight_version: WeightVersion,
--- a/crates/core/src/priority.rs
+++ b/crates/core/src/priority.rs
@@ -3,9 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Priority of a call; earlier variants go first.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Priority {
     /// A person waits for the response.
--- a/crates/limit/src/demand.rs
+++ b/crates/limit/src/demand.rs
@@ -43,11 +43,13 @@
 }
 
 /// Demand for one key.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct DemandEntry(pub DemandKey, pub u32);
 
 /// Report as it is published: a CBOR array of pairs.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Report(Vec<DemandEntry>);
 
 /// What this VM knows about the demand of all VMs.
--- a/crates/peer/examples/peer_scale.rs
+++ b/crates/peer/examples/peer_scale.rs
@@ -37,7 +37,8 @@
 /// Longest wait for an event before the program gives up.
 const DEADLINE: Duration = Duration::from_secs(120);
 
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(options)]
 struct Options {
     /// Number of VMs
--- a/crates/peer/src/config.rs
+++ b/crates/peer/src/config.rs
@@ -21,7 +21,8 @@
 use tokio::sync::watch;
 
 /// One version of an object as it travels between processes.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ObjectVersion {
     /// Kind.
     pub kind: Kind,
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Liveness of a member. Only a hint: safety never rests on it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MemberState {
     /// Answers probes.
@@ -20,7 +21,8 @@
 }
 
 /// One member.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Member {
     /// The VM.
     pub vm: VmId,
--- a/crates/peer/src/topic.rs
+++ b/crates/peer/src/topic.rs
@@ -8,7 +8,8 @@
 
 /// What a published value or a request is about.
 ///
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Topic {
     /// Targets that announced that they are leaving.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -19,7 +19,8 @@
 pub(crate) const PROTOCOL_VERSION: u32 = 1;
 
 /// What a connection is for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum Purpose {
     /// Long-lived link between partners.
     Link,
@@ -28,7 +29,8 @@
 }
 
 /// First message in each direction.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Hello {
     pub(crate) protocol_version: u32,
     pub(crate) purpose: Purpose,
@@ -36,7 +38,8 @@
 }
 
 /// A member as it travels between VMs.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct MemberRecord {
     #[serde(rename = "v")]
     pub(crate) vm: VmId,
@@ -75,7 +78,8 @@
 }
 
 /// Name and revision of an object version.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct VersionKey {
     #[serde(rename = "k")]
     pub(crate) kind: Kind,
@@ -86,7 +90,8 @@
 }
 
 /// Digests of the configuration that a VM has.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct ConfigDigest {
     /// Whether the VM has been complete once. One that has not always gets a summary.
     pub(crate) synced: bool,
@@ -95,7 +100,8 @@
 }
 
 /// Versions that a VM has in some buckets.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct ConfigSummary {
     /// Whether the sender is synced and `keys` has all its objects.
     pub(crate) complete: bool,
@@ -105,7 +111,8 @@
 }
 
 /// A published value as it travels between VMs.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct ValueRecord {
     #[serde(rename = "v")]
     pub(crate) vm: VmId,
@@ -121,7 +128,8 @@
 }
 
 /// Versions of values: pairs of a 32-bit key hash and the low 32 bits of the sequence number.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct ValueSummary {
     pub(crate) pairs: ByteBuf,
     /// Whether only recent changes are in it; the link becomes eager if one is missing.
@@ -129,7 +137,8 @@
 }
 
 /// Request for the values with these 32-bit key hashes.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct ValueFetch {
     pub(crate) keys: ByteBuf,
     /// Whether the sender should send values on this link at once from now on.
@@ -137,7 +146,8 @@
 }
 
 /// Request to another VM.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Request {
     pub(crate) id: u64,
     pub(crate) topic: Topic,
@@ -145,14 +155,16 @@
 }
 
 /// Response to a [`Request`].
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Response {
     pub(crate) id: u64,
     pub(crate) outcome: Outcome,
 }
 
 /// Outcome of a [`Request`].
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum Outcome {
     Body(ByteBuf),
     /// The topic has no handler; nothing ran.
@@ -162,7 +174,8 @@
 }
 
 /// Request to probe another VM.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct ProbeFor {
     pub(crate) id: u64,
     pub(crate) vm: VmId,
@@ -171,7 +184,8 @@
 macro_rules! messages {
     ($($(#[$doc:meta])* $name:ident($content:ty) $label:literal;)*) => {
         /// A message between VMs.
-        #[derive(Debug, Clone, Serialize, Deserialize)]
+        #[derive(Debug, Clone)]
+        #[derive(Serialize, Deserialize)]
         pub(crate) enum Message {
             $($(#[$doc])* $name($content),)*
         }
--- a/crates/plat/src/store.rs
+++ b/crates/plat/src/store.rs
@@ -51,7 +51,8 @@
 }
 
 /// An object as stored.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Object {
     /// Kind.
     pub kind: String,
--- a/crates/plat/src/vmlist.rs
+++ b/crates/plat/src/vmlist.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 /// State of a VM in the list.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ListedState {
     /// Listed as live.
@@ -17,7 +18,8 @@
 }
 
 /// One VM of the list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ListedVm {
     /// The VM.
     pub vm: VmId,
@@ -30,7 +32,8 @@
 }
 
 /// The VM list.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct VmList {
     /// The VMs.
     pub vms: Vec<ListedVm>,
--- a/crates/roll/src/protocol.rs
+++ b/crates/roll/src/protocol.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Body of `POST /v1/jobs/{job}/pull`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PullRequest {
     /// Step that the trainer collects.
     pub step: u64,
@@ -25,7 +26,8 @@
 }
 
 /// Answer to a pull.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PullResponse {
     /// Fencing number of the owner that answers.
     pub owner_fencing: FencingNumber,
@@ -36,7 +38,8 @@
 }
 
 /// A whole group.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct GroupDelivery {
     /// Number of the group in its step.
     pub group: u32,
@@ -45,7 +48,8 @@
 }
 
 /// A scored sample.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct SampleDelivery {
     /// `{job}/{step}/{group}/{index}`.
     pub id: String,
--- a/crates/roll/src/service.rs
+++ b/crates/roll/src/service.rs
@@ -25,7 +25,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Answer to `GET /v1/jobs`.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct JobList {
     /// Jobs that this VM owns.
     owned: Vec<String>,
--- a/crates/roll/src/status.rs
+++ b/crates/roll/src/status.rs
@@ -9,7 +9,8 @@
 use serde_json::Value;
 
 /// Content of a `RolloutJobStatus` object.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct JobStatus {
     /// VM that owns the job.
     pub owner: VmId,
@@ -39,7 +40,8 @@
 }
 
 /// Answer to `GET /v1/jobs/{job}` at the owner.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct LocalStatus {
     /// The status as it would be written now.
     #[serde(flatten)]
--- a/crates/weight/src/engine.rs
+++ b/crates/weight/src/engine.rs
@@ -11,7 +11,8 @@
 use crate::plan::Order;
 
 /// Whether an engine takes work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Role {
     /// Takes work.
@@ -21,7 +22,8 @@
 }
 
 /// Progress of loading or switching weights.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum SwapState {
     /// Nothing is going on.
@@ -37,7 +39,8 @@
 }
 
 /// What an engine reports about itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineState {
     /// Incarnation of the engine process.
     pub incarnation: Incarnation,
--- a/crates/weight/src/status.rs
+++ b/crates/weight/src/status.rs
@@ -9,7 +9,8 @@
 };
 
 /// Content of a `TargetPoolStatus` object.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PoolStatus {
     /// VM that owns the pool.
     pub owner: VmId,
