--- /dev/null
+++ b/crates/core/src/object/objective.rs
@@ -0,0 +1,61 @@
+//! Service-level objectives.
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    Kind, ObjectError, Spec,
+    check::{check_name, check_range, field},
+};
+use crate::id::{OrganisationId, PoolName};
+
+/// A service-level objective of one organisation in one pool.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceObjective {
+    /// The organisation.
+    pub organisation: OrganisationId,
+    /// The pool.
+    pub pool: PoolName,
+    /// What is measured and its goal.
+    pub indicator: Indicator,
+    /// Part of the events that have to be good, in percent, for example 99.9.
+    pub objective_percent: f64,
+    /// Window over which the error budget is counted.
+    pub window_hours: u32,
+}
+
+/// What a service-level objective measures.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(tag = "type", rename_all = "snake_case", deny_unknown_fields)]
+pub enum Indicator {
+    /// Calls answered without an error of ours.
+    Availability,
+    /// Calls answered within a bound.
+    Latency {
+        /// The bound.
+        bound_ms: u64,
+    },
+    /// Time in which the trainer is not idle.
+    TrainerIdle,
+    /// Samples handed over within a staleness bound.
+    Staleness {
+        /// The bound.
+        bound_versions: u64,
+    },
+}
+
+impl Spec for ServiceObjective {
+    const KIND: Kind = Kind::ServiceObjective;
+
+    fn validate(&self) -> Result<(), ObjectError> {
+        check_name("spec.organisation", &self.organisation)?;
+        check_name("spec.pool", &self.pool)?;
+        if !(self.objective_percent > 0.0 && self.objective_percent < 100.0) {
+            let allowed = "a number above 0 and below 100";
+            return Err(field("spec.objective_percent", self.objective_percent, allowed));
+        }
+        check_range("spec.window_hours", u64::from(self.window_hours), 1, 24 * 90)
+    }
+}
--- /dev/null
+++ b/crates/core/src/object/share.rs
@@ -0,0 +1,46 @@
+//! Shares of organisations.
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    Kind, ObjectError, Spec,
+    check::{check_name, check_range, field},
+};
+use crate::id::PoolName;
+
+/// Shares of one organisation; the object's name is the organisation.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OrganisationShare {
+    /// Promised shares, one entry a pool.
+    pub shares: Vec<PoolShare>,
+}
+
+/// Promised share of an organisation in one pool.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PoolShare {
+    /// The pool.
+    pub pool: PoolName,
+    /// Promised part of the pool's capacity. Invariant: 1 to 100.
+    pub share_percent: u32,
+}
+
+impl Spec for OrganisationShare {
+    const KIND: Kind = Kind::OrganisationShare;
+
+    fn validate(&self) -> Result<(), ObjectError> {
+        for (index, share) in self.shares.iter().enumerate() {
+            check_name(&format!("spec.shares[{index}].pool"), &share.pool)?;
+            let name = format!("spec.shares[{index}].share_percent");
+            check_range(&name, u64::from(share.share_percent), 1, 100)?;
+            if self.shares[..index].iter().any(|other| other.pool == share.pool) {
+                let name = format!("spec.shares[{index}].pool");
+                return Err(field(&name, &share.pool, "each pool once"));
+            }
+        }
+        Ok(())
+    }
+}
