--- a/bins/deckentry/tests/hostile.rs
+++ b/bins/deckentry/tests/hostile.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use common::{Entry, ORGANISATION, World};
+use common::{Entry, ORGANISATION, Program, World};
 use deck_testkit::{EVENT_DEADLINE, eventually};
 use test_case::test_case;
 
@@ -20,16 +20,15 @@
     deck_net::runtime::run(test).expect("runtime");
 }
 
-async fn world() -> (World, Entry) {
+/// Returns the world, the entry and the service, which have to live as long as the test.
+async fn world() -> (World, Entry, Program) {
     let world = World::start();
     let service = world.stand_in("service", &[]);
     world.put_shares(&["booking"]).await;
     world.put_services("booking", &[service.address]).await;
     let entry = world.entry("e1", &[], LIMITS).await;
     world.wait_service(&entry, "booking").await;
-    // The stand-in stays for the whole test.
-    std::mem::forget(service);
-    (world, entry)
+    (world, entry, service)
 }
 
 fn connect(address: SocketAddr) -> TcpStream {
@@ -88,7 +87,7 @@
     code: &str,
 ) {
     run(async {
-        let (_world, entry) = world().await;
+        let (_world, entry, _service) = world().await;
         let answer = exchange(entry.caller, [head(lines), body.to_vec()]);
         assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer}");
         assert!(answer.contains(code), "{answer}");
@@ -100,7 +99,7 @@
 #[test]
 fn ambiguous_request_after_a_proper_one_is_refused() {
     run(async {
-        let (_world, entry) = world().await;
+        let (_world, entry, _service) = world().await;
         let mut proper = head("Content-Length: 2\r\n");
         proper.extend_from_slice(b"ok");
         let answer = exchange(entry.caller, [proper, head(BOTH_REVERSED), b"0\r\n\r\n".to_vec()]);
@@ -114,7 +113,7 @@
 #[test]
 fn endless_heads_and_bodies_are_cut() {
     run(async {
-        let (_world, entry) = world().await;
+        let (_world, entry, _service) = world().await;
         let header = format!("X-Filler: {}\r\n", "x".repeat(1000)).into_bytes();
         let start = b"GET /services/booking/query HTTP/1.1\r\n".to_vec();
         let endless = std::iter::once(start).chain(std::iter::repeat_n(header, 10_000));
@@ -144,7 +143,7 @@
 #[test]
 fn slow_head_is_cut() {
     run(async {
-        let (_world, entry) = world().await;
+        let (_world, entry, _service) = world().await;
         let mut stream = connect(entry.caller);
         stream.write_all(b"GET /services/booking/query HTTP/1.1\r\nX-Slow: ").expect("write");
         read_to_end(&mut stream);
@@ -155,7 +154,7 @@
 #[test]
 fn header_that_is_not_text_is_refused_by_name() {
     run(async {
-        let (_world, entry) = world().await;
+        let (_world, entry, _service) = world().await;
         let mut request = b"GET /services/booking/query HTTP/1.1\r\nHost: a\r\nX-Odd: \xff\xfe\r\n\
             Connection: close\r\n\r\n"
             .to_vec();
@@ -168,7 +167,7 @@
 #[test]
 fn connections_and_body_memory_are_bounded_and_come_back() {
     run(async {
-        let (world, entry) = world().await;
+        let (world, entry, _service) = world().await;
         // Each holds 90 kB of body; only four fit into the memory for bodies.
         let mut held: Vec<TcpStream> = Vec::new();
         for _ in 0..10 {
@@ -203,7 +202,7 @@
     const REQUESTS: usize = 300;
     const BODY_BYTES: usize = 90_000;
     run(async {
-        let (world, entry) = world().await;
+        let (world, entry, _service) = world().await;
         let mut stream = connect(entry.caller);
         let mut sender = stream.try_clone().expect("clone");
         let sending = std::thread::spawn(move || {
--- a/crates/obs/src/logs.rs
+++ b/crates/obs/src/logs.rs
@@ -5,9 +5,6 @@
 
 use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
 
-/// Levels that a settings file may name.
-pub const LEVELS: &[&str] = &["error", "warn", "info", "debug", "trace"];
-
 /// Starts logging to standard error.
 ///
 /// # Errors
--- a/crates/plat/src/lease.rs
+++ b/crates/plat/src/lease.rs
@@ -272,12 +272,6 @@
         &self.candidate.name
     }
 
-    /// Returns how long the holder may still act without a renewal.
-    pub fn valid_for(&self) -> Duration {
-        (self.candidate.options.duration * 2 / 3)
-            .saturating_sub(self.last_write_start.get().elapsed())
-    }
-
     /// Returns the time between renewals, a third of the duration.
     pub fn renewal_interval(&self) -> Duration {
         self.candidate.options.duration / 3
