--- a/crates/call/src/claim.rs
+++ b/crates/call/src/claim.rs
@@ -179,14 +179,7 @@
                 }
                 Err(error) => return self.store_error(&error),
             };
-            let claim = match parse(&object) {
-                Ok(claim) => claim,
-                Err(error) => return self.store_error(&error),
-            };
-            if claim == self.record {
-                return self.held(object.revision);
-            }
-            match self.examine(&claim).await {
+            match self.inspect(&object).await {
                 Found::Free => condition = Precondition::Revision(object.revision),
                 Found::Settled(settled) => return settled,
             }
@@ -194,6 +187,15 @@
         self.elsewhere(ErrorKind::KeyInProgress, "other tries of the key are under way")
     }
 
+    /// Decides on the claim that the object API has: this call's own one, or another one.
+    async fn inspect(&self, object: &Object) -> Found {
+        match parse(object) {
+            Ok(claim) if claim == self.record => Found::Settled(self.held(object.revision)),
+            Ok(claim) => self.examine(&claim).await,
+            Err(error) => Found::Settled(self.store_error(&error)),
+        }
+    }
+
     /// Finds out what became of a key without a write.
     async fn run_without_write(&self, wait: Duration) -> Claim {
         let object = match self.shared.store.get(CALL_CLAIM_KIND, &self.name).await {
@@ -201,14 +203,7 @@
             Ok(None) => return rate_exceeded(self.shared, wait),
             Err(error) => return self.store_error(&error),
         };
-        let claim = match parse(&object) {
-            Ok(claim) => claim,
-            Err(error) => return self.store_error(&error),
-        };
-        if claim == self.record {
-            return self.held(object.revision);
-        }
-        match self.examine(&claim).await {
+        match self.inspect(&object).await {
             Found::Free => rate_exceeded(self.shared, wait),
             Found::Settled(settled) => settled,
         }
