--- /dev/null
+++ b/bins/decknode/src/lead.rs
@@ -0,0 +1,104 @@
+//! The lease of the node that runs new batch jobs and gives orders.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use deck_batch::{BatchService, Leader};
+use deck_core::CancellationToken;
+use deck_fleet::Follower;
+use deck_plat::{Acquire, HeldLease, Kept, LeaseCandidate, LeaseOptions, Store};
+use deck_swap::Giver;
+
+use crate::retire;
+
+/// Name of the lease.
+const LEASE_NAME: &str = "leader";
+/// Time between two looks at the lease of another node. Two looks fit into a lease's duration, so
+/// that a missed one does not delay the takeover by a whole duration.
+const LOOK_INTERVAL: Duration = Duration::from_millis(1200);
+/// Added to the time after which no order of an earlier holder can still arrive.
+const ORDER_MARGIN: Duration = Duration::from_millis(300);
+
+/// What the leader does.
+#[derive(Clone)]
+pub struct Duties {
+    /// Name of this VM.
+    pub vm: String,
+    /// Address of this VM for other nodes.
+    pub address: SocketAddr,
+    /// Object API.
+    pub store: Store,
+    /// Batch jobs; told who leads.
+    pub batch: BatchService,
+    /// Orders.
+    pub giver: Giver,
+    /// Follows the objects that only the leader needs.
+    pub follower: Follower,
+    /// Duration of the lease, and least time between orders of two holders.
+    pub lease: Duration,
+}
+
+/// Competes for the lease and does its duties while this node holds it, until `cancel` is
+/// cancelled.
+pub async fn run(duties: Duties, cancel: CancellationToken) {
+    let options = LeaseOptions { duration: duties.lease, resolve_tries: 2, reclaim_own: true };
+    let address = duties.address.to_string();
+    let (store, vm) = (duties.store.clone(), duties.vm.clone());
+    let mut candidate = LeaseCandidate::new(store, LEASE_NAME, vm, address, options);
+    while !cancel.is_cancelled() {
+        candidate = match candidate.try_acquire().await {
+            Acquire::Held(held) => match lead(&duties, held, &cancel).await {
+                Some(candidate) => candidate,
+                None => return,
+            },
+            Acquire::HeldElsewhere(candidate, record) => {
+                let address = record.address.parse().ok();
+                let leader = address.map(|address| Leader { vm: record.holder, address });
+                duties.batch.set_leader(leader);
+                candidate
+            }
+            Acquire::Failed(candidate, error) => {
+                log::info!(target: "lead", "lease not read error={error}");
+                candidate
+            }
+        };
+        cancel.run_until_cancelled(monoio::time::sleep(LOOK_INTERVAL)).await;
+    }
+}
+
+/// Does the duties of the leader until the lease is lost; `None` after it was given up.
+async fn lead(
+    duties: &Duties,
+    held: HeldLease,
+    cancel: &CancellationToken,
+) -> Option<LeaseCandidate> {
+    let token = held.token();
+    let start = match held.previous_holder() {
+        Some(previous) if previous != duties.vm => Instant::now() + duties.lease + ORDER_MARGIN,
+        _ => Instant::now(),
+    };
+    log::info!(target: "lead", "lease held fencing={} previous={:?}", token.fencing(), held.previous_holder());
+    let leader = Leader { vm: duties.vm.clone(), address: duties.address };
+    duties.batch.set_leader(Some(leader));
+    let stop = cancel.child_token();
+    let (versions, version_stop) = (duties.follower.clone(), stop.clone());
+    monoio::spawn(async move { versions.versions(version_stop).await });
+    let (retiring, retire_stop) = (duties.clone(), stop.clone());
+    monoio::spawn(async move { retire::run(&retiring, retire_stop).await });
+    let (giver, order_stop) = (duties.giver.clone(), stop.clone());
+    monoio::spawn(async move { giver.run(token, start, order_stop).await });
+    let kept = held.keep(cancel.clone()).await;
+    stop.cancel();
+    match kept {
+        Kept::Lost(candidate) => {
+            log::warn!(target: "lead", "lease lost");
+            Some(*candidate)
+        }
+        Kept::Released => {
+            log::info!(target: "lead", "lease released");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/bins/decknode/src/process.rs
@@ -0,0 +1,237 @@
+//! Life of the process: start of all parts, reload of settings, graceful shutdown.
+
+use std::{
+    cell::Cell,
+    path::PathBuf,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use deck_batch::{
+    BatchOptions, BatchService, Ledger, RunOptions, Runner, peers::Peers, runner::RunnerParts,
+};
+use deck_core::CancellationToken;
+use deck_fleet::{Engines, FollowOptions, Follower, NodeSettings, Protocol, View};
+use deck_forward::{ForwardOptions, Forwarder};
+use deck_net::{
+    Body, Client, ClientOptions, ProbeOptions, ServerOptions, bind,
+    http::{Response, StatusCode},
+    runtime::{hangup_flag, stop_token},
+};
+use deck_plat::Store;
+use deck_platform::{KINDS, PlatformObjectApi, Wire, read_settings};
+use deck_route::{RouteMember, Router, RouterOptions};
+use deck_swap::{Giver, SwapOptions};
+
+use crate::{front::Front, lead};
+
+/// Time for one call on the object API, which answers in a few milliseconds.
+const STORE_CALL_LIMIT: Duration = Duration::from_millis(700);
+/// Time in which a connection has to come about; links take a few milliseconds.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+/// Probes of idle connections: a silent one is noticed within three seconds.
+const PROBES: ProbeOptions = ProbeOptions { interval: Duration::from_secs(1), count: 2 };
+/// Part of the grace time in which a stopping node still takes requests, so that the platform's
+/// checks notice that it is not ready and callers move on.
+const LINGER_PART: f64 = 0.55;
+/// Part of the grace time that is left for the last requests before the process ends.
+const END_MARGIN: Duration = Duration::from_millis(700);
+/// Time between two looks at the settings file.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
+/// Time for which a caller's connection may be idle; above what deployments state as their limit.
+const CALLER_IDLE: Duration = Duration::from_secs(75);
+
+/// Runs the node until it is stopped.
+///
+/// # Errors
+///
+/// Returns an error if a listener cannot be bound.
+pub async fn run(file: PathBuf, settings: NodeSettings) -> std::io::Result<()> {
+    let stop = stop_token()?;
+    let hangup = hangup_flag()?;
+    let ended = CancellationToken::new();
+    log::info!(target: "node", "start vm={} data_centre={}", settings.vm, settings.data_centre);
+    if settings.caller_address.is_none() {
+        // A VM that callers do not reach has no duties.
+        stop.cancelled().await;
+        log::info!(target: "node", "stop");
+        return Ok(());
+    }
+    let protocol: Rc<dyn Protocol> = Rc::new(Wire);
+    let client = client();
+    let api = PlatformObjectApi::new(client.clone(), settings.object_api, STORE_CALL_LIMIT);
+    let store = Store::with_api(Rc::new(api));
+    let router = Router::new(RouterOptions {
+        vm: settings.vm.clone(),
+        data_centre: settings.data_centre.clone(),
+        ..RouterOptions::default()
+    });
+    let (vm, data_centre) = (settings.vm.clone(), settings.data_centre.clone());
+    router.set_members(vec![RouteMember { vm, data_centre }]);
+    let view = View::new(router);
+    let follow_options = FollowOptions::default();
+    let follower =
+        Follower::new(store.clone(), view.clone(), protocol.clone(), KINDS, follow_options);
+    let (configuration, token) = (follower.clone(), ended.clone());
+    monoio::spawn(async move { configuration.configuration(token).await });
+    let (targets, token) = (follower.clone(), ended.clone());
+    monoio::spawn(async move { targets.targets(token).await });
+
+    let forward_options = ForwardOptions::default();
+    let forwarder = Forwarder::new(view.clone(), client.clone(), protocol.clone(), forward_options);
+    let engines = Engines::default();
+    let ledger = Ledger::new(store.clone(), settings.max_object_bytes);
+    let parts = RunnerParts {
+        vm: settings.vm.clone(),
+        address: settings.peer_address,
+        view: view.clone(),
+        engines: engines.clone(),
+        ledger: ledger.clone(),
+        forwarder: forwarder.clone(),
+        client: client.clone(),
+        protocol: protocol.clone(),
+    };
+    let runner = Runner::start(parts, RunOptions::default(), ended.clone());
+    let peers = Peers::new(client.clone());
+    let batch = BatchService::new(runner, ledger, peers, protocol.clone(), BatchOptions::default());
+    let giver = Giver::new(
+        settings.vm.clone(),
+        view.clone(),
+        engines,
+        client,
+        protocol.clone(),
+        SwapOptions::default(),
+    );
+    let duties = lead::Duties {
+        vm: settings.vm.clone(),
+        address: settings.peer_address,
+        store,
+        batch: batch.clone(),
+        giver,
+        follower,
+        lease: settings.bounds.lease,
+    };
+    let leading = monoio::spawn(lead::run(duties, stop.clone()));
+
+    let draining = Rc::new(Cell::new(false));
+    let front = Front {
+        view: view.clone(),
+        forwarder,
+        batch: batch.clone(),
+        protocol: protocol.clone(),
+        draining: draining.clone(),
+    };
+    serve_ready(&settings, view, protocol, draining.clone(), ended.clone())?;
+    serve_peers(&settings, batch.clone(), ended.clone())?;
+    let closing = CancellationToken::new();
+    let served = serve_callers(&settings, front, closing.clone())?;
+    monoio::spawn(watch_settings(file, settings.clone(), hangup, ended.clone()));
+
+    stop.cancelled().await;
+    let stopped_at = Instant::now();
+    let grace = settings.bounds.stop_grace;
+    log::info!(target: "node", "stopping grace_ms={}", grace.as_millis());
+    draining.set(true);
+    batch.set_draining();
+    leading.await;
+    let linger = grace.mul_f64(LINGER_PART).saturating_sub(stopped_at.elapsed());
+    monoio::time::sleep(linger).await;
+    closing.cancel();
+    let left = grace.saturating_sub(stopped_at.elapsed()).saturating_sub(END_MARGIN);
+    if monoio::time::timeout(left, served).await.is_err() {
+        log::warn!(target: "node", "requests left at the end of the grace time");
+    }
+    ended.cancel();
+    log::info!(target: "node", "stop");
+    Ok(())
+}
+
+fn client() -> Client {
+    Client::new(ClientOptions {
+        connect_timeout: CONNECT_LIMIT,
+        max_idle_per_address: 64,
+        idle_timeout: Duration::from_secs(30),
+        probes: Some(PROBES),
+    })
+}
+
+fn serve_callers(
+    settings: &NodeSettings,
+    front: Front,
+    closing: CancellationToken,
+) -> std::io::Result<monoio::task::JoinHandle<()>> {
+    let Some(address) = settings.caller_address else {
+        return Ok(monoio::spawn(async move { closing.cancelled().await }));
+    };
+    let options = ServerOptions { head_timeout: CALLER_IDLE, ..ServerOptions::default() };
+    let served = deck_net::serve(bind(address)?, options, closing, move |request| {
+        let front = front.clone();
+        async move { front.serve(request).await }
+    });
+    Ok(monoio::spawn(served))
+}
+
+fn serve_ready(
+    settings: &NodeSettings,
+    view: View,
+    protocol: Rc<dyn Protocol>,
+    draining: Rc<Cell<bool>>,
+    ended: CancellationToken,
+) -> std::io::Result<()> {
+    let Some(address) = settings.ready_address else { return Ok(()) };
+    let listener = bind(address)?;
+    let options = ServerOptions { head_timeout: CALLER_IDLE, ..ServerOptions::default() };
+    monoio::spawn(deck_net::serve(listener, options, ended, move |request| {
+        let known = protocol.is_ready_request(request.method(), request.uri().path());
+        let status = match (known, view.is_complete() && !draining.get()) {
+            (false, _) => StatusCode::NOT_FOUND,
+            (true, true) => StatusCode::OK,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let mut response = Response::new(Body::empty());
+        *response.status_mut() = status;
+        async move { response }
+    }));
+    Ok(())
+}
+
+fn serve_peers(
+    settings: &NodeSettings,
+    batch: BatchService,
+    ended: CancellationToken,
+) -> std::io::Result<()> {
+    let listener = bind(settings.peer_address)?;
+    let options = ServerOptions { head_timeout: CALLER_IDLE, ..ServerOptions::default() };
+    monoio::spawn(deck_net::serve(listener, options, ended, move |request| {
+        let batch = batch.clone();
+        async move { batch.serve_peer(request).await }
+    }));
+    Ok(())
+}
+
+/// Reads the settings file again when it changes. Values that a running process cannot take over
+/// are logged; they hold from the next start on.
+async fn watch_settings(
+    file: PathBuf,
+    mut current: NodeSettings,
+    hangup: Arc<AtomicBool>,
+    ended: CancellationToken,
+) {
+    while ended.run_until_cancelled(monoio::time::sleep(RELOAD_INTERVAL)).await.is_some() {
+        if hangup.swap(false, Ordering::Relaxed) {
+            log::info!(target: "node", "reload asked for");
+        }
+        match read_settings(&file) {
+            Ok(settings) if settings != current => {
+                log::info!(target: "node", "settings changed; they hold from the next start on");
+                current = settings;
+            }
+            Ok(_) => {}
+            Err(error) => log::warn!(target: "node", "settings not read error={error}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/batch/src/job.rs
@@ -0,0 +1,211 @@
+//! State of one batch job on the node that runs it.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeSet,
+    rc::Rc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use deck_core::{
+    CancellationToken,
+    id::{RequestId, Revision, WeightVersion},
+};
+use deck_fleet::{Item, ItemOutcome, ItemResult};
+use tokio::sync::{Notify, watch};
+
+use crate::JobRecord;
+
+/// One job on the node that runs it.
+pub struct Job {
+    /// Id.
+    pub id: RequestId,
+    /// Record as last read or written.
+    pub record: RefCell<JobRecord>,
+    /// Revision of the record.
+    pub revision: Cell<Revision>,
+    /// When the job was submitted, on this node's clock.
+    pub submitted_at: Instant,
+    /// When this node began to run the job.
+    pub loaded_at: Instant,
+    /// When the record last showed that this node runs the job.
+    pub confirmed_at: Cell<Instant>,
+    /// Items without a listed result. Invariant: an item is here or in `listed`, never in both.
+    pub items: RefCell<Vec<Rc<ItemRun>>>,
+    /// Results at their positions; positions never change.
+    pub listed: RefCell<Vec<Rc<ItemResult>>>,
+    /// Chunks that hold the results in `listed`.
+    pub chunks: Cell<usize>,
+    /// Results that are not stored yet.
+    pub unlisted: RefCell<Vec<Rc<ItemResult>>>,
+    /// Told of each new unlisted result.
+    pub finished: Notify,
+    /// Number of listed results, for readers that wait.
+    pub positions: watch::Sender<usize>,
+    /// Cancelled when the job is ended or another node runs it.
+    pub stop: CancellationToken,
+}
+
+/// Where an item is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Waits for an engine.
+    Waiting,
+    /// Runs on an engine.
+    Running,
+    /// Its text is complete and being scored.
+    Scoring,
+    /// It has a result.
+    Done,
+}
+
+/// One item and its progress.
+pub struct ItemRun {
+    /// The item.
+    pub item: Item,
+    /// Where it is.
+    pub phase: Cell<Phase>,
+    /// Text so far.
+    pub progress: RefCell<Progress>,
+    /// Failures that targets answered.
+    pub failures: Cell<u32>,
+    /// The item does not start before this time.
+    pub not_before: Cell<Option<Instant>>,
+}
+
+/// Text of an item so far.
+#[derive(Debug, Clone, Default)]
+pub struct Progress {
+    /// Data of the events, separated by line feeds.
+    pub text: String,
+    /// Number of the last event; 0 before the first one.
+    pub last_event: u64,
+    /// Versions that generated at least one event.
+    pub versions: BTreeSet<WeightVersion>,
+}
+
+impl Progress {
+    /// Adds an event.
+    pub fn push(&mut self, number: u64, data: &str, version: WeightVersion) {
+        if self.last_event > 0 {
+            self.text.push('\n');
+        }
+        self.text.push_str(data);
+        self.last_event = number;
+        self.versions.insert(version);
+    }
+
+    /// Returns whether the text may be part of a result that needs at least `min_version`.
+    pub fn fits(&self, min_version: WeightVersion) -> bool {
+        self.versions.first().is_none_or(|oldest| *oldest >= min_version)
+    }
+}
+
+impl ItemRun {
+    /// Returns an item that waits for its first run.
+    pub fn new(item: Item) -> Self {
+        Self {
+            item,
+            phase: Cell::new(Phase::Waiting),
+            progress: RefCell::default(),
+            failures: Cell::new(0),
+            not_before: Cell::new(None),
+        }
+    }
+}
+
+impl Job {
+    /// Returns a job with the given items, none of which has a result.
+    pub fn new(id: RequestId, record: JobRecord, revision: Revision, items: Vec<Item>) -> Self {
+        let now = Instant::now();
+        let age = age_of(record.submitted_at_ms);
+        Self {
+            id,
+            record: RefCell::new(record),
+            revision: Cell::new(revision),
+            submitted_at: now.checked_sub(age).unwrap_or(now),
+            loaded_at: now,
+            confirmed_at: Cell::new(now),
+            items: RefCell::new(
+                items.into_iter().map(|item| Rc::new(ItemRun::new(item))).collect(),
+            ),
+            listed: RefCell::default(),
+            chunks: Cell::new(0),
+            unlisted: RefCell::default(),
+            finished: Notify::new(),
+            positions: watch::channel(0).0,
+            stop: CancellationToken::new(),
+        }
+    }
+
+    /// Returns the number of items of the job.
+    pub fn total(&self) -> usize {
+        self.record.borrow().total
+    }
+
+    /// Returns whether all items have a listed result.
+    pub fn is_complete(&self) -> bool {
+        self.listed.borrow().len() >= self.total()
+    }
+
+    /// Returns whether the caller has ended the job.
+    pub fn is_ended(&self) -> bool {
+        self.record.borrow().ended
+    }
+
+    /// Returns when the results are due.
+    pub fn due_at(&self) -> Instant {
+        self.submitted_at + Duration::from_millis(self.record.borrow().limits.results_due_ms)
+    }
+
+    /// Returns when items may be given up.
+    pub fn give_up_at(&self) -> Instant {
+        self.submitted_at + Duration::from_millis(self.record.borrow().limits.give_up_ms)
+    }
+
+    /// Returns the item with the id, if it has no listed result.
+    pub fn unlisted_item(&self, id: &str) -> Option<Rc<ItemRun>> {
+        self.items.borrow().iter().find(|run| run.item.id == id).cloned()
+    }
+
+    /// Takes note of an item's result, which becomes visible once it is stored.
+    pub fn finish(&self, run: &ItemRun, outcome: ItemOutcome, score: Option<String>) {
+        if run.phase.replace(Phase::Done) == Phase::Done {
+            return;
+        }
+        let progress = run.progress.take();
+        let result = ItemResult {
+            item: run.item.id.clone(),
+            outcome,
+            text: progress.text,
+            versions: progress.versions.into_iter().collect(),
+            score,
+        };
+        self.unlisted.borrow_mut().push(Rc::new(result));
+        self.finished.notify_one();
+    }
+
+    /// Adds stored results at the next positions.
+    pub fn list(&self, results: Vec<Rc<ItemResult>>) {
+        let mut items = self.items.borrow_mut();
+        for result in &results {
+            if let Some(index) = items.iter().position(|run| run.item.id == result.item) {
+                items[index].phase.set(Phase::Done);
+                items.remove(index);
+            }
+        }
+        let is_listed = |unlisted: &Rc<ItemResult>| results.iter().any(|r| r.item == unlisted.item);
+        self.unlisted.borrow_mut().retain(|unlisted| !is_listed(unlisted));
+        drop(items);
+        let mut listed = self.listed.borrow_mut();
+        listed.extend(results);
+        self.chunks.set(self.chunks.get() + 1);
+        self.positions.send_replace(listed.len());
+    }
+}
+
+/// Returns the time since a moment that another node may have read off its own clock.
+fn age_of(at_ms: u64) -> Duration {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+    now.saturating_sub(Duration::from_millis(at_ms))
+}
--- /dev/null
+++ b/crates/batch/src/peers.rs
@@ -0,0 +1,132 @@
+//! Calls on batch jobs between nodes.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use deck_net::{Body, Client, NetError};
+use http::{HeaderValue, Method, Request, StatusCode, header};
+
+/// Path below which nodes serve each other's calls on batch jobs.
+pub const JOBS_PATH: &str = "/peer/jobs/";
+/// Header with the path under which the caller submitted a job.
+pub const SUBMITTED_PATH: &str = "x-submitted-path";
+/// Status of a node that does not run the job.
+pub const NOT_HERE: StatusCode = StatusCode::GONE;
+/// Time for a call beyond the time for which it may wait.
+const CALL_LIMIT: Duration = Duration::from_millis(800);
+/// Time for a submission, which includes its writes to the object API.
+const SUBMIT_LIMIT: Duration = Duration::from_millis(1500);
+/// Largest answer.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Client for calls on other nodes.
+#[derive(Clone)]
+pub struct Peers {
+    client: Client,
+}
+
+/// Answer of another node.
+#[derive(Debug, Clone)]
+pub struct PeerAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Peers {
+    /// Returns peers reached through `client`.
+    pub fn new(client: Client) -> Self {
+        Self { client }
+    }
+
+    /// Hands a submitted job to another node.
+    ///
+    /// # Errors
+    ///
+    /// [`NetError::may_have_been_sent`] tells whether the node may have accepted the job.
+    pub async fn submit(
+        &self,
+        node: SocketAddr,
+        id: &str,
+        host: &str,
+        path: &str,
+        body: Bytes,
+    ) -> Result<PeerAnswer, NetError> {
+        let mut request = request(Method::POST, format!("{JOBS_PATH}{id}"), body)?;
+        for (name, value) in [(header::HOST.as_str(), host), (SUBMITTED_PATH, path)] {
+            let value =
+                HeaderValue::from_str(value).map_err(|e| NetError::Decode(e.to_string()))?;
+            request.headers_mut().insert(
+                http::HeaderName::from_bytes(name.as_bytes())
+                    .map_err(|error| NetError::Decode(error.to_string()))?,
+                value,
+            );
+        }
+        self.call(node, request, SUBMIT_LIMIT).await
+    }
+
+    /// Reads results from position `from` on; waits up to `wait` for the first one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the node does not answer.
+    pub async fn read(
+        &self,
+        node: SocketAddr,
+        id: &str,
+        from: usize,
+        wait: Duration,
+    ) -> Result<PeerAnswer, NetError> {
+        let path = format!("{JOBS_PATH}{id}?from={from}&wait_ms={}", wait.as_millis());
+        self.call(node, request(Method::GET, path, Bytes::new())?, wait + CALL_LIMIT).await
+    }
+
+    /// Reads the body of an item.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the node does not answer.
+    pub async fn item_body(
+        &self,
+        node: SocketAddr,
+        id: &str,
+        item: &str,
+    ) -> Result<PeerAnswer, NetError> {
+        let path = format!("{JOBS_PATH}{id}/items/{item}");
+        self.call(node, request(Method::GET, path, Bytes::new())?, CALL_LIMIT).await
+    }
+
+    /// Ends a job.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the node does not answer.
+    pub async fn end(&self, node: SocketAddr, id: &str) -> Result<PeerAnswer, NetError> {
+        let path = format!("{JOBS_PATH}{id}");
+        self.call(node, request(Method::DELETE, path, Bytes::new())?, SUBMIT_LIMIT).await
+    }
+
+    async fn call(
+        &self,
+        node: SocketAddr,
+        request: Request<Body>,
+        limit: Duration,
+    ) -> Result<PeerAnswer, NetError> {
+        let exchange = async {
+            let response = self.client.send(node, request).await?;
+            let status = response.status;
+            let body = response.collect(MAX_ANSWER_BYTES).await?;
+            Ok(PeerAnswer { status, body })
+        };
+        match monoio::time::timeout(limit, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(NetError::Exchange(node, "no answer in time".to_owned())),
+        }
+    }
+}
+
+fn request(method: Method, path: String, body: Bytes) -> Result<Request<Body>, NetError> {
+    let request = Request::builder().method(method).uri(path).body(Body::full(body));
+    request.map_err(|error| NetError::Decode(error.to_string()))
+}
--- /dev/null
+++ b/crates/batch/src/run.rs
@@ -0,0 +1,240 @@
+//! One run of an item on an engine.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use deck_core::id::WeightVersion;
+use deck_fleet::{Dispatch, ReplyHead, RunGuard, Target};
+use deck_net::{Body, ClientResponse};
+use http::{Method, Request, StatusCode};
+
+use crate::{
+    events::EventParser,
+    job::{ItemRun, Job, Phase},
+    runner::Inner,
+};
+
+/// How a run ended.
+enum Ended {
+    /// The text is complete.
+    Complete,
+    /// The run broke off or its engine went silent; the text goes on elsewhere.
+    Broken(String),
+    /// The engine did not take the run.
+    Refused(String),
+    /// The engine answered with a failure of its own.
+    Failed(StatusCode),
+    /// The item can never be done.
+    Impossible,
+}
+
+/// Runs a waiting item on `target` and moves it to its next phase.
+pub(crate) async fn run_item(
+    inner: Rc<Inner>,
+    job: Rc<Job>,
+    run: Rc<ItemRun>,
+    target: Rc<Target>,
+    guard: RunGuard,
+) {
+    let started = Instant::now();
+    let ended = match job.stop.run_until_cancelled(generate(&inner, &job, &run, &target)).await {
+        Some(ended) => ended,
+        // Dropping the run has closed its connection, which stops the engine.
+        None => {
+            run.phase.set(Phase::Waiting);
+            return;
+        }
+    };
+    drop(guard);
+    let (id, ms) = (&run.item.id, started.elapsed().as_millis());
+    let at = run.progress.borrow().last_event;
+    match ended {
+        Ended::Complete => {
+            run.phase.set(Phase::Scoring);
+            inner.wake.notify_one();
+            crate::reward::score_item(&inner, &job, &run).await;
+        }
+        Ended::Broken(reason) => {
+            inner.engines.record_failure(&target, Instant::now());
+            log::info!(target: "batch", "run broken item={id} target={} event={at} ms={ms} reason={reason:?}", target.id);
+            run.phase.set(Phase::Waiting);
+        }
+        Ended::Refused(reason) => {
+            inner.engines.record_failure(&target, Instant::now());
+            log::info!(target: "batch", "run refused item={id} target={} reason={reason:?}", target.id);
+            run.phase.set(Phase::Waiting);
+        }
+        Ended::Failed(status) => {
+            run.failures.set(run.failures.get() + 1);
+            log::info!(target: "batch", "run failed item={id} target={} status={status}", target.id);
+            if run.failures.get() >= job.record.borrow().limits.attempts {
+                job.finish(&run, deck_fleet::ItemOutcome::Failed, None);
+            } else {
+                run.phase.set(Phase::Waiting);
+            }
+        }
+        Ended::Impossible => {
+            log::info!(target: "batch", "item impossible item={id} target={}", target.id);
+            job.finish(&run, deck_fleet::ItemOutcome::Failed, None);
+        }
+    }
+    inner.wake.notify_one();
+}
+
+async fn generate(inner: &Inner, job: &Job, run: &ItemRun, target: &Target) -> Ended {
+    let request = match request(inner, job, run, target) {
+        Ok(request) => request,
+        Err(reason) => {
+            log::warn!(target: "batch", "item cannot be sent item={} reason={reason}", run.item.id);
+            return Ended::Impossible;
+        }
+    };
+    let sent = inner.client.send(target.address, request);
+    let response = match monoio::time::timeout(inner.options.first_event_limit, sent).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) if error.may_have_been_sent() => return Ended::Broken(error.to_string()),
+        Ok(Err(error)) => return Ended::Refused(error.to_string()),
+        Err(_) => return Ended::Broken("no response in time".to_owned()),
+    };
+    let status = response.status;
+    let head = inner.protocol.reply_head(status, &response.headers);
+    if head.request_id.as_ref().is_some_and(|id| *id != run.item.id) {
+        return Ended::Broken("response to another request".to_owned());
+    }
+    if head.not_run {
+        let _ = response.collect(MAX_REFUSAL_BYTES).await;
+        return Ended::Refused(format!("status {status}"));
+    }
+    match status {
+        StatusCode::UNPROCESSABLE_ENTITY => return Ended::Impossible,
+        status if status.is_success() => {}
+        status if status.is_server_error() && head.signature.is_some() => {
+            let _ = response.collect(MAX_REFUSAL_BYTES).await;
+            return Ended::Failed(status);
+        }
+        status => return Ended::Broken(format!("status {status}")),
+    }
+    receive(inner, job, run, target, response, head).await
+}
+
+/// Largest body of a refusal or failure that is read, so that its connection can be used again.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
+
+fn request(
+    inner: &Inner,
+    job: &Job,
+    run: &ItemRun,
+    target: &Target,
+) -> Result<Request<Body>, String> {
+    let item = &run.item;
+    let body = inner.protocol.item_body(&item.body)?;
+    let record = job.record.borrow();
+    let mut headers = inner.protocol.item_headers(&record.host, &item.headers);
+    let last_event = Some(run.progress.borrow().last_event).filter(|last| *last > 0);
+    let dispatch = Dispatch {
+        request_id: &item.id,
+        target: &target.id,
+        time_left: None,
+        last_event,
+        priority: None,
+        expected_version: None,
+    };
+    inner.protocol.dispatch(&mut headers, &dispatch);
+    let mut request = Request::new(Body::full(body));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = item.path.parse().map_err(|error| format!("path: {error}"))?;
+    *request.headers_mut() = headers;
+    Ok(request)
+}
+
+async fn receive(
+    inner: &Inner,
+    job: &Job,
+    run: &ItemRun,
+    target: &Target,
+    mut response: ClientResponse,
+    head: ReplyHead,
+) -> Ended {
+    let (min_version, single) = {
+        let record = job.record.borrow();
+        (record.min_version, record.limits.single_version)
+    };
+    let believed = inner.engines.version(target, &job.record.borrow().model);
+    let Some(mut version) = head.version.or(believed) else {
+        return Ended::Broken("version of the weights is not known".to_owned());
+    };
+    if let Some(reason) = unfit(inner, job, run, target, version, min_version, single) {
+        return Ended::Refused(reason);
+    }
+    let mut parser = EventParser::new(inner.protocol.version_field());
+    let mut last_event_at: Option<Instant> = None;
+    loop {
+        let limit = gap_limit(inner, target, last_event_at.is_none());
+        let chunk = match monoio::time::timeout(limit, response.chunk()).await {
+            Ok(Ok(Some(chunk))) => chunk,
+            Ok(Ok(None)) => return Ended::Complete,
+            Ok(Err(error)) => return Ended::Broken(error.to_string()),
+            Err(_) => return Ended::Broken(format!("silent for {} ms", limit.as_millis())),
+        };
+        let events = parser.push(&chunk);
+        for event in &events {
+            if let Some(changed) = event.version {
+                version = changed;
+                if let Some(reason) = unfit(inner, job, run, target, version, min_version, single) {
+                    return Ended::Broken(reason);
+                }
+            }
+            let mut progress = run.progress.borrow_mut();
+            let expected = progress.last_event + 1;
+            match event.number {
+                Some(number) if number != expected => {
+                    return Ended::Broken(format!("event {number} in place of {expected}"));
+                }
+                _ => progress.push(expected, &event.data, version),
+            }
+        }
+        if !events.is_empty() {
+            let now = Instant::now();
+            if let Some(last) = last_event_at {
+                let gap = now.duration_since(last) / events.len() as u32;
+                inner.engines.record_gap(target, gap);
+            }
+            last_event_at = Some(now);
+        }
+    }
+}
+
+/// Checks that text of `version` may follow the text so far; returns why not.
+///
+/// On a route that needs a single version, text of another version is dropped.
+fn unfit(
+    inner: &Inner,
+    job: &Job,
+    run: &ItemRun,
+    target: &Target,
+    version: WeightVersion,
+    min_version: WeightVersion,
+    single: bool,
+) -> Option<String> {
+    inner.engines.set_version(target, &job.record.borrow().model, version);
+    if version < min_version {
+        return Some(format!("version {version} is older than {min_version}"));
+    }
+    let mut progress = run.progress.borrow_mut();
+    if single && progress.versions.iter().any(|other| *other != version) {
+        progress.clone_from(&Default::default());
+        return Some(format!("version {version} differs from that of the text so far"));
+    }
+    None
+}
+
+/// Returns how long a run may be silent before its engine counts as gone.
+fn gap_limit(inner: &Inner, target: &Target, before_first: bool) -> Duration {
+    if before_first || inner.engines.changing(target).is_some() {
+        inner.options.first_event_limit
+    } else {
+        inner.options.event_gap_limit
+    }
+}
--- /dev/null
+++ b/crates/batch/src/runner.rs
@@ -0,0 +1,302 @@
+//! Jobs that this node runs.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use deck_core::{
+    CancellationToken,
+    hash::hash64,
+    id::{RequestId, Revision, VmId},
+};
+use deck_fleet::{Engines, Item, ItemOutcome, Protocol, RouteKind, Target, TargetState, View};
+use deck_forward::Forwarder;
+use deck_net::Client;
+use deck_plat::StoreError;
+use tokio::sync::Notify;
+
+use crate::{
+    JobRecord, Ledger,
+    dispatch::{Candidate, Waiting, choose, sort_by_urgency},
+    job::{ItemRun, Job, Phase},
+    publish, run,
+};
+
+/// Options of a [`Runner`].
+#[derive(Debug, Clone)]
+pub struct RunOptions {
+    /// Time in which the first event of a run has to come; covers a change of weights.
+    pub first_event_limit: Duration,
+    /// Time in which each further event has to come. Engines make an event in some 40 ms; ten
+    /// times as long for a slow one, and a margin.
+    pub event_gap_limit: Duration,
+    /// Time for which results are gathered before they are stored.
+    pub gather: Duration,
+    /// Longest time between two checks that this node still runs a job. Results that another
+    /// runner has shown have to be known within the deployment's settle time.
+    pub confirm_interval: Duration,
+    /// Time after a change of runner in which the earlier one may still store results.
+    pub takeover_settle: Duration,
+    /// Expected time for one token where nothing is known.
+    pub token_time: Duration,
+    /// Longest wait between two looks at waiting items.
+    pub idle_round: Duration,
+}
+
+impl Default for RunOptions {
+    fn default() -> Self {
+        Self {
+            first_event_limit: Duration::from_millis(3000),
+            event_gap_limit: Duration::from_millis(1200),
+            gather: Duration::from_millis(300),
+            confirm_interval: Duration::from_millis(900),
+            takeover_settle: Duration::from_secs(3),
+            token_time: Duration::from_micros(900),
+            idle_round: Duration::from_millis(50),
+        }
+    }
+}
+
+/// Runs batch jobs; clones share them.
+#[derive(Clone)]
+pub struct Runner {
+    pub(crate) inner: Rc<Inner>,
+}
+
+pub(crate) struct Inner {
+    pub vm: VmId,
+    pub address: SocketAddr,
+    pub view: View,
+    pub engines: Engines,
+    pub ledger: Ledger,
+    pub forwarder: Forwarder,
+    pub client: Client,
+    pub protocol: Rc<dyn Protocol>,
+    pub options: RunOptions,
+    pub jobs: RefCell<HashMap<RequestId, Rc<Job>>>,
+    /// Engine that last read a shared prompt, by the prompt's hash.
+    prompts: RefCell<HashMap<u64, String>>,
+    pub wake: Notify,
+}
+
+/// What a [`Runner`] works with.
+pub struct RunnerParts {
+    /// Name of this VM.
+    pub vm: VmId,
+    /// Address of this VM for other nodes.
+    pub address: SocketAddr,
+    /// Knowledge of the deployment.
+    pub view: View,
+    /// Engines.
+    pub engines: Engines,
+    /// Stored jobs.
+    pub ledger: Ledger,
+    /// Forwards reward calls.
+    pub forwarder: Forwarder,
+    /// Client for engines.
+    pub client: Client,
+    /// Translation.
+    pub protocol: Rc<dyn Protocol>,
+}
+
+impl Runner {
+    /// Starts a runner; it dispatches items until `cancel` is cancelled.
+    pub fn start(parts: RunnerParts, options: RunOptions, cancel: CancellationToken) -> Self {
+        let RunnerParts { vm, address, view, engines, ledger, forwarder, client, protocol } = parts;
+        let inner = Inner {
+            vm,
+            address,
+            view,
+            engines,
+            ledger,
+            forwarder,
+            client,
+            protocol,
+            options,
+            jobs: RefCell::default(),
+            prompts: RefCell::default(),
+            wake: Notify::new(),
+        };
+        let runner = Self { inner: Rc::new(inner) };
+        let inner = runner.inner.clone();
+        monoio::spawn(async move {
+            cancel.run_until_cancelled(inner.dispatch_loop()).await;
+        });
+        runner
+    }
+
+    /// Returns a job that this node runs.
+    pub fn job(&self, id: &str) -> Option<Rc<Job>> {
+        self.inner.jobs.borrow().get(id).cloned()
+    }
+
+    /// Returns the jobs of this node that are neither ended nor complete.
+    pub fn active_jobs(&self) -> Vec<Rc<Job>> {
+        let jobs = self.inner.jobs.borrow();
+        jobs.values()
+            .filter(|job| !job.stop.is_cancelled() && !job.is_complete())
+            .cloned()
+            .collect()
+    }
+
+    /// Starts a job that is stored and whose record names this node.
+    pub fn start_job(
+        &self,
+        id: &str,
+        record: JobRecord,
+        revision: Revision,
+        items: Vec<Item>,
+    ) -> Rc<Job> {
+        if let Some(job) = self.job(id) {
+            return job;
+        }
+        let job = Rc::new(Job::new(id.to_owned(), record, revision, items));
+        self.adopt(job.clone());
+        job
+    }
+
+    /// Loads a stored job and goes on with it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the object API does not answer.
+    pub async fn load_job(
+        &self,
+        id: &str,
+        record: JobRecord,
+        revision: Revision,
+    ) -> Result<Rc<Job>, StoreError> {
+        let ledger = &self.inner.ledger;
+        let items = ledger.items(id, &record).await?;
+        let job = Rc::new(Job::new(id.to_owned(), record, revision, items));
+        while let Some(results) = ledger.chunk(id, job.chunks.get()).await? {
+            job.list(results.into_iter().map(Rc::new).collect());
+        }
+        if let Some(known) = self.job(id) {
+            return Ok(known);
+        }
+        log::info!(target: "batch", "job loaded job={id} listed={} ended={}", job.listed.borrow().len(), job.is_ended());
+        self.adopt(job.clone());
+        Ok(job)
+    }
+
+    fn adopt(&self, job: Rc<Job>) {
+        self.inner.jobs.borrow_mut().insert(job.id.clone(), job.clone());
+        if job.is_ended() {
+            job.stop.cancel();
+        }
+        if job.is_complete() || job.is_ended() {
+            return;
+        }
+        monoio::spawn(publish::publish_results(self.inner.clone(), job.clone()));
+        monoio::spawn(publish::keep_confirmed(self.inner.clone(), job));
+        self.inner.wake.notify_one();
+    }
+}
+
+impl Inner {
+    /// Forgets a job that another node runs.
+    pub fn forget(&self, id: &str) {
+        self.jobs.borrow_mut().remove(id);
+    }
+
+    async fn dispatch_loop(self: Rc<Self>) {
+        loop {
+            let waits = self.dispatch_round();
+            let woken = self.wake.notified();
+            if waits {
+                let _ = monoio::time::timeout(self.options.idle_round, woken).await;
+            } else {
+                woken.await;
+            }
+        }
+    }
+
+    /// Starts as many waiting items as engines take; returns whether items still wait.
+    fn dispatch_round(self: &Rc<Self>) -> bool {
+        let now = Instant::now();
+        let mut runs: Vec<(Rc<Job>, Rc<ItemRun>)> = Vec::new();
+        let mut waiting = Vec::new();
+        for job in self.jobs.borrow().values().filter(|job| !job.stop.is_cancelled()) {
+            let items = job.items.borrow();
+            for run in items.iter().filter(|run| run.phase.get() == Phase::Waiting) {
+                if now >= job.give_up_at() {
+                    log::info!(target: "batch", "item given up item={} job={}", run.item.id, job.id);
+                    job.finish(run, ItemOutcome::Failed, None);
+                    continue;
+                }
+                if run.not_before.get().is_some_and(|at| at > now) {
+                    continue;
+                }
+                waiting.push(self.waiting(job, run, runs.len(), now));
+                runs.push((job.clone(), run.clone()));
+            }
+        }
+        sort_by_urgency(&mut waiting);
+        let mut left = waiting.len();
+        for item in &waiting {
+            let (job, run) = &runs[item.key];
+            let Some(service) = self.service_of(job) else { continue };
+            let targets = self.view.targets_of(&service);
+            let candidates: Vec<Candidate> =
+                targets.iter().filter_map(|target| self.candidate(target, item, now)).collect();
+            let Some(chosen) = choose(item, &candidates) else { continue };
+            let Some(target) = targets.iter().find(|target| target.id == chosen.target) else {
+                continue;
+            };
+            self.prompts.borrow_mut().insert(item.prompt, target.id.clone());
+            run.phase.set(Phase::Running);
+            left -= 1;
+            // Counted at once: the next item is placed before this run's task starts.
+            let guard = self.engines.start_run(target);
+            monoio::spawn(run::run_item(
+                self.clone(),
+                job.clone(),
+                run.clone(),
+                target.clone(),
+                guard,
+            ));
+        }
+        left > 0
+    }
+
+    fn waiting(&self, job: &Job, run: &ItemRun, key: usize, now: Instant) -> Waiting {
+        let record = job.record.borrow();
+        let tokens = run.item.length_hint.unwrap_or(run.item.tokens);
+        Waiting {
+            key,
+            time_left: job.due_at().saturating_duration_since(now),
+            expected: self.options.token_time * u32::try_from(tokens).unwrap_or(u32::MAX),
+            model: record.model.clone(),
+            min_version: record.min_version,
+            prompt: hash64(run.item.group.as_deref().unwrap_or(&run.item.id).as_bytes()),
+        }
+    }
+
+    /// Returns the service that runs the items of a job, by the configuration in force.
+    fn service_of(&self, job: &Job) -> Option<String> {
+        let configuration = self.view.configuration()?;
+        let record = job.record.borrow();
+        let route = configuration.route(&record.host, &record.path)?;
+        (route.kind == RouteKind::Rollout).then(|| route.service(0.0).to_owned())
+    }
+
+    fn candidate(&self, target: &Target, item: &Waiting, now: Instant) -> Option<Candidate> {
+        let usable =
+            target.state == TargetState::Ready && self.engines.is_usable(target, &item.model, now);
+        let version = self.engines.version(target, &item.model)?;
+        let state = self.engines.state(target);
+        usable.then(|| Candidate {
+            target: target.id.clone(),
+            version,
+            running: state.running,
+            slots: target.slots,
+            event_gap_ms: state.event_gap_ms,
+            has_prompt: self.prompts.borrow().get(&item.prompt) == Some(&target.id),
+        })
+    }
+}
--- /dev/null
+++ b/crates/batch/src/service.rs
@@ -0,0 +1,594 @@
+//! Calls of callers and of other nodes on batch jobs.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use bytes::Bytes;
+use deck_core::{
+    error::{CallError, ErrorKind},
+    id::{RequestId, VmId},
+};
+use deck_fleet::{
+    BatchCall, BatchJob, BatchLimits, CallHead, Protocol, ResultPage, Route, RouteKind,
+};
+use deck_forward::error_response;
+use deck_net::{Body, server::read_body};
+use deck_plat::StoreError;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+
+use crate::{
+    Accepted, JobRecord, Ledger, Runner,
+    job::Job,
+    peers::{JOBS_PATH, NOT_HERE, PeerAnswer, Peers, SUBMITTED_PATH},
+    publish,
+};
+
+/// Options of a [`BatchService`].
+#[derive(Debug, Clone)]
+pub struct BatchOptions {
+    /// Longest time for which a read waits for a first result.
+    pub max_read_wait: Duration,
+    /// Age of the last check of a job's runner up to which a read may state that there is nothing
+    /// at a position. Has to stay below the deployment's settle time.
+    pub sure_for: Duration,
+    /// Largest part of a page of results in bytes.
+    pub max_page_bytes: usize,
+    /// Retry-After of a submission that cannot be stored now.
+    pub submit_retry: Duration,
+    /// Largest body of a submission in bytes.
+    pub max_body_bytes: usize,
+}
+
+impl Default for BatchOptions {
+    fn default() -> Self {
+        Self {
+            max_read_wait: Duration::from_millis(1000),
+            sure_for: Duration::from_millis(500),
+            max_page_bytes: 900 * 1024,
+            submit_retry: Duration::from_millis(500),
+            max_body_bytes: 32 * 1024 * 1024,
+        }
+    }
+}
+
+/// Node that runs new jobs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Leader {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its address for other nodes.
+    pub address: SocketAddr,
+}
+
+/// Serves calls on batch jobs; clones share its state.
+#[derive(Clone)]
+pub struct BatchService {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    runner: Runner,
+    ledger: Ledger,
+    peers: Peers,
+    protocol: Rc<dyn Protocol>,
+    options: BatchOptions,
+    leader: RefCell<Option<Leader>>,
+    /// Nodes that were last seen to run a job.
+    runners: RefCell<HashMap<RequestId, SocketAddr>>,
+    /// Jobs that are ended or complete, loaded for reads on this node.
+    settled: RefCell<HashMap<RequestId, Rc<Job>>>,
+    draining: Cell<bool>,
+}
+
+/// Where a job is run.
+enum Place {
+    /// On this node.
+    Here(Rc<Job>),
+    /// It is settled and was loaded for reads.
+    Settled(Rc<Job>),
+    /// On another node.
+    There(SocketAddr),
+}
+
+impl BatchService {
+    /// Returns a service over `runner` and the stored jobs.
+    pub fn new(
+        runner: Runner,
+        ledger: Ledger,
+        peers: Peers,
+        protocol: Rc<dyn Protocol>,
+        options: BatchOptions,
+    ) -> Self {
+        let inner = Inner {
+            runner,
+            ledger,
+            peers,
+            protocol,
+            options,
+            leader: RefCell::default(),
+            runners: RefCell::default(),
+            settled: RefCell::default(),
+            draining: Cell::new(false),
+        };
+        Self { inner: Rc::new(inner) }
+    }
+
+    /// Sets the node that runs new jobs.
+    pub fn set_leader(&self, leader: Option<Leader>) {
+        let changed = *self.inner.leader.borrow() != leader;
+        if changed {
+            log::info!(target: "batch", "leader is {leader:?}");
+            self.inner.leader.replace(leader);
+        }
+    }
+
+    /// Takes no new jobs from other nodes from now on.
+    pub fn set_draining(&self) {
+        self.inner.draining.set(true);
+    }
+
+    /// Accepts a job.
+    pub async fn submit(
+        &self,
+        host: &str,
+        path: &str,
+        route: &Route,
+        head: &CallHead,
+        body: Bytes,
+    ) -> Response<Body> {
+        let Some(id) = head.request_id.clone().filter(|id| is_valid_id(id)) else {
+            let error = CallError::new(ErrorKind::BadRequest, "the job has no valid id");
+            return error_response(&error, "");
+        };
+        let mut maybe_accepted = false;
+        if let Some(leader) = self.other_leader() {
+            match self.inner.peers.submit(leader.address, &id, host, path, body.clone()).await {
+                Ok(answer) if answer.status == StatusCode::ACCEPTED => {
+                    self.inner.runners.borrow_mut().insert(id, leader.address);
+                    return accepted();
+                }
+                Ok(answer) if answer.status.is_client_error() && answer.status != NOT_HERE => {
+                    return peer_response(answer);
+                }
+                Ok(answer) => {
+                    maybe_accepted = answer.status != StatusCode::SERVICE_UNAVAILABLE;
+                    log::info!(target: "batch", "leader did not accept job={id} status={}", answer.status);
+                }
+                Err(error) => {
+                    maybe_accepted = error.may_have_been_sent();
+                    log::info!(target: "batch", "leader did not answer job={id} error={error}");
+                }
+            }
+        }
+        match self.accept(&id, host, path, route, &body).await {
+            Ok(()) => accepted(),
+            Err(error) if maybe_accepted && error.kind == ErrorKind::StoreUnavailable => {
+                let error = CallError::new(ErrorKind::DeadlineExceeded, error.message);
+                error_response(&error, &id)
+            }
+            Err(error) => error_response(&error, &id),
+        }
+    }
+
+    /// Stores a job and runs it on this node, unless it was stored before.
+    async fn accept(
+        &self,
+        id: &str,
+        host: &str,
+        path: &str,
+        route: &Route,
+        body: &[u8],
+    ) -> Result<(), CallError> {
+        if self.inner.runner.job(id).is_some() {
+            return Ok(());
+        }
+        let decoded = self.inner.protocol.batch_job(id.to_owned(), host, path, body);
+        let mut job = decoded.map_err(|error| CallError::new(ErrorKind::BadRequest, error))?;
+        set_limits(&mut job, route);
+        let runner = &self.inner.runner.inner;
+        match self.inner.ledger.accept(&job, &runner.vm, runner.address).await {
+            Accepted::Stored(record, revision) => {
+                log::info!(target: "batch", "job accepted job={id} items={} step={} model={} min_version={}", job.items.len(), job.step, job.model, job.min_version);
+                self.inner.runner.start_job(id, record, revision, job.items);
+                Ok(())
+            }
+            Accepted::Exists(record, revision) => {
+                // The stored record may be this node's own, of a try whose answer was lost.
+                if record.runner == runner.vm && record.address == runner.address {
+                    self.inner.runner.start_job(id, record, revision, job.items);
+                }
+                Ok(())
+            }
+            Accepted::NotStored(error) => {
+                log::warn!(target: "batch", "job refused job={id} error={error}");
+                let error = CallError::new(ErrorKind::StoreUnavailable, error.to_string());
+                Err(error.with_retry_after(self.inner.options.submit_retry))
+            }
+            Accepted::Unknown(error) => {
+                log::warn!(target: "batch", "job in doubt job={id} error={error}");
+                Err(CallError::new(ErrorKind::DeadlineExceeded, error.to_string()))
+            }
+        }
+    }
+
+    /// Serves a caller's call on a job.
+    pub async fn call(&self, call: BatchCall, head: &CallHead) -> Response<Body> {
+        match call {
+            BatchCall::Read { job, from } => {
+                let wait = head.read_wait.unwrap_or(Duration::ZERO);
+                self.read(&job, from, wait.min(self.inner.options.max_read_wait)).await
+            }
+            BatchCall::ItemBody { job, item } => self.item_body(&job, &item).await,
+            BatchCall::End { job } => self.end(&job).await,
+        }
+    }
+
+    async fn read(&self, id: &str, from: usize, wait: Duration) -> Response<Body> {
+        let here = |job: Rc<Job>| async move { self.read_here(&job, from, wait).await };
+        let there = |node| async move { self.inner.peers.read(node, id, from, wait).await };
+        self.at_place(id, here, there).await
+    }
+
+    async fn item_body(&self, id: &str, item: &str) -> Response<Body> {
+        let here = |job: Rc<Job>| async move { self.item_body_here(&job, item) };
+        let there = |node| async move { self.inner.peers.item_body(node, id, item).await };
+        self.at_place(id, here, there).await
+    }
+
+    async fn end(&self, id: &str) -> Response<Body> {
+        let here = |job: Rc<Job>| async move { self.end_here(&job).await };
+        let there = |node| async move { self.inner.peers.end(node, id).await };
+        self.at_place(id, here, there).await
+    }
+
+    /// Serves a call where its job is: here, or on the node that runs it. If that node does not
+    /// answer, this node takes the job over.
+    async fn at_place<H, T>(
+        &self,
+        id: &str,
+        here: impl Fn(Rc<Job>) -> H,
+        there: impl Fn(SocketAddr) -> T,
+    ) -> Response<Body>
+    where
+        H: Future<Output = Response<Body>>,
+        T: Future<Output = Result<PeerAnswer, deck_net::NetError>>,
+    {
+        if !is_valid_id(id) {
+            return error_response(&CallError::new(ErrorKind::UnknownJob, "no such job"), id);
+        }
+        let mut silent = Vec::new();
+        if let Some(job) = self.known(id) {
+            return here(job).await;
+        }
+        let hint = self.inner.runners.borrow().get(id).copied();
+        let hint = hint.or_else(|| self.other_leader().map(|leader| leader.address));
+        if let Some(node) = hint {
+            match there(node).await {
+                Ok(answer) if answer.status != NOT_HERE => {
+                    self.inner.runners.borrow_mut().insert(id.to_owned(), node);
+                    return peer_response(answer);
+                }
+                Ok(_) => {
+                    self.inner.runners.borrow_mut().remove(id);
+                }
+                Err(error) => {
+                    log::info!(target: "batch", "node does not answer job={id} node={node} error={error}");
+                    self.inner.runners.borrow_mut().remove(id);
+                    silent.push(node);
+                }
+            }
+        }
+        match self.locate(id, &silent).await {
+            Ok(Some(Place::Here(job) | Place::Settled(job))) => here(job).await,
+            Ok(Some(Place::There(node))) => match there(node).await {
+                Ok(answer) if answer.status != NOT_HERE => {
+                    self.inner.runners.borrow_mut().insert(id.to_owned(), node);
+                    peer_response(answer)
+                }
+                result => {
+                    log::info!(target: "batch", "runner does not serve job={id} node={node} result={result:?}");
+                    match self.locate(id, &[node]).await {
+                        Ok(Some(Place::Here(job) | Place::Settled(job))) => here(job).await,
+                        Ok(None) => unknown_job(id),
+                        Ok(Some(Place::There(_))) | Err(_) => unsure(id),
+                    }
+                }
+            },
+            Ok(None) => unknown_job(id),
+            Err(error) => {
+                log::info!(target: "batch", "job not found out job={id} error={error}");
+                unsure(id)
+            }
+        }
+    }
+
+    fn known(&self, id: &str) -> Option<Rc<Job>> {
+        let settled = || self.inner.settled.borrow().get(id).cloned();
+        self.inner.runner.job(id).or_else(settled)
+    }
+
+    /// Finds out where a job is run. A job of a node among `silent` is taken over.
+    async fn locate(&self, id: &str, silent: &[SocketAddr]) -> Result<Option<Place>, StoreError> {
+        let Some((record, revision)) = self.inner.ledger.record(id).await? else {
+            return Ok(None);
+        };
+        if let Some(job) = self.inner.runner.job(id) {
+            return Ok(Some(Place::Here(job)));
+        }
+        let runner = &self.inner.runner.inner;
+        if record.runner == runner.vm && record.address == runner.address {
+            let job = self.inner.runner.load_job(id, record, revision).await?;
+            return Ok(Some(Place::Here(job)));
+        }
+        if !silent.contains(&record.address) {
+            return Ok(Some(Place::There(record.address)));
+        }
+        if record.ended {
+            let job = self.load_settled(id, record, revision).await?;
+            return Ok(Some(Place::Settled(job)));
+        }
+        self.take_over(id, record, revision).await.map(Some)
+    }
+
+    async fn take_over(
+        &self,
+        id: &str,
+        record: JobRecord,
+        revision: u64,
+    ) -> Result<Place, StoreError> {
+        let runner = &self.inner.runner.inner;
+        let from = record.runner.clone();
+        let record = JobRecord { runner: runner.vm.clone(), address: runner.address, ..record };
+        let revision = match self.inner.ledger.replace(id, revision, &record).await {
+            Ok(revision) => revision,
+            Err(StoreError::Conflict(_)) => {
+                // Another node was faster.
+                let current = self.inner.ledger.record(id).await?;
+                let (record, _) = current.ok_or(StoreError::Conflict(None))?;
+                return Ok(Place::There(record.address));
+            }
+            Err(error) => return Err(error),
+        };
+        log::info!(target: "batch", "job taken over job={id} from={from}");
+        self.inner.runner.load_job(id, record, revision).await.map(Place::Here)
+    }
+
+    /// Loads a job that no longer changes, for reads.
+    async fn load_settled(
+        &self,
+        id: &str,
+        record: JobRecord,
+        revision: u64,
+    ) -> Result<Rc<Job>, StoreError> {
+        let items = self.inner.ledger.items(id, &record).await?;
+        let job = Rc::new(Job::new(id.to_owned(), record, revision, items));
+        while let Some(results) = self.inner.ledger.chunk(id, job.chunks.get()).await? {
+            job.list(results.into_iter().map(Rc::new).collect());
+        }
+        job.stop.cancel();
+        self.inner.settled.borrow_mut().insert(id.to_owned(), job.clone());
+        Ok(job)
+    }
+
+    async fn read_here(&self, job: &Rc<Job>, from: usize, wait: Duration) -> Response<Body> {
+        let until = Instant::now() + wait;
+        let mut positions = job.positions.subscribe();
+        loop {
+            let listed = job.listed.borrow().len();
+            if listed > from || job.is_complete() || job.is_ended() {
+                return self.page(job, from);
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            let _ = monoio::time::timeout(left, positions.changed()).await;
+        }
+        if job.confirmed_at.get().elapsed() >= self.inner.options.sure_for
+            && let Err(error) = publish::confirm(&self.inner.runner.inner, job).await
+        {
+            log::info!(target: "batch", "read not sure job={} error={error}", job.id);
+            return unsure(&job.id);
+        }
+        if job.stop.is_cancelled() && !job.is_ended() {
+            return unsure(&job.id);
+        }
+        self.page(job, from)
+    }
+
+    fn page(&self, job: &Job, from: usize) -> Response<Body> {
+        let listed = job.listed.borrow();
+        let from = from.min(listed.len());
+        let mut bytes = 0;
+        let fits = |result: &&Rc<deck_fleet::ItemResult>| {
+            bytes += result.text.len() * 11 / 10 + 256;
+            bytes <= self.inner.options.max_page_bytes
+        };
+        let count = listed[from..].iter().take_while(fits).count();
+        let count = count.max(usize::from(from < listed.len()));
+        let page = ResultPage { total: job.total(), from, results: &listed[from..from + count] };
+        json_bytes(StatusCode::OK, self.inner.protocol.result_page(page))
+    }
+
+    fn item_body_here(&self, job: &Job, item: &str) -> Response<Body> {
+        let Some(run) = job.unlisted_item(item) else {
+            return error_response(&CallError::new(ErrorKind::UnknownJob, "no such item"), item);
+        };
+        match self.inner.protocol.item_body(&run.item.body) {
+            Ok(body) => Response::new(Body::full(body)),
+            Err(error) => error_response(&CallError::new(ErrorKind::Internal, error), item),
+        }
+    }
+
+    async fn end_here(&self, job: &Rc<Job>) -> Response<Body> {
+        if job.is_ended() || job.is_complete() {
+            job.stop.cancel();
+            return Response::new(Body::empty());
+        }
+        for _ in 0..END_TRIES {
+            let record = JobRecord { ended: true, ..job.record.borrow().clone() };
+            match self.inner.ledger.replace(&job.id, job.revision.get(), &record).await {
+                Ok(revision) => {
+                    job.record.replace(record);
+                    job.revision.set(revision);
+                    job.stop.cancel();
+                    log::info!(target: "batch", "job ended job={} listed={}", job.id, job.listed.borrow().len());
+                    return Response::new(Body::empty());
+                }
+                Err(StoreError::Conflict(_)) => {
+                    if publish::confirm(&self.inner.runner.inner, job).await.is_err() {
+                        break;
+                    }
+                    if job.is_ended() {
+                        return Response::new(Body::empty());
+                    }
+                }
+                Err(error) => {
+                    log::warn!(target: "batch", "end not stored job={} error={error}", job.id);
+                    break;
+                }
+            }
+        }
+        unsure(&job.id)
+    }
+
+    /// Serves a call of another node.
+    pub async fn serve_peer(&self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        let Some(rest) = path.strip_prefix(JOBS_PATH) else {
+            return status_only(StatusCode::NOT_FOUND);
+        };
+        let (id, item) = match rest.split_once("/items/") {
+            Some((id, item)) => (id.to_owned(), Some(item.to_owned())),
+            None => (rest.to_owned(), None),
+        };
+        if *request.method() == Method::POST {
+            return self.serve_submit(&id, request).await;
+        }
+        let Some(job) = self.job_for_peer(&id).await else { return status_only(NOT_HERE) };
+        match (request.method().clone(), item) {
+            (Method::GET, Some(item)) => self.item_body_here(&job, &item),
+            (Method::GET, None) => {
+                let query = request.uri().query().unwrap_or_default();
+                let from = parameter(query, "from").unwrap_or(0) as usize;
+                let wait = Duration::from_millis(parameter(query, "wait_ms").unwrap_or(0));
+                self.read_here(&job, from, wait.min(self.inner.options.max_read_wait)).await
+            }
+            (Method::DELETE, None) => self.end_here(&job).await,
+            _ => status_only(StatusCode::NOT_FOUND),
+        }
+    }
+
+    /// Returns a job that this node runs, or ran before it was restarted.
+    async fn job_for_peer(&self, id: &str) -> Option<Rc<Job>> {
+        if let Some(job) = self.known(id) {
+            return Some(job);
+        }
+        match self.locate(id, &[]).await {
+            Ok(Some(Place::Here(job) | Place::Settled(job))) => Some(job),
+            Ok(Some(Place::There(_)) | None) | Err(_) => None,
+        }
+    }
+
+    async fn serve_submit(&self, id: &str, request: Request<Incoming>) -> Response<Body> {
+        if self.inner.draining.get() {
+            let error = CallError::new(ErrorKind::Draining, "this node is stopping");
+            return error_response(&error, id);
+        }
+        let text = |name: &str| {
+            let value = request.headers().get(name)?.to_str().ok()?;
+            Some(value.to_owned())
+        };
+        let (host, path) = (text(header::HOST.as_str()), text(SUBMITTED_PATH));
+        let (Some(host), Some(path)) = (host, path) else {
+            return status_only(NOT_HERE);
+        };
+        let configuration = self.inner.runner.inner.view.configuration();
+        let route = configuration.and_then(|c| c.route(&host, &path).cloned());
+        let Some(route) = route.filter(|route| route.kind == RouteKind::Rollout) else {
+            // The sender may know a newer configuration.
+            return status_only(NOT_HERE);
+        };
+        let body = match read_body(request.into_body(), self.inner.options.max_body_bytes).await {
+            Ok(body) => body,
+            Err(error) => {
+                log::info!(target: "batch", "submission not received job={id} error={error}");
+                return status_only(StatusCode::SERVICE_UNAVAILABLE);
+            }
+        };
+        match self.accept(id, &host, &path, &route, &body).await {
+            Ok(()) => accepted(),
+            Err(error) => error_response(&error, id),
+        }
+    }
+
+    fn other_leader(&self) -> Option<Leader> {
+        let leader = self.inner.leader.borrow().clone()?;
+        (leader.vm != self.inner.runner.inner.vm).then_some(leader)
+    }
+}
+
+/// Tries to store the end of a job whose record another node changes at the same time.
+const END_TRIES: u32 = 4;
+
+fn set_limits(job: &mut BatchJob, route: &Route) {
+    job.limits = BatchLimits {
+        results_due_ms: route.results_due.as_millis() as u64,
+        give_up_ms: route.give_up.as_millis() as u64,
+        attempts: route.attempts,
+        single_version: route.single_version,
+        priority: route.priority,
+    };
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+    job.submitted_at_ms = now.as_millis() as u64;
+}
+
+/// Returns whether an id can be part of an object's name.
+fn is_valid_id(id: &str) -> bool {
+    const MAX_BYTES: usize = 128;
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    !id.is_empty() && id.len() <= MAX_BYTES && id.bytes().all(allowed)
+}
+
+fn parameter(query: &str, name: &str) -> Option<u64> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+}
+
+fn accepted() -> Response<Body> {
+    status_only(StatusCode::ACCEPTED)
+}
+
+fn status_only(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+fn unknown_job(id: &str) -> Response<Body> {
+    error_response(&CallError::new(ErrorKind::UnknownJob, "no such job"), id)
+}
+
+fn unsure(id: &str) -> Response<Body> {
+    let message = "the state of the job cannot be read now";
+    let error = CallError::new(ErrorKind::StoreUnavailable, message);
+    error_response(&error.with_retry_after(Duration::from_millis(300)), id)
+}
+
+fn json_bytes(status: StatusCode, body: Bytes) -> Response<Body> {
+    let mut response = Response::new(Body::full(body));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+fn peer_response(answer: PeerAnswer) -> Response<Body> {
+    json_bytes(answer.status, answer.body)
+}
--- /dev/null
+++ b/crates/fleet/src/follow.rs
@@ -0,0 +1,236 @@
+//! Following the kinds of objects that platform and operators write.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use deck_core::{CancellationToken, id::Revision};
+use deck_plat::{Backoff, Object, Store, StoreError, WatchEvent};
+
+use crate::{Protocol, View};
+
+/// Names of the kinds that a node follows.
+#[derive(Debug, Clone, Copy)]
+pub struct Kinds {
+    /// Configuration.
+    pub configuration: &'static str,
+    /// Targets.
+    pub targets: &'static str,
+    /// Named versions.
+    pub versions: &'static str,
+    /// Requests to empty a VM.
+    pub retirements: &'static str,
+}
+
+/// Options of a [`Follower`].
+#[derive(Debug, Clone)]
+pub struct FollowOptions {
+    /// Pause after a batch of changes, so that changes in quick succession cost one call. Short
+    /// against the time in which a change has to be in force.
+    pub pause: Duration,
+    /// Longest wait between two tries while the object API does not answer.
+    pub max_retry: Duration,
+}
+
+impl Default for FollowOptions {
+    fn default() -> Self {
+        Self { pause: Duration::from_millis(250), max_retry: Duration::from_millis(600) }
+    }
+}
+
+/// Shortest wait between two tries while the object API does not answer.
+const MIN_RETRY: Duration = Duration::from_millis(50);
+/// How often targets that did not register again are looked for.
+const MISSING_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Change of a kind of objects.
+pub enum Change {
+    /// All objects of the kind.
+    Listed(Vec<Object>),
+    /// An object was written.
+    Put(Object),
+    /// An object was deleted.
+    Deleted(String),
+}
+
+/// Keeps a [`View`] up to date from the object API.
+#[derive(Clone)]
+pub struct Follower {
+    store: Store,
+    view: View,
+    protocol: Rc<dyn Protocol>,
+    kinds: Kinds,
+    options: FollowOptions,
+}
+
+impl Follower {
+    /// Returns a follower that feeds `view`.
+    pub fn new(
+        store: Store,
+        view: View,
+        protocol: Rc<dyn Protocol>,
+        kinds: Kinds,
+        options: FollowOptions,
+    ) -> Self {
+        Self { store, view, protocol, kinds, options }
+    }
+
+    /// Follows the configuration until `cancel` is cancelled.
+    pub async fn configuration(&self, cancel: CancellationToken) {
+        let apply = |change: Change| {
+            let objects = match change {
+                Change::Listed(objects) => objects,
+                Change::Put(object) => vec![object],
+                Change::Deleted(_) => Vec::new(),
+            };
+            for object in objects {
+                match self.protocol.configuration(&object.value) {
+                    Ok(configuration) => self.view.set_configuration(configuration),
+                    Err(error) => {
+                        let name = &object.name;
+                        log::error!(target: "fleet", "configuration not read name={name} {error}");
+                    }
+                }
+            }
+        };
+        self.follow(self.kinds.configuration, apply, cancel).await;
+    }
+
+    /// Follows the targets until `cancel` is cancelled.
+    pub async fn targets(&self, cancel: CancellationToken) {
+        let remover = self.clone();
+        let stop = cancel.clone();
+        monoio::spawn(async move {
+            let tick = || stop.run_until_cancelled(monoio::time::sleep(MISSING_INTERVAL));
+            while tick().await.is_some() {
+                remover.view.remove_missing(Instant::now());
+            }
+        });
+        let apply = |change: Change| match change {
+            Change::Listed(objects) => {
+                let targets = objects.iter().filter_map(|object| self.decode_target(object));
+                self.view.set_targets(targets.collect(), Instant::now());
+            }
+            Change::Put(object) => match self.decode_target(&object) {
+                Some(target) => self.view.set_target(target),
+                None => self.view.remove_target(&object.name, Instant::now()),
+            },
+            Change::Deleted(name) => self.view.remove_target(&name, Instant::now()),
+        };
+        self.follow(self.kinds.targets, apply, cancel).await;
+    }
+
+    /// Follows the named versions until `cancel` is cancelled.
+    pub async fn versions(&self, cancel: CancellationToken) {
+        let apply = |change: Change| {
+            let objects = match change {
+                Change::Listed(objects) => objects,
+                Change::Put(object) => vec![object],
+                Change::Deleted(_) => Vec::new(),
+            };
+            for object in objects {
+                match self.protocol.named_version(&object.value) {
+                    Ok((model, version)) => self.view.set_version(model, version),
+                    Err(error) => {
+                        let name = &object.name;
+                        log::warn!(target: "fleet", "version not read name={name} {error}");
+                    }
+                }
+            }
+        };
+        self.follow(self.kinds.versions, apply, cancel).await;
+    }
+
+    /// Follows the requests to empty a VM until `cancel` is cancelled.
+    pub async fn retirements(&self, apply: impl FnMut(Change), cancel: CancellationToken) {
+        self.follow(self.kinds.retirements, apply, cancel).await;
+    }
+
+    /// Returns the translation that this follower uses.
+    pub fn protocol(&self) -> &Rc<dyn Protocol> {
+        &self.protocol
+    }
+
+    /// Calls `apply` for all objects of a kind and for each change, until `cancel` is cancelled.
+    pub async fn follow(
+        &self,
+        kind: &'static str,
+        mut apply: impl FnMut(Change),
+        cancel: CancellationToken,
+    ) {
+        let mut backoff = Backoff::new(MIN_RETRY, self.options.max_retry);
+        let mut position = None;
+        let mut outage = false;
+        while !cancel.is_cancelled() {
+            let round = self.round(kind, &mut position, &mut apply, &mut backoff, &mut outage);
+            let Some(result) = cancel.run_until_cancelled(round).await else { return };
+            match result {
+                Ok(()) => {}
+                Err(StoreError::Compacted) => position = None,
+                Err(error) => {
+                    if !outage {
+                        log::warn!(target: "fleet", "object API lost kind={kind} error={error}");
+                        outage = true;
+                    }
+                    self.view.set_unreachable();
+                    let wait = MIN_RETRY + backoff.next_wait();
+                    cancel.run_until_cancelled(monoio::time::sleep(wait)).await;
+                }
+            }
+        }
+    }
+
+    /// Lists the kind if its position is not known, and watches it until the watch ends.
+    async fn round(
+        &self,
+        kind: &'static str,
+        position: &mut Option<Revision>,
+        apply: &mut impl FnMut(Change),
+        backoff: &mut Backoff,
+        outage: &mut bool,
+    ) -> Result<(), StoreError> {
+        let answered = |outage: &mut bool, backoff: &mut Backoff| {
+            backoff.reset();
+            if std::mem::take(outage) {
+                log::info!(target: "fleet", "object API is back kind={kind}");
+                self.view.set_returned(Instant::now());
+            }
+        };
+        let from = match *position {
+            Some(from) => from,
+            None => {
+                let (revision, objects) = self.store.list(kind).await?;
+                answered(outage, backoff);
+                apply(Change::Listed(objects));
+                *position = Some(revision);
+                revision
+            }
+        };
+        let mut watch = self.store.watch(&[kind], from).await?;
+        while let Some(event) = watch.next().await? {
+            answered(outage, backoff);
+            match event {
+                WatchEvent::Put(object) => apply(Change::Put(object)),
+                WatchEvent::Delete { name, .. } => apply(Change::Deleted(name)),
+                WatchEvent::Bookmark(revision) => {
+                    if *position != Some(revision) {
+                        *position = Some(revision);
+                        monoio::time::sleep(self.options.pause).await;
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn decode_target(&self, object: &Object) -> Option<crate::Target> {
+        match self.protocol.target(&object.name, &object.value) {
+            Ok(target) => Some(target),
+            Err(error) => {
+                log::debug!(target: "fleet", "entry names no target name={} {error}", object.name);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,23 @@
+//! What a node knows of the deployment: configuration, targets and named weight versions.
+//!
+//! The types here are the project's own. An adapter implements [`Protocol`] and translates the
+//! names and formats of one platform into them.
+
+pub mod config;
+pub mod engines;
+pub mod follow;
+pub mod node;
+pub mod protocol;
+pub mod target;
+pub mod view;
+
+pub use config::{CallerLimits, Configuration, Engine, Route, RouteKind, Service};
+pub use engines::{EngineState, Engines, RunGuard};
+pub use follow::{FollowOptions, Follower, Kinds};
+pub use node::{Bounds, NodeSettings};
+pub use protocol::{
+    BatchCall, BatchJob, BatchLimits, CallHead, Dispatch, Item, ItemOutcome, ItemResult, Order,
+    OrderReply, Protocol, ReplyHead, ResultPage, RewardCall, TargetReport,
+};
+pub use target::{Target, TargetState};
+pub use view::View;
--- /dev/null
+++ b/crates/fleet/src/node.rs
@@ -0,0 +1,47 @@
+//! Settings of a node.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use deck_core::id::{DataCentreId, VmId};
+
+/// Settings of one node of the deployment, from the platform's settings file.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NodeSettings {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Data centre of the VM.
+    pub data_centre: DataCentreId,
+    /// Address for callers; `None` on VMs that callers do not reach.
+    pub caller_address: Option<SocketAddr>,
+    /// Address on which the platform asks whether the node is ready.
+    pub ready_address: Option<SocketAddr>,
+    /// Address for other nodes.
+    pub peer_address: SocketAddr,
+    /// Address of the object API.
+    pub object_api: SocketAddr,
+    /// Largest object in bytes.
+    pub max_object_bytes: usize,
+    /// Folder for data, on VMs with a disk.
+    pub data_dir: Option<PathBuf>,
+    /// Time between two heartbeats of a target.
+    pub target_heartbeat: Duration,
+    /// Bounds that the deployment sets.
+    pub bounds: Bounds,
+}
+
+/// Bounds that the deployment sets.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Bounds {
+    /// Time between SIGTERM and SIGKILL.
+    pub stop_grace: Duration,
+    /// Time in which a lease holder is replaced; orders of two holders are at least this far apart.
+    pub lease: Duration,
+    /// Time for which a batch job stays readable after its submission.
+    pub job_retention: Duration,
+    /// Time in which all nodes have to know a result that one of them showed.
+    pub settle: Duration,
+    /// Time in which the end of a batch job has to reach the targets.
+    pub cancel: Duration,
+    /// Whether targets refuse an order with an old fencing number.
+    pub fencing_checked: bool,
+}
--- /dev/null
+++ b/crates/forward/src/answer.rs
@@ -0,0 +1,97 @@
+//! Answers to callers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use deck_core::error::CallError;
+use deck_fleet::ReplyHead;
+use deck_net::{Body, ClientResponse, server::json_response};
+use futures_util::future::Either;
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, header};
+
+use crate::headers::strip_hop_by_hop;
+
+/// Answer of a target.
+pub struct Reply {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers as received.
+    pub headers: HeaderMap,
+    /// What the headers say about the answer.
+    pub head: ReplyHead,
+    /// Body.
+    pub body: ReplyBody,
+    /// Failures that targets answered to this request, this answer included.
+    pub failures: u32,
+}
+
+/// Body of an answer.
+pub enum ReplyBody {
+    /// The whole body.
+    Whole(Bytes),
+    /// A body that is still being received.
+    Stream(Box<ClientResponse>),
+}
+
+/// Returns the answer of a target as a response to the caller.
+///
+/// A streamed body that breaks off aborts the caller's connection, so that the answer does not look
+/// complete.
+pub fn reply_response(reply: Reply, method: &Method) -> Response<Body> {
+    let Reply { status, mut headers, body, .. } = reply;
+    strip_hop_by_hop(&mut headers);
+    if *method != Method::HEAD {
+        headers.remove(header::CONTENT_LENGTH);
+    }
+    let body = match body {
+        ReplyBody::Whole(bytes) => Body::full(bytes),
+        ReplyBody::Stream(mut received) => {
+            let (sender, body) = Body::stream();
+            monoio::spawn(async move {
+                loop {
+                    let next = race(received.chunk(), sender.closed()).await;
+                    // The caller has left: dropping the response closes the target's connection.
+                    let Some(Ok(chunk)) = next else { return };
+                    match chunk {
+                        Some(chunk) => {
+                            if sender.send(chunk).await.is_err() {
+                                return;
+                            }
+                        }
+                        None => return sender.finish().await,
+                    }
+                }
+            });
+            body
+        }
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Returns the result of `work`, or `None` if `stop` ends first.
+async fn race<T>(work: impl Future<Output = T>, stop: impl Future<Output = ()>) -> Option<T> {
+    let (work, stop) = (std::pin::pin!(work), std::pin::pin!(stop));
+    match futures_util::future::select(work, stop).await {
+        Either::Left((result, _)) => Some(result),
+        Either::Right(_) => None,
+    }
+}
+
+/// Returns the response for an error of the node's own.
+pub fn error_response(error: &CallError, request_id: &str) -> Response<Body> {
+    let mut response = json_response(error.kind.row().status, &error.body(request_id));
+    if let Some(wait) = error.retry_after
+        && let Ok(value) = HeaderValue::from_str(&retry_after_seconds(wait))
+    {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    response
+}
+
+/// Returns a wait in seconds with a fraction of three digits.
+fn retry_after_seconds(wait: Duration) -> String {
+    format!("{:.3}", wait.as_secs_f64())
+}
--- /dev/null
+++ b/crates/forward/src/attempt.rs
@@ -0,0 +1,127 @@
+//! One attempt of a request on one target.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use deck_core::id::TargetId;
+use deck_fleet::{Dispatch, Protocol};
+use deck_net::{Body, Client, ClientResponse, NetError};
+use deck_route::{Outcome, Pick};
+use http::{HeaderMap, Method, Request, Uri, header};
+
+use crate::{Reply, ReplyBody};
+
+/// Largest answer that is received whole before it is passed on; larger ones are streamed.
+const MAX_WHOLE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Why an attempt gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AttemptError {
+    /// The target did not run the request.
+    NotRun(String),
+    /// The request was sent and may have run.
+    Unknown(String),
+}
+
+/// What all attempts of a request have in common.
+pub(crate) struct Attempt {
+    pub client: Client,
+    pub protocol: Rc<dyn Protocol>,
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub request_id: String,
+    pub last_event: Option<u64>,
+    pub priority: Option<u8>,
+    /// Time at which the caller no longer waits.
+    pub deadline: Instant,
+    /// Whether a streamed answer is passed on as it comes.
+    pub streaming: bool,
+}
+
+impl Attempt {
+    /// Sends the request to the picked target and receives its answer.
+    pub async fn run(&self, pick: Pick) -> (TargetId, Result<Reply, AttemptError>) {
+        let Pick { target, address, mut in_flight } = pick;
+        let time_left = self.deadline.saturating_duration_since(Instant::now());
+        let request = self.request(&target, time_left);
+        let exchange = async {
+            let response = self.client.send(address, request).await.map_err(attempt_error)?;
+            in_flight.first_byte(Instant::now());
+            self.receive(response).await
+        };
+        let result = match monoio::time::timeout(time_left, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(AttemptError::Unknown("no answer before the deadline".to_owned())),
+        };
+        let outcome = match &result {
+            Ok(reply) if reply.status.is_server_error() => Outcome::Failed,
+            Ok(_) => Outcome::Ok,
+            Err(AttemptError::NotRun(_)) => Outcome::Refused,
+            Err(AttemptError::Unknown(_)) if Instant::now() >= self.deadline => Outcome::TimedOut,
+            Err(AttemptError::Unknown(_)) => Outcome::Crashed,
+        };
+        in_flight.finish(outcome, 1, Instant::now());
+        if let Err(error) = &result {
+            let id = &self.request_id;
+            log::info!(target: "forward", "attempt failed request={id} target={target} {error:?}");
+        }
+        (target, result)
+    }
+
+    fn request(&self, target: &TargetId, time_left: Duration) -> Request<Body> {
+        let mut request = Request::new(Body::full(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let mut headers = self.headers.clone();
+        let dispatch = Dispatch {
+            request_id: &self.request_id,
+            target,
+            time_left: Some(time_left),
+            last_event: self.last_event,
+            priority: self.priority,
+            expected_version: None,
+        };
+        self.protocol.dispatch(&mut headers, &dispatch);
+        *request.headers_mut() = headers;
+        request
+    }
+
+    async fn receive(&self, response: ClientResponse) -> Result<Reply, AttemptError> {
+        let (status, headers) = (response.status, response.headers.clone());
+        let head = self.protocol.reply_head(status, &headers);
+        if head.request_id.as_ref().is_some_and(|id| *id != self.request_id) {
+            return Err(AttemptError::Unknown("answer to another request".to_owned()));
+        }
+        if head.not_run {
+            // The body of a refusal is read so that its connection can be used again.
+            let _ = response.collect(MAX_WHOLE_BYTES).await;
+            return Err(AttemptError::NotRun(format!("refused with status {status}")));
+        }
+        if head.signature.is_none() {
+            return Err(AttemptError::Unknown(format!("status {status} without a signature")));
+        }
+        let stated = headers.get(header::CONTENT_LENGTH);
+        let stated = stated.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
+        let large = stated.is_some_and(|length| length > MAX_WHOLE_BYTES);
+        let body = if self.streaming || large {
+            ReplyBody::Stream(Box::new(response))
+        } else {
+            let bytes = response.collect(usize::MAX).await;
+            ReplyBody::Whole(bytes.map_err(|error| AttemptError::Unknown(error.to_string()))?)
+        };
+        let failures = u32::from(status.is_server_error());
+        Ok(Reply { status, headers, head, body, failures })
+    }
+}
+
+fn attempt_error(error: NetError) -> AttemptError {
+    match error.may_have_been_sent() {
+        true => AttemptError::Unknown(error.to_string()),
+        false => AttemptError::NotRun(error.to_string()),
+    }
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -36,8 +36,20 @@
     pub connect_timeout: Duration,
     /// Idle connections kept for each address.
     pub max_idle_per_address: usize,
-    /// Time after which an idle connection is no longer used.
+    /// Time after which an idle connection is no longer used. A shorter time that the server states
+    /// in `Keep-Alive` takes precedence.
     pub idle_timeout: Duration,
+    /// Probes that find connections whose other end has gone silent.
+    pub probes: Option<ProbeOptions>,
+}
+
+/// TCP keep-alive probes of a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct ProbeOptions {
+    /// Time without traffic after which probes start, and the time between them.
+    pub interval: Duration,
+    /// Unanswered probes after which the connection is closed.
+    pub count: u32,
 }
 
 impl Default for ClientOptions {
@@ -46,6 +58,7 @@
             connect_timeout: Duration::from_secs(1),
             max_idle_per_address: 32,
             idle_timeout: Duration::from_secs(30),
+            probes: None,
         }
     }
 }
@@ -65,6 +78,8 @@
 struct IdleConnection {
     sender: SendRequest<Body>,
     since: Instant,
+    /// The connection is not used from here on.
+    expires_at: Instant,
 }
 
 /// Response whose body is read in pieces.
@@ -79,6 +94,7 @@
     sender: Option<SendRequest<Body>>,
     pool: Rc<Pool>,
     max_idle_per_address: usize,
+    idle_timeout: Duration,
 }
 
 impl Client {
@@ -101,7 +117,7 @@
         mut request: Request<Body>,
     ) -> Result<ClientResponse, NetError> {
         set_host(&mut request, address);
-        while let Some(sender) = self.pool.take(address, self.options.idle_timeout) {
+        while let Some(sender) = self.pool.take(address) {
             match self.exchange(address, sender, request).await {
                 Ok(response) => return Ok(response),
                 // The server closed the idle connection and nothing was sent: use another one.
@@ -170,6 +186,12 @@
             Err(_) => return Err(NetError::ConnectTimeout(address, limit)),
         };
         let _ = stream.set_nodelay(true);
+        if let Some(probes) = self.options.probes {
+            let interval = Some(probes.interval);
+            if let Err(error) = stream.set_tcp_keepalive(interval, interval, Some(probes.count)) {
+                log::warn!(target: "net", "no keep-alive probes address={address} error={error}");
+            }
+        }
         let stream = stream.into_poll_io().map_err(|error| NetError::Connect(address, error))?;
         let (sender, connection) = http1::handshake(MonoioIo::new(stream))
             .await
@@ -195,7 +217,12 @@
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let (parts, body): (_, Incoming) = Response::into_parts(response);
+                let idle_timeout = stated_idle_timeout(&parts.headers)
+                    .map_or(self.options.idle_timeout, |stated| {
+                        stated.min(self.options.idle_timeout)
+                    });
                 Ok(ClientResponse {
+                    idle_timeout,
                     status: parts.status,
                     headers: parts.headers,
                     body,
@@ -220,11 +247,11 @@
 }
 
 impl Pool {
-    fn take(&self, address: SocketAddr, idle_timeout: Duration) -> Option<SendRequest<Body>> {
+    fn take(&self, address: SocketAddr) -> Option<SendRequest<Body>> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        connections
-            .retain(|entry| !entry.sender.is_closed() && entry.since.elapsed() < idle_timeout);
+        let now = Instant::now();
+        connections.retain(|entry| !entry.sender.is_closed() && now < entry.expires_at);
         // The connection that is idle for longest is the first one.
         let settled = connections.first().is_some_and(|entry| entry.since.elapsed() >= SETTLE_TIME);
         let taken = settled.then(|| connections.remove(0).sender);
@@ -234,11 +261,18 @@
         taken
     }
 
-    fn put(&self, address: SocketAddr, sender: SendRequest<Body>, max_idle: usize) {
+    fn put(
+        &self,
+        address: SocketAddr,
+        sender: SendRequest<Body>,
+        max_idle: usize,
+        idle_timeout: Duration,
+    ) {
+        let since = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
         if connections.len() < max_idle {
-            connections.push(IdleConnection { sender, since: Instant::now() });
+            connections.push(IdleConnection { sender, since, expires_at: since + idle_timeout });
         }
     }
 }
@@ -293,11 +327,25 @@
 
     fn release(&mut self) {
         if let Some(sender) = self.sender.take() {
-            self.pool.put(self.address, sender, self.max_idle_per_address);
+            let max_idle = self.max_idle_per_address;
+            self.pool.put(self.address, sender, max_idle, self.idle_timeout);
         }
     }
 }
 
+/// Part of the stated idle time that is left for the next request to arrive, so that it does not
+/// cross the server's close.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Returns how long the server keeps the idle connection, less the margin.
+fn stated_idle_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let stated = headers.get("keep-alive")?.to_str().ok()?;
+    let mut parameters = stated.split(',').filter_map(|part| part.trim().split_once('='));
+    let (_, seconds) = parameters.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
+    let seconds = seconds.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN))
+}
+
 fn set_host(request: &mut Request<Body>, address: SocketAddr) {
     if !request.headers().contains_key(http::header::HOST)
         && let Ok(host) = http::HeaderValue::from_str(&address.to_string())
--- a/crates/net/src/runtime.rs
+++ b/crates/net/src/runtime.rs
@@ -1,10 +1,13 @@
 //! Start of the process's runtime and its stop signals.
 
-use std::future::Future;
+use std::{
+    future::Future,
+    sync::{Arc, atomic::AtomicBool},
+};
 
 use deck_core::CancellationToken;
 use monoio::{LegacyDriver, RuntimeBuilder, io::AsyncReadRent, net::UnixStream};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 /// Runs `main` on a runtime of the current thread.
 ///
@@ -18,6 +21,17 @@
     Ok(runtime.block_on(main))
 }
 
+/// Keeps SIGHUP from ending the process and returns a flag that each one sets.
+///
+/// # Errors
+///
+/// Returns an error if the signal handler cannot be registered.
+pub fn hangup_flag() -> std::io::Result<Arc<AtomicBool>> {
+    let flag = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(SIGHUP, flag.clone())?;
+    Ok(flag)
+}
+
 /// Returns a token that is cancelled by the first SIGTERM or SIGINT.
 ///
 /// # Errors
--- a/crates/obs/src/logs.rs
+++ b/crates/obs/src/logs.rs
@@ -11,6 +11,23 @@
 ///
 /// Returns an error if a logger has been set before.
 pub fn try_init(level: &str) -> Result<(), log::SetLoggerError> {
+    // `SimpleLogger` writes all but errors to standard output, where programs print their listeners.
+    init(level, std::io::stderr())
+}
+
+/// Starts logging to standard output.
+///
+/// # Errors
+///
+/// Returns an error if a logger has been set before.
+pub fn try_init_stdout(level: &str) -> Result<(), log::SetLoggerError> {
+    init(level, std::io::stdout())
+}
+
+fn init(
+    level: &str,
+    output: impl std::io::Write + Send + 'static,
+) -> Result<(), log::SetLoggerError> {
     let level = level.parse().unwrap_or(LevelFilter::Info);
     let config = ConfigBuilder::new()
         .set_time_format_rfc3339()
@@ -18,6 +35,5 @@
         .set_thread_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
         .build();
-    // `SimpleLogger` writes all but errors to standard output, where programs print their listeners.
-    WriteLogger::init(level, config, std::io::stderr())
+    WriteLogger::init(level, config, output)
 }
--- a/crates/plat/src/lease.rs
+++ b/crates/plat/src/lease.rs
@@ -42,11 +42,14 @@
     pub duration: Duration,
     /// How often a lost response is resolved by reading back.
     pub resolve_tries: u32,
+    /// Whether a lease that an earlier process of this holder had is taken at once. Only right if
+    /// one process at a time acts in the name of the holder.
+    pub reclaim_own: bool,
 }
 
 impl Default for LeaseOptions {
     fn default() -> Self {
-        Self { duration: Duration::from_secs(9), resolve_tries: 3 }
+        Self { duration: Duration::from_secs(9), resolve_tries: 3, reclaim_own: false }
     }
 }
 
@@ -72,6 +75,8 @@
     candidate: LeaseCandidate,
     record: LeaseRecord,
     revision: Revision,
+    /// Holder before this one; empty if there was none or it gave the lease up.
+    previous: VmId,
     /// Start of the last successful write. The lease lasts `duration` from some moment after it.
     last_write_start: Rc<Cell<Instant>>,
     ended: CancellationToken,
@@ -101,6 +106,11 @@
         !self.ended.is_cancelled() && self.last_write_start.get().elapsed() < self.duration * 2 / 3
     }
 
+    /// Stops acting under the lease, for example because a target has seen a later holder.
+    pub fn give_up(&self) {
+        self.ended.cancel();
+    }
+
     /// Waits until the lease is lost or given up.
     pub async fn ended(&self) {
         self.ended.cancelled().await;
@@ -152,11 +162,11 @@
                 return Acquire::Failed(self, error);
             }
         };
-        let (condition, fencing) = match current {
-            None => (Precondition::Absent, 1),
+        let (condition, fencing, previous) = match current {
+            None => (Precondition::Absent, 1, VmId::new()),
             Some(object) => match self.observe(object) {
                 Ok((revision, record)) if self.is_free(&record) => {
-                    (Precondition::Revision(revision), record.fencing + 1)
+                    (Precondition::Revision(revision), record.fencing + 1, record.holder)
                 }
                 Ok((_, record)) => return Acquire::HeldElsewhere(self, record),
                 Err(error) => return Acquire::Failed(self, error),
@@ -176,6 +186,7 @@
                 candidate: self,
                 record,
                 revision,
+                previous,
                 last_write_start: Rc::new(Cell::new(started)),
                 ended: CancellationToken::new(),
             }),
@@ -199,6 +210,7 @@
     /// Returns whether the observed lease was released or not renewed for its duration.
     fn is_free(&self, record: &LeaseRecord) -> bool {
         record.holder.is_empty()
+            || (self.options.reclaim_own && record.holder == self.holder)
             || self.observed.as_ref().is_some_and(|seen| {
                 seen.since.elapsed() >= Duration::from_millis(seen.record.duration_ms)
             })
@@ -222,6 +234,11 @@
         self.record.fencing
     }
 
+    /// Returns the holder before this one; `None` if there was none or it gave the lease up.
+    pub fn previous_holder(&self) -> Option<&str> {
+        Some(self.previous.as_str()).filter(|previous| !previous.is_empty())
+    }
+
     /// Returns a token with which tasks check that the lease is valid.
     pub fn token(&self) -> LeaseToken {
         LeaseToken {
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -2,10 +2,14 @@
 
 pub mod backoff;
 pub mod lease;
+pub mod native;
 pub mod status;
 pub mod store;
 pub mod vmlist;
 
 pub use backoff::Backoff;
 pub use lease::{Acquire, HeldLease, Kept, LeaseCandidate, LeaseOptions, LeaseToken};
-pub use store::{Object, Precondition, Store, StoreError, Watch, WatchEvent};
+pub use native::HttpObjectApi;
+pub use store::{
+    Freshness, Object, ObjectApi, Precondition, Store, StoreError, Watch, WatchEvent, WriteTo,
+};
--- a/crates/plat/src/store.rs
+++ b/crates/plat/src/store.rs
@@ -1,18 +1,15 @@
 //! Client of the object API.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use deck_core::id::Revision;
-use deck_net::{
-    Body, Client, ClientResponse, NetError,
-    http::{Method, Request, StatusCode, header},
-    sse::EventReader,
-};
+use deck_net::Client;
+use futures_util::{StreamExt, future::LocalBoxFuture, stream::LocalBoxStream};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+use crate::HttpObjectApi;
 
 quick_error! {
     /// Error of a call on the object API.
@@ -62,6 +59,9 @@
     pub revision: Revision,
     /// Content, `{"schema":1,"spec":{..}}`.
     pub value: Value,
+    /// Status, where the provider keeps it in the object itself.
+    #[serde(default, skip_serializing_if = "Value::is_null")]
+    pub status: Value,
 }
 
 /// Condition of a write.
@@ -91,48 +91,104 @@
     Bookmark(Revision),
 }
 
-/// A running watch.
-pub struct Watch {
-    events: EventReader,
+/// How recent a read has to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// The read sees all writes that were acknowledged before it.
+    Current,
+    /// The read may return an older state; enough for objects that never change.
+    MayBeOld,
 }
 
-#[derive(Deserialize)]
-struct ListResponse {
-    revision: Revision,
-    items: Vec<Object>,
+/// Part of an object that a write replaces.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WriteTo {
+    /// The object's value.
+    Object,
+    /// The object's status.
+    Status,
+}
+
+/// Calls on an object API, in the format of one provider.
+pub trait ObjectApi {
+    /// Returns an object, or `None` if it does not exist.
+    fn get<'a>(
+        &'a self,
+        kind: &'a str,
+        name: &'a str,
+        freshness: Freshness,
+    ) -> LocalBoxFuture<'a, Result<Option<Object>, StoreError>>;
+
+    /// Returns all objects of a kind and the revision of the list.
+    fn list<'a>(
+        &'a self,
+        kind: &'a str,
+    ) -> LocalBoxFuture<'a, Result<(Revision, Vec<Object>), StoreError>>;
+
+    /// Writes an object if `condition` holds and returns its new revision.
+    fn put<'a>(
+        &'a self,
+        kind: &'a str,
+        name: &'a str,
+        to: WriteTo,
+        condition: Precondition,
+        value: &'a Value,
+    ) -> LocalBoxFuture<'a, Result<Revision, StoreError>>;
+
+    /// Deletes an object if it still has `revision`.
+    fn delete<'a>(
+        &'a self,
+        kind: &'a str,
+        name: &'a str,
+        revision: Revision,
+    ) -> LocalBoxFuture<'a, Result<(), StoreError>>;
+
+    /// Starts a watch of `kinds` after revision `from`.
+    fn watch<'a>(
+        &'a self,
+        kinds: &'a [&'a str],
+        from: Revision,
+    ) -> LocalBoxFuture<'a, Result<Watch, StoreError>>;
 }
 
-#[derive(Deserialize)]
-struct RevisionResponse {
-    #[serde(default)]
-    revision: Option<Revision>,
+/// A running watch.
+pub struct Watch {
+    events: LocalBoxStream<'static, Result<WatchEvent, StoreError>>,
 }
 
-#[derive(Deserialize)]
-struct EventData {
-    #[serde(default)]
-    kind: String,
-    #[serde(default)]
-    name: String,
-    revision: Revision,
-    #[serde(default)]
-    value: Value,
+impl Watch {
+    /// Returns a watch of the given events.
+    pub fn new(events: LocalBoxStream<'static, Result<WatchEvent, StoreError>>) -> Self {
+        Self { events }
+    }
+
+    /// Returns the next event; `None` after the server has ended the watch.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection breaks.
+    pub async fn next(&mut self) -> Result<Option<WatchEvent>, StoreError> {
+        self.events.next().await.transpose()
+    }
 }
 
-/// Client of the object API.
+/// Client of an object API; clones share their connections.
 #[derive(Clone)]
 pub struct Store {
-    client: Client,
-    address: SocketAddr,
-    call_timeout: Duration,
+    api: Rc<dyn ObjectApi>,
 }
 
 impl Store {
-    /// Returns a client of the object API at `address`.
+    /// Returns a client of the object API at `address`, in the project's own format.
     ///
     /// A call that takes longer than `call_timeout` fails; a write may still take effect.
     pub fn new(client: Client, address: SocketAddr, call_timeout: Duration) -> Self {
-        Self { client, address, call_timeout }
+        Self::with_api(Rc::new(HttpObjectApi::new(client, address, call_timeout)))
+    }
+
+    /// Returns a client that makes its calls through `api`.
+    pub fn with_api(api: Rc<dyn ObjectApi>) -> Self {
+        Self { api }
     }
 
     /// Returns an object, or `None` if it does not exist.
@@ -141,12 +197,20 @@
     ///
     /// Returns an error if the object API does not answer.
     pub async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, StoreError> {
-        let path = format!("/v1/objects/{kind}/{name}");
-        let response = self.call(Method::GET, &path, None, Vec::new()).await?;
-        match response.status {
-            StatusCode::NOT_FOUND => Ok(None),
-            _ => self.decode(response).await.map(Some),
-        }
+        self.api.get(kind, name, Freshness::Current).await
+    }
+
+    /// Returns an object that never changes once it exists. `None` may be out of date.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the object API does not answer.
+    pub async fn get_immutable(
+        &self,
+        kind: &str,
+        name: &str,
+    ) -> Result<Option<Object>, StoreError> {
+        self.api.get(kind, name, Freshness::MayBeOld).await
     }
 
     /// Returns all objects of a kind and the revision of the list.
@@ -155,10 +219,7 @@
     ///
     /// Returns an error if the object API does not answer.
     pub async fn list(&self, kind: &str) -> Result<(Revision, Vec<Object>), StoreError> {
-        let path = format!("/v1/objects/{kind}");
-        let response = self.call(Method::GET, &path, None, Vec::new()).await?;
-        let list: ListResponse = self.decode(response).await?;
-        Ok((list.revision, list.items))
+        self.api.list(kind).await
     }
 
     /// Writes an object if `condition` holds and returns its new revision.
@@ -173,15 +234,45 @@
         condition: Precondition,
         value: &Value,
     ) -> Result<Revision, StoreError> {
-        let path = format!("/v1/objects/{kind}/{name}");
-        let body =
-            serde_json::to_vec(value).map_err(|error| StoreError::Decode(error.to_string()))?;
-        if body.len() > deck_core::object::MAX_VALUE_BYTES {
-            return Err(StoreError::TooLarge);
-        }
-        let response = self.call(Method::PUT, &path, Some(condition), body).await?;
-        let written: RevisionResponse = self.decode(response).await?;
-        written.revision.ok_or_else(|| StoreError::Decode("no revision".to_owned()))
+        self.api.put(kind, name, WriteTo::Object, condition, value).await
+    }
+
+    /// Replaces the status of an object if `condition` holds and returns its new revision.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::ResponseLost`] means that the write may have taken effect.
+    pub async fn put_status(
+        &self,
+        kind: &str,
+        name: &str,
+        condition: Precondition,
+        status: &Value,
+    ) -> Result<Revision, StoreError> {
+        self.api.put(kind, name, WriteTo::Status, condition, status).await
+    }
+
+    /// Starts a watch of `kinds` after revision `from`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Compacted`] if the events after `from` are no longer kept.
+    pub async fn watch(&self, kinds: &[&str], from: Revision) -> Result<Watch, StoreError> {
+        self.api.watch(kinds, from).await
+    }
+
+    /// Deletes an object if it still has `revision`.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::ResponseLost`] means that the deletion may have taken effect.
+    pub async fn delete(
+        &self,
+        kind: &str,
+        name: &str,
+        revision: Revision,
+    ) -> Result<(), StoreError> {
+        self.api.delete(kind, name, revision).await
     }
 
     /// Writes an object and resolves a lost response by reading the object back.
@@ -225,129 +316,6 @@
         }
         Err(StoreError::ResponseLost(lost))
     }
-
-    /// Deletes an object if it still has `revision`.
-    ///
-    /// # Errors
-    ///
-    /// [`StoreError::ResponseLost`] means that the deletion may have taken effect.
-    pub async fn delete(
-        &self,
-        kind: &str,
-        name: &str,
-        revision: Revision,
-    ) -> Result<(), StoreError> {
-        let path = format!("/v1/objects/{kind}/{name}");
-        let condition = Some(Precondition::Revision(revision));
-        let response = self.call(Method::DELETE, &path, condition, Vec::new()).await?;
-        match response.status {
-            StatusCode::NOT_FOUND => Ok(()),
-            _ => {
-                self.decode::<Value>(response).await?;
-                Ok(())
-            }
-        }
-    }
-
-    /// Starts a watch of `kinds` after revision `from`.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`StoreError::Compacted`] if the events after `from` are no longer kept.
-    pub async fn watch(&self, kinds: &[&str], from: Revision) -> Result<Watch, StoreError> {
-        let path = format!("/v1/watch?kinds={}&from={from}", kinds.join(","));
-        let response = self.call(Method::GET, &path, None, Vec::new()).await?;
-        if response.status == StatusCode::GONE {
-            return Err(StoreError::Compacted);
-        }
-        if !response.status.is_success() {
-            return Err(self.status_error(response).await);
-        }
-        Ok(Watch { events: EventReader::new(response) })
-    }
-
-    async fn call(
-        &self,
-        method: Method,
-        path: &str,
-        condition: Option<Precondition>,
-        body: Vec<u8>,
-    ) -> Result<ClientResponse, StoreError> {
-        let mut request = Request::builder().method(method).uri(path);
-        request = match condition {
-            None => request,
-            Some(Precondition::Absent) => request.header(header::IF_NONE_MATCH, "*"),
-            Some(Precondition::Revision(revision)) => {
-                request.header(header::IF_MATCH, format!("\"{revision}\""))
-            }
-        };
-        let request = request
-            .header(header::CONTENT_TYPE, "application/json")
-            .body(Body::full(body))
-            .map_err(|error| StoreError::Decode(error.to_string()))?;
-        let sent = self.client.send(self.address, request);
-        match monoio::time::timeout(self.call_timeout, sent).await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(error)) if error.may_have_been_sent() => {
-                Err(StoreError::ResponseLost(error.to_string()))
-            }
-            Ok(Err(error)) => Err(StoreError::Unavailable(error.to_string())),
-            Err(_) => {
-                let limit_ms = self.call_timeout.as_millis();
-                Err(StoreError::ResponseLost(format!("no response within {limit_ms} ms")))
-            }
-        }
-    }
-
-    async fn decode<T: serde::de::DeserializeOwned>(
-        &self,
-        response: ClientResponse,
-    ) -> Result<T, StoreError> {
-        if !response.status.is_success() {
-            return Err(self.status_error(response).await);
-        }
-        let bytes = self.collect(response).await?;
-        serde_json::from_slice(&bytes).map_err(|error| StoreError::Decode(error.to_string()))
-    }
-
-    async fn collect(&self, response: ClientResponse) -> Result<Vec<u8>, StoreError> {
-        let collected = response.collect(MAX_RESPONSE_BYTES);
-        match monoio::time::timeout(self.call_timeout, collected).await {
-            Ok(Ok(bytes)) => Ok(bytes.to_vec()),
-            Ok(Err(NetError::BodyTooLarge(limit))) => {
-                Err(StoreError::Decode(format!("response is larger than {limit} bytes")))
-            }
-            Ok(Err(error)) => Err(StoreError::ResponseLost(error.to_string())),
-            Err(_) => Err(StoreError::ResponseLost("body not received in time".to_owned())),
-        }
-    }
-
-    async fn status_error(&self, response: ClientResponse) -> StoreError {
-        let status = response.status;
-        let retry_after = response
-            .headers
-            .get(header::RETRY_AFTER)
-            .and_then(|value| value.to_str().ok()?.parse().ok())
-            .map_or(Duration::from_secs(1), Duration::from_secs);
-        let body = match self.collect(response).await {
-            Ok(body) => body,
-            Err(error) => return error,
-        };
-        match status {
-            StatusCode::PRECONDITION_FAILED | StatusCode::NOT_FOUND => {
-                let current = serde_json::from_slice::<RevisionResponse>(&body).ok();
-                StoreError::Conflict(current.and_then(|current| current.revision))
-            }
-            StatusCode::PAYLOAD_TOO_LARGE => StoreError::TooLarge,
-            StatusCode::TOO_MANY_REQUESTS => StoreError::RateLimited(retry_after),
-            StatusCode::SERVICE_UNAVAILABLE => StoreError::Unavailable("status 503".to_owned()),
-            // Any other server error may come after the write took effect.
-            status if status.is_server_error() => {
-                StoreError::ResponseLost(format!("status {status}"))
-            }
-            status => StoreError::Decode(format!("status {status}")),
-        }
-    }
 }
 
 fn unchanged(current: &Option<Object>, condition: Precondition) -> bool {
@@ -358,27 +326,3 @@
         }
     }
 }
-
-impl Watch {
-    /// Returns the next event; `None` after the server has ended the watch.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the connection breaks.
-    pub async fn next(&mut self) -> Result<Option<WatchEvent>, StoreError> {
-        let event = match self.events.next().await {
-            Ok(Some(event)) => event,
-            Ok(None) => return Ok(None),
-            Err(error) => return Err(StoreError::ResponseLost(error.to_string())),
-        };
-        let data: EventData = serde_json::from_str(&event.data)
-            .map_err(|error| StoreError::Decode(error.to_string()))?;
-        let EventData { kind, name, revision, value } = data;
-        match event.event.as_str() {
-            "put" => Ok(Some(WatchEvent::Put(Object { kind, name, revision, value }))),
-            "delete" => Ok(Some(WatchEvent::Delete { kind, name, revision })),
-            "bookmark" => Ok(Some(WatchEvent::Bookmark(revision))),
-            other => Err(StoreError::Decode(format!("event {other:?}"))),
-        }
-    }
-}
--- /dev/null
+++ b/crates/swap/src/giver.rs
@@ -0,0 +1,265 @@
+//! Gives the orders of the plan and follows them until they are carried out.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use deck_core::{
+    CancellationToken,
+    id::{TargetId, WeightVersion},
+};
+use deck_fleet::{Engines, Order, OrderReply, Protocol, Target, TargetReport, TargetState, View};
+use deck_net::{Body, Client};
+use deck_plat::LeaseToken;
+use http::{Request, StatusCode};
+
+use crate::plan::{EngineVersion, PlanOptions, plan};
+
+/// Options of a [`Giver`].
+#[derive(Debug, Clone)]
+pub struct SwapOptions {
+    /// The plan.
+    pub plan: PlanOptions,
+    /// Time for one call on an engine.
+    pub call_limit: Duration,
+    /// Time after an order at which the engine is first asked whether it is done; about the usual
+    /// time of a load.
+    pub first_look: Duration,
+    /// Time between two questions after that.
+    pub look_interval: Duration,
+    /// Time after which an order that shows no effect is planned anew.
+    pub order_limit: Duration,
+    /// Longest wait between two plans.
+    pub round: Duration,
+}
+
+impl Default for SwapOptions {
+    fn default() -> Self {
+        Self {
+            plan: PlanOptions::default(),
+            call_limit: Duration::from_millis(800),
+            first_look: Duration::from_millis(900),
+            look_interval: Duration::from_millis(200),
+            order_limit: Duration::from_secs(5),
+            round: Duration::from_millis(500),
+        }
+    }
+}
+
+/// Gives orders under a lease; clones share what they know.
+#[derive(Clone)]
+pub struct Giver {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    vm: String,
+    view: View,
+    engines: Engines,
+    client: Client,
+    protocol: Rc<dyn Protocol>,
+    options: SwapOptions,
+    /// Orders that each run of a target has accepted, by its id and start.
+    accepted: RefCell<HashMap<(TargetId, u64), u64>>,
+}
+
+impl Giver {
+    /// Returns a giver of orders in the name of `vm`.
+    pub fn new(
+        vm: String,
+        view: View,
+        engines: Engines,
+        client: Client,
+        protocol: Rc<dyn Protocol>,
+        options: SwapOptions,
+    ) -> Self {
+        let accepted = RefCell::default();
+        let inner = Inner { vm, view, engines, client, protocol, options, accepted };
+        Self { inner: Rc::new(inner) }
+    }
+
+    /// Gives orders until `cancel` is cancelled or the lease has ended.
+    ///
+    /// The first order is given at `start` at the earliest, when no order of an earlier holder can
+    /// still arrive.
+    pub async fn run(&self, token: LeaseToken, start: Instant, cancel: CancellationToken) {
+        let stop = cancel.child_token();
+        let ended = token.clone();
+        let stopper = stop.clone();
+        monoio::spawn(async move {
+            stopper.run_until_cancelled(ended.ended()).await;
+            stopper.cancel();
+        });
+        let wait = start.saturating_duration_since(Instant::now());
+        stop.run_until_cancelled(monoio::time::sleep(wait)).await;
+        let mut changes = self.inner.view.changes();
+        while !stop.is_cancelled() {
+            if token.is_valid() {
+                self.round(&token, &stop);
+            }
+            let change = monoio::time::timeout(self.inner.options.round, changes.changed());
+            stop.run_until_cancelled(change).await;
+        }
+    }
+
+    /// Starts the orders that the plan asks for now.
+    fn round(&self, token: &LeaseToken, stop: &CancellationToken) {
+        let Some(configuration) = self.inner.view.configuration() else { return };
+        self.inner.engines.retain_known(&self.inner.view);
+        for service in configuration.services.values() {
+            let Some(engine) = &service.engine else { continue };
+            for model in &engine.models {
+                let Some(named) = self.inner.view.named_version(model) else { continue };
+                let targets = self.inner.view.targets_of(&service.name);
+                let ready = targets.iter().filter(|target| target.state == TargetState::Ready);
+                let states: Vec<EngineVersion> =
+                    ready.map(|target| self.engine_version(target, model)).collect();
+                for id in plan(&states, named, &self.inner.options.plan) {
+                    if let Some(target) = targets.iter().find(|target| target.id == id) {
+                        self.start_order(target.clone(), model, named, token, stop);
+                    }
+                }
+            }
+        }
+    }
+
+    fn engine_version(&self, target: &Target, model: &str) -> EngineVersion {
+        let changing = self.inner.engines.changing(target);
+        EngineVersion {
+            target: target.id.clone(),
+            version: self.inner.engines.version(target, model),
+            loading: changing.is_some(),
+            loading_this: changing.as_deref() == Some(model),
+            running: self.inner.engines.state(target).running,
+        }
+    }
+
+    fn start_order(
+        &self,
+        target: Rc<Target>,
+        model: &str,
+        version: WeightVersion,
+        token: &LeaseToken,
+        stop: &CancellationToken,
+    ) {
+        self.inner.engines.set_changing(&target, Some(model.to_owned()));
+        let (inner, model) = (self.inner.clone(), model.to_owned());
+        let (token, stop) = (token.clone(), stop.clone());
+        monoio::spawn(async move {
+            let change = inner.change(&target, &model, version, &token);
+            stop.run_until_cancelled(change).await;
+            inner.engines.set_changing(&target, None);
+        });
+    }
+}
+
+impl Inner {
+    /// Orders a target to change to a version and waits until it has it.
+    async fn change(
+        &self,
+        target: &Target,
+        model: &str,
+        version: WeightVersion,
+        token: &LeaseToken,
+    ) {
+        let key = (target.id.clone(), target.started_at_ms);
+        let known = self.accepted.borrow().get(&key).copied();
+        let expected_orders = match known {
+            Some(count) => count,
+            None => match self.report(target).await {
+                Some(report) => report.accepted_orders,
+                None => return monoio::time::sleep(self.options.round).await,
+            },
+        };
+        if !token.is_valid() {
+            return;
+        }
+        let order = Order {
+            model: model.to_owned(),
+            version,
+            holder: self.vm.clone(),
+            fencing: token.fencing(),
+            expected_orders,
+        };
+        let request = self.protocol.order(&target.id, &order);
+        let reply = self.send(target, request).await;
+        let reply = reply.map(|(status, _)| self.protocol.order_reply(status));
+        let (id, fencing) = (&target.id, order.fencing);
+        log::info!(target: "swap", "order target={id} model={model} version={version} fencing={fencing} expected_orders={expected_orders} reply={reply:?}");
+        match reply {
+            Some(OrderReply::Accepted) => {
+                self.accepted.borrow_mut().insert(key, expected_orders + 1);
+                self.follow(target, model, version).await;
+            }
+            Some(OrderReply::AlreadyDone) => self.engines.set_version(target, model, version),
+            Some(OrderReply::Conflict) | None => {
+                // The number of accepted orders decides: an order that is carried out late was
+                // sent with a number that no longer holds.
+                self.accepted.borrow_mut().remove(&key);
+                self.follow(target, model, version).await;
+            }
+            Some(OrderReply::StaleFencing) => {
+                log::warn!(target: "swap", "fencing number is stale fencing={fencing}");
+                token.give_up();
+            }
+            Some(OrderReply::Refused(_)) => monoio::time::sleep(self.options.round).await,
+        }
+    }
+
+    /// Waits until a target has a version, or shows that it is not changing to it.
+    async fn follow(&self, target: &Target, model: &str, version: WeightVersion) {
+        let until = Instant::now() + self.options.order_limit;
+        monoio::time::sleep(self.options.first_look).await;
+        while Instant::now() < until {
+            if let Some(report) = self.report(target).await {
+                let shown = report.models.iter().find(|(name, _)| name == model);
+                if let Some((_, shown)) = shown {
+                    self.engines.set_version(target, model, *shown);
+                }
+                if shown.is_some_and(|(_, shown)| *shown >= version) || !report.busy {
+                    return;
+                }
+            }
+            monoio::time::sleep(self.options.look_interval).await;
+        }
+    }
+
+    async fn report(&self, target: &Target) -> Option<TargetReport> {
+        let (status, body) = self.send(target, self.protocol.report_request(&target.id)).await?;
+        if status != StatusCode::OK {
+            return None;
+        }
+        match self.protocol.report(&body) {
+            Ok(report) => Some(report),
+            Err(error) => {
+                log::warn!(target: "swap", "report not read target={} error={error}", target.id);
+                None
+            }
+        }
+    }
+
+    async fn send(&self, target: &Target, request: Request<Bytes>) -> Option<(StatusCode, Bytes)> {
+        /// Largest answer to an order or a question for a report.
+        const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+        let exchange = async {
+            let response = self.client.send(target.address, request.map(Body::full)).await?;
+            let status = response.status;
+            Ok::<_, deck_net::NetError>((status, response.collect(MAX_ANSWER_BYTES).await?))
+        };
+        match monoio::time::timeout(self.options.call_limit, exchange).await {
+            Ok(Ok(answer)) => Some(answer),
+            Ok(Err(error)) => {
+                log::info!(target: "swap", "target does not answer target={} error={error}", target.id);
+                None
+            }
+            Err(_) => {
+                log::info!(target: "swap", "target does not answer in time target={}", target.id);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/swap/src/lib.rs
@@ -0,0 +1,7 @@
+//! Orders that bring new weights to the engines, given by the holder of one lease.
+
+pub mod giver;
+pub mod plan;
+
+pub use giver::{Giver, SwapOptions};
+pub use plan::{EngineVersion, PlanOptions, plan};
