--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -26,8 +26,8 @@
     pub revision: Cell<Revision>,
     /// When the job was submitted, on this node's clock.
     pub submitted_at: Instant,
-    /// When this node began to run the job.
-    pub loaded_at: Instant,
+    /// When this node took the job over; `None` if it has run the job from the start.
+    pub taken_over_at: Option<Instant>,
     /// When the record last showed that this node runs the job.
     pub confirmed_at: Cell<Instant>,
     /// Items without a listed result. Invariant: an item is here or in `listed`, never in both.
@@ -124,7 +124,7 @@
             record: RefCell::new(record),
             revision: Cell::new(revision),
             submitted_at: now.checked_sub(age).unwrap_or(now),
-            loaded_at: now,
+            taken_over_at: None,
             confirmed_at: Cell::new(now),
             items: RefCell::new(
                 items.into_iter().map(|item| Rc::new(ItemRun::new(item))).collect(),
@@ -185,8 +185,12 @@
         self.finished.notify_one();
     }
 
-    /// Adds stored results at the next positions.
-    pub fn list(&self, results: Vec<Rc<ItemResult>>) {
+    /// Adds the results of a stored chunk at the next positions. A chunk that is listed already, or
+    /// is not the next one, changes nothing.
+    pub fn list(&self, chunk: usize, results: Vec<Rc<ItemResult>>) {
+        if chunk != self.chunks.get() {
+            return;
+        }
         let mut items = self.items.borrow_mut();
         for result in &results {
             if let Some(index) = items.iter().position(|run| run.item.id == result.item) {
--- a/crates/batch/src/publish.rs
+++ b/crates/batch/src/publish.rs
@@ -29,14 +29,15 @@
             let unlisted = job.unlisted.borrow();
             unlisted[..inner.ledger.fitting(&unlisted)].to_vec()
         };
-        match inner.ledger.append(&job.id, job.chunks.get(), &batch).await {
+        let chunk = job.chunks.get();
+        match inner.ledger.append(&job.id, chunk, &batch).await {
             Ok(Stored::AsGiven) => {
-                job.list(batch);
+                job.list(chunk, batch);
                 backoff.reset();
             }
             Ok(Stored::Other(results)) => {
-                log::info!(target: "batch", "chunk of another runner job={} chunk={}", job.id, job.chunks.get());
-                job.list(results.into_iter().map(Rc::new).collect());
+                log::info!(target: "batch", "chunk of another runner job={} chunk={chunk}", job.id);
+                job.list(chunk, results.into_iter().map(Rc::new).collect());
             }
             Err(error) => {
                 log::warn!(target: "batch", "results not stored job={} error={error}", job.id);
@@ -111,10 +112,11 @@
         return Ok(());
     }
     // A runner before this one may still have stored a chunk shortly after the change of runner.
-    if job.loaded_at.elapsed() < inner.options.takeover_settle
-        && let Some(results) = inner.ledger.chunk(&job.id, job.chunks.get()).await?
+    let chunk = job.chunks.get();
+    if job.taken_over_at.is_some_and(|at| at.elapsed() < inner.options.takeover_settle)
+        && let Some(results) = inner.ledger.chunk(&job.id, chunk).await?
     {
-        job.list(results.into_iter().map(Rc::new).collect());
+        job.list(chunk, results.into_iter().map(Rc::new).collect());
     }
     job.confirmed_at.set(started);
     Ok(())
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -172,9 +172,11 @@
     ) -> Result<Rc<Job>, StoreError> {
         let ledger = &self.inner.ledger;
         let items = ledger.items(id, &record).await?;
-        let job = Rc::new(Job::new(id.to_owned(), record, revision, items));
+        let mut job = Job::new(id.to_owned(), record, revision, items);
+        job.taken_over_at = Some(Instant::now());
+        let job = Rc::new(job);
         while let Some(results) = ledger.chunk(id, job.chunks.get()).await? {
-            job.list(results.into_iter().map(Rc::new).collect());
+            job.list(job.chunks.get(), results.into_iter().map(Rc::new).collect());
         }
         if let Some(known) = self.job(id) {
             return Ok(known);
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -369,7 +369,7 @@
         let items = self.inner.ledger.items(id, &record).await?;
         let job = Rc::new(Job::new(id.to_owned(), record, revision, items));
         while let Some(results) = self.inner.ledger.chunk(id, job.chunks.get()).await? {
-            job.list(results.into_iter().map(Rc::new).collect());
+            job.list(job.chunks.get(), results.into_iter().map(Rc::new).collect());
         }
         job.stop.cancel();
         self.inner.settled.borrow_mut().insert(id.to_owned(), job.clone());
