--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -63,7 +63,7 @@
 pub struct ItemRun {
     /// The item.
     pub item: Item,
-    /// Where it is.
+    /// Where it is. Invariant: `Done` is final.
     pub phase: Cell<Phase>,
     /// Text so far.
     pub progress: RefCell<Progress>,
@@ -102,6 +102,13 @@
 }
 
 impl ItemRun {
+    /// Moves the item to a phase, unless it already has a result, possibly one of another runner.
+    pub fn enter(&self, phase: Phase) {
+        if self.phase.get() != Phase::Done {
+            self.phase.set(phase);
+        }
+    }
+
     /// Returns an item that waits for its first run.
     pub fn new(item: Item) -> Self {
         Self {
--- a/crates/batch/src/reward.rs
+++ b/crates/batch/src/reward.rs
@@ -42,12 +42,13 @@
                     return reply.head.signature;
                 }
                 Ok(reply) => {
-                    failures += reply.failures.max(1);
+                    failures += reply.failures;
                     let (id, status) = (&run.item.id, reply.status);
                     log::info!(target: "batch", "reward failed item={id} call={} status={status} failures={failures}", reward.id);
                     if failures >= route.attempts {
                         return None;
                     }
+                    monoio::time::sleep(RETRY_WAIT).await;
                 }
                 Err(error) => {
                     let id = &run.item.id;
--- a/crates/batch/src/run.rs
+++ b/crates/batch/src/run.rs
@@ -43,7 +43,7 @@
         Some(ended) => ended,
         // Dropping the run has closed its connection, which stops the engine.
         None => {
-            run.phase.set(Phase::Waiting);
+            run.enter(Phase::Waiting);
             return;
         }
     };
@@ -52,19 +52,22 @@
     let at = run.progress.borrow().last_event;
     match ended {
         Ended::Complete => {
-            run.phase.set(Phase::Scoring);
+            run.enter(Phase::Scoring);
             inner.wake.notify_one();
+            if run.phase.get() == Phase::Done {
+                return;
+            }
             crate::reward::score_item(&inner, &job, &run).await;
         }
         Ended::Broken(reason) => {
             inner.engines.record_failure(&target, Instant::now());
             log::info!(target: "batch", "run broken item={id} target={} event={at} ms={ms} reason={reason:?}", target.id);
-            run.phase.set(Phase::Waiting);
+            run.enter(Phase::Waiting);
         }
         Ended::Refused(reason) => {
             inner.engines.record_failure(&target, Instant::now());
             log::info!(target: "batch", "run refused item={id} target={} reason={reason:?}", target.id);
-            run.phase.set(Phase::Waiting);
+            run.enter(Phase::Waiting);
         }
         Ended::Failed(status) => {
             run.failures.set(run.failures.get() + 1);
@@ -72,7 +75,7 @@
             if run.failures.get() >= job.record.borrow().limits.attempts {
                 job.finish(&run, deck_fleet::ItemOutcome::Failed, None);
             } else {
-                run.phase.set(Phase::Waiting);
+                run.enter(Phase::Waiting);
             }
         }
         Ended::Impossible => {
@@ -110,7 +113,7 @@
     match status {
         StatusCode::UNPROCESSABLE_ENTITY => return Ended::Impossible,
         status if status.is_success() => {}
-        status if status.is_server_error() && head.signature.is_some() => {
+        StatusCode::INTERNAL_SERVER_ERROR if head.signature.is_some() => {
             let _ = response.collect(MAX_REFUSAL_BYTES).await;
             return Ended::Failed(status);
         }
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -251,7 +251,7 @@
                 continue;
             };
             self.prompts.borrow_mut().insert(item.prompt, target.id.clone());
-            run.phase.set(Phase::Running);
+            run.enter(Phase::Running);
             left -= 1;
             // Counted at once: the next item is placed before this run's task starts.
             let guard = self.engines.start_run(target);
--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -21,7 +21,8 @@
     pub head: ReplyHead,
     /// Body.
     pub body: ReplyBody,
-    /// Failures that targets answered to this request, this answer included.
+    /// Answers of targets with status 500 to this request, this answer included. Other failures, such
+    /// as a 504 at the deadline, do not say that the request fails each time.
     pub failures: u32,
 }
 
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -10,7 +10,7 @@
 use deck_fleet::{Dispatch, Protocol};
 use deck_net::{Body, Client, ClientResponse, NetError};
 use deck_route::{Outcome, Pick};
-use http::{HeaderMap, Method, Request, Uri, header};
+use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
 
 use crate::{Reply, ReplyBody};
 
@@ -114,7 +114,7 @@
             let bytes = response.collect(usize::MAX).await;
             ReplyBody::Whole(bytes.map_err(|error| AttemptError::Unknown(error.to_string()))?)
         };
-        let failures = u32::from(status.is_server_error());
+        let failures = u32::from(status == StatusCode::INTERNAL_SERVER_ERROR);
         Ok(Reply { status, headers, head, body, failures })
     }
 }
