--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -41,6 +41,9 @@
 
 /// Shortest wait between two tries while the object API does not answer.
 const MIN_RETRY: Duration = Duration::from_millis(50);
+/// Time after which a kind is listed once more after its watch failed. A watch that starts while the
+/// object API recovers may miss changes without an error.
+const LIST_AGAIN: Duration = Duration::from_millis(1200);
 /// How often targets that did not register again are looked for.
 const MISSING_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -54,6 +57,18 @@
     Deleted(String),
 }
 
+/// State of following one kind.
+struct Followed {
+    kind: &'static str,
+    /// Revision up to which changes are known; `None` if the kind has to be listed.
+    position: Option<Revision>,
+    /// When the kind is listed once more, after a failure.
+    list_again_at: Option<Instant>,
+    /// Whether the last call failed.
+    outage: bool,
+    backoff: Backoff,
+}
+
 /// Keeps a [`View`] up to date from the object API.
 #[derive(Clone)]
 pub struct Follower {
@@ -159,22 +174,28 @@
         mut apply: impl FnMut(Change),
         cancel: CancellationToken,
     ) {
-        let mut backoff = Backoff::new(MIN_RETRY, self.options.max_retry);
-        let mut position = None;
-        let mut outage = false;
+        let mut state = Followed {
+            kind,
+            position: None,
+            list_again_at: None,
+            outage: false,
+            backoff: Backoff::new(MIN_RETRY, self.options.max_retry),
+        };
         while !cancel.is_cancelled() {
-            let round = self.round(kind, &mut position, &mut apply, &mut backoff, &mut outage);
+            let round = self.round(&mut state, &mut apply);
             let Some(result) = cancel.run_until_cancelled(round).await else { return };
+            // The position is kept only by a watch that ended as it should.
             match result {
                 Ok(()) => {}
-                Err(StoreError::Compacted) => position = None,
+                Err(StoreError::Compacted) => state.position = None,
                 Err(error) => {
-                    if !outage {
+                    if !state.outage {
                         log::warn!(target: "fleet", "object API lost kind={kind} error={error}");
-                        outage = true;
+                        state.outage = true;
                     }
+                    state.position = None;
                     self.view.set_unreachable();
-                    let wait = MIN_RETRY + backoff.next_wait();
+                    let wait = MIN_RETRY + state.backoff.next_wait();
                     cancel.run_until_cancelled(monoio::time::sleep(wait)).await;
                 }
             }
@@ -184,44 +205,58 @@
     /// Lists the kind if its position is not known, and watches it until the watch ends.
     async fn round(
         &self,
-        kind: &'static str,
-        position: &mut Option<Revision>,
+        state: &mut Followed,
         apply: &mut impl FnMut(Change),
-        backoff: &mut Backoff,
-        outage: &mut bool,
     ) -> Result<(), StoreError> {
-        let answered = |outage: &mut bool, backoff: &mut Backoff| {
-            backoff.reset();
-            if std::mem::take(outage) {
-                log::info!(target: "fleet", "object API is back kind={kind}");
-                self.view.set_returned(Instant::now());
-            }
-        };
-        let from = match *position {
+        let from = match state.position {
             Some(from) => from,
             None => {
-                let (revision, objects) = self.store.list(kind).await?;
-                answered(outage, backoff);
+                let (revision, objects) = self.store.list(state.kind).await?;
+                self.answered(state);
                 apply(Change::Listed(objects));
-                *position = Some(revision);
+                state.position = Some(revision);
                 revision
             }
         };
-        let mut watch = self.store.watch(&[kind], from).await?;
-        while let Some(event) = watch.next().await? {
-            answered(outage, backoff);
+        let mut watch = self.store.watch(&[state.kind], from).await?;
+        loop {
+            let next = match state.list_again_at {
+                None => watch.next().await,
+                Some(at) => {
+                    let left = at.saturating_duration_since(Instant::now());
+                    match monoio::time::timeout(left, watch.next()).await {
+                        Ok(next) => next,
+                        Err(_) => {
+                            state.list_again_at = None;
+                            state.position = None;
+                            return Ok(());
+                        }
+                    }
+                }
+            };
+            let Some(event) = next? else { return Ok(()) };
+            self.answered(state);
             match event {
                 WatchEvent::Put(object) => apply(Change::Put(object)),
                 WatchEvent::Delete { name, .. } => apply(Change::Deleted(name)),
                 WatchEvent::Bookmark(revision) => {
-                    if *position != Some(revision) {
-                        *position = Some(revision);
+                    if state.position != Some(revision) {
+                        state.position = Some(revision);
                         monoio::time::sleep(self.options.pause).await;
                     }
                 }
             }
         }
-        Ok(())
+    }
+
+    fn answered(&self, state: &mut Followed) {
+        state.backoff.reset();
+        if std::mem::take(&mut state.outage) {
+            let now = Instant::now();
+            log::info!(target: "fleet", "object API is back kind={}", state.kind);
+            self.view.set_returned(now);
+            state.list_again_at = Some(now + LIST_AGAIN);
+        }
     }
 
     fn decode_target(&self, object: &Object) -> Option<crate::Target> {
