Make calls on the object API through other nodes while direct calls fail

Cause: the leader was cut off from the object API for 7 s (core_cut) and could neither store results nor give orders; another leader had to wait for the lease.

--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -19,18 +19,25 @@
 use deck_forward::{ForwardOptions, Forwarder};
 use deck_net::{
     Body, Client, ClientOptions, ProbeOptions, ServerOptions, bind,
-    http::{Response, StatusCode},
+    http::{Request, Response, StatusCode},
     runtime::{hangup_flag, stop_token},
+    server::{read_body, text_response},
 };
-use deck_plat::Store;
+use deck_plat::{ObjectApi, RelayNodes, RelayedApi, Store, relay};
 use deck_platform::{KINDS, PlatformObjectApi, Wire, read_settings};
 use deck_route::{RouteMember, Router, RouterOptions};
 use deck_swap::{Giver, SwapOptions};
 
-use crate::{front::Front, lead};
+use hyper::body::Incoming;
+
+use crate::{front::Front, lead, nodes};
 
 /// Time for one call on the object API, which answers in a few milliseconds.
 const STORE_CALL_LIMIT: Duration = Duration::from_millis(700);
+/// Time for one call through another node, which makes it within its own limit.
+const RELAY_CALL_LIMIT: Duration = Duration::from_millis(900);
+/// Largest call of another node on the object API.
+const MAX_RELAYED_BYTES: usize = 4 * 1024 * 1024;
 /// Time in which a connection has to come about; links take a few milliseconds.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Probes of idle connections: a silent one is noticed within three seconds.
@@ -63,8 +70,18 @@
     }
     let protocol: Rc<dyn Protocol> = Rc::new(Wire);
     let client = client();
-    let api = PlatformObjectApi::new(client.clone(), settings.object_api, STORE_CALL_LIMIT);
-    let store = Store::with_api(Rc::new(api));
+    let api: Rc<dyn ObjectApi> =
+        Rc::new(PlatformObjectApi::new(client.clone(), settings.object_api, STORE_CALL_LIMIT));
+    let nodes = RelayNodes::new(
+        client.clone(),
+        settings.peer_address,
+        settings.seeds.clone(),
+        RELAY_CALL_LIMIT,
+    );
+    let store = Store::with_api(Rc::new(RelayedApi::new(api.clone(), nodes.clone())));
+    let (registry, own) = (store.clone(), settings.clone());
+    let token = ended.clone();
+    monoio::spawn(nodes::run(registry, own, nodes, token));
     let router = Router::new(RouterOptions {
         vm: settings.vm.clone(),
         data_centre: settings.data_centre.clone(),
@@ -126,7 +143,7 @@
         draining: draining.clone(),
     };
     serve_ready(&settings, view, protocol, draining.clone(), ended.clone())?;
-    serve_peers(&settings, batch.clone(), ended.clone())?;
+    serve_peers(&settings, batch.clone(), api, ended.clone())?;
     let closing = CancellationToken::new();
     let served = serve_callers(&settings, front, closing.clone())?;
     monoio::spawn(watch_settings(file, settings.clone(), hangup, ended.clone()));
@@ -202,17 +219,38 @@
 fn serve_peers(
     settings: &NodeSettings,
     batch: BatchService,
+    api: Rc<dyn ObjectApi>,
     ended: CancellationToken,
 ) -> std::io::Result<()> {
     let listener = bind(settings.peer_address)?;
     let options = ServerOptions { head_timeout: CALLER_IDLE, ..ServerOptions::default() };
     monoio::spawn(deck_net::serve(listener, options, ended, move |request| {
-        let batch = batch.clone();
-        async move { batch.serve_peer(request).await }
+        let (batch, api) = (batch.clone(), api.clone());
+        async move {
+            if request.uri().path() == relay::RELAY_PATH {
+                return relay_call(&*api, request).await;
+            }
+            batch.serve_peer(request).await
+        }
     }));
     Ok(())
 }
 
+/// Makes a call on the object API for another node.
+async fn relay_call(api: &dyn ObjectApi, request: Request<Incoming>) -> Response<Body> {
+    let answer = match read_body(request.into_body(), MAX_RELAYED_BYTES).await {
+        Ok(body) => relay::serve_relay(api, &body).await,
+        Err(error) => Err(error),
+    };
+    match answer {
+        Ok(answer) => Response::new(Body::full(answer)),
+        Err(error) => {
+            log::warn!(target: "node", "call of another node not read error={error}");
+            text_response(400, &error.to_string())
+        }
+    }
+}
+
 /// Reads the settings file again when it changes. Values that a running process cannot take over
 /// are logged; they hold from the next start on.
 async fn watch_settings(
--- a/crates/batch/src/publish.rs
+++ b/crates/batch/src/publish.rs
@@ -32,6 +32,8 @@
         let chunk = job.chunks.get();
         match inner.ledger.append(&job.id, chunk, &batch).await {
             Ok(Stored::AsGiven) => {
+                let (id, count) = (&job.id, batch.len());
+                log::info!(target: "batch", "results stored job={id} chunk={chunk} count={count}");
                 job.list(chunk, batch);
                 backoff.reset();
             }
--- a/crates/batch/src/run.rs
+++ b/crates/batch/src/run.rs
@@ -39,6 +39,8 @@
     guard: RunGuard,
 ) {
     let started = Instant::now();
+    let (id, from) = (&run.item.id, run.progress.borrow().last_event);
+    log::info!(target: "batch", "run starts item={id} job={} target={} event={from}", job.id, target.id);
     let ended = match job.stop.run_until_cancelled(generate(&inner, &job, &run, &target)).await {
         Some(ended) => ended,
         // Dropping the run has closed its connection, which stops the engine.
@@ -48,10 +50,11 @@
         }
     };
     drop(guard);
-    let (id, ms) = (&run.item.id, started.elapsed().as_millis());
+    let ms = started.elapsed().as_millis();
     let at = run.progress.borrow().last_event;
     match ended {
         Ended::Complete => {
+            log::info!(target: "batch", "run complete item={id} target={} event={at} ms={ms}", target.id);
             run.enter(Phase::Scoring);
             inner.wake.notify_one();
             if run.phase.get() == Phase::Done {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -17,6 +17,8 @@
     pub ready_address: Option<SocketAddr>,
     /// Address for other nodes.
     pub peer_address: SocketAddr,
+    /// Addresses of a few other nodes, possibly stale.
+    pub seeds: Vec<SocketAddr>,
     /// Address of the object API.
     pub object_api: SocketAddr,
     /// Largest object in bytes.
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -108,8 +108,8 @@
         protocol: Rc<dyn Protocol>,
         options: ForwardOptions,
     ) -> Self {
-        let retries = RetryBudget::new(options.hedge_budget.clone());
-        let hedges = HedgeBudget::new(options.hedge_budget.clone(), retries);
+        let retries = RetryBudget::new(options.hedge_budget);
+        let hedges = HedgeBudget::new(options.hedge_budget, retries);
         Self { view, client, protocol, options, hedges }
     }
 
--- a/crates/peer/src/watcher.rs
+++ b/crates/peer/src/watcher.rs
@@ -129,7 +129,7 @@
 }
 
 fn apply_object(config: &ConfigView, object: Object) {
-    let Object { kind, name, revision, value } = object;
+    let Object { kind, name, revision, value, .. } = object;
     let Ok(kind) = kind.parse::<Kind>() else { return };
     if let Err(error) = check_object_name(&name) {
         log::warn!(target: "peer", "object ignored kind={kind} error={error}");
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod backoff;
 pub mod lease;
 pub mod native;
+pub mod relay;
 pub mod status;
 pub mod store;
 pub mod vmlist;
@@ -10,6 +11,7 @@
 pub use backoff::Backoff;
 pub use lease::{Acquire, HeldLease, Kept, LeaseCandidate, LeaseOptions, LeaseToken};
 pub use native::HttpObjectApi;
+pub use relay::{RelayNodes, RelayedApi};
 pub use store::{
     Freshness, Object, ObjectApi, Precondition, Store, StoreError, Watch, WatchEvent, WriteTo,
 };
