Place items on fast engines and move slow runs to faster ones

Cause: texts of 180 events take 6.5 s on a fast engine and over 8.5 s on a slow or crowded one; the cost of a run counted each neighbour as a twentieth, so idle slow engines were preferred.

--- a/crates/batch/src/dispatch.rs
+++ b/crates/batch/src/dispatch.rs
@@ -32,19 +32,26 @@
     pub running: u32,
     /// Runs that it takes at once.
     pub slots: u32,
-    /// Mean time between two events in milliseconds; 0 if it is not known.
+    /// Expected time between two events in milliseconds.
     pub event_gap_ms: f64,
     /// Whether it has read the item's prompt lately.
     pub has_prompt: bool,
 }
 
-/// Part of the cost of an engine that each of its runs adds, in parts of an idle engine's cost.
-const COST_PER_RUN: f64 = 0.05;
+/// Part by which each run of an engine slows the others down. Engines batch, so it is small.
+const SLOWER_PER_RUN: f64 = 0.01;
 /// Part of the cost that cached prompts save.
-const PROMPT_BONUS: f64 = 0.06;
+const PROMPT_BONUS: f64 = 0.02;
 /// Part of the cost that each version behind the newest adds: text of an older version is of less
 /// use to the next step.
-const OLD_VERSION_COST: f64 = 0.05;
+const OLD_VERSION_COST: f64 = 0.03;
+/// Time that a move to another engine costs: a new connection and the text to read.
+const MOVE_TIME: Duration = Duration::from_millis(80);
+/// Least time that a move has to save.
+const MIN_GAIN: Duration = Duration::from_millis(400);
+/// Part of the text so far that is expected to come still where the hint is used up. Long texts are
+/// likely to go on.
+const OVERRUN_PART: f64 = 0.4;
 
 /// Sorts items so that the one with the least slack comes first.
 ///
@@ -70,18 +77,55 @@
 }
 
 fn cost(candidate: &Candidate, usual_gap_ms: f64, newest: WeightVersion) -> f64 {
-    let known = candidate.event_gap_ms > 0.0 && usual_gap_ms > 0.0;
-    let slowness = if known { candidate.event_gap_ms / usual_gap_ms } else { 1.0 };
-    let load = 1.0 + COST_PER_RUN * f64::from(candidate.running);
+    let slowness = candidate.event_gap_ms / usual_gap_ms;
+    let load = 1.0 + SLOWER_PER_RUN * f64::from(candidate.running);
     let age = OLD_VERSION_COST * (newest - candidate.version) as f64;
     let prompt = if candidate.has_prompt { PROMPT_BONUS } else { 0.0 };
     slowness * load + age - prompt
 }
 
-/// Returns the median of the known times between events.
+/// Returns the median time between events.
 fn usual_gap(candidates: &[Candidate]) -> f64 {
-    let mut gaps: Vec<f64> =
-        candidates.iter().map(|c| c.event_gap_ms).filter(|gap| *gap > 0.0).collect();
+    let mut gaps: Vec<f64> = candidates.iter().map(|c| c.event_gap_ms).collect();
     gaps.sort_by(f64::total_cmp);
-    gaps.get(gaps.len() / 2).copied().unwrap_or(0.0)
+    gaps.get(gaps.len() / 2).copied().unwrap_or(1.0).max(0.001)
 }
+
+/// Returns the events that an item is expected to make still.
+pub fn events_left(hinted_events: u64, made: u64) -> f64 {
+    let hinted = hinted_events.saturating_sub(made) as f64;
+    hinted.max(made as f64 * OVERRUN_PART)
+}
+
+/// An item that runs on an engine.
+#[derive(Debug, Clone)]
+pub struct RunningItem {
+    /// The engine.
+    pub target: TargetId,
+    /// Expected time between two events on that engine in milliseconds.
+    pub event_gap_ms: f64,
+    /// Events that are expected to come still.
+    pub events_left: f64,
+    /// Oldest version that may run it.
+    pub min_version: WeightVersion,
+}
+
+/// Returns the engine to which a running item should move, if it saves enough time there.
+pub fn choose_move<'a>(item: &RunningItem, candidates: &'a [Candidate]) -> Option<&'a Candidate> {
+    let time = |gap_ms: f64| item.events_left * gap_ms / 1000.0;
+    let here = time(item.event_gap_ms);
+    let best = candidates
+        .iter()
+        .filter(|candidate| {
+            candidate.target != item.target
+                && candidate.version >= item.min_version
+                && candidate.running < candidate.slots
+        })
+        .min_by(|a, b| a.event_gap_ms.total_cmp(&b.event_gap_ms))?;
+    let gain = here - time(best.event_gap_ms) - MOVE_TIME.as_secs_f64();
+    (gain >= MIN_GAIN.as_secs_f64() && gain >= here * MIN_GAIN_PART).then_some(best)
+}
+
+/// Least part of the remaining time that a move has to save. Below it, differences between engines
+/// are mostly bursts that end soon.
+const MIN_GAIN_PART: f64 = 0.2;
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -9,7 +9,7 @@
 
 use deck_core::{
     CancellationToken,
-    id::{RequestId, Revision, WeightVersion},
+    id::{RequestId, Revision, TargetId, WeightVersion},
 };
 use deck_fleet::{Item, ItemOutcome, ItemResult};
 use tokio::sync::{Notify, watch};
@@ -69,8 +69,12 @@
     pub progress: RefCell<Progress>,
     /// Failures that targets answered.
     pub failures: Cell<u32>,
-    /// The item does not start before this time.
-    pub not_before: Cell<Option<Instant>>,
+    /// Engine that runs it.
+    pub target: RefCell<Option<TargetId>>,
+    /// Cancelled to move the current run to another engine.
+    pub moving: RefCell<CancellationToken>,
+    /// When the current run started.
+    pub started_at: Cell<Option<Instant>>,
 }
 
 /// Text of an item so far.
@@ -116,7 +120,9 @@
             phase: Cell::new(Phase::Waiting),
             progress: RefCell::default(),
             failures: Cell::new(0),
-            not_before: Cell::new(None),
+            target: RefCell::default(),
+            moving: RefCell::default(),
+            started_at: Cell::new(None),
         }
     }
 }
--- a/crates/batch/src/run.rs
+++ b/crates/batch/src/run.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use deck_core::id::WeightVersion;
+use deck_core::{CancellationToken, id::WeightVersion};
 use deck_fleet::{Dispatch, ReplyHead, RunGuard, Target};
 use deck_net::{Body, ClientResponse};
 use http::{Method, Request, StatusCode};
@@ -28,6 +28,8 @@
     Failed(StatusCode),
     /// The item can never be done.
     Impossible,
+    /// The run was stopped to go on at a faster engine.
+    Moved,
 }
 
 /// Runs a waiting item on `target` and moves it to its next phase.
@@ -41,8 +43,13 @@
     let started = Instant::now();
     let (id, from) = (&run.item.id, run.progress.borrow().last_event);
     log::info!(target: "batch", "run starts item={id} job={} target={} event={from}", job.id, target.id);
-    let ended = match job.stop.run_until_cancelled(generate(&inner, &job, &run, &target)).await {
-        Some(ended) => ended,
+    run.target.replace(Some(target.id.clone()));
+    run.started_at.set(Some(started));
+    let moving = CancellationToken::new();
+    run.moving.replace(moving.clone());
+    let generation = moving.run_until_cancelled(generate(&inner, &job, &run, &target));
+    let ended = match job.stop.run_until_cancelled(generation).await {
+        Some(ended) => ended.unwrap_or(Ended::Moved),
         // Dropping the run has closed its connection, which stops the engine.
         None => {
             run.enter(Phase::Waiting);
@@ -81,6 +88,10 @@
                 run.enter(Phase::Waiting);
             }
         }
+        Ended::Moved => {
+            log::info!(target: "batch", "run moves item={id} target={} event={at} ms={ms}", target.id);
+            run.enter(Phase::Waiting);
+        }
         Ended::Impossible => {
             log::info!(target: "batch", "item impossible item={id} target={}", target.id);
             job.finish(&run, deck_fleet::ItemOutcome::Failed, None);
@@ -205,7 +216,7 @@
             let now = Instant::now();
             if let Some(last) = last_event_at {
                 let gap = now.duration_since(last) / events.len() as u32;
-                inner.engines.record_gap(target, gap);
+                inner.engines.record_gap(target, gap, now);
             }
             last_event_at = Some(now);
         }
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -21,7 +21,9 @@
 
 use crate::{
     JobRecord, Ledger,
-    dispatch::{Candidate, Waiting, choose, sort_by_urgency},
+    dispatch::{
+        Candidate, RunningItem, Waiting, choose, choose_move, events_left, sort_by_urgency,
+    },
     job::{ItemRun, Job, Phase},
     publish, run,
 };
@@ -41,6 +43,8 @@
     pub confirm_interval: Duration,
     /// Time after a change of runner in which the earlier one may still store results.
     pub takeover_settle: Duration,
+    /// Time for which a run stays on its engine before it may move.
+    pub settle_run: Duration,
     /// Expected time for one token where nothing is known.
     pub token_time: Duration,
     /// Longest wait between two looks at waiting items.
@@ -55,6 +59,7 @@
             gather: Duration::from_millis(300),
             confirm_interval: Duration::from_millis(900),
             takeover_settle: Duration::from_secs(3),
+            settle_run: Duration::from_millis(400),
             token_time: Duration::from_micros(900),
             idle_round: Duration::from_millis(50),
         }
@@ -231,21 +236,20 @@
                     job.finish(run, ItemOutcome::Failed, None);
                     continue;
                 }
-                if run.not_before.get().is_some_and(|at| at > now) {
-                    continue;
-                }
                 waiting.push(self.waiting(job, run, runs.len(), now));
                 runs.push((job.clone(), run.clone()));
             }
         }
+        if waiting.is_empty() {
+            return self.move_slow_runs(now);
+        }
         sort_by_urgency(&mut waiting);
         let mut left = waiting.len();
         for item in &waiting {
             let (job, run) = &runs[item.key];
             let Some(service) = self.service_of(job) else { continue };
             let targets = self.view.targets_of(&service);
-            let candidates: Vec<Candidate> =
-                targets.iter().filter_map(|target| self.candidate(target, item, now)).collect();
+            let candidates = self.candidates(&targets, &item.model, item.prompt, now);
             let Some(chosen) = choose(item, &candidates) else { continue };
             let Some(target) = targets.iter().find(|target| target.id == chosen.target) else {
                 continue;
@@ -287,18 +291,111 @@
         (route.kind == RouteKind::Rollout).then(|| route.service(0.0).to_owned())
     }
 
-    fn candidate(&self, target: &Target, item: &Waiting, now: Instant) -> Option<Candidate> {
-        let usable =
-            target.state == TargetState::Ready && self.engines.is_usable(target, &item.model, now);
-        let version = self.engines.version(target, &item.model)?;
-        let state = self.engines.state(target);
-        usable.then(|| Candidate {
+    fn candidates(
+        &self,
+        targets: &[Rc<Target>],
+        model: &str,
+        prompt: u64,
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let usual_ms = self.usual_gap_ms(targets);
+        let ready = targets.iter().filter(|target| {
+            target.state == TargetState::Ready && self.engines.is_usable(target, model, now)
+        });
+        ready
+            .filter_map(|target| {
+                let state = self.engines.state(target);
+                Some(Candidate {
+                    target: target.id.clone(),
+                    version: self.engines.version(target, model)?,
+                    running: state.running,
+                    slots: target.slots,
+                    event_gap_ms: state.event_gap_ms(usual_ms, now).unwrap_or(usual_ms),
+                    has_prompt: self.prompts.borrow().get(&prompt) == Some(&target.id),
+                })
+            })
+            .collect()
+    }
+
+    /// Returns the median time between events on the targets where it is known.
+    fn usual_gap_ms(&self, targets: &[Rc<Target>]) -> f64 {
+        let known = targets.iter().filter_map(|target| self.engines.state(target).long_gap_ms());
+        let mut known: Vec<f64> = known.collect();
+        known.sort_by(f64::total_cmp);
+        known.get(known.len() / 2).copied().unwrap_or(UNKNOWN_GAP_MS)
+    }
+
+    /// Moves the run that gains most from another engine; returns whether any item runs.
+    ///
+    /// One move a round: the next one sees the slots that this one has taken.
+    fn move_slow_runs(&self, now: Instant) -> bool {
+        let mut any = false;
+        let mut best: Option<(f64, Rc<ItemRun>, String)> = None;
+        for job in self.jobs.borrow().values().filter(|job| !job.stop.is_cancelled()) {
+            let items = job.items.borrow();
+            let mut running =
+                items.iter().filter(|run| run.phase.get() == Phase::Running).peekable();
+            if running.peek().is_none() {
+                continue;
+            }
+            any = true;
+            let Some(service) = self.service_of(job) else { continue };
+            let targets = self.view.targets_of(&service);
+            let (model, min_version) = {
+                let record = job.record.borrow();
+                (record.model.clone(), record.min_version)
+            };
+            let candidates = self.candidates(&targets, &model, 0, now);
+            let usual_ms = self.usual_gap_ms(&targets);
+            for run in running {
+                let Some(item) = self.running_item(run, &service, usual_ms, min_version, now)
+                else {
+                    continue;
+                };
+                if let Some(chosen) = choose_move(&item, &candidates) {
+                    let gain = item.events_left * (item.event_gap_ms - chosen.event_gap_ms);
+                    if best.as_ref().is_none_or(|(most, ..)| gain > *most) {
+                        best = Some((gain, run.clone(), chosen.target.clone()));
+                    }
+                }
+            }
+        }
+        if let Some((gain, run, to)) = best {
+            log::info!(target: "batch", "item moves item={} to={to} expected_gain_ms={gain:.0}", run.item.id);
+            run.moving.borrow().cancel();
+        }
+        any
+    }
+
+    fn running_item(
+        &self,
+        run: &ItemRun,
+        service: &str,
+        usual_ms: f64,
+        min_version: u64,
+        now: Instant,
+    ) -> Option<RunningItem> {
+        let started = run.started_at.get()?;
+        if now.saturating_duration_since(started) < self.options.settle_run {
+            return None;
+        }
+        let target = self.view.target(run.target.borrow().as_deref()?)?;
+        if self.engines.changing(&target).is_some() {
+            return None;
+        }
+        let configuration = self.view.configuration()?;
+        let engine = configuration.services.get(service)?.engine.as_ref()?;
+        let hinted = run.item.length_hint.unwrap_or(0) / engine.tokens_per_event;
+        let made = run.progress.borrow().last_event;
+        let gap = self.engines.state(&target).event_gap_ms(usual_ms, now)?;
+        Some(RunningItem {
             target: target.id.clone(),
-            version,
-            running: state.running,
-            slots: target.slots,
-            event_gap_ms: state.event_gap_ms,
-            has_prompt: self.prompts.borrow().get(&item.prompt) == Some(&target.id),
+            event_gap_ms: gap,
+            events_left: events_left(hinted, made),
+            min_version,
         })
     }
 }
+
+/// Time between two events where nothing is known yet.
+const UNKNOWN_GAP_MS: f64 = 45.0;
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -108,6 +108,8 @@
     pub slots: u32,
     /// Tokens that one engine holds in memory.
     pub cache_tokens: u64,
+    /// Tokens that one event of a stream holds.
+    pub tokens_per_event: u64,
     /// Models that the engines serve.
     pub models: Vec<ModelName>,
 }
--- a/crates/fleet/src/engines.rs
+++ b/crates/fleet/src/engines.rs
@@ -11,8 +11,17 @@
 
 use crate::{Target, View, config::ModelName};
 
-/// Weight of the newest time between two events in the mean of an engine.
-const NEWEST_WEIGHT: f64 = 0.05;
+/// Time over which the short mean of the time between events is taken: within a neighbour's burst.
+const SHORT_MEAN: Duration = Duration::from_millis(250);
+/// Time over which the long mean is taken: several bursts of a neighbour, and a part of the time for
+/// which a slow engine stays slow.
+const LONG_MEAN: Duration = Duration::from_millis(2500);
+/// Age at which the short mean no longer counts.
+const SHORT_MEMORY: Duration = Duration::from_millis(500);
+/// Time without events in which a long mean loses most of its weight: the engine may have recovered.
+const LONG_MEMORY: Duration = Duration::from_secs(5);
+/// Part of the short mean in the expected time between events.
+const SHORT_PART: f64 = 0.4;
 /// Time for which an engine gets no work after it refused a request or its connection broke.
 const BLOCK_TIME: Duration = Duration::from_millis(400);
 /// Longest time for which an engine that fails again and again gets no work.
@@ -39,8 +48,36 @@
     blocked_until: Option<Instant>,
     /// Failures in a row.
     failures: u32,
-    /// Mean time between two events, in milliseconds; 0 before the first one.
-    pub event_gap_ms: f64,
+    /// Times between two events of one run.
+    gaps: Option<Gaps>,
+}
+
+/// Means of the times between two events of a run.
+#[derive(Debug, Clone, Copy)]
+struct Gaps {
+    short_ms: f64,
+    long_ms: f64,
+    last_at: Instant,
+}
+
+impl EngineState {
+    /// Returns the expected time between two events in milliseconds, or `None` if nothing is known.
+    ///
+    /// `usual_ms` is the value of a usual engine, to which that of an idle engine returns.
+    pub fn event_gap_ms(&self, usual_ms: f64, now: Instant) -> Option<f64> {
+        let gaps = self.gaps?;
+        let idle = now.saturating_duration_since(gaps.last_at);
+        if idle < SHORT_MEMORY {
+            return Some(gaps.short_ms * SHORT_PART + gaps.long_ms * (1.0 - SHORT_PART));
+        }
+        let kept = (-idle.as_secs_f64() / LONG_MEMORY.as_secs_f64()).exp();
+        Some(usual_ms + (gaps.long_ms - usual_ms) * kept)
+    }
+
+    /// Returns the long mean of the time between two events in milliseconds.
+    pub fn long_gap_ms(&self) -> Option<f64> {
+        self.gaps.map(|gaps| gaps.long_ms)
+    }
 }
 
 impl Engines {
@@ -88,13 +125,18 @@
         RunGuard { engines, target }
     }
 
-    /// Takes note of the time between two events.
-    pub fn record_gap(&self, target: &Target, gap: Duration) {
+    /// Takes note of the time between two events of a run.
+    pub fn record_gap(&self, target: &Target, gap: Duration, now: Instant) {
         self.with(target, |state| {
             let gap_ms = gap.as_secs_f64() * 1000.0;
-            let known = state.event_gap_ms > 0.0;
-            let weight = if known { NEWEST_WEIGHT } else { 1.0 };
-            state.event_gap_ms += (gap_ms - state.event_gap_ms) * weight;
+            let gaps =
+                state.gaps.get_or_insert(Gaps { short_ms: gap_ms, long_ms: gap_ms, last_at: now });
+            let passed = now.saturating_duration_since(gaps.last_at).as_secs_f64();
+            // A mean over time: many runs on one engine do not make it forget faster.
+            let weight = |over: Duration| 1.0 - (-passed / over.as_secs_f64()).exp();
+            gaps.short_ms += (gap_ms - gaps.short_ms) * weight(SHORT_MEAN);
+            gaps.long_ms += (gap_ms - gaps.long_ms) * weight(LONG_MEAN);
+            gaps.last_at = now;
             state.failures = 0;
         });
     }
