--- a/bins/decknode/src/lead.rs
+++ b/bins/decknode/src/lead.rs
@@ -5,9 +5,8 @@
     time::{Duration, Instant},
 };
 
-use deck_batch::{BatchService, Leader};
 use deck_core::CancellationToken;
-use deck_fleet::Follower;
+use deck_fleet::{Feed, Follower, Leader};
 use deck_plat::{Acquire, HeldLease, Kept, LeaseCandidate, LeaseOptions, Store};
 use deck_swap::Giver;
 
@@ -30,8 +29,8 @@
     pub address: SocketAddr,
     /// Object API.
     pub store: Store,
-    /// Batch jobs; told who leads.
-    pub batch: BatchService,
+    /// Told who leads; says whether this node competes for the lease.
+    pub feed: Feed,
     /// Orders.
     pub giver: Giver,
     /// Follows the objects that only the leader needs.
@@ -48,6 +47,12 @@
     let (store, vm) = (duties.store.clone(), duties.vm.clone());
     let mut candidate = LeaseCandidate::new(store, LEASE_NAME, vm, address, options);
     while !cancel.is_cancelled() {
+        // Watchers compete for the lease and tell the other nodes who has it. A node that reaches no
+        // watcher follows the object API itself, and competes too.
+        if !duties.feed.is_following() {
+            cancel.run_until_cancelled(monoio::time::sleep(LOOK_INTERVAL)).await;
+            continue;
+        }
         candidate = match candidate.try_acquire().await {
             Acquire::Held(held) => match lead(&duties, held, &cancel).await {
                 Some(candidate) => candidate,
@@ -56,7 +61,7 @@
             Acquire::HeldElsewhere(candidate, record) => {
                 let address = record.address.parse().ok();
                 let leader = address.map(|address| Leader { vm: record.holder, address });
-                duties.batch.set_leader(leader);
+                duties.feed.set_leader(leader);
                 candidate
             }
             Acquire::Failed(candidate, error) => {
@@ -81,7 +86,7 @@
     };
     log::info!(target: "lead", "lease held fencing={} previous={:?}", token.fencing(), held.previous_holder());
     let leader = Leader { vm: duties.vm.clone(), address: duties.address };
-    duties.batch.set_leader(Some(leader));
+    duties.feed.set_leader(Some(leader));
     let stop = cancel.child_token();
     let (versions, version_stop) = (duties.follower.clone(), stop.clone());
     monoio::spawn(async move { versions.versions(version_stop).await });
--- a/bins/decknode/src/nodes.rs
+++ b/bins/decknode/src/nodes.rs
@@ -2,8 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use deck_core::CancellationToken;
-use deck_fleet::NodeSettings;
+use deck_core::{CancellationToken, hash::rendezvous_score};
+use deck_fleet::{Feed, NodeSettings};
 use deck_plat::{Precondition, RelayNodes, Store, StoreError};
 use serde_json::{Value, json};
 
@@ -17,11 +17,13 @@
 /// Wait after a call that failed.
 const RETRY: Duration = Duration::from_millis(1500);
 
-/// Registers this node and keeps the list of relays up to date until `cancel` is cancelled.
+/// Registers this node and keeps the list of nodes up to date until `cancel` is cancelled. Nodes
+/// that are not watchers get the list from a watcher.
 pub async fn run(
     store: Store,
     settings: NodeSettings,
     nodes: RelayNodes,
+    feed: Feed,
     cancel: CancellationToken,
 ) {
     let pause = |wait| cancel.run_until_cancelled(monoio::time::sleep(wait));
@@ -32,24 +34,56 @@
         }
     }
     let mut wait = FIRST_READ;
+    let mut known = false;
     while pause(wait).await.is_some() {
-        wait = match store.list(NODE_KIND).await {
+        wait = READ_INTERVAL;
+        if known && !feed.is_watcher() {
+            nodes.set(feed.ranked());
+            continue;
+        }
+        match store.list(NODE_KIND).await {
             Ok((_, objects)) => {
-                let listed: Vec<SocketAddr> =
-                    objects.iter().filter_map(|object| address(&object.value)).collect();
-                nodes.set(listed);
-                READ_INTERVAL
+                let listed =
+                    objects.iter().filter_map(|object| Registered::try_read(&object.value));
+                let ranked = rank(listed.collect());
+                nodes.set(ranked.clone());
+                feed.set_ranked(ranked);
+                known = true;
             }
             Err(error) => {
                 log::info!(target: "node", "nodes not listed error={error}");
-                RETRY
+                wait = RETRY;
             }
         };
     }
 }
 
+/// Entry of a node.
+#[derive(Debug, Clone, PartialEq)]
+struct Registered {
+    address: SocketAddr,
+    cpu_share: f64,
+}
+
+impl Registered {
+    fn try_read(value: &Value) -> Option<Self> {
+        let address = value.get("address")?.as_str()?.parse().ok()?;
+        let cpu_share = value.get("cpu_share").and_then(Value::as_f64).unwrap_or(0.0);
+        Some(Self { address, cpu_share })
+    }
+}
+
+/// Sorts nodes in the order in which they are watchers: the strongest first, as the leader is one of
+/// them, and among equal ones by a hash that is the same on all nodes.
+fn rank(mut nodes: Vec<Registered>) -> Vec<SocketAddr> {
+    let hash = |node: &Registered| rendezvous_score("watcher", &node.address.to_string());
+    nodes.sort_by(|a, b| b.cpu_share.total_cmp(&a.cpu_share).then(hash(b).cmp(&hash(a))));
+    nodes.into_iter().map(|node| node.address).collect()
+}
+
 async fn register(store: &Store, settings: &NodeSettings) -> Result<(), StoreError> {
-    let value = json!({ "address": settings.peer_address });
+    let address = settings.peer_address;
+    let value = json!({ "address": address, "cpu_share": settings.cpu_share });
     match store.put(NODE_KIND, &settings.vm, Precondition::Absent, &value).await {
         Ok(_) => return Ok(()),
         Err(StoreError::Conflict(_)) => {}
@@ -62,7 +96,3 @@
     let condition = Precondition::Revision(object.revision);
     store.put(NODE_KIND, &settings.vm, condition, &value).await.map(drop)
 }
-
-fn address(value: &Value) -> Option<SocketAddr> {
-    value.get("address")?.as_str()?.parse().ok()
-}
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -14,8 +14,11 @@
 use deck_batch::{
     BatchOptions, BatchService, Ledger, RunOptions, Runner, peers::Peers, runner::RunnerParts,
 };
-use deck_core::CancellationToken;
-use deck_fleet::{Engines, FollowOptions, Follower, NodeSettings, Protocol, View};
+use deck_core::{CancellationToken, id::new_incarnation};
+use deck_fleet::{
+    Engines, Feed, FeedOptions, FollowOptions, Follower, NodeSettings, Protocol, View,
+    feed::FEED_PATH,
+};
 use deck_forward::{ForwardOptions, Forwarder};
 use deck_net::{
     Body, Client, ClientOptions, ProbeOptions, ServerOptions, bind,
@@ -79,9 +82,6 @@
         RELAY_CALL_LIMIT,
     );
     let store = Store::with_api(Rc::new(RelayedApi::new(api.clone(), nodes.clone())));
-    let (registry, own) = (store.clone(), settings.clone());
-    let token = ended.clone();
-    monoio::spawn(nodes::run(registry, own, nodes, token));
     let router = Router::new(RouterOptions {
         vm: settings.vm.clone(),
         data_centre: settings.data_centre.clone(),
@@ -93,10 +93,17 @@
     let follow_options = FollowOptions::default();
     let follower =
         Follower::new(store.clone(), view.clone(), protocol.clone(), KINDS, follow_options);
-    let (configuration, token) = (follower.clone(), ended.clone());
-    monoio::spawn(async move { configuration.configuration(token).await });
-    let (targets, token) = (follower.clone(), ended.clone());
-    monoio::spawn(async move { targets.targets(token).await });
+    let feed = Feed::new(
+        settings.peer_address,
+        new_incarnation(),
+        client.clone(),
+        follower.clone(),
+        FeedOptions::default(),
+    );
+    let (feeding, token) = (feed.clone(), ended.clone());
+    monoio::spawn(async move { feeding.run(token).await });
+    let (registry, own) = (store.clone(), settings.clone());
+    monoio::spawn(nodes::run(registry, own, nodes, feed.clone(), ended.clone()));
 
     let forward_options = ForwardOptions::default();
     let forwarder = Forwarder::new(view.clone(), client.clone(), protocol.clone(), forward_options);
@@ -114,7 +121,14 @@
     };
     let runner = Runner::start(parts, RunOptions::default(), ended.clone());
     let peers = Peers::new(client.clone());
-    let batch = BatchService::new(runner, ledger, peers, protocol.clone(), BatchOptions::default());
+    let batch = BatchService::new(
+        runner,
+        ledger,
+        peers,
+        protocol.clone(),
+        feed.clone(),
+        BatchOptions::default(),
+    );
     let giver = Giver::new(
         settings.vm.clone(),
         view.clone(),
@@ -127,7 +141,7 @@
         vm: settings.vm.clone(),
         address: settings.peer_address,
         store,
-        batch: batch.clone(),
+        feed: feed.clone(),
         giver,
         follower,
         lease: settings.bounds.lease,
@@ -143,7 +157,7 @@
         draining: draining.clone(),
     };
     serve_ready(&settings, view, protocol, draining.clone(), ended.clone())?;
-    serve_peers(&settings, batch.clone(), api, ended.clone())?;
+    serve_peers(&settings, batch.clone(), feed, api, ended.clone())?;
     let closing = CancellationToken::new();
     let served = serve_callers(&settings, front, closing.clone())?;
     monoio::spawn(watch_settings(file, settings.clone(), hangup, ended.clone()));
@@ -219,14 +233,18 @@
 fn serve_peers(
     settings: &NodeSettings,
     batch: BatchService,
+    feed: Feed,
     api: Rc<dyn ObjectApi>,
     ended: CancellationToken,
 ) -> std::io::Result<()> {
     let listener = bind(settings.peer_address)?;
     let options = ServerOptions { head_timeout: CALLER_IDLE, ..ServerOptions::default() };
     monoio::spawn(deck_net::serve(listener, options, ended, move |request| {
-        let (batch, api) = (batch.clone(), api.clone());
+        let (batch, feed, api) = (batch.clone(), feed.clone(), api.clone());
         async move {
+            if request.uri().path() == FEED_PATH {
+                return feed.serve(request.uri().query().unwrap_or_default()).await;
+            }
             if request.uri().path() == relay::RELAY_PATH {
                 return relay_call(&*api, request).await;
             }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -18,4 +18,4 @@
 
 pub use ledger::{Accepted, JobRecord, Ledger};
 pub use runner::{RunOptions, Runner};
-pub use service::{BatchOptions, BatchService, Leader};
+pub use service::{BatchOptions, BatchService};
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -11,10 +11,11 @@
 use bytes::Bytes;
 use deck_core::{
     error::{CallError, ErrorKind},
-    id::{RequestId, VmId},
+    id::RequestId,
 };
 use deck_fleet::{
-    BatchCall, BatchJob, BatchLimits, CallHead, Protocol, ResultPage, Route, RouteKind,
+    BatchCall, BatchJob, BatchLimits, CallHead, Feed, Leader, Protocol, ResultPage, Route,
+    RouteKind,
 };
 use deck_forward::error_response;
 use deck_net::{Body, server::read_body};
@@ -57,15 +58,6 @@
     }
 }
 
-/// Node that runs new jobs.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Leader {
-    /// Its VM.
-    pub vm: VmId,
-    /// Its address for other nodes.
-    pub address: SocketAddr,
-}
-
 /// Serves calls on batch jobs; clones share its state.
 #[derive(Clone)]
 pub struct BatchService {
@@ -78,7 +70,7 @@
     peers: Peers,
     protocol: Rc<dyn Protocol>,
     options: BatchOptions,
-    leader: RefCell<Option<Leader>>,
+    feed: Feed,
     /// Nodes that were last seen to run a job.
     runners: RefCell<HashMap<RequestId, SocketAddr>>,
     /// Jobs that are ended or complete, loaded for reads on this node.
@@ -103,6 +95,7 @@
         ledger: Ledger,
         peers: Peers,
         protocol: Rc<dyn Protocol>,
+        feed: Feed,
         options: BatchOptions,
     ) -> Self {
         let inner = Inner {
@@ -111,7 +104,7 @@
             peers,
             protocol,
             options,
-            leader: RefCell::default(),
+            feed,
             runners: RefCell::default(),
             settled: RefCell::default(),
             draining: Cell::new(false),
@@ -119,15 +112,6 @@
         Self { inner: Rc::new(inner) }
     }
 
-    /// Sets the node that runs new jobs.
-    pub fn set_leader(&self, leader: Option<Leader>) {
-        let changed = *self.inner.leader.borrow() != leader;
-        if changed {
-            log::info!(target: "batch", "leader is {leader:?}");
-            self.inner.leader.replace(leader);
-        }
-    }
-
     /// Takes no new jobs from other nodes from now on.
     pub fn set_draining(&self) {
         self.inner.draining.set(true);
@@ -529,7 +513,7 @@
     }
 
     fn other_leader(&self) -> Option<Leader> {
-        let leader = self.inner.leader.borrow().clone()?;
+        let leader = self.inner.feed.leader()?;
         (leader.vm != self.inner.runner.inner.vm).then_some(leader)
     }
 }
--- /dev/null
+++ b/crates/fleet/src/feed.rs
@@ -0,0 +1,358 @@
+//! Knowledge of the deployment, passed on between nodes.
+//!
+//! Each call on the object API has its price, and its rates grow more slowly than the fleet. In a
+//! large fleet only a few nodes, the watchers, follow the object API; the others ask a watcher with
+//! long polls. A watcher states how old its knowledge is, so that a node whose watcher is cut off
+//! from the object API turns to another one, or to the object API itself.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use deck_core::{CancellationToken, id::VmId};
+use deck_net::{Body, Client, NetError};
+use http::{Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use tokio::sync::watch;
+
+use crate::{Follower, Target};
+
+/// Path at which watchers serve what they know.
+pub const FEED_PATH: &str = "/peer/feed";
+/// Largest page of a feed.
+const MAX_PAGE_BYTES: usize = 16 * 1024 * 1024;
+
+/// Node that runs new batch jobs and gives orders.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Leader {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its address for other nodes.
+    pub address: SocketAddr,
+}
+
+/// Options of a [`Feed`].
+#[derive(Debug, Clone)]
+pub struct FeedOptions {
+    /// Fleets of at most this many nodes have no feeds: all nodes are watchers.
+    pub all_watch: usize,
+    /// Watchers of a larger fleet.
+    pub watchers: usize,
+    /// Time after which a watcher's own watch tells that there are no changes.
+    pub watch_wait: Duration,
+    /// Time for which a question to a watcher waits for a change.
+    pub poll_wait: Duration,
+    /// Age at which a watcher's knowledge is too old. With the waits above, a change is known
+    /// everywhere in less than the two seconds that deployments allow.
+    pub max_age: Duration,
+    /// Pause between two questions.
+    pub pause: Duration,
+    /// Time for which a node follows the object API itself after no watcher had an answer.
+    pub fallback: Duration,
+}
+
+impl Default for FeedOptions {
+    fn default() -> Self {
+        Self {
+            all_watch: 10,
+            watchers: 4,
+            watch_wait: Duration::from_millis(900),
+            poll_wait: Duration::from_millis(500),
+            max_age: Duration::from_millis(1500),
+            pause: Duration::from_millis(50),
+            fallback: Duration::from_secs(5),
+        }
+    }
+}
+
+/// One answer of a watcher.
+#[derive(Debug, Serialize, Deserialize)]
+struct Page {
+    /// Distinguishes the runs of a watcher's process.
+    epoch: u64,
+    /// Number of the watcher's changes.
+    changes: u64,
+    /// Age of what the watcher knows.
+    age_ms: u64,
+    /// Configuration, if the asking node has an older one.
+    configuration: Option<Value>,
+    /// Targets, if something changed.
+    targets: Option<Vec<Target>>,
+    /// Leader, if known.
+    leader: Option<Leader>,
+    /// Nodes of the fleet.
+    nodes: Vec<SocketAddr>,
+}
+
+/// Passes on and receives knowledge; clones share their state.
+#[derive(Clone)]
+pub struct Feed {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    own: SocketAddr,
+    epoch: u64,
+    client: Client,
+    follower: Follower,
+    options: FeedOptions,
+    /// Nodes in the order in which they are watchers.
+    ranked: RefCell<Vec<SocketAddr>>,
+    leader: watch::Sender<Option<Leader>>,
+    is_watching: Cell<bool>,
+}
+
+impl Feed {
+    /// Returns a feed for the node at `own`.
+    pub fn new(
+        own: SocketAddr,
+        epoch: u64,
+        client: Client,
+        follower: Follower,
+        options: FeedOptions,
+    ) -> Self {
+        let inner = Inner {
+            own,
+            epoch,
+            client,
+            follower,
+            options,
+            ranked: RefCell::default(),
+            leader: watch::channel(None).0,
+            is_watching: Cell::new(false),
+        };
+        Self { inner: Rc::new(inner) }
+    }
+
+    /// Sets the nodes of the fleet, in the order in which they are watchers.
+    pub fn set_ranked(&self, nodes: Vec<SocketAddr>) {
+        self.inner.ranked.replace(nodes);
+    }
+
+    /// Returns the nodes of the fleet, in the order in which they are watchers.
+    pub fn ranked(&self) -> Vec<SocketAddr> {
+        self.inner.ranked.borrow().clone()
+    }
+
+    /// Takes note of the leader.
+    pub fn set_leader(&self, leader: Option<Leader>) {
+        self.inner.leader.send_if_modified(|known| {
+            let changed = *known != leader;
+            if changed {
+                log::info!(target: "fleet", "leader is {leader:?}");
+                *known = leader;
+            }
+            changed
+        });
+    }
+
+    /// Returns the leader as last known.
+    pub fn leader(&self) -> Option<Leader> {
+        self.inner.leader.borrow().clone()
+    }
+
+    /// Returns whether this node is a watcher. A node that does not know the fleet yet is one.
+    pub fn is_watcher(&self) -> bool {
+        self.watchers().is_none_or(|watchers| watchers.contains(&self.inner.own))
+    }
+
+    /// Returns whether this node follows the object API itself now.
+    pub fn is_following(&self) -> bool {
+        self.inner.is_watching.get()
+    }
+
+    /// Returns the watchers; `None` if all nodes are.
+    fn watchers(&self) -> Option<Vec<SocketAddr>> {
+        let ranked = self.inner.ranked.borrow();
+        let options = &self.inner.options;
+        (ranked.len() > options.all_watch)
+            .then(|| ranked.iter().take(options.watchers).copied().collect())
+    }
+
+    /// Follows the object API as a watcher and watchers otherwise, until `cancel` is cancelled.
+    pub async fn run(&self, cancel: CancellationToken) {
+        while !cancel.is_cancelled() {
+            let Some(watchers) = self.watchers().filter(|_| !self.is_watcher()) else {
+                self.watch_until(&cancel, None).await;
+                continue;
+            };
+            if cancel.run_until_cancelled(self.ask(&watchers)).await.is_none() {
+                return;
+            }
+            if !cancel.is_cancelled() && !self.is_watcher() {
+                let until = Instant::now() + self.inner.options.fallback;
+                self.watch_until(&cancel, Some(until)).await;
+            }
+        }
+    }
+
+    /// Follows the object API while this node is a watcher, and until `until`.
+    async fn watch_until(&self, cancel: &CancellationToken, until: Option<Instant>) {
+        let inner = &self.inner;
+        let stop = cancel.child_token();
+        let feeds_others = self.watchers().is_some() && until.is_none();
+        inner.follower.set_watch_wait(feeds_others.then_some(inner.options.watch_wait));
+        inner.is_watching.set(true);
+        let (follower, token) = (inner.follower.clone(), stop.clone());
+        monoio::spawn(async move { follower.configuration(token).await });
+        let (follower, token) = (inner.follower.clone(), stop.clone());
+        monoio::spawn(async move { follower.targets(token).await });
+        loop {
+            let tick = monoio::time::sleep(inner.options.poll_wait);
+            if cancel.run_until_cancelled(tick).await.is_none() {
+                return;
+            }
+            let ends = until.map_or(!self.is_watcher(), |until| Instant::now() >= until);
+            let feeds_now = self.watchers().is_some() && until.is_none();
+            if ends || feeds_now != feeds_others {
+                break;
+            }
+        }
+        inner.is_watching.set(false);
+        stop.cancel();
+    }
+
+    /// Asks watchers for changes, until none of them has an answer that is recent enough.
+    async fn ask(&self, watchers: &[SocketAddr]) {
+        let inner = &self.inner;
+        // Each node begins with another watcher.
+        let offset = inner.own.ip().to_string().bytes().map(usize::from).sum::<usize>();
+        let mut failed = 0;
+        let mut next = offset;
+        let mut position = None;
+        while failed < watchers.len() && !self.is_watcher() {
+            let node = watchers[next % watchers.len()];
+            match self.ask_one(node, position).await {
+                Ok(page) if Duration::from_millis(page.age_ms) <= inner.options.max_age => {
+                    failed = 0;
+                    position = Some((page.epoch, page.changes));
+                    self.apply(page);
+                    monoio::time::sleep(inner.options.pause).await;
+                }
+                Ok(page) => {
+                    log::info!(target: "fleet", "watcher is behind node={node} age_ms={}", page.age_ms);
+                    failed += 1;
+                    next += 1;
+                    position = None;
+                }
+                Err(error) => {
+                    log::info!(target: "fleet", "watcher does not answer node={node} error={error}");
+                    failed += 1;
+                    next += 1;
+                    position = None;
+                }
+            }
+        }
+    }
+
+    async fn ask_one(
+        &self,
+        node: SocketAddr,
+        position: Option<(u64, u64)>,
+    ) -> Result<Page, NetError> {
+        let inner = &self.inner;
+        let version = inner.follower.view.configuration().map_or(0, |c| c.version);
+        let (epoch, changes) = position.unwrap_or((0, 0));
+        let wait = inner.options.poll_wait;
+        let path = format!(
+            "{FEED_PATH}?epoch={epoch}&changes={changes}&configuration={version}&wait_ms={}",
+            wait.as_millis()
+        );
+        let request = Request::builder()
+            .uri(path)
+            .body(Body::empty())
+            .map_err(|error| NetError::Decode(error.to_string()))?;
+        let exchange = async {
+            let response = inner.client.send(node, request).await?;
+            if response.status != StatusCode::OK {
+                return Err(NetError::Decode(format!("status {}", response.status)));
+            }
+            let bytes = response.collect(MAX_PAGE_BYTES).await?;
+            ciborium::from_reader(&*bytes).map_err(|error| NetError::Decode(error.to_string()))
+        };
+        let limit = wait + inner.options.poll_wait;
+        match monoio::time::timeout(limit, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(NetError::Exchange(node, "no answer in time".to_owned())),
+        }
+    }
+
+    fn apply(&self, page: Page) {
+        let follower = &self.inner.follower;
+        if let Some(configuration) = &page.configuration {
+            follower.apply_configuration(configuration);
+        }
+        if let Some(targets) = page.targets {
+            follower.view.copy_targets(targets, Instant::now());
+        }
+        if page.leader.is_some() {
+            self.set_leader(page.leader);
+        }
+        if !page.nodes.is_empty() {
+            self.set_ranked(page.nodes);
+        }
+    }
+
+    /// Answers another node's question.
+    pub async fn serve(&self, query: &str) -> Response<Body> {
+        let inner = &self.inner;
+        if !inner.is_watching.get() {
+            return status_only(StatusCode::NOT_FOUND);
+        }
+        let parameter = |name| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).and_then(|(_, value)| value.parse::<u64>().ok())
+        };
+        let known = parameter("changes").unwrap_or(0);
+        let same_epoch = parameter("epoch") == Some(inner.epoch);
+        let view = &inner.follower.view;
+        let mut changes = view.changes();
+        if same_epoch && view.change_count() == known {
+            let wait = Duration::from_millis(parameter("wait_ms").unwrap_or(0));
+            let wait = wait.min(inner.options.poll_wait);
+            let _ = monoio::time::timeout(wait, changes.changed()).await;
+        }
+        let kinds = [inner.follower.kinds.configuration, inner.follower.kinds.targets];
+        let age = inner.follower.freshness.age(&kinds, Instant::now());
+        let Some(age) = age else { return status_only(StatusCode::SERVICE_UNAVAILABLE) };
+        let changed = !same_epoch || view.change_count() != known;
+        let version = view.configuration().map_or(0, |configuration| configuration.version);
+        let newer = version > parameter("configuration").unwrap_or(0);
+        let page = Page {
+            epoch: inner.epoch,
+            changes: view.change_count(),
+            age_ms: age.as_millis() as u64,
+            configuration: inner
+                .follower
+                .freshness
+                .configuration
+                .borrow()
+                .clone()
+                .filter(|_| newer),
+            targets: changed
+                .then(|| view.targets().iter().map(|target| (**target).clone()).collect()),
+            leader: self.leader(),
+            nodes: self.ranked(),
+        };
+        let mut encoded = Vec::new();
+        match ciborium::into_writer(&page, &mut encoded) {
+            Ok(()) => Response::new(Body::full(Bytes::from(encoded))),
+            Err(error) => {
+                log::error!(target: "fleet", "page not encoded error={error}");
+                status_only(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        }
+    }
+}
+
+fn status_only(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -1,12 +1,15 @@
 //! Following the kinds of objects that platform and operators write.
 
 use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use deck_core::{CancellationToken, id::Revision};
 use deck_plat::{Backoff, Object, Store, StoreError, WatchEvent};
+use serde_json::Value;
 
 use crate::{Protocol, View};
 
@@ -31,11 +34,17 @@
     pub pause: Duration,
     /// Longest wait between two tries while the object API does not answer.
     pub max_retry: Duration,
+    /// Time after which a watch tells that there are no changes.
+    pub watch_wait: Duration,
 }
 
 impl Default for FollowOptions {
     fn default() -> Self {
-        Self { pause: Duration::from_millis(250), max_retry: Duration::from_millis(600) }
+        Self {
+            pause: Duration::from_millis(400),
+            max_retry: Duration::from_millis(600),
+            watch_wait: Duration::from_secs(10),
+        }
     }
 }
 
@@ -69,13 +78,35 @@
     backoff: Backoff,
 }
 
+/// When each kind was last known to be up to date.
+#[derive(Default)]
+pub(crate) struct Freshness {
+    checked_at: RefCell<HashMap<&'static str, Instant>>,
+    /// Raw configuration with the highest version, for other nodes.
+    pub(crate) configuration: RefCell<Option<Value>>,
+}
+
+impl Freshness {
+    /// Returns the age of what is known of the kinds; `None` if one was never listed.
+    pub(crate) fn age(&self, kinds: &[&'static str], now: Instant) -> Option<Duration> {
+        let checked_at = self.checked_at.borrow();
+        let ages = kinds
+            .iter()
+            .map(|kind| checked_at.get(kind).map(|at| now.saturating_duration_since(*at)));
+        ages.collect::<Option<Vec<_>>>()?.into_iter().max()
+    }
+}
+
 /// Keeps a [`View`] up to date from the object API.
 #[derive(Clone)]
 pub struct Follower {
+    pub(crate) freshness: Rc<Freshness>,
+    /// Time after which a watch tells that there are no changes.
+    watch_wait: Rc<Cell<Duration>>,
     store: Store,
-    view: View,
+    pub(crate) view: View,
     protocol: Rc<dyn Protocol>,
-    kinds: Kinds,
+    pub(crate) kinds: Kinds,
     options: FollowOptions,
 }
 
@@ -88,7 +119,30 @@
         kinds: Kinds,
         options: FollowOptions,
     ) -> Self {
-        Self { store, view, protocol, kinds, options }
+        let watch_wait = Rc::new(Cell::new(options.watch_wait));
+        let freshness = Rc::default();
+        Self { freshness, watch_wait, store, view, protocol, kinds, options }
+    }
+
+    /// Sets the time after which a watch tells that there are no changes. A node that passes on what
+    /// it knows has to know soon that it is up to date.
+    pub fn set_watch_wait(&self, wait: Option<Duration>) {
+        self.watch_wait.set(wait.unwrap_or(self.options.watch_wait));
+    }
+
+    /// Puts a raw configuration in force, unless a later one already is.
+    pub(crate) fn apply_configuration(&self, value: &Value) {
+        match self.protocol.configuration(value) {
+            Ok(configuration) => {
+                let newer =
+                    self.view.configuration().is_none_or(|c| c.version < configuration.version);
+                if newer {
+                    self.freshness.configuration.replace(Some(value.clone()));
+                }
+                self.view.set_configuration(configuration);
+            }
+            Err(error) => log::error!(target: "fleet", "configuration not read error={error}"),
+        }
     }
 
     /// Follows the configuration until `cancel` is cancelled.
@@ -100,13 +154,7 @@
                 Change::Deleted(_) => Vec::new(),
             };
             for object in objects {
-                match self.protocol.configuration(&object.value) {
-                    Ok(configuration) => self.view.set_configuration(configuration),
-                    Err(error) => {
-                        let name = &object.name;
-                        log::error!(target: "fleet", "configuration not read name={name} {error}");
-                    }
-                }
+                self.apply_configuration(&object.value);
             }
         };
         self.follow(self.kinds.configuration, apply, cancel).await;
@@ -218,7 +266,7 @@
                 revision
             }
         };
-        let mut watch = self.store.watch(&[state.kind], from).await?;
+        let mut watch = self.store.watch_for(&[state.kind], from, self.watch_wait.get()).await?;
         loop {
             let next = match state.list_again_at {
                 None => watch.next().await,
@@ -250,6 +298,7 @@
     }
 
     fn answered(&self, state: &mut Followed) {
+        self.freshness.checked_at.borrow_mut().insert(state.kind, Instant::now());
         state.backoff.reset();
         if std::mem::take(&mut state.outage) {
             let now = Instant::now();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod config;
 pub mod engines;
+pub mod feed;
 pub mod follow;
 pub mod node;
 pub mod protocol;
@@ -13,6 +14,7 @@
 
 pub use config::{CallerLimits, Configuration, Engine, Route, RouteKind, Service};
 pub use engines::{EngineState, Engines, RunGuard};
+pub use feed::{Feed, FeedOptions, Leader};
 pub use follow::{FollowOptions, Follower, Kinds};
 pub use node::{Bounds, NodeSettings};
 pub use protocol::{
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -21,6 +21,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the object API.
     pub object_api: SocketAddr,
+    /// Part of a core that the VM has.
+    pub cpu_share: f64,
     /// Largest object in bytes.
     pub max_object_bytes: usize,
     /// Folder for data, on VMs with a disk.
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -4,10 +4,14 @@
 
 use deck_core::id::{DataCentreId, PoolName, TargetId, WeightVersion};
 
+use serde::{Deserialize, Serialize};
+
 use crate::config::ModelName;
 
 /// Whether a target takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum TargetState {
     /// Takes work.
     Ready,
@@ -17,6 +21,7 @@
 
 /// One target.
 #[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Target {
     /// Id of this run of the target.
     pub id: TargetId,
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -75,6 +75,16 @@
         targets.values().filter(|target| target.service == service).cloned().collect()
     }
 
+    /// Returns all targets.
+    pub fn targets(&self) -> Vec<Rc<Target>> {
+        self.inner.targets.borrow().values().cloned().collect()
+    }
+
+    /// Returns the number of changes so far.
+    pub fn change_count(&self) -> u64 {
+        *self.inner.changes.borrow()
+    }
+
     /// Returns the last version that was named for a model.
     pub fn named_version(&self, model: &str) -> Option<WeightVersion> {
         self.inner.versions.borrow().get(model).copied()
@@ -185,6 +195,14 @@
         }
     }
 
+    /// Replaces all targets by those that another node knows. Unlike a list of the object API, it has
+    /// no gaps after an outage.
+    pub fn copy_targets(&self, targets: Vec<Target>, now: Instant) {
+        self.inner.missing.borrow_mut().clear();
+        self.inner.returned_at.set(None);
+        self.set_targets(targets, now);
+    }
+
     fn put_target(&self, target: Target) -> bool {
         self.inner.missing.borrow_mut().remove(&target.id);
         let mut targets = self.inner.targets.borrow_mut();
--- a/crates/plat/src/native.rs
+++ b/crates/plat/src/native.rs
@@ -252,6 +252,7 @@
         &'a self,
         kinds: &'a [&'a str],
         from: Revision,
+        _wait: Duration,
     ) -> LocalBoxFuture<'a, Result<Watch, StoreError>> {
         self.try_watch(kinds, from).boxed_local()
     }
--- a/crates/plat/src/relay.rs
+++ b/crates/plat/src/relay.rs
@@ -363,6 +363,7 @@
         &'a self,
         kinds: &'a [&'a str],
         from: Revision,
+        wait: Duration,
     ) -> LocalBoxFuture<'a, Result<Watch, StoreError>> {
         if self.inner.is_suspect.get() {
             let relist = async {
@@ -374,7 +375,7 @@
         let suspect = self.inner.suspect.borrow().clone();
         let api = self.clone();
         async move {
-            let watch = api.inner.direct.watch(kinds, from).await?;
+            let watch = api.inner.direct.watch(kinds, from, wait).await?;
             let events = stream::unfold((watch, false), move |(mut watch, ended)| {
                 let (api, suspect) = (api.clone(), suspect.clone());
                 async move {
--- a/crates/plat/src/store.rs
+++ b/crates/plat/src/store.rs
@@ -91,6 +91,10 @@
     Bookmark(Revision),
 }
 
+/// Time that a watch waits for a change. It bounds how long a silent connection goes unnoticed where
+/// the probes of the connection fail to notice it.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+
 /// How recent a read has to be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Freshness {
@@ -143,11 +147,13 @@
         revision: Revision,
     ) -> LocalBoxFuture<'a, Result<(), StoreError>>;
 
-    /// Starts a watch of `kinds` after revision `from`.
+    /// Starts a watch of `kinds` after revision `from`. A provider that answers each batch of
+    /// changes by itself answers after `wait` also if there are none.
     fn watch<'a>(
         &'a self,
         kinds: &'a [&'a str],
         from: Revision,
+        wait: Duration,
     ) -> LocalBoxFuture<'a, Result<Watch, StoreError>>;
 }
 
@@ -258,7 +264,22 @@
     ///
     /// Returns [`StoreError::Compacted`] if the events after `from` are no longer kept.
     pub async fn watch(&self, kinds: &[&str], from: Revision) -> Result<Watch, StoreError> {
-        self.api.watch(kinds, from).await
+        self.watch_for(kinds, from, WATCH_WAIT).await
+    }
+
+    /// Starts a watch that tells at least every `wait` that there are no changes, if the provider
+    /// can do so.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::watch`].
+    pub async fn watch_for(
+        &self,
+        kinds: &[&str],
+        from: Revision,
+        wait: Duration,
+    ) -> Result<Watch, StoreError> {
+        self.api.watch(kinds, from, wait).await
     }
 
     /// Deletes an object if it still has `revision`.
