Assign each engine to one model; load engines that are of no use first

Cause: every engine followed every model and the loads of three models saturated the engines that may load at a time; whole steps failed because no engine had a version that they allow.

--- a/crates/swap/src/giver.rs
+++ b/crates/swap/src/giver.rs
@@ -17,7 +17,7 @@
 use deck_plat::LeaseToken;
 use http::{Request, StatusCode};
 
-use crate::plan::{EngineVersion, PlanOptions, plan};
+use crate::plan::{EngineVersions, NamedModel, PlanOptions, plan};
 
 /// Options of a [`Giver`].
 #[derive(Debug, Clone)]
@@ -43,7 +43,7 @@
             plan: PlanOptions::default(),
             call_limit: Duration::from_millis(800),
             first_look: Duration::from_millis(900),
-            look_interval: Duration::from_millis(200),
+            look_interval: Duration::from_millis(80),
             order_limit: Duration::from_secs(5),
             round: Duration::from_millis(500),
         }
@@ -112,29 +112,33 @@
         self.inner.engines.retain_known(&self.inner.view);
         for service in configuration.services.values() {
             let Some(engine) = &service.engine else { continue };
-            for model in &engine.models {
-                let Some(named) = self.inner.view.named_version(model) else { continue };
-                let targets = self.inner.view.targets_of(&service.name);
-                let ready = targets.iter().filter(|target| target.state == TargetState::Ready);
-                let states: Vec<EngineVersion> =
-                    ready.map(|target| self.engine_version(target, model)).collect();
-                for id in plan(&states, named, &self.inner.options.plan) {
-                    if let Some(target) = targets.iter().find(|target| target.id == id) {
-                        self.start_order(target.clone(), model, named, token, stop);
-                    }
+            let named = |name: &String| NamedModel {
+                name: name.clone(),
+                named: self.inner.view.named_version(name),
+                demand: 1.0,
+            };
+            let models: Vec<NamedModel> = engine.models.iter().map(named).collect();
+            let targets = self.inner.view.targets_of(&service.name);
+            let ready = targets.iter().filter(|target| target.state == TargetState::Ready);
+            let states: Vec<EngineVersions> =
+                ready.map(|target| self.engine_versions(target, &models)).collect();
+            for change in plan(&states, &models, &self.inner.options.plan) {
+                if let Some(target) = targets.iter().find(|target| target.id == change.target) {
+                    let model = &models[change.model].name;
+                    self.start_order(target.clone(), model, change.version, token, stop);
                 }
             }
         }
     }
 
-    fn engine_version(&self, target: &Target, model: &str) -> EngineVersion {
-        let changing = self.inner.engines.changing(target);
-        EngineVersion {
+    fn engine_versions(&self, target: &Target, models: &[NamedModel]) -> EngineVersions {
+        let engines = &self.inner.engines;
+        let version = |model: &NamedModel| engines.version(target, &model.name);
+        EngineVersions {
             target: target.id.clone(),
-            version: self.inner.engines.version(target, model),
-            loading: changing.is_some(),
-            loading_this: changing.as_deref() == Some(model),
-            running: self.inner.engines.state(target).running,
+            versions: models.iter().map(version).collect(),
+            loading: engines.changing(target).is_some(),
+            free_slots: target.slots.saturating_sub(engines.state(target).running),
         }
     }
 
--- a/crates/swap/src/lib.rs
+++ b/crates/swap/src/lib.rs
@@ -4,4 +4,4 @@
 pub mod plan;
 
 pub use giver::{Giver, SwapOptions};
-pub use plan::{EngineVersion, PlanOptions, plan};
+pub use plan::{Change, EngineVersions, NamedModel, PlanOptions, plan};
--- a/crates/swap/src/plan.rs
+++ b/crates/swap/src/plan.rs
@@ -1,74 +1,164 @@
-//! Which engines change to a newly named version, and when.
+//! Which engines change to newly named versions, and when.
 
-use deck_core::id::{TargetId, WeightVersion};
+use std::cmp::Reverse;
+
+use deck_core::{
+    hash::rendezvous_score,
+    id::{TargetId, WeightVersion},
+};
 
 /// Options of [`plan`].
 #[derive(Debug, Clone)]
 pub struct PlanOptions {
     /// Versions that an engine may be behind the named one and still generate for its step.
     pub usable_lag: u64,
-    /// Part of the engines that has the newest version once all orders are carried out. Engines
-    /// that change at every second version leave the other half free to serve meanwhile, and halve
-    /// the loads.
-    pub newest_part: f64,
     /// Part of the engines that load at the same time; more slow each other down.
     pub loading_part: f64,
 }
 
 impl Default for PlanOptions {
     fn default() -> Self {
-        Self { usable_lag: 1, newest_part: 0.5, loading_part: 0.2 }
+        Self { usable_lag: 1, loading_part: 0.2 }
     }
 }
 
 /// One engine as the planner sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct EngineVersion {
+pub struct EngineVersions {
     /// The engine.
     pub target: TargetId,
-    /// Version of the model; `None` if the engine does not have it.
-    pub version: Option<WeightVersion>,
-    /// An order for any model is being carried out.
+    /// Versions of the models, in the order of the models; `None` if the engine does not have one.
+    pub versions: Vec<Option<WeightVersion>>,
+    /// Whether an order is being carried out.
     pub loading: bool,
-    /// An order for this model is being carried out.
-    pub loading_this: bool,
-    /// Runs on the engine.
-    pub running: u32,
+    /// Slots that are not taken.
+    pub free_slots: u32,
+}
+
+/// One model as the planner sees it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NamedModel {
+    /// Name.
+    pub name: String,
+    /// Version that was named last; `None` if none was.
+    pub named: Option<WeightVersion>,
+    /// Part of the work that is for this model, compared with the other models.
+    pub demand: f64,
+}
+
+/// Change of one engine to a version of one model.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// The engine.
+    pub target: TargetId,
+    /// Index of the model.
+    pub model: usize,
+    /// Version to load.
+    pub version: WeightVersion,
 }
 
-/// Returns the engines that are to change to `named` now, the most urgent first.
+/// Returns the changes to begin now, the most urgent first.
+///
+/// Each engine is assigned to one model and follows only that model's versions: loads are the
+/// scarcest resource where trainers name a version every few seconds. Engines that can no longer
+/// generate for the newest step come first, those of the model with the fewest usable engines before
+/// others. Engines that are usable change in the remaining room, the fullest first, because an
+/// engine starts no new runs while it loads.
 pub fn plan(
-    engines: &[EngineVersion],
-    named: WeightVersion,
+    engines: &[EngineVersions],
+    models: &[NamedModel],
     options: &PlanOptions,
-) -> Vec<TargetId> {
-    let count = engines.len();
+) -> Vec<Change> {
     let loading = engines.iter().filter(|engine| engine.loading).count();
-    let room = max_loading(count, options).saturating_sub(loading);
-    let lag = |engine: &EngineVersion| named.saturating_sub(engine.version.unwrap_or(0));
-    let have = engines.iter().filter(|engine| lag(engine) == 0 || engine.loading_this).count();
-    let wanted = (count as f64 * options.newest_part).round() as usize;
-    let mut free: Vec<&EngineVersion> = engines
-        .iter()
-        .filter(|engine| !engine.loading && engine.version.is_some() && lag(engine) > 0)
-        .collect();
-    free.sort_by(|a, b| {
-        lag(b).cmp(&lag(a)).then(a.running.cmp(&b.running)).then_with(|| a.target.cmp(&b.target))
-    });
-    let mut extra = wanted.saturating_sub(have);
-    let mut chosen = Vec::new();
-    for engine in free {
-        let is_useless = lag(engine) > options.usable_lag;
-        if chosen.len() >= room || (!is_useless && extra == 0) {
-            break;
+    let room = max_loading(engines.len(), options).saturating_sub(loading);
+    if room == 0 {
+        return Vec::new();
+    }
+    let assigned = assign(engines, models);
+    let lag = |engine: &EngineVersions, model: usize| {
+        let named = models[model].named?;
+        Some(named.saturating_sub(engine.versions[model]?))
+    };
+    let usable = |model: usize| {
+        let can = |engine: &&EngineVersions| {
+            lag(engine, model).is_some_and(|lag| lag <= options.usable_lag)
+        };
+        engines.iter().filter(can).count()
+    };
+    let usable: Vec<usize> = (0..models.len()).map(usable).collect();
+    let mut behind: Vec<(usize, usize, u64)> = Vec::new();
+    for (index, engine) in engines.iter().enumerate().filter(|(_, engine)| !engine.loading) {
+        let Some(model) = assigned[index] else { continue };
+        if let Some(lag) = lag(engine, model).filter(|lag| *lag > 0) {
+            behind.push((index, model, lag));
         }
-        extra = extra.saturating_sub(1);
-        chosen.push(engine.target.clone());
     }
-    chosen
+    behind.sort_by_key(|(index, model, lag)| {
+        let is_useless = *lag > options.usable_lag;
+        let order = if is_useless { usable[*model] as u32 } else { engines[*index].free_slots };
+        (Reverse(is_useless), order, Reverse(*lag), engines[*index].target.clone())
+    });
+    let change = |(index, model, _): (usize, usize, u64)| {
+        let version = models[model].named?;
+        Some(Change { target: engines[index].target.clone(), model, version })
+    };
+    behind.into_iter().filter_map(change).take(room).collect()
 }
 
 /// Returns how many of `count` engines load at the same time.
 pub fn max_loading(count: usize, options: &PlanOptions) -> usize {
     ((count as f64 * options.loading_part).ceil() as usize).max(1)
 }
+
+/// Assigns each engine to a model: returns the model's index for each engine.
+///
+/// The models take turns and pick the engine with their newest version, so assignments stay once
+/// they are made. Each model gets engines in proportion to its demand.
+pub fn assign(engines: &[EngineVersions], models: &[NamedModel]) -> Vec<Option<usize>> {
+    let mut assigned = vec![None; engines.len()];
+    let mut quotas = quotas(engines.len(), models);
+    loop {
+        let mut picked = false;
+        for (model, named) in models.iter().enumerate() {
+            if quotas[model] == 0 {
+                continue;
+            }
+            let free = (0..engines.len()).filter(|index| {
+                assigned[*index].is_none() && engines[*index].versions[model].is_some()
+            });
+            let best = free.max_by_key(|index| {
+                let engine = &engines[*index];
+                (engine.versions[model], rendezvous_score(&named.name, &engine.target))
+            });
+            if let Some(index) = best {
+                assigned[index] = Some(model);
+                quotas[model] -= 1;
+                picked = true;
+            }
+        }
+        if !picked {
+            return assigned;
+        }
+    }
+}
+
+/// Returns the number of engines for each model; each gets at least half of an equal part.
+fn quotas(count: usize, models: &[NamedModel]) -> Vec<usize> {
+    let total: f64 = models.iter().map(|model| model.demand).sum();
+    let equal = 1.0 / models.len().max(1) as f64;
+    let part = |model: &NamedModel| {
+        let wanted = if total > 0.0 { model.demand / total } else { equal };
+        wanted.max(equal / 2.0)
+    };
+    let parts: Vec<f64> = models.iter().map(part).collect();
+    let sum: f64 = parts.iter().sum();
+    let exact: Vec<f64> = parts.iter().map(|part| part / sum * count as f64).collect();
+    let mut quotas: Vec<usize> = exact.iter().map(|quota| quota.floor() as usize).collect();
+    let mut order: Vec<usize> = (0..models.len()).collect();
+    order.sort_by(|a, b| exact[*b].fract().total_cmp(&exact[*a].fract()));
+    let left = count - quotas.iter().sum::<usize>();
+    for index in order.into_iter().cycle().take(if models.is_empty() { 0 } else { left }) {
+        quotas[index] += 1;
+    }
+    quotas
+}
