--- a/crates/batch/src/publish.rs
+++ b/crates/batch/src/publish.rs
@@ -114,12 +114,20 @@
         return Ok(());
     }
     // A runner before this one may still have stored a chunk shortly after the change of runner.
-    let chunk = job.chunks.get();
-    if job.taken_over_at.is_some_and(|at| at.elapsed() < inner.options.takeover_settle)
-        && let Some(results) = inner.ledger.chunk(&job.id, chunk).await?
-    {
-        job.list(chunk, results.into_iter().map(Rc::new).collect());
+    if job.taken_over_at.is_some_and(|at| at.elapsed() < inner.options.takeover_settle) {
+        list_stored(inner, job).await?;
     }
     job.confirmed_at.set(started);
     Ok(())
 }
+
+/// Lists the chunks that are stored beyond those that are listed.
+pub(crate) async fn list_stored(inner: &Inner, job: &Job) -> Result<(), StoreError> {
+    loop {
+        let chunk = job.chunks.get();
+        match inner.ledger.chunk(&job.id, chunk).await? {
+            Some(results) => job.list(chunk, results.into_iter().map(Rc::new).collect()),
+            None => return Ok(()),
+        }
+    }
+}
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -180,9 +180,7 @@
         let mut job = Job::new(id.to_owned(), record, revision, items);
         job.taken_over_at = Some(Instant::now());
         let job = Rc::new(job);
-        while let Some(results) = ledger.chunk(id, job.chunks.get()).await? {
-            job.list(job.chunks.get(), results.into_iter().map(Rc::new).collect());
-        }
+        publish::list_stored(&self.inner, &job).await?;
         if let Some(known) = self.job(id) {
             return Ok(known);
         }
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -352,9 +352,7 @@
     ) -> Result<Rc<Job>, StoreError> {
         let items = self.inner.ledger.items(id, &record).await?;
         let job = Rc::new(Job::new(id.to_owned(), record, revision, items));
-        while let Some(results) = self.inner.ledger.chunk(id, job.chunks.get()).await? {
-            job.list(job.chunks.get(), results.into_iter().map(Rc::new).collect());
-        }
+        publish::list_stored(&self.inner.runner.inner, &job).await?;
         job.stop.cancel();
         self.inner.settled.borrow_mut().insert(id.to_owned(), job.clone());
         Ok(job)
@@ -365,9 +363,12 @@
         let mut positions = job.positions.subscribe();
         loop {
             let listed = job.listed.borrow().len();
-            if listed > from || job.is_complete() || job.is_ended() {
+            if listed > from || job.is_complete() {
                 return self.page(job, from);
             }
+            if job.is_ended() {
+                return self.read_ended(job, from).await;
+            }
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 break;
@@ -386,6 +387,19 @@
         self.page(job, from)
     }
 
+    /// Reads a job that was ended. Its runner may have stored a last chunk while this node loaded it.
+    async fn read_ended(&self, job: &Rc<Job>, from: usize) -> Response<Body> {
+        if job.confirmed_at.get().elapsed() >= self.inner.options.sure_for {
+            let started = Instant::now();
+            if let Err(error) = publish::list_stored(&self.inner.runner.inner, job).await {
+                log::info!(target: "batch", "read not sure job={} error={error}", job.id);
+                return unsure(&job.id);
+            }
+            job.confirmed_at.set(started);
+        }
+        self.page(job, from)
+    }
+
     fn page(&self, job: &Job, from: usize) -> Response<Body> {
         let listed = job.listed.borrow();
         let from = from.min(listed.len());
