--- a/crates/batch/src/ledger.rs
+++ b/crates/batch/src/ledger.rs
@@ -207,7 +207,7 @@
         }
     }
 
-    /// Returns how many of the results fit into one chunk, at least one.
+    /// Returns how many of the results fit into one chunk, at least one if there are any.
     pub fn fitting(&self, results: &[Rc<ItemResult>]) -> usize {
         let limit = self.max_object_bytes * FILL_PERCENT / 100;
         let mut bytes = 0;
@@ -216,7 +216,7 @@
             bytes += result.text.len() * 11 / 10 + 256;
             bytes <= limit
         };
-        results.iter().take_while(fits).count().max(1)
+        results.iter().take_while(fits).count().max(1).min(results.len())
     }
 
     fn split(&self, items: &[Item]) -> Vec<Vec<Item>> {
--- a/crates/batch/src/publish.rs
+++ b/crates/batch/src/publish.rs
@@ -29,6 +29,10 @@
             let unlisted = job.unlisted.borrow();
             unlisted[..inner.ledger.fitting(&unlisted)].to_vec()
         };
+        // Another runner may have stored these results meanwhile.
+        if batch.is_empty() {
+            continue;
+        }
         let chunk = job.chunks.get();
         match inner.ledger.append(&job.id, chunk, &batch).await {
             Ok(Stored::AsGiven) => {
