--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeSet,
+    collections::{BTreeSet, HashSet},
     rc::Rc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -30,6 +30,8 @@
     pub taken_over_at: Option<Instant>,
     /// When the record last showed that this node runs the job.
     pub confirmed_at: Cell<Instant>,
+    /// Number of groups.
+    pub groups: usize,
     /// Items without a listed result. Invariant: an item is here or in `listed`, never in both.
     pub items: RefCell<Vec<Rc<ItemRun>>>,
     /// Results at their positions; positions never change.
@@ -139,6 +141,7 @@
             submitted_at: now.checked_sub(age).unwrap_or(now),
             taken_over_at: None,
             confirmed_at: Cell::new(now),
+            groups: items.iter().map(|item| &item.group).collect::<HashSet<_>>().len(),
             items: RefCell::new(
                 items.into_iter().map(|item| Rc::new(ItemRun::new(item))).collect(),
             ),
--- a/crates/batch/src/ledger.rs
+++ b/crates/batch/src/ledger.rs
@@ -41,6 +41,9 @@
     pub model: String,
     /// Oldest version that may generate events of this job.
     pub min_version: WeightVersion,
+    /// Complete groups that the caller waits for; 0 if it waits for all items.
+    #[serde(default)]
+    pub group_count: usize,
     /// Limits of the job.
     pub limits: BatchLimits,
     /// Time of the submission in milliseconds since the Unix epoch.
@@ -97,6 +100,7 @@
             path: job.path.clone(),
             model: job.model.clone(),
             min_version: job.min_version,
+            group_count: job.group_count,
             limits: job.limits.clone(),
             submitted_at_ms: job.submitted_at_ms,
         };
@@ -264,7 +268,7 @@
         kind: &str,
         name: &str,
     ) -> Result<Option<T>, StoreError> {
-        let object = match self.store.get_immutable(kind, name).await? {
+        let object = match self.store.get_any(kind, name).await? {
             Some(object) => Some(object),
             None => self.store.get(kind, name).await?,
         };
--- a/crates/batch/src/publish.rs
+++ b/crates/batch/src/publish.rs
@@ -1,6 +1,7 @@
 //! Storing of results, and the check that this node still runs a job.
 
 use std::{
+    collections::HashSet,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -8,7 +9,11 @@
 use deck_fleet::ItemResult;
 use deck_plat::{Backoff, StoreError};
 
-use crate::{job::Job, ledger::Stored, runner::Inner};
+use crate::{
+    job::{ItemRun, Job, Phase},
+    ledger::Stored,
+    runner::Inner,
+};
 
 /// First and longest wait between two tries of a write.
 const RETRY: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
@@ -53,32 +58,33 @@
     }
 }
 
-/// Waits for more results, so that one write stores many: until a group is complete, all items are
-/// done, or the wait is over.
+/// Waits for more results, so that one write stores many: until those that the caller waits for are
+/// there, or the wait is over.
 async fn gather(inner: &Inner, job: &Job) {
-    let until = Instant::now() + inner.options.gather;
+    let started = Instant::now();
     loop {
         let now = Instant::now();
-        if now >= until || completes_group(job) {
+        let is_late = now + inner.options.late >= job.due_at();
+        let wait = if is_late { inner.options.gather_late } else { inner.options.gather };
+        let left = (started + wait).saturating_duration_since(now);
+        if left.is_zero() || satisfies_caller(job) {
             return;
         }
-        let more = monoio::time::timeout(until - now, job.finished.notified());
-        if matches!(job.stop.run_until_cancelled(more).await, None | Some(Err(_))) {
+        let more = monoio::time::timeout(left, job.finished.notified());
+        if job.stop.run_until_cancelled(more).await.is_none() {
             return;
         }
     }
 }
 
-/// Returns whether the unlisted results complete a group.
-fn completes_group(job: &Job) -> bool {
+/// Returns whether the unlisted results complete the job, or as many groups as the caller waits for.
+fn satisfies_caller(job: &Job) -> bool {
     let items = job.items.borrow();
-    let is_done = |group: &Option<String>| {
-        let mut others = items.iter().filter(|run| run.item.group == *group);
-        others.all(|run| run.phase.get() == crate::job::Phase::Done)
-    };
-    let unlisted = job.unlisted.borrow();
-    let group_of = |id: &str| items.iter().find(|r| r.item.id == id).map(|r| &r.item.group);
-    unlisted.iter().filter_map(|result| group_of(&result.item)).any(is_done)
+    let open = |run: &&Rc<ItemRun>| run.phase.get() != Phase::Done;
+    let open: HashSet<&Option<String>> =
+        items.iter().filter(open).map(|run| &run.item.group).collect();
+    let wanted = job.record.borrow().group_count;
+    open.is_empty() || (wanted > 0 && job.groups.saturating_sub(open.len()) >= wanted)
 }
 
 /// Checks at intervals that this node still runs the job, until it is complete or stops.
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -36,8 +36,13 @@
     /// Time in which each further event has to come. Engines make an event in some 40 ms; ten
     /// times as long for a slow one, and a margin.
     pub event_gap_limit: Duration,
-    /// Time for which results are gathered before they are stored.
+    /// Time for which results are gathered before they are stored, unless the caller waits for just
+    /// them.
     pub gather: Duration,
+    /// The same shortly before the results are due.
+    pub gather_late: Duration,
+    /// Time before the results are due from which on they are gathered for the shorter time.
+    pub late: Duration,
     /// Longest time between two checks that this node still runs a job. Results that another
     /// runner has shown have to be known within the deployment's settle time.
     pub confirm_interval: Duration,
@@ -56,8 +61,10 @@
         Self {
             first_event_limit: Duration::from_millis(3000),
             event_gap_limit: Duration::from_millis(1200),
-            gather: Duration::from_millis(300),
-            confirm_interval: Duration::from_millis(900),
+            gather: Duration::from_millis(500),
+            gather_late: Duration::from_millis(120),
+            late: Duration::from_millis(1500),
+            confirm_interval: Duration::from_millis(1500),
             takeover_settle: Duration::from_secs(3),
             settle_run: Duration::from_millis(400),
             token_time: Duration::from_micros(900),
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -50,7 +50,7 @@
     fn default() -> Self {
         Self {
             max_read_wait: Duration::from_millis(1000),
-            sure_for: Duration::from_millis(500),
+            sure_for: Duration::from_millis(700),
             max_page_bytes: 900 * 1024,
             submit_retry: Duration::from_millis(500),
             max_body_bytes: 32 * 1024 * 1024,
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -61,7 +61,7 @@
     fn default() -> Self {
         Self {
             all_watch: 10,
-            watchers: 4,
+            watchers: 3,
             watch_wait: Duration::from_millis(900),
             poll_wait: Duration::from_millis(500),
             max_age: Duration::from_millis(1500),
--- a/crates/plat/src/lease.rs
+++ b/crates/plat/src/lease.rs
@@ -152,8 +152,10 @@
     ///
     /// Call this at intervals well below the lease's duration: a lease whose holder is gone is free
     /// only after it was seen unchanged for its whole duration.
+    ///
+    /// The read may be out of date: the write that takes the lease is conditional on what was read.
     pub async fn try_acquire(mut self) -> Acquire {
-        let current = match self.store.get(LEASE_KIND, &self.name).await {
+        let current = match self.store.get_any(LEASE_KIND, &self.name).await {
             Ok(current) => current,
             Err(error) => {
                 // The holder cannot renew either while the object API is down. Counting the outage
--- a/crates/plat/src/store.rs
+++ b/crates/plat/src/store.rs
@@ -206,16 +206,13 @@
         self.api.get(kind, name, Freshness::Current).await
     }
 
-    /// Returns an object that never changes once it exists. `None` may be out of date.
+    /// Returns an object as it was at some time; cheaper than [`Store::get`]. Enough for objects that
+    /// never change, and for reads that a conditional write follows.
     ///
     /// # Errors
     ///
     /// Returns an error if the object API does not answer.
-    pub async fn get_immutable(
-        &self,
-        kind: &str,
-        name: &str,
-    ) -> Result<Option<Object>, StoreError> {
+    pub async fn get_any(&self, kind: &str, name: &str) -> Result<Option<Object>, StoreError> {
         self.api.get(kind, name, Freshness::MayBeOld).await
     }
 
