Give the next order as soon as one has ended

Cause: orders followed each other at the 500 ms rounds of the planner, a load took 1.35 s in place of 1.05 s.

--- a/crates/swap/src/giver.rs
+++ b/crates/swap/src/giver.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -15,7 +16,9 @@
 use deck_fleet::{Engines, Order, OrderReply, Protocol, Target, TargetReport, TargetState, View};
 use deck_net::{Body, Client};
 use deck_plat::LeaseToken;
+use futures_util::future::select;
 use http::{Request, StatusCode};
+use tokio::sync::Notify;
 
 use crate::plan::{EngineVersions, NamedModel, PlanOptions, plan};
 
@@ -42,8 +45,8 @@
         Self {
             plan: PlanOptions::default(),
             call_limit: Duration::from_millis(800),
-            first_look: Duration::from_millis(900),
-            look_interval: Duration::from_millis(80),
+            first_look: Duration::from_millis(850),
+            look_interval: Duration::from_millis(50),
             order_limit: Duration::from_secs(5),
             round: Duration::from_millis(500),
         }
@@ -63,6 +66,8 @@
     client: Client,
     protocol: Rc<dyn Protocol>,
     options: SwapOptions,
+    /// Told when an order has ended, so that the next one follows at once.
+    ended: Notify,
     /// Orders that each run of a target has accepted, by its id and start.
     accepted: RefCell<HashMap<(TargetId, u64), u64>>,
 }
@@ -78,7 +83,8 @@
         options: SwapOptions,
     ) -> Self {
         let accepted = RefCell::default();
-        let inner = Inner { vm, view, engines, client, protocol, options, accepted };
+        let ended = Notify::new();
+        let inner = Inner { vm, view, engines, client, protocol, options, ended, accepted };
         Self { inner: Rc::new(inner) }
     }
 
@@ -101,8 +107,9 @@
             if token.is_valid() {
                 self.round(&token, &stop);
             }
-            let change = monoio::time::timeout(self.inner.options.round, changes.changed());
-            stop.run_until_cancelled(change).await;
+            let (change, ended) = (pin!(changes.changed()), pin!(self.inner.ended.notified()));
+            let event = monoio::time::timeout(self.inner.options.round, select(change, ended));
+            stop.run_until_cancelled(event).await;
         }
     }
 
@@ -157,6 +164,7 @@
             let change = inner.change(&target, &model, version, &token);
             stop.run_until_cancelled(change).await;
             inner.engines.set_changing(&target, None);
+            inner.ended.notify_one();
         });
     }
 }
@@ -216,7 +224,8 @@
 
     /// Waits until a target has a version, or shows that it is not changing to it.
     async fn follow(&self, target: &Target, model: &str, version: WeightVersion) {
-        let until = Instant::now() + self.options.order_limit;
+        let started = Instant::now();
+        let until = started + self.options.order_limit;
         monoio::time::sleep(self.options.first_look).await;
         while Instant::now() < until {
             if let Some(report) = self.report(target).await {
@@ -225,6 +234,8 @@
                     self.engines.set_version(target, model, *shown);
                 }
                 if shown.is_some_and(|(_, shown)| *shown >= version) || !report.busy {
+                    let (id, ms) = (&target.id, started.elapsed().as_millis());
+                    log::info!(target: "swap", "order ended target={id} model={model} version={version} shown={shown:?} ms={ms}");
                     return;
                 }
             }
