--- /dev/null
+++ b/crates/batch/tests/dispatch.rs
@@ -0,0 +1,116 @@
+//! Choice of items and engines, one test for each load pattern. No test needs the network.
+
+use std::time::Duration;
+
+use deck_batch::dispatch::{
+    Candidate, RunningItem, Waiting, choose, choose_move, events_left, sort_by_urgency,
+};
+
+fn waiting(key: usize, left_ms: u64, expected_ms: u64) -> Waiting {
+    Waiting {
+        key,
+        time_left: Duration::from_millis(left_ms),
+        expected: Duration::from_millis(expected_ms),
+        model: "m".to_owned(),
+        min_version: 3,
+        prompt: 0,
+    }
+}
+
+fn engine(name: &str, gap_ms: f64, running: u32) -> Candidate {
+    Candidate {
+        target: name.to_owned(),
+        version: 3,
+        running,
+        slots: 8,
+        event_gap_ms: gap_ms,
+        has_prompt: false,
+    }
+}
+
+fn order(mut items: Vec<Waiting>) -> Vec<usize> {
+    sort_by_urgency(&mut items);
+    items.iter().map(|item| item.key).collect()
+}
+
+/// Pattern: a step whose longest text takes almost all of the time that the step has. Guards
+/// against a straggler that starts after short texts and then comes late.
+#[test]
+fn longest_item_of_a_step_starts_first() {
+    let items = vec![waiting(0, 7500, 900), waiting(1, 7500, 6400), waiting(2, 7500, 2000)];
+    assert_eq!(order(items), [1, 2, 0]);
+}
+
+/// Pattern: two trainers, one step half done when the next one arrives. Guards against an old step
+/// that starves behind the long texts of a new one.
+#[test]
+fn nearly_due_item_goes_before_a_longer_one_of_a_new_step() {
+    let items = vec![waiting(0, 7500, 5000), waiting(1, 1500, 900)];
+    assert_eq!(order(items), [1, 0]);
+}
+
+/// Pattern: a third of the engines is slower than the others. Guards against long texts on slow
+/// engines while a fast one has a free slot.
+#[test]
+fn fast_engine_with_one_free_slot_beats_an_idle_slow_one() {
+    let engines = [engine("slow", 48.0, 0), engine("fast", 37.0, 7), engine("other", 37.0, 8)];
+    let chosen = choose(&waiting(0, 7500, 6400), &engines).expect("an engine");
+    assert_eq!(chosen.target, "fast");
+}
+
+/// Guards against text of a version that the step does not allow.
+#[test]
+fn engine_with_an_older_version_is_never_chosen() {
+    let old = Candidate { version: 2, ..engine("old", 10.0, 0) };
+    assert!(choose(&waiting(0, 7500, 900), &[old]).is_none());
+}
+
+/// Guards against queues at engines, where items cannot be moved or reordered.
+#[test]
+fn full_engine_is_not_chosen() {
+    assert!(choose(&waiting(0, 7500, 900), &[engine("full", 37.0, 8)]).is_none());
+}
+
+/// Pattern: the items of a group share their prompt. Guards against prompts that are read again on
+/// an engine that is otherwise equal.
+#[test]
+fn engine_that_has_read_the_prompt_is_preferred() {
+    let cached = Candidate { has_prompt: true, ..engine("cached", 37.0, 1) };
+    let engines = [engine("a", 37.0, 0), cached];
+    assert_eq!(choose(&waiting(0, 7500, 900), &engines).expect("an engine").target, "cached");
+}
+
+fn running(gap_ms: f64, events_left: f64) -> RunningItem {
+    RunningItem { target: "here".to_owned(), event_gap_ms: gap_ms, events_left, min_version: 3 }
+}
+
+/// Pattern: some engines slow down for seconds because of a neighbour. Guards against a long text
+/// that stays on a slow engine until its step is late.
+#[test]
+fn long_text_leaves_an_engine_that_turned_slow() {
+    let engines = [engine("here", 120.0, 3), engine("fast", 37.0, 2)];
+    assert_eq!(choose_move(&running(120.0, 60.0), &engines).expect("a move").target, "fast");
+}
+
+/// Guards against runs that wander between engines for a gain that a new connection eats up.
+#[test]
+fn nearly_finished_text_does_not_move() {
+    let engines = [engine("fast", 37.0, 0)];
+    assert!(choose_move(&running(120.0, 3.0), &engines).is_none());
+    assert!(choose_move(&running(40.0, 100.0), &engines).is_none());
+}
+
+/// Guards against moves to an engine that has no slot or no allowed version.
+#[test]
+fn text_does_not_move_to_an_unusable_engine() {
+    let old = Candidate { version: 2, ..engine("old", 30.0, 0) };
+    assert!(choose_move(&running(120.0, 60.0), &[engine("full", 30.0, 8), old]).is_none());
+}
+
+/// Pattern: the caller's estimate of the length is often far off. Guards against a text that is past
+/// its estimate and counts as finished.
+#[test]
+fn text_past_its_estimate_is_expected_to_go_on() {
+    assert!(events_left(20, 60) > 10.0);
+    assert_eq!(events_left(100, 40), 60.0);
+}
--- /dev/null
+++ b/crates/batch/tests/events.rs
@@ -0,0 +1,42 @@
+//! Events of a generation in the pieces in which they may arrive.
+
+use deck_batch::events::{EventParser, GeneratedEvent};
+use test_case::test_case;
+
+fn event(number: u64, data: &str, version: Option<u64>) -> GeneratedEvent {
+    GeneratedEvent { number: Some(number), data: data.to_owned(), version }
+}
+
+/// Guards against events that are lost or doubled where a network read ends inside one.
+#[test_case(1; "byte by byte")]
+#[test_case(7; "in pieces of seven bytes")]
+#[test_case(4096; "at once")]
+fn events_do_not_depend_on_the_pieces(piece: usize) {
+    let stream =
+        b"id: 1\ndata: a b\n\nweight-versions: 4\nid: 2\ndata: c\n\nid: 3\r\ndata: d\r\n\r\n";
+    let mut parser = EventParser::new("weight-versions");
+    let events: Vec<_> = stream.chunks(piece).flat_map(|bytes| parser.push(bytes)).collect();
+    assert_eq!(events, [event(1, "a b", None), event(2, "c", Some(4)), event(3, "d", None)]);
+}
+
+/// Guards against text of an event that its server broke off in the middle.
+#[test]
+fn incomplete_event_is_not_returned() {
+    let mut parser = EventParser::new("weight-versions");
+    let events = parser.push(b"id: 1\ndata: whole\n\nid: 2\ndata: cut of");
+    assert_eq!(events, [event(1, "whole", None)]);
+}
+
+/// Guards against a comment or keep-alive line that is taken for an event.
+#[test]
+fn comments_are_no_events() {
+    let mut parser = EventParser::new("weight-versions");
+    assert_eq!(parser.push(b": ping\n\nid: 1\ndata: x\n\n"), [event(1, "x", None)]);
+}
+
+/// Guards against a text that loses a line break inside an event.
+#[test]
+fn data_lines_are_joined() {
+    let mut parser = EventParser::new("weight-versions");
+    assert_eq!(parser.push(b"id: 1\ndata: x\ndata: y\n\n"), [event(1, "x\ny", None)]);
+}
--- /dev/null
+++ b/crates/batch/tests/ledger.rs
@@ -0,0 +1,208 @@
+//! Stored jobs and results under lost, late and competing writes.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use deck_batch::{
+    Accepted, Ledger,
+    job::{Job, Phase},
+    ledger::Stored,
+};
+use deck_fleet::{BatchJob, BatchLimits, Item, ItemOutcome, ItemResult};
+use deck_testkit::memory::{Fault, MemoryObjects};
+
+const MAX_OBJECT_BYTES: usize = 4096;
+
+fn run<F: Future<Output = ()>>(test: F) {
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+fn item(id: &str) -> Item {
+    Item {
+        id: id.to_owned(),
+        path: "/p".to_owned(),
+        headers: Vec::new(),
+        body: "x".repeat(600),
+        tokens: 100,
+        group: Some("g".to_owned()),
+        reward: None,
+        length_hint: None,
+    }
+}
+
+fn job(items: usize) -> BatchJob {
+    BatchJob {
+        id: "job".to_owned(),
+        host: "h".to_owned(),
+        path: "/j/job".to_owned(),
+        step: 0,
+        model: "m".to_owned(),
+        min_version: 1,
+        group_count: 1,
+        items: (0..items).map(|index| item(&format!("i{index}"))).collect(),
+        limits: BatchLimits {
+            results_due_ms: 7500,
+            give_up_ms: 40_000,
+            attempts: 3,
+            single_version: false,
+            priority: 1,
+        },
+        submitted_at_ms: 0,
+    }
+}
+
+fn result(id: &str, text: &str) -> Rc<ItemResult> {
+    Rc::new(ItemResult {
+        item: id.to_owned(),
+        outcome: ItemOutcome::Completed,
+        text: text.to_owned(),
+        versions: vec![1],
+        score: None,
+    })
+}
+
+/// Guards against items that are lost because a job does not fit into one object.
+#[test]
+fn large_job_is_stored_in_parts() {
+    run(async {
+        let objects = MemoryObjects::default();
+        let ledger = Ledger::new(objects.store(), MAX_OBJECT_BYTES);
+        let accepted = ledger.accept(&job(20), "vm-1", address()).await;
+        let Accepted::Stored(record, _) = accepted else { panic!("{accepted:?}") };
+        assert!(record.parts > 1, "{record:?}");
+        let items = ledger.items("job", &record).await.expect("items");
+        assert_eq!(items, job(20).items);
+    });
+}
+
+/// Guards against a job that two nodes start because the answer to the first submission was lost.
+#[test]
+fn job_whose_answer_was_lost_exists() {
+    run(async {
+        let objects = MemoryObjects::default();
+        let ledger = Ledger::new(objects.store(), MAX_OBJECT_BYTES);
+        objects.set_fault_of_kind("batchjobs", Fault::ResponseLost, 1);
+        let accepted = ledger.accept(&job(1), "vm-1", address()).await;
+        assert!(matches!(accepted, Accepted::Exists(..)), "{accepted:?}");
+        let again = ledger.accept(&job(1), "vm-2", address()).await;
+        let Accepted::Exists(record, _) = again else { panic!("{again:?}") };
+        assert_eq!(record.runner, "vm-1");
+    });
+}
+
+/// Guards against a refusal that says "not run" although the job may be stored later.
+#[test]
+fn job_whose_write_may_come_late_is_in_doubt() {
+    run(async {
+        let objects = MemoryObjects::default();
+        let ledger = Ledger::new(objects.store(), MAX_OBJECT_BYTES);
+        objects.set_fault_of_kind("batchjobs", Fault::Late, 3);
+        let accepted = ledger.accept(&job(1), "vm-1", address()).await;
+        assert!(matches!(accepted, Accepted::Unknown(_)), "{accepted:?}");
+        assert!(ledger.record("job").await.expect("read").is_none());
+        assert_eq!(objects.apply_late(), 1);
+        assert!(ledger.record("job").await.expect("read").is_some());
+    });
+}
+
+/// Guards against a doubt where there is none: a job does not exist as long as its record cannot.
+#[test]
+fn job_whose_items_may_come_late_is_refused() {
+    run(async {
+        let objects = MemoryObjects::default();
+        let ledger = Ledger::new(objects.store(), MAX_OBJECT_BYTES);
+        objects.set_fault_of_kind("batchitems", Fault::Late, 3);
+        let accepted = ledger.accept(&job(1), "vm-1", address()).await;
+        assert!(matches!(accepted, Accepted::NotStored(_)), "{accepted:?}");
+        objects.apply_late();
+        assert!(ledger.record("job").await.expect("read").is_none());
+    });
+}
+
+/// Guards against a refusal in an outage that is not true.
+#[test]
+fn outage_refuses_without_a_trace() {
+    run(async {
+        let objects = MemoryObjects::default();
+        let ledger = Ledger::new(objects.store(), MAX_OBJECT_BYTES);
+        objects.set_fault(Some(Fault::Down), None);
+        let accepted = ledger.accept(&job(1), "vm-1", address()).await;
+        assert!(matches!(accepted, Accepted::NotStored(_)), "{accepted:?}");
+        assert!(objects.names("batchjobs").is_empty());
+    });
+}
+
+/// Guards against two runners that show different results at one position: the late chunk of a
+/// runner that was paused must not replace or follow the chunk of the next one.
+#[test]
+fn two_runners_agree_on_each_chunk() {
+    run(async {
+        let objects = MemoryObjects::default();
+        let ledger = Ledger::new(objects.store(), MAX_OBJECT_BYTES);
+        objects.set_fault(Some(Fault::Late), Some(3));
+        ledger.append("job", 0, &[result("a", "first")]).await.expect_err("lost");
+        let stored = ledger.append("job", 0, &[result("b", "second")]).await.expect("stored");
+        assert!(matches!(stored, Stored::AsGiven), "{stored:?}");
+        assert_eq!(objects.apply_late(), 0);
+        let again = ledger.append("job", 0, &[result("a", "first")]).await.expect("stored");
+        let Stored::Other(other) = again else { panic!("{again:?}") };
+        assert_eq!(other[0].item, "b");
+    });
+}
+
+/// Guards against an item at two positions: a run that ends after another runner has listed its
+/// item must not list it again.
+#[test]
+fn listed_item_is_not_finished_again() {
+    run(async {
+        let ledger = Ledger::new(MemoryObjects::default().store(), MAX_OBJECT_BYTES);
+        let accepted = ledger.accept(&job(2), "vm-1", address()).await;
+        let Accepted::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+        let running = Job::new("job".to_owned(), record, revision, job(2).items);
+        let run = running.unlisted_item("i0").expect("item");
+        run.enter(Phase::Running);
+        running.list(0, vec![result("i0", "of the other runner")]);
+        run.enter(Phase::Scoring);
+        running.finish(&run, ItemOutcome::Completed, None);
+        assert!(running.unlisted.borrow().is_empty());
+        assert_eq!(running.listed.borrow().len(), 1);
+    });
+}
+
+/// Guards against a chunk that is listed twice: once by the check of the runner and once by the
+/// write that stored it.
+#[test]
+fn chunk_is_listed_once() {
+    run(async {
+        let ledger = Ledger::new(MemoryObjects::default().store(), MAX_OBJECT_BYTES);
+        let accepted = ledger.accept(&job(2), "vm-1", address()).await;
+        let Accepted::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+        let running = Job::new("job".to_owned(), record, revision, job(2).items);
+        running.list(0, vec![result("i0", "x")]);
+        running.list(0, vec![result("i0", "x")]);
+        assert_eq!(running.listed.borrow().len(), 1);
+        assert_eq!(running.chunks.get(), 1);
+    });
+}
+
+/// Guards against a crash of the node when another runner has stored all results that wait.
+#[test]
+fn no_results_fit_if_there_are_none() {
+    let ledger = Ledger::new(MemoryObjects::default().store(), MAX_OBJECT_BYTES);
+    assert_eq!(ledger.fitting(&[]), 0);
+    assert_eq!(ledger.fitting(&[result("a", &"x".repeat(100_000))]), 1);
+}
+
+/// Guards against text of too old versions in a result.
+#[test]
+fn text_fits_by_its_oldest_version() {
+    let mut progress = deck_batch::job::Progress::default();
+    assert!(progress.fits(9));
+    progress.push(1, "a", 4);
+    progress.push(2, "b", 5);
+    assert!(progress.fits(4) && !progress.fits(5));
+    assert_eq!(progress.text, "a\nb");
+}
--- /dev/null
+++ b/crates/fleet/tests/feed.rs
@@ -0,0 +1,142 @@
+//! Knowledge that watchers pass on to the other nodes of a large fleet.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use deck_core::CancellationToken;
+use deck_fleet::{
+    Feed, FeedOptions, FollowOptions, Follower, Kinds, Leader, View, feed::FEED_PATH,
+};
+use deck_net::{Client, ServerOptions, bind};
+use deck_route::{Router, RouterOptions};
+use deck_testkit::{
+    eventually,
+    memory::{Fault, MemoryObjects},
+};
+
+mod common;
+
+use common::Plain;
+
+const KINDS: Kinds = Kinds {
+    configuration: "config",
+    targets: "targets",
+    versions: "versions",
+    retirements: "retirements",
+};
+
+struct Node {
+    address: SocketAddr,
+    view: View,
+    feed: Feed,
+}
+
+fn options() -> FeedOptions {
+    FeedOptions { all_watch: 1, watchers: 1, ..FeedOptions::default() }
+}
+
+/// Starts a node with its own way to the object API.
+fn start(objects: &MemoryObjects, cancel: &CancellationToken) -> Node {
+    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+    let address = listener.local_addr().expect("address");
+    let view = View::new(Router::new(RouterOptions::default()));
+    let protocol = Rc::new(Plain);
+    let options_of_follower = FollowOptions::default();
+    let follower =
+        Follower::new(objects.store(), view.clone(), protocol, KINDS, options_of_follower);
+    let feed =
+        Feed::new(address, u64::from(address.port()), Client::default(), follower, options());
+    let served = feed.clone();
+    monoio::spawn(deck_net::serve(
+        listener,
+        ServerOptions::default(),
+        cancel.clone(),
+        move |request| {
+            let feed = served.clone();
+            async move {
+                assert_eq!(request.uri().path(), FEED_PATH);
+                feed.serve(request.uri().query().unwrap_or_default()).await
+            }
+        },
+    ));
+    Node { address, view, feed }
+}
+
+fn run(node: &Node, cancel: &CancellationToken) {
+    let (feed, cancel) = (node.feed.clone(), cancel.clone());
+    monoio::spawn(async move { feed.run(cancel).await });
+}
+
+async fn knows(node: &Node, version: u64) {
+    eventually("the configuration is known", async || {
+        node.view.configuration().is_some_and(|configuration| configuration.version >= version)
+    })
+    .await;
+}
+
+/// Guards against a large fleet in which every node calls the object API, and against a node that
+/// does not learn the leader.
+#[test]
+fn node_learns_from_a_watcher_without_calls_of_its_own() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let (watched, unused) = (MemoryObjects::default(), MemoryObjects::default());
+        common::write(&watched, KINDS.configuration, "main", 1).await;
+        let (watcher, node) = (start(&watched, &cancel), start(&unused, &cancel));
+        let ranked = vec![watcher.address, node.address];
+        for one in [&watcher, &node] {
+            one.feed.set_ranked(ranked.clone());
+            run(one, &cancel);
+        }
+        let leader = Leader { vm: "vm-1".to_owned(), address: watcher.address };
+        watcher.feed.set_leader(Some(leader.clone()));
+        knows(&node, 1).await;
+        common::write(&watched, KINDS.configuration, "main", 2).await;
+        knows(&node, 2).await;
+        assert_eq!(node.feed.leader(), Some(leader));
+        assert_eq!(unused.calls(), 0);
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// Guards against nodes that stay with a watcher that has lost the object API: its silence must not
+/// delay a change past the time in which it has to be in force.
+#[test]
+fn node_turns_to_the_object_api_when_its_watcher_is_behind() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let (watched, own) = (MemoryObjects::default(), MemoryObjects::default());
+        for objects in [&watched, &own] {
+            common::write(objects, KINDS.configuration, "main", 1).await;
+        }
+        let (watcher, node) = (start(&watched, &cancel), start(&own, &cancel));
+        let ranked = vec![watcher.address, node.address];
+        for one in [&watcher, &node] {
+            one.feed.set_ranked(ranked.clone());
+            run(one, &cancel);
+        }
+        knows(&node, 1).await;
+        watched.set_fault(Some(Fault::Down), None);
+        common::write(&own, KINDS.configuration, "main", 2).await;
+        knows(&node, 2).await;
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// Guards against a small fleet that waits for watchers, and against a node that has not heard of
+/// the fleet yet and follows nobody.
+#[test]
+fn nodes_of_a_small_fleet_all_watch() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let node = start(&MemoryObjects::default(), &cancel);
+        assert!(node.feed.is_watcher());
+        node.feed.set_ranked(vec![node.address]);
+        assert!(node.feed.is_watcher());
+        let other = SocketAddr::from(([127, 0, 0, 1], 9));
+        node.feed.set_ranked(vec![other, node.address]);
+        assert!(!node.feed.is_watcher());
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
--- /dev/null
+++ b/crates/swap/tests/plan.rs
@@ -0,0 +1,110 @@
+//! Plans of weight changes, one test for each load pattern. No test needs the network.
+
+use deck_swap::{
+    Change, EngineVersions, NamedModel, PlanOptions, plan,
+    plan::{assign, max_loading},
+};
+
+fn model(name: &str, named: u64) -> NamedModel {
+    NamedModel { name: name.to_owned(), named: Some(named), demand: 1.0 }
+}
+
+fn engine(index: usize, versions: &[u64], free_slots: u32) -> EngineVersions {
+    EngineVersions {
+        target: format!("e{index}"),
+        versions: versions.iter().map(|version| Some(*version)).collect(),
+        loading: false,
+        free_slots,
+    }
+}
+
+fn targets(changes: &[Change]) -> Vec<&str> {
+    changes.iter().map(|change| change.target.as_str()).collect()
+}
+
+/// Pattern: more engines load at a time than load at full speed. Guards against loads that slow
+/// each other down.
+#[test]
+fn loads_stay_within_the_bound() {
+    let engines: Vec<_> = (0..9).map(|index| engine(index, &[1], 8)).collect();
+    let changes = plan(&engines, &[model("m", 3)], &PlanOptions::default());
+    assert_eq!(changes.len(), 2);
+    let mut busy = engines;
+    busy[0].loading = true;
+    busy[1].loading = true;
+    assert!(plan(&busy, &[model("m", 3)], &PlanOptions::default()).is_empty());
+}
+
+/// Pattern: a trainer names two versions in quick succession. Guards against a step that no engine
+/// may serve while engines that still can are loaded first.
+#[test]
+fn engines_that_are_of_no_use_load_first() {
+    let engines = [engine(0, &[4], 0), engine(1, &[3], 8), engine(2, &[4], 0), engine(3, &[3], 8)];
+    let changes = plan(&engines, &[model("m", 5)], &PlanOptions::default());
+    assert_eq!(targets(&changes), ["e1"]);
+    assert_eq!(changes[0].version, 5);
+}
+
+/// Pattern: two trainers, one of which has hardly any usable engine. Guards against loads for the
+/// model that can wait.
+#[test]
+fn model_with_the_fewest_usable_engines_loads_first() {
+    let mut engines: Vec<_> = (0..4).map(|index| engine(index, &[9, 1], 8)).collect();
+    engines.extend((4..8).map(|index| engine(index, &[1, 2], 8)));
+    let models = [model("a", 10), model("b", 4)];
+    let options = PlanOptions { loading_part: 0.1, ..PlanOptions::default() };
+    let changes = plan(&engines, &models, &options);
+    assert_eq!((changes[0].model, changes[0].version), (1, 4));
+}
+
+/// Pattern: trainers of several models share the engines. Guards against engines that load the
+/// versions of every model.
+#[test]
+fn each_engine_follows_one_model() {
+    let engines: Vec<_> = (0..9).map(|index| engine(index, &[1, 1, 1], 8)).collect();
+    let models = [model("a", 2), model("b", 2), model("c", 2)];
+    let assigned = assign(&engines, &models);
+    for model in 0..3 {
+        assert_eq!(assigned.iter().filter(|of| **of == Some(model)).count(), 3, "{assigned:?}");
+    }
+}
+
+/// Guards against assignments that change with each plan and load versions for nothing.
+#[test]
+fn assignment_stays_with_the_loaded_versions() {
+    let mut engines: Vec<_> = (0..9).map(|index| engine(index, &[1, 1], 8)).collect();
+    let models = [model("a", 2), model("b", 2)];
+    let before = assign(&engines, &models);
+    for (engine, model) in engines.iter_mut().zip(&before) {
+        engine.versions[model.expect("a model")] = Some(2);
+    }
+    assert_eq!(assign(&engines, &models), before);
+}
+
+/// Pattern: one model has most of the work. Guards against a model without engines.
+#[test]
+fn model_with_little_work_keeps_engines() {
+    let engines: Vec<_> = (0..8).map(|index| engine(index, &[1, 1], 8)).collect();
+    let models =
+        [NamedModel { demand: 99.0, ..model("a", 2) }, NamedModel { demand: 1.0, ..model("b", 2) }];
+    let assigned = assign(&engines, &models);
+    let of_b = assigned.iter().filter(|of| **of == Some(1)).count();
+    assert!((1..4).contains(&of_b), "{assigned:?}");
+}
+
+/// Guards against orders for a model of which no version was named yet.
+#[test]
+fn nothing_is_loaded_before_a_version_is_named() {
+    let engines = [engine(0, &[1], 8)];
+    let unnamed = NamedModel { named: None, ..model("m", 0) };
+    assert!(plan(&engines, &[unnamed], &PlanOptions::default()).is_empty());
+    assert!(plan(&engines, &[model("m", 1)], &PlanOptions::default()).is_empty());
+    assert!(plan(&[], &[model("m", 1)], &PlanOptions::default()).is_empty());
+}
+
+/// Guards against a bound of zero in a small fleet.
+#[test]
+fn at_least_one_engine_loads() {
+    assert_eq!(max_loading(1, &PlanOptions::default()), 1);
+    assert_eq!(max_loading(38, &PlanOptions::default()), 8);
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,6 +3,8 @@
 //! Every program prints a line `listening <name> <ip:port>` on standard output for each listener, so
 //! that tests can use port 0.
 
+pub mod memory;
+
 use std::{
     collections::HashMap,
     io::{BufRead, BufReader},
