--- a/bins/decknode/src/lead.rs
+++ b/bins/decknode/src/lead.rs
@@ -5,9 +5,11 @@
     time::{Duration, Instant},
 };
 
-use deck_core::CancellationToken;
+use deck_core::{CancellationToken, object::LEASE_KIND};
 use deck_fleet::{Feed, Follower, Leader};
-use deck_plat::{Acquire, HeldLease, Kept, LeaseCandidate, LeaseOptions, Store};
+use deck_plat::{
+    Acquire, HeldLease, Kept, LeaseCandidate, LeaseOptions, Store, lease::parse_record,
+};
 use deck_swap::Giver;
 
 use crate::retire;
@@ -17,6 +19,8 @@
 /// Time between two looks at the lease of another node. Two looks fit into a lease's duration, so
 /// that a missed one does not delay the takeover by a whole duration.
 const LOOK_INTERVAL: Duration = Duration::from_millis(1200);
+/// Time between two looks at the lease by a node that stops.
+const OBSERVE_INTERVAL: Duration = Duration::from_millis(600);
 /// Added to the time after which no order of an earlier holder can still arrive.
 const ORDER_MARGIN: Duration = Duration::from_millis(300);
 
@@ -73,6 +77,29 @@
     }
 }
 
+/// Follows who holds the lease without competing for it, until `cancel` is cancelled. A node that
+/// stops hands its jobs to the next leader.
+pub async fn observe(duties: Duties, cancel: CancellationToken) {
+    while cancel.run_until_cancelled(monoio::time::sleep(OBSERVE_INTERVAL)).await.is_some() {
+        if !duties.feed.is_following() {
+            continue;
+        }
+        let record = match duties.store.get_any(LEASE_KIND, LEASE_NAME).await {
+            Ok(Some(object)) => parse_record(&object),
+            Ok(None) => continue,
+            Err(error) => Err(error),
+        };
+        match record {
+            Ok(record) => {
+                let address = record.address.parse().ok().filter(|_| !record.holder.is_empty());
+                let leader = address.map(|address| Leader { vm: record.holder, address });
+                duties.feed.set_leader(leader);
+            }
+            Err(error) => log::info!(target: "lead", "lease not read error={error}"),
+        }
+    }
+}
+
 /// Does the duties of the leader until the lease is lost; `None` after it was given up.
 async fn lead(
     duties: &Duties,
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -146,7 +146,7 @@
         follower,
         lease: settings.bounds.lease,
     };
-    let leading = monoio::spawn(lead::run(duties, stop.clone()));
+    let leading = monoio::spawn(lead::run(duties.clone(), stop.clone()));
 
     let draining = Rc::new(Cell::new(false));
     let front = Front {
@@ -157,7 +157,7 @@
         draining: draining.clone(),
     };
     serve_ready(&settings, view, protocol, draining.clone(), ended.clone())?;
-    serve_peers(&settings, batch.clone(), feed, api, ended.clone())?;
+    serve_peers(&settings, batch.clone(), feed.clone(), api, ended.clone())?;
     let closing = CancellationToken::new();
     let served = serve_callers(&settings, front, closing.clone())?;
     monoio::spawn(watch_settings(file, settings.clone(), hangup, ended.clone()));
@@ -169,8 +169,10 @@
     draining.set(true);
     batch.set_draining();
     leading.await;
+    monoio::spawn(lead::observe(duties, ended.clone()));
     let linger = grace.mul_f64(LINGER_PART).saturating_sub(stopped_at.elapsed());
     monoio::time::sleep(linger).await;
+    batch.hand_over(&feed.ranked()).await;
     closing.cancel();
     let left = grace.saturating_sub(stopped_at.elapsed()).saturating_sub(END_MARGIN);
     if monoio::time::timeout(left, served).await.is_err() {
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -12,6 +12,7 @@
     id::{RequestId, Revision, TargetId, WeightVersion},
 };
 use deck_fleet::{Item, ItemOutcome, ItemResult};
+use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 
 use crate::JobRecord;
@@ -55,6 +56,8 @@
     Waiting,
     /// Runs on an engine.
     Running,
+    /// Its text is complete and has to be scored.
+    Complete,
     /// Its text is complete and being scored.
     Scoring,
     /// It has a result.
@@ -80,7 +83,8 @@
 }
 
 /// Text of an item so far.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Progress {
     /// Data of the events, separated by line feeds.
     pub text: String,
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod dispatch;
 pub mod events;
+pub mod handover;
 pub mod job;
 pub mod ledger;
 pub mod peers;
--- a/crates/batch/src/peers.rs
+++ b/crates/batch/src/peers.rs
@@ -107,6 +107,21 @@
         self.call(node, request(Method::DELETE, path, Bytes::new())?, SUBMIT_LIMIT).await
     }
 
+    /// Hands a running job to another node.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the node does not answer; it may have taken the job over.
+    pub async fn hand_over(
+        &self,
+        node: SocketAddr,
+        id: &str,
+        handover: Bytes,
+    ) -> Result<PeerAnswer, NetError> {
+        let request = request(Method::PUT, format!("{JOBS_PATH}{id}"), handover)?;
+        self.call(node, request, SUBMIT_LIMIT).await
+    }
+
     async fn call(
         &self,
         node: SocketAddr,
--- a/crates/batch/src/reward.rs
+++ b/crates/batch/src/reward.rs
@@ -8,7 +8,7 @@
 use http::Method;
 
 use crate::{
-    job::{ItemRun, Job},
+    job::{ItemRun, Job, Phase},
     runner::Inner,
 };
 
@@ -16,16 +16,16 @@
 const RETRY_WAIT: Duration = Duration::from_millis(100);
 
 /// Calls for the score of a complete text until there is one or the item is given up.
-pub(crate) async fn score_item(inner: &Rc<Inner>, job: &Rc<Job>, run: &Rc<ItemRun>) {
+pub(crate) async fn score_item(inner: Rc<Inner>, job: Rc<Job>, run: Rc<ItemRun>) {
     let Some(reward) = &run.item.reward else {
-        job.finish(run, ItemOutcome::Completed, None);
+        job.finish(&run, ItemOutcome::Completed, None);
         return;
     };
-    let scored = job.stop.run_until_cancelled(score(inner, job, run, reward)).await;
+    let scored = job.stop.run_until_cancelled(score(&inner, &job, &run, reward)).await;
     match scored {
-        Some(Some(score)) => job.finish(run, ItemOutcome::Completed, Some(score)),
-        Some(None) => job.finish(run, ItemOutcome::Failed, None),
-        None => {}
+        Some(Some(score)) => job.finish(&run, ItemOutcome::Completed, Some(score)),
+        Some(None) => job.finish(&run, ItemOutcome::Failed, None),
+        None => run.enter(Phase::Complete),
     }
 }
 
--- a/crates/batch/src/run.rs
+++ b/crates/batch/src/run.rs
@@ -62,12 +62,7 @@
     match ended {
         Ended::Complete => {
             log::info!(target: "batch", "run complete item={id} target={} event={at} ms={ms}", target.id);
-            run.enter(Phase::Scoring);
-            inner.wake.notify_one();
-            if run.phase.get() == Phase::Done {
-                return;
-            }
-            crate::reward::score_item(&inner, &job, &run).await;
+            run.enter(Phase::Complete);
         }
         Ended::Broken(reason) => {
             inner.engines.record_failure(&target, Instant::now());
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -25,7 +25,7 @@
         Candidate, RunningItem, Waiting, choose, choose_move, events_left, sort_by_urgency,
     },
     job::{ItemRun, Job, Phase},
-    publish, run,
+    publish, reward, run,
 };
 
 /// Options of a [`Runner`].
@@ -196,7 +196,8 @@
         Ok(job)
     }
 
-    fn adopt(&self, job: Rc<Job>) {
+    /// Goes on with a job that another node has handed over.
+    pub fn adopt(&self, job: Rc<Job>) {
         self.inner.jobs.borrow_mut().insert(job.id.clone(), job.clone());
         if job.is_ended() {
             job.stop.cancel();
@@ -235,6 +236,11 @@
         let mut waiting = Vec::new();
         for job in self.jobs.borrow().values().filter(|job| !job.stop.is_cancelled()) {
             let items = job.items.borrow();
+            for run in items.iter().filter(|run| run.phase.get() == Phase::Complete) {
+                run.enter(Phase::Scoring);
+                let (runner, job, run) = (self.clone(), job.clone(), run.clone());
+                monoio::spawn(reward::score_item(runner, job, run));
+            }
             for run in items.iter().filter(|run| run.phase.get() == Phase::Waiting) {
                 if now >= job.give_up_at() {
                     log::info!(target: "batch", "item given up item={} job={}", run.item.id, job.id);
--- a/crates/swap/src/plan.rs
+++ b/crates/swap/src/plan.rs
@@ -14,11 +14,13 @@
     pub usable_lag: u64,
     /// Part of the engines that load at the same time; more slow each other down.
     pub loading_part: f64,
+    /// Part of the loads at a time that is kept free for engines of no use.
+    pub spare_part: f64,
 }
 
 impl Default for PlanOptions {
     fn default() -> Self {
-        Self { usable_lag: 1, loading_part: 0.2 }
+        Self { usable_lag: 1, loading_part: 0.2, spare_part: 0.5 }
     }
 }
 
@@ -102,7 +104,10 @@
         let version = models[model].named?;
         Some(Change { target: engines[index].target.clone(), model, version })
     };
-    behind.into_iter().filter_map(change).take(room).collect()
+    let useless = behind.iter().filter(|(_, _, lag)| *lag > options.usable_lag).count();
+    let spare = (max_loading(engines.len(), options) as f64 * options.spare_part).floor() as usize;
+    let count = useless.max(room.saturating_sub(spare)).min(room);
+    behind.into_iter().filter_map(change).take(count).collect()
 }
 
 /// Returns how many of `count` engines load at the same time.
