--- a/bins/decknode/src/lead.rs
+++ b/bins/decknode/src/lead.rs
@@ -41,6 +41,8 @@
     pub follower: Follower,
     /// Duration of the lease, and least time between orders of two holders.
     pub lease: Duration,
+    /// Whether targets refuse an order with an old fencing number.
+    pub fencing_checked: bool,
 }
 
 /// Competes for the lease and does its duties while this node holds it, until `cancel` is
@@ -107,8 +109,11 @@
     cancel: &CancellationToken,
 ) -> Option<LeaseCandidate> {
     let token = held.token();
+    // Targets that check fencing numbers refuse what an earlier holder still sends.
     let start = match held.previous_holder() {
-        Some(previous) if previous != duties.vm => Instant::now() + duties.lease + ORDER_MARGIN,
+        Some(previous) if previous != duties.vm && !duties.fencing_checked => {
+            Instant::now() + duties.lease + ORDER_MARGIN
+        }
         _ => Instant::now(),
     };
     log::info!(target: "lead", "lease held fencing={} previous={:?}", token.fencing(), held.previous_holder());
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -145,6 +145,7 @@
         giver,
         follower,
         lease: settings.bounds.lease,
+        fencing_checked: settings.bounds.fencing_checked,
     };
     let leading = monoio::spawn(lead::run(duties.clone(), stop.clone()));
 
--- a/crates/batch/src/peers.rs
+++ b/crates/batch/src/peers.rs
@@ -12,8 +12,16 @@
 pub const SUBMITTED_PATH: &str = "x-submitted-path";
 /// Status of a node that does not run the job.
 pub const NOT_HERE: StatusCode = StatusCode::GONE;
-/// Time for a call beyond the time for which it may wait.
+/// Path at which a node answers at once, whatever its jobs wait for.
+pub const PING_PATH: &str = "/peer/ping";
+/// Time for a call beyond the time for which it may wait; covers a call on the object API that has to
+/// go through a third node.
 const CALL_LIMIT: Duration = Duration::from_millis(800);
+/// Longest time for which a read waits at another node; it bounds how long a node that has gone
+/// silent goes unnoticed.
+const MAX_READ_WAIT: Duration = Duration::from_millis(700);
+/// Time in which a live node answers a ping.
+const PING_LIMIT: Duration = Duration::from_millis(400);
 /// Time for a submission, which includes its writes to the object API.
 const SUBMIT_LIMIT: Duration = Duration::from_millis(1500);
 /// Largest answer.
@@ -78,6 +86,7 @@
         from: usize,
         wait: Duration,
     ) -> Result<PeerAnswer, NetError> {
+        let wait = wait.min(MAX_READ_WAIT);
         let path = format!("{JOBS_PATH}{id}?from={from}&wait_ms={}", wait.as_millis());
         self.call(node, request(Method::GET, path, Bytes::new())?, wait + CALL_LIMIT).await
     }
@@ -107,6 +116,14 @@
         self.call(node, request(Method::DELETE, path, Bytes::new())?, SUBMIT_LIMIT).await
     }
 
+    /// Returns whether a node answers.
+    pub async fn is_alive(&self, node: SocketAddr) -> bool {
+        let Ok(request) = request(Method::GET, PING_PATH.to_owned(), Bytes::new()) else {
+            return false;
+        };
+        self.call(node, request, PING_LIMIT).await.is_ok()
+    }
+
     /// Hands a running job to another node.
     ///
     /// # Errors
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -27,7 +27,7 @@
     Accepted, JobRecord, Ledger, Runner,
     handover::Handover,
     job::Job,
-    peers::{JOBS_PATH, NOT_HERE, PeerAnswer, Peers, SUBMITTED_PATH},
+    peers::{JOBS_PATH, NOT_HERE, PING_PATH, PeerAnswer, Peers, SUBMITTED_PATH},
     publish,
 };
 
@@ -264,6 +264,10 @@
                 }
                 Err(error) => {
                     log::info!(target: "batch", "node does not answer job={id} node={node} error={error}");
+                    // A node that lives may only be slow to find out the state of the job.
+                    if self.inner.peers.is_alive(node).await {
+                        return unsure(id);
+                    }
                     self.inner.runners.borrow_mut().remove(id);
                     silent.push(node);
                 }
@@ -278,6 +282,9 @@
                 }
                 result => {
                     log::info!(target: "batch", "runner does not serve job={id} node={node} result={result:?}");
+                    if result.is_err() && self.inner.peers.is_alive(node).await {
+                        return unsure(id);
+                    }
                     match self.locate(id, &[node]).await {
                         Ok(Some(Place::Here(job) | Place::Settled(job))) => here(job).await,
                         Ok(None) => unknown_job(id),
@@ -460,6 +467,9 @@
     /// Serves a call of another node.
     pub async fn serve_peer(&self, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path().to_owned();
+        if path == PING_PATH {
+            return status_only(StatusCode::OK);
+        }
         let Some(rest) = path.strip_prefix(JOBS_PATH) else {
             return status_only(StatusCode::NOT_FOUND);
         };
