Keep texts of unfinished items on the VMs with a disk

Cause: after a crash of the runner or of all processes each text began anew; the longest take most of a step's time. Ruled out: texts in the object API, at its price per call, and on other entry VMs, which fail together.

--- a/bins/decknode/src/nodes.rs
+++ b/bins/decknode/src/nodes.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use deck_batch::Checkpoints;
 use deck_core::{CancellationToken, hash::rendezvous_score};
 use deck_fleet::{Feed, NodeSettings};
 use deck_plat::{Precondition, RelayNodes, Store, StoreError};
@@ -13,7 +14,7 @@
 /// relayed calls.
 const READ_INTERVAL: Duration = Duration::from_secs(15);
 /// Time after the start of a node at which the others have registered too.
-const FIRST_READ: Duration = Duration::from_secs(2);
+const SECOND_READ: Duration = Duration::from_secs(2);
 /// Wait after a call that failed.
 const RETRY: Duration = Duration::from_millis(1500);
 
@@ -24,35 +25,43 @@
     settings: NodeSettings,
     nodes: RelayNodes,
     feed: Feed,
+    checkpoints: Checkpoints,
     cancel: CancellationToken,
 ) {
     let pause = |wait| cancel.run_until_cancelled(monoio::time::sleep(wait));
-    while let Err(error) = register(&store, &settings).await {
-        log::info!(target: "node", "not registered error={error}");
-        if pause(RETRY).await.is_none() {
-            return;
-        }
+    if !keep_registering(&store, &settings, &cancel).await {
+        return;
     }
-    let mut wait = FIRST_READ;
+    // A node that starts again knows the others at once; in a new fleet they register meanwhile.
+    let mut waits = [Duration::ZERO, SECOND_READ].into_iter();
     let mut known = false;
-    while pause(wait).await.is_some() {
-        wait = READ_INTERVAL;
+    let mut retry = None;
+    loop {
+        let wait = retry.take().unwrap_or_else(|| waits.next().unwrap_or(READ_INTERVAL));
+        if pause(wait).await.is_none() {
+            return;
+        }
         if known && !feed.is_watcher() {
             nodes.set(feed.ranked());
+            checkpoints.set_nodes(feed.disks());
             continue;
         }
         match store.list(NODE_KIND).await {
             Ok((_, objects)) => {
                 let listed =
                     objects.iter().filter_map(|object| Registered::try_read(&object.value));
-                let ranked = rank(listed.collect());
+                let (disks, listed): (Vec<_>, Vec<_>) = listed.partition(|node| node.has_disk);
+                let disks: Vec<_> = disks.into_iter().map(|node| node.address).collect();
+                checkpoints.set_nodes(disks.clone());
+                feed.set_disks(disks);
+                let ranked = rank(listed);
                 nodes.set(ranked.clone());
                 feed.set_ranked(ranked);
                 known = true;
             }
             Err(error) => {
                 log::info!(target: "node", "nodes not listed error={error}");
-                wait = RETRY;
+                retry = Some(RETRY);
             }
         };
     }
@@ -63,13 +72,15 @@
 struct Registered {
     address: SocketAddr,
     cpu_share: f64,
+    has_disk: bool,
 }
 
 impl Registered {
     fn try_read(value: &Value) -> Option<Self> {
         let address = value.get("address")?.as_str()?.parse().ok()?;
         let cpu_share = value.get("cpu_share").and_then(Value::as_f64).unwrap_or(0.0);
-        Some(Self { address, cpu_share })
+        let has_disk = value.get("has_disk").and_then(Value::as_bool).unwrap_or(false);
+        Some(Self { address, cpu_share, has_disk })
     }
 }
 
@@ -81,9 +92,26 @@
     nodes.into_iter().map(|node| node.address).collect()
 }
 
+/// Registers this node, until it succeeds; `false` if `cancel` is cancelled first.
+pub async fn keep_registering(
+    store: &Store,
+    settings: &NodeSettings,
+    cancel: &CancellationToken,
+) -> bool {
+    while let Err(error) = register(store, settings).await {
+        log::info!(target: "node", "not registered error={error}");
+        if cancel.run_until_cancelled(monoio::time::sleep(RETRY)).await.is_none() {
+            return false;
+        }
+    }
+    true
+}
+
 async fn register(store: &Store, settings: &NodeSettings) -> Result<(), StoreError> {
     let address = settings.peer_address;
-    let value = json!({ "address": address, "cpu_share": settings.cpu_share });
+    let has_disk = settings.data_dir.is_some();
+    let value =
+        json!({ "address": address, "cpu_share": settings.cpu_share, "has_disk": has_disk });
     match store.put(NODE_KIND, &settings.vm, Precondition::Absent, &value).await {
         Ok(_) => return Ok(()),
         Err(StoreError::Conflict(_)) => {}
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -12,7 +12,8 @@
 };
 
 use deck_batch::{
-    BatchOptions, BatchService, Ledger, RunOptions, Runner, peers::Peers, runner::RunnerParts,
+    BatchOptions, BatchService, CheckpointStore, Checkpoints, Ledger, RunOptions, Runner,
+    peers::Peers, runner::RunnerParts,
 };
 use deck_core::{CancellationToken, id::new_incarnation};
 use deck_fleet::{
@@ -66,10 +67,7 @@
     let ended = CancellationToken::new();
     log::info!(target: "node", "start vm={} data_centre={}", settings.vm, settings.data_centre);
     if settings.caller_address.is_none() {
-        // A VM that callers do not reach has no duties.
-        stop.cancelled().await;
-        log::info!(target: "node", "stop");
-        return Ok(());
+        return run_disk(&settings, stop).await;
     }
     let protocol: Rc<dyn Protocol> = Rc::new(Wire);
     let client = client();
@@ -102,8 +100,10 @@
     );
     let (feeding, token) = (feed.clone(), ended.clone());
     monoio::spawn(async move { feeding.run(token).await });
+    let checkpoints = Checkpoints::new(client.clone());
     let (registry, own) = (store.clone(), settings.clone());
-    monoio::spawn(nodes::run(registry, own, nodes, feed.clone(), ended.clone()));
+    let known = checkpoints.clone();
+    monoio::spawn(nodes::run(registry, own, nodes, feed.clone(), known, ended.clone()));
 
     let forward_options = ForwardOptions::default();
     let forwarder = Forwarder::new(view.clone(), client.clone(), protocol.clone(), forward_options);
@@ -116,6 +116,7 @@
         engines: engines.clone(),
         ledger: ledger.clone(),
         forwarder: forwarder.clone(),
+        checkpoints,
         client: client.clone(),
         protocol: protocol.clone(),
     };
@@ -184,6 +185,23 @@
     Ok(())
 }
 
+/// Runs on a VM with a disk, which keeps the texts of unfinished items for the other nodes.
+async fn run_disk(settings: &NodeSettings, stop: CancellationToken) -> std::io::Result<()> {
+    let checkpoints = Rc::new(CheckpointStore::open(settings.data_dir.as_deref()));
+    let listener = bind(settings.peer_address)?;
+    let options = ServerOptions { head_timeout: CALLER_IDLE, ..ServerOptions::default() };
+    let api = PlatformObjectApi::new(client(), settings.object_api, STORE_CALL_LIMIT);
+    let (store, own, token) = (Store::with_api(Rc::new(api)), settings.clone(), stop.clone());
+    monoio::spawn(async move { nodes::keep_registering(&store, &own, &token).await });
+    let serve = deck_net::serve(listener, options, stop, move |request| {
+        let checkpoints = checkpoints.clone();
+        async move { checkpoints.serve(request).await }
+    });
+    serve.await;
+    log::info!(target: "node", "stop");
+    Ok(())
+}
+
 fn client() -> Client {
     Client::new(ClientOptions {
         connect_timeout: CONNECT_LIMIT,
--- /dev/null
+++ b/crates/batch/src/checkpoint.rs
@@ -0,0 +1,450 @@
+//! Texts of unfinished items, kept on the VMs with a disk.
+//!
+//! A runner sends what its items have made since the last time to one such VM. After a crash the
+//! next runner goes on from there; an event that was not sent in time is generated again. Nothing
+//! depends on a checkpoint: it may be missing, old or on a disk that was lost.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeSet, HashMap, HashSet},
+    fs::{File, OpenOptions},
+    io::{Read, Write},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use deck_core::{
+    hash::{hash64, rendezvous_score},
+    id::{RequestId, WeightVersion},
+};
+use deck_net::{Body, Client, NetError, server::read_body};
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+
+use crate::job::{ItemRun, Job, Phase, Progress};
+
+/// Path below which checkpoints are served.
+pub const CHECKPOINTS_PATH: &str = "/peer/checkpoints/";
+/// Time for one call; a checkpoint that takes longer is of no use.
+const CALL_LIMIT: Duration = Duration::from_millis(400);
+/// Longest wait for the list of VMs before a checkpoint is read.
+const NODES_WAIT: Duration = Duration::from_millis(300);
+/// VMs that are asked for the checkpoint of a job.
+const MAX_NODES: usize = 2;
+/// Largest checkpoint of a job.
+const MAX_BYTES: usize = 64 * 1024 * 1024;
+/// Time for which checkpoints of a job are kept after its last one.
+const RETENTION: Duration = Duration::from_secs(150);
+/// Bytes in front of a record in a file: its length and its hash.
+const RECORD_HEAD_BYTES: usize = 16;
+
+/// What one item has made since its last checkpoint.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct ItemDelta {
+    /// The item.
+    pub item: RequestId,
+    /// Last event that the checkpoint holds already; 0 replaces the text.
+    pub after_event: u64,
+    /// Text of the events after that one, with its leading line feed.
+    pub text: String,
+    /// Last event of the text.
+    pub last_event: u64,
+    /// Length of the whole text after each of these events.
+    pub ends: Vec<usize>,
+    /// Versions of the whole text.
+    pub versions: BTreeSet<WeightVersion>,
+    /// Failures that targets answered.
+    pub failures: u32,
+    /// Whether the text is complete.
+    pub complete: bool,
+}
+
+/// Checkpoint of one item.
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct ItemCheckpoint {
+    /// Text so far.
+    pub progress: Progress,
+    /// Failures that targets answered.
+    pub failures: u32,
+    /// Whether the text is complete.
+    pub complete: bool,
+}
+
+/// Checkpoints of the items of one job.
+pub type JobCheckpoint = HashMap<RequestId, ItemCheckpoint>;
+
+/// Checkpoints on one VM, in memory and in files.
+pub struct CheckpointStore {
+    folder: Option<PathBuf>,
+    jobs: RefCell<HashMap<RequestId, Kept>>,
+}
+
+struct Kept {
+    items: JobCheckpoint,
+    last_at: Instant,
+}
+
+impl CheckpointStore {
+    /// Opens the checkpoints below `data_dir`; without a folder they are kept in memory only.
+    pub fn open(data_dir: Option<&Path>) -> Self {
+        let folder = data_dir.map(|dir| dir.join("checkpoints"));
+        let store = Self { folder, jobs: RefCell::default() };
+        if let Some(folder) = &store.folder {
+            if let Err(error) = std::fs::create_dir_all(folder) {
+                log::warn!(target: "checkpoint", "folder not made folder={folder:?} error={error}");
+            }
+            store.read_files(folder);
+        }
+        store
+    }
+
+    fn read_files(&self, folder: &Path) {
+        let entries = match std::fs::read_dir(folder) {
+            Ok(entries) => entries,
+            Err(error) => {
+                log::warn!(target: "checkpoint", "folder not read folder={folder:?} error={error}");
+                return;
+            }
+        };
+        for entry in entries.flatten() {
+            let Some(job) = entry.file_name().to_str().map(str::to_owned) else { continue };
+            match read_records(&entry.path()) {
+                Ok(records) => {
+                    for deltas in records {
+                        self.apply(&job, &deltas);
+                    }
+                }
+                Err(error) => {
+                    log::warn!(target: "checkpoint", "file not read job={job} error={error}");
+                }
+            }
+        }
+        log::info!(target: "checkpoint", "checkpoints read jobs={}", self.jobs.borrow().len());
+    }
+
+    /// Adds deltas of a job and returns the items whose earlier text is missing here.
+    pub fn add(&self, job: &str, deltas: &[ItemDelta]) -> Vec<RequestId> {
+        self.drop_old();
+        let missing = self.apply(job, deltas);
+        if let Some(folder) = &self.folder
+            && let Err(error) = append_record(&folder.join(job), deltas)
+        {
+            // The checkpoint in memory holds as long as this process lives.
+            log::warn!(target: "checkpoint", "checkpoint not written job={job} error={error}");
+        }
+        missing
+    }
+
+    fn apply(&self, job: &str, deltas: &[ItemDelta]) -> Vec<RequestId> {
+        let mut jobs = self.jobs.borrow_mut();
+        let new = || Kept { items: JobCheckpoint::new(), last_at: Instant::now() };
+        let kept = jobs.entry(job.to_owned()).or_insert_with(new);
+        kept.last_at = Instant::now();
+        let mut missing = Vec::new();
+        for delta in deltas {
+            let item = kept.items.entry(delta.item.clone()).or_default();
+            if delta.after_event == 0 {
+                *item = ItemCheckpoint::default();
+            } else if item.progress.last_event != delta.after_event {
+                missing.push(delta.item.clone());
+                continue;
+            }
+            item.progress.text.push_str(&delta.text);
+            item.progress.last_event = delta.last_event;
+            item.progress.ends.extend(&delta.ends);
+            item.progress.versions.clone_from(&delta.versions);
+            item.failures = delta.failures;
+            item.complete = delta.complete;
+        }
+        missing
+    }
+
+    /// Returns the checkpoint of a job; empty if there is none.
+    pub fn get(&self, job: &str) -> JobCheckpoint {
+        self.jobs.borrow().get(job).map(|kept| kept.items.clone()).unwrap_or_default()
+    }
+
+    /// Drops the checkpoint of a job that has ended.
+    pub fn remove(&self, job: &str) {
+        self.jobs.borrow_mut().remove(job);
+        if let Some(folder) = &self.folder
+            && let Err(error) = std::fs::remove_file(folder.join(job))
+            && error.kind() != std::io::ErrorKind::NotFound
+        {
+            log::warn!(target: "checkpoint", "file not removed job={job} error={error}");
+        }
+    }
+
+    fn drop_old(&self) {
+        let jobs = self.jobs.borrow();
+        let old = jobs.iter().filter(|(_, kept)| kept.last_at.elapsed() > RETENTION);
+        let old: Vec<RequestId> = old.map(|(job, _)| job.clone()).collect();
+        drop(jobs);
+        for job in old {
+            self.remove(&job);
+        }
+    }
+
+    /// Serves a call of a runner.
+    pub async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
+        let job = request.uri().path().strip_prefix(CHECKPOINTS_PATH).map(str::to_owned);
+        // The job's id becomes the name of a file.
+        let Some(job) = job.filter(|job| crate::service::is_valid_id(job) && !job.starts_with('.'))
+        else {
+            return answer(StatusCode::NOT_FOUND, Bytes::new());
+        };
+        match *request.method() {
+            Method::GET => encoded(&self.get(&job)),
+            Method::DELETE => {
+                self.remove(&job);
+                answer(StatusCode::OK, Bytes::new())
+            }
+            Method::POST => {
+                let body = match read_body(request.into_body(), MAX_BYTES).await {
+                    Ok(body) => body,
+                    Err(error) => {
+                        log::info!(target: "checkpoint", "not received job={job} error={error}");
+                        return answer(StatusCode::BAD_REQUEST, Bytes::new());
+                    }
+                };
+                match ciborium::from_reader::<Vec<ItemDelta>, _>(&*body) {
+                    Ok(deltas) => encoded(&self.add(&job, &deltas)),
+                    Err(error) => {
+                        log::warn!(target: "checkpoint", "not read job={job} error={error}");
+                        answer(StatusCode::BAD_REQUEST, Bytes::new())
+                    }
+                }
+            }
+            _ => answer(StatusCode::METHOD_NOT_ALLOWED, Bytes::new()),
+        }
+    }
+}
+
+fn encoded<T: Serialize>(content: &T) -> Response<Body> {
+    let mut bytes = Vec::new();
+    match ciborium::into_writer(content, &mut bytes) {
+        Ok(()) => answer(StatusCode::OK, bytes.into()),
+        Err(error) => {
+            log::error!(target: "checkpoint", "answer not encoded error={error}");
+            answer(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        }
+    }
+}
+
+fn answer(status: StatusCode, body: Bytes) -> Response<Body> {
+    let mut response = Response::new(Body::full(body));
+    *response.status_mut() = status;
+    response
+}
+
+/// Appends a record with its length and hash, and syncs it.
+fn append_record(file: &Path, deltas: &[ItemDelta]) -> std::io::Result<()> {
+    let mut content = Vec::new();
+    ciborium::into_writer(deltas, &mut content).map_err(std::io::Error::other)?;
+    let mut record = Vec::with_capacity(RECORD_HEAD_BYTES + content.len());
+    record.extend_from_slice(&(content.len() as u64).to_le_bytes());
+    record.extend_from_slice(&hash64(&content).to_le_bytes());
+    record.extend_from_slice(&content);
+    let mut file = OpenOptions::new().create(true).append(true).open(file)?;
+    file.write_all(&record)?;
+    file.sync_data()
+}
+
+/// Reads the whole records of a file; a torn one and all after it are left out.
+fn read_records(file: &Path) -> std::io::Result<Vec<Vec<ItemDelta>>> {
+    let mut bytes = Vec::new();
+    File::open(file)?.read_to_end(&mut bytes)?;
+    let mut records = Vec::new();
+    let mut rest = &bytes[..];
+    while let Some((head, tail)) = rest.split_first_chunk::<RECORD_HEAD_BYTES>() {
+        let number = |part: &[u8]| part.try_into().map(u64::from_le_bytes).unwrap_or(u64::MAX);
+        let (length, hash) = (number(&head[..8]), number(&head[8..]));
+        let Some(content) = usize::try_from(length).ok().and_then(|length| tail.get(..length))
+        else {
+            break;
+        };
+        if hash64(content) != hash {
+            break;
+        }
+        let Ok(deltas) = ciborium::from_reader(content) else { break };
+        records.push(deltas);
+        rest = &tail[content.len()..];
+    }
+    Ok(records)
+}
+
+/// Sends checkpoints of jobs and reads them back; clones share the list of VMs.
+#[derive(Clone)]
+pub struct Checkpoints {
+    client: Client,
+    nodes: Rc<RefCell<Vec<SocketAddr>>>,
+}
+
+/// What a runner has sent of one job.
+#[derive(Default)]
+pub(crate) struct Sent {
+    node: Option<SocketAddr>,
+    /// Last event of each item that was sent, and whether its text was complete.
+    items: HashMap<RequestId, (u64, bool)>,
+}
+
+impl Checkpoints {
+    /// Returns checkpoints that are sent through `client`; no VM is known yet.
+    pub fn new(client: Client) -> Self {
+        Self { client, nodes: Rc::default() }
+    }
+
+    /// Sets the VMs that keep checkpoints.
+    pub fn set_nodes(&self, nodes: Vec<SocketAddr>) {
+        self.nodes.replace(nodes);
+    }
+
+    /// Returns the VMs for a job, the first choice first.
+    fn nodes_of(&self, job: &str) -> Vec<SocketAddr> {
+        let mut nodes = self.nodes.borrow().clone();
+        nodes.sort_by_key(|node| std::cmp::Reverse(rendezvous_score(job, &node.to_string())));
+        nodes.truncate(MAX_NODES);
+        nodes
+    }
+
+    /// Sends what the items of a job have made since the last time.
+    pub(crate) async fn send(&self, job: &Job, sent: &mut Sent) {
+        for node in self.nodes_of(&job.id) {
+            if sent.node != Some(node) {
+                *sent = Sent { node: Some(node), items: HashMap::new() };
+            }
+            let deltas = deltas(job, sent);
+            if deltas.is_empty() {
+                return;
+            }
+            match self.send_to(node, &job.id, &deltas).await {
+                Ok(missing) => {
+                    for delta in deltas.iter().filter(|delta| !missing.contains(&delta.item)) {
+                        sent.items.insert(delta.item.clone(), (delta.last_event, delta.complete));
+                    }
+                    sent.items.retain(|item, _| !missing.contains(item));
+                    return;
+                }
+                Err(error) => {
+                    log::debug!(target: "checkpoint", "not sent job={} node={node} error={error}", job.id);
+                    sent.node = None;
+                }
+            }
+        }
+    }
+
+    async fn send_to(
+        &self,
+        node: SocketAddr,
+        job: &str,
+        deltas: &[ItemDelta],
+    ) -> Result<HashSet<RequestId>, NetError> {
+        let mut body = Vec::new();
+        ciborium::into_writer(deltas, &mut body)
+            .map_err(|error| NetError::Decode(error.to_string()))?;
+        let bytes = self.call(node, Method::POST, job, body.into()).await?;
+        ciborium::from_reader(&*bytes).map_err(|error| NetError::Decode(error.to_string()))
+    }
+
+    /// Reads the checkpoint of a job; empty if no VM has one.
+    pub async fn read(&self, job: &str) -> JobCheckpoint {
+        let mut best = JobCheckpoint::new();
+        // A node that has just started learns of the VMs within this time.
+        let deadline = Instant::now() + NODES_WAIT;
+        while self.nodes.borrow().is_empty() && Instant::now() < deadline {
+            monoio::time::sleep(NODES_WAIT / 10).await;
+        }
+        for node in self.nodes_of(job) {
+            match self.call(node, Method::GET, job, Bytes::new()).await {
+                Ok(bytes) => match ciborium::from_reader::<JobCheckpoint, _>(&*bytes) {
+                    Ok(found) => merge(&mut best, found),
+                    Err(error) => {
+                        log::warn!(target: "checkpoint", "not read job={job} error={error}");
+                    }
+                },
+                Err(error) => {
+                    log::info!(target: "checkpoint", "not answered job={job} node={node} error={error}");
+                }
+            }
+        }
+        best
+    }
+
+    /// Drops the checkpoint of a job that has ended.
+    pub(crate) async fn remove(&self, job: &str, sent: &Sent) {
+        if let Some(node) = sent.node
+            && let Err(error) = self.call(node, Method::DELETE, job, Bytes::new()).await
+        {
+            log::debug!(target: "checkpoint", "not removed job={job} node={node} error={error}");
+        }
+    }
+
+    async fn call(
+        &self,
+        node: SocketAddr,
+        method: Method,
+        job: &str,
+        body: Bytes,
+    ) -> Result<Bytes, NetError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("{CHECKPOINTS_PATH}{job}"))
+            .body(Body::full(body))
+            .map_err(|error| NetError::Decode(error.to_string()))?;
+        let exchange = async {
+            let response = self.client.send(node, request).await?;
+            if response.status != StatusCode::OK {
+                return Err(NetError::Decode(format!("status {}", response.status)));
+            }
+            response.collect(MAX_BYTES).await
+        };
+        match monoio::time::timeout(CALL_LIMIT, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(NetError::Exchange(node, "no answer in time".to_owned())),
+        }
+    }
+}
+
+/// Keeps the longer text of each item.
+fn merge(best: &mut JobCheckpoint, found: JobCheckpoint) {
+    for (item, checkpoint) in found {
+        let known = best.entry(item).or_default();
+        if checkpoint.progress.last_event > known.progress.last_event {
+            *known = checkpoint;
+        }
+    }
+}
+
+/// Returns what the open items have made beyond what was sent.
+fn deltas(job: &Job, sent: &Sent) -> Vec<ItemDelta> {
+    let items = job.items.borrow();
+    let open = items.iter().filter(|run| run.phase.get() != Phase::Done);
+    open.filter_map(|run| delta(run, sent)).collect()
+}
+
+fn delta(run: &ItemRun, sent: &Sent) -> Option<ItemDelta> {
+    let progress = run.progress.borrow();
+    let complete = matches!(run.phase.get(), Phase::Complete | Phase::Scoring);
+    let (known, was_complete) = sent.items.get(&run.item.id).copied().unwrap_or_default();
+    if progress.last_event == 0 || (progress.last_event == known && complete == was_complete) {
+        return None;
+    }
+    // A text that was begun anew is shorter than what was sent, and replaces it.
+    let after_event = if progress.last_event < known { 0 } else { known };
+    Some(ItemDelta {
+        item: run.item.id.clone(),
+        after_event,
+        text: progress.text_after(after_event).to_owned(),
+        last_event: progress.last_event,
+        ends: progress.ends[after_event as usize..].to_vec(),
+        versions: progress.versions.clone(),
+        failures: run.failures.get(),
+        complete,
+    })
+}
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -92,6 +92,8 @@
     pub last_event: u64,
     /// Versions that generated at least one event.
     pub versions: BTreeSet<WeightVersion>,
+    /// Length of the text after each event. Invariant: as many as events.
+    pub ends: Vec<usize>,
 }
 
 impl Progress {
@@ -103,6 +105,13 @@
         self.text.push_str(data);
         self.last_event = number;
         self.versions.insert(version);
+        self.ends.push(self.text.len());
+    }
+
+    /// Returns the text of the events after the given one, with the line feed before them.
+    pub fn text_after(&self, event: u64) -> &str {
+        let end = event.checked_sub(1).and_then(|index| self.ends.get(index as usize));
+        &self.text[end.copied().unwrap_or(0)..]
     }
 
     /// Returns whether the text may be part of a result that needs at least `min_version`.
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -5,6 +5,7 @@
 //! stored in numbered chunks under fixed names, so two nodes that run the same job can never show
 //! different results at one position.
 
+pub mod checkpoint;
 pub mod dispatch;
 pub mod events;
 pub mod handover;
@@ -17,6 +18,7 @@
 pub mod runner;
 pub mod service;
 
+pub use checkpoint::{CheckpointStore, Checkpoints};
 pub use ledger::{Accepted, JobRecord, Ledger};
 pub use runner::{RunOptions, Runner};
 pub use service::{BatchOptions, BatchService};
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -20,7 +20,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    JobRecord, Ledger,
+    Checkpoints, JobRecord, Ledger,
+    checkpoint::Sent,
     dispatch::{
         Candidate, RunningItem, Waiting, choose, choose_move, events_left, sort_by_urgency,
     },
@@ -46,6 +47,8 @@
     /// Longest time between two checks that this node still runs a job. Results that another
     /// runner has shown have to be known within the deployment's settle time.
     pub confirm_interval: Duration,
+    /// Time between two checkpoints of a job. A crash loses at most this much of each text.
+    pub checkpoint_interval: Duration,
     /// Time after a change of runner in which the earlier one may still store results.
     pub takeover_settle: Duration,
     /// Time for which a run stays on its engine before it may move.
@@ -65,6 +68,7 @@
             gather_late: Duration::from_millis(120),
             late: Duration::from_millis(1500),
             confirm_interval: Duration::from_millis(1500),
+            checkpoint_interval: Duration::from_millis(500),
             takeover_settle: Duration::from_secs(3),
             settle_run: Duration::from_millis(400),
             token_time: Duration::from_micros(900),
@@ -86,6 +90,7 @@
     pub engines: Engines,
     pub ledger: Ledger,
     pub forwarder: Forwarder,
+    pub checkpoints: Checkpoints,
     pub client: Client,
     pub protocol: Rc<dyn Protocol>,
     pub options: RunOptions,
@@ -109,6 +114,8 @@
     pub ledger: Ledger,
     /// Forwards reward calls.
     pub forwarder: Forwarder,
+    /// Keeps texts of unfinished items on VMs with a disk.
+    pub checkpoints: Checkpoints,
     /// Client for engines.
     pub client: Client,
     /// Translation.
@@ -118,7 +125,17 @@
 impl Runner {
     /// Starts a runner; it dispatches items until `cancel` is cancelled.
     pub fn start(parts: RunnerParts, options: RunOptions, cancel: CancellationToken) -> Self {
-        let RunnerParts { vm, address, view, engines, ledger, forwarder, client, protocol } = parts;
+        let RunnerParts {
+            vm,
+            address,
+            view,
+            engines,
+            ledger,
+            forwarder,
+            checkpoints,
+            client,
+            protocol,
+        } = parts;
         let inner = Inner {
             vm,
             address,
@@ -126,6 +143,7 @@
             engines,
             ledger,
             forwarder,
+            checkpoints,
             client,
             protocol,
             options,
@@ -191,11 +209,33 @@
         if let Some(known) = self.job(id) {
             return Ok(known);
         }
+        let restored = if job.is_ended() { 0 } else { self.restore(&job).await };
+        log::info!(target: "batch", "texts restored job={id} items={restored}");
         log::info!(target: "batch", "job loaded job={id} listed={} ended={}", job.listed.borrow().len(), job.is_ended());
         self.adopt(job.clone());
         Ok(job)
     }
 
+    /// Gives the items of a job the texts of its checkpoint; returns how many have one.
+    async fn restore(&self, job: &Job) -> usize {
+        let checkpoint = self.inner.checkpoints.read(&job.id).await;
+        let min_version = job.record.borrow().min_version;
+        let mut restored = 0;
+        for run in job.items.borrow().iter() {
+            let Some(known) = checkpoint.get(&run.item.id) else { continue };
+            if known.progress.last_event == 0 || !known.progress.fits(min_version) {
+                continue;
+            }
+            run.progress.replace(known.progress.clone());
+            run.failures.set(known.failures);
+            if known.complete {
+                run.enter(Phase::Complete);
+            }
+            restored += 1;
+        }
+        restored
+    }
+
     /// Goes on with a job that another node has handed over.
     pub fn adopt(&self, job: Rc<Job>) {
         self.inner.jobs.borrow_mut().insert(job.id.clone(), job.clone());
@@ -206,7 +246,8 @@
             return;
         }
         monoio::spawn(publish::publish_results(self.inner.clone(), job.clone()));
-        monoio::spawn(publish::keep_confirmed(self.inner.clone(), job));
+        monoio::spawn(publish::keep_confirmed(self.inner.clone(), job.clone()));
+        monoio::spawn(self.inner.clone().keep_checkpoints(job));
         self.inner.wake.notify_one();
     }
 }
@@ -217,6 +258,19 @@
         self.jobs.borrow_mut().remove(id);
     }
 
+    /// Sends checkpoints of a job until it is complete or stops.
+    async fn keep_checkpoints(self: Rc<Self>, job: Rc<Job>) {
+        let mut sent = Sent::default();
+        let pause = || monoio::time::sleep(self.options.checkpoint_interval);
+        while job.stop.run_until_cancelled(pause()).await.is_some() && !job.is_complete() {
+            self.checkpoints.send(&job, &mut sent).await;
+        }
+        // Another runner may need it unless the job is over.
+        if job.is_complete() || job.is_ended() {
+            self.checkpoints.remove(&job.id, &sent).await;
+        }
+    }
+
     async fn dispatch_loop(self: Rc<Self>) {
         loop {
             let waits = self.dispatch_round();
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -646,7 +646,7 @@
 }
 
 /// Returns whether an id can be part of an object's name.
-fn is_valid_id(id: &str) -> bool {
+pub(crate) fn is_valid_id(id: &str) -> bool {
     const MAX_BYTES: usize = 128;
     let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
     !id.is_empty() && id.len() <= MAX_BYTES && id.bytes().all(allowed)
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -88,6 +88,8 @@
     leader: Option<Leader>,
     /// Nodes of the fleet.
     nodes: Vec<SocketAddr>,
+    /// VMs with a disk.
+    disks: Vec<SocketAddr>,
 }
 
 /// Passes on and receives knowledge; clones share their state.
@@ -104,6 +106,8 @@
     options: FeedOptions,
     /// Nodes in the order in which they are watchers.
     ranked: RefCell<Vec<SocketAddr>>,
+    /// VMs with a disk.
+    disks: RefCell<Vec<SocketAddr>>,
     leader: watch::Sender<Option<Leader>>,
     is_watching: Cell<bool>,
 }
@@ -124,6 +128,7 @@
             follower,
             options,
             ranked: RefCell::default(),
+            disks: RefCell::default(),
             leader: watch::channel(None).0,
             is_watching: Cell::new(false),
         };
@@ -140,6 +145,16 @@
         self.inner.ranked.borrow().clone()
     }
 
+    /// Sets the VMs with a disk.
+    pub fn set_disks(&self, disks: Vec<SocketAddr>) {
+        self.inner.disks.replace(disks);
+    }
+
+    /// Returns the VMs with a disk.
+    pub fn disks(&self) -> Vec<SocketAddr> {
+        self.inner.disks.borrow().clone()
+    }
+
     /// Takes note of the leader.
     pub fn set_leader(&self, leader: Option<Leader>) {
         self.inner.leader.send_if_modified(|known| {
@@ -296,6 +311,7 @@
         }
         if !page.nodes.is_empty() {
             self.set_ranked(page.nodes);
+            self.set_disks(page.disks);
         }
     }
 
@@ -339,6 +355,7 @@
                 .then(|| view.targets().iter().map(|target| (**target).clone()).collect()),
             leader: self.leader(),
             nodes: self.ranked(),
+            disks: self.disks(),
         };
         let mut encoded = Vec::new();
         match ciborium::into_writer(&page, &mut encoded) {
