--- a/bins/deckstandin/src/main.rs
+++ b/bins/deckstandin/src/main.rs
@@ -12,6 +12,7 @@
 mod link;
 mod objects;
 mod objects_store;
+mod platform;
 mod scorer;
 mod service;
 mod trainer;
@@ -29,6 +30,9 @@
 #[derive(Bpaf)]
 #[bpaf(options, version)]
 enum Command {
+    /// The users' platform: object API, model engines and plain servers in one process.
+    #[bpaf(command)]
+    Platform(#[bpaf(external(platform::platform_options))] platform::PlatformOptions),
     /// Object API with conditional writes and watches.
     #[bpaf(command)]
     Objects(#[bpaf(external(objects::objects_options))] objects::ObjectsOptions),
@@ -70,6 +74,7 @@
 
 async fn run(command: Command) -> Result<(), StandinError> {
     match command {
+        Command::Platform(options) => platform::run(options).await,
         Command::Objects(options) => objects::run(options).await,
         Command::Engine(options) => engine::run(options).await,
         Command::Service(options) => service::run(options).await,
--- /dev/null
+++ b/bins/deckstandin/src/platform.rs
@@ -0,0 +1,435 @@
+//! The users' platform in one process: object API, model engines and plain services.
+//!
+//! It speaks the platform's own names and formats. Engines register themselves in the object API,
+//! generate texts that depend only on the request's id, and change versions on orders.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bpaf::Bpaf;
+use deck_core::CancellationToken;
+use deck_net::{
+    Body, bind,
+    body::BodySender,
+    http::{HeaderValue, Method, Response, StatusCode},
+    server::{drop_connection, json_response},
+};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+
+use deckstandin::generation::{event_count, event_data};
+
+use crate::common::{
+    Call, FaultCell, StandinError, abort_after_flush, announce, not_found, serve_on,
+};
+
+/// Options of the platform.
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
+pub struct PlatformOptions {
+    /// Address of the object API.
+    #[bpaf(argument("ADDRESS"))]
+    pub listen: SocketAddr,
+    /// Model engines.
+    #[bpaf(argument("COUNT"), fallback(3))]
+    pub engines: usize,
+    /// Plain servers.
+    #[bpaf(argument("COUNT"), fallback(2))]
+    pub servers: usize,
+    /// Time of one event in milliseconds.
+    #[bpaf(argument("MS"), fallback(10))]
+    pub event_ms: u64,
+    /// Time of a change of version in milliseconds.
+    #[bpaf(argument("MS"), fallback(200))]
+    pub load_ms: u64,
+}
+
+/// Faults that a test sets at run time.
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+struct PlatformFaults {
+    /// The object API answers 503.
+    store_down: bool,
+    /// Writes to the object API that are carried out without an answer.
+    store_lost: u32,
+    /// Streams that break off after their next event.
+    cut_streams: u32,
+    /// Reward calls that are answered with 500.
+    failed_rewards: u32,
+}
+
+struct State {
+    options: PlatformOptions,
+    faults: FaultCell<PlatformFaults>,
+    objects: RefCell<BTreeMap<(String, String), Value>>,
+    revision: Cell<u64>,
+    /// Deletions and writes, for watches: revision, kind, gone, object.
+    history: RefCell<Vec<(u64, String, bool, Value)>>,
+    changed: Notify,
+    /// What targets have seen, in order.
+    records: RefCell<Vec<Value>>,
+}
+
+/// One engine or plain server.
+struct Server {
+    state: Rc<State>,
+    id: String,
+    address: SocketAddr,
+    /// Version of the model; `None` for a plain server.
+    version: Cell<Option<u64>>,
+    orders: Cell<u64>,
+    fence: Cell<u64>,
+    busy: Cell<bool>,
+}
+
+/// Model of the engines.
+const MODEL: &str = "m0";
+/// Start of all servers, in milliseconds since the Unix epoch.
+const BORN_MS: u64 = 1_700_000_000_000;
+
+/// Runs the stand-in until a stop signal.
+///
+/// # Errors
+///
+/// Returns an error if an address cannot be bound.
+pub async fn run(options: PlatformOptions) -> Result<(), StandinError> {
+    let stop = deck_net::runtime::stop_token()?;
+    let state = Rc::new(State {
+        faults: FaultCell::default(),
+        objects: RefCell::default(),
+        revision: Cell::new(1),
+        history: RefCell::default(),
+        changed: Notify::new(),
+        records: RefCell::default(),
+        options: options.clone(),
+    });
+    state.put("config", "main", configuration());
+    for index in 0..options.engines + options.servers {
+        let is_engine = index < options.engines;
+        let name = if is_engine { format!("engine-{index}") } else { format!("server-{index}") };
+        start_server(&state, name, is_engine, stop.clone())?;
+    }
+    let listener = bind(options.listen).map_err(|e| StandinError::Bind(options.listen, e))?;
+    announce("store", listener.local_addr()?);
+    serve_on(listener, state, handle_store, stop).await;
+    Ok(())
+}
+
+fn configuration() -> Value {
+    let plain = |name: &str, prefix: &str, kind: &str| {
+        json!({"Name": name, "Host": "h.example", "PathPrefix": prefix, "RouteType": kind,
+               "TimeoutMs": 3000, "TargetLatencyMs": 500, "Priority": 2, "Service": "app",
+               "Attempts": 2})
+    };
+    json!({
+        "Version": 1,
+        "Routes": [
+            plain("plain", "/plain/", "idempotent"),
+            plain("once", "/once/", "non_idempotent"),
+            plain("score", "/score/", "idempotent"),
+            {"Name": "jobs", "Host": "h.example", "PathPrefix": "/jobs/", "RouteType": "rollout",
+             "TargetLatencyMs": 400, "Priority": 1, "Service": "models", "Attempts": 3,
+             "ResultDeadlineMs": 7500, "MaxWaitS": 40},
+        ],
+        "Services": [
+            {"Name": "app", "HealthPath": "/healthz", "MaxConns": 100},
+            {"Name": "models", "HealthPath": "/healthz", "MaxConns": 100, "Engine": {
+                "Slots": 8, "KvTokens": 80000, "Stride": 10, "Models": [{"Name": MODEL}]}},
+        ],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576, "HeaderTimeoutMs": 3000,
+                   "IdleTimeoutMs": 15000},
+    })
+}
+
+fn start_server(
+    state: &Rc<State>,
+    id: String,
+    is_engine: bool,
+    stop: CancellationToken,
+) -> Result<(), StandinError> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = bind(address).map_err(|error| StandinError::Bind(address, error))?;
+    let address = listener.local_addr()?;
+    let server = Rc::new(Server {
+        state: state.clone(),
+        id,
+        address,
+        version: Cell::new(is_engine.then_some(1)),
+        orders: Cell::new(0),
+        fence: Cell::new(0),
+        busy: Cell::new(false),
+    });
+    server.register();
+    monoio::spawn(serve_on(listener, server, handle_server, stop));
+    Ok(())
+}
+
+impl State {
+    fn put(&self, kind: &str, name: &str, spec: Value) -> Value {
+        let key = (kind.to_owned(), name.to_owned());
+        let revision = self.revision.get() + 1;
+        self.revision.set(revision);
+        let mut objects = self.objects.borrow_mut();
+        let object = objects.entry(key).or_insert_with(|| {
+            json!({"Metadata": {"Name": name, "Created": revision, "Finalizers": [],
+                   "DeletePending": false}, "Spec": null, "Status": null})
+        });
+        object["Metadata"]["Revision"] = revision.into();
+        object["Spec"] = spec;
+        let object = object.clone();
+        self.history.borrow_mut().push((revision, kind.to_owned(), false, object.clone()));
+        self.changed.notify_waiters();
+        object
+    }
+
+    fn record(&self, record: Value) {
+        self.records.borrow_mut().push(record);
+    }
+
+    fn list(&self, kind: &str) -> Value {
+        let objects = self.objects.borrow();
+        let items = objects.iter().filter(|(key, _)| key.0 == kind);
+        let items: Vec<Value> = items.map(|(_, object)| object.clone()).collect();
+        json!({"Items": items, "HasMore": false, "AsOf": self.revision.get()})
+    }
+
+    async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Value {
+        let events = || {
+            let history = self.history.borrow();
+            let newer = history.iter().filter(|(at, of, ..)| *at > from && of == kind);
+            newer
+                .map(|(_, _, gone, object)| json!({"HistoryLost": gone, "Object": object}))
+                .collect::<Vec<_>>()
+        };
+        let until = std::time::Instant::now() + wait;
+        while events().is_empty() {
+            let left = until.saturating_duration_since(std::time::Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            let _ = monoio::time::timeout(left, self.changed.notified()).await;
+        }
+        json!({"events": events(), "AsOf": self.revision.get()})
+    }
+
+    fn write(&self, call: &Call, kind: &str, name: Option<&str>) -> Response<Body> {
+        let body: Value = match call.json() {
+            Ok(body) => body,
+            Err(response) => return response,
+        };
+        let named = body["Metadata"]["Name"].as_str().map(str::to_owned);
+        let Some(name) = name.map(str::to_owned).or(named) else {
+            return json_response(400, &json!({"Error": "no name"}));
+        };
+        let current = self.objects.borrow().get(&(kind.to_owned(), name.clone())).cloned();
+        let expected = body["Metadata"]["Revision"].as_u64();
+        match (&call.method, current) {
+            (&Method::POST, Some(current)) => return json_response(409, &current),
+            (&Method::PUT, None) => return json_response(404, &Value::Null),
+            (_, Some(current))
+                if expected.is_some_and(|at| at != current["Metadata"]["Revision"]) =>
+            {
+                return json_response(409, &current);
+            }
+            _ => {}
+        }
+        let object = self.put(kind, &name, body["Spec"].clone());
+        let lost = self.faults.update(|faults| {
+            let lost = faults.store_lost > 0;
+            faults.store_lost = faults.store_lost.saturating_sub(1);
+            lost
+        });
+        if lost { drop_connection() } else { json_response(200, &object) }
+    }
+}
+
+async fn handle_store(state: Rc<State>, call: Call) -> Response<Body> {
+    let segments = call.segments().into_iter().map(str::to_owned).collect::<Vec<_>>();
+    let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
+    if let ["admin", what] = segments.as_slice() {
+        return match *what {
+            "faults" => state.faults.patch(&call),
+            "records" => json_response(200, &*state.records.borrow()),
+            _ => not_found(&call),
+        };
+    }
+    if state.faults.get().store_down {
+        return json_response(503, &Value::Null);
+    }
+    match (call.method.as_str(), segments.as_slice()) {
+        ("GET", ["v1", "objects", kind]) => match call.query_value("Watch") {
+            None => json_response(200, &state.list(kind)),
+            Some(from) => {
+                let wait = call.query_value("WaitMs").and_then(|wait| wait.parse().ok());
+                let wait = Duration::from_millis(wait.unwrap_or(0));
+                let from = from.parse().unwrap_or(0);
+                json_response(200, &state.watch(kind, from, wait).await)
+            }
+        },
+        ("GET", ["v1", "objects", kind, name]) => {
+            let key = ((*kind).to_owned(), (*name).to_owned());
+            match state.objects.borrow().get(&key) {
+                Some(object) => json_response(200, object),
+                None => json_response(404, &Value::Null),
+            }
+        }
+        ("POST", ["v1", "objects", kind]) => state.write(&call, kind, None),
+        ("PUT", ["v1", "objects", kind, name]) => state.write(&call, kind, Some(name)),
+        _ => not_found(&call),
+    }
+}
+
+impl Server {
+    fn register(&self) {
+        let mut entry = json!({"Service": if self.version.get().is_some() { "models" } else { "app" },
+            "Address": self.address.to_string(), "Zone": "a", "Version": "v1", "Slots": 8,
+            "State": "ready", "ColdRemainingMs": 0, "Seq": 1, "born": BORN_MS});
+        if let Some(version) = self.version.get() {
+            entry["Models"] = json!([{"Name": MODEL, "Version": version, "Adapters": []}]);
+        }
+        self.state.put("servers", &self.id, entry);
+    }
+
+    fn models(&self) -> Value {
+        let version = self.version.get();
+        version.map_or(json!([]), |version| json!([{"Name": MODEL, "Version": version}]))
+    }
+
+    fn order(self: &Rc<Self>, call: &Call) -> Response<Body> {
+        let body: Value = match call.json() {
+            Ok(body) => body,
+            Err(response) => return response,
+        };
+        let (fence, version) = (body["Fence"].as_u64().unwrap_or(0), body["Version"].as_u64());
+        let record = json!({"order": self.id, "fence": fence, "version": version,
+                            "holder": body["Holder"]});
+        self.state.record(record);
+        if fence < self.fence.get() {
+            return json_response(412, &Value::Null);
+        }
+        self.fence.set(fence);
+        if version == self.version.get() {
+            return json_response(200, &Value::Null);
+        }
+        let expected = body["Expect"].as_u64();
+        if self.busy.get() || expected.is_some_and(|expected| expected != self.orders.get()) {
+            return json_response(409, &Value::Null);
+        }
+        self.orders.set(self.orders.get() + 1);
+        self.busy.set(true);
+        let server = self.clone();
+        monoio::spawn(async move {
+            monoio::time::sleep(Duration::from_millis(server.state.options.load_ms)).await;
+            server.version.set(version);
+            server.busy.set(false);
+            server.register();
+        });
+        json_response(202, &Value::Null)
+    }
+
+    /// Answers a plain request or a reward call.
+    async fn answer(&self, call: &Call, id: &str) -> Response<Body> {
+        self.state.record(json!({"call": id, "server": self.id, "path": call.path}));
+        let is_reward = call.path.starts_with("/score/");
+        let fails = is_reward
+            && self.state.faults.update(|faults| {
+                let fails = faults.failed_rewards > 0;
+                faults.failed_rewards = faults.failed_rewards.saturating_sub(1);
+                fails
+            });
+        let status = if fails { 500 } else { 200 };
+        let mut response = json_response(status, &json!({ "echo": id }));
+        sign(&mut response, id);
+        response
+    }
+
+    /// Generates the text of a request, after the last event that the caller has.
+    async fn generate(self: &Rc<Self>, call: &Call, id: &str) -> Response<Body> {
+        let version = self.version.get().unwrap_or(0);
+        let after: u64 =
+            call.header("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
+        self.state
+            .record(json!({"run": id, "engine": self.id, "after": after, "version": version}));
+        if self.busy.get() {
+            let mut response = json_response(503, &Value::Null);
+            response.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
+            return response;
+        }
+        let (sender, body) = Body::stream();
+        let mut response = Response::new(body);
+        sign(&mut response, id);
+        if let Ok(value) = HeaderValue::from_str(&version.to_string()) {
+            response.headers_mut().insert("weight-versions", value);
+        }
+        let (server, id) = (self.clone(), id.to_owned());
+        monoio::spawn(async move { server.stream(sender, &id, after, version).await });
+        response
+    }
+
+    async fn stream(&self, sender: BodySender, id: &str, after: u64, mut version: u64) {
+        for number in after + 1..=event_count(id) {
+            monoio::time::sleep(Duration::from_millis(self.state.options.event_ms)).await;
+            let now = self.version.get().unwrap_or(0);
+            let changed =
+                if now == version { String::new() } else { format!("weight-versions: {now}\n") };
+            version = now;
+            let event = format!("{changed}id: {number}\ndata: {}\n\n", event_data(id, number));
+            if sender.send(event).await.is_err() {
+                return;
+            }
+            let cut = self.state.faults.update(|faults| {
+                let cut = faults.cut_streams > 0;
+                faults.cut_streams = faults.cut_streams.saturating_sub(1);
+                cut
+            });
+            if cut {
+                return abort_after_flush(sender).await;
+            }
+        }
+        sender.finish().await;
+    }
+}
+
+fn sign(response: &mut Response<Body>, id: &str) {
+    let headers = response.headers_mut();
+    for (name, value) in [("request-id", id.to_owned()), ("response-stamp", format!("stamp-{id}"))]
+    {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            headers.insert(name, value);
+        }
+    }
+}
+
+async fn handle_server(server: Rc<Server>, call: Call) -> Response<Body> {
+    if call.header("target-instance").is_some_and(|target| target != server.id) {
+        let mut response = json_response(421, &Value::Null);
+        *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+        return response;
+    }
+    match (call.method.as_str(), call.path.as_str()) {
+        ("GET", "/v1/report") => {
+            let report = json!({"Stage": "both", "Models": server.models(),
+                "Busy": server.busy.get(), "Seq": server.orders.get(), "QueueDepth": 0,
+                "InFlight": 0, "KvUsed": 0, "KvTotal": 1, "Handles": 0});
+            json_response(200, &report)
+        }
+        ("POST", "/v1/order") => server.order(&call),
+        _ => {
+            let Some(id) = call.header("request-id").map(str::to_owned) else {
+                return json_response(400, &Value::Null);
+            };
+            if server.version.get().is_some() {
+                server.generate(&call, &id).await
+            } else {
+                server.answer(&call, &id).await
+            }
+        }
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -106,6 +106,11 @@
         self.listeners[listener]
     }
 
+    /// Returns the lines of standard output that nothing has read yet.
+    pub fn output(&self) -> Vec<String> {
+        self.lines.try_iter().collect()
+    }
+
     /// Returns the process id.
     pub fn id(&self) -> u32 {
         self.child.id()
