--- a/crates/obs/src/logs.rs
+++ b/crates/obs/src/logs.rs
@@ -3,6 +3,7 @@
 //! A component logs with its name as the `log` target, for example
 //! `log::warn!(target: "peer", "link closed peer={vm} error={error}")`.
 
+use crate::bounded::{BoundedWriter, LogBudget};
 use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
 
 /// Starts logging to standard error.
@@ -15,13 +16,13 @@
     init(level, std::io::stderr())
 }
 
-/// Starts logging to standard output.
+/// Starts logging to standard output, within the default budget and without ever blocking.
 ///
 /// # Errors
 ///
 /// Returns an error if a logger has been set before.
 pub fn try_init_stdout(level: &str) -> Result<(), log::SetLoggerError> {
-    init(level, std::io::stdout())
+    init(level, BoundedWriter::new(std::io::stdout(), LogBudget::default()))
 }
 
 fn init(
--- /dev/null
+++ b/crates/obs/tests/bounded.rs
@@ -0,0 +1,81 @@
+//! Log output under load and with readers that do not read.
+
+use std::{
+    io::{Read, Write},
+    os::unix::net::UnixStream,
+    time::{Duration, Instant},
+};
+
+use deck_obs::bounded::{BoundedWriter, LogBudget};
+
+fn wide() -> LogBudget {
+    LogBudget { lines_per_s: 1e9, burst: Duration::from_secs(1) }
+}
+
+fn read_now(stream: &mut UnixStream) -> String {
+    stream.set_nonblocking(true).expect("nonblocking");
+    let mut text = Vec::new();
+    let _ = stream.read_to_end(&mut text);
+    String::from_utf8(text).expect("text")
+}
+
+/// Guards against a program that stands still because nobody reads its log.
+#[test]
+fn full_output_does_not_block() {
+    let (output, mut reader) = UnixStream::pair().expect("pair");
+    let mut writer = BoundedWriter::new(output, wide());
+    let started = Instant::now();
+    let line = format!("[INFO] {}\n", "x".repeat(500));
+    for _ in 0..20_000 {
+        writer.write_all(line.as_bytes()).expect("write");
+    }
+    assert!(started.elapsed() < Duration::from_secs(20));
+    assert!(writer.left_out() > 0);
+    read_now(&mut reader);
+    writer.write_all(b"[INFO] after\n").expect("write");
+    let text = read_now(&mut reader);
+    assert!(text.contains("lines left out") && text.ends_with("[INFO] after\n"), "{text}");
+}
+
+/// Guards against a program that ends because the reader of its log has gone.
+#[test]
+fn closed_output_is_no_error() {
+    let (output, reader) = UnixStream::pair().expect("pair");
+    drop(reader);
+    let mut writer = BoundedWriter::new(output, wide());
+    for _ in 0..10 {
+        writer.write_all(b"[INFO] x\n").expect("write");
+    }
+    assert!(writer.left_out() > 0);
+}
+
+/// Guards against a log that grows with the load, and against failures that ordinary lines crowd
+/// out.
+#[test]
+fn budget_keeps_warnings() {
+    let (output, mut reader) = UnixStream::pair().expect("pair");
+    let budget = LogBudget { lines_per_s: 0.001, burst: Duration::from_secs(40_000) };
+    let mut writer = BoundedWriter::new(output, budget);
+    for _ in 0..100 {
+        writer.write_all(b"[INFO] ordinary\n").expect("write");
+    }
+    writer.write_all(b"[WARN] failure\n").expect("write");
+    let text = read_now(&mut reader);
+    assert_eq!(text.matches("ordinary").count(), 30);
+    assert!(text.contains("lines left out count=70"), "{text}");
+    assert!(text.contains("[WARN] failure"), "{text}");
+}
+
+/// Guards against lines that are torn where the logger writes them in parts.
+#[test]
+fn lines_are_written_whole() {
+    let (output, mut reader) = UnixStream::pair().expect("pair");
+    let mut writer = BoundedWriter::new(output, wide());
+    for part in ["[INFO]", " a=", "1", "\n"] {
+        writer.write_all(part.as_bytes()).expect("write");
+        if part != "\n" {
+            assert_eq!(read_now(&mut reader), "");
+        }
+    }
+    assert_eq!(read_now(&mut reader), "[INFO] a=1\n");
+}
