--- a/bins/decknode/tests/common/mod.rs
+++ b/bins/decknode/tests/common/mod.rs
@@ -6,6 +6,7 @@
     collections::HashSet,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
@@ -60,9 +61,24 @@
     }
 }
 
+/// First port of the tests. It lies below the range from which the system takes the ports of
+/// outgoing connections, so that a node that starts again finds its ports free.
+const FIRST_PORT: u32 = 20_000;
+/// Ports of one test process, and processes that run beside each other.
+const PORTS: u32 = 120;
+const PROCESSES: u32 = 100;
+
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
-    listener.local_addr().expect("address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = FIRST_PORT + std::process::id() % PROCESSES * PORTS;
+    for _ in 0..PORTS {
+        let port = first + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no free port from {first} on");
 }
 
 impl Fleet {
