--- /dev/null
+++ b/crates/batch/tests/checkpoint.rs
@@ -0,0 +1,196 @@
+//! Texts of unfinished items across crashes, torn files and hand-overs.
+
+use std::{io::Write, net::SocketAddr, path::PathBuf, rc::Rc};
+
+use deck_batch::{
+    Accepted, CheckpointStore, Ledger,
+    checkpoint::ItemDelta,
+    handover::Handover,
+    job::{Job, Phase, Progress},
+};
+use deck_fleet::{BatchJob, BatchLimits, Item, ItemOutcome};
+use deck_testkit::memory::MemoryObjects;
+
+fn folder() -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("checkpoint-{}", deck_core::id::random_id()));
+    std::fs::create_dir_all(&folder).expect("folder");
+    folder
+}
+
+/// Returns the progress of an item with the given number of events.
+fn progress(events: u64) -> Progress {
+    let mut progress = Progress::default();
+    for number in 1..=events {
+        progress.push(number, &format!("event {number}"), 3 + number / 3);
+    }
+    progress
+}
+
+fn delta(item: &str, after_event: u64, whole: &Progress) -> ItemDelta {
+    ItemDelta {
+        item: item.to_owned(),
+        after_event,
+        text: whole.text_after(after_event).to_owned(),
+        last_event: whole.last_event,
+        ends: whole.ends[after_event as usize..].to_vec(),
+        versions: whole.versions.clone(),
+        failures: 1,
+        complete: false,
+    }
+}
+
+/// Guards against texts that are put together wrongly from their parts.
+#[test]
+fn parts_give_the_whole_text() {
+    let store = CheckpointStore::open(None);
+    let (early, late) = (progress(2), progress(5));
+    assert!(store.add("job", &[delta("i", 0, &early)]).is_empty());
+    assert!(store.add("job", &[delta("i", 2, &late)]).is_empty());
+    let kept = &store.get("job")["i"];
+    assert_eq!((&kept.progress, kept.failures), (&late, 1));
+}
+
+/// Guards against a text with a gap: a part whose beginning is missing is not taken.
+#[test]
+fn part_without_its_beginning_is_missing() {
+    let store = CheckpointStore::open(None);
+    let missing = store.add("job", &[delta("i", 2, &progress(5))]);
+    assert_eq!(missing, ["i"]);
+    assert_eq!(store.get("job")["i"].progress.last_event, 0);
+    store.add("job", &[delta("i", 0, &progress(3))]);
+    assert_eq!(store.add("job", &[delta("i", 2, &progress(5))]), ["i"]);
+    assert_eq!(store.get("job")["i"].progress, progress(3));
+}
+
+/// Guards against text of an earlier try that stays in front of a text that was begun anew.
+#[test]
+fn text_that_is_begun_anew_replaces_the_old_one() {
+    let store = CheckpointStore::open(None);
+    store.add("job", &[delta("i", 0, &progress(5))]);
+    store.add("job", &[delta("i", 0, &progress(1))]);
+    assert_eq!(store.get("job")["i"].progress, progress(1));
+}
+
+/// Guards against texts that are lost when all processes are killed.
+#[test]
+fn texts_are_there_after_a_restart() {
+    let folder = folder();
+    let store = CheckpointStore::open(Some(&folder));
+    store.add("job", &[delta("i", 0, &progress(2)), delta("k", 0, &progress(1))]);
+    store.add("job", &[delta("i", 2, &progress(4))]);
+    let again = CheckpointStore::open(Some(&folder));
+    assert_eq!(again.get("job"), store.get("job"));
+    assert_eq!(again.get("job")["i"].progress, progress(4));
+    again.remove("job");
+    assert!(CheckpointStore::open(Some(&folder)).get("job").is_empty());
+    std::fs::remove_dir_all(folder).expect("remove");
+}
+
+/// Guards against spoiled text after a loss of power: a torn record and all after it are left out.
+#[test]
+fn torn_record_is_left_out() {
+    let folder = folder();
+    let store = CheckpointStore::open(Some(&folder));
+    store.add("job", &[delta("i", 0, &progress(2))]);
+    let file = folder.join("checkpoints").join("job");
+    let whole = std::fs::read(&file).expect("read").len();
+    store.add("job", &[delta("i", 2, &progress(4))]);
+    let bytes = std::fs::read(&file).expect("read");
+    for cut in [whole + 3, whole + 20, bytes.len() - 1] {
+        std::fs::write(&file, &bytes[..cut]).expect("write");
+        let again = CheckpointStore::open(Some(&folder));
+        assert_eq!(again.get("job")["i"].progress, progress(2), "cut at {cut}");
+    }
+    let mut spoiled = bytes.clone();
+    spoiled[whole + 25] ^= 0x40;
+    std::fs::write(&file, spoiled).expect("write");
+    assert_eq!(CheckpointStore::open(Some(&folder)).get("job")["i"].progress, progress(2));
+    std::fs::remove_dir_all(folder).expect("remove");
+}
+
+/// Guards against a VM that fails because its folder cannot be written.
+#[test]
+fn disk_that_takes_nothing_leaves_the_texts_in_memory() {
+    let folder = folder();
+    let mut file = std::fs::File::create(folder.join("checkpoints")).expect("file");
+    file.write_all(b"in the way").expect("write");
+    let store = CheckpointStore::open(Some(&folder));
+    store.add("job", &[delta("i", 0, &progress(2))]);
+    assert_eq!(store.get("job")["i"].progress, progress(2));
+    std::fs::remove_dir_all(folder).expect("remove");
+}
+
+fn item(id: &str) -> Item {
+    Item {
+        id: id.to_owned(),
+        path: "/p".to_owned(),
+        headers: Vec::new(),
+        body: String::new(),
+        tokens: 100,
+        group: None,
+        reward: None,
+        length_hint: None,
+    }
+}
+
+async fn running_job() -> Job {
+    let limits = BatchLimits {
+        results_due_ms: 7500,
+        give_up_ms: 40_000,
+        attempts: 3,
+        single_version: false,
+        priority: 1,
+    };
+    let items: Vec<Item> = ["a", "b", "c", "d"].map(item).into();
+    let job = BatchJob {
+        id: "job".to_owned(),
+        host: "h".to_owned(),
+        path: "/j/job".to_owned(),
+        step: 0,
+        model: "m".to_owned(),
+        min_version: 1,
+        group_count: 0,
+        items: items.clone(),
+        limits,
+        submitted_at_ms: 0,
+    };
+    let ledger = Ledger::new(MemoryObjects::default().store(), 1 << 20);
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let accepted = ledger.accept(&job, "vm-1", address).await;
+    let Accepted::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+    Job::new("job".to_owned(), record, revision, items)
+}
+
+/// Guards against items that are lost, listed twice or begun anew when a stopping node hands a job
+/// over.
+#[test]
+fn handed_over_job_goes_on_where_it_was() {
+    let test = async {
+        let job = running_job().await;
+        let run = |id: &str| job.unlisted_item(id).expect("item");
+        run("a").progress.replace(progress(3));
+        run("a").enter(Phase::Running);
+        run("b").progress.replace(progress(2));
+        run("b").enter(Phase::Scoring);
+        let stored = run("c");
+        job.finish(&stored, ItemOutcome::Completed, None);
+        let results = job.unlisted.borrow().clone();
+        job.list(0, results);
+        let waiting = run("d");
+        job.finish(&waiting, ItemOutcome::Completed, None);
+
+        let handover = Handover::of(&job);
+        let record = deck_batch::JobRecord { runner: "vm-2".to_owned(), ..handover.record.clone() };
+        let next = Rc::new(handover.into_job("job".to_owned(), record, 9));
+        assert_eq!((next.chunks.get(), next.listed.borrow().len()), (1, 1));
+        assert_eq!(next.listed.borrow()[0].item, "c");
+        assert_eq!(next.unlisted.borrow()[0].item, "d");
+        let item = |id: &str| next.unlisted_item(id).expect("item");
+        assert_eq!(*item("a").progress.borrow(), progress(3));
+        assert_eq!(item("a").phase.get(), Phase::Waiting);
+        assert_eq!(item("b").phase.get(), Phase::Complete);
+        assert!(next.unlisted_item("d").is_none() && next.unlisted_item("c").is_none());
+        assert!(!next.is_complete());
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
