--- a/bins/decknode/src/front.rs
+++ b/bins/decknode/src/front.rs
@@ -14,6 +14,8 @@
 use http::{HeaderValue, Method, Request, Response, header};
 use hyper::body::Incoming;
 
+use crate::metrics::{NodeMetrics, Purpose};
+
 /// Retry-After while the node does not know the configuration yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
 /// Time for a request that states no deadline on a route without a timeout.
@@ -32,18 +34,32 @@
     pub protocol: Rc<dyn Protocol>,
     /// Set when the process is stopping: callers are asked to reconnect elsewhere.
     pub draining: Rc<Cell<bool>>,
+    /// Counts answers.
+    pub metrics: NodeMetrics,
 }
 
 impl Front {
     /// Serves one request.
     pub async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
+        let (arrived, purpose) = (Instant::now(), self.purpose(&request));
         let mut response = self.answer(request).await;
+        self.metrics.record(purpose, response.status().as_u16(), arrived.elapsed());
         if self.draining.get() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
 
+    fn purpose(&self, request: &Request<Incoming>) -> Purpose {
+        let uri = request.uri();
+        if self.protocol.batch_call(request.method(), uri.path(), uri.query()).is_some() {
+            return Purpose::Batch;
+        }
+        let configuration = self.view.configuration();
+        let route = configuration.and_then(|configuration| find_route(&configuration, request));
+        route.map_or(Purpose::None, |route| Purpose::Route(route.kind))
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let arrived = Instant::now();
         let head = self.protocol.call_head(request.headers());
--- a/bins/decknode/src/main.rs
+++ b/bins/decknode/src/main.rs
@@ -7,6 +7,7 @@
 
 mod front;
 mod lead;
+mod metrics;
 mod nodes;
 mod process;
 mod retire;
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -34,12 +34,14 @@
 
 use hyper::body::Incoming;
 
-use crate::{front::Front, lead, nodes};
+use crate::{front::Front, lead, metrics::NodeMetrics, nodes};
 
 /// Time for one call on the object API, which answers in a few milliseconds.
 const STORE_CALL_LIMIT: Duration = Duration::from_millis(700);
 /// Time for one call through another node, which makes it within its own limit.
 const RELAY_CALL_LIMIT: Duration = Duration::from_millis(900);
+/// Path of the metrics on the ready address.
+const METRICS_PATH: &str = "/metrics";
 /// Largest call of another node on the object API.
 const MAX_RELAYED_BYTES: usize = 4 * 1024 * 1024;
 /// Time in which a connection has to come about; links take a few milliseconds.
@@ -151,14 +153,16 @@
     let leading = monoio::spawn(lead::run(duties.clone(), stop.clone()));
 
     let draining = Rc::new(Cell::new(false));
+    let metrics = NodeMetrics::new();
     let front = Front {
         view: view.clone(),
         forwarder,
         batch: batch.clone(),
         protocol: protocol.clone(),
         draining: draining.clone(),
+        metrics: metrics.clone(),
     };
-    serve_ready(&settings, view, protocol, draining.clone(), ended.clone())?;
+    serve_ready(&settings, view, protocol, draining.clone(), metrics, ended.clone())?;
     serve_peers(&settings, batch.clone(), feed.clone(), api, ended.clone())?;
     let closing = CancellationToken::new();
     let served = serve_callers(&settings, front, closing.clone())?;
@@ -232,6 +236,7 @@
     view: View,
     protocol: Rc<dyn Protocol>,
     draining: Rc<Cell<bool>>,
+    metrics: NodeMetrics,
     ended: CancellationToken,
 ) -> std::io::Result<()> {
     let Some(address) = settings.ready_address else { return Ok(()) };
@@ -239,6 +244,10 @@
     let options = ServerOptions { head_timeout: CALLER_IDLE, ..ServerOptions::default() };
     monoio::spawn(deck_net::serve(listener, options, ended, move |request| {
         let known = protocol.is_ready_request(request.method(), request.uri().path());
+        if request.uri().path() == METRICS_PATH {
+            let response = text_response(200, &metrics.render(&view));
+            return std::future::ready(response);
+        }
         let status = match (known, view.is_complete() && !draining.get()) {
             (false, _) => StatusCode::NOT_FOUND,
             (true, true) => StatusCode::OK,
@@ -246,7 +255,7 @@
         };
         let mut response = Response::new(Body::empty());
         *response.status_mut() = status;
-        async move { response }
+        std::future::ready(response)
     }));
     Ok(())
 }
--- a/bins/decknode/tests/calm.rs
+++ b/bins/decknode/tests/calm.rs
@@ -28,6 +28,10 @@
             let body: Value = serde_json::from_slice(&body).expect("json");
             assert_eq!(body["echo"], id);
         }
+        let metrics = fleet.call(fleet.nodes[0].ready, Method::GET, "/metrics", &[], vec![]).await;
+        let metrics = String::from_utf8(metrics.expect("metrics").1).expect("text");
+        let counted = "decknode_requests_total{purpose=\"idempotent\",status=\"200\"} 1";
+        assert!(metrics.contains(counted), "{metrics}");
         let missing = fleet
             .call(fleet.nodes[0].callers, Method::GET, "/nowhere/x", &[("Request-Id", "n")], vec![])
             .await;
