--- a/crates/batch/src/handover.rs
+++ b/crates/batch/src/handover.rs
@@ -1,14 +1,24 @@
 //! Handing a running job to another node, with the text so far.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use deck_net::{Body, server::read_body};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
 
 use deck_core::id::Revision;
 use deck_fleet::{Item, ItemResult};
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    JobRecord,
+    BatchService, JobRecord,
     job::{ItemRun, Job, Phase, Progress},
+    service::status_only,
 };
 
 /// A running job as it is handed to another node.
@@ -105,3 +115,97 @@
         run
     }
 }
+
+/// Time in which the tasks of a stopped job end.
+const HANDOVER_PAUSE: Duration = Duration::from_millis(2);
+/// Nodes that are asked to take a job over.
+const HANDOVER_NODES: usize = 3;
+/// Largest job that is taken over.
+const MAX_HANDOVER_BYTES: usize = 64 * 1024 * 1024;
+
+impl BatchService {
+    /// Hands all running jobs to other nodes, the leader first; `nodes` are tried in their order.
+    pub async fn hand_over(&self, nodes: &[SocketAddr]) {
+        let leader = self.other_leader().map(|leader| leader.address);
+        let own = self.inner.runner.inner.address;
+        let others = nodes.iter().copied().filter(|node| *node != own && Some(*node) != leader);
+        let nodes: Vec<SocketAddr> = leader.into_iter().chain(others).collect();
+        for job in self.inner.runner.active_jobs() {
+            job.stop.cancel();
+            // The tasks of the job note its progress before it is handed over.
+            monoio::time::sleep(HANDOVER_PAUSE).await;
+            self.hand_over_job(&job, &nodes).await;
+            self.inner.runner.inner.forget(&job.id);
+        }
+    }
+
+    async fn hand_over_job(&self, job: &Job, nodes: &[SocketAddr]) {
+        let mut handover = Vec::new();
+        if let Err(error) = ciborium::into_writer(&Handover::of(job), &mut handover) {
+            log::error!(target: "batch", "job not encoded job={} error={error}", job.id);
+            return;
+        }
+        let handover = Bytes::from(handover);
+        for node in nodes.iter().take(HANDOVER_NODES) {
+            match self.inner.peers.hand_over(*node, &job.id, handover.clone()).await {
+                Ok(answer) if answer.status == StatusCode::OK => {
+                    log::info!(target: "batch", "job handed over job={} node={node}", job.id);
+                    self.inner.runners.borrow_mut().insert(job.id.clone(), *node);
+                    return;
+                }
+                Ok(answer) => {
+                    log::info!(target: "batch", "job not taken job={} node={node} status={}", job.id, answer.status);
+                }
+                Err(error) => {
+                    log::info!(target: "batch", "job not handed over job={} node={node} error={error}", job.id);
+                }
+            }
+        }
+    }
+
+    /// Takes over a job that another node hands over.
+    pub(crate) async fn serve_handover(
+        &self,
+        id: &str,
+        request: Request<Incoming>,
+    ) -> Response<Body> {
+        if self.inner.draining.get() {
+            return status_only(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let body = match read_body(request.into_body(), MAX_HANDOVER_BYTES).await {
+            Ok(body) => body,
+            Err(error) => {
+                log::warn!(target: "batch", "handover not received job={id} error={error}");
+                return status_only(StatusCode::BAD_REQUEST);
+            }
+        };
+        let handover: Handover = match ciborium::from_reader(&*body) {
+            Ok(handover) => handover,
+            Err(error) => {
+                log::warn!(target: "batch", "handover not read job={id} error={error}");
+                return status_only(StatusCode::BAD_REQUEST);
+            }
+        };
+        if self.inner.runner.job(id).is_some() {
+            return status_only(StatusCode::OK);
+        }
+        let runner = &self.inner.runner.inner;
+        let record = JobRecord {
+            runner: runner.vm.clone(),
+            address: runner.address,
+            ..handover.record.clone()
+        };
+        match self.inner.ledger.replace(id, handover.revision, &record).await {
+            Ok(revision) => {
+                log::info!(target: "batch", "job received job={id} open={}", handover.items.len());
+                let job = handover.into_job(id.to_owned(), record, revision);
+                self.inner.runner.adopt(Rc::new(job));
+                status_only(StatusCode::OK)
+            }
+            Err(error) => {
+                log::info!(target: "batch", "job not received job={id} error={error}");
+                status_only(StatusCode::CONFLICT)
+            }
+        }
+    }
+}
--- a/crates/batch/src/run.rs
+++ b/crates/batch/src/run.rs
@@ -151,7 +151,6 @@
         time_left: None,
         last_event,
         priority: None,
-        expected_version: None,
     };
     inner.protocol.dispatch(&mut headers, &dispatch);
     let mut request = Request::new(Body::full(body));
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -25,7 +25,6 @@
 
 use crate::{
     Accepted, JobRecord, Ledger, Runner,
-    handover::Handover,
     job::Job,
     peers::{JOBS_PATH, NOT_HERE, PING_PATH, PeerAnswer, Peers, SUBMITTED_PATH},
     publish,
@@ -62,21 +61,21 @@
 /// Serves calls on batch jobs; clones share its state.
 #[derive(Clone)]
 pub struct BatchService {
-    inner: Rc<Inner>,
+    pub(crate) inner: Rc<Inner>,
 }
 
-struct Inner {
-    runner: Runner,
-    ledger: Ledger,
-    peers: Peers,
+pub(crate) struct Inner {
+    pub(crate) runner: Runner,
+    pub(crate) ledger: Ledger,
+    pub(crate) peers: Peers,
     protocol: Rc<dyn Protocol>,
     options: BatchOptions,
     feed: Feed,
     /// Nodes that were last seen to run a job.
-    runners: RefCell<HashMap<RequestId, SocketAddr>>,
+    pub(crate) runners: RefCell<HashMap<RequestId, SocketAddr>>,
     /// Jobs that are ended or complete, loaded for reads on this node.
     settled: RefCell<HashMap<RequestId, Rc<Job>>>,
-    draining: Cell<bool>,
+    pub(crate) draining: Cell<bool>,
 }
 
 /// Where a job is run.
@@ -540,98 +539,13 @@
         }
     }
 
-    /// Hands all running jobs to other nodes, the leader first; `nodes` are tried in their order.
-    pub async fn hand_over(&self, nodes: &[SocketAddr]) {
-        let leader = self.other_leader().map(|leader| leader.address);
-        let own = self.inner.runner.inner.address;
-        let others = nodes.iter().copied().filter(|node| *node != own && Some(*node) != leader);
-        let nodes: Vec<SocketAddr> = leader.into_iter().chain(others).collect();
-        for job in self.inner.runner.active_jobs() {
-            job.stop.cancel();
-            // The tasks of the job note its progress before it is handed over.
-            monoio::time::sleep(HANDOVER_PAUSE).await;
-            self.hand_over_job(&job, &nodes).await;
-            self.inner.runner.inner.forget(&job.id);
-        }
-    }
-
-    async fn hand_over_job(&self, job: &Job, nodes: &[SocketAddr]) {
-        let mut handover = Vec::new();
-        if let Err(error) = ciborium::into_writer(&Handover::of(job), &mut handover) {
-            log::error!(target: "batch", "job not encoded job={} error={error}", job.id);
-            return;
-        }
-        let handover = Bytes::from(handover);
-        for node in nodes.iter().take(HANDOVER_NODES) {
-            match self.inner.peers.hand_over(*node, &job.id, handover.clone()).await {
-                Ok(answer) if answer.status == StatusCode::OK => {
-                    log::info!(target: "batch", "job handed over job={} node={node}", job.id);
-                    self.inner.runners.borrow_mut().insert(job.id.clone(), *node);
-                    return;
-                }
-                Ok(answer) => {
-                    log::info!(target: "batch", "job not taken job={} node={node} status={}", job.id, answer.status);
-                }
-                Err(error) => {
-                    log::info!(target: "batch", "job not handed over job={} node={node} error={error}", job.id);
-                }
-            }
-        }
-    }
-
-    async fn serve_handover(&self, id: &str, request: Request<Incoming>) -> Response<Body> {
-        if self.inner.draining.get() {
-            return status_only(StatusCode::SERVICE_UNAVAILABLE);
-        }
-        let body = match read_body(request.into_body(), MAX_HANDOVER_BYTES).await {
-            Ok(body) => body,
-            Err(error) => {
-                log::warn!(target: "batch", "handover not received job={id} error={error}");
-                return status_only(StatusCode::BAD_REQUEST);
-            }
-        };
-        let handover: Handover = match ciborium::from_reader(&*body) {
-            Ok(handover) => handover,
-            Err(error) => {
-                log::warn!(target: "batch", "handover not read job={id} error={error}");
-                return status_only(StatusCode::BAD_REQUEST);
-            }
-        };
-        if self.inner.runner.job(id).is_some() {
-            return status_only(StatusCode::OK);
-        }
-        let runner = &self.inner.runner.inner;
-        let record = JobRecord {
-            runner: runner.vm.clone(),
-            address: runner.address,
-            ..handover.record.clone()
-        };
-        match self.inner.ledger.replace(id, handover.revision, &record).await {
-            Ok(revision) => {
-                log::info!(target: "batch", "job received job={id} open={}", handover.items.len());
-                let job = handover.into_job(id.to_owned(), record, revision);
-                self.inner.runner.adopt(Rc::new(job));
-                status_only(StatusCode::OK)
-            }
-            Err(error) => {
-                log::info!(target: "batch", "job not received job={id} error={error}");
-                status_only(StatusCode::CONFLICT)
-            }
-        }
-    }
-
-    fn other_leader(&self) -> Option<Leader> {
+    /// Returns the leader, unless it is this node.
+    pub(crate) fn other_leader(&self) -> Option<Leader> {
         let leader = self.inner.feed.leader()?;
         (leader.vm != self.inner.runner.inner.vm).then_some(leader)
     }
 }
 
-/// Time in which the tasks of a stopped job end.
-const HANDOVER_PAUSE: Duration = Duration::from_millis(2);
-/// Nodes that are asked to take a job over.
-const HANDOVER_NODES: usize = 3;
-/// Largest job that is taken over.
-const MAX_HANDOVER_BYTES: usize = 64 * 1024 * 1024;
 /// Tries to store the end of a job whose record another node changes at the same time.
 const END_TRIES: u32 = 4;
 
@@ -663,7 +577,7 @@
     status_only(StatusCode::ACCEPTED)
 }
 
-fn status_only(status: StatusCode) -> Response<Body> {
+pub(crate) fn status_only(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Body::empty());
     *response.status_mut() = status;
     response
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -27,8 +27,6 @@
     pub max_object_bytes: usize,
     /// Folder for data, on VMs with a disk.
     pub data_dir: Option<PathBuf>,
-    /// Time between two heartbeats of a target.
-    pub target_heartbeat: Duration,
     /// Bounds that the deployment sets.
     pub bounds: Bounds,
 }
@@ -40,12 +38,6 @@
     pub stop_grace: Duration,
     /// Time in which a lease holder is replaced; orders of two holders are at least this far apart.
     pub lease: Duration,
-    /// Time for which a batch job stays readable after its submission.
-    pub job_retention: Duration,
-    /// Time in which all nodes have to know a result that one of them showed.
-    pub settle: Duration,
-    /// Time in which the end of a batch job has to reach the targets.
-    pub cancel: Duration,
     /// Whether targets refuse an order with an old fencing number.
     pub fencing_checked: bool,
 }
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -36,8 +36,6 @@
     pub last_event: Option<u64>,
     /// Rank at the target, 0 is the most urgent.
     pub priority: Option<u8>,
-    /// Version that the target must have; otherwise it refuses the request.
-    pub expected_version: Option<WeightVersion>,
 }
 
 /// Head of a target's response.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -33,8 +33,8 @@
     /// Targets whose entries went missing around an outage of the object API, and when they count
     /// as gone.
     missing: RefCell<HashMap<TargetId, Instant>>,
-    /// When the list of targets was last known to be complete; `None` before the first list.
-    targets_listed_at: Cell<Option<Instant>>,
+    /// Whether the targets were listed.
+    targets_listed: Cell<bool>,
     /// When the object API answered again after an outage.
     returned_at: Cell<Option<Instant>>,
     router: Router,
@@ -50,7 +50,7 @@
             targets: RefCell::default(),
             versions: RefCell::default(),
             missing: RefCell::default(),
-            targets_listed_at: Cell::new(None),
+            targets_listed: Cell::new(false),
             returned_at: Cell::new(None),
             router,
             pools: RefCell::default(),
@@ -103,7 +103,7 @@
 
     /// Returns whether configuration and targets are known, so that requests can be served.
     pub fn is_complete(&self) -> bool {
-        self.inner.configuration.borrow().is_some() && self.inner.targets_listed_at.get().is_some()
+        self.inner.configuration.borrow().is_some() && self.inner.targets_listed.get()
     }
 
     /// Returns a receiver that is told of each change.
@@ -155,7 +155,7 @@
         for id in known.into_iter().filter(|id| !present.contains(id)) {
             self.remove_target(&id, now);
         }
-        self.inner.targets_listed_at.set(Some(now));
+        self.inner.targets_listed.set(true);
         self.update_pools();
         self.notify();
     }
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -84,7 +84,6 @@
             time_left: Some(time_left),
             last_event: self.last_event,
             priority: self.priority,
-            expected_version: None,
         };
         self.protocol.dispatch(&mut headers, &dispatch);
         *request.headers_mut() = headers;
