--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -181,12 +181,7 @@
         revision: Revision,
         items: Vec<Item>,
     ) -> Rc<Job> {
-        if let Some(job) = self.job(id) {
-            return job;
-        }
-        let job = Rc::new(Job::new(id.to_owned(), record, revision, items));
-        self.adopt(job.clone());
-        job
+        self.adopt(Rc::new(Job::new(id.to_owned(), record, revision, items)))
     }
 
     /// Loads a stored job and goes on with it.
@@ -212,8 +207,7 @@
         let restored = if job.is_ended() { 0 } else { self.restore(&job).await };
         log::info!(target: "batch", "texts restored job={id} items={restored}");
         log::info!(target: "batch", "job loaded job={id} listed={} ended={}", job.listed.borrow().len(), job.is_ended());
-        self.adopt(job.clone());
-        Ok(job)
+        Ok(self.adopt(job))
     }
 
     /// Gives the items of a job the texts of its checkpoint; returns how many have one.
@@ -236,19 +230,24 @@
         restored
     }
 
-    /// Goes on with a job that another node has handed over.
-    pub fn adopt(&self, job: Rc<Job>) {
+    /// Goes on with a job that was loaded, or that another node has handed over. Returns the job that
+    /// this node knows already, if it does: a node has one state of each job.
+    pub fn adopt(&self, job: Rc<Job>) -> Rc<Job> {
+        if let Some(known) = self.job(&job.id) {
+            return known;
+        }
         self.inner.jobs.borrow_mut().insert(job.id.clone(), job.clone());
         if job.is_ended() {
             job.stop.cancel();
         }
         if job.is_complete() || job.is_ended() {
-            return;
+            return job;
         }
         monoio::spawn(publish::publish_results(self.inner.clone(), job.clone()));
         monoio::spawn(publish::keep_confirmed(self.inner.clone(), job.clone()));
-        monoio::spawn(self.inner.clone().keep_checkpoints(job));
+        monoio::spawn(self.inner.clone().keep_checkpoints(job.clone()));
         self.inner.wake.notify_one();
+        job
     }
 }
 
