Go on with jobs whose runner is silent and that nobody reads

The log shows the runner paused while the trainer reads one job after another at just this node, 4 s each, for 36 to 44 s. Other nodes take a job over only on a call about it, so no node ran its items meanwhile.

Ruled out: a hang of the stand-in or of the machine (other nodes log all the while); a lost acceptance (the job is stored); an error of the reward call.

Checkpoints of ended jobs are dropped at all VMs that may have one.

--- a/bins/decknode/src/lead.rs
+++ b/bins/decknode/src/lead.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use deck_batch::BatchService;
 use deck_core::{CancellationToken, object::LEASE_KIND};
 use deck_fleet::{Feed, Follower, Leader};
 use deck_plat::{
@@ -43,6 +44,8 @@
     pub lease: Duration,
     /// Whether targets refuse an order with an old fencing number.
     pub fencing_checked: bool,
+    /// Batch jobs.
+    pub batch: BatchService,
 }
 
 /// Competes for the lease and does its duties while this node holds it, until `cancel` is
@@ -124,6 +127,8 @@
     monoio::spawn(async move { versions.versions(version_stop).await });
     let (retiring, retire_stop) = (duties.clone(), stop.clone());
     monoio::spawn(async move { retire::run(&retiring, retire_stop).await });
+    let (batch, guard_stop) = (duties.batch.clone(), stop.clone());
+    monoio::spawn(async move { batch.guard(guard_stop).await });
     let (giver, order_stop) = (duties.giver.clone(), stop.clone());
     monoio::spawn(async move { giver.run(token, start, order_stop).await });
     let kept = held.keep(cancel.clone()).await;
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -25,7 +25,7 @@
     Body, Client, ClientOptions, ProbeOptions, ServerOptions, bind,
     http::{Request, Response, StatusCode},
     runtime::{hangup_flag, stop_token},
-    server::{read_body, text_response},
+    server::{read_body, status_only, text_response},
 };
 use deck_plat::{ObjectApi, RelayNodes, RelayedApi, Store, relay};
 use deck_platform::{KINDS, PlatformObjectApi, Wire, read_settings};
@@ -151,6 +151,7 @@
         follower,
         lease: settings.bounds.lease,
         fencing_checked: settings.bounds.fencing_checked,
+        batch: batch.clone(),
     };
     let leading = monoio::spawn(lead::run(duties.clone(), stop.clone()));
 
@@ -262,9 +263,7 @@
             (true, true) => StatusCode::OK,
             (true, false) => StatusCode::SERVICE_UNAVAILABLE,
         };
-        let mut response = Response::new(Body::empty());
-        *response.status_mut() = status;
-        std::future::ready(response)
+        std::future::ready(status_only(status))
     }));
     Ok(())
 }
--- a/bins/decknode/tests/calm.rs
+++ b/bins/decknode/tests/calm.rs
@@ -1,6 +1,9 @@
 //! The whole path with separate processes: plain requests, rollout steps, versions, stops and kills.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use deck_net::http::{Method, StatusCode};
 use deck_testkit::eventually;
@@ -74,6 +77,34 @@
     });
 }
 
+/// Guards against a job that stands still because its runner is paused and nobody reads the job at
+/// another node.
+#[test]
+fn job_that_nobody_reads_goes_on_after_its_runner_froze() {
+    run(async {
+        let fleet = Fleet::start(3);
+        fleet.wait_until_ready().await;
+        // Nodes know the VMs with a disk once they have listed each other.
+        monoio::time::sleep(Duration::from_secs(3)).await;
+        // Its items wait for a version that is named once their runner is paused.
+        let mut lot = fleet.submit(0, 4, 2).await;
+        let runner = fleet.entries().find(|node| node.has_logged("job accepted"));
+        let runner = runner.expect("a node has accepted the job");
+        monoio::time::sleep(Duration::from_millis(200)).await;
+        runner.process.as_ref().expect("process").freeze();
+        fleet.name_version(2).await;
+        eventually("each item is scored", async || {
+            let records = fleet.records().await;
+            let calls: HashSet<&str> = records.iter().filter_map(|r| r["call"].as_str()).collect();
+            lot.items.iter().all(|item| calls.contains(format!("{item}s").as_str()))
+        })
+        .await;
+        runner.process.as_ref().expect("process").thaw();
+        fleet.read_to_end(&mut lot).await;
+        fleet.check_positions(&lot).await;
+    });
+}
+
 /// Guards against a planned stop that cuts requests or loses the texts of a job.
 #[test]
 fn planned_stop_hands_jobs_over() {
--- a/bins/decknode/tests/common/mod.rs
+++ b/bins/decknode/tests/common/mod.rs
@@ -33,6 +33,17 @@
     pub process: Option<Process>,
 }
 
+impl Node {
+    /// Returns whether the node has logged a line with `text` since the last call.
+    pub fn has_logged(&self, text: &str) -> bool {
+        let output = self.process.as_ref().map(Process::output).unwrap_or_default();
+        for line in &output {
+            println!("{}: {line}", self.name);
+        }
+        output.iter().any(|line| line.contains(text))
+    }
+}
+
 /// A fleet with its platform.
 pub struct Fleet {
     _platform: Process,
--- a/bins/decknode/tests/soak.rs
+++ b/bins/decknode/tests/soak.rs
@@ -20,7 +20,8 @@
 
 /// Seeds of the run in CI. A seed that has ever failed stays here, with a line on the cause.
 ///
-/// 205: a stopping node offered its jobs to a paused one without a limit and outlived its grace time.
+/// 205: a stopping node offered its jobs to a paused one without a limit and outlived its grace time;
+/// items of a paused runner were given up because nobody read the job at another node.
 const SEEDS: [u64; 3] = [1, 2, 205];
 /// Steps of a run: each one has a fault, reads and a request.
 const STEPS: u64 = 25;
--- a/crates/batch/src/checkpoint.rs
+++ b/crates/batch/src/checkpoint.rs
@@ -20,7 +20,10 @@
     hash::{hash64, rendezvous_score},
     id::{RequestId, WeightVersion},
 };
-use deck_net::{Body, Client, NetError, server::read_body};
+use deck_net::{
+    Body, Client, NetError,
+    server::{number_parameter, read_body},
+};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -29,6 +32,8 @@
 
 /// Path below which checkpoints are served.
 pub const CHECKPOINTS_PATH: &str = "/peer/checkpoints/";
+/// Path of the list of jobs whose runners are silent.
+const SILENT_PATH: &str = "/peer/silent-jobs";
 /// Time for one call; a checkpoint that takes longer is of no use.
 const CALL_LIMIT: Duration = Duration::from_millis(400);
 /// Longest wait for the list of VMs before a checkpoint is read.
@@ -39,6 +44,8 @@
 const MAX_BYTES: usize = 64 * 1024 * 1024;
 /// Time for which checkpoints of a job are kept after its last one.
 const RETENTION: Duration = Duration::from_secs(150);
+/// Longest time between two messages of a runner on a job, which also tell that it lives.
+const REFRESH: Duration = Duration::from_secs(1);
 /// Bytes in front of a record in a file: its length and its hash.
 const RECORD_HEAD_BYTES: usize = 16;
 
@@ -131,7 +138,11 @@
     /// Adds deltas of a job and returns the items whose earlier text is missing here.
     pub fn add(&self, job: &str, deltas: &[ItemDelta]) -> Vec<RequestId> {
         self.drop_old();
+        let is_known = self.jobs.borrow().contains_key(job);
         let missing = self.apply(job, deltas);
+        if deltas.is_empty() && is_known {
+            return missing;
+        }
         if let Some(folder) = &self.folder
             && let Err(error) = append_record(&folder.join(job), deltas)
         {
@@ -170,6 +181,13 @@
         self.jobs.borrow().get(job).map(|kept| kept.items.clone()).unwrap_or_default()
     }
 
+    /// Returns the jobs whose runners have sent nothing for at least `silence`.
+    pub fn silent(&self, silence: Duration) -> Vec<RequestId> {
+        let jobs = self.jobs.borrow();
+        let silent = jobs.iter().filter(|(_, kept)| kept.last_at.elapsed() >= silence);
+        silent.map(|(job, _)| job.clone()).collect()
+    }
+
     /// Drops the checkpoint of a job that has ended.
     pub fn remove(&self, job: &str) {
         self.jobs.borrow_mut().remove(job);
@@ -193,6 +211,11 @@
 
     /// Serves a call of a runner.
     pub async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
+        if request.uri().path() == SILENT_PATH {
+            let query = request.uri().query().unwrap_or_default();
+            let silence = number_parameter(query, "ms").map_or(RETENTION, Duration::from_millis);
+            return encoded(&self.silent(silence));
+        }
         let job = request.uri().path().strip_prefix(CHECKPOINTS_PATH).map(str::to_owned);
         // The job's id becomes the name of a file.
         let Some(job) = job.filter(|job| crate::service::is_valid_id(job) && !job.starts_with('.'))
@@ -290,6 +313,8 @@
 #[derive(Default)]
 pub(crate) struct Sent {
     node: Option<SocketAddr>,
+    /// When that VM last took a message.
+    at: Option<Instant>,
     /// Last event of each item that was sent, and whether its text was complete.
     items: HashMap<RequestId, (u64, bool)>,
 }
@@ -313,18 +338,19 @@
         nodes
     }
 
-    /// Sends what the items of a job have made since the last time.
+    /// Sends what the items of a job have made since the last time, or only that its runner lives.
     pub(crate) async fn send(&self, job: &Job, sent: &mut Sent) {
         for node in self.nodes_of(&job.id) {
             if sent.node != Some(node) {
-                *sent = Sent { node: Some(node), items: HashMap::new() };
+                *sent = Sent { node: Some(node), ..Sent::default() };
             }
             let deltas = deltas(job, sent);
-            if deltas.is_empty() {
+            if deltas.is_empty() && sent.at.is_some_and(|at| at.elapsed() < REFRESH) {
                 return;
             }
             match self.send_to(node, &job.id, &deltas).await {
                 Ok(missing) => {
+                    sent.at = Some(Instant::now());
                     for delta in deltas.iter().filter(|delta| !missing.contains(&delta.item)) {
                         sent.items.insert(delta.item.clone(), (delta.last_event, delta.complete));
                     }
@@ -348,7 +374,8 @@
         let mut body = Vec::new();
         ciborium::into_writer(deltas, &mut body)
             .map_err(|error| NetError::Decode(error.to_string()))?;
-        let bytes = self.call(node, Method::POST, job, body.into()).await?;
+        let bytes =
+            self.call(node, Method::POST, format!("{CHECKPOINTS_PATH}{job}"), body.into()).await?;
         ciborium::from_reader(&*bytes).map_err(|error| NetError::Decode(error.to_string()))
     }
 
@@ -361,7 +388,10 @@
             monoio::time::sleep(NODES_WAIT / 10).await;
         }
         for node in self.nodes_of(job) {
-            match self.call(node, Method::GET, job, Bytes::new()).await {
+            match self
+                .call(node, Method::GET, format!("{CHECKPOINTS_PATH}{job}"), Bytes::new())
+                .await
+            {
                 Ok(bytes) => match ciborium::from_reader::<JobCheckpoint, _>(&*bytes) {
                     Ok(found) => merge(&mut best, found),
                     Err(error) => {
@@ -376,25 +406,47 @@
         best
     }
 
-    /// Drops the checkpoint of a job that has ended.
-    pub(crate) async fn remove(&self, job: &str, sent: &Sent) {
-        if let Some(node) = sent.node
-            && let Err(error) = self.call(node, Method::DELETE, job, Bytes::new()).await
-        {
-            log::debug!(target: "checkpoint", "not removed job={job} node={node} error={error}");
+    /// Drops the checkpoint of a job that has ended, also those of its earlier runners.
+    pub(crate) async fn remove(&self, job: &str) {
+        for node in self.nodes_of(job) {
+            let path = format!("{CHECKPOINTS_PATH}{job}");
+            if let Err(error) = self.call(node, Method::DELETE, path, Bytes::new()).await {
+                log::debug!(target: "checkpoint", "not removed job={job} node={node} error={error}");
+            }
         }
     }
 
+    /// Returns the jobs whose runners have told no VM for `silence` that they live.
+    pub(crate) async fn silent(&self, silence: Duration) -> BTreeSet<RequestId> {
+        let mut silent = BTreeSet::new();
+        let nodes = self.nodes.borrow().clone();
+        for node in nodes {
+            let path = format!("{SILENT_PATH}?ms={}", silence.as_millis());
+            match self.call(node, Method::GET, path, Bytes::new()).await {
+                Ok(bytes) => match ciborium::from_reader::<Vec<RequestId>, _>(&*bytes) {
+                    Ok(jobs) => silent.extend(jobs),
+                    Err(error) => {
+                        log::warn!(target: "checkpoint", "silent jobs not read node={node} error={error}");
+                    }
+                },
+                Err(error) => {
+                    log::debug!(target: "checkpoint", "silent jobs not answered node={node} error={error}");
+                }
+            }
+        }
+        silent
+    }
+
     async fn call(
         &self,
         node: SocketAddr,
         method: Method,
-        job: &str,
+        path: String,
         body: Bytes,
     ) -> Result<Bytes, NetError> {
         let request = Request::builder()
             .method(method)
-            .uri(format!("{CHECKPOINTS_PATH}{job}"))
+            .uri(path)
             .body(Body::full(body))
             .map_err(|error| NetError::Decode(error.to_string()))?;
         let exchange = async {
--- a/crates/batch/src/handover.rs
+++ b/crates/batch/src/handover.rs
@@ -7,7 +7,10 @@
 };
 
 use bytes::Bytes;
-use deck_net::{Body, server::read_body};
+use deck_net::{
+    Body,
+    server::{read_body, status_only},
+};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 
@@ -18,7 +21,6 @@
 use crate::{
     BatchService, JobRecord,
     job::{ItemRun, Job, Phase, Progress},
-    service::status_only,
 };
 
 /// A running job as it is handed to another node.
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod checkpoint;
 pub mod dispatch;
 pub mod events;
+mod guard;
 pub mod handover;
 pub mod job;
 pub mod ledger;
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -173,6 +173,11 @@
             .collect()
     }
 
+    /// Returns jobs of any node whose runner has told no VM with a disk for `silence` that it lives.
+    pub async fn silent_jobs(&self, silence: Duration) -> BTreeSet<RequestId> {
+        self.inner.checkpoints.silent(silence).await
+    }
+
     /// Starts a job that is stored and whose record names this node.
     pub fn start_job(
         &self,
@@ -261,12 +266,15 @@
     async fn keep_checkpoints(self: Rc<Self>, job: Rc<Job>) {
         let mut sent = Sent::default();
         let pause = || monoio::time::sleep(self.options.checkpoint_interval);
-        while job.stop.run_until_cancelled(pause()).await.is_some() && !job.is_complete() {
+        while !job.is_complete() {
             self.checkpoints.send(&job, &mut sent).await;
+            if job.stop.run_until_cancelled(pause()).await.is_none() {
+                break;
+            }
         }
         // Another runner may need it unless the job is over.
         if job.is_complete() || job.is_ended() {
-            self.checkpoints.remove(&job.id, &sent).await;
+            self.checkpoints.remove(&job.id).await;
         }
     }
 
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -18,7 +18,10 @@
     RouteKind,
 };
 use deck_forward::error_response;
-use deck_net::{Body, server::read_body};
+use deck_net::{
+    Body,
+    server::{number_parameter, read_body, status_only},
+};
 use deck_plat::StoreError;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -231,6 +234,13 @@
         self.at_place(id, here, there).await
     }
 
+    /// Finds out which node runs a job, and takes it over if that node does not answer.
+    pub(crate) async fn look_after(&self, id: &str) {
+        // A position that no job has: the runner only answers whether it runs the job.
+        let answer = self.read(id, usize::MAX, Duration::ZERO).await;
+        log::debug!(target: "batch", "silent job job={id} status={}", answer.status());
+    }
+
     /// Serves a call where its job is: here, or on the node that runs it. If that node does not
     /// answer, this node takes the job over.
     async fn at_place<H, T>(
@@ -487,8 +497,8 @@
             (Method::GET, Some(item)) => self.item_body_here(&job, &item),
             (Method::GET, None) => {
                 let query = request.uri().query().unwrap_or_default();
-                let from = parameter(query, "from").unwrap_or(0) as usize;
-                let wait = Duration::from_millis(parameter(query, "wait_ms").unwrap_or(0));
+                let from = number_parameter(query, "from").unwrap_or(0) as usize;
+                let wait = Duration::from_millis(number_parameter(query, "wait_ms").unwrap_or(0));
                 self.read_here(&job, from, wait.min(self.inner.options.max_read_wait)).await
             }
             (Method::DELETE, None) => self.end_here(&job).await,
@@ -568,21 +578,10 @@
     !id.is_empty() && id.len() <= MAX_BYTES && id.bytes().all(allowed)
 }
 
-fn parameter(query: &str, name: &str) -> Option<u64> {
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
-}
-
 fn accepted() -> Response<Body> {
     status_only(StatusCode::ACCEPTED)
 }
 
-pub(crate) fn status_only(status: StatusCode) -> Response<Body> {
-    let mut response = Response::new(Body::empty());
-    *response.status_mut() = status;
-    response
-}
-
 fn unknown_job(id: &str) -> Response<Body> {
     error_response(&CallError::new(ErrorKind::UnknownJob, "no such job"), id)
 }
--- a/crates/batch/tests/checkpoint.rs
+++ b/crates/batch/tests/checkpoint.rs
@@ -1,6 +1,6 @@
 //! Texts of unfinished items across crashes, torn files and hand-overs.
 
-use std::{io::Write, net::SocketAddr, path::PathBuf, rc::Rc};
+use std::{io::Write, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
 
 use deck_batch::{
     Accepted, CheckpointStore, Ledger,
@@ -50,6 +50,28 @@
     assert_eq!((&kept.progress, kept.failures), (&late, 1));
 }
 
+/// Guards against jobs that nobody goes on with because their runner is gone, also before their first
+/// event, and against running jobs that count as silent.
+#[test]
+fn job_is_silent_without_messages_of_its_runner() {
+    const SILENCE: Duration = Duration::from_millis(60);
+    let folder = folder();
+    let store = CheckpointStore::open(Some(&folder));
+    store.add("silent", &[]);
+    store.add("running", &[delta("i", 0, &progress(2))]);
+    std::thread::sleep(SILENCE);
+    store.add("running", &[]);
+    assert_eq!(store.silent(SILENCE), ["silent"]);
+    store.remove("silent");
+    assert!(store.silent(SILENCE).is_empty());
+    let again = CheckpointStore::open(Some(&folder));
+    assert!(again.silent(SILENCE).is_empty());
+    std::thread::sleep(SILENCE);
+    assert_eq!(again.silent(SILENCE), ["running"]);
+    assert_eq!(again.get("running")["i"].progress, progress(2));
+    std::fs::remove_dir_all(folder).expect("remove");
+}
+
 /// Guards against a text with a gap: a part whose beginning is missing is not taken.
 #[test]
 fn part_without_its_beginning_is_missing() {
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -14,7 +14,10 @@
 
 use bytes::Bytes;
 use deck_core::{CancellationToken, id::VmId};
-use deck_net::{Body, Client, NetError};
+use deck_net::{
+    Body, Client, NetError,
+    server::{number_parameter, status_only},
+};
 use http::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -321,10 +324,7 @@
         if !inner.is_watching.get() {
             return status_only(StatusCode::NOT_FOUND);
         }
-        let parameter = |name| {
-            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(key, _)| *key == name).and_then(|(_, value)| value.parse::<u64>().ok())
-        };
+        let parameter = |name| number_parameter(query, name);
         let known = parameter("changes").unwrap_or(0);
         let same_epoch = parameter("epoch") == Some(inner.epoch);
         let view = &inner.follower.view;
@@ -367,9 +367,3 @@
         }
     }
 }
-
-fn status_only(status: StatusCode) -> Response<Body> {
-    let mut response = Response::new(Body::empty());
-    *response.status_mut() = status;
-    response
-}
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -256,3 +256,21 @@
     response.headers_mut().insert(http::header::CONTENT_TYPE, plain);
     response
 }
+
+/// Returns a response without a body.
+pub fn status_only(status: http::StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+/// Returns the first value of a parameter in a query, as it stands there.
+pub fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+/// Returns the value of a parameter that is a number.
+pub fn number_parameter(query: &str, name: &str) -> Option<u64> {
+    parameter(query, name)?.parse().ok()
+}
