Announce a job before it is accepted; reuse texts of groups that come again

Change: the runner announces the job while it is being stored, for at most 50 ms. A job that was announced and then refused is dropped at the first look. The test of a job that nobody reads pauses the runner at once now.

Cause 2: on the grown sites a quarter of the groups of a step come again two steps later; the log shows their items run from event 0 though their texts were known. Change: a new job takes texts that earlier jobs of the node have of the same request, if their versions are allowed.

Ruled out: that this helps in general. With one version a step the texts are too old for the second next step; only the first steps reuse any (8 items a job).

Conclusion: kept for trainers that name versions less often.

--- a/bins/decknode/tests/calm.rs
+++ b/bins/decknode/tests/calm.rs
@@ -90,7 +90,6 @@
         let mut lot = fleet.submit(0, 4, 2).await;
         let runner = fleet.entries().find(|node| node.has_logged("job accepted"));
         let runner = runner.expect("a node has accepted the job");
-        monoio::time::sleep(Duration::from_millis(200)).await;
         runner.process.as_ref().expect("process").freeze();
         fleet.name_version(2).await;
         eventually("each item is scored", async || {
--- a/crates/batch/src/checkpoint.rs
+++ b/crates/batch/src/checkpoint.rs
@@ -46,6 +46,9 @@
 const RETENTION: Duration = Duration::from_secs(150);
 /// Longest time between two messages of a runner on a job, which also tell that it lives.
 const REFRESH: Duration = Duration::from_secs(1);
+/// Longest time by which an announcement delays the acceptance of a job; a write to the object API
+/// takes some milliseconds.
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(50);
 /// Bytes in front of a record in a file: its length and its hash.
 const RECORD_HEAD_BYTES: usize = 16;
 
@@ -338,6 +341,24 @@
         nodes
     }
 
+    /// Tells one VM that this node is about to run a job. Takes at most [`ANNOUNCE_LIMIT`]: without
+    /// an announcement a job is only not looked after while nobody reads it.
+    pub(crate) async fn announce(&self, job: &str) {
+        let told = async {
+            for node in self.nodes_of(job) {
+                match self.send_to(node, job, &[]).await {
+                    Ok(_) => return,
+                    Err(error) => {
+                        log::debug!(target: "checkpoint", "not announced job={job} node={node} error={error}");
+                    }
+                }
+            }
+        };
+        if monoio::time::timeout(ANNOUNCE_LIMIT, told).await.is_err() {
+            log::debug!(target: "checkpoint", "not announced in time job={job}");
+        }
+    }
+
     /// Sends what the items of a job have made since the last time, or only that its runner lives.
     pub(crate) async fn send(&self, job: &Job, sent: &mut Sent) {
         for node in self.nodes_of(&job.id) {
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeSet, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -33,6 +33,8 @@
     pub confirmed_at: Cell<Instant>,
     /// Number of groups.
     pub groups: usize,
+    /// Hashes of the requests of the items that were given to this node, by their ids.
+    pub requests: HashMap<RequestId, u64>,
     /// Items without a listed result. Invariant: an item is here or in `listed`, never in both.
     pub items: RefCell<Vec<Rc<ItemRun>>>,
     /// Results at their positions; positions never change.
@@ -155,6 +157,7 @@
             taken_over_at: None,
             confirmed_at: Cell::new(now),
             groups: items.iter().map(|item| &item.group).collect::<HashSet<_>>().len(),
+            requests: items.iter().map(|item| (item.id.clone(), item.request_hash())).collect(),
             items: RefCell::new(
                 items.into_iter().map(|item| Rc::new(ItemRun::new(item))).collect(),
             ),
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ledger;
 pub mod peers;
 mod publish;
+mod reuse;
 mod reward;
 mod run;
 pub mod runner;
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -186,7 +186,9 @@
         revision: Revision,
         items: Vec<Item>,
     ) -> Rc<Job> {
-        self.adopt(Rc::new(Job::new(id.to_owned(), record, revision, items)))
+        let job = Job::new(id.to_owned(), record, revision, items);
+        self.reuse_texts(&job);
+        self.adopt(Rc::new(job))
     }
 
     /// Loads a stored job and goes on with it.
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -179,7 +179,11 @@
         let mut job = decoded.map_err(|error| CallError::new(ErrorKind::BadRequest, error))?;
         set_limits(&mut job, route);
         let runner = &self.inner.runner.inner;
-        match self.inner.ledger.accept(&job, &runner.vm, runner.address).await {
+        // If this node goes silent at once after the acceptance, the leader knows of the job.
+        let announced = runner.checkpoints.announce(id);
+        let stored = self.inner.ledger.accept(&job, &runner.vm, runner.address);
+        let (stored, ()) = futures_util::future::join(stored, announced).await;
+        match stored {
             Accepted::Stored(record, revision) => {
                 log::info!(target: "batch", "job accepted job={id} items={} step={} model={} min_version={}", job.items.len(), job.step, job.model, job.min_version);
                 self.inner.runner.start_job(id, record, revision, job.items);
@@ -238,7 +242,12 @@
     pub(crate) async fn look_after(&self, id: &str) {
         // A position that no job has: the runner only answers whether it runs the job.
         let answer = self.read(id, usize::MAX, Duration::ZERO).await;
-        log::debug!(target: "batch", "silent job job={id} status={}", answer.status());
+        let status = answer.status();
+        log::debug!(target: "batch", "silent job job={id} status={status}");
+        if status == ErrorKind::UnknownJob.row().status {
+            // It was announced and then not stored.
+            self.inner.runner.inner.checkpoints.remove(id).await;
+        }
     }
 
     /// Serves a call where its job is: here, or on the node that runs it. If that node does not
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use deck_core::id::{FencingNumber, RequestId, TargetId, WeightVersion};
+use deck_core::{
+    hash::hash64,
+    id::{FencingNumber, RequestId, TargetId, WeightVersion},
+};
 use http::{HeaderMap, Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -139,6 +142,19 @@
     pub length_hint: Option<u64>,
 }
 
+impl Item {
+    /// Returns a hash of the request as which the item is run.
+    pub fn request_hash(&self) -> u64 {
+        let mut bytes = Vec::with_capacity(self.path.len() + self.body.len());
+        let headers = self.headers.iter().flat_map(|(name, value)| [name, value]);
+        for part in [&self.path, &self.body].into_iter().chain(headers) {
+            bytes.extend_from_slice(&(part.len() as u64).to_le_bytes());
+            bytes.extend_from_slice(part.as_bytes());
+        }
+        hash64(&bytes)
+    }
+}
+
 /// Call that scores an item.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
