Read settled jobs from the object API when their runner is busy

Change: a node sends at most 1 MB/s of settled jobs to other nodes and refers further reads to the object API; a node whose call on a live runner fails reads the job there itself. Copies of settled jobs are kept, eight at most. The search for a job is one loop now. TokenBucket moves from deck-call to deck-limit with its tests and learns to overdraw.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -190,6 +190,11 @@
         self.submitted_at + Duration::from_millis(self.record.borrow().limits.results_due_ms)
     }
 
+    /// Returns whether all results are listed and their caller has had the time to read them.
+    pub fn is_overdue(&self, now: Instant) -> bool {
+        self.is_complete() && now > self.due_at()
+    }
+
     /// Returns when items may be given up.
     pub fn give_up_at(&self) -> Instant {
         self.submitted_at + Duration::from_millis(self.record.borrow().limits.give_up_ms)
--- a/crates/batch/src/peers.rs
+++ b/crates/batch/src/peers.rs
@@ -12,6 +12,8 @@
 pub const SUBMITTED_PATH: &str = "x-submitted-path";
 /// Status of a node that does not run the job.
 pub const NOT_HERE: StatusCode = StatusCode::GONE;
+/// Status of a node that refers a read of a settled job to the object API.
+pub const AT_OBJECT_API: StatusCode = StatusCode::SEE_OTHER;
 /// Path at which a node answers at once, whatever its jobs wait for.
 pub const PING_PATH: &str = "/peer/ping";
 /// Time for a call beyond the time for which it may wait; covers a call on the object API that has to
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -18,18 +18,19 @@
     RouteKind,
 };
 use deck_forward::error_response;
+use deck_limit::TokenBucket;
 use deck_net::{
     Body,
     server::{number_parameter, read_body, status_only},
 };
 use deck_plat::StoreError;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 
 use crate::{
     Accepted, JobRecord, Ledger, Runner,
     job::Job,
-    peers::{JOBS_PATH, NOT_HERE, PING_PATH, PeerAnswer, Peers, SUBMITTED_PATH},
+    peers::{AT_OBJECT_API, JOBS_PATH, NOT_HERE, PING_PATH, PeerAnswer, Peers, SUBMITTED_PATH},
     publish,
 };
 
@@ -76,21 +77,31 @@
     feed: Feed,
     /// Nodes that were last seen to run a job.
     pub(crate) runners: RefCell<HashMap<RequestId, SocketAddr>>,
-    /// Jobs that are ended or complete, loaded for reads on this node.
-    settled: RefCell<HashMap<RequestId, Rc<Job>>>,
+    /// Jobs that are ended or complete, loaded for reads on this node, the last one first.
+    settled: RefCell<VecDeque<Rc<Job>>>,
+    /// Pages of settled jobs that were sent to other nodes lately.
+    settled_pages: RefCell<TokenBucket>,
     pub(crate) draining: Cell<bool>,
 }
 
-/// Where a job is run.
+/// Where a job is.
 enum Place {
     /// On this node.
     Here(Rc<Job>),
-    /// It is settled and was loaded for reads.
-    Settled(Rc<Job>),
-    /// On another node.
+    /// On another node, which runs it.
     There(SocketAddr),
 }
 
+/// What was found for a call on a job.
+enum Found {
+    /// The job is run by this node, or it is settled.
+    Here(Rc<Job>),
+    /// The job as it stands in the object API; another node runs it.
+    Copy(Rc<Job>),
+    /// Another node has served the call, or it cannot be served.
+    Answered(Response<Body>),
+}
+
 impl BatchService {
     /// Returns a service over `runner` and the stored jobs.
     pub fn new(
@@ -110,6 +121,7 @@
             feed,
             runners: RefCell::default(),
             settled: RefCell::default(),
+            settled_pages: RefCell::new(TokenBucket::new(SETTLED_BYTES_PER_S, Instant::now())),
             draining: Cell::new(false),
         };
         Self { inner: Rc::new(inner) }
@@ -221,21 +233,29 @@
     }
 
     async fn read(&self, id: &str, from: usize, wait: Duration) -> Response<Body> {
-        let here = |job: Rc<Job>| async move { self.read_here(&job, from, wait).await };
         let there = |node| async move { self.inner.peers.read(node, id, from, wait).await };
-        self.at_place(id, here, there).await
+        match self.find(id, there).await {
+            Found::Here(job) => self.read_here(&job, from, wait).await,
+            // It was read from the object API just now.
+            Found::Copy(job) => self.page(&job, from),
+            Found::Answered(response) => response,
+        }
     }
 
     async fn item_body(&self, id: &str, item: &str) -> Response<Body> {
-        let here = |job: Rc<Job>| async move { self.item_body_here(&job, item) };
         let there = |node| async move { self.inner.peers.item_body(node, id, item).await };
-        self.at_place(id, here, there).await
+        match self.find(id, there).await {
+            Found::Here(job) | Found::Copy(job) => self.item_body_here(&job, item),
+            Found::Answered(response) => response,
+        }
     }
 
     async fn end(&self, id: &str) -> Response<Body> {
-        let here = |job: Rc<Job>| async move { self.end_here(&job).await };
         let there = |node| async move { self.inner.peers.end(node, id).await };
-        self.at_place(id, here, there).await
+        match self.find(id, there).await {
+            Found::Here(job) | Found::Copy(job) => self.end_here(&job).await,
+            Found::Answered(response) => response,
+        }
     }
 
     /// Finds out which node runs a job, and takes it over if that node does not answer.
@@ -250,76 +270,86 @@
         }
     }
 
-    /// Serves a call where its job is: here, or on the node that runs it. If that node does not
-    /// answer, this node takes the job over.
-    async fn at_place<H, T>(
-        &self,
-        id: &str,
-        here: impl Fn(Rc<Job>) -> H,
-        there: impl Fn(SocketAddr) -> T,
-    ) -> Response<Body>
+    /// Finds a job for a call: here, or at the node that runs it, which is asked with `there`. A job
+    /// whose node is gone is taken over. If the node lives and does not answer in time, or refers to
+    /// the object API, this node reads a copy of the job there.
+    async fn find<T>(&self, id: &str, there: impl Fn(SocketAddr) -> T) -> Found
     where
-        H: Future<Output = Response<Body>>,
         T: Future<Output = Result<PeerAnswer, deck_net::NetError>>,
     {
         if !is_valid_id(id) {
-            return error_response(&CallError::new(ErrorKind::UnknownJob, "no such job"), id);
+            return Found::Answered(unknown_job(id));
         }
-        let mut silent = Vec::new();
         if let Some(job) = self.known(id) {
-            return here(job).await;
+            return Found::Here(job);
         }
         let hint = self.inner.runners.borrow().get(id).copied();
-        let hint = hint.or_else(|| self.other_leader().map(|leader| leader.address));
-        if let Some(node) = hint {
+        let mut hint = hint.or_else(|| self.other_leader().map(|leader| leader.address));
+        let mut silent = Vec::new();
+        for _ in 0..FIND_TRIES {
+            let is_hint = hint.is_some();
+            let node = match hint.take() {
+                Some(node) => node,
+                None => match self.locate(id, &silent).await {
+                    Ok(Some(Place::Here(job))) => return Found::Here(job),
+                    Ok(Some(Place::There(node))) => node,
+                    Ok(None) => return Found::Answered(unknown_job(id)),
+                    Err(error) => {
+                        log::info!(target: "batch", "job not found out job={id} error={error}");
+                        return Found::Answered(unsure(id));
+                    }
+                },
+            };
             match there(node).await {
-                Ok(answer) if answer.status != NOT_HERE => {
-                    self.inner.runners.borrow_mut().insert(id.to_owned(), node);
-                    return peer_response(answer);
-                }
-                Ok(_) => {
+                Ok(answer) if answer.status == NOT_HERE => {
                     self.inner.runners.borrow_mut().remove(id);
+                    if !is_hint {
+                        log::info!(target: "batch", "runner does not know job={id} node={node}");
+                        silent.push(node);
+                    }
+                }
+                Ok(answer) => {
+                    self.inner.runners.borrow_mut().insert(id.to_owned(), node);
+                    if answer.status == AT_OBJECT_API {
+                        return self.copy(id).await;
+                    }
+                    return Found::Answered(peer_response(answer));
                 }
                 Err(error) => {
                     log::info!(target: "batch", "node does not answer job={id} node={node} error={error}");
-                    // A node that lives may only be slow to find out the state of the job.
+                    // A node that lives may be slow, or slow to find out the state of the job.
                     if self.inner.peers.is_alive(node).await {
-                        return unsure(id);
+                        return self.copy(id).await;
                     }
                     self.inner.runners.borrow_mut().remove(id);
                     silent.push(node);
                 }
             }
         }
-        match self.locate(id, &silent).await {
-            Ok(Some(Place::Here(job) | Place::Settled(job))) => here(job).await,
-            Ok(Some(Place::There(node))) => match there(node).await {
-                Ok(answer) if answer.status != NOT_HERE => {
-                    self.inner.runners.borrow_mut().insert(id.to_owned(), node);
-                    peer_response(answer)
-                }
-                result => {
-                    log::info!(target: "batch", "runner does not serve job={id} node={node} result={result:?}");
-                    if result.is_err() && self.inner.peers.is_alive(node).await {
-                        return unsure(id);
-                    }
-                    match self.locate(id, &[node]).await {
-                        Ok(Some(Place::Here(job) | Place::Settled(job))) => here(job).await,
-                        Ok(None) => unknown_job(id),
-                        Ok(Some(Place::There(_))) | Err(_) => unsure(id),
-                    }
-                }
-            },
-            Ok(None) => unknown_job(id),
+        Found::Answered(unsure(id))
+    }
+
+    /// Reads a job that another node runs from the object API.
+    async fn copy(&self, id: &str) -> Found {
+        match self.load_copy(id).await {
+            Ok(Some(job)) => Found::Copy(job),
+            Ok(None) => Found::Answered(unknown_job(id)),
             Err(error) => {
-                log::info!(target: "batch", "job not found out job={id} error={error}");
-                unsure(id)
+                log::info!(target: "batch", "job not copied job={id} error={error}");
+                Found::Answered(unsure(id))
             }
         }
     }
 
+    async fn load_copy(&self, id: &str) -> Result<Option<Rc<Job>>, StoreError> {
+        match self.inner.ledger.record(id).await? {
+            Some((record, revision)) => self.load_settled(id, record, revision).await.map(Some),
+            None => Ok(None),
+        }
+    }
+
     fn known(&self, id: &str) -> Option<Rc<Job>> {
-        let settled = || self.inner.settled.borrow().get(id).cloned();
+        let settled = || self.inner.settled.borrow().iter().find(|job| job.id == id).cloned();
         self.inner.runner.job(id).or_else(settled)
     }
 
@@ -341,7 +371,7 @@
         }
         if record.ended {
             let job = self.load_settled(id, record, revision).await?;
-            return Ok(Some(Place::Settled(job)));
+            return Ok(Some(Place::Here(job)));
         }
         self.take_over(id, record, revision).await.map(Some)
     }
@@ -369,7 +399,7 @@
         self.inner.runner.load_job(id, record, revision).await.map(Place::Here)
     }
 
-    /// Loads a job that no longer changes, for reads.
+    /// Loads a job for reads, and keeps it if it no longer changes.
     async fn load_settled(
         &self,
         id: &str,
@@ -380,7 +410,11 @@
         let job = Rc::new(Job::new(id.to_owned(), record, revision, items));
         publish::list_stored(&self.inner.runner.inner, &job).await?;
         job.stop.cancel();
-        self.inner.settled.borrow_mut().insert(id.to_owned(), job.clone());
+        if job.is_ended() || job.is_complete() {
+            let mut settled = self.inner.settled.borrow_mut();
+            settled.truncate(MAX_SETTLED - 1);
+            settled.push_front(job.clone());
+        }
         Ok(job)
     }
 
@@ -508,7 +542,15 @@
                 let query = request.uri().query().unwrap_or_default();
                 let from = number_parameter(query, "from").unwrap_or(0) as usize;
                 let wait = Duration::from_millis(number_parameter(query, "wait_ms").unwrap_or(0));
-                self.read_here(&job, from, wait.min(self.inner.options.max_read_wait)).await
+                let wait = wait.min(self.inner.options.max_read_wait);
+                let answer = self.read_here(&job, from, wait).await;
+                let bytes = answer.body().size_hint().lower();
+                let is_settled = job.is_ended() || job.is_overdue(Instant::now());
+                let mut pages = self.inner.settled_pages.borrow_mut();
+                if is_settled && !pages.try_overdraw(bytes as f64, Instant::now()) {
+                    return status_only(AT_OBJECT_API);
+                }
+                answer
             }
             (Method::DELETE, None) => self.end_here(&job).await,
             _ => status_only(StatusCode::NOT_FOUND),
@@ -521,7 +563,7 @@
             return Some(job);
         }
         match self.locate(id, &[]).await {
-            Ok(Some(Place::Here(job) | Place::Settled(job))) => Some(job),
+            Ok(Some(Place::Here(job))) => Some(job),
             Ok(Some(Place::There(_)) | None) | Err(_) => None,
         }
     }
@@ -565,6 +607,13 @@
     }
 }
 
+/// Nodes that are asked for a job before a call on it is refused.
+const FIND_TRIES: usize = 3;
+/// Settled jobs that a node keeps for reads; a job takes about a megabyte.
+const MAX_SETTLED: usize = 8;
+/// Pages of settled jobs that a node sends to other nodes in bytes per second. Further ones are read
+/// from the object API, so that reads of old jobs do not fill the link that open jobs need.
+const SETTLED_BYTES_PER_S: f64 = 1024.0 * 1024.0;
 /// Tries to store the end of a job whose record another node changes at the same time.
 const END_TRIES: u32 = 4;
 
--- /dev/null
+++ b/crates/batch/tests/service.rs
@@ -0,0 +1,210 @@
+//! Calls on jobs that another node runs.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+use deck_batch::{
+    Accepted, BatchOptions, BatchService, Checkpoints, JobRecord, Ledger, RunOptions, Runner,
+    peers::{AT_OBJECT_API, PING_PATH, Peers},
+    runner::RunnerParts,
+};
+use deck_core::{CancellationToken, id::new_incarnation};
+use deck_fleet::{
+    BatchCall, BatchJob, BatchLimits, CallHead, Engines, Feed, FeedOptions, FollowOptions,
+    Follower, Item, ItemOutcome, ItemResult, View,
+};
+use deck_forward::{ForwardOptions, Forwarder};
+use deck_net::{
+    Body, Client, ServerOptions, bind,
+    http::{Request, Response, StatusCode},
+    server::status_only,
+};
+use deck_platform::{KINDS, Wire};
+use deck_route::{Router, RouterOptions};
+use deck_testkit::memory::MemoryObjects;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::Value;
+
+/// Items of the job.
+const ITEMS: usize = 40;
+/// Bytes of each text: the whole job is larger than a page.
+const TEXT_BYTES: usize = 50_000;
+
+struct Node {
+    service: BatchService,
+    ledger: Ledger,
+    cancel: CancellationToken,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.cancel.cancel();
+    }
+}
+
+fn node(vm: &str, address: SocketAddr, objects: &MemoryObjects) -> Node {
+    let cancel = CancellationToken::new();
+    let view = View::new(Router::new(RouterOptions::default()));
+    let (client, protocol) = (Client::default(), Rc::new(Wire));
+    let ledger = Ledger::new(objects.store(), 1 << 20);
+    let parts = RunnerParts {
+        vm: vm.to_owned(),
+        address,
+        view: view.clone(),
+        engines: Engines::default(),
+        ledger: ledger.clone(),
+        forwarder: Forwarder::new(
+            view.clone(),
+            client.clone(),
+            protocol.clone(),
+            ForwardOptions::default(),
+        ),
+        checkpoints: Checkpoints::new(client.clone()),
+        client: client.clone(),
+        protocol: protocol.clone(),
+    };
+    let runner = Runner::start(parts, RunOptions::default(), cancel.clone());
+    let options = FollowOptions::default();
+    let follower = Follower::new(objects.store(), view, protocol.clone(), KINDS, options);
+    let (incarnation, feed_options) = (new_incarnation(), FeedOptions::default());
+    let feed = Feed::new(address, incarnation, client.clone(), follower, feed_options);
+    let peers = Peers::new(client);
+    let options = BatchOptions::default();
+    let service = BatchService::new(runner, ledger.clone(), peers, protocol, feed, options);
+    Node { service, ledger, cancel }
+}
+
+fn result(item: usize) -> Rc<ItemResult> {
+    Rc::new(ItemResult {
+        item: format!("i{item}"),
+        outcome: ItemOutcome::Completed,
+        text: "t".repeat(TEXT_BYTES),
+        versions: vec![1],
+        score: None,
+    })
+}
+
+/// Stores a job that `vm` runs and all its results.
+async fn store_complete_job(ledger: &Ledger, vm: &str, address: SocketAddr) {
+    let item = |index| Item {
+        id: format!("i{index}"),
+        path: "/p".to_owned(),
+        headers: Vec::new(),
+        body: String::new(),
+        tokens: 100,
+        group: None,
+        reward: None,
+        length_hint: None,
+    };
+    let limits = BatchLimits {
+        results_due_ms: 7500,
+        give_up_ms: 1 << 40,
+        attempts: 3,
+        single_version: false,
+        priority: 1,
+    };
+    let job = BatchJob {
+        id: "job".to_owned(),
+        host: "h".to_owned(),
+        path: "/j/job".to_owned(),
+        step: 0,
+        model: "m".to_owned(),
+        min_version: 1,
+        group_count: 0,
+        items: (0..ITEMS).map(item).collect(),
+        limits,
+        submitted_at_ms: 0,
+    };
+    let accepted = ledger.accept(&job, vm, address).await;
+    assert!(matches!(accepted, Accepted::Stored(JobRecord { .. }, _)), "{accepted:?}");
+    let results: Vec<Rc<ItemResult>> = (0..ITEMS).map(result).collect();
+    for (number, chunk) in results.chunks(10).enumerate() {
+        ledger.append("job", number, chunk).await.expect("stored");
+    }
+}
+
+/// Reads the whole job at a node, page by page.
+async fn read_all(service: &BatchService) -> Vec<Value> {
+    let mut results = Vec::new();
+    while results.len() < ITEMS {
+        let call = BatchCall::Read { job: "job".to_owned(), from: results.len() };
+        let response = service.call(call, &CallHead::default()).await;
+        assert_eq!(response.status(), StatusCode::OK, "after {}", results.len());
+        let body = response.into_body().collect().await.expect("body").to_bytes();
+        let page: Value = serde_json::from_slice(&body).expect("json");
+        results.extend(page["Results"].as_array().expect("results").iter().cloned());
+    }
+    results
+}
+
+fn serve<F, R>(cancel: &CancellationToken, answer: F) -> SocketAddr
+where
+    F: Fn(Request<Incoming>) -> R + 'static,
+    R: Future<Output = Response<Body>> + 'static,
+{
+    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("listener");
+    let address = listener.local_addr().expect("address");
+    monoio::spawn(deck_net::serve(listener, ServerOptions::default(), cancel.clone(), answer));
+    address
+}
+
+/// Pattern: all readers come at once for all old jobs, which one node has run; its link is full and
+/// each answer takes longer than its readers wait. Guards against a job that nobody can read then.
+#[test]
+fn job_of_a_slow_runner_is_read_from_the_object_api() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let asked = Rc::new(Cell::new(0));
+        let counted = asked.clone();
+        let slow = serve(&cancel, move |request| {
+            let is_ping = request.uri().path() == PING_PATH;
+            counted.set(counted.get() + u32::from(!is_ping));
+            async move {
+                if !is_ping {
+                    monoio::time::sleep(Duration::from_secs(30)).await;
+                }
+                status_only(StatusCode::OK)
+            }
+        });
+        let objects = MemoryObjects::default();
+        let reader = node("vm-2", SocketAddr::from(([127, 0, 0, 1], 1)), &objects);
+        store_complete_job(&reader.ledger, "vm-1", slow).await;
+        let results = read_all(&reader.service).await;
+        assert_eq!(results.len(), ITEMS);
+        assert_eq!(asked.get(), 1, "the copy of a settled job is kept");
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// Pattern: as above. Guards against a runner whose link is filled by reads of old jobs.
+#[test]
+fn reads_of_old_jobs_are_referred_to_the_object_api() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let objects = MemoryObjects::default();
+        let service: Rc<Cell<Option<BatchService>>> = Rc::default();
+        let served = service.clone();
+        let address = serve(&cancel, move |request| {
+            let service = served.take().expect("service");
+            served.set(Some(service.clone()));
+            async move { service.serve_peer(request).await }
+        });
+        let runner = node("vm-1", address, &objects);
+        service.set(Some(runner.service.clone()));
+        store_complete_job(&runner.ledger, "vm-1", address).await;
+        let peers = Peers::new(Client::default());
+        let read = || peers.read(address, "job", 0, Duration::ZERO);
+        let mut statuses = Vec::new();
+        for _ in 0..4 {
+            statuses.push(read().await.expect("answer").status);
+        }
+        assert_eq!(statuses[0], StatusCode::OK);
+        assert_eq!(statuses[3], AT_OBJECT_API);
+        let reader = node("vm-2", SocketAddr::from(([127, 0, 0, 1], 1)), &objects);
+        let known = read_all(&runner.service).await;
+        assert_eq!(read_all(&reader.service).await, known);
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -12,7 +12,7 @@
     error::{CallError, ErrorKind},
     timer::TimerService,
 };
-use deck_limit::{Admission, RetryBudget};
+use deck_limit::{Admission, RetryBudget, TokenBucket};
 use deck_net::{
     Body, Client,
     http::{HeaderValue, Request, Response, header, request::Parts},
@@ -39,7 +39,6 @@
     once,
     options::CallOptions,
     pools::Pools,
-    rate::TokenBucket,
     record::Records,
     service,
     shared::{Shared, SharedRef},
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -20,7 +20,6 @@
 mod once;
 pub mod options;
 mod pools;
-pub mod rate;
 pub mod record;
 mod service;
 mod shared;
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -9,9 +9,11 @@
 mod options;
 mod pool;
 pub mod queue;
+mod rate;
 pub mod share;
 
 pub use admission::{Admission, AdmitRequest, Admitted, NamedShare, Permit, PoolCapacity, Waiting};
 pub use budget::{HedgeBudget, RetryBudget};
 pub use demand::Published;
 pub use options::{AdmissionOptions, BudgetOptions};
+pub use rate::TokenBucket;
--- a/crates/call/src/rate.rs
+++ b/crates/limit/src/rate.rs
@@ -6,7 +6,7 @@
 #[derive(Debug, Clone)]
 pub struct TokenBucket {
     per_s: f64,
-    /// Invariant: between 0 and the burst.
+    /// Invariant: at most the burst; below 0 only after an overdraft.
     tokens: f64,
     updated: Instant,
     /// Time for which the next refusal asks its caller to come back.
@@ -30,9 +30,7 @@
     /// Returns the time after which to come back if there is none. Several refusals get times that
     /// are one token apart: if all of them named the next token, all but one would come in vain.
     pub fn try_take(&mut self, now: Instant) -> Result<(), Duration> {
-        let gained = now.saturating_duration_since(self.updated).as_secs_f64() * self.per_s;
-        self.tokens = (self.tokens + gained).min(self.per_s.max(1.0));
-        self.updated = now;
+        self.refill(now);
         if self.tokens >= 1.0 {
             self.tokens -= 1.0;
             return Ok(());
@@ -42,4 +40,21 @@
         self.next_return = at + Duration::from_secs_f64(1.0 / self.per_s);
         Err(at.saturating_duration_since(now))
     }
+
+    /// Takes `count` tokens if there is at least one; returns whether there was. What is missing is
+    /// owed: no further token is taken until it has been gained.
+    pub fn try_overdraw(&mut self, count: f64, now: Instant) -> bool {
+        self.refill(now);
+        let taken = self.tokens >= 1.0;
+        if taken {
+            self.tokens -= count;
+        }
+        taken
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let gained = now.saturating_duration_since(self.updated).as_secs_f64() * self.per_s;
+        self.tokens = (self.tokens + gained).min(self.per_s.max(1.0));
+        self.updated = now;
+    }
 }
