Soak with links that are cut, silent in one direction, slow or reset

Change: deck_testkit::proxy, a loopback proxy on a thread of its own, stands between each node and the object API and before each server; the stand-in lists servers with other addresses where it is told to. The second soak test draws from 13 kinds of faults; the first one and its seeds are unchanged. The disk is lost while it is written.

Ruled out here: stepped clocks (nothing on one machine sets the clock of one process without preloading) and links between nodes (their addresses are those that they listen on).

--- a/bins/decknode/tests/common/mod.rs
+++ b/bins/decknode/tests/common/mod.rs
@@ -14,7 +14,7 @@
     Body, Client, ClientOptions, NetError,
     http::{Method, Request, StatusCode},
 };
-use deck_testkit::{EVENT_DEADLINE, Process, eventually};
+use deck_testkit::{EVENT_DEADLINE, Process, eventually, proxy::Proxy};
 use deckstandin::generation::whole_text;
 use serde_json::{Value, json};
 
@@ -31,6 +31,8 @@
     pub ready: SocketAddr,
     settings: PathBuf,
     pub process: Option<Process>,
+    /// In front of the object API, if the fleet has proxies.
+    pub store_link: Option<Proxy>,
 }
 
 impl Node {
@@ -51,6 +53,8 @@
     pub nodes: Vec<Node>,
     folder: PathBuf,
     pub client: Client,
+    /// In front of the servers, if the fleet has proxies.
+    pub server_links: Vec<Proxy>,
 }
 
 /// A batch job as a trainer knows it.
@@ -95,23 +99,62 @@
 impl Fleet {
     /// Starts a platform, `entries` entry nodes and one node with a disk.
     pub fn start(entries: usize) -> Self {
+        let mut fleet = Self::new(entries, false);
+        fleet.start_nodes();
+        fleet
+    }
+
+    /// Starts the same with proxies between the nodes and the platform.
+    pub async fn start_with_proxies(entries: usize) -> Self {
+        let mut fleet = Self::new(entries, true);
+        let listed =
+            fleet.call(fleet.store, Method::GET, "/v1/objects/servers", &[], Vec::new()).await;
+        let listed: Value = serde_json::from_slice(&listed.expect("list").1).expect("json");
+        let mut advertised = json!({});
+        for entry in listed["Items"].as_array().expect("entries") {
+            let own = entry["Spec"]["Address"].as_str().expect("address");
+            let link = Proxy::start(own.parse().expect("address"));
+            let name = entry["Metadata"]["Name"].as_str().expect("name");
+            advertised[name] = link.address.to_string().into();
+            fleet.server_links.push(link);
+        }
+        let body = advertised.to_string().into_bytes();
+        let told = fleet.call(fleet.store, Method::POST, "/admin/advertise", &[], body).await;
+        assert_eq!(told.expect("stand-in").0, StatusCode::OK);
+        fleet.start_nodes();
+        fleet
+    }
+
+    fn start_nodes(&mut self) {
+        for index in 0..self.nodes.len() {
+            self.start_node(index);
+        }
+    }
+
+    fn new(entries: usize, with_proxies: bool) -> Self {
         let folder = std::env::temp_dir().join(format!("decknode-{}", deck_core::id::random_id()));
         std::fs::create_dir_all(&folder).expect("folder");
         let arguments = ["platform", "--listen", "127.0.0.1:0"];
         let mut platform = Process::start("platform", "deckstandin", &arguments, None);
         let store = platform.address("store");
         let client = Client::new(ClientOptions::default());
-        let mut fleet = Self { _platform: platform, store, nodes: Vec::new(), folder, client };
+        let (nodes, server_links) = (Vec::new(), Vec::new());
+        let mut fleet = Self { _platform: platform, store, nodes, folder, client, server_links };
         for index in 0..=entries {
-            let node = fleet.node(index, index < entries);
+            let node = fleet.node(index, index < entries, with_proxies);
             fleet.nodes.push(node);
         }
-        for index in 0..fleet.nodes.len() {
-            fleet.start_node(index);
-        }
         fleet
     }
 
+    /// Removes all that the node with a disk has written, while it runs.
+    pub fn wipe_disk(&self) {
+        let folder = self.folder.join("data");
+        if let Err(error) = std::fs::remove_dir_all(&folder) {
+            println!("{} not removed: {error}", folder.display());
+        }
+    }
+
     /// Prints the logs of all nodes, for a test that has failed.
     fn print_logs(&self) {
         for node in &self.nodes {
@@ -123,7 +166,21 @@
         }
     }
 
-    fn node(&self, index: usize, is_entry: bool) -> Node {
+    /// Writes what the nodes have logged since the last call to files, one for each node.
+    pub fn write_logs(&self) -> Vec<PathBuf> {
+        let write = |node: &Node| {
+            let output = node.process.as_ref().map(Process::output).unwrap_or_default();
+            let file = self.folder.join(format!("{}.out", node.name));
+            let earlier = std::fs::read_to_string(&file).unwrap_or_default();
+            std::fs::write(&file, earlier + &output.join("\n") + "\n").expect("log file");
+            file
+        };
+        self.nodes.iter().map(write).collect()
+    }
+
+    fn node(&self, index: usize, is_entry: bool, with_proxy: bool) -> Node {
+        let store_link = with_proxy.then(|| Proxy::start(self.store));
+        let store = store_link.as_ref().map_or(self.store, |link| link.address);
         let name = if is_entry { format!("edge-{index}") } else { format!("disk-{index}") };
         let (callers, ready, peers) = (free_address(), free_address(), free_address());
         let listen = if is_entry {
@@ -142,11 +199,11 @@
              [Platform]\nAddress = \"{}\"\n",
             peers.port(),
             peers.port(),
-            self.store,
+            store,
         );
         let file = self.folder.join(format!("{name}.toml"));
         std::fs::write(&file, settings).expect("settings");
-        Node { name, callers, ready, settings: file, process: None }
+        Node { name, callers, ready, settings: file, process: None, store_link }
     }
 
     pub fn start_node(&mut self, index: usize) {
--- a/bins/decknode/tests/soak.rs
+++ b/bins/decknode/tests/soak.rs
@@ -1,5 +1,6 @@
 //! Randomized faults from outside separate processes: kills, stops, pauses, an object API that is
-//! down or loses answers, streams that break off. They come in series and overlap.
+//! down or loses answers, streams that break off; links that are cut, silent in one direction, slow
+//! or reset, and a disk that is lost. They come in series and overlap.
 //!
 //! `SOAK_SEEDS=100..150 cargo test -p decknode --test soak` runs other seeds than those below;
 //! `SOAK_STEPS` sets the number of steps of a run.
@@ -11,6 +12,7 @@
 };
 
 use deck_net::http::{Method, StatusCode};
+use deck_testkit::proxy::{Direction, Proxy};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::json;
 
@@ -23,6 +25,12 @@
 /// 205: a stopping node offered its jobs to a paused one without a limit and outlived its grace time;
 /// items of a paused runner were given up because nobody read the job at another node.
 const SEEDS: [u64; 3] = [1, 2, 205];
+/// Seeds of the run with proxies in CI. A seed that has ever failed stays here too.
+const LINK_SEEDS: [u64; 2] = [1, 2];
+/// Kinds of faults of processes and of the platform.
+const PROCESS_FAULTS: u64 = 7;
+/// Kinds of faults with those of links and disks.
+const ALL_FAULTS: u64 = 13;
 /// Steps of a run: each one has a fault, reads and a request.
 const STEPS: u64 = 25;
 /// Grace time of a stop in the settings of the nodes.
@@ -43,6 +51,10 @@
     lots: Vec<Lot>,
     version: u64,
     step: u64,
+    /// Kinds of faults that are drawn.
+    faults: u64,
+    /// When the faults of links end.
+    links_heal_at: Option<Instant>,
     /// Statuses of requests that may run once, by their ids.
     once: HashMap<String, Option<u16>>,
 }
@@ -62,7 +74,8 @@
     async fn fault(&mut self) {
         let index = self.draw(self.fleet.nodes.len() as u64) as usize;
         let back = Instant::now() + Duration::from_millis(100 + self.draw(1500));
-        match self.draw(7) {
+        match self.draw(self.faults) {
+            kind @ PROCESS_FAULTS.. => self.link_fault(kind, index),
             _ if self.is_away(index) => {}
             0 => {
                 self.fleet.nodes[index].process.take().expect("process").kill();
@@ -91,11 +104,46 @@
         }
     }
 
+    /// Starts a fault on the links of a node or server, or on the disk.
+    fn link_fault(&mut self, kind: u64, index: usize) {
+        let lasts = Duration::from_millis(100 + self.draw(2500));
+        let delay = Duration::from_millis(20 + self.draw(200));
+        let server = self.draw(self.fleet.server_links.len() as u64) as usize;
+        let link = match kind {
+            7..=10 => self.fleet.nodes[index].store_link.as_ref().expect("proxy"),
+            _ => &self.fleet.server_links[server],
+        };
+        match kind {
+            7 | 11 => {
+                link.set_silent(Direction::ToTarget, true);
+                link.set_silent(Direction::FromTarget, true);
+            }
+            8 => link.set_silent(Direction::FromTarget, true),
+            9 => link.set_delay(delay),
+            10 => link.break_connections(),
+            _ => {
+                link.set_delay(delay);
+                link.break_connections();
+                self.fleet.wipe_disk();
+            }
+        }
+        self.links_heal_at.get_or_insert(Instant::now() + lasts);
+    }
+
+    fn heal_links(&mut self) {
+        let nodes = self.fleet.nodes.iter().filter_map(|node| node.store_link.as_ref());
+        nodes.chain(&self.fleet.server_links).for_each(Proxy::heal);
+        self.links_heal_at = None;
+    }
+
     /// Brings back what is due.
     async fn heal(&mut self, now: Instant) {
         if self.draw(2) == 0 {
             self.fleet.set_faults(json!({"store_down": false})).await;
         }
+        if self.links_heal_at.is_some_and(|at| at <= now) {
+            self.heal_links();
+        }
         let (due, left) = std::mem::take(&mut self.away).into_iter().partition(
             |away| matches!(away, Away::Frozen(_, at) | Away::Gone(_, at) if *at <= now),
         );
@@ -148,6 +196,7 @@
     async fn finish(&mut self) {
         self.fleet.set_faults(json!({"store_down": false, "store_lost": 0})).await;
         self.heal(Instant::now() + Duration::from_secs(60)).await;
+        self.heal_links();
         self.fleet.wait_until_ready().await;
         for lot in &mut self.lots {
             self.fleet.read_to_end(lot).await;
@@ -169,13 +218,21 @@
     }
 }
 
-fn soak(seed: u64, steps: u64) {
+fn soak(seed: u64, faults: u64) {
+    println!("seed {seed}");
+    let steps = std::env::var("SOAK_STEPS").ok().and_then(|steps| steps.parse().ok());
+    let steps = steps.unwrap_or(STEPS);
     run(async {
-        let fleet = Fleet::start(3);
+        let fleet = match faults {
+            PROCESS_FAULTS => Fleet::start(3),
+            _ => Fleet::start_with_proxies(3).await,
+        };
         fleet.wait_until_ready().await;
         let random = StdRng::seed_from_u64(seed);
         let (away, lots, once) = (Vec::new(), Vec::new(), HashMap::new());
-        let mut soak = Soak { fleet, random, away, lots, version: 1, step: 0, once };
+        let (version, step, links_heal_at) = (1, 0, None);
+        let mut soak =
+            Soak { fleet, random, away, lots, version, step, faults, links_heal_at, once };
         for _ in 0..steps {
             soak.step().await;
         }
@@ -188,17 +245,23 @@
 /// a request that may run once does.
 #[test]
 fn promises_hold_under_random_faults() {
-    let steps = std::env::var("SOAK_STEPS").ok().and_then(|steps| steps.parse().ok());
-    let steps = steps.unwrap_or(STEPS);
-    let seeds: Vec<u64> = match std::env::var("SOAK_SEEDS") {
-        Ok(range) => {
-            let (from, to) = range.split_once("..").expect("SOAK_SEEDS is FROM..TO");
-            (from.parse().expect("a number")..to.parse().expect("a number")).collect()
-        }
-        Err(_) => SEEDS.to_vec(),
-    };
-    for seed in seeds {
-        println!("seed {seed}");
-        soak(seed, steps);
+    for seed in seeds(&SEEDS) {
+        soak(seed, PROCESS_FAULTS);
     }
 }
+
+/// Guards the same promises while links to the platform and its servers are cut, silent in one
+/// direction, slow or reset, and the disk is lost.
+#[test]
+fn promises_hold_while_links_fail() {
+    for seed in seeds(&LINK_SEEDS) {
+        soak(seed, ALL_FAULTS);
+    }
+}
+
+/// Returns the seeds that the environment names, or the usual ones.
+fn seeds(usual: &[u64]) -> Vec<u64> {
+    let Ok(range) = std::env::var("SOAK_SEEDS") else { return usual.to_vec() };
+    let (from, to) = range.split_once("..").expect("SOAK_SEEDS is FROM..TO");
+    (from.parse().expect("a number")..to.parse().expect("a number")).collect()
+}
--- a/bins/deckstandin/src/platform.rs
+++ b/bins/deckstandin/src/platform.rs
@@ -75,6 +75,8 @@
     changed: Notify,
     /// What targets have seen, in order.
     records: RefCell<Vec<Value>>,
+    /// Addresses that servers are listed with in place of their own, by their ids.
+    advertised: RefCell<BTreeMap<String, String>>,
 }
 
 /// One engine or plain server.
@@ -108,6 +110,7 @@
         history: RefCell::default(),
         changed: Notify::new(),
         records: RefCell::default(),
+        advertised: RefCell::default(),
         options: options.clone(),
     });
     state.put("config", "main", configuration());
@@ -219,6 +222,24 @@
         json!({"events": events(), "AsOf": self.revision.get()})
     }
 
+    /// Lists servers with other addresses from now on, such as those of proxies.
+    fn advertise(&self, call: &Call) -> Response<Body> {
+        let addresses: BTreeMap<String, String> = match call.json() {
+            Ok(addresses) => addresses,
+            Err(response) => return response,
+        };
+        for (id, address) in addresses {
+            let key = ("servers".to_owned(), id.clone());
+            let entry = self.objects.borrow().get(&key).map(|object| object["Spec"].clone());
+            if let Some(mut entry) = entry {
+                entry["Address"] = address.clone().into();
+                self.put("servers", &id, entry);
+            }
+            self.advertised.borrow_mut().insert(id, address);
+        }
+        json_response(200, &Value::Null)
+    }
+
     fn write(&self, call: &Call, kind: &str, name: Option<&str>) -> Response<Body> {
         let body: Value = match call.json() {
             Ok(body) => body,
@@ -257,6 +278,7 @@
         return match *what {
             "faults" => state.faults.patch(&call),
             "records" => json_response(200, &*state.records.borrow()),
+            "advertise" => state.advertise(&call),
             _ => not_found(&call),
         };
     }
@@ -288,8 +310,10 @@
 
 impl Server {
     fn register(&self) {
+        let own = self.address.to_string();
+        let address = self.state.advertised.borrow().get(&self.id).cloned().unwrap_or(own);
         let mut entry = json!({"Service": if self.version.get().is_some() { "models" } else { "app" },
-            "Address": self.address.to_string(), "Zone": "a", "Version": "v1", "Slots": 8,
+            "Address": address, "Zone": "a", "Version": "v1", "Slots": 8,
             "State": "ready", "ColdRemainingMs": 0, "Seq": 1, "born": BORN_MS});
         if let Some(version) = self.version.get() {
             entry["Models"] = json!([{"Name": MODEL, "Version": version, "Adapters": []}]);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -4,6 +4,7 @@
 //! that tests can use port 0.
 
 pub mod memory;
+pub mod proxy;
 
 use std::{
     collections::HashMap,
