--- a/bins/deckctl/src/cli.rs
+++ b/bins/deckctl/src/cli.rs
@@ -141,6 +141,18 @@
         #[bpaf(positional("FILE"), some("name at least one file"))]
         files: Vec<PathBuf>,
     },
+    /// Explains from logs what happened to a request, an item or a batch job.
+    ///
+    /// Reads the logs of several nodes, orders them by time, and says in plain words what went wrong.
+    #[bpaf(command, footer("Example: deckctl explain 7511ad0296c836b8 logs/*.log"))]
+    Explain {
+        /// Id of a request, an item or a batch job
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Files with log lines; lines may begin with a time and the name of their node
+        #[bpaf(positional("FILE"), some("name at least one file"))]
+        files: Vec<PathBuf>,
+    },
     /// Reports on service levels.
     #[bpaf(command, footer("Example: deckctl report burn --history history.jsonl objectives.json"))]
     Report {
--- /dev/null
+++ b/bins/deckctl/src/explain/mod.rs
@@ -0,0 +1,4 @@
+//! Search of a failure's cause in logs.
+
+pub mod line;
+pub mod story;
--- a/bins/deckctl/src/main.rs
+++ b/bins/deckctl/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod error;
+mod explain;
 mod files;
 mod output;
 mod verbs;
@@ -44,6 +45,9 @@
     if let Command::Check { program, files } = &command {
         return verbs::check::run(files, program.as_deref(), output);
     }
+    if let Command::Explain { id, files } = &command {
+        return verbs::explain::run(id, files, output);
+    }
     if let Command::Report { report } = command {
         return verbs::report::run(report, object_api, timeout_ms, output).await;
     }
@@ -63,6 +67,6 @@
         Command::Delete { revision, kind, name } => {
             verbs::delete::run(&store, kind, &name, revision, output).await
         }
-        Command::Check { .. } | Command::Report { .. } => Ok(()),
+        Command::Check { .. } | Command::Explain { .. } | Command::Report { .. } => Ok(()),
     }
 }
--- a/bins/deckctl/src/verbs.rs
+++ b/bins/deckctl/src/verbs.rs
@@ -5,6 +5,7 @@
 pub mod delete;
 pub mod describe;
 pub mod diff;
+pub mod explain;
 pub mod get;
 pub mod report;
 pub mod watch;
--- /dev/null
+++ b/bins/deckctl/tests/explain.rs
@@ -0,0 +1,68 @@
+//! `deckctl explain` on logs of several nodes.
+
+use std::{path::PathBuf, process::Command};
+
+use deck_testkit::program;
+
+fn log_file(text: &str) -> PathBuf {
+    let name = format!("explain-{}.log", deck_core::id::random_id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, text).expect("log file");
+    path
+}
+
+fn explain(id: &str, files: &[&PathBuf]) -> (Option<i32>, String) {
+    let output = Command::new(program("deckctl")).arg("explain").arg(id).args(files).output();
+    let output = output.expect("program runs");
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8_lossy(&text).into_owned())
+}
+
+/// Guards against lines of several nodes in the order of the files, and against nodes without a name.
+#[test]
+fn lines_of_several_nodes_are_in_the_order_of_their_time() {
+    let first = log_file(
+        "2026-12-04T05:00:02.5Z [INFO] node: start vm=edge-1 data_centre=a\n\
+         2026-12-04T05:00:04.25Z [INFO] batch: job taken over job=j from=edge-0\n",
+    );
+    let second = log_file(
+        "no line of a log\n\
+         2026-12-04T05:00:01Z [INFO] node: start vm=edge-0 data_centre=a\n\
+         2026-12-04T05:00:03.125Z [INFO] batch: job accepted job=j items=1 step=0 model=m \
+         min_version=2\n",
+    );
+    let (code, text) = explain("j", &[&first, &second]);
+    assert_eq!(code, Some(0), "{text}");
+    assert!(text.contains("- edge-1 took the job over, as edge-0 was silent."), "{text}");
+    let accepted = text.find("edge-0 batch: job accepted").expect("accepted");
+    assert!(accepted < text.find("edge-1 batch: job taken over").expect("taken over"), "{text}");
+    assert_eq!(explain("other", &[&first, &second]).0, Some(3));
+    for file in [first, second] {
+        std::fs::remove_file(file).expect("own file");
+    }
+}
+
+/// Guards against the text of an item in one job that is taken for that in another one, in lines with
+/// the time since a start and the node in front.
+#[test]
+fn item_that_comes_again_belongs_to_its_job() {
+    let line = |seconds: u32, text: &str| {
+        format!("  {seconds}.0 edge-a 2026-12-04T05:00:{seconds:02}Z [INFO] batch: {text}\n")
+    };
+    let log = [
+        line(1, "job accepted job=one items=1 step=0 model=m min_version=1"),
+        line(1, "run starts item=i job=one target=t event=0"),
+        line(2, "run complete item=i target=t event=20 ms=1000"),
+        line(3, "job accepted job=two items=1 step=1 model=m min_version=2"),
+        line(5, "run starts item=i job=two target=t event=0"),
+        line(11, "run complete item=i target=t event=90 ms=6000"),
+    ];
+    let file = log_file(&log.concat());
+    let (_, one) = explain("one", &[&file]);
+    assert!(one.contains("Nothing in these logs went wrong."), "{one}");
+    let (_, two) = explain("two", &[&file]);
+    assert!(two.contains("waited up to 2.0 s for an engine with version 2 or newer"), "{two}");
+    assert!(two.contains("item i: 90 events in 6.0 s"), "{two}");
+    assert!(two.contains("edge-a batch: job accepted"), "{two}");
+    std::fs::remove_file(file).expect("own file");
+}
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -449,6 +449,9 @@
         min_version: u64,
         now: Instant,
     ) -> Option<RunningItem> {
+        if run.moving.borrow().is_cancelled() {
+            return None;
+        }
         let started = run.started_at.get()?;
         if now.saturating_duration_since(started) < self.options.settle_run {
             return None;
