Take over changed bounds and the configured limits on callers

Change: the grace time of a stop and whether targets check fencing numbers are taken over by a running process; connections of callers are opened with the largest head and the idle time of the configuration in force.

Ruled out: closing idle connections after a limit below 75 s. A longer limit may come into force while a connection is open, and its caller would then meet a closed connection within the limit.

Before: no test. After: changed_grace_time_is_in_force_without_a_restart and head_above_the_configured_limit_is_refused pass; the duration of the lease still holds from the start of the process on.

--- a/bins/decknode/src/lead.rs
+++ b/bins/decknode/src/lead.rs
@@ -1,13 +1,15 @@
 //! The lease of the node that runs new batch jobs and gives orders.
 
 use std::{
+    cell::RefCell,
     net::SocketAddr,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
 use deck_batch::BatchService;
 use deck_core::{CancellationToken, object::LEASE_KIND};
-use deck_fleet::{Feed, Follower, Leader};
+use deck_fleet::{Bounds, Feed, Follower, Leader};
 use deck_plat::{
     Acquire, HeldLease, Kept, LeaseCandidate, LeaseOptions, Store, lease::parse_record,
 };
@@ -40,10 +42,8 @@
     pub giver: Giver,
     /// Follows the objects that only the leader needs.
     pub follower: Follower,
-    /// Duration of the lease, and least time between orders of two holders.
-    pub lease: Duration,
-    /// Whether targets refuse an order with an old fencing number.
-    pub fencing_checked: bool,
+    /// Bounds of the deployment. The duration of the lease holds from the start of the process on.
+    pub bounds: Rc<RefCell<Bounds>>,
     /// Batch jobs.
     pub batch: BatchService,
 }
@@ -51,7 +51,8 @@
 /// Competes for the lease and does its duties while this node holds it, until `cancel` is
 /// cancelled.
 pub async fn run(duties: Duties, cancel: CancellationToken) {
-    let options = LeaseOptions { duration: duties.lease, resolve_tries: 2, reclaim_own: true };
+    let duration = duties.bounds.borrow().lease;
+    let options = LeaseOptions { duration, resolve_tries: 2, reclaim_own: true };
     let address = duties.address.to_string();
     let (store, vm) = (duties.store.clone(), duties.vm.clone());
     let mut candidate = LeaseCandidate::new(store, LEASE_NAME, vm, address, options);
@@ -112,10 +113,11 @@
     cancel: &CancellationToken,
 ) -> Option<LeaseCandidate> {
     let token = held.token();
+    let Bounds { lease, fencing_checked, .. } = *duties.bounds.borrow();
     // Targets that check fencing numbers refuse what an earlier holder still sends.
     let start = match held.previous_holder() {
-        Some(previous) if previous != duties.vm && !duties.fencing_checked => {
-            Instant::now() + duties.lease + ORDER_MARGIN
+        Some(previous) if previous != duties.vm && !fencing_checked => {
+            Instant::now() + lease + ORDER_MARGIN
         }
         _ => Instant::now(),
     };
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -1,7 +1,7 @@
 //! Life of the process: start of all parts, reload of settings, graceful shutdown.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     path::PathBuf,
     rc::Rc,
     sync::{
@@ -17,7 +17,7 @@
 };
 use deck_core::{CancellationToken, id::new_incarnation};
 use deck_fleet::{
-    Engines, Feed, FeedOptions, FollowOptions, Follower, NodeSettings, Protocol, View,
+    Bounds, Engines, Feed, FeedOptions, FollowOptions, Follower, NodeSettings, Protocol, View,
     feed::FEED_PATH,
 };
 use deck_forward::{ForwardOptions, Forwarder};
@@ -57,7 +57,7 @@
 const END_MARGIN: Duration = Duration::from_millis(700);
 /// Time between two looks at the settings file.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
-/// Time for which a caller's connection may be idle; above what deployments state as their limit.
+/// Time for which a connection may be idle at least; above what deployments usually state.
 const CALLER_IDLE: Duration = Duration::from_secs(75);
 
 /// Runs the node until it is stopped.
@@ -145,6 +145,7 @@
         protocol.clone(),
         SwapOptions::default(),
     );
+    let bounds = Rc::new(RefCell::new(settings.bounds.clone()));
     let duties = lead::Duties {
         vm: settings.vm.clone(),
         address: settings.peer_address,
@@ -152,8 +153,7 @@
         feed: feed.clone(),
         giver,
         follower,
-        lease: settings.bounds.lease,
-        fencing_checked: settings.bounds.fencing_checked,
+        bounds: bounds.clone(),
         batch: batch.clone(),
     };
     let leading = monoio::spawn(lead::run(duties.clone(), stop.clone()));
@@ -171,11 +171,11 @@
     serve_peers(&settings, batch.clone(), feed.clone(), api, ended.clone())?;
     let closing = CancellationToken::new();
     let served = serve_callers(&settings, front, closing.clone())?;
-    monoio::spawn(watch_settings(file, settings.clone(), hangup, ended.clone()));
+    monoio::spawn(watch_settings(file, settings.clone(), bounds.clone(), hangup, ended.clone()));
 
     stop.cancelled().await;
     let stopped_at = Instant::now();
-    let grace = settings.bounds.stop_grace;
+    let grace = bounds.borrow().stop_grace;
     log::info!(target: "node", "stopping grace_ms={}", grace.as_millis());
     draining.set(true);
     batch.set_draining();
@@ -235,14 +235,30 @@
     let Some(address) = settings.caller_address else {
         return Ok(monoio::spawn(async move { closing.cancelled().await }));
     };
-    let options = ServerOptions { head_timeout: CALLER_IDLE, ..ServerOptions::default() };
-    let served = deck_net::serve(bind(address)?, options, closing, move |request| {
+    let view = front.view.clone();
+    let options = move || caller_options(&view);
+    let served = deck_net::serve_with(bind(address)?, options, closing, move |request| {
         let front = front.clone();
         async move { front.serve(request).await }
     });
     Ok(monoio::spawn(served))
 }
 
+/// Returns the limits of a caller's connection by the configuration in force.
+fn caller_options(view: &View) -> ServerOptions {
+    let options = ServerOptions { head_timeout: CALLER_IDLE, ..ServerOptions::default() };
+    match view.configuration() {
+        Some(configuration) => {
+            let limits = &configuration.limits;
+            // One time covers an idle connection and the head that follows. A longer limit may come
+            // into force while the connection is open, so it is never below the usual time.
+            let head_timeout = (limits.idle_timeout + limits.head_timeout).max(CALLER_IDLE);
+            ServerOptions { max_head_bytes: limits.max_head_bytes, head_timeout, ..options }
+        }
+        None => options,
+    }
+}
+
 fn serve_ready(
     settings: &NodeSettings,
     view: View,
@@ -309,11 +325,12 @@
     }
 }
 
-/// Reads the settings file again when it changes. Values that a running process cannot take over
-/// are logged; they hold from the next start on.
+/// Reads the settings file again when it changes. The bounds are taken over at once, other values
+/// hold from the next start on.
 async fn watch_settings(
     file: PathBuf,
     mut current: NodeSettings,
+    bounds: Rc<RefCell<Bounds>>,
     hangup: Arc<AtomicBool>,
     ended: CancellationToken,
 ) {
@@ -323,7 +340,14 @@
         }
         match read_settings(&file) {
             Ok(settings) if settings != current => {
-                log::info!(target: "node", "settings changed; they hold from the next start on");
+                if settings.bounds != current.bounds {
+                    log::info!(target: "node", "bounds in force {:?}", settings.bounds);
+                    bounds.replace(settings.bounds.clone());
+                }
+                let bounds_only = NodeSettings { bounds: settings.bounds.clone(), ..current };
+                if settings != bounds_only {
+                    log::info!(target: "node", "settings changed; they hold from the next start on");
+                }
                 current = settings;
             }
             Ok(_) => {}
--- a/bins/decknode/tests/calm.rs
+++ b/bins/decknode/tests/calm.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use deck_net::http::{Method, StatusCode};
@@ -125,6 +125,42 @@
     });
 }
 
+/// Guards against a stop after the time that changed settings leave for it.
+#[test]
+fn changed_grace_time_is_in_force_without_a_restart() {
+    run(async {
+        let mut fleet = Fleet::start(1);
+        fleet.wait_until_ready().await;
+        fleet.change_setting(0, "GraceS = 5", "GraceS = 2");
+        eventually("the change is in force", async || fleet.nodes[0].has_logged("bounds in force"))
+            .await;
+        let mut process = fleet.nodes[0].process.take().expect("process");
+        let started = Instant::now();
+        process.terminate();
+        assert!(process.wait().success());
+        assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+    });
+}
+
+/// Guards against a caller's connection with other limits than the configuration states.
+#[test]
+fn head_above_the_configured_limit_is_refused() {
+    run(async {
+        let fleet = Fleet::start(1);
+        fleet.wait_until_ready().await;
+        let address = fleet.nodes[0].callers;
+        let status = async |bytes: usize| {
+            let filler = "f".repeat(bytes);
+            let headers = [("Request-Id", "large"), ("Filler", filler.as_str())];
+            let sent = fleet.call(address, Method::POST, "/plain/x", &headers, vec![]).await;
+            sent.expect("answer").0
+        };
+        // The stand-in's configuration allows heads of 16 KiB.
+        assert_eq!(status(12 * 1024).await, StatusCode::OK);
+        assert_eq!(status(20 * 1024).await, StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    });
+}
+
 /// Guards against a request of a non-idempotent route that runs twice because its answer was lost.
 #[test]
 fn non_idempotent_request_runs_once() {
--- a/bins/decknode/tests/common/mod.rs
+++ b/bins/decknode/tests/common/mod.rs
@@ -206,6 +206,14 @@
         Node { name, callers, ready, settings: file, process: None, store_link }
     }
 
+    /// Changes the settings file of a node, which may run.
+    pub fn change_setting(&self, index: usize, from: &str, to: &str) {
+        let file = &self.nodes[index].settings;
+        let settings = std::fs::read_to_string(file).expect("settings");
+        assert!(settings.contains(from), "{settings}");
+        std::fs::write(file, settings.replace(from, to)).expect("settings");
+    }
+
     pub fn start_node(&mut self, index: usize) {
         let node = &mut self.nodes[index];
         let settings = node.settings.to_str().expect("path");
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,7 +15,7 @@
 pub use body::Body;
 pub use client::{Client, ClientOptions, ClientResponse, ProbeOptions};
 pub use error::NetError;
-pub use server::{ServerOptions, bind, serve};
+pub use server::{ServerOptions, bind, serve, serve_with};
 
 /// HTTP types, re-exported so that all crates use the same version.
 pub use http;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -80,11 +80,26 @@
 ) where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
+{
+    serve_with(listener, move || options.clone(), drain, handler).await;
+}
+
+/// Serves like [`serve`] with limits that may change: each connection has those of its start.
+pub async fn serve_with<O, H, F>(
+    listener: TcpListener,
+    options: O,
+    drain: CancellationToken,
+    handler: H,
+) where
+    O: Fn() -> ServerOptions,
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<Body>> + 'static,
 {
     let handler = Rc::new(handler);
     let open = Rc::new(OpenConnections::default());
     let start = |stream: TcpStream| {
         let _ = stream.set_nodelay(true);
+        let options = options();
         if open.count.get() >= options.max_connections {
             monoio::spawn(refuse_connection(stream));
             return;
@@ -92,7 +107,6 @@
         let guard = open.clone().enter();
         let handler = handler.clone();
         let drain = drain.clone();
-        let options = options.clone();
         monoio::spawn(async move {
             serve_connection(stream, &options, drain, handler).await;
             drop(guard);
