Go on with a caller's stream at another target

Change: on routes that allow it, whole events are passed on, each once; after a break the next target is asked with the last event, within the attempts of the route. A resumable stream is also sent again if it breaks before its head. The splitting of a stream into events is one type in deck-net now, used by batch runs too.

Ruled out: hedging of streams, which would run two of them.

Before: no resumption.

--- a/crates/batch/src/events.rs
+++ b/crates/batch/src/events.rs
@@ -1,6 +1,7 @@
 //! Events of a generation, read from the bytes of a stream.
 
 use deck_core::id::WeightVersion;
+use deck_net::sse::EventBlocks;
 
 /// One complete event.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -18,24 +19,19 @@
 pub struct EventParser {
     /// Name of the field that states a new version.
     version_field: &'static str,
-    buffer: Vec<u8>,
+    blocks: EventBlocks,
 }
 
 impl EventParser {
     /// Returns a parser; `version_field` names the field that states a new version.
     pub fn new(version_field: &'static str) -> Self {
-        Self { version_field, buffer: Vec::new() }
+        Self { version_field, blocks: EventBlocks::default() }
     }
 
     /// Adds received bytes and returns the events that are complete now.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<GeneratedEvent> {
-        self.buffer.extend_from_slice(bytes);
-        let mut events = Vec::new();
-        while let Some((end, next)) = event_end(&self.buffer) {
-            let block: Vec<u8> = self.buffer.drain(..next).take(end).collect();
-            events.extend(self.parse(&block));
-        }
-        events
+        let blocks = self.blocks.push(bytes);
+        blocks.iter().filter_map(|block| self.parse(block)).collect()
     }
 
     fn parse(&self, block: &[u8]) -> Option<GeneratedEvent> {
@@ -60,17 +56,3 @@
         (has_data || event.number.is_some()).then_some(event)
     }
 }
-
-/// Returns the length of the first complete event and the position after its empty line.
-fn event_end(buffer: &[u8]) -> Option<(usize, usize)> {
-    for (index, _) in buffer.iter().enumerate().filter(|(_, byte)| **byte == b'\n') {
-        let rest = &buffer[index + 1..];
-        if rest.starts_with(b"\n") {
-            return Some((index + 1, index + 2));
-        }
-        if rest.starts_with(b"\r\n") {
-            return Some((index + 1, index + 3));
-        }
-    }
-    None
-}
--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -9,7 +9,10 @@
 use futures_util::future::Either;
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, header};
 
-use crate::headers::strip_hop_by_hop;
+use crate::{
+    headers::strip_hop_by_hop,
+    stream::{Resume, pass_events},
+};
 
 /// Answer of a target.
 pub struct Reply {
@@ -32,6 +35,8 @@
     Whole(Bytes),
     /// A body that is still being received.
     Stream(Box<ClientResponse>),
+    /// Events that are still being received and may go on at another target.
+    Events(Box<ClientResponse>, Box<Resume>),
 }
 
 /// Returns the answer of a target as a response to the caller.
@@ -46,6 +51,11 @@
     }
     let body = match body {
         ReplyBody::Whole(bytes) => Body::full(bytes),
+        ReplyBody::Events(received, resume) => {
+            let (sender, body) = Body::stream();
+            monoio::spawn(pass_events(*received, *resume, sender));
+            body
+        }
         ReplyBody::Stream(mut received) => {
             let (sender, body) = Body::stream();
             monoio::spawn(async move {
@@ -73,7 +83,10 @@
 }
 
 /// Returns the result of `work`, or `None` if `stop` ends first.
-async fn race<T>(work: impl Future<Output = T>, stop: impl Future<Output = ()>) -> Option<T> {
+pub(crate) async fn race<T>(
+    work: impl Future<Output = T>,
+    stop: impl Future<Output = ()>,
+) -> Option<T> {
     let (work, stop) = (std::pin::pin!(work), std::pin::pin!(stop));
     match futures_util::future::select(work, stop).await {
         Either::Left((result, _)) => Some(result),
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -27,6 +27,7 @@
 }
 
 /// What all attempts of a request have in common.
+#[derive(Clone)]
 pub(crate) struct Attempt {
     pub client: Client,
     pub protocol: Rc<dyn Protocol>,
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -18,7 +18,9 @@
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use http::{HeaderMap, Method, Uri, header};
 
-use crate::{AttemptError, Reply, attempt::Attempt, headers::strip_hop_by_hop};
+use crate::{
+    AttemptError, Reply, ReplyBody, attempt::Attempt, headers::strip_hop_by_hop, stream::Resume,
+};
 
 /// Options of a [`Forwarder`].
 #[derive(Debug, Clone)]
@@ -87,11 +89,11 @@
 const CALLERS: &str = "callers";
 
 /// Progress of one request.
-struct Progress {
+pub(crate) struct Progress {
     /// Targets that must not be chosen again.
-    tried: Vec<TargetId>,
+    pub(crate) tried: Vec<TargetId>,
     /// Attempts that may have run.
-    sent: u32,
+    pub(crate) sent: u32,
     /// The last error of an attempt that may have run.
     unknown: Option<String>,
     /// A failure that a target answered; passed on if no other attempt succeeds.
@@ -121,8 +123,8 @@
     pub async fn forward(&self, call: Call) -> Result<Reply, CallError> {
         let route = call.route.clone();
         let service = route.service(rand::random::<f64>()).to_owned();
-        let may_repeat = route.kind == RouteKind::Idempotent;
         let streaming = route.kind == RouteKind::Streaming;
+        let may_repeat = route.may_repeat();
         self.hedges.record_call(&service, CALLERS);
         let attempt = Rc::new(self.attempt(call, streaming));
         let mut progress = Progress {
@@ -130,7 +132,7 @@
             sent: 0,
             unknown: None,
             failure: None,
-            may_hedge: may_repeat,
+            may_hedge: route.kind == RouteKind::Idempotent,
         };
         let mut running: FuturesUnordered<LocalBoxFuture<'_, _>> = FuturesUnordered::new();
         let hedge_wait =
@@ -157,7 +159,10 @@
                 continue;
             };
             match result {
-                Ok(reply) if !may_repeat || !reply.status.is_server_error() => return Ok(reply),
+                Ok(reply) if !may_repeat || !reply.status.is_server_error() => {
+                    progress.sent += 1;
+                    return Ok(self.resumable(reply, &route, service, attempt, progress));
+                }
                 Ok(mut reply) => {
                     progress.sent += 1;
                     reply.failures += progress.failure.map_or(0, |earlier| earlier.failures);
@@ -175,6 +180,28 @@
         }
     }
 
+    /// Lets a stream go on at another target, where its route allows that.
+    fn resumable(
+        &self,
+        reply: Reply,
+        route: &Route,
+        service: String,
+        attempt: Rc<Attempt>,
+        progress: Progress,
+    ) -> Reply {
+        let resumes =
+            route.kind == RouteKind::Streaming && route.resumable && reply.status.is_success();
+        let body = match reply.body {
+            ReplyBody::Stream(response) if resumes => {
+                let (forwarder, attempts) = (self.clone(), route.attempts);
+                let resume = Resume { forwarder, attempt, service, attempts, progress };
+                ReplyBody::Events(response, Box::new(resume))
+            }
+            body => body,
+        };
+        Reply { body, ..reply }
+    }
+
     fn attempt(&self, call: Call, streaming: bool) -> Attempt {
         let mut headers = call.headers;
         strip_hop_by_hop(&mut headers);
@@ -196,7 +223,7 @@
     }
 
     /// Chooses the target of the next attempt; `Err(None)` if the attempts are used up.
-    fn next_pick(
+    pub(crate) fn next_pick(
         &self,
         service: &str,
         progress: &Progress,
--- a/crates/net/src/sse.rs
+++ b/crates/net/src/sse.rs
@@ -54,6 +54,49 @@
     })
 }
 
+/// Splits the bytes of a stream into whole events, each as it was sent with its empty line.
+#[derive(Debug, Default)]
+pub struct EventBlocks {
+    buffer: Vec<u8>,
+}
+
+impl EventBlocks {
+    /// Adds received bytes and returns the events that are whole now.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<Vec<u8>> {
+        self.buffer.extend_from_slice(bytes);
+        let mut blocks = Vec::new();
+        while let Some(end) = event_end(&self.buffer) {
+            blocks.push(self.buffer.drain(..end).collect());
+        }
+        blocks
+    }
+
+    /// Returns whether no part of an event is waiting for the rest.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    /// Returns the number that an event states as its id.
+    pub fn number(block: &[u8]) -> Option<u64> {
+        let text = std::str::from_utf8(block).ok()?;
+        text.lines().filter_map(|line| line.strip_prefix("id:")).next_back()?.trim().parse().ok()
+    }
+}
+
+/// Returns the position after the empty line that ends the first event.
+fn event_end(buffer: &[u8]) -> Option<usize> {
+    for (index, _) in buffer.iter().enumerate().filter(|(_, byte)| **byte == b'\n') {
+        let rest = &buffer[index + 1..];
+        if rest.starts_with(b"\n") {
+            return Some(index + 2);
+        }
+        if rest.starts_with(b"\r\n") {
+            return Some(index + 3);
+        }
+    }
+    None
+}
+
 /// Returns the bytes of one event. `data` must not contain line breaks.
 pub fn encode(event: Option<&str>, data: &str) -> Bytes {
     match event {
