Delete jobs that nobody may read any more

Cause: objects of jobs were never deleted and each node kept every job that it had ever run in memory.

Change: the leader deletes a job's results, items and then its record, and each node forgets a job, once they have known it for twice the time for which it has to stay readable and the longest wait of its items.

Ruled out: ages by the time of submission.

Before: no deletion. After: expired_job_is_deleted_with_all_its_objects (also after a deletion that was cut short) and node_forgets_old_jobs.

--- a/bins/decknode/src/lead.rs
+++ b/bins/decknode/src/lead.rs
@@ -113,7 +113,7 @@
     cancel: &CancellationToken,
 ) -> Option<LeaseCandidate> {
     let token = held.token();
-    let Bounds { lease, fencing_checked, .. } = *duties.bounds.borrow();
+    let Bounds { lease, fencing_checked, job_retention, .. } = *duties.bounds.borrow();
     // Targets that check fencing numbers refuse what an earlier holder still sends.
     let start = match held.previous_holder() {
         Some(previous) if previous != duties.vm && !fencing_checked => {
@@ -131,6 +131,8 @@
     monoio::spawn(async move { retire::run(&retiring, retire_stop).await });
     let (batch, guard_stop) = (duties.batch.clone(), stop.clone());
     monoio::spawn(async move { batch.guard(guard_stop).await });
+    let (batch, sweep_stop) = (duties.batch.clone(), stop.clone());
+    monoio::spawn(async move { batch.sweep(job_retention, sweep_stop).await });
     let (giver, order_stop) = (duties.giver.clone(), stop.clone());
     monoio::spawn(async move { giver.run(token, start, order_stop).await });
     let kept = held.keep(cancel.clone()).await;
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -137,6 +137,9 @@
         feed.clone(),
         BatchOptions::default(),
     );
+    let (forgetting, token) = (batch.clone(), ended.clone());
+    let retention = settings.bounds.job_retention;
+    monoio::spawn(async move { forgetting.keep_forgetting(retention, token).await });
     let giver = Giver::new(
         settings.vm.clone(),
         view.clone(),
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -27,6 +27,8 @@
     pub revision: Cell<Revision>,
     /// When the job was submitted, on this node's clock.
     pub submitted_at: Instant,
+    /// When this node first knew of the job.
+    pub known_since: Instant,
     /// When this node took the job over; `None` if it has run the job from the start.
     pub taken_over_at: Option<Instant>,
     /// When the record last showed that this node runs the job.
@@ -154,6 +156,7 @@
             record: RefCell::new(record),
             revision: Cell::new(revision),
             submitted_at: now.checked_sub(age).unwrap_or(now),
+            known_since: now,
             taken_over_at: None,
             confirmed_at: Cell::new(now),
             groups: items.iter().map(|item| &item.group).collect::<HashSet<_>>().len(),
--- a/crates/batch/src/ledger.rs
+++ b/crates/batch/src/ledger.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use deck_core::id::{Revision, VmId, WeightVersion};
+use deck_core::id::{RequestId, Revision, VmId, WeightVersion};
 use deck_fleet::{BatchJob, BatchLimits, Item, ItemResult};
 use deck_plat::{Object, Precondition, Store, StoreError};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -50,6 +50,9 @@
     pub submitted_at_ms: u64,
 }
 
+/// A stored job with the revision of its record.
+type StoredJob = (RequestId, JobRecord, Revision);
+
 /// How an attempt to store a job ended.
 #[derive(Debug)]
 pub enum Accepted {
@@ -180,13 +183,42 @@
         self.immutable(RESULT_KIND, &format!("{id}.{number}")).await
     }
 
-    /// Returns whether a chunk is stored now.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the object API does not answer.
-    pub async fn has_chunk(&self, id: &str, number: usize) -> Result<bool, StoreError> {
-        Ok(self.store.get(RESULT_KIND, &format!("{id}.{number}")).await?.is_some())
+    /// Returns all stored jobs whose record can be read.
+    pub(crate) async fn jobs(&self) -> Result<Vec<StoredJob>, StoreError> {
+        let (_, objects) = self.store.list(JOB_KIND).await?;
+        let decoded = objects.into_iter().filter_map(|object| match decode(&object) {
+            Ok(record) => Some((object.name, record, object.revision)),
+            Err(error) => {
+                log::warn!(target: "batch", "record not read job={} error={error}", object.name);
+                None
+            }
+        });
+        Ok(decoded.collect())
+    }
+
+    /// Deletes a job: its record last, so that a deletion that was cut short is repeated as a whole.
+    pub(crate) async fn delete(
+        &self,
+        id: &str,
+        record: &JobRecord,
+        revision: Revision,
+    ) -> Result<(), StoreError> {
+        let parts = (0..record.parts).map(|index| (ITEM_KIND, format!("{id}.{index}")));
+        for (kind, name) in parts {
+            self.delete_object(kind, &name).await?;
+        }
+        let mut chunk = 0;
+        while self.delete_object(RESULT_KIND, &format!("{id}.{chunk}")).await? {
+            chunk += 1;
+        }
+        self.store.delete(JOB_KIND, id, revision).await
+    }
+
+    /// Deletes an object that never changes; returns whether it existed.
+    async fn delete_object(&self, kind: &str, name: &str) -> Result<bool, StoreError> {
+        let Some(object) = self.store.get(kind, name).await? else { return Ok(false) };
+        self.store.delete(kind, name, object.revision).await?;
+        Ok(true)
     }
 
     /// Stores a chunk of results under its number, unless another node has done so.
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -19,6 +19,7 @@
 mod run;
 pub mod runner;
 pub mod service;
+pub mod sweep;
 
 pub use checkpoint::{CheckpointStore, Checkpoints};
 pub use ledger::{Accepted, JobRecord, Ledger};
--- a/crates/batch/tests/ledger.rs
+++ b/crates/batch/tests/ledger.rs
@@ -1,11 +1,16 @@
 //! Stored jobs and results under lost, late and competing writes.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use deck_batch::{
     Accepted, Ledger,
     job::{Job, Phase},
     ledger::Stored,
+    sweep::Sweeper,
 };
 use deck_fleet::{BatchJob, BatchLimits, Item, ItemOutcome, ItemResult};
 use deck_testkit::memory::{Fault, MemoryObjects};
@@ -206,3 +211,47 @@
     assert!(progress.fits(4) && !progress.fits(5));
     assert_eq!(progress.text, "a\nb");
 }
+
+/// Guards against objects that stay for ever, and against the loss of a job that may still be read.
+#[test]
+fn expired_job_is_deleted_with_all_its_objects() {
+    const RETENTION: Duration = Duration::from_secs(120);
+    // Twice the retention, and the longest wait of the items.
+    const KEPT_FOR: Duration = Duration::from_secs(2 * 120 + 40);
+    run(async {
+        let objects = MemoryObjects::default();
+        let ledger = Ledger::new(objects.store(), MAX_OBJECT_BYTES);
+        let store = async |id: &str| {
+            let job = BatchJob { id: id.to_owned(), ..job(20) };
+            assert!(matches!(ledger.accept(&job, "vm-1", address()).await, Accepted::Stored(..)));
+            for number in 0..2 {
+                ledger.append(id, number, &[result(&format!("i{number}"), "t")]).await.expect("ok");
+            }
+        };
+        let names = async || {
+            let mut names = Vec::new();
+            for kind in ["batchjobs", "batchitems", "batchresults"] {
+                let listed = objects.store().list(kind).await.expect("list").1;
+                names.extend(listed.into_iter().map(|object| object.name));
+            }
+            names
+        };
+        let mut sweeper = Sweeper::new(ledger.clone(), RETENTION);
+        let start = Instant::now();
+        store("old").await;
+        // The age counts from the first sweep on, whatever the time of day says.
+        assert_eq!(sweeper.sweep(start).await.expect("swept"), 0);
+        store("young").await;
+        let all = names().await;
+        assert_eq!(sweeper.sweep(start + KEPT_FOR).await.expect("swept"), 0);
+        assert_eq!(names().await, all);
+        let late = start + KEPT_FOR + Duration::from_millis(1);
+        // A deletion that is cut short is finished by the next one.
+        objects.set_fault_of_kind("batchresults", Fault::Down, 1);
+        sweeper.sweep(late).await.expect_err("cut short");
+        objects.set_fault(None, None);
+        assert_eq!(sweeper.sweep(late).await.expect("swept"), 1);
+        let left: Vec<String> = all.into_iter().filter(|name| name.starts_with("young")).collect();
+        assert_eq!(names().await, left);
+    });
+}
--- a/crates/batch/tests/service.rs
+++ b/crates/batch/tests/service.rs
@@ -1,6 +1,11 @@
 //! Calls on jobs that another node runs.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use deck_batch::{
     Accepted, BatchOptions, BatchService, Checkpoints, JobRecord, Ledger, RunOptions, Runner,
@@ -27,6 +32,8 @@
 
 /// Items of the job.
 const ITEMS: usize = 40;
+/// Longest wait of its items in milliseconds.
+const GIVE_UP_MS: u64 = 1 << 30;
 /// Bytes of each text: the whole job is larger than a page.
 const TEXT_BYTES: usize = 50_000;
 
@@ -98,7 +105,7 @@
     };
     let limits = BatchLimits {
         results_due_ms: 7500,
-        give_up_ms: 1 << 40,
+        give_up_ms: GIVE_UP_MS,
         attempts: 3,
         single_version: false,
         priority: 1,
@@ -208,3 +215,23 @@
     };
     deck_net::runtime::run(test).expect("runtime");
 }
+
+/// Guards against a node whose memory grows with each job that it has ever run.
+#[test]
+fn node_forgets_old_jobs() {
+    const RETENTION: Duration = Duration::from_secs(120);
+    let test = async {
+        let objects = MemoryObjects::default();
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let runner = node("vm-1", address, &objects);
+        store_complete_job(&runner.ledger, "vm-1", address).await;
+        read_all(&runner.service).await;
+        let kept_for = RETENTION * 2 + Duration::from_millis(GIVE_UP_MS);
+        assert_eq!(runner.service.forget_expired(RETENTION, Instant::now()), 0);
+        let late = Instant::now() + kept_for;
+        assert_eq!(runner.service.forget_expired(RETENTION, late), 1);
+        // Until its objects are deleted the job can be read again.
+        read_all(&runner.service).await;
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -38,6 +38,8 @@
     pub stop_grace: Duration,
     /// Time in which a lease holder is replaced; orders of two holders are at least this far apart.
     pub lease: Duration,
+    /// Time after its submission for which a batch job can be read at least.
+    pub job_retention: Duration,
     /// Whether targets refuse an order with an old fencing number.
     pub fencing_checked: bool,
 }
