Tidy the search for a job and drop settings that nothing uses

Change: one estimate, on ItemResult; Service::max_connections, Engine::cache_tokens and Configuration::routes are gone; load_for_reads in place of load_settled, and a job is kept once among the settled ones.

--- a/crates/batch/src/checkpoint.rs
+++ b/crates/batch/src/checkpoint.rs
@@ -395,8 +395,7 @@
         let mut body = Vec::new();
         ciborium::into_writer(deltas, &mut body)
             .map_err(|error| NetError::Decode(error.to_string()))?;
-        let bytes =
-            self.call(node, Method::POST, format!("{CHECKPOINTS_PATH}{job}"), body.into()).await?;
+        let bytes = self.call(node, Method::POST, path_of(job), body.into()).await?;
         ciborium::from_reader(&*bytes).map_err(|error| NetError::Decode(error.to_string()))
     }
 
@@ -409,10 +408,7 @@
             monoio::time::sleep(NODES_WAIT / 10).await;
         }
         for node in self.nodes_of(job) {
-            match self
-                .call(node, Method::GET, format!("{CHECKPOINTS_PATH}{job}"), Bytes::new())
-                .await
-            {
+            match self.call(node, Method::GET, path_of(job), Bytes::new()).await {
                 Ok(bytes) => match ciborium::from_reader::<JobCheckpoint, _>(&*bytes) {
                     Ok(found) => merge(&mut best, found),
                     Err(error) => {
@@ -430,8 +426,7 @@
     /// Drops the checkpoint of a job that has ended, also those of its earlier runners.
     pub(crate) async fn remove(&self, job: &str) {
         for node in self.nodes_of(job) {
-            let path = format!("{CHECKPOINTS_PATH}{job}");
-            if let Err(error) = self.call(node, Method::DELETE, path, Bytes::new()).await {
+            if let Err(error) = self.call(node, Method::DELETE, path_of(job), Bytes::new()).await {
                 log::debug!(target: "checkpoint", "not removed job={job} node={node} error={error}");
             }
         }
@@ -484,6 +479,11 @@
     }
 }
 
+/// Returns the path of the checkpoint of a job.
+fn path_of(job: &str) -> String {
+    format!("{CHECKPOINTS_PATH}{job}")
+}
+
 /// Keeps the longer text of each item.
 fn merge(best: &mut JobCheckpoint, found: JobCheckpoint) {
     for (item, checkpoint) in found {
--- a/crates/batch/src/ledger.rs
+++ b/crates/batch/src/ledger.rs
@@ -248,8 +248,7 @@
         let limit = self.max_object_bytes * FILL_PERCENT / 100;
         let mut bytes = 0;
         let fits = |result: &&Rc<ItemResult>| {
-            // The text is escaped in JSON; a reserve of a tenth covers usual texts.
-            bytes += result.text.len() * 11 / 10 + 256;
+            bytes += result.encoded_bytes();
             bytes <= limit
         };
         results.iter().take_while(fits).count().max(1).min(results.len())
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -331,9 +331,13 @@
 
     /// Reads a job that another node runs from the object API.
     async fn copy(&self, id: &str) -> Found {
-        match self.load_copy(id).await {
-            Ok(Some(job)) => Found::Copy(job),
-            Ok(None) => Found::Answered(unknown_job(id)),
+        let loaded = match self.inner.ledger.record(id).await {
+            Ok(Some((record, revision))) => self.load_for_reads(id, record, revision).await,
+            Ok(None) => return Found::Answered(unknown_job(id)),
+            Err(error) => Err(error),
+        };
+        match loaded {
+            Ok(job) => Found::Copy(job),
             Err(error) => {
                 log::info!(target: "batch", "job not copied job={id} error={error}");
                 Found::Answered(unsure(id))
@@ -341,13 +345,6 @@
         }
     }
 
-    async fn load_copy(&self, id: &str) -> Result<Option<Rc<Job>>, StoreError> {
-        match self.inner.ledger.record(id).await? {
-            Some((record, revision)) => self.load_settled(id, record, revision).await.map(Some),
-            None => Ok(None),
-        }
-    }
-
     fn known(&self, id: &str) -> Option<Rc<Job>> {
         let settled = || self.inner.settled.borrow().iter().find(|job| job.id == id).cloned();
         self.inner.runner.job(id).or_else(settled)
@@ -370,7 +367,7 @@
             return Ok(Some(Place::There(record.address)));
         }
         if record.ended {
-            let job = self.load_settled(id, record, revision).await?;
+            let job = self.load_for_reads(id, record, revision).await?;
             return Ok(Some(Place::Here(job)));
         }
         self.take_over(id, record, revision).await.map(Some)
@@ -400,7 +397,7 @@
     }
 
     /// Loads a job for reads, and keeps it if it no longer changes.
-    async fn load_settled(
+    async fn load_for_reads(
         &self,
         id: &str,
         record: JobRecord,
@@ -412,6 +409,7 @@
         job.stop.cancel();
         if job.is_ended() || job.is_complete() {
             let mut settled = self.inner.settled.borrow_mut();
+            settled.retain(|known| known.id != id);
             settled.truncate(MAX_SETTLED - 1);
             settled.push_front(job.clone());
         }
@@ -465,7 +463,7 @@
         let from = from.min(listed.len());
         let mut bytes = 0;
         let fits = |result: &&Rc<deck_fleet::ItemResult>| {
-            bytes += result.text.len() * 11 / 10 + 256;
+            bytes += result.encoded_bytes();
             bytes <= self.inner.options.max_page_bytes
         };
         let count = listed[from..].iter().take_while(fits).count();
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -95,8 +95,6 @@
 pub struct Service {
     /// Name.
     pub name: PoolName,
-    /// Connections that one target accepts from all callers together.
-    pub max_connections: u32,
     /// Set if the service's targets are model engines.
     pub engine: Option<Engine>,
 }
@@ -106,8 +104,6 @@
 pub struct Engine {
     /// Requests that one engine runs at once.
     pub slots: u32,
-    /// Tokens that one engine holds in memory.
-    pub cache_tokens: u64,
     /// Tokens that one event of a stream holds.
     pub tokens_per_event: u64,
     /// Models that the engines serve.
@@ -163,11 +159,6 @@
         routes.iter().find(|route| path.starts_with(&route.path_prefix))
     }
 
-    /// Returns all routes.
-    pub fn routes(&self) -> impl Iterator<Item = &Rc<Route>> {
-        self.routes.values().flatten()
-    }
-
     /// Returns the service of the model.
     pub fn service_of_model(&self, model: &str) -> Option<&Service> {
         let serves = |service: &&Service| {
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -197,6 +197,15 @@
     pub score: Option<String>,
 }
 
+impl ItemResult {
+    /// Returns about how many bytes the result takes in JSON: the text is escaped, for which a tenth
+    /// covers usual texts.
+    pub fn encoded_bytes(&self) -> usize {
+        const FIELDS_BYTES: usize = 256;
+        self.text.len() * 11 / 10 + FIELDS_BYTES
+    }
+}
+
 /// Page of results.
 #[derive(Debug, Clone, Copy)]
 pub struct ResultPage<'a> {
--- a/crates/fleet/tests/view.rs
+++ b/crates/fleet/tests/view.rs
@@ -46,7 +46,7 @@
 }
 
 fn configuration(version: u64, routes: Vec<Route>) -> Configuration {
-    let service = Service { name: "s".to_owned(), max_connections: 10, engine: None };
+    let service = Service { name: "s".to_owned(), engine: None };
     Configuration::new(version, routes, vec![service], CallerLimits::default())
 }
 
--- a/crates/forward/tests/forward.rs
+++ b/crates/forward/tests/forward.rs
@@ -72,7 +72,7 @@
             started_at_ms: 0,
         });
     }
-    let service = Service { name: "s".to_owned(), max_connections: 10, engine: None };
+    let service = Service { name: "s".to_owned(), engine: None };
     view.set_configuration(Configuration::new(1, vec![], vec![service], CallerLimits::default()));
     view.set_targets(targets, Instant::now());
     let (client, options) = (Client::default(), ForwardOptions::default());
