--- /dev/null
+++ b/crates/batch/tests/common/mod.rs
@@ -0,0 +1,70 @@
+//! A node that runs batch jobs, and a job for it.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{net::SocketAddr, rc::Rc};
+
+use deck_batch::{Checkpoints, Ledger, runner::RunnerParts};
+use deck_fleet::{BatchJob, BatchLimits, Engines, Item, View};
+use deck_forward::{ForwardOptions, Forwarder};
+use deck_net::Client;
+use deck_platform::Wire;
+use deck_route::{Router, RouterOptions};
+
+/// Longest wait of the items in milliseconds: they are not given up within a test.
+pub const GIVE_UP_MS: u64 = 1 << 40;
+
+/// Returns what a runner on `vm` works with; it knows no targets.
+pub fn parts(vm: &str, address: SocketAddr, ledger: &Ledger) -> RunnerParts {
+    let view = View::new(Router::new(RouterOptions::default()));
+    let (client, protocol) = (Client::default(), Rc::new(Wire));
+    let options = ForwardOptions::default();
+    RunnerParts {
+        vm: vm.to_owned(),
+        address,
+        view: view.clone(),
+        engines: Engines::default(),
+        ledger: ledger.clone(),
+        forwarder: Forwarder::new(view, client.clone(), protocol.clone(), options),
+        checkpoints: Checkpoints::new(client.clone()),
+        client,
+        protocol,
+    }
+}
+
+/// Returns an item without a reward call.
+pub fn item(id: &str) -> Item {
+    Item {
+        id: id.to_owned(),
+        path: "/p".to_owned(),
+        headers: Vec::new(),
+        body: String::new(),
+        tokens: 100,
+        group: None,
+        reward: None,
+        length_hint: None,
+    }
+}
+
+/// Returns a job with the given items.
+pub fn job(id: &str, items: Vec<Item>) -> BatchJob {
+    let limits = BatchLimits {
+        results_due_ms: 7500,
+        give_up_ms: GIVE_UP_MS,
+        attempts: 3,
+        single_version: false,
+        priority: 1,
+    };
+    BatchJob {
+        id: id.to_owned(),
+        host: "h".to_owned(),
+        path: "/j/job".to_owned(),
+        step: 0,
+        model: "m".to_owned(),
+        min_version: 1,
+        group_count: 0,
+        items,
+        limits,
+        submitted_at_ms: 0,
+    }
+}
--- a/crates/batch/tests/service.rs
+++ b/crates/batch/tests/service.rs
@@ -8,32 +8,28 @@
 };
 
 use deck_batch::{
-    Accepted, BatchOptions, BatchService, Checkpoints, JobRecord, Ledger, RunOptions, Runner,
+    Accepted, BatchOptions, BatchService, JobRecord, Ledger, RunOptions, Runner,
     peers::{AT_OBJECT_API, PING_PATH, Peers},
-    runner::RunnerParts,
 };
 use deck_core::{CancellationToken, id::new_incarnation};
 use deck_fleet::{
-    BatchCall, BatchJob, BatchLimits, CallHead, Engines, Feed, FeedOptions, FollowOptions,
-    Follower, Item, ItemOutcome, ItemResult, View,
+    BatchCall, CallHead, Feed, FeedOptions, FollowOptions, Follower, ItemOutcome, ItemResult,
 };
-use deck_forward::{ForwardOptions, Forwarder};
 use deck_net::{
     Body, Client, ServerOptions, bind,
     http::{Request, Response, StatusCode},
     server::status_only,
 };
-use deck_platform::{KINDS, Wire};
-use deck_route::{Router, RouterOptions};
+use deck_platform::KINDS;
 use deck_testkit::memory::MemoryObjects;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde_json::Value;
 
+mod common;
+
 /// Items of the job.
 const ITEMS: usize = 40;
-/// Longest wait of its items in milliseconds.
-const GIVE_UP_MS: u64 = 1 << 30;
 /// Bytes of each text: the whole job is larger than a page.
 const TEXT_BYTES: usize = 50_000;
 
@@ -51,25 +47,10 @@
 
 fn node(vm: &str, address: SocketAddr, objects: &MemoryObjects) -> Node {
     let cancel = CancellationToken::new();
-    let view = View::new(Router::new(RouterOptions::default()));
-    let (client, protocol) = (Client::default(), Rc::new(Wire));
     let ledger = Ledger::new(objects.store(), 1 << 20);
-    let parts = RunnerParts {
-        vm: vm.to_owned(),
-        address,
-        view: view.clone(),
-        engines: Engines::default(),
-        ledger: ledger.clone(),
-        forwarder: Forwarder::new(
-            view.clone(),
-            client.clone(),
-            protocol.clone(),
-            ForwardOptions::default(),
-        ),
-        checkpoints: Checkpoints::new(client.clone()),
-        client: client.clone(),
-        protocol: protocol.clone(),
-    };
+    let parts = common::parts(vm, address, &ledger);
+    let (view, client, protocol) =
+        (parts.view.clone(), parts.client.clone(), parts.protocol.clone());
     let runner = Runner::start(parts, RunOptions::default(), cancel.clone());
     let options = FollowOptions::default();
     let follower = Follower::new(objects.store(), view, protocol.clone(), KINDS, options);
@@ -93,35 +74,8 @@
 
 /// Stores a job that `vm` runs and all its results.
 async fn store_complete_job(ledger: &Ledger, vm: &str, address: SocketAddr) {
-    let item = |index| Item {
-        id: format!("i{index}"),
-        path: "/p".to_owned(),
-        headers: Vec::new(),
-        body: String::new(),
-        tokens: 100,
-        group: None,
-        reward: None,
-        length_hint: None,
-    };
-    let limits = BatchLimits {
-        results_due_ms: 7500,
-        give_up_ms: GIVE_UP_MS,
-        attempts: 3,
-        single_version: false,
-        priority: 1,
-    };
-    let job = BatchJob {
-        id: "job".to_owned(),
-        host: "h".to_owned(),
-        path: "/j/job".to_owned(),
-        step: 0,
-        model: "m".to_owned(),
-        min_version: 1,
-        group_count: 0,
-        items: (0..ITEMS).map(item).collect(),
-        limits,
-        submitted_at_ms: 0,
-    };
+    let job =
+        common::job("job", (0..ITEMS).map(|index| common::item(&format!("i{index}"))).collect());
     let accepted = ledger.accept(&job, vm, address).await;
     assert!(matches!(accepted, Accepted::Stored(JobRecord { .. }, _)), "{accepted:?}");
     let results: Vec<Rc<ItemResult>> = (0..ITEMS).map(result).collect();
@@ -226,7 +180,7 @@
         let runner = node("vm-1", address, &objects);
         store_complete_job(&runner.ledger, "vm-1", address).await;
         read_all(&runner.service).await;
-        let kept_for = RETENTION * 2 + Duration::from_millis(GIVE_UP_MS);
+        let kept_for = RETENTION * 2 + Duration::from_millis(common::GIVE_UP_MS);
         assert_eq!(runner.service.forget_expired(RETENTION, Instant::now()), 0);
         let late = Instant::now() + kept_for;
         assert_eq!(runner.service.forget_expired(RETENTION, late), 1);
