--- a/bins/deckctl/src/explain/story.rs
+++ b/bins/deckctl/src/explain/story.rs
@@ -51,17 +51,39 @@
     if !is_job {
         item_causes(&about, &mut causes);
     }
-    for line in lines.iter().filter(|line| is_context(line)) {
-        if line.event == "start" && line.at > first.at {
-            causes.push(format!("{} was started again meanwhile.", line.node));
-        }
-    }
+    let context: Vec<&LogLine> = lines.iter().filter(|line| is_context(line)).collect();
+    node_causes(&context, first.at, &mut causes);
     if causes.is_empty() {
         causes.push("Nothing in these logs went wrong.".to_owned());
     }
     Some(Story { lines: shown, causes })
 }
 
+/// Causes that the nodes saw meanwhile: outages of the object API and restarts.
+fn node_causes(context: &[&LogLine], start: OffsetDateTime, causes: &mut Vec<String>) {
+    let of = |event: &str| -> Vec<&&LogLine> {
+        context.iter().filter(|line| line.event == event && line.at >= start).collect()
+    };
+    let since = |line: &LogLine| (line.at - start).as_seconds_f64();
+    let lost = of("object API lost");
+    if let Some(first) = lost.first() {
+        let nodes: BTreeSet<&str> = lost.iter().map(|line| line.node.as_str()).collect();
+        let end = match of("object API is back").last() {
+            Some(back) => format!("until {:.1} s", since(back)),
+            None => "to the end".to_owned(),
+        };
+        let (count, from) = (nodes.len(), since(first));
+        causes.push(format!(
+            "The object API did not answer {count} of the nodes, from {from:.1} s after the first line {end}."
+        ));
+    }
+    let started: BTreeSet<&str> = of("start").iter().map(|line| line.node.as_str()).collect();
+    if !started.is_empty() {
+        let nodes: Vec<&str> = started.into_iter().collect();
+        causes.push(format!("Started again meanwhile: {}.", nodes.join(", ")));
+    }
+}
+
 /// Causes of a plain request.
 fn plain_causes(about: &[&LogLine], causes: &mut Vec<String>) {
     for line in about {
--- a/bins/deckctl/tests/explain.rs
+++ b/bins/deckctl/tests/explain.rs
@@ -23,6 +23,8 @@
 fn lines_of_several_nodes_are_in_the_order_of_their_time() {
     let first = log_file(
         "2026-12-04T05:00:02.5Z [INFO] node: start vm=edge-1 data_centre=a\n\
+         2026-12-04T05:00:03.5Z [WARN] fleet: object API lost kind=servers error=status 503\n\
+         2026-12-04T05:00:04Z [INFO] fleet: object API is back kind=servers\n\
          2026-12-04T05:00:04.25Z [INFO] batch: job taken over job=j from=edge-0\n",
     );
     let second = log_file(
@@ -34,6 +36,8 @@
     let (code, text) = explain("j", &[&first, &second]);
     assert_eq!(code, Some(0), "{text}");
     assert!(text.contains("- edge-1 took the job over, as edge-0 was silent."), "{text}");
+    let outage = "did not answer 1 of the nodes, from 0.4 s after the first line until 0.9 s.";
+    assert!(text.contains(outage), "{text}");
     let accepted = text.find("edge-0 batch: job accepted").expect("accepted");
     assert!(accepted < text.find("edge-1 batch: job taken over").expect("taken over"), "{text}");
     assert_eq!(explain("other", &[&first, &second]).0, Some(3));
