Make one timed exchange in deck-net

Change: Client::call returns a whole response within a limit; WholeResponse::ok checks the status. Vmlist and the platform's object API keep their own: they tell a lost response from a refused one. Conclusion: no change of behaviour; tests of the crates pass.

--- a/crates/batch/src/checkpoint.rs
+++ b/crates/batch/src/checkpoint.rs
@@ -465,17 +465,7 @@
             .uri(path)
             .body(Body::full(body))
             .map_err(|error| NetError::Decode(error.to_string()))?;
-        let exchange = async {
-            let response = self.client.send(node, request).await?;
-            if response.status != StatusCode::OK {
-                return Err(NetError::Decode(format!("status {}", response.status)));
-            }
-            response.collect(MAX_BYTES).await
-        };
-        match monoio::time::timeout(CALL_LIMIT, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(NetError::Exchange(node, "no answer in time".to_owned())),
-        }
+        self.client.call(node, request, CALL_LIMIT, MAX_BYTES).await?.ok()
     }
 }
 
--- a/crates/batch/src/peers.rs
+++ b/crates/batch/src/peers.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use deck_net::{Body, Client, NetError};
+use deck_net::{Body, Client, NetError, WholeResponse};
 use http::{HeaderValue, Method, Request, StatusCode, header};
 
 /// Path below which nodes serve each other's calls on batch jobs.
@@ -35,15 +35,6 @@
     client: Client,
 }
 
-/// Answer of another node.
-#[derive(Debug, Clone)]
-pub struct PeerAnswer {
-    /// Status.
-    pub status: StatusCode,
-    /// Body.
-    pub body: Bytes,
-}
-
 impl Peers {
     /// Returns peers reached through `client`.
     pub fn new(client: Client) -> Self {
@@ -62,7 +53,7 @@
         host: &str,
         path: &str,
         body: Bytes,
-    ) -> Result<PeerAnswer, NetError> {
+    ) -> Result<WholeResponse, NetError> {
         let mut request = request(Method::POST, format!("{JOBS_PATH}{id}"), body)?;
         for (name, value) in [(header::HOST.as_str(), host), (SUBMITTED_PATH, path)] {
             let value =
@@ -87,7 +78,7 @@
         id: &str,
         from: usize,
         wait: Duration,
-    ) -> Result<PeerAnswer, NetError> {
+    ) -> Result<WholeResponse, NetError> {
         let wait = wait.min(MAX_READ_WAIT);
         let path = format!("{JOBS_PATH}{id}?from={from}&wait_ms={}", wait.as_millis());
         self.call(node, request(Method::GET, path, Bytes::new())?, wait + CALL_LIMIT).await
@@ -103,7 +94,7 @@
         node: SocketAddr,
         id: &str,
         item: &str,
-    ) -> Result<PeerAnswer, NetError> {
+    ) -> Result<WholeResponse, NetError> {
         let path = format!("{JOBS_PATH}{id}/items/{item}");
         self.call(node, request(Method::GET, path, Bytes::new())?, CALL_LIMIT).await
     }
@@ -113,7 +104,7 @@
     /// # Errors
     ///
     /// Returns an error if the node does not answer.
-    pub async fn end(&self, node: SocketAddr, id: &str) -> Result<PeerAnswer, NetError> {
+    pub async fn end(&self, node: SocketAddr, id: &str) -> Result<WholeResponse, NetError> {
         let path = format!("{JOBS_PATH}{id}");
         self.call(node, request(Method::DELETE, path, Bytes::new())?, SUBMIT_LIMIT).await
     }
@@ -136,7 +127,7 @@
         node: SocketAddr,
         id: &str,
         handover: Bytes,
-    ) -> Result<PeerAnswer, NetError> {
+    ) -> Result<WholeResponse, NetError> {
         let request = request(Method::PUT, format!("{JOBS_PATH}{id}"), handover)?;
         self.call(node, request, SUBMIT_LIMIT).await
     }
@@ -146,17 +137,8 @@
         node: SocketAddr,
         request: Request<Body>,
         limit: Duration,
-    ) -> Result<PeerAnswer, NetError> {
-        let exchange = async {
-            let response = self.client.send(node, request).await?;
-            let status = response.status;
-            let body = response.collect(MAX_ANSWER_BYTES).await?;
-            Ok(PeerAnswer { status, body })
-        };
-        match monoio::time::timeout(limit, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(NetError::Exchange(node, "no answer in time".to_owned())),
-        }
+    ) -> Result<WholeResponse, NetError> {
+        self.client.call(node, request, limit, MAX_ANSWER_BYTES).await
     }
 }
 
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -20,7 +20,7 @@
 use deck_forward::error_response;
 use deck_limit::TokenBucket;
 use deck_net::{
-    Body,
+    Body, NetError, WholeResponse,
     server::{number_parameter, read_body, status_only},
 };
 use deck_plat::StoreError;
@@ -30,7 +30,7 @@
 use crate::{
     Accepted, JobRecord, Ledger, Runner,
     job::Job,
-    peers::{AT_OBJECT_API, JOBS_PATH, NOT_HERE, PING_PATH, PeerAnswer, Peers, SUBMITTED_PATH},
+    peers::{AT_OBJECT_API, JOBS_PATH, NOT_HERE, PING_PATH, Peers, SUBMITTED_PATH},
     publish,
 };
 
@@ -275,7 +275,7 @@
     /// the object API, this node reads a copy of the job there.
     async fn find<T>(&self, id: &str, there: impl Fn(SocketAddr) -> T) -> Found
     where
-        T: Future<Output = Result<PeerAnswer, deck_net::NetError>>,
+        T: Future<Output = Result<WholeResponse, NetError>>,
     {
         if !is_valid_id(id) {
             return Found::Answered(unknown_job(id));
@@ -656,6 +656,6 @@
     response
 }
 
-fn peer_response(answer: PeerAnswer) -> Response<Body> {
+fn peer_response(answer: WholeResponse) -> Response<Body> {
     json_bytes(answer.status, answer.body)
 }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -29,6 +29,11 @@
 /// for the answer to the next request.
 const SETTLE_TIME: Duration = Duration::from_millis(2);
 
+/// Time for a connection that tells whether a server still listens.
+const LISTEN_LIMIT: Duration = Duration::from_millis(300);
+/// Time in which a process that ends closes its sockets.
+const CLOSING_TIME: Duration = Duration::from_millis(20);
+
 /// Settings of a client.
 #[derive(Debug, Clone)]
 pub struct ClientOptions {
@@ -97,6 +102,29 @@
     idle_timeout: Duration,
 }
 
+/// Response that has been received whole.
+#[derive(Debug, Clone)]
+pub struct WholeResponse {
+    /// Status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl WholeResponse {
+    /// Returns the body of a response with status 200.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NetError::Decode`] for any other status.
+    pub fn ok(self) -> Result<Bytes, NetError> {
+        match self.status {
+            StatusCode::OK => Ok(self.body),
+            status => Err(NetError::Decode(format!("status {status}"))),
+        }
+    }
+}
+
 impl Client {
     /// Returns a client with the given settings.
     pub fn new(options: ClientOptions) -> Self {
@@ -144,6 +172,29 @@
         self.exchange(address, sender, request).await.map_err(|(error, _)| error)
     }
 
+    /// Sends a request and receives the whole response, of at most `max_bytes`, within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`] and [`ClientResponse::collect`]; [`NetError::Exchange`] after the limit.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        limit: Duration,
+        max_bytes: usize,
+    ) -> Result<WholeResponse, NetError> {
+        let exchange = async {
+            let response = self.send(address, request).await?;
+            let status = response.status;
+            Ok(WholeResponse { status, body: response.collect(max_bytes).await? })
+        };
+        match monoio::time::timeout(limit, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(NetError::Exchange(address, "no answer in time".to_owned())),
+        }
+    }
+
     /// Sends a JSON request and reads a JSON response of at most 16 MiB.
     ///
     /// # Errors
@@ -178,6 +229,25 @@
         Ok((status, value))
     }
 
+    /// Returns whether a server still takes connections after one of them has broken. A new
+    /// connection is kept for the next request.
+    pub async fn still_listens(&self, address: SocketAddr) -> bool {
+        // The sockets of a process that ends close one after the other.
+        monoio::time::sleep(CLOSING_TIME).await;
+        if self.pool.has_open(address) {
+            return true;
+        }
+        match monoio::time::timeout(LISTEN_LIMIT, self.connect(address)).await {
+            Ok(Ok(sender)) => {
+                let options = &self.options;
+                let max_idle = options.max_idle_per_address;
+                self.pool.put(address, sender, max_idle, options.idle_timeout);
+                true
+            }
+            Ok(Err(_)) | Err(_) => false,
+        }
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Body>, NetError> {
         let limit = self.options.connect_timeout;
         let stream = match monoio::time::timeout(limit, TcpStream::connect_addr(address)).await {
@@ -261,6 +331,13 @@
         taken
     }
 
+    /// Returns whether an idle connection to the address is open.
+    fn has_open(&self, address: SocketAddr) -> bool {
+        let idle = self.idle.borrow();
+        let connections = idle.get(&address).into_iter().flatten();
+        connections.into_iter().any(|entry| !entry.sender.is_closed())
+    }
+
     fn put(
         &self,
         address: SocketAddr,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod sse;
 
 pub use body::Body;
-pub use client::{Client, ClientOptions, ClientResponse, ProbeOptions};
+pub use client::{Client, ClientOptions, ClientResponse, ProbeOptions, WholeResponse};
 pub use error::NetError;
 pub use server::{ServerOptions, bind, serve, serve_with};
 
--- a/crates/plat/src/relay.rs
+++ b/crates/plat/src/relay.rs
@@ -14,7 +14,7 @@
 use deck_core::{CancellationToken, id::Revision};
 use deck_net::{Body, Client, NetError};
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream};
-use http::{Method, Request, StatusCode};
+use http::{Method, Request};
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
@@ -125,17 +125,8 @@
             .uri(RELAY_PATH)
             .body(Body::full(body))
             .map_err(|error| NetError::Decode(error.to_string()))?;
-        let exchange = async {
-            let response = self.client.send(node, request).await?;
-            if response.status != StatusCode::OK {
-                return Err(NetError::Decode(format!("status {}", response.status)));
-            }
-            decode(&response.collect(MAX_ANSWER_BYTES).await?)
-        };
-        match monoio::time::timeout(self.call_timeout, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(NetError::Exchange(node, "no answer in time".to_owned())),
-        }
+        let answer = self.client.call(node, request, self.call_timeout, MAX_ANSWER_BYTES).await?;
+        decode(&answer.ok()?)
     }
 }
 
--- a/crates/swap/src/giver.rs
+++ b/crates/swap/src/giver.rs
@@ -260,21 +260,14 @@
     async fn send(&self, target: &Target, request: Request<Bytes>) -> Option<(StatusCode, Bytes)> {
         /// Largest answer to an order or a question for a report.
         const MAX_ANSWER_BYTES: usize = 1024 * 1024;
-        let exchange = async {
-            let response = self.client.send(target.address, request.map(Body::full)).await?;
-            let status = response.status;
-            Ok::<_, deck_net::NetError>((status, response.collect(MAX_ANSWER_BYTES).await?))
-        };
-        match monoio::time::timeout(self.options.call_limit, exchange).await {
-            Ok(Ok(answer)) => Some(answer),
-            Ok(Err(error)) => {
+        let (address, limit) = (target.address, self.options.call_limit);
+        let request = request.map(Body::full);
+        match self.client.call(address, request, limit, MAX_ANSWER_BYTES).await {
+            Ok(answer) => Some((answer.status, answer.body)),
+            Err(error) => {
                 log::info!(target: "swap", "target does not answer target={} error={error}", target.id);
                 None
             }
-            Err(_) => {
-                log::info!(target: "swap", "target does not answer in time target={}", target.id);
-                None
-            }
         }
     }
 }
