Stop requests that crash their targets on all nodes

Cause: decknode forgot after each attempt of a caller that a request had crashed the target that ran it, so a caller that repeats such a request at other nodes took one target after the other down. Ruled out: posts to all other nodes (4,900 connections between the nodes of a grown site after one crash of many targets); objects (each call has its price, and refusals are needed while the object API is away); counting every broken connection (cut answers say nothing about the request). Change: the crash tracker of deck-call moves to deck-limit and is used by deck-forward too. A node tells the watchers, whose feed passes crashes on. A crash is a broken connection to a target that no longer listens; the connection that finds out is kept for the next request. Refusal: 503 request_suspended, which is true, with the time for which crashes are remembered. Not covered: items of batch jobs, which may be given up only after stated failures.

--- a/bins/deckctl/src/explain/story.rs
+++ b/bins/deckctl/src/explain/story.rs
@@ -95,6 +95,10 @@
                 let ran = if end.starts_with("NotRun") { "did not run" } else { "may have run" };
                 causes.push(format!("Target {target} {ran} the request: {end}."));
             }
+            ("forward", "target crashed") => {
+                let target = line.field("target").unwrap_or_default();
+                causes.push(format!("Target {target} crashed while it ran the request."));
+            }
             ("forward", "not served") => {
                 let tried = line.number("tried").unwrap_or_default();
                 let error = line.field("error").unwrap_or("no reason given");
--- a/bins/deckentry/src/settings.rs
+++ b/bins/deckentry/src/settings.rs
@@ -4,13 +4,14 @@
 
 use deck_call::{
     CallOptions,
-    options::{BodyOptions, CrashOptions, OnceOptions, TryOptions},
+    options::{BodyOptions, OnceOptions, TryOptions},
 };
 use deck_conf::{
     ConfError, Reader,
     common::{AdminSettings, LogSettings, VmSettings},
 };
 use deck_core::id::Incarnation;
+use deck_limit::CrashOptions;
 use deck_net::ServerOptions;
 
 const DAY_MS: u64 = 24 * 3600 * 1000;
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -18,9 +18,11 @@
 use deck_core::{CancellationToken, id::new_incarnation};
 use deck_fleet::{
     Bounds, Engines, Feed, FeedOptions, FollowOptions, Follower, NodeSettings, Protocol, View,
+    board::{CRASHES_PATH, MAX_CRASHES_BYTES},
     feed::FEED_PATH,
 };
-use deck_forward::{ForwardOptions, Forwarder};
+use deck_forward::{CrashGuard, ForwardOptions, Forwarder, crashes::take_crashes};
+use deck_limit::CrashOptions;
 use deck_net::{
     Body, Client, ClientOptions, ProbeOptions, ServerOptions, bind,
     http::{Request, Response, StatusCode},
@@ -112,8 +114,13 @@
     let known = checkpoints.clone();
     monoio::spawn(nodes::run(registry, own, nodes, feed.clone(), known, ended.clone()));
 
+    let crashes =
+        CrashGuard::new(settings.vm.clone(), feed.crashes().clone(), CrashOptions::default());
+    let telling = crashes.clone().keep_telling(feed.clone(), client.clone(), ended.clone());
+    monoio::spawn(telling);
     let forward_options = ForwardOptions::default();
-    let forwarder = Forwarder::new(view.clone(), client.clone(), protocol.clone(), forward_options);
+    let forwarder =
+        Forwarder::new(view.clone(), client.clone(), protocol.clone(), crashes, forward_options);
     let engines = Engines::default();
     let ledger = Ledger::new(store.clone(), settings.max_object_bytes);
     let parts = RunnerParts {
@@ -304,6 +311,9 @@
             if request.uri().path() == FEED_PATH {
                 return feed.serve(request.uri().query().unwrap_or_default()).await;
             }
+            if request.uri().path() == CRASHES_PATH {
+                return take_message(&feed, request).await;
+            }
             if request.uri().path() == relay::RELAY_PATH {
                 return relay_call(&*api, request).await;
             }
@@ -313,6 +323,18 @@
     Ok(())
 }
 
+/// Takes a message with the crashes of another node.
+async fn take_message(feed: &Feed, request: Request<Incoming>) -> Response<Body> {
+    let message = read_body(request.into_body(), MAX_CRASHES_BYTES).await;
+    match message.and_then(|message| take_crashes(feed.crashes(), &message)) {
+        Ok(()) => status_only(StatusCode::OK),
+        Err(error) => {
+            log::warn!(target: "node", "crashes of another node not read error={error}");
+            text_response(400, &error.to_string())
+        }
+    }
+}
+
 /// Makes a call on the object API for another node.
 async fn relay_call(api: &dyn ObjectApi, request: Request<Incoming>) -> Response<Body> {
     let answer = match read_body(request.into_body(), MAX_RELAYED_BYTES).await {
--- a/crates/batch/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -6,7 +6,7 @@
 
 use deck_batch::{Checkpoints, Ledger, runner::RunnerParts};
 use deck_fleet::{BatchJob, BatchLimits, Engines, Item, View};
-use deck_forward::{ForwardOptions, Forwarder};
+use deck_forward::{CrashGuard, ForwardOptions, Forwarder};
 use deck_net::Client;
 use deck_platform::Wire;
 use deck_route::{Router, RouterOptions};
@@ -18,14 +18,14 @@
 pub fn parts(vm: &str, address: SocketAddr, ledger: &Ledger) -> RunnerParts {
     let view = View::new(Router::new(RouterOptions::default()));
     let (client, protocol) = (Client::default(), Rc::new(Wire));
-    let options = ForwardOptions::default();
+    let (crashes, options) = (CrashGuard::default(), ForwardOptions::default());
     RunnerParts {
         vm: vm.to_owned(),
         address,
         view: view.clone(),
         engines: Engines::default(),
         ledger: ledger.clone(),
-        forwarder: Forwarder::new(view, client.clone(), protocol.clone(), options),
+        forwarder: Forwarder::new(view, client.clone(), protocol.clone(), crashes, options),
         checkpoints: Checkpoints::new(client.clone()),
         client,
         protocol,
--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -10,17 +10,16 @@
     error::{CallError, ErrorKind},
     id::TargetId,
 };
+use deck_limit::crash::TargetKey;
 use deck_net::{
     Body, ClientResponse, NetError,
     http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header},
 };
 use deck_route::{InFlightGuard, Outcome, Pick, PickError, PickRequest};
-use monoio::net::TcpStream;
 
 use crate::{
     body::until,
     call::Call,
-    crash::TargetKey,
     head::{DEADLINE_MS, LEAVING, NOT_RUN},
     shared::SharedRef,
 };
@@ -30,11 +29,6 @@
 /// Pause between two picks of a call that found no target.
 const PICK_PAUSE: Duration = Duration::from_millis(20);
 
-/// Time for a connection that tells whether a target still listens.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time in which a process that ends closes its sockets.
-const CLOSING_TIME: Duration = Duration::from_millis(20);
-
 /// A try that occupies a place on a target. Dropping it counts as cancelled.
 pub(crate) struct Attempt {
     shared: SharedRef,
@@ -158,7 +152,7 @@
     ///
     /// Returns whether the target crashed.
     pub(crate) async fn broke(self, error: &NetError, tokens: u64) -> bool {
-        let crashed = !still_listens(self.address).await;
+        let crashed = !self.shared.client.still_listens(self.address).await;
         log::warn!(
             target: "call",
             "connection broke request={} pool={} target={} crashed={crashed} suspect={} \
@@ -175,21 +169,6 @@
     }
 }
 
-/// Returns whether a target accepts connections.
-async fn still_listens(address: SocketAddr) -> bool {
-    if !accepts(address).await {
-        return false;
-    }
-    // The listener of a process that ends may close a moment after its connections.
-    monoio::time::sleep(CLOSING_TIME).await;
-    accepts(address).await
-}
-
-async fn accepts(address: SocketAddr) -> bool {
-    let connected = monoio::time::timeout(PROBE_TIMEOUT, TcpStream::connect_addr(address)).await;
-    matches!(connected, Ok(Ok(_)))
-}
-
 impl Drop for Attempt {
     fn drop(&mut self) {
         self.call.add_engine_time(self.started.elapsed());
--- a/crates/call/src/call.rs
+++ b/crates/call/src/call.rs
@@ -8,15 +8,9 @@
 
 use bytes::Bytes;
 use deck_core::error::{CallError, ErrorKind, RunState};
+use deck_limit::crash::{Fingerprint, fingerprint};
 
-use crate::{
-    body::HeldBody,
-    crash::{Fingerprint, fingerprint},
-    head::CallHead,
-    pools::PoolInfo,
-    shared::Shared,
-    usage::UsageKey,
-};
+use crate::{body::HeldBody, head::CallHead, pools::PoolInfo, shared::Shared, usage::UsageKey};
 
 /// One call. Its usage is counted once, when it is dropped.
 pub(crate) struct Call {
--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -12,7 +12,7 @@
     error::{CallError, ErrorKind},
     timer::TimerService,
 };
-use deck_limit::{Admission, RetryBudget, TokenBucket};
+use deck_limit::{Admission, RetryBudget, TokenBucket, crash::CrashTracker};
 use deck_net::{
     Body, Client,
     http::{HeaderValue, Request, Response, header, request::Parts},
@@ -32,7 +32,6 @@
     body::{BodyMemory, HeldBody},
     call::Call,
     completion,
-    crash::CrashTracker,
     engine::CompletionRequest,
     head::{CallHead, Route, request_id},
     metrics::CallMetrics,
--- a/crates/call/src/exchange.rs
+++ b/crates/call/src/exchange.rs
@@ -7,12 +7,12 @@
 };
 
 use deck_core::id::{Incarnation, PoolName, TargetId, VmId};
+use deck_limit::crash::{PublishedCrash, TargetKey};
 use deck_peer::{MemberState, Topic};
 use deck_route::RouteMember;
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    crash::{PublishedCrash, TargetKey},
     shared::SharedRef,
     wire::{decode, encode},
 };
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -10,7 +10,6 @@
 mod cancel;
 mod claim;
 mod completion;
-pub mod crash;
 pub mod engine;
 mod exchange;
 pub mod fold;
--- a/crates/call/src/load.rs
+++ b/crates/call/src/load.rs
@@ -7,11 +7,12 @@
 };
 
 use deck_core::object::PoolType;
+use deck_limit::crash::TargetKey;
 use deck_net::http::Method;
 use deck_route::LoadReport;
 use serde::Deserialize;
 
-use crate::{crash::TargetKey, pools::PoolInfo, shared::SharedRef};
+use crate::{pools::PoolInfo, shared::SharedRef};
 
 /// Time after the last use of a target for which its load is requested.
 const RECENT_USE: Duration = Duration::from_secs(30);
--- a/crates/call/src/options.rs
+++ b/crates/call/src/options.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use deck_core::id::{Incarnation, VmId};
+use deck_limit::CrashOptions;
 
 /// Settings of a [`Caller`](crate::Caller).
 #[derive(Debug, Clone)]
@@ -127,30 +128,6 @@
     }
 }
 
-/// Settings of the recognition of requests that crash targets.
-#[derive(Debug, Clone)]
-pub struct CrashOptions {
-    /// Crashes after which a request is refused.
-    pub limit: u32,
-    /// Time for which crashes are remembered.
-    pub keep: Duration,
-    /// Longest time that a suspect waits for a target without another suspect.
-    pub isolation_wait: Duration,
-    /// Most fingerprints that are kept and published.
-    pub max_fingerprints: usize,
-}
-
-impl Default for CrashOptions {
-    fn default() -> Self {
-        Self {
-            limit: 3,
-            keep: Duration::from_secs(900),
-            isolation_wait: Duration::from_secs(2),
-            max_fingerprints: 256,
-        }
-    }
-}
-
 impl CallOptions {
     /// Returns the default settings for one VM and process.
     pub fn new(vm: VmId, incarnation: Incarnation) -> Self {
--- a/crates/call/src/shared.rs
+++ b/crates/call/src/shared.rs
@@ -10,7 +10,7 @@
     CancellationToken,
     error::{CallError, ErrorKind},
 };
-use deck_limit::{Admission, AdmitRequest, Permit, RetryBudget, TokenBucket};
+use deck_limit::{Admission, AdmitRequest, Permit, RetryBudget, TokenBucket, crash::CrashTracker};
 use deck_net::Client;
 use deck_peer::{ConfigView, Peer};
 use deck_plat::Store;
@@ -18,9 +18,9 @@
 use tokio::sync::Notify;
 
 use crate::{
-    body::BodyMemory, call::Call, claim::Deletions, crash::CrashTracker, exchange::LeavingTargets,
-    load::LoadPolls, metrics::CallMetrics, options::CallOptions, pools::Pools, record::Records,
-    ticket::Tickets, usage::UsageTable,
+    body::BodyMemory, call::Call, claim::Deletions, exchange::LeavingTargets, load::LoadPolls,
+    metrics::CallMetrics, options::CallOptions, pools::Pools, record::Records, ticket::Tickets,
+    usage::UsageTable,
 };
 
 pub(crate) struct Shared {
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -86,6 +86,8 @@
     KeyOutcomeUnknown => 409, "key_outcome_unknown", Unknown, false;
     /// The request repeatedly crashed the targets that ran it.
     RequestCondemned => 422, "request_condemned", NotRun, false;
+    /// The request crashed several targets and is not run until these crashes are forgotten.
+    RequestSuspended => 503, "request_suspended", NotRun, true;
     /// The organisation's own share is used up.
     ShareExhausted => 429, "share_exhausted", NotRun, true;
     /// The pool has no capacity left for this request.
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -23,7 +23,7 @@
 use serde_json::Value;
 use tokio::sync::watch;
 
-use crate::{Follower, Target};
+use crate::{CrashBoard, Follower, NodeCrashes, Target};
 
 /// Path at which watchers serve what they know.
 pub const FEED_PATH: &str = "/peer/feed";
@@ -93,6 +93,23 @@
     nodes: Vec<SocketAddr>,
     /// VMs with a disk.
     disks: Vec<SocketAddr>,
+    /// Version of the crashes that the watcher knows of.
+    #[serde(default)]
+    crash_version: u64,
+    /// Crashes, if the asking node does not know this version.
+    #[serde(default)]
+    crashes: Option<Vec<NodeCrashes>>,
+}
+
+/// What a node knows of a watcher's knowledge.
+#[derive(Debug, Clone, Copy, Default)]
+struct Position {
+    /// Run of the watcher's process.
+    epoch: u64,
+    /// Number of the watcher's changes.
+    changes: u64,
+    /// Version of the watcher's crashes.
+    crash_version: u64,
 }
 
 /// Passes on and receives knowledge; clones share their state.
@@ -112,6 +129,7 @@
     /// VMs with a disk.
     disks: RefCell<Vec<SocketAddr>>,
     leader: watch::Sender<Option<Leader>>,
+    crashes: CrashBoard,
     is_watching: Cell<bool>,
 }
 
@@ -133,6 +151,7 @@
             ranked: RefCell::default(),
             disks: RefCell::default(),
             leader: watch::channel(None).0,
+            crashes: CrashBoard::default(),
             is_watching: Cell::new(false),
         };
         Self { inner: Rc::new(inner) }
@@ -175,6 +194,18 @@
         self.inner.leader.borrow().clone()
     }
 
+    /// Returns what the nodes have published of crashes.
+    pub fn crashes(&self) -> &CrashBoard {
+        &self.inner.crashes
+    }
+
+    /// Returns the nodes that have to be told something so that all nodes learn it.
+    pub fn told_nodes(&self) -> Vec<SocketAddr> {
+        let mut nodes = self.watchers().unwrap_or_else(|| self.ranked());
+        nodes.retain(|node| *node != self.inner.own);
+        nodes
+    }
+
     /// Returns whether this node is a watcher. A node that does not know the fleet yet is one.
     pub fn is_watcher(&self) -> bool {
         self.watchers().is_none_or(|watchers| watchers.contains(&self.inner.own))
@@ -249,7 +280,8 @@
             match self.ask_one(node, position).await {
                 Ok(page) if Duration::from_millis(page.age_ms) <= inner.options.max_age => {
                     failed = 0;
-                    position = Some((page.epoch, page.changes));
+                    let Page { epoch, changes, crash_version, .. } = page;
+                    position = Some(Position { epoch, changes, crash_version });
                     self.apply(page);
                     monoio::time::sleep(inner.options.pause).await;
                 }
@@ -272,33 +304,24 @@
     async fn ask_one(
         &self,
         node: SocketAddr,
-        position: Option<(u64, u64)>,
+        position: Option<Position>,
     ) -> Result<Page, NetError> {
         let inner = &self.inner;
         let version = inner.follower.view.configuration().map_or(0, |c| c.version);
-        let (epoch, changes) = position.unwrap_or((0, 0));
+        let Position { epoch, changes, crash_version } = position.unwrap_or_default();
         let wait = inner.options.poll_wait;
         let path = format!(
-            "{FEED_PATH}?epoch={epoch}&changes={changes}&configuration={version}&wait_ms={}",
+            "{FEED_PATH}?epoch={epoch}&changes={changes}&configuration={version}\
+             &crashes={crash_version}&wait_ms={}",
             wait.as_millis()
         );
         let request = Request::builder()
             .uri(path)
             .body(Body::empty())
             .map_err(|error| NetError::Decode(error.to_string()))?;
-        let exchange = async {
-            let response = inner.client.send(node, request).await?;
-            if response.status != StatusCode::OK {
-                return Err(NetError::Decode(format!("status {}", response.status)));
-            }
-            let bytes = response.collect(MAX_PAGE_BYTES).await?;
-            ciborium::from_reader(&*bytes).map_err(|error| NetError::Decode(error.to_string()))
-        };
         let limit = wait + inner.options.poll_wait;
-        match monoio::time::timeout(limit, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(NetError::Exchange(node, "no answer in time".to_owned())),
-        }
+        let page = inner.client.call(node, request, limit, MAX_PAGE_BYTES).await?.ok()?;
+        ciborium::from_reader(&*page).map_err(|error| NetError::Decode(error.to_string()))
     }
 
     fn apply(&self, page: Page) {
@@ -309,6 +332,9 @@
         if let Some(targets) = page.targets {
             follower.view.copy_targets(targets, Instant::now());
         }
+        if let Some(crashes) = page.crashes {
+            self.inner.crashes.replace(crashes, Instant::now());
+        }
         if page.leader.is_some() {
             self.set_leader(page.leader);
         }
@@ -340,7 +366,12 @@
         let changed = !same_epoch || view.change_count() != known;
         let version = view.configuration().map_or(0, |configuration| configuration.version);
         let newer = version > parameter("configuration").unwrap_or(0);
+        let crashes = inner.crashes.nodes(Instant::now());
+        let crash_version = inner.crashes.version();
+        let same_crashes = same_epoch && parameter("crashes") == Some(crash_version);
         let page = Page {
+            crash_version,
+            crashes: (!same_crashes).then_some(crashes),
             epoch: inner.epoch,
             changes: view.change_count(),
             age_ms: age.as_millis() as u64,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! The types here are the project's own. An adapter implements [`Protocol`] and translates the
 //! names and formats of one platform into them.
 
+pub mod board;
 pub mod config;
 pub mod engines;
 pub mod feed;
@@ -12,6 +13,7 @@
 pub mod target;
 pub mod view;
 
+pub use board::{CrashBoard, NodeCrashes};
 pub use config::{CallerLimits, Configuration, Engine, Route, RouteKind, Service};
 pub use engines::{EngineState, Engines, RunGuard};
 pub use feed::{Feed, FeedOptions, Leader};
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -1,11 +1,12 @@
 //! Knowledge that watchers pass on to the other nodes of a large fleet.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Instant};
 
 use deck_core::CancellationToken;
 use deck_fleet::{
-    Feed, FeedOptions, FollowOptions, Follower, Kinds, Leader, View, feed::FEED_PATH,
+    Feed, FeedOptions, FollowOptions, Follower, Kinds, Leader, NodeCrashes, View, feed::FEED_PATH,
 };
+use deck_limit::crash::{CrashCounts, PublishedCrash};
 use deck_net::{Client, ServerOptions, bind};
 use deck_route::{Router, RouterOptions};
 use deck_testkit::{
@@ -99,6 +100,36 @@
     deck_net::runtime::run(test).expect("runtime");
 }
 
+/// Guards against crashes that only the watchers know of, and against one that stays on the other
+/// nodes after its node has taken it back.
+#[test]
+fn node_learns_from_a_watcher_of_crashes_and_of_their_end() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let objects = MemoryObjects::default();
+        common::write(&objects, KINDS.configuration, "main", 1).await;
+        let (watcher, node) = (start(&objects, &cancel), start(&objects, &cancel));
+        let ranked = vec![watcher.address, node.address];
+        for one in [&watcher, &node] {
+            one.feed.set_ranked(ranked.clone());
+            run(one, &cancel);
+        }
+        assert_eq!(node.feed.told_nodes(), [watcher.address]);
+        knows(&node, 1).await;
+        let counts = CrashCounts { in_company: 1, alone: 2 };
+        let crashes = vec![PublishedCrash { fingerprint: 7, counts }];
+        let published = NodeCrashes { vm: "vm-3".to_owned(), crashes };
+        watcher.feed.crashes().set(published.clone(), Instant::now());
+        let known = async || node.feed.crashes().nodes(Instant::now());
+        eventually("the crash is known", async || known().await == [published.clone()]).await;
+        let cleared = NodeCrashes { crashes: Vec::new(), ..published.clone() };
+        watcher.feed.crashes().set(cleared, Instant::now());
+        eventually("the crash is forgotten", async || known().await.is_empty()).await;
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
 /// Guards against nodes that stay with a watcher that has lost the object API: its silence must not
 /// delay a change past the time in which it has to be in force.
 #[test]
--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -5,11 +5,12 @@
 use bytes::Bytes;
 use deck_core::error::CallError;
 use deck_fleet::ReplyHead;
-use deck_net::{Body, ClientResponse, server::json_response};
+use deck_net::{Body, Client, ClientResponse, NetError, server::json_response};
 use futures_util::future::Either;
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, header};
 
 use crate::{
+    crashes::RunningCall,
     headers::strip_hop_by_hop,
     stream::{Resume, pass_events},
 };
@@ -34,9 +35,36 @@
     /// The whole body.
     Whole(Bytes),
     /// A body that is still being received.
-    Stream(Box<ClientResponse>),
+    Stream(Box<Streamed>),
     /// Events that are still being received and may go on at another target.
-    Events(Box<ClientResponse>, Box<Resume>),
+    Events(Box<Streamed>, Box<Resume>),
+}
+
+/// Body that is still being received.
+pub struct Streamed {
+    pub(crate) response: ClientResponse,
+    /// The request at its target.
+    pub(crate) running: RunningCall,
+    /// Client through which the body comes.
+    pub(crate) client: Client,
+}
+
+impl Streamed {
+    pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, NetError> {
+        self.response.chunk().await
+    }
+
+    /// Takes note that the body has come to its proper end.
+    pub(crate) fn complete(self) {
+        self.running.survived();
+    }
+
+    /// Takes note that the body has broken off.
+    pub(crate) fn broken(self) {
+        let address = self.response.address();
+        drop(self.response);
+        self.running.broken(self.client, address);
+    }
 }
 
 /// Returns the answer of a target as a response to the caller.
@@ -62,14 +90,18 @@
                 loop {
                     let next = race(received.chunk(), sender.closed()).await;
                     // The caller has left: dropping the response closes the target's connection.
-                    let Some(Ok(chunk)) = next else { return };
-                    match chunk {
-                        Some(chunk) => {
+                    let Some(next) = next else { return };
+                    match next {
+                        Ok(Some(chunk)) => {
                             if sender.send(chunk).await.is_err() {
                                 return;
                             }
                         }
-                        None => return sender.finish().await,
+                        Ok(None) => {
+                            received.complete();
+                            return sender.finish().await;
+                        }
+                        Err(_) => return received.broken(),
                     }
                 }
             });
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -8,11 +8,12 @@
 use bytes::Bytes;
 use deck_core::id::TargetId;
 use deck_fleet::{Dispatch, Protocol};
+use deck_limit::crash::{Fingerprint, TargetKey};
 use deck_net::{Body, Client, ClientResponse, NetError};
 use deck_route::{Outcome, Pick};
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
 
-use crate::{Reply, ReplyBody};
+use crate::{CrashGuard, Reply, ReplyBody, Streamed, crashes::RunningCall};
 
 /// Largest answer that is received whole before it is passed on; larger ones are streamed.
 const MAX_WHOLE_BYTES: usize = 4 * 1024 * 1024;
@@ -24,12 +25,18 @@
     NotRun(String),
     /// The request was sent and may have run.
     Unknown(String),
+    /// The connection broke after the request was sent; it may have run.
+    Broken(String),
 }
 
 /// What all attempts of a request have in common.
 #[derive(Clone)]
 pub(crate) struct Attempt {
     pub client: Client,
+    pub crashes: CrashGuard,
+    /// Service whose targets run the request.
+    pub service: String,
+    pub fingerprint: Fingerprint,
     pub protocol: Rc<dyn Protocol>,
     pub method: Method,
     pub uri: Uri,
@@ -50,10 +57,13 @@
         let Pick { target, address, mut in_flight } = pick;
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         let request = self.request(&target, time_left);
+        let key = TargetKey { pool: self.service.clone(), target: target.clone() };
+        let running = self.crashes.start(&self.request_id, self.fingerprint, key);
+        let mut running = Some(running);
         let exchange = async {
             let response = self.client.send(address, request).await.map_err(attempt_error)?;
             in_flight.first_byte(Instant::now());
-            self.receive(response).await
+            self.receive(response, &mut running).await
         };
         let result = match monoio::time::timeout(time_left, exchange).await {
             Ok(result) => result,
@@ -63,11 +73,14 @@
             Ok(reply) if reply.status.is_server_error() => Outcome::Failed,
             Ok(_) => Outcome::Ok,
             Err(AttemptError::NotRun(_)) => Outcome::Refused,
-            Err(AttemptError::Unknown(_)) if Instant::now() >= self.deadline => Outcome::TimedOut,
-            Err(AttemptError::Unknown(_)) => Outcome::Crashed,
+            Err(_) if Instant::now() >= self.deadline => Outcome::TimedOut,
+            Err(AttemptError::Unknown(_) | AttemptError::Broken(_)) => Outcome::Crashed,
         };
         in_flight.finish(outcome, 1, Instant::now());
         if let Err(error) = &result {
+            if let (AttemptError::Broken(_), Some(running)) = (error, running) {
+                running.broken(self.client.clone(), address);
+            }
             let id = &self.request_id;
             log::info!(target: "forward", "attempt failed request={id} target={target} {error:?}");
         }
@@ -91,7 +104,12 @@
         request
     }
 
-    async fn receive(&self, response: ClientResponse) -> Result<Reply, AttemptError> {
+    /// Receives an answer; a streamed one takes over `running`.
+    async fn receive(
+        &self,
+        response: ClientResponse,
+        running: &mut Option<RunningCall>,
+    ) -> Result<Reply, AttemptError> {
         let (status, headers) = (response.status, response.headers.clone());
         let head = self.protocol.reply_head(status, &headers);
         if head.request_id.as_ref().is_some_and(|id| *id != self.request_id) {
@@ -108,11 +126,19 @@
         let stated = headers.get(header::CONTENT_LENGTH);
         let stated = stated.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
         let large = stated.is_some_and(|length| length > MAX_WHOLE_BYTES);
-        let body = if self.streaming || large {
-            ReplyBody::Stream(Box::new(response))
-        } else {
-            let bytes = response.collect(usize::MAX).await;
-            ReplyBody::Whole(bytes.map_err(|error| AttemptError::Unknown(error.to_string()))?)
+        let body = match running.take_if(|_| self.streaming || large) {
+            Some(running) => {
+                let client = self.client.clone();
+                ReplyBody::Stream(Box::new(Streamed { response, running, client }))
+            }
+            None => {
+                let bytes = response.collect(usize::MAX).await;
+                let bytes = bytes.map_err(|error| AttemptError::Broken(error.to_string()))?;
+                if let Some(running) = running.take() {
+                    running.survived();
+                }
+                ReplyBody::Whole(bytes)
+            }
         };
         let failures = u32::from(status == StatusCode::INTERNAL_SERVER_ERROR);
         Ok(Reply { status, headers, head, body, failures })
@@ -121,7 +147,7 @@
 
 fn attempt_error(error: NetError) -> AttemptError {
     match error.may_have_been_sent() {
-        true => AttemptError::Unknown(error.to_string()),
+        true => AttemptError::Broken(error.to_string()),
         false => AttemptError::NotRun(error.to_string()),
     }
 }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -12,14 +12,15 @@
     priority::Priority,
 };
 use deck_fleet::{Protocol, Route, RouteKind, View};
-use deck_limit::{BudgetOptions, HedgeBudget, RetryBudget};
+use deck_limit::{BudgetOptions, HedgeBudget, RetryBudget, crash::fingerprint};
 use deck_net::Client;
 use deck_route::{Pick, PickRequest};
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use http::{HeaderMap, Method, Uri, header};
 
 use crate::{
-    AttemptError, Reply, ReplyBody, attempt::Attempt, headers::strip_hop_by_hop, stream::Resume,
+    AttemptError, CrashGuard, Reply, ReplyBody, attempt::Attempt, headers::strip_hop_by_hop,
+    stream::Resume,
 };
 
 /// Options of a [`Forwarder`].
@@ -81,6 +82,7 @@
     view: View,
     client: Client,
     protocol: Rc<dyn Protocol>,
+    crashes: CrashGuard,
     options: ForwardOptions,
     hedges: HedgeBudget,
 }
@@ -108,11 +110,12 @@
         view: View,
         client: Client,
         protocol: Rc<dyn Protocol>,
+        crashes: CrashGuard,
         options: ForwardOptions,
     ) -> Self {
         let retries = RetryBudget::new(options.hedge_budget);
         let hedges = HedgeBudget::new(options.hedge_budget, retries);
-        Self { view, client, protocol, options, hedges }
+        Self { view, client, protocol, crashes, options, hedges }
     }
 
     /// Forwards a request and returns the target's answer.
@@ -126,7 +129,7 @@
         let streaming = route.kind == RouteKind::Streaming;
         let may_repeat = route.may_repeat();
         self.hedges.record_call(&service, CALLERS);
-        let attempt = Rc::new(self.attempt(call, streaming));
+        let attempt = Rc::new(self.attempt(call, service.clone(), streaming));
         let mut progress = Progress {
             tried: Vec::new(),
             sent: 0,
@@ -142,7 +145,7 @@
                 if Instant::now() >= attempt.deadline {
                     return self.give_up(progress, &attempt, None);
                 }
-                match self.next_pick(&service, &progress, route.attempts) {
+                match self.next_pick(&service, &progress, route.attempts, &attempt) {
                     Ok(pick) => {
                         progress.tried.push(pick.target.clone());
                         running.push(run(attempt.clone(), pick).boxed_local());
@@ -169,7 +172,7 @@
                     progress.failure = Some(reply);
                 }
                 Err(AttemptError::NotRun(_)) => {}
-                Err(AttemptError::Unknown(message)) => {
+                Err(AttemptError::Unknown(message) | AttemptError::Broken(message)) => {
                     progress.sent += 1;
                     progress.unknown = Some(message);
                     if !may_repeat {
@@ -202,13 +205,18 @@
         Reply { body, ..reply }
     }
 
-    fn attempt(&self, call: Call, streaming: bool) -> Attempt {
+    fn attempt(&self, call: Call, service: String, streaming: bool) -> Attempt {
+        let path = call.uri.path_and_query().map_or("", |path| path.as_str());
+        let fingerprint = fingerprint(&service, call.method.as_str(), path, &call.body);
         let mut headers = call.headers;
         strip_hop_by_hop(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
         Attempt {
             client: self.client.clone(),
+            crashes: self.crashes.clone(),
+            service,
+            fingerprint,
             protocol: self.protocol.clone(),
             method: call.method,
             uri: call.uri,
@@ -228,20 +236,31 @@
         service: &str,
         progress: &Progress,
         attempts: u32,
+        attempt: &Attempt,
     ) -> Result<Pick, Option<CallError>> {
         if progress.sent >= attempts {
             return Err(None);
         }
-        let request = PickRequest {
-            pool: service,
-            expected_tokens: 1,
-            priority: Priority::Interactive,
-            affinity: None,
-            exclude: &progress.tried,
-            now: Instant::now(),
+        self.crashes.check(attempt.fingerprint)?;
+        let pick = |exclude: &[TargetId]| {
+            self.view.router().pick(&PickRequest {
+                pool: service,
+                expected_tokens: 1,
+                priority: Priority::Interactive,
+                affinity: None,
+                exclude,
+                now: Instant::now(),
+            })
         };
+        let isolated_from = self.crashes.excluded(attempt.fingerprint, service);
+        if !isolated_from.is_empty() {
+            let exclude = [isolated_from, progress.tried.clone()].concat();
+            if let Ok(pick) = pick(&exclude) {
+                return Ok(pick);
+            }
+        }
         let refused = !progress.tried.is_empty();
-        self.view.router().pick(&request).map_err(|error| {
+        pick(&progress.tried).map_err(|error| {
             let (kind, wait) = if refused {
                 (ErrorKind::TargetRefused, self.options.full_retry)
             } else {
@@ -259,7 +278,7 @@
         running: &mut FuturesUnordered<LocalBoxFuture<'a, AttemptResult>>,
     ) {
         let in_budget = self.hedges.try_take_hedge(service, CALLERS, true);
-        let pick = in_budget.then(|| self.next_pick(service, progress, u32::MAX));
+        let pick = in_budget.then(|| self.next_pick(service, progress, u32::MAX, attempt));
         match pick {
             Some(Ok(pick)) => {
                 progress.tried.push(pick.target.clone());
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use deck_core::error::CallError;
-use deck_net::{ClientResponse, body::BodySender, sse::EventBlocks};
+use deck_net::{body::BodySender, sse::EventBlocks};
 
 use crate::{
-    AttemptError, ReplyBody,
+    AttemptError, ReplyBody, Streamed,
     answer::race,
     attempt::Attempt,
     forwarder::{Forwarder, Progress},
@@ -26,10 +26,11 @@
 
 impl Resume {
     /// Asks further targets for the events after `last_event`.
-    async fn next(&mut self, last_event: Option<u64>) -> Option<ClientResponse> {
+    async fn next(&mut self, last_event: Option<u64>) -> Option<Streamed> {
         let attempt = Attempt { last_event, ..(*self.attempt).clone() };
         loop {
-            let picked = self.forwarder.next_pick(&self.service, &self.progress, self.attempts);
+            let picked =
+                self.forwarder.next_pick(&self.service, &self.progress, self.attempts, &attempt);
             let pick = match picked {
                 Ok(pick) => pick,
                 Err(error) => {
@@ -48,7 +49,9 @@
                         return Some(*response);
                     }
                 }
-                Ok(_) | Err(AttemptError::Unknown(_)) => self.progress.sent += 1,
+                Ok(_) | Err(AttemptError::Unknown(_) | AttemptError::Broken(_)) => {
+                    self.progress.sent += 1;
+                }
                 Err(AttemptError::NotRun(_)) => {}
             }
         }
@@ -63,11 +66,7 @@
 
 /// Passes the events of a stream on, whole and each once, and goes on at other targets where the
 /// stream breaks off. Without a further target the caller's stream is broken off too.
-pub(crate) async fn pass_events(
-    mut response: ClientResponse,
-    mut resume: Resume,
-    sender: BodySender,
-) {
+pub(crate) async fn pass_events(mut response: Streamed, mut resume: Resume, sender: BodySender) {
     let mut blocks = EventBlocks::default();
     let mut last_event = resume.attempt.last_event;
     loop {
@@ -95,8 +94,11 @@
                 }
                 continue;
             }
-            Ok(None) if blocks.is_empty() => return sender.finish().await,
-            Ok(None) | Err(_) => {}
+            Ok(None) if blocks.is_empty() => {
+                response.complete();
+                return sender.finish().await;
+            }
+            Ok(None) | Err(_) => response.broken(),
         }
         blocks = EventBlocks::default();
         let Some(Some(next)) = race(resume.next(last_event), sender.closed()).await else { return };
--- a/crates/forward/tests/forward.rs
+++ b/crates/forward/tests/forward.rs
@@ -11,7 +11,7 @@
 use deck_fleet::{
     CallerLimits, Configuration, Route, RouteKind, Service, Target, TargetState, View,
 };
-use deck_forward::{Call, ForwardOptions, Forwarder, ReplyBody};
+use deck_forward::{Call, CrashGuard, ForwardOptions, Forwarder, ReplyBody};
 use deck_net::{
     Body, Client, ServerOptions, bind,
     http::{HeaderMap, Method, Response, StatusCode},
@@ -76,7 +76,7 @@
     view.set_configuration(Configuration::new(1, vec![], vec![service], CallerLimits::default()));
     view.set_targets(targets, Instant::now());
     let (client, options) = (Client::default(), ForwardOptions::default());
-    let forwarder = Forwarder::new(view, client, Rc::new(Wire), options);
+    let forwarder = Forwarder::new(view, client, Rc::new(Wire), CrashGuard::default(), options);
     World { forwarder, received, cancel }
 }
 
--- a/crates/forward/tests/streams.rs
+++ b/crates/forward/tests/streams.rs
@@ -11,7 +11,7 @@
 use deck_fleet::{
     CallerLimits, Configuration, Route, RouteKind, Service, Target, TargetState, View,
 };
-use deck_forward::{Call, ForwardOptions, Forwarder, reply_response};
+use deck_forward::{Call, CrashGuard, ForwardOptions, Forwarder, reply_response};
 use deck_net::{
     Body, Client, ServerOptions, bind,
     http::{HeaderMap, Method, Response},
@@ -120,7 +120,8 @@
     view.set_configuration(Configuration::new(1, vec![], vec![service], CallerLimits::default()));
     view.set_targets(targets, Instant::now());
     let options = ForwardOptions::default();
-    let forwarder = Forwarder::new(view, Client::default(), Rc::new(Wire), options);
+    let forwarder =
+        Forwarder::new(view, Client::default(), Rc::new(Wire), CrashGuard::default(), options);
     World { forwarder, received, cancel }
 }
 
--- a/crates/call/src/crash.rs
+++ b/crates/limit/src/crash.rs
@@ -13,7 +13,29 @@
 use deck_core::{hash::hash128, id::TargetId};
 use serde::{Deserialize, Serialize};
 
-use crate::options::CrashOptions;
+/// Settings of the recognition of requests that crash targets.
+#[derive(Debug, Clone)]
+pub struct CrashOptions {
+    /// Crashes after which a request is refused.
+    pub limit: u32,
+    /// Time for which crashes are remembered.
+    pub keep: Duration,
+    /// Longest time that a suspect waits for a target without another suspect.
+    pub isolation_wait: Duration,
+    /// Most fingerprints that are kept and published.
+    pub max_fingerprints: usize,
+}
+
+impl Default for CrashOptions {
+    fn default() -> Self {
+        Self {
+            limit: 3,
+            keep: Duration::from_secs(900),
+            isolation_wait: Duration::from_secs(2),
+            max_fingerprints: 256,
+        }
+    }
+}
 
 /// Hash of pool, method, path and body of a request.
 pub type Fingerprint = u128;
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod budget;
+pub mod crash;
 mod demand;
 mod estimate;
 mod options;
@@ -14,6 +15,7 @@
 
 pub use admission::{Admission, AdmitRequest, Admitted, NamedShare, Permit, PoolCapacity, Waiting};
 pub use budget::{HedgeBudget, RetryBudget};
+pub use crash::CrashOptions;
 pub use demand::Published;
 pub use options::{AdmissionOptions, BudgetOptions};
 pub use rate::TokenBucket;
--- a/crates/call/tests/crash.rs
+++ b/crates/limit/tests/crash.rs
@@ -2,9 +2,8 @@
 
 use std::time::Instant;
 
-use deck_call::{
-    crash::{CrashCounts, CrashTracker, PublishedCrash, TargetKey, fingerprint},
-    options::CrashOptions,
+use deck_limit::crash::{
+    CrashCounts, CrashOptions, CrashTracker, PublishedCrash, TargetKey, fingerprint,
 };
 
 const GUILTY: u128 = 1;
