Let a changed duration of the lease hold from its next renewal on

Cause: decknode read the duration of the leader's lease once at its start, so a changed bound of the settings held only after a restart, and nodes restarted in turn used two durations. Change: a candidate may be given a source of the duration. A holder acts for the shorter of the two durations while others may know either. A new leader whose targets do not check fences waits for the duration that the holder before it had stated. Test: a_changed_duration_holds_from_the_next_renewal_on; did not compile before (new interface).

--- a/bins/decknode/src/lead.rs
+++ b/bins/decknode/src/lead.rs
@@ -42,7 +42,7 @@
     pub giver: Giver,
     /// Follows the objects that only the leader needs.
     pub follower: Follower,
-    /// Bounds of the deployment. The duration of the lease holds from the start of the process on.
+    /// Bounds of the deployment.
     pub bounds: Rc<RefCell<Bounds>>,
     /// Batch jobs.
     pub batch: BatchService,
@@ -55,7 +55,9 @@
     let options = LeaseOptions { duration, resolve_tries: 2, reclaim_own: true };
     let address = duties.address.to_string();
     let (store, vm) = (duties.store.clone(), duties.vm.clone());
-    let mut candidate = LeaseCandidate::new(store, LEASE_NAME, vm, address, options);
+    let bounds = duties.bounds.clone();
+    let mut candidate = LeaseCandidate::new(store, LEASE_NAME, vm, address, options)
+        .with_duration(Rc::new(move || bounds.borrow().lease));
     while !cancel.is_cancelled() {
         // Watchers compete for the lease and tell the other nodes who has it. A node that reaches no
         // watcher follows the object API itself, and competes too.
@@ -117,7 +119,7 @@
     // Targets that check fencing numbers refuse what an earlier holder still sends.
     let start = match held.previous_holder() {
         Some(previous) if previous != duties.vm && !fencing_checked => {
-            Instant::now() + lease + ORDER_MARGIN
+            Instant::now() + held.previous_duration().unwrap_or(lease).max(lease) + ORDER_MARGIN
         }
         _ => Instant::now(),
     };
--- a/crates/plat/src/lease.rs
+++ b/crates/plat/src/lease.rs
@@ -60,6 +60,8 @@
     holder: VmId,
     address: String,
     options: LeaseOptions,
+    /// Gives the duration in place of the one in the options.
+    duration: Option<Rc<dyn Fn() -> Duration>>,
     /// The last state of the lease that was read, and when this state was first seen.
     observed: Option<Observation>,
 }
@@ -75,10 +77,12 @@
     candidate: LeaseCandidate,
     record: LeaseRecord,
     revision: Revision,
-    /// Holder before this one; empty if there was none or it gave the lease up.
-    previous: VmId,
+    /// Last state of the lease before this holder; `None` if there was none.
+    previous: Option<LeaseRecord>,
     /// Start of the last successful write. The lease lasts `duration` from some moment after it.
     last_write_start: Rc<Cell<Instant>>,
+    /// Invariant: not longer than any duration that other candidates may know.
+    known_duration: Rc<Cell<Duration>>,
     ended: CancellationToken,
 }
 
@@ -86,7 +90,7 @@
 #[derive(Debug, Clone)]
 pub struct LeaseToken {
     fencing: FencingNumber,
-    duration: Duration,
+    known_duration: Rc<Cell<Duration>>,
     last_write_start: Rc<Cell<Instant>>,
     /// Cancelled when the lease is lost or given up.
     ended: CancellationToken,
@@ -103,7 +107,8 @@
     /// Two thirds of the duration must not have passed since the start of the last successful
     /// renewal. The last third covers the time between this check and the effect of the act.
     pub fn is_valid(&self) -> bool {
-        !self.ended.is_cancelled() && self.last_write_start.get().elapsed() < self.duration * 2 / 3
+        !self.ended.is_cancelled()
+            && self.last_write_start.get().elapsed() < self.known_duration.get() * 2 / 3
     }
 
     /// Stops acting under the lease, for example because a target has seen a later holder.
@@ -145,7 +150,16 @@
         options: LeaseOptions,
     ) -> Self {
         let (name, address) = (name.into(), address.into());
-        Self { store, name, holder, address, options, observed: None }
+        Self { store, name, holder, address, options, duration: None, observed: None }
+    }
+
+    /// Lets `duration` give the duration of the lease; a change holds from the next write on.
+    pub fn with_duration(self, duration: Rc<dyn Fn() -> Duration>) -> Self {
+        Self { duration: Some(duration), ..self }
+    }
+
+    fn duration(&self) -> Duration {
+        self.duration.as_ref().map_or(self.options.duration, |duration| duration())
     }
 
     /// Reads the lease and takes it if it is free.
@@ -165,20 +179,21 @@
             }
         };
         let (condition, fencing, previous) = match current {
-            None => (Precondition::Absent, 1, VmId::new()),
+            None => (Precondition::Absent, 1, None),
             Some(object) => match self.observe(object) {
                 Ok((revision, record)) if self.is_free(&record) => {
-                    (Precondition::Revision(revision), record.fencing + 1, record.holder)
+                    (Precondition::Revision(revision), record.fencing + 1, Some(record))
                 }
                 Ok((_, record)) => return Acquire::HeldElsewhere(self, record),
                 Err(error) => return Acquire::Failed(self, error),
             },
         };
+        let duration = self.duration();
         let record = LeaseRecord {
             holder: self.holder.clone(),
             address: self.address.clone(),
             fencing,
-            duration_ms: self.options.duration.as_millis() as u64,
+            duration_ms: duration.as_millis() as u64,
             renewal: 0,
             nonce: deck_core::id::random_id(),
         };
@@ -190,6 +205,7 @@
                 revision,
                 previous,
                 last_write_start: Rc::new(Cell::new(started)),
+                known_duration: Rc::new(Cell::new(duration)),
                 ended: CancellationToken::new(),
             }),
             Err(error) => Acquire::Failed(self, error),
@@ -238,14 +254,23 @@
 
     /// Returns the holder before this one; `None` if there was none or it gave the lease up.
     pub fn previous_holder(&self) -> Option<&str> {
-        Some(self.previous.as_str()).filter(|previous| !previous.is_empty())
+        self.previous().map(|record| record.holder.as_str())
+    }
+
+    /// Returns the duration of the lease under the holder before this one.
+    pub fn previous_duration(&self) -> Option<Duration> {
+        self.previous().map(|record| Duration::from_millis(record.duration_ms))
+    }
+
+    fn previous(&self) -> Option<&LeaseRecord> {
+        self.previous.as_ref().filter(|record| !record.holder.is_empty())
     }
 
     /// Returns a token with which tasks check that the lease is valid.
     pub fn token(&self) -> LeaseToken {
         LeaseToken {
             fencing: self.record.fencing,
-            duration: self.candidate.options.duration,
+            known_duration: self.known_duration.clone(),
             last_write_start: self.last_write_start.clone(),
             ended: self.ended.clone(),
         }
@@ -293,7 +318,7 @@
 
     /// Returns the time between renewals, a third of the duration.
     pub fn renewal_interval(&self) -> Duration {
-        self.candidate.options.duration / 3
+        self.candidate.duration() / 3
     }
 
     /// Renews the lease.
@@ -305,10 +330,15 @@
     pub async fn renew(&mut self) -> Result<(), StoreError> {
         let mut record = self.record.clone();
         record.renewal += 1;
+        let duration = self.candidate.duration();
+        record.duration_ms = duration.as_millis() as u64;
+        // The write may take effect although its response is lost.
+        self.known_duration.set(self.known_duration.get().min(duration));
         let started = Instant::now();
         let condition = Precondition::Revision(self.revision);
         self.revision = self.candidate.write(condition, &record).await?;
         self.record = record;
+        self.known_duration.set(duration);
         self.last_write_start.set(started);
         Ok(())
     }
--- a/crates/plat/tests/lease.rs
+++ b/crates/plat/tests/lease.rs
@@ -1,7 +1,9 @@
 //! Leases and conditional writes against the object API stand-in.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -138,6 +140,37 @@
     });
 }
 
+/// Guards against a changed duration that holds only after a restart, and against a holder that acts
+/// for longer than the duration that the others know.
+#[test]
+fn a_changed_duration_holds_from_the_next_renewal_on() {
+    run(async {
+        let world = World::start();
+        let duration = Rc::new(Cell::new(DURATION));
+        let setting = duration.clone();
+        let candidate = world.candidate("a").with_duration(Rc::new(move || setting.get()));
+        let Acquire::Held(mut held) = candidate.try_acquire().await else {
+            panic!("the lease is free")
+        };
+        let token = held.token();
+        duration.set(DURATION * 20);
+        monoio::time::sleep(DURATION * 3 / 4).await;
+        assert!(!token.is_valid(), "acts under a duration that nobody else knows");
+        held.renew().await.expect("renewed");
+        monoio::time::sleep(DURATION).await;
+        assert!(token.is_valid());
+        duration.set(DURATION);
+        world.faults(json!({ "outage": "refuse" })).await;
+        assert!(held.renew().await.is_err());
+        assert!(!token.is_valid(), "others may know the shorter duration already");
+        world.faults(json!({ "outage": "none" })).await;
+        held.renew().await.expect("renewed");
+        let second = world.acquire("b").await;
+        assert!(!token.is_valid());
+        assert_eq!(second.previous_duration(), Some(DURATION));
+    });
+}
+
 /// Guards against a conditional write that overwrites another one.
 #[test]
 fn racing_writers_conflict() {
