Define metrics and their reference rows once, in deck-obs

Cause: the list of metrics, its row type and the builders of instruments stood in four crates in nearly the same lines; decknode would have been the fifth. Change: metric_rows! and the builders of MetricRow. Names, units and labels are unchanged; the tests that compare them with docs/metrics.md pass.

--- a/crates/call/src/metrics.rs
+++ b/crates/call/src/metrics.rs
@@ -4,104 +4,52 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use deck_obs::metrics::{LATENCY_BOUNDS_S, Metrics};
+use deck_obs::{metric_rows, metrics::Metrics};
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, Meter},
+    metrics::{Counter, Gauge, Histogram},
 };
 
 use crate::usage::UsageKey;
 
-/// Kind of a metric.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum MetricKind {
-    /// Only grows.
-    Counter,
-    /// Grows and falls.
-    Gauge,
-    /// Distribution.
-    Histogram,
-}
-
-impl MetricKind {
-    /// Returns the name used in the reference.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Counter => "counter",
-            Self::Gauge => "gauge",
-            Self::Histogram => "histogram",
-        }
-    }
-}
-
-/// Description of one metric.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct MetricRow {
-    /// Name.
-    pub name: &'static str,
-    /// Kind.
-    pub kind: MetricKind,
-    /// Unit.
-    pub unit: &'static str,
-    /// Labels, separated by commas.
-    pub labels: &'static str,
-    /// What it counts.
-    pub help: &'static str,
-}
-
-macro_rules! metrics {
-    ($($constant:ident = $name:literal, $kind:ident, $unit:literal, $labels:literal, $help:literal;)*) => {
-        $(const $constant: MetricRow = MetricRow {
-            name: $name,
-            kind: MetricKind::$kind,
-            unit: $unit,
-            labels: $labels,
-            help: $help,
-        };)*
-
-        /// All metrics of the data path.
-        pub const METRICS: &[MetricRow] = &[$($constant,)*];
-    };
-}
-
-metrics! {
-    REQUESTS = "deckentry_requests_total", Counter, "requests", "pool, organisation, code",
+metric_rows! {
+    REQUESTS = "deckentry_requests_total", "counter", "requests", "pool, organisation, code",
         "Requests answered, by code of the error table or status class.";
-    DURATION = "deckentry_request_duration_seconds", Histogram, "seconds", "pool, organisation, priority",
+    DURATION = "deckentry_request_duration_seconds", "histogram", "seconds", "pool, organisation, priority",
         "Time from the head of a request to the end of its answer.";
-    FIRST_BYTE = "deckentry_time_to_first_byte_seconds", Histogram, "seconds", "pool, priority",
+    FIRST_BYTE = "deckentry_time_to_first_byte_seconds", "histogram", "seconds", "pool, priority",
         "Time from the head of a request to the first byte of a target's answer.";
-    IN_FLIGHT = "deckentry_requests_in_flight", Gauge, "requests", "",
+    IN_FLIGHT = "deckentry_requests_in_flight", "gauge", "requests", "",
         "Requests that are being served.";
-    BODY_BYTES = "deckentry_request_body_bytes", Gauge, "bytes", "",
+    BODY_BYTES = "deckentry_request_body_bytes", "gauge", "bytes", "",
         "Memory that request bodies take.";
-    TRIES = "deckentry_tries_total", Counter, "tries", "pool, outcome",
+    TRIES = "deckentry_tries_total", "counter", "tries", "pool, outcome",
         "Requests sent to targets, by outcome.";
-    RETRIES = "deckentry_retries_total", Counter, "tries", "pool, reason",
+    RETRIES = "deckentry_retries_total", "counter", "tries", "pool, reason",
         "Tries after the first one, by reason.";
-    RESUMES = "deckentry_resumes_total", Counter, "tries", "pool",
+    RESUMES = "deckentry_resumes_total", "counter", "tries", "pool",
         "Completions continued on another engine with the text generated so far.";
-    CANCELS = "deckentry_cancels_total", Counter, "requests", "pool",
+    CANCELS = "deckentry_cancels_total", "counter", "requests", "pool",
         "Cancel orders sent to engines.";
-    CLAIMS = "deckentry_claims_total", Counter, "claims", "outcome",
+    CLAIMS = "deckentry_claims_total", "counter", "claims", "outcome",
         "Idempotency keys claimed in the object API, by outcome.";
-    CLAIM_DELETES = "deckentry_claim_deletes_total", Counter, "claims", "outcome",
+    CLAIM_DELETES = "deckentry_claim_deletes_total", "counter", "claims", "outcome",
         "Old claims deleted from the object API, by outcome.";
-    REPLAYS = "deckentry_replayed_answers_total", Counter, "answers", "source",
+    REPLAYS = "deckentry_replayed_answers_total", "counter", "answers", "source",
         "Repeats of non-idempotent requests answered from a record, by its place.";
-    TICKETS = "deckentry_tickets_issued_total", Counter, "tickets", "",
+    TICKETS = "deckentry_tickets_issued_total", "counter", "tickets", "",
         "Tickets issued.";
-    RECORDS = "deckentry_records", Gauge, "records", "",
+    RECORDS = "deckentry_records", "gauge", "records", "",
         "Non-idempotent calls on record.";
-    RECORD_BYTES = "deckentry_record_bytes", Gauge, "bytes", "",
+    RECORD_BYTES = "deckentry_record_bytes", "gauge", "bytes", "",
         "Memory that recorded answers take.";
-    CRASHES = "deckentry_target_crashes_total", Counter, "crashes", "pool",
+    CRASHES = "deckentry_target_crashes_total", "counter", "crashes", "pool",
         "Calls during which a target broke.";
-    TOKENS = "deckentry_tokens_total", Counter, "tokens", "organisation, job, pool",
+    TOKENS = "deckentry_tokens_total", "counter", "tokens", "organisation, job, pool",
         "Tokens generated, counted once per call.";
-    ENGINE_TIME = "deckentry_engine_seconds_total", Counter, "seconds", "organisation, job, pool",
+    ENGINE_TIME = "deckentry_engine_seconds_total", "counter", "seconds", "organisation, job, pool",
         "Time that targets spent on calls.";
-    LOAD_POLLS = "deckentry_load_polls_total", Counter, "requests", "outcome",
+    LOAD_POLLS = "deckentry_load_polls_total", "counter", "requests", "outcome",
         "Load reports requested from engines, by outcome.";
 }
 
@@ -134,23 +82,6 @@
     load_polls: Counter<u64>,
 }
 
-fn counter(meter: &Meter, row: MetricRow) -> Counter<u64> {
-    meter.u64_counter(row.name).with_description(row.help).with_unit(row.unit).build()
-}
-
-fn gauge(meter: &Meter, row: MetricRow) -> Gauge<u64> {
-    meter.u64_gauge(row.name).with_description(row.help).with_unit(row.unit).build()
-}
-
-fn histogram(meter: &Meter, row: MetricRow) -> Histogram<f64> {
-    meter
-        .f64_histogram(row.name)
-        .with_description(row.help)
-        .with_unit(row.unit)
-        .with_boundaries(LATENCY_BOUNDS_S.to_vec())
-        .build()
-}
-
 fn label(name: &'static str, value: &str) -> KeyValue {
     KeyValue::new(name, value.to_owned())
 }
@@ -172,30 +103,26 @@
         let meter = metrics.meter("call");
         Self {
             inner: Rc::new(Instruments {
-                requests: counter(&meter, REQUESTS),
-                duration: histogram(&meter, DURATION),
-                first_byte: histogram(&meter, FIRST_BYTE),
-                in_flight: gauge(&meter, IN_FLIGHT),
+                requests: REQUESTS.counter(&meter),
+                duration: DURATION.latencies(&meter),
+                first_byte: FIRST_BYTE.latencies(&meter),
+                in_flight: IN_FLIGHT.gauge(&meter),
                 in_flight_count: Cell::new(0),
-                body_bytes: gauge(&meter, BODY_BYTES),
-                tries: counter(&meter, TRIES),
-                retries: counter(&meter, RETRIES),
-                resumes: counter(&meter, RESUMES),
-                cancels: counter(&meter, CANCELS),
-                claims: counter(&meter, CLAIMS),
-                claim_deletes: counter(&meter, CLAIM_DELETES),
-                replays: counter(&meter, REPLAYS),
-                tickets: counter(&meter, TICKETS),
-                records: gauge(&meter, RECORDS),
-                record_bytes: gauge(&meter, RECORD_BYTES),
-                crashes: counter(&meter, CRASHES),
-                tokens: counter(&meter, TOKENS),
-                engine_time: meter
-                    .f64_counter(ENGINE_TIME.name)
-                    .with_description(ENGINE_TIME.help)
-                    .with_unit(ENGINE_TIME.unit)
-                    .build(),
-                load_polls: counter(&meter, LOAD_POLLS),
+                body_bytes: BODY_BYTES.gauge(&meter),
+                tries: TRIES.counter(&meter),
+                retries: RETRIES.counter(&meter),
+                resumes: RESUMES.counter(&meter),
+                cancels: CANCELS.counter(&meter),
+                claims: CLAIMS.counter(&meter),
+                claim_deletes: CLAIM_DELETES.counter(&meter),
+                replays: REPLAYS.counter(&meter),
+                tickets: TICKETS.counter(&meter),
+                records: RECORDS.gauge(&meter),
+                record_bytes: RECORD_BYTES.gauge(&meter),
+                crashes: CRASHES.counter(&meter),
+                tokens: TOKENS.counter(&meter),
+                engine_time: ENGINE_TIME.seconds_counter(&meter),
+                load_polls: LOAD_POLLS.counter(&meter),
             }),
         }
     }
--- a/crates/call/tests/metrics.rs
+++ b/crates/call/tests/metrics.rs
@@ -1,23 +1,15 @@
 //! Metrics reference: the page and the code list the same metrics.
 
 use deck_call::metrics::{CallMetrics, METRICS};
-use deck_obs::metrics::Metrics;
+use deck_obs::{metrics::Metrics, reference::documented_rows};
 
 const PAGE: &str = include_str!("../../../docs/metrics.md");
 
 /// Guards against metrics that are added, renamed or removed without the reference.
 #[test]
 fn reference_matches_the_code() {
-    let documented: Vec<&str> =
-        PAGE.lines().filter(|line| line.starts_with("| `deckentry_")).collect();
-    let expected: Vec<String> = METRICS
-        .iter()
-        .map(|row| {
-            let kind = row.kind.as_str();
-            format!("| `{}` | {kind} | {} | {} | {} |", row.name, row.unit, row.labels, row.help)
-        })
-        .collect();
-    assert_eq!(documented, expected);
+    let expected: Vec<String> = METRICS.iter().map(|row| row.table_row()).collect();
+    assert_eq!(documented_rows(PAGE, "deckentry_"), expected);
 }
 
 /// Guards against rows of the list that no instrument has, and against names without a unit.
@@ -37,7 +29,7 @@
     drop(in_flight);
     assert!(metrics.render().contains("deckentry_requests_in_flight 0"));
     for row in METRICS {
-        let is_counter = row.kind.as_str() == "counter";
+        let is_counter = row.kind == "counter";
         assert_eq!(row.name.ends_with("_total"), is_counter, "{}", row.name);
     }
 }
--- a/crates/peer/src/traffic.rs
+++ b/crates/peer/src/traffic.rs
@@ -2,35 +2,19 @@
 
 use std::cell::{Cell, RefCell};
 
-use deck_obs::{metrics::Metrics, reference::MetricRow};
+use deck_obs::{metric_rows, metrics::Metrics, reference::MetricRow};
 use opentelemetry::{KeyValue, metrics::Counter};
 
 use crate::wire::Message;
 
-const SENT: MetricRow = MetricRow {
-    name: "peer_sent_bytes_total",
-    kind: "counter",
-    unit: "bytes",
-    labels: "type",
-    help: "Bytes sent to other VMs, by type of message.",
-};
-const RECEIVED: MetricRow = MetricRow {
-    name: "peer_received_bytes_total",
-    kind: "counter",
-    unit: "bytes",
-    labels: "type",
-    help: "Bytes received from other VMs, by type of message.",
-};
-const STORE_CALLS: MetricRow = MetricRow {
-    name: "peer_store_calls_total",
-    kind: "counter",
-    unit: "calls",
-    labels: "",
-    help: "Calls on the object API for configuration and status.",
-};
-
-/// Metrics of the peer links, in the order of the reference `docs/metrics.md`.
-pub const METRICS: &[MetricRow] = &[SENT, RECEIVED, STORE_CALLS];
+metric_rows! {
+    SENT = "peer_sent_bytes_total", "counter", "bytes", "type",
+        "Bytes sent to other VMs, by type of message.";
+    RECEIVED = "peer_received_bytes_total", "counter", "bytes", "type",
+        "Bytes received from other VMs, by type of message.";
+    STORE_CALLS = "peer_store_calls_total", "counter", "calls", "",
+        "Calls on the object API for configuration and status.";
+}
 
 /// Largest header of a WebSocket frame of a message below 64 KiB, mask included.
 const FRAME_HEADER_BYTES: usize = 8;
@@ -74,11 +58,7 @@
             .map(|&message_type| MessageTraffic { message_type, ..MessageTraffic::default() })
             .collect();
         let meter = metrics.map(|metrics| metrics.meter("peer"));
-        let counter = |row: MetricRow| {
-            meter
-                .as_ref()
-                .map(|meter| meter.u64_counter(row.name).with_description(row.help).build())
-        };
+        let counter = |row: MetricRow| meter.as_ref().map(|meter| row.counter(meter));
         Self {
             types: RefCell::new(types),
             sent: counter(SENT),
--- a/crates/roll/src/metrics.rs
+++ b/crates/roll/src/metrics.rs
@@ -3,10 +3,7 @@
 use std::time::Duration;
 
 use deck_core::object::RolloutJob;
-use deck_obs::{
-    metrics::{LATENCY_BOUNDS_S, Metrics},
-    reference::MetricRow,
-};
+use deck_obs::{metric_rows, metrics::Metrics};
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
@@ -14,18 +11,7 @@
 
 use crate::{board::BoardStats, protocol::GroupDelivery};
 
-macro_rules! rows {
-    ($($row:ident = $name:literal, $kind:literal, $unit:literal, $labels:literal, $help:literal;)*) => {
-        $(const $row: MetricRow = MetricRow {
-            name: $name, kind: $kind, unit: $unit, labels: $labels, help: $help,
-        };)*
-
-        /// All metrics, in the order of the reference.
-        pub const METRICS: &[MetricRow] = &[$($row,)*];
-    };
-}
-
-rows! {
+metric_rows! {
     DELIVERED = "deckroll_samples_delivered_total", "counter", "samples", "",
         "Samples that the trainer confirmed to hold.";
     SENT = "deckroll_samples_sent_total", "counter", "samples", "staleness_versions",
@@ -82,24 +68,17 @@
     /// Creates the instruments.
     pub fn new(metrics: &Metrics) -> Self {
         let meter = metrics.meter("roll");
-        let count = |row: MetricRow| meter.u64_counter(row.name).with_description(row.help).build();
-        let seconds =
-            |row: MetricRow| meter.f64_counter(row.name).with_description(row.help).build();
         Self {
-            delivered: count(DELIVERED),
-            sent: count(SENT),
-            started: count(STARTED),
-            regenerated: count(REGENERATED),
-            generated: count(GENERATED),
-            thrown_away: count(THROWN_AWAY),
-            window: meter.u64_gauge(WINDOW.name).with_description(WINDOW.help).build(),
-            pull: meter
-                .f64_histogram(PULL.name)
-                .with_description(PULL.help)
-                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
-                .build(),
-            idle: seconds(IDLE),
-            elapsed: seconds(ELAPSED),
+            delivered: DELIVERED.counter(&meter),
+            sent: SENT.counter(&meter),
+            started: STARTED.counter(&meter),
+            regenerated: REGENERATED.counter(&meter),
+            generated: GENERATED.counter(&meter),
+            thrown_away: THROWN_AWAY.counter(&meter),
+            window: WINDOW.gauge(&meter),
+            pull: PULL.latencies(&meter),
+            idle: IDLE.seconds_counter(&meter),
+            elapsed: ELAPSED.seconds_counter(&meter),
         }
     }
 
--- a/crates/weight/src/metrics.rs
+++ b/crates/weight/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of weight rollouts. `docs/metrics.md` lists them; a test compares the two.
 
-use deck_obs::{metrics::Metrics, reference::MetricRow};
+use deck_obs::{metric_rows, metrics::Metrics};
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge},
@@ -8,30 +8,14 @@
 
 use crate::{engine::EngineError, plan::Order, status::PoolStatus};
 
-const ORDERS: MetricRow = MetricRow {
-    name: "deckweight_orders_total",
-    kind: "counter",
-    unit: "orders",
-    labels: "pool, order, outcome",
-    help: "Orders sent to targets, by what they ask for and how the target answered.",
-};
-const TARGETS: MetricRow = MetricRow {
-    name: "deckweight_targets",
-    kind: "gauge",
-    unit: "targets",
-    labels: "pool, state",
-    help: "Targets of an owned pool: all, settled, staged, failed, unreachable.",
-};
-const DESIRED_VERSION: MetricRow = MetricRow {
-    name: "deckweight_desired_version",
-    kind: "gauge",
-    unit: "version",
-    labels: "pool",
-    help: "Weight version to which an owned pool is brought.",
-};
-
-/// All metrics, in the order of the reference.
-pub const METRICS: &[MetricRow] = &[ORDERS, TARGETS, DESIRED_VERSION];
+metric_rows! {
+    ORDERS = "deckweight_orders_total", "counter", "orders", "pool, order, outcome",
+        "Orders sent to targets, by what they ask for and how the target answered.";
+    TARGETS = "deckweight_targets", "gauge", "targets", "pool, state",
+        "Targets of an owned pool: all, settled, staged, failed, unreachable.";
+    DESIRED_VERSION = "deckweight_desired_version", "gauge", "version", "pool",
+        "Weight version to which an owned pool is brought.";
+}
 
 /// Instruments; clones share their state.
 #[derive(Debug, Clone)]
@@ -45,11 +29,10 @@
     /// Creates the instruments.
     pub fn new(metrics: &Metrics) -> Self {
         let meter = metrics.meter("weight");
-        let gauge = |row: MetricRow| meter.u64_gauge(row.name).with_description(row.help).build();
         Self {
-            orders: meter.u64_counter(ORDERS.name).with_description(ORDERS.help).build(),
-            targets: gauge(TARGETS),
-            desired_version: gauge(DESIRED_VERSION),
+            orders: ORDERS.counter(&meter),
+            targets: TARGETS.gauge(&meter),
+            desired_version: DESIRED_VERSION.gauge(&meter),
         }
     }
 
