Explain refusals of deckctl explain's logs, count repeats, end quietly without a reader

Cause: a request that a node answered itself was logged nowhere or not explained; a cause that came ten times filled ten lines; deckctl panicked when the reader of its output had gone (found by piping explain into head). Change: the line 'refused' of front and 'target crashed' are causes; equal causes are counted; output goes through one function that ends the process when nobody reads. The three new or changed tests failed on the code before.

--- a/bins/deckctl/src/explain/story.rs
+++ b/bins/deckctl/src/explain/story.rs
@@ -52,15 +52,37 @@
         item_causes(&about, &mut causes);
     }
     let context: Vec<&LogLine> = lines.iter().filter(|line| is_context(line)).collect();
-    node_causes(&context, first.at, &mut causes);
+    node_causes(&context, nodes.len(), first.at, &mut causes);
+    let mut causes = count_repeats(causes);
     if causes.is_empty() {
         causes.push("Nothing in these logs went wrong.".to_owned());
     }
     Some(Story { lines: shown, causes })
 }
 
+/// Gives each cause once, with the number of its repetitions.
+fn count_repeats(causes: Vec<String>) -> Vec<String> {
+    let mut counted: Vec<(String, usize)> = Vec::new();
+    for cause in causes {
+        match counted.iter_mut().find(|(known, _)| *known == cause) {
+            Some((_, count)) => *count += 1,
+            None => counted.push((cause, 1)),
+        }
+    }
+    let text = |(cause, count): (String, usize)| match count {
+        1 => cause,
+        _ => format!("{} ({count} times).", cause.trim_end_matches('.')),
+    };
+    counted.into_iter().map(text).collect()
+}
+
 /// Causes that the nodes saw meanwhile: outages of the object API and restarts.
-fn node_causes(context: &[&LogLine], start: OffsetDateTime, causes: &mut Vec<String>) {
+fn node_causes(
+    context: &[&LogLine],
+    node_count: usize,
+    start: OffsetDateTime,
+    causes: &mut Vec<String>,
+) {
     let of = |event: &str| -> Vec<&&LogLine> {
         context.iter().filter(|line| line.event == event && line.at >= start).collect()
     };
@@ -74,7 +96,7 @@
         };
         let (count, from) = (nodes.len(), since(first));
         causes.push(format!(
-            "The object API did not answer {count} of the nodes, from {from:.1} s after the first line {end}."
+            "The object API did not answer {count} of these {node_count} nodes, from {from:.1} s after the first line {end}."
         ));
     }
     let started: BTreeSet<&str> = of("start").iter().map(|line| line.node.as_str()).collect();
@@ -95,6 +117,14 @@
                 let ran = if end.starts_with("NotRun") { "did not run" } else { "may have run" };
                 causes.push(format!("Target {target} {ran} the request: {end}."));
             }
+            ("front", "refused") => {
+                let error = line.field("error").unwrap_or("no reason given");
+                let version = line.field("configuration").unwrap_or("none");
+                causes.push(format!(
+                    "{} refused the request by configuration {version}: {error}.",
+                    line.node
+                ));
+            }
             ("forward", "target crashed") => {
                 let target = line.field("target").unwrap_or_default();
                 causes.push(format!("Target {target} crashed while it ran the request."));
--- a/bins/deckctl/src/main.rs
+++ b/bins/deckctl/src/main.rs
@@ -1,10 +1,12 @@
 //! `deckctl`: the operators' command line.
 
+#[macro_use]
+mod output;
+
 mod cli;
 mod error;
 mod explain;
 mod files;
-mod output;
 mod verbs;
 
 use std::process::ExitCode;
--- a/bins/deckctl/src/output.rs
+++ b/bins/deckctl/src/output.rs
@@ -1,12 +1,41 @@
 //! Output for people and for scripts.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    fmt,
+    io::{ErrorKind, Write},
+    process,
+};
 
 use serde::Serialize;
 use serde_json::Value;
 
 use crate::cli::Output;
 
+/// Exit code after output that could not be written.
+const OUTPUT_FAILED: i32 = 1;
+
+/// Prints text. A reader that has gone has read what it wanted: the process ends without an error.
+macro_rules! print_text {
+    ($($text:tt)*) => { $crate::output::write(format_args!($($text)*)) };
+}
+
+/// Prints a line, see `print_text`.
+macro_rules! print_line {
+    () => { $crate::output::write(format_args!("\n")) };
+    ($($text:tt)*) => { $crate::output::write(format_args!("{}\n", format_args!($($text)*))) };
+}
+
+/// Writes to standard output; ends the process if that is not possible.
+pub fn write(text: fmt::Arguments<'_>) {
+    let Err(error) = std::io::stdout().write_fmt(text) else { return };
+    if error.kind() == ErrorKind::BrokenPipe {
+        process::exit(0);
+    }
+    eprintln!("deckctl: output not written: {error}");
+    process::exit(OUTPUT_FAILED);
+}
+
 /// What a verb did with one object.
 #[derive(Debug)]
 #[derive(Serialize)]
@@ -28,9 +57,9 @@
             for action in actions {
                 match action.revision {
                     Some(revision) => {
-                        println!("{} {} (revision {revision})", action.object, action.action);
+                        print_line!("{} {} (revision {revision})", action.object, action.action);
                     }
-                    None => println!("{} {}", action.object, action.action),
+                    None => print_line!("{} {}", action.object, action.action),
                 }
             }
         }
@@ -40,7 +69,7 @@
 /// Prints one JSON document on one line.
 pub fn print_json<T: Serialize>(value: &T) {
     match serde_json::to_string(value) {
-        Ok(text) => println!("{text}"),
+        Ok(text) => print_line!("{text}"),
         Err(error) => eprintln!("deckctl: output not written: {error}"),
     }
 }
@@ -50,7 +79,7 @@
     let mut fields = BTreeMap::new();
     flatten(String::new(), value, &mut fields);
     for (field, text) in fields {
-        println!("{:indent$}{field}: {text}", "");
+        print_line!("{:indent$}{field}: {text}", "");
     }
 }
 
--- a/bins/deckctl/src/verbs/describe.rs
+++ b/bins/deckctl/src/verbs/describe.rs
@@ -22,8 +22,8 @@
     match output {
         Output::Json => print_json(&json!({ "object": object, "status": status })),
         Output::Text => {
-            println!("{kind}/{name} (revision {})", object.revision);
-            println!("spec:");
+            print_line!("{kind}/{name} (revision {})", object.revision);
+            print_line!("spec:");
             print_fields(&object.value["spec"], 2);
             print_status(status.as_ref());
         }
@@ -34,9 +34,9 @@
 fn print_status(status: Option<&Value>) {
     match status {
         Some(status) => {
-            println!("status:");
+            print_line!("status:");
             print_fields(status, 2);
         }
-        None => println!("status: none written yet"),
+        None => print_line!("status: none written yet"),
     }
 }
--- a/bins/deckctl/src/verbs/diff.rs
+++ b/bins/deckctl/src/verbs/diff.rs
@@ -68,9 +68,9 @@
 
 fn print(difference: &Difference) {
     if let Some(stored) = &difference.stored {
-        println!("- {} {}: {stored}", difference.object, difference.field);
+        print_line!("- {} {}: {stored}", difference.object, difference.field);
     }
     if let Some(file) = &difference.file {
-        println!("+ {} {}: {file}", difference.object, difference.field);
+        print_line!("+ {} {}: {file}", difference.object, difference.field);
     }
 }
--- a/bins/deckctl/src/verbs/explain.rs
+++ b/bins/deckctl/src/verbs/explain.rs
@@ -34,7 +34,7 @@
                        "component": line.component})
             });
             let lines: Vec<_> = lines.collect();
-            println!("{}", json!({"id": id, "causes": story.causes, "lines": lines}));
+            print_line!("{}", json!({"id": id, "causes": story.causes, "lines": lines}));
         }
     }
     Ok(())
@@ -51,14 +51,14 @@
 }
 
 fn print_text(id: &str, story: &Story<'_>) {
-    println!("{id}");
+    print_line!("{id}");
     for cause in &story.causes {
-        println!("- {cause}");
+        print_line!("- {cause}");
     }
-    println!();
+    print_line!();
     let start = story.lines.first().map(|line| line.at);
     for line in &story.lines {
         let since = start.map_or(0.0, |start| (line.at - start).as_seconds_f64());
-        println!("{since:9.3} {} {}: {}", line.node, line.component, line.text);
+        print_line!("{since:9.3} {} {}: {}", line.node, line.component, line.text);
     }
 }
--- a/bins/deckctl/src/verbs/get.rs
+++ b/bins/deckctl/src/verbs/get.rs
@@ -22,9 +22,14 @@
     match output {
         Output::Json => print_json(&objects),
         Output::Text => {
-            println!("{:<32} {:>10}  SUMMARY", "NAME", "REVISION");
+            print_line!("{:<32} {:>10}  SUMMARY", "NAME", "REVISION");
             for object in &objects {
-                println!("{:<32} {:>10}  {}", object.name, object.revision, summary(kind, object));
+                print_line!(
+                    "{:<32} {:>10}  {}",
+                    object.name,
+                    object.revision,
+                    summary(kind, object)
+                );
             }
         }
     }
--- a/bins/deckctl/src/verbs/report.rs
+++ b/bins/deckctl/src/verbs/report.rs
@@ -121,7 +121,7 @@
     }
     match output {
         Output::Json => print_json(&report),
-        Output::Text => print!("{}", html::text(&report)),
+        Output::Text => print_text!("{}", html::text(&report)),
     }
     Ok(())
 }
--- a/bins/deckctl/src/verbs/watch.rs
+++ b/bins/deckctl/src/verbs/watch.rs
@@ -90,14 +90,14 @@
             print_json(&json!({ "event": event_name, "object": object }));
         }
         (WatchEvent::Put(object), Output::Text) => {
-            println!("{}/{} put (revision {})", object.kind, object.name, object.revision);
+            print_line!("{}/{} put (revision {})", object.kind, object.name, object.revision);
             print_fields(&object.value["spec"], 2);
         }
         (WatchEvent::Delete { kind, name, revision }, Output::Json) => print_json(&json!({
             "event": event_name, "kind": kind, "name": name, "revision": revision,
         })),
         (WatchEvent::Delete { kind, name, revision }, Output::Text) => {
-            println!("{kind}/{name} deleted (revision {revision})");
+            print_line!("{kind}/{name} deleted (revision {revision})");
         }
         (WatchEvent::Bookmark(_), _) => {}
     }
--- a/bins/deckctl/tests/explain.rs
+++ b/bins/deckctl/tests/explain.rs
@@ -1,6 +1,9 @@
 //! `deckctl explain` on logs of several nodes.
 
-use std::{path::PathBuf, process::Command};
+use std::{
+    path::PathBuf,
+    process::{Command, Stdio},
+};
 
 use deck_testkit::program;
 
@@ -36,7 +39,7 @@
     let (code, text) = explain("j", &[&first, &second]);
     assert_eq!(code, Some(0), "{text}");
     assert!(text.contains("- edge-1 took the job over, as edge-0 was silent."), "{text}");
-    let outage = "did not answer 1 of the nodes, from 0.4 s after the first line until 0.9 s.";
+    let outage = "did not answer 1 of these 2 nodes, from 0.4 s after the first line until 0.9 s.";
     assert!(text.contains(outage), "{text}");
     let accepted = text.find("edge-0 batch: job accepted").expect("accepted");
     assert!(accepted < text.find("edge-1 batch: job taken over").expect("taken over"), "{text}");
@@ -70,3 +73,45 @@
     assert!(two.contains("edge-a batch: job accepted"), "{two}");
     std::fs::remove_file(file).expect("own file");
 }
+
+/// Guards against a refusal without its reason, and against a cause that is repeated once for each
+/// line.
+#[test]
+fn refusals_are_explained_and_counted() {
+    let line = |text: &str| format!("2026-12-04T05:00:01Z {text}\n");
+    let refused = line(
+        "[WARN] front: refused request=r configuration=7 known_ms=90 error=unknown_pool: no route for host and path",
+    );
+    let job = line("[WARN] batch: job refused job=j error=object API unavailable: status 503");
+    let crash = line(
+        "[INFO] forward: target crashed request=p target=t crashes_alone=1 crashes_in_company=1",
+    );
+    let file = log_file(&[refused, job.repeat(3), crash].concat());
+    let (code, text) = explain("r", &[&file]);
+    assert_eq!(code, Some(0), "{text}");
+    let reason =
+        "refused the request by configuration 7: unknown_pool: no route for host and path.";
+    assert!(text.contains(reason), "{text}");
+    let (_, text) = explain("j", &[&file]);
+    assert!(text.contains("status 503 (3 times)."), "{text}");
+    assert_eq!(text.matches("nothing of it runs").count(), 1, "{text}");
+    let (_, text) = explain("p", &[&file]);
+    assert!(text.contains("Target t crashed while it ran the request."), "{text}");
+    std::fs::remove_file(file).expect("own file");
+}
+
+/// Guards against a verb that fails because the reader of its output has gone, as `head` does.
+#[test]
+fn reader_that_leaves_is_no_error() {
+    let line = "2026-12-04T05:00:01Z [WARN] batch: job refused job=j error=status 503\n";
+    let file = log_file(&line.repeat(20_000));
+    let mut command = Command::new(program("deckctl"));
+    let command = command.arg("explain").arg("j").arg(&file);
+    let child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn();
+    let mut child = child.expect("program runs");
+    drop(child.stdout.take());
+    let output = child.wait_with_output().expect("program ends");
+    assert!(output.status.success(), "{:?}", output.status);
+    assert_eq!(String::from_utf8_lossy(&output.stderr), "");
+    std::fs::remove_file(file).expect("own file");
+}
