--- a/bins/decknode/src/front.rs
+++ b/bins/decknode/src/front.rs
@@ -43,7 +43,8 @@
     pub async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
         let (arrived, purpose) = (Instant::now(), self.purpose(&request));
         let mut response = self.answer(request).await;
-        self.metrics.record(purpose, response.status().as_u16(), arrived.elapsed());
+        let error = response.extensions().get::<ErrorKind>().copied();
+        self.metrics.record(&purpose, response.status().as_u16(), error, arrived.elapsed());
         if self.draining.get() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
@@ -57,7 +58,10 @@
         }
         let configuration = self.view.configuration();
         let route = configuration.and_then(|configuration| find_route(&configuration, request));
-        route.map_or(Purpose::None, |route| Purpose::Route(route.kind))
+        route.map_or(Purpose::None, |route| Purpose::Route {
+            kind: route.kind,
+            name: route.name.clone(),
+        })
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
@@ -68,7 +72,11 @@
             return self.batch.call(call, &head).await;
         }
         let id = head.request_id.clone().unwrap_or_default();
-        let refuse = |error: CallError| error_response(&error, &id);
+        let refuse = |error: CallError| {
+            let known = self.view.known();
+            log::warn!(target: "front", "refused request={id} {known} error={error}");
+            error_response(&error, &id)
+        };
         let Some(configuration) = self.view.configuration().filter(|_| self.view.is_complete())
         else {
             let error = CallError::new(ErrorKind::NotReady, "no configuration yet");
@@ -89,7 +97,6 @@
                 return refuse(CallError::new(ErrorKind::BodyTooLarge, message));
             }
             Err(error) => {
-                log::info!(target: "front", "body not received request={id} error={error}");
                 return refuse(CallError::new(ErrorKind::BadRequest, error.to_string()));
             }
         };
@@ -110,7 +117,7 @@
         };
         match self.forwarder.forward(call).await {
             Ok(reply) => reply_response(reply, &method),
-            Err(error) => refuse(error),
+            Err(error) => error_response(&error, &id),
         }
     }
 }
--- a/bins/decknode/src/lead.rs
+++ b/bins/decknode/src/lead.rs
@@ -1,7 +1,7 @@
 //! The lease of the node that runs new batch jobs and gives orders.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -46,6 +46,8 @@
     pub bounds: Rc<RefCell<Bounds>>,
     /// Batch jobs.
     pub batch: BatchService,
+    /// Whether this node holds the lease.
+    pub leads: Rc<Cell<bool>>,
 }
 
 /// Competes for the lease and does its duties while this node holds it, until `cancel` is
@@ -137,7 +139,9 @@
     monoio::spawn(async move { batch.sweep(job_retention, sweep_stop).await });
     let (giver, order_stop) = (duties.giver.clone(), stop.clone());
     monoio::spawn(async move { giver.run(token, start, order_stop).await });
+    duties.leads.set(true);
     let kept = held.keep(cancel.clone()).await;
+    duties.leads.set(false);
     stop.cancel();
     match kept {
         Kept::Lost(candidate) => {
--- /dev/null
+++ b/bins/decknode/src/lib.rs
@@ -0,0 +1,9 @@
+//! The parts of `decknode`: requests of callers, leadership, membership, metrics and the life of the
+//! process.
+
+mod front;
+mod lead;
+pub mod metrics;
+mod nodes;
+pub mod process;
+mod retire;
--- a/bins/decknode/src/main.rs
+++ b/bins/decknode/src/main.rs
@@ -4,13 +4,7 @@
 
 use bpaf::{OptionParser, Parser, construct, long};
 use deck_platform::{SETTINGS_VARIABLE, read_settings};
-
-mod front;
-mod lead;
-mod metrics;
-mod nodes;
-mod process;
-mod retire;
+use decknode::process;
 
 /// Exit code for arguments or settings that are not valid.
 const INVALID_SETTINGS: u8 = 2;
@@ -20,6 +14,7 @@
     config: Option<PathBuf>,
     check: bool,
     log: String,
+    metrics_port: Option<u16>,
 }
 
 fn main() -> ExitCode {
@@ -51,7 +46,7 @@
         eprintln!("decknode: {error}");
         return ExitCode::FAILURE;
     }
-    match deck_net::runtime::run(process::run(file, settings)).flatten() {
+    match deck_net::runtime::run(process::run(file, settings, arguments.metrics_port)).flatten() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!(target: "node", "stopped error={error}");
@@ -69,11 +64,15 @@
         .help("Check the settings file and exit; exits with 2 if it is not valid")
         .switch();
     let log = long("log")
-        .help("Lowest level that is logged: error, warn, info, debug or trace")
+        .help("Lowest level that is logged: off, error, warn, info, debug or trace")
         .argument::<String>("LEVEL")
         .guard(|level| level.parse::<log::LevelFilter>().is_ok(), "not a log level")
         .fallback("info".to_owned());
-    construct!(Arguments { config, check, log })
+    let metrics_port = long("metrics-port")
+        .help("Port on which metrics are served at /metrics, beside the ready address")
+        .argument::<u16>("PORT")
+        .optional();
+    construct!(Arguments { config, check, log, metrics_port })
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Serves callers, batch jobs and weight orders on one entry VM of the platform.")
--- a/bins/decknode/src/metrics.rs
+++ b/bins/decknode/src/metrics.rs
@@ -1,32 +1,130 @@
-//! Metrics of the node, in the Prometheus text format.
+//! Metrics of the node. `docs/metrics.md` lists them; a test compares the two.
 
-use std::time::Duration;
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use deck_fleet::{RouteKind, View};
-use deck_obs::metrics::{LATENCY_BOUNDS_S, Metrics};
+use deck_core::{error::ErrorKind, id::WeightVersion};
+use deck_fleet::{
+    AttemptEnd, Engines, ItemOutcome, JobChange, Observer, RouteKind, RunEnd, View,
+    config::ModelName,
+};
+use deck_obs::{metric_rows, metrics::Metrics, process::resident_bytes};
 use deck_plat::metered::CallRecord;
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
 };
 
+metric_rows! {
+    REQUESTS = "decknode_requests_total", "counter", "requests", "purpose, route, status, reason",
+        "Requests of callers; `reason` is the code of an error of the node's own, or `none`.";
+    REQUEST_TIME = "decknode_request_seconds", "histogram", "seconds", "purpose",
+        "Time from the head of a request to the head of its answer.";
+    ATTEMPTS = "decknode_attempts_total", "counter", "attempts", "outcome",
+        "Attempts of plain requests and reward calls at targets that have ended.";
+    FIRST_BYTE = "decknode_first_byte_seconds", "histogram", "seconds", "",
+        "Time from the start of an attempt to the head of the target's answer.";
+    JOBS = "decknode_jobs_total", "counter", "jobs", "change",
+        "Batch jobs that this node accepted, refused, doubts, took over, received or ended.";
+    OPEN_JOBS = "decknode_open_jobs", "gauge", "jobs", "",
+        "Batch jobs that this node runs and that are neither complete nor ended.";
+    ITEM_WAIT = "decknode_item_wait_seconds", "histogram", "seconds", "",
+        "Time from the submission of a job to the first run of an item.";
+    FIRST_EVENT = "decknode_first_event_seconds", "histogram", "seconds", "",
+        "Time from the start of a run of an item to its first event.";
+    RUNS = "decknode_runs_total", "counter", "runs", "end",
+        "Runs of items that have ended.";
+    RUN_TIME = "decknode_run_seconds", "histogram", "seconds", "end",
+        "Time of these runs.";
+    ITEMS = "decknode_items_total", "counter", "items", "outcome",
+        "Items whose results this node has stored.";
+    RESULTS = "decknode_results_stored_total", "counter", "results", "",
+        "Results stored at their positions.";
+    GROUPS = "decknode_groups_total", "counter", "groups", "on_time",
+        "Groups whose results are all stored, in time or late, and groups open when their job was ended.";
+    ORDERS = "decknode_orders_total", "counter", "orders", "reply",
+        "Orders to change weights, by the answer of the target.";
+    LOAD_TIME = "decknode_load_seconds", "histogram", "seconds", "",
+        "Time from an order to its target's report that it has the version.";
+    ENGINES = "decknode_engines", "gauge", "targets", "model, versions_behind",
+        "Engines by how many versions they are behind the newest one that this node knows; 3 stands for more.";
+    NEWEST_VERSION = "decknode_newest_version", "gauge", "version", "model",
+        "Newest version of a model on any engine.";
+    LEADS = "decknode_leads", "gauge", "nodes", "",
+        "1 if this node holds the lease of the leader.";
+    STORE_CALLS = "decknode_store_calls_total", "counter", "calls", "operation, kind, outcome",
+        "Calls on the object API that have ended, watches left out.";
+    STORE_CALL_TIME = "decknode_store_call_seconds", "histogram", "seconds", "operation",
+        "Time of these calls.";
+    CONFIGURATION_VERSION = "decknode_configuration_version", "gauge", "version", "",
+        "Version of the configuration in force.";
+    KNOWLEDGE_AGE = "decknode_knowledge_age_seconds", "gauge", "seconds", "",
+        "Age of what the node knows of configuration and targets.";
+    TARGETS = "decknode_targets", "gauge", "targets", "",
+        "Targets that the node knows.";
+    MEMORY = "decknode_resident_bytes", "gauge", "bytes", "",
+        "Resident memory of the process.";
+}
+
+/// Most routes that have a label of their own; the others are counted together.
+const MAX_ROUTES: usize = 64;
+/// Label of routes without one of their own.
+const OTHER_ROUTES: &str = "other";
+/// Label of an answer that is not an error of the node's own.
+const NO_REASON: &str = "none";
+/// Largest number of versions behind that has a label of its own.
+const MAX_BEHIND: WeightVersion = 3;
+
 /// Instruments of the node; clones share them.
 #[derive(Clone)]
 pub struct NodeMetrics {
     metrics: Metrics,
+    instruments: Rc<Instruments>,
+}
+
+struct Instruments {
     requests: Counter<u64>,
     request_time: Histogram<f64>,
+    attempts: Counter<u64>,
+    first_byte: Histogram<f64>,
+    jobs: Counter<u64>,
+    open_jobs: Gauge<u64>,
+    item_wait: Histogram<f64>,
+    first_event: Histogram<f64>,
+    runs: Counter<u64>,
+    run_time: Histogram<f64>,
+    items: Counter<u64>,
+    results: Counter<u64>,
+    groups: Counter<u64>,
+    orders: Counter<u64>,
+    load_time: Histogram<f64>,
+    engines: Gauge<u64>,
+    newest_version: Gauge<u64>,
+    leads: Gauge<u64>,
     store_calls: Counter<u64>,
     store_call_time: Histogram<f64>,
     configuration_version: Gauge<u64>,
+    knowledge_age: Gauge<f64>,
     targets: Gauge<u64>,
+    memory: Gauge<u64>,
+    /// Routes with a label of their own.
+    routes: RefCell<BTreeSet<String>>,
 }
 
 /// What a request was for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Purpose {
     /// A request of a plain route.
-    Route(RouteKind),
+    Route {
+        /// Kind of the route.
+        kind: RouteKind,
+        /// Name of the route.
+        name: String,
+    },
     /// A read, a body or the end of a batch job.
     Batch,
     /// No route.
@@ -34,58 +132,70 @@
 }
 
 impl Purpose {
-    fn label(self) -> &'static str {
+    fn label(&self) -> &'static str {
         match self {
-            Self::Route(RouteKind::Idempotent) => "idempotent",
-            Self::Route(RouteKind::NonIdempotent) => "non_idempotent",
-            Self::Route(RouteKind::Streaming) => "streaming",
-            Self::Route(RouteKind::Rollout) => "submission",
+            Self::Route { kind: RouteKind::Idempotent, .. } => "idempotent",
+            Self::Route { kind: RouteKind::NonIdempotent, .. } => "non_idempotent",
+            Self::Route { kind: RouteKind::Streaming, .. } => "streaming",
+            Self::Route { kind: RouteKind::Rollout, .. } => "submission",
             Self::Batch => "batch",
             Self::None => "no_route",
         }
     }
+
+    fn route(&self) -> &str {
+        match self {
+            Self::Route { name, .. } => name,
+            Self::Batch | Self::None => NO_REASON,
+        }
+    }
+}
+
+/// What the gauges show.
+pub struct NodeState<'a> {
+    /// Knowledge of the deployment.
+    pub view: &'a View,
+    /// Engines.
+    pub engines: &'a Engines,
+    /// Jobs that the node runs.
+    pub open_jobs: usize,
+    /// Whether the node holds the lease of the leader.
+    pub leads: bool,
 }
 
 impl NodeMetrics {
     /// Returns instruments without any values.
     pub fn new() -> Self {
         let metrics = Metrics::default();
-        let meter = metrics.meter("decknode");
-        let requests = meter
-            .u64_counter("decknode_requests_total")
-            .with_description("Requests of callers by purpose and status of the answer.")
-            .build();
-        let request_time = meter
-            .f64_histogram("decknode_request_seconds")
-            .with_description("Time until the head of the answer, by purpose.")
-            .with_boundaries(LATENCY_BOUNDS_S.to_vec())
-            .build();
-        let store_calls = meter
-            .u64_counter("decknode_store_calls_total")
-            .with_description("Calls on the object API by operation, kind and outcome.")
-            .build();
-        let store_call_time = meter
-            .f64_histogram("decknode_store_call_seconds")
-            .with_description("Time of calls on the object API by operation.")
-            .with_boundaries(LATENCY_BOUNDS_S.to_vec())
-            .build();
-        let configuration_version = meter
-            .u64_gauge("decknode_configuration_version")
-            .with_description("Version of the configuration in force.")
-            .build();
-        let targets = meter
-            .u64_gauge("decknode_targets")
-            .with_description("Targets that the node knows.")
-            .build();
-        Self {
-            metrics,
-            requests,
-            request_time,
-            store_calls,
-            store_call_time,
-            configuration_version,
-            targets,
-        }
+        let meter = &metrics.meter("decknode");
+        let instruments = Instruments {
+            requests: REQUESTS.counter(meter),
+            request_time: REQUEST_TIME.latencies(meter),
+            attempts: ATTEMPTS.counter(meter),
+            first_byte: FIRST_BYTE.latencies(meter),
+            jobs: JOBS.counter(meter),
+            open_jobs: OPEN_JOBS.gauge(meter),
+            item_wait: ITEM_WAIT.latencies(meter),
+            first_event: FIRST_EVENT.latencies(meter),
+            runs: RUNS.counter(meter),
+            run_time: RUN_TIME.latencies(meter),
+            items: ITEMS.counter(meter),
+            results: RESULTS.counter(meter),
+            groups: GROUPS.counter(meter),
+            orders: ORDERS.counter(meter),
+            load_time: LOAD_TIME.latencies(meter),
+            engines: ENGINES.gauge(meter),
+            newest_version: NEWEST_VERSION.gauge(meter),
+            leads: LEADS.gauge(meter),
+            store_calls: STORE_CALLS.counter(meter),
+            store_call_time: STORE_CALL_TIME.latencies(meter),
+            configuration_version: CONFIGURATION_VERSION.gauge(meter),
+            knowledge_age: KNOWLEDGE_AGE.seconds_gauge(meter),
+            targets: TARGETS.gauge(meter),
+            memory: MEMORY.gauge(meter),
+            routes: RefCell::default(),
+        };
+        Self { metrics, instruments: Rc::new(instruments) }
     }
 
     /// Takes note of a call on the object API.
@@ -93,23 +203,136 @@
         let operation = KeyValue::new("operation", call.operation.label());
         let kind = KeyValue::new("kind", call.kind.to_owned());
         let outcome = KeyValue::new("outcome", call.outcome.label());
-        self.store_calls.add(1, &[operation.clone(), kind, outcome]);
-        self.store_call_time.record(call.time.as_secs_f64(), &[operation]);
+        self.instruments.store_calls.add(1, &[operation.clone(), kind, outcome]);
+        self.instruments.store_call_time.record(call.time.as_secs_f64(), &[operation]);
     }
 
-    /// Takes note of an answer.
-    pub fn record(&self, purpose: Purpose, status: u16, time: Duration) {
-        let purpose = KeyValue::new("purpose", purpose.label());
-        let status = KeyValue::new("status", i64::from(status));
-        self.requests.add(1, &[purpose.clone(), status]);
-        self.request_time.record(time.as_secs_f64(), &[purpose]);
+    /// Takes note of an answer; `error` is set if it is an error of the node's own.
+    pub fn record(&self, purpose: &Purpose, status: u16, error: Option<ErrorKind>, time: Duration) {
+        let labels = [
+            KeyValue::new("purpose", purpose.label()),
+            KeyValue::new("route", self.route_label(purpose.route())),
+            KeyValue::new("status", i64::from(status)),
+            KeyValue::new("reason", error.map_or(NO_REASON, |kind| kind.row().code)),
+        ];
+        self.instruments.requests.add(1, &labels);
+        self.instruments.request_time.record(time.as_secs_f64(), &labels[..1]);
+    }
+
+    fn route_label(&self, route: &str) -> String {
+        let mut routes = self.instruments.routes.borrow_mut();
+        if routes.contains(route) {
+            return route.to_owned();
+        }
+        if routes.len() >= MAX_ROUTES {
+            return OTHER_ROUTES.to_owned();
+        }
+        routes.insert(route.to_owned());
+        route.to_owned()
     }
 
     /// Returns all metrics as text.
-    pub fn render(&self, view: &View) -> String {
+    pub fn render(&self, state: &NodeState<'_>) -> String {
+        let view = state.view;
+        let instruments = &self.instruments;
         let version = view.configuration().map_or(0, |configuration| configuration.version);
-        self.configuration_version.record(version, &[]);
-        self.targets.record(view.targets().len() as u64, &[]);
+        instruments.configuration_version.record(version, &[]);
+        if let Some(age) = view.age(Instant::now()) {
+            instruments.knowledge_age.record(age.as_secs_f64(), &[]);
+        }
+        instruments.targets.record(view.targets().len() as u64, &[]);
+        instruments.open_jobs.record(state.open_jobs as u64, &[]);
+        instruments.leads.record(u64::from(state.leads), &[]);
+        match resident_bytes() {
+            Ok(bytes) => instruments.memory.record(bytes, &[]),
+            Err(error) => log::debug!(target: "node", "memory not read error={error}"),
+        }
+        for (model, versions) in versions(view, state.engines) {
+            self.record_versions(&model, &versions);
+        }
         self.metrics.render()
     }
+
+    fn record_versions(&self, model: &str, versions: &[WeightVersion]) {
+        let Some(newest) = versions.iter().copied().max() else { return };
+        let label = KeyValue::new("model", model.to_owned());
+        self.instruments.newest_version.record(newest, std::slice::from_ref(&label));
+        for behind in 0..=MAX_BEHIND {
+            let at = |version: &&WeightVersion| (newest - **version).min(MAX_BEHIND) == behind;
+            let count = versions.iter().filter(at).count() as u64;
+            let behind = KeyValue::new("versions_behind", behind as i64);
+            self.instruments.engines.record(count, &[label.clone(), behind]);
+        }
+    }
+}
+
+/// Returns the versions of each model on the engines that hold it.
+fn versions(view: &View, engines: &Engines) -> BTreeMap<ModelName, Vec<WeightVersion>> {
+    let mut versions: BTreeMap<ModelName, Vec<WeightVersion>> = BTreeMap::new();
+    let Some(configuration) = view.configuration() else { return versions };
+    for service in configuration.services.values() {
+        for model in service.engine.iter().flat_map(|engine| &engine.models) {
+            let targets = view.targets_of(&service.name);
+            let known = targets.iter().filter_map(|target| engines.version(target, model));
+            versions.entry(model.clone()).or_default().extend(known);
+        }
+    }
+    versions
+}
+
+impl Observer for NodeMetrics {
+    fn attempt(&self, end: AttemptEnd, first_byte: Option<Duration>) {
+        self.instruments.attempts.add(1, &[KeyValue::new("outcome", end.label())]);
+        if let Some(time) = first_byte {
+            self.instruments.first_byte.record(time.as_secs_f64(), &[]);
+        }
+    }
+
+    fn job(&self, change: JobChange) {
+        self.instruments.jobs.add(1, &[KeyValue::new("change", change.label())]);
+    }
+
+    fn first_run(&self, wait: Duration) {
+        self.instruments.item_wait.record(wait.as_secs_f64(), &[]);
+    }
+
+    fn first_event(&self, time: Duration) {
+        self.instruments.first_event.record(time.as_secs_f64(), &[]);
+    }
+
+    fn run(&self, end: RunEnd, time: Duration) {
+        let end = [KeyValue::new("end", end.label())];
+        self.instruments.runs.add(1, &end);
+        self.instruments.run_time.record(time.as_secs_f64(), &end);
+    }
+
+    fn item(&self, outcome: ItemOutcome) {
+        let outcome = match outcome {
+            ItemOutcome::Completed => "completed",
+            ItemOutcome::Failed => "failed",
+        };
+        self.instruments.items.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    fn results_stored(&self, count: usize) {
+        self.instruments.results.add(count as u64, &[]);
+    }
+
+    fn group(&self, on_time: bool) {
+        self.instruments.groups.add(1, &[KeyValue::new("on_time", on_time)]);
+    }
+
+    fn order(&self, reply: Option<&'static str>) {
+        self.instruments.orders.add(1, &[KeyValue::new("reply", reply.unwrap_or("none"))]);
+    }
+
+    fn loaded(&self, time: Duration) {
+        self.instruments.load_time.record(time.as_secs_f64(), &[]);
+    }
+}
+
+impl Default for NodeMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
 }
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     path::PathBuf,
     rc::Rc,
     sync::{
@@ -17,7 +18,8 @@
 };
 use deck_core::{CancellationToken, id::new_incarnation};
 use deck_fleet::{
-    Bounds, Engines, Feed, FeedOptions, FollowOptions, Follower, NodeSettings, Protocol, View,
+    Bounds, Engines, Feed, FeedOptions, FollowOptions, Follower, NodeSettings, Observer, Protocol,
+    View,
     board::{CRASHES_PATH, MAX_CRASHES_BYTES},
     feed::FEED_PATH,
 };
@@ -36,7 +38,12 @@
 
 use hyper::body::Incoming;
 
-use crate::{front::Front, lead, metrics::NodeMetrics, nodes};
+use crate::{
+    front::Front,
+    lead,
+    metrics::{NodeMetrics, NodeState},
+    nodes,
+};
 
 /// Time for one call on the object API, which answers in a few milliseconds.
 const STORE_CALL_LIMIT: Duration = Duration::from_millis(700);
@@ -67,7 +74,11 @@
 /// # Errors
 ///
 /// Returns an error if a listener cannot be bound.
-pub async fn run(file: PathBuf, settings: NodeSettings) -> std::io::Result<()> {
+pub async fn run(
+    file: PathBuf,
+    settings: NodeSettings,
+    metrics_port: Option<u16>,
+) -> std::io::Result<()> {
     let stop = stop_token()?;
     let hangup = hangup_flag()?;
     let ended = CancellationToken::new();
@@ -119,8 +130,15 @@
     let telling = crashes.clone().keep_telling(feed.clone(), client.clone(), ended.clone());
     monoio::spawn(telling);
     let forward_options = ForwardOptions::default();
-    let forwarder =
-        Forwarder::new(view.clone(), client.clone(), protocol.clone(), crashes, forward_options);
+    let observer: Rc<dyn Observer> = Rc::new(metrics.clone());
+    let forwarder = Forwarder::new(
+        view.clone(),
+        client.clone(),
+        protocol.clone(),
+        crashes,
+        observer.clone(),
+        forward_options,
+    );
     let engines = Engines::default();
     let ledger = Ledger::new(store.clone(), settings.max_object_bytes);
     let parts = RunnerParts {
@@ -128,33 +146,29 @@
         address: settings.peer_address,
         view: view.clone(),
         engines: engines.clone(),
-        ledger: ledger.clone(),
+        ledger,
         forwarder: forwarder.clone(),
         checkpoints,
         client: client.clone(),
         protocol: protocol.clone(),
+        observer: observer.clone(),
     };
     let runner = Runner::start(parts, RunOptions::default(), ended.clone());
     let peers = Peers::new(client.clone());
-    let batch = BatchService::new(
-        runner,
-        ledger,
-        peers,
-        protocol.clone(),
-        feed.clone(),
-        BatchOptions::default(),
-    );
+    let batch = BatchService::new(runner.clone(), peers, feed.clone(), BatchOptions::default());
     let (forgetting, token) = (batch.clone(), ended.clone());
     let retention = settings.bounds.job_retention;
     monoio::spawn(async move { forgetting.keep_forgetting(retention, token).await });
     let giver = Giver::new(
         settings.vm.clone(),
         view.clone(),
-        engines,
+        engines.clone(),
         client,
         protocol.clone(),
+        observer,
         SwapOptions::default(),
     );
+    let leads = Rc::new(Cell::new(false));
     let bounds = Rc::new(RefCell::new(settings.bounds.clone()));
     let duties = lead::Duties {
         vm: settings.vm.clone(),
@@ -165,6 +179,7 @@
         follower,
         bounds: bounds.clone(),
         batch: batch.clone(),
+        leads: leads.clone(),
     };
     let leading = monoio::spawn(lead::run(duties.clone(), stop.clone()));
 
@@ -177,7 +192,11 @@
         draining: draining.clone(),
         metrics: metrics.clone(),
     };
-    serve_ready(&settings, view, protocol, draining.clone(), metrics, ended.clone())?;
+    let metrics = Rendered { metrics, view: view.clone(), engines, runner, leads };
+    serve_ready(&settings, view, protocol, draining.clone(), metrics.clone(), ended.clone())?;
+    if let Some(port) = metrics_port {
+        serve_metrics(SocketAddr::new(settings.peer_address.ip(), port), metrics, ended.clone());
+    }
     serve_peers(&settings, batch.clone(), feed.clone(), api, ended.clone())?;
     let closing = CancellationToken::new();
     let served = serve_callers(&settings, front, closing.clone())?;
@@ -274,7 +293,7 @@
     view: View,
     protocol: Rc<dyn Protocol>,
     draining: Rc<Cell<bool>>,
-    metrics: NodeMetrics,
+    metrics: Rendered,
     ended: CancellationToken,
 ) -> std::io::Result<()> {
     let Some(address) = settings.ready_address else { return Ok(()) };
@@ -283,7 +302,7 @@
     monoio::spawn(deck_net::serve(listener, options, ended, move |request| {
         let known = protocol.is_ready_request(request.method(), request.uri().path());
         if request.uri().path() == METRICS_PATH {
-            let response = text_response(200, &metrics.render(&view));
+            let response = text_response(200, &metrics.text());
             return std::future::ready(response);
         }
         let status = match (known, view.is_complete() && !draining.get()) {
@@ -296,6 +315,48 @@
     Ok(())
 }
 
+/// What the metrics show.
+#[derive(Clone)]
+struct Rendered {
+    metrics: NodeMetrics,
+    view: View,
+    engines: Engines,
+    runner: Runner,
+    /// Whether the node holds the lease of the leader.
+    leads: Rc<Cell<bool>>,
+}
+
+impl Rendered {
+    fn text(&self) -> String {
+        self.metrics.render(&NodeState {
+            view: &self.view,
+            engines: &self.engines,
+            open_jobs: self.runner.active_jobs().len(),
+            leads: self.leads.get(),
+        })
+    }
+}
+
+/// Serves the metrics at an address of their own. The node serves callers also without it.
+fn serve_metrics(address: SocketAddr, metrics: Rendered, ended: CancellationToken) {
+    let listener = match bind(address) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!(target: "node", "metrics not served address={address} error={error}");
+            return;
+        }
+    };
+    monoio::spawn(deck_net::serve(listener, ServerOptions::default(), ended, move |request| {
+        let is_known = request.uri().path() == METRICS_PATH;
+        let response = if is_known {
+            text_response(200, &metrics.text())
+        } else {
+            status_only(StatusCode::NOT_FOUND)
+        };
+        std::future::ready(response)
+    }));
+}
+
 fn serve_peers(
     settings: &NodeSettings,
     batch: BatchService,
--- a/bins/decknode/tests/calm.rs
+++ b/bins/decknode/tests/calm.rs
@@ -33,7 +33,7 @@
         }
         let metrics = fleet.call(fleet.nodes[0].ready, Method::GET, "/metrics", &[], vec![]).await;
         let metrics = String::from_utf8(metrics.expect("metrics").1).expect("text");
-        let counted = "decknode_requests_total{purpose=\"idempotent\",status=\"200\"} 1";
+        let counted = "decknode_requests_total{purpose=\"idempotent\",reason=\"none\",route=\"plain\",status=\"200\"} 1";
         assert!(metrics.contains(counted), "{metrics}");
         let missing = fleet
             .call(fleet.nodes[0].callers, Method::GET, "/nowhere/x", &[("Request-Id", "n")], vec![])
--- a/crates/batch/src/guard.rs
+++ b/crates/batch/src/guard.rs
@@ -19,7 +19,7 @@
     pub async fn guard(&self, cancel: CancellationToken) {
         let pause = || cancel.run_until_cancelled(monoio::time::sleep(LOOK_INTERVAL));
         while pause().await.is_some() {
-            for job in self.inner.runner.silent_jobs(SILENCE).await {
+            for job in self.parts().checkpoints.silent(SILENCE).await {
                 self.look_after(&job).await;
             }
         }
--- a/crates/batch/src/handover.rs
+++ b/crates/batch/src/handover.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 
 use deck_core::id::Revision;
-use deck_fleet::{Item, ItemResult};
+use deck_fleet::{Item, ItemResult, JobChange};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -129,7 +129,7 @@
     /// Hands all running jobs to other nodes, the leader first; `nodes` are tried in their order.
     pub async fn hand_over(&self, nodes: &[SocketAddr]) {
         let leader = self.other_leader().map(|leader| leader.address);
-        let own = self.inner.runner.inner.address;
+        let own = self.parts().address;
         let others = nodes.iter().copied().filter(|node| *node != own && Some(*node) != leader);
         let nodes: Vec<SocketAddr> = leader.into_iter().chain(others).collect();
         for job in self.inner.runner.active_jobs() {
@@ -191,14 +191,15 @@
         if self.inner.runner.job(id).is_some() {
             return status_only(StatusCode::OK);
         }
-        let runner = &self.inner.runner.inner;
+        let runner = self.parts();
         let record = JobRecord {
             runner: runner.vm.clone(),
             address: runner.address,
             ..handover.record.clone()
         };
-        match self.inner.ledger.replace(id, handover.revision, &record).await {
+        match runner.ledger.replace(id, handover.revision, &record).await {
             Ok(revision) => {
+                runner.observer.job(JobChange::Received);
                 log::info!(target: "batch", "job received job={id} open={}", handover.items.len());
                 let job = handover.into_job(id.to_owned(), record, revision);
                 self.inner.runner.adopt(Rc::new(job));
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -225,12 +225,19 @@
         self.finished.notify_one();
     }
 
+    /// Returns the number of groups with an item that has no listed result.
+    pub fn open_groups(&self) -> usize {
+        let items = self.items.borrow();
+        items.iter().map(|run| &run.item.group).collect::<HashSet<_>>().len()
+    }
+
     /// Adds the results of a stored chunk at the next positions. A chunk that is listed already, or
-    /// is not the next one, changes nothing.
-    pub fn list(&self, chunk: usize, results: Vec<Rc<ItemResult>>) {
+    /// is not the next one, changes nothing. Returns the number of groups that are complete with it.
+    pub fn list(&self, chunk: usize, results: Vec<Rc<ItemResult>>) -> usize {
         if chunk != self.chunks.get() {
-            return;
+            return 0;
         }
+        let open_before = self.open_groups();
         let mut items = self.items.borrow_mut();
         for result in &results {
             if let Some(index) = items.iter().position(|run| run.item.id == result.item) {
@@ -245,6 +252,7 @@
         listed.extend(results);
         self.chunks.set(self.chunks.get() + 1);
         self.positions.send_replace(listed.len());
+        open_before - self.open_groups()
     }
 }
 
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod handover;
 pub mod job;
 pub mod ledger;
+mod peer_calls;
 pub mod peers;
 mod publish;
 mod reuse;
--- /dev/null
+++ b/crates/batch/src/peer_calls.rs
@@ -0,0 +1,110 @@
+//! Calls of other nodes on batch jobs.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use deck_core::error::{CallError, ErrorKind};
+use deck_fleet::RouteKind;
+use deck_forward::error_response;
+use deck_net::{
+    Body,
+    server::{number_parameter, read_body, status_only},
+};
+use http::{Method, Request, Response, StatusCode, header};
+use hyper::body::{Body as _, Incoming};
+
+use crate::{
+    BatchService,
+    job::Job,
+    peers::{AT_OBJECT_API, JOBS_PATH, NOT_HERE, PING_PATH, SUBMITTED_PATH},
+    service::{Place, accepted},
+};
+
+impl BatchService {
+    /// Serves a call of another node.
+    pub async fn serve_peer(&self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        if path == PING_PATH {
+            return status_only(StatusCode::OK);
+        }
+        let Some(rest) = path.strip_prefix(JOBS_PATH) else {
+            return status_only(StatusCode::NOT_FOUND);
+        };
+        let (id, item) = match rest.split_once("/items/") {
+            Some((id, item)) => (id.to_owned(), Some(item.to_owned())),
+            None => (rest.to_owned(), None),
+        };
+        if *request.method() == Method::POST {
+            return self.serve_submit(&id, request).await;
+        }
+        if *request.method() == Method::PUT {
+            return self.serve_handover(&id, request).await;
+        }
+        let Some(job) = self.job_for_peer(&id).await else { return status_only(NOT_HERE) };
+        match (request.method().clone(), item) {
+            (Method::HEAD, None) => status_only(StatusCode::OK),
+            (Method::GET, Some(item)) => self.item_body_here(&job, &item),
+            (Method::GET, None) => {
+                let query = request.uri().query().unwrap_or_default();
+                let from = number_parameter(query, "from").unwrap_or(0) as usize;
+                let wait = Duration::from_millis(number_parameter(query, "wait_ms").unwrap_or(0));
+                let wait = wait.min(self.inner.options.max_read_wait);
+                let answer = self.read_here(&job, from, wait).await;
+                let bytes = answer.body().size_hint().lower();
+                let is_settled = job.is_ended() || job.is_overdue(Instant::now());
+                let mut pages = self.inner.settled_pages.borrow_mut();
+                if is_settled && !pages.try_overdraw(bytes as f64, Instant::now()) {
+                    return status_only(AT_OBJECT_API);
+                }
+                answer
+            }
+            (Method::DELETE, None) => self.end_here(&job).await,
+            _ => status_only(StatusCode::NOT_FOUND),
+        }
+    }
+
+    /// Returns a job that this node runs, or ran before it was restarted.
+    async fn job_for_peer(&self, id: &str) -> Option<Rc<Job>> {
+        if let Some(job) = self.known(id) {
+            return Some(job);
+        }
+        match self.locate(id, &[]).await {
+            Ok(Some(Place::Here(job))) => Some(job),
+            Ok(Some(Place::There(_)) | None) | Err(_) => None,
+        }
+    }
+
+    async fn serve_submit(&self, id: &str, request: Request<Incoming>) -> Response<Body> {
+        if self.inner.draining.get() {
+            let error = CallError::new(ErrorKind::Draining, "this node is stopping");
+            return error_response(&error, id);
+        }
+        let text = |name: &str| {
+            let value = request.headers().get(name)?.to_str().ok()?;
+            Some(value.to_owned())
+        };
+        let (host, path) = (text(header::HOST.as_str()), text(SUBMITTED_PATH));
+        let (Some(host), Some(path)) = (host, path) else {
+            return status_only(NOT_HERE);
+        };
+        let configuration = self.parts().view.configuration();
+        let route = configuration.and_then(|c| c.route(&host, &path).cloned());
+        let Some(route) = route.filter(|route| route.kind == RouteKind::Rollout) else {
+            // The sender may know a newer configuration.
+            return status_only(NOT_HERE);
+        };
+        let body = match read_body(request.into_body(), self.inner.options.max_body_bytes).await {
+            Ok(body) => body,
+            Err(error) => {
+                log::info!(target: "batch", "submission not received job={id} error={error}");
+                return status_only(StatusCode::SERVICE_UNAVAILABLE);
+            }
+        };
+        match self.accept(id, &host, &path, &route, &body).await {
+            Ok(()) => accepted(),
+            Err(error) => error_response(&error, id),
+        }
+    }
+}
--- a/crates/batch/src/peers.rs
+++ b/crates/batch/src/peers.rs
@@ -84,6 +84,16 @@
         self.call(node, request(Method::GET, path, Bytes::new())?, wait + CALL_LIMIT).await
     }
 
+    /// Asks a node whether it runs a job.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the node does not answer.
+    pub async fn ask_runner(&self, node: SocketAddr, id: &str) -> Result<WholeResponse, NetError> {
+        let request = request(Method::HEAD, format!("{JOBS_PATH}{id}"), Bytes::new())?;
+        self.call(node, request, CALL_LIMIT).await
+    }
+
     /// Reads the body of an item.
     ///
     /// # Errors
--- a/crates/batch/src/publish.rs
+++ b/crates/batch/src/publish.rs
@@ -32,18 +32,25 @@
         }
         let batch: Vec<Rc<ItemResult>> = {
             let unlisted = job.unlisted.borrow();
-            unlisted[..inner.ledger.fitting(&unlisted)].to_vec()
+            unlisted[..inner.parts.ledger.fitting(&unlisted)].to_vec()
         };
         // Another runner may have stored these results meanwhile.
         if batch.is_empty() {
             continue;
         }
         let chunk = job.chunks.get();
-        match inner.ledger.append(&job.id, chunk, &batch).await {
+        match inner.parts.ledger.append(&job.id, chunk, &batch).await {
             Ok(Stored::AsGiven) => {
                 let (id, count) = (&job.id, batch.len());
                 log::info!(target: "batch", "results stored job={id} chunk={chunk} count={count}");
-                job.list(chunk, batch);
+                let observer = &inner.parts.observer;
+                observer.results_stored(count);
+                for result in &batch {
+                    observer.item(result.outcome);
+                }
+                for _ in 0..job.list(chunk, batch) {
+                    observer.group(Instant::now() <= job.due_at());
+                }
                 backoff.reset();
             }
             Ok(Stored::Other(results)) => {
@@ -108,10 +115,10 @@
 /// Reads the record of a job. The job stops if another node runs it or it was ended elsewhere.
 pub(crate) async fn confirm(inner: &Inner, job: &Job) -> Result<(), StoreError> {
     let started = Instant::now();
-    let Some((record, revision)) = inner.ledger.record(&job.id).await? else {
+    let Some((record, revision)) = inner.parts.ledger.record(&job.id).await? else {
         return Err(StoreError::Decode("the job's record is missing".to_owned()));
     };
-    let other = record.runner != inner.vm;
+    let other = record.runner != inner.parts.vm;
     let ended = record.ended;
     job.record.replace(record);
     job.revision.set(revision);
@@ -135,8 +142,10 @@
 pub(crate) async fn list_stored(inner: &Inner, job: &Job) -> Result<(), StoreError> {
     loop {
         let chunk = job.chunks.get();
-        match inner.ledger.chunk(&job.id, chunk).await? {
-            Some(results) => job.list(chunk, results.into_iter().map(Rc::new).collect()),
+        match inner.parts.ledger.chunk(&job.id, chunk).await? {
+            Some(results) => {
+                job.list(chunk, results.into_iter().map(Rc::new).collect());
+            }
             None => return Ok(()),
         }
     }
--- a/crates/batch/src/reward.rs
+++ b/crates/batch/src/reward.rs
@@ -33,7 +33,7 @@
 async fn score(inner: &Inner, job: &Job, run: &ItemRun, reward: &RewardCall) -> Option<String> {
     let mut failures = 0;
     loop {
-        let configuration = inner.view.configuration();
+        let configuration = inner.parts.view.configuration();
         let path = reward.path.split('?').next().unwrap_or_default();
         let route = configuration.and_then(|c| c.route(&reward.host, path).cloned());
         if let Some(route) = route {
@@ -68,20 +68,20 @@
 
 async fn call(inner: &Inner, reward: &RewardCall, route: &Rc<Route>) -> Result<Reply, CallError> {
     let bad = |message: String| CallError::new(deck_core::error::ErrorKind::BadRequest, message);
-    let body = inner.protocol.item_body(&reward.body).map_err(bad)?;
+    let body = inner.parts.protocol.item_body(&reward.body).map_err(bad)?;
     let uri = reward.path.parse().map_err(|error| bad(format!("path: {error}")))?;
     let timeout = if route.timeout.is_zero() { DEFAULT_TIMEOUT } else { route.timeout };
     let call = Call {
         request_id: reward.id.clone(),
         method: Method::POST,
         uri,
-        headers: inner.protocol.item_headers(&reward.host, &[]),
+        headers: inner.parts.protocol.item_headers(&reward.host, &[]),
         body,
         route: route.clone(),
         deadline: std::time::Instant::now() + timeout,
         last_event: None,
     };
-    inner.forwarder.forward(call).await
+    inner.parts.forwarder.forward(call).await
 }
 
 /// Time for a reward call whose route states no timeout.
--- a/crates/batch/src/run.rs
+++ b/crates/batch/src/run.rs
@@ -6,7 +6,7 @@
 };
 
 use deck_core::{CancellationToken, id::WeightVersion};
-use deck_fleet::{Dispatch, ReplyHead, RunGuard, Target};
+use deck_fleet::{Dispatch, ReplyHead, RunEnd, RunGuard, Target};
 use deck_net::{Body, ClientResponse};
 use http::{Method, Request, StatusCode};
 
@@ -32,6 +32,19 @@
     Moved,
 }
 
+impl Ended {
+    fn as_run_end(&self) -> RunEnd {
+        match self {
+            Self::Complete => RunEnd::Complete,
+            Self::Broken(_) => RunEnd::Broken,
+            Self::Refused(_) => RunEnd::Refused,
+            Self::Failed(_) => RunEnd::Failed,
+            Self::Impossible => RunEnd::Impossible,
+            Self::Moved => RunEnd::Moved,
+        }
+    }
+}
+
 /// Runs a waiting item on `target` and moves it to its next phase.
 pub(crate) async fn run_item(
     inner: Rc<Inner>,
@@ -43,6 +56,10 @@
     let started = Instant::now();
     let (id, from) = (&run.item.id, run.progress.borrow().last_event);
     log::info!(target: "batch", "run starts item={id} job={} target={} event={from}", job.id, target.id);
+    let observer = inner.parts.observer.clone();
+    if run.started_at.get().is_none() {
+        observer.first_run(job.submitted_at.elapsed());
+    }
     run.target.replace(Some(target.id.clone()));
     run.started_at.set(Some(started));
     let moving = CancellationToken::new();
@@ -52,11 +69,13 @@
         Some(ended) => ended.unwrap_or(Ended::Moved),
         // Dropping the run has closed its connection, which stops the engine.
         None => {
+            observer.run(RunEnd::Stopped, started.elapsed());
             run.enter(Phase::Waiting);
             return;
         }
     };
     drop(guard);
+    observer.run(ended.as_run_end(), started.elapsed());
     let ms = started.elapsed().as_millis();
     let at = run.progress.borrow().last_event;
     match ended {
@@ -65,12 +84,12 @@
             run.enter(Phase::Complete);
         }
         Ended::Broken(reason) => {
-            inner.engines.record_failure(&target, Instant::now());
+            inner.parts.engines.record_failure(&target, Instant::now());
             log::info!(target: "batch", "run broken item={id} target={} event={at} ms={ms} reason={reason:?}", target.id);
             run.enter(Phase::Waiting);
         }
         Ended::Refused(reason) => {
-            inner.engines.record_failure(&target, Instant::now());
+            inner.parts.engines.record_failure(&target, Instant::now());
             log::info!(target: "batch", "run refused item={id} target={} reason={reason:?}", target.id);
             run.enter(Phase::Waiting);
         }
@@ -103,7 +122,7 @@
             return Ended::Impossible;
         }
     };
-    let sent = inner.client.send(target.address, request);
+    let sent = inner.parts.client.send(target.address, request);
     let response = match monoio::time::timeout(inner.options.first_event_limit, sent).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) if error.may_have_been_sent() => return Ended::Broken(error.to_string()),
@@ -111,7 +130,7 @@
         Err(_) => return Ended::Broken("no response in time".to_owned()),
     };
     let status = response.status;
-    let head = inner.protocol.reply_head(status, &response.headers);
+    let head = inner.parts.protocol.reply_head(status, &response.headers);
     if head.request_id.as_ref().is_some_and(|id| *id != run.item.id) {
         return Ended::Broken("response to another request".to_owned());
     }
@@ -141,9 +160,9 @@
     target: &Target,
 ) -> Result<Request<Body>, String> {
     let item = &run.item;
-    let body = inner.protocol.item_body(&item.body)?;
+    let body = inner.parts.protocol.item_body(&item.body)?;
     let record = job.record.borrow();
-    let mut headers = inner.protocol.item_headers(&record.host, &item.headers);
+    let mut headers = inner.parts.protocol.item_headers(&record.host, &item.headers);
     let last_event = Some(run.progress.borrow().last_event).filter(|last| *last > 0);
     let dispatch = Dispatch {
         request_id: &item.id,
@@ -152,7 +171,7 @@
         last_event,
         priority: None,
     };
-    inner.protocol.dispatch(&mut headers, &dispatch);
+    inner.parts.protocol.dispatch(&mut headers, &dispatch);
     let mut request = Request::new(Body::full(body));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = item.path.parse().map_err(|error| format!("path: {error}"))?;
@@ -172,14 +191,14 @@
         let record = job.record.borrow();
         (record.min_version, record.limits.single_version)
     };
-    let believed = inner.engines.version(target, &job.record.borrow().model);
+    let believed = inner.parts.engines.version(target, &job.record.borrow().model);
     let Some(mut version) = head.version.or(believed) else {
         return Ended::Broken("version of the weights is not known".to_owned());
     };
     if let Some(reason) = unfit(inner, job, run, target, version, min_version, single) {
         return Ended::Refused(reason);
     }
-    let mut parser = EventParser::new(inner.protocol.version_field());
+    let mut parser = EventParser::new(inner.parts.protocol.version_field());
     let mut last_event_at: Option<Instant> = None;
     loop {
         let limit = gap_limit(inner, target, last_event_at.is_none());
@@ -208,9 +227,13 @@
         }
         if !events.is_empty() {
             let now = Instant::now();
+            if last_event_at.is_none() {
+                let started = run.started_at.get().unwrap_or(now);
+                inner.parts.observer.first_event(now.saturating_duration_since(started));
+            }
             if let Some(last) = last_event_at {
                 let gap = now.duration_since(last) / events.len() as u32;
-                inner.engines.record_gap(target, gap, now);
+                inner.parts.engines.record_gap(target, gap, now);
             }
             last_event_at = Some(now);
         }
@@ -229,7 +252,7 @@
     min_version: WeightVersion,
     single: bool,
 ) -> Option<String> {
-    inner.engines.set_version(target, &job.record.borrow().model, version);
+    inner.parts.engines.set_version(target, &job.record.borrow().model, version);
     if version < min_version {
         return Some(format!("version {version} is older than {min_version}"));
     }
@@ -243,7 +266,7 @@
 
 /// Returns how long a run may be silent before its engine counts as gone.
 fn gap_limit(inner: &Inner, target: &Target, before_first: bool) -> Duration {
-    if before_first || inner.engines.changing(target).is_some() {
+    if before_first || inner.parts.engines.changing(target).is_some() {
         inner.options.first_event_limit
     } else {
         inner.options.event_gap_limit
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeSet, HashMap},
+    collections::HashMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -13,7 +13,9 @@
     hash::hash64,
     id::{RequestId, Revision, VmId},
 };
-use deck_fleet::{Engines, Item, ItemOutcome, Protocol, RouteKind, Target, TargetState, View};
+use deck_fleet::{
+    Engines, Item, ItemOutcome, Observer, Protocol, RouteKind, Target, TargetState, View,
+};
 use deck_forward::Forwarder;
 use deck_net::Client;
 use deck_plat::StoreError;
@@ -84,15 +86,7 @@
 }
 
 pub(crate) struct Inner {
-    pub vm: VmId,
-    pub address: SocketAddr,
-    pub view: View,
-    pub engines: Engines,
-    pub ledger: Ledger,
-    pub forwarder: Forwarder,
-    pub checkpoints: Checkpoints,
-    pub client: Client,
-    pub protocol: Rc<dyn Protocol>,
+    pub parts: RunnerParts,
     pub options: RunOptions,
     pub jobs: RefCell<HashMap<RequestId, Rc<Job>>>,
     /// Engine that last read a shared prompt, by the prompt's hash.
@@ -120,32 +114,15 @@
     pub client: Client,
     /// Translation.
     pub protocol: Rc<dyn Protocol>,
+    /// Told of jobs, runs and results.
+    pub observer: Rc<dyn Observer>,
 }
 
 impl Runner {
     /// Starts a runner; it dispatches items until `cancel` is cancelled.
     pub fn start(parts: RunnerParts, options: RunOptions, cancel: CancellationToken) -> Self {
-        let RunnerParts {
-            vm,
-            address,
-            view,
-            engines,
-            ledger,
-            forwarder,
-            checkpoints,
-            client,
-            protocol,
-        } = parts;
         let inner = Inner {
-            vm,
-            address,
-            view,
-            engines,
-            ledger,
-            forwarder,
-            checkpoints,
-            client,
-            protocol,
+            parts,
             options,
             jobs: RefCell::default(),
             prompts: RefCell::default(),
@@ -173,11 +150,6 @@
             .collect()
     }
 
-    /// Returns jobs of any node whose runner has told no VM with a disk for `silence` that it lives.
-    pub async fn silent_jobs(&self, silence: Duration) -> BTreeSet<RequestId> {
-        self.inner.checkpoints.silent(silence).await
-    }
-
     /// Starts a job that is stored and whose record names this node.
     pub fn start_job(
         &self,
@@ -202,12 +174,10 @@
         record: JobRecord,
         revision: Revision,
     ) -> Result<Rc<Job>, StoreError> {
-        let ledger = &self.inner.ledger;
-        let items = ledger.items(id, &record).await?;
-        let mut job = Job::new(id.to_owned(), record, revision, items);
-        job.taken_over_at = Some(Instant::now());
+        let taken_over_at = Some(Instant::now());
+        let mut job = self.inner.stored_job(id, record, revision).await?;
+        job.taken_over_at = taken_over_at;
         let job = Rc::new(job);
-        publish::list_stored(&self.inner, &job).await?;
         if let Some(known) = self.job(id) {
             return Ok(known);
         }
@@ -219,7 +189,7 @@
 
     /// Gives the items of a job the texts of its checkpoint; returns how many have one.
     async fn restore(&self, job: &Job) -> usize {
-        let checkpoint = self.inner.checkpoints.read(&job.id).await;
+        let checkpoint = self.inner.parts.checkpoints.read(&job.id).await;
         let min_version = job.record.borrow().min_version;
         let mut restored = 0;
         for run in job.items.borrow().iter() {
@@ -259,6 +229,19 @@
 }
 
 impl Inner {
+    /// Reads the items and results of a job from the object API.
+    pub async fn stored_job(
+        &self,
+        id: &str,
+        record: JobRecord,
+        revision: Revision,
+    ) -> Result<Job, StoreError> {
+        let items = self.parts.ledger.items(id, &record).await?;
+        let job = Job::new(id.to_owned(), record, revision, items);
+        publish::list_stored(self, &job).await?;
+        Ok(job)
+    }
+
     /// Forgets a job that another node runs.
     pub fn forget(&self, id: &str) {
         self.jobs.borrow_mut().remove(id);
@@ -269,14 +252,14 @@
         let mut sent = Sent::default();
         let pause = || monoio::time::sleep(self.options.checkpoint_interval);
         while !job.is_complete() {
-            self.checkpoints.send(&job, &mut sent).await;
+            self.parts.checkpoints.send(&job, &mut sent).await;
             if job.stop.run_until_cancelled(pause()).await.is_none() {
                 break;
             }
         }
         // Another runner may need it unless the job is over.
         if job.is_complete() || job.is_ended() {
-            self.checkpoints.remove(&job.id).await;
+            self.parts.checkpoints.remove(&job.id).await;
         }
     }
 
@@ -322,7 +305,7 @@
         for item in &waiting {
             let (job, run) = &runs[item.key];
             let Some(service) = self.service_of(job) else { continue };
-            let targets = self.view.targets_of(&service);
+            let targets = self.parts.view.targets_of(&service);
             let candidates = self.candidates(&targets, &item.model, item.prompt, now);
             let Some(chosen) = choose(item, &candidates) else { continue };
             let Some(target) = targets.iter().find(|target| target.id == chosen.target) else {
@@ -332,7 +315,7 @@
             run.enter(Phase::Running);
             left -= 1;
             // Counted at once: the next item is placed before this run's task starts.
-            let guard = self.engines.start_run(target);
+            let guard = self.parts.engines.start_run(target);
             monoio::spawn(run::run_item(
                 self.clone(),
                 job.clone(),
@@ -359,7 +342,7 @@
 
     /// Returns the service that runs the items of a job, by the configuration in force.
     fn service_of(&self, job: &Job) -> Option<String> {
-        let configuration = self.view.configuration()?;
+        let configuration = self.parts.view.configuration()?;
         let record = job.record.borrow();
         let route = configuration.route(&record.host, &record.path)?;
         (route.kind == RouteKind::Rollout).then(|| route.service(0.0).to_owned())
@@ -374,14 +357,14 @@
     ) -> Vec<Candidate> {
         let usual_ms = self.usual_gap_ms(targets);
         let ready = targets.iter().filter(|target| {
-            target.state == TargetState::Ready && self.engines.is_usable(target, model, now)
+            target.state == TargetState::Ready && self.parts.engines.is_usable(target, model, now)
         });
         ready
             .filter_map(|target| {
-                let state = self.engines.state(target);
+                let state = self.parts.engines.state(target);
                 Some(Candidate {
                     target: target.id.clone(),
-                    version: self.engines.version(target, model)?,
+                    version: self.parts.engines.version(target, model)?,
                     running: state.running,
                     slots: target.slots,
                     event_gap_ms: state.event_gap_ms(usual_ms, now).unwrap_or(usual_ms),
@@ -393,7 +376,8 @@
 
     /// Returns the median time between events on the targets where it is known.
     fn usual_gap_ms(&self, targets: &[Rc<Target>]) -> f64 {
-        let known = targets.iter().filter_map(|target| self.engines.state(target).long_gap_ms());
+        let known =
+            targets.iter().filter_map(|target| self.parts.engines.state(target).long_gap_ms());
         let mut known: Vec<f64> = known.collect();
         known.sort_by(f64::total_cmp);
         known.get(known.len() / 2).copied().unwrap_or(UNKNOWN_GAP_MS)
@@ -414,7 +398,7 @@
             }
             any = true;
             let Some(service) = self.service_of(job) else { continue };
-            let targets = self.view.targets_of(&service);
+            let targets = self.parts.view.targets_of(&service);
             let (model, min_version) = {
                 let record = job.record.borrow();
                 (record.model.clone(), record.min_version)
@@ -456,15 +440,15 @@
         if now.saturating_duration_since(started) < self.options.settle_run {
             return None;
         }
-        let target = self.view.target(run.target.borrow().as_deref()?)?;
-        if self.engines.changing(&target).is_some() {
+        let target = self.parts.view.target(run.target.borrow().as_deref()?)?;
+        if self.parts.engines.changing(&target).is_some() {
             return None;
         }
-        let configuration = self.view.configuration()?;
+        let configuration = self.parts.view.configuration()?;
         let engine = configuration.services.get(service)?.engine.as_ref()?;
         let hinted = run.item.length_hint.unwrap_or(0) / engine.tokens_per_event;
         let made = run.progress.borrow().last_event;
-        let gap = self.engines.state(&target).event_gap_ms(usual_ms, now)?;
+        let gap = self.parts.engines.state(&target).event_gap_ms(usual_ms, now)?;
         Some(RunningItem {
             target: target.id.clone(),
             event_gap_ms: gap,
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -14,24 +14,20 @@
     id::RequestId,
 };
 use deck_fleet::{
-    BatchCall, BatchJob, BatchLimits, CallHead, Feed, Leader, Protocol, ResultPage, Route,
-    RouteKind,
+    BatchCall, BatchJob, BatchLimits, CallHead, Feed, JobChange, Leader, ResultPage, Route,
 };
 use deck_forward::error_response;
 use deck_limit::TokenBucket;
-use deck_net::{
-    Body, NetError, WholeResponse,
-    server::{number_parameter, read_body, status_only},
-};
+use deck_net::{Body, NetError, WholeResponse, server::status_only};
 use deck_plat::StoreError;
-use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use hyper::body::{Body as _, Incoming};
+use http::{HeaderValue, Response, StatusCode, header};
 
 use crate::{
-    Accepted, JobRecord, Ledger, Runner,
+    Accepted, JobRecord, Runner,
     job::Job,
-    peers::{AT_OBJECT_API, JOBS_PATH, NOT_HERE, PING_PATH, Peers, SUBMITTED_PATH},
+    peers::{AT_OBJECT_API, NOT_HERE, Peers},
     publish,
+    runner::RunnerParts,
 };
 
 /// Options of a [`BatchService`].
@@ -70,22 +66,20 @@
 
 pub(crate) struct Inner {
     pub(crate) runner: Runner,
-    pub(crate) ledger: Ledger,
     pub(crate) peers: Peers,
-    protocol: Rc<dyn Protocol>,
-    options: BatchOptions,
+    pub(crate) options: BatchOptions,
     feed: Feed,
     /// Nodes that were last seen to run a job.
     pub(crate) runners: RefCell<HashMap<RequestId, SocketAddr>>,
     /// Jobs that are ended or complete, loaded for reads on this node, the last one first.
     settled: RefCell<VecDeque<Rc<Job>>>,
     /// Pages of settled jobs that were sent to other nodes lately.
-    settled_pages: RefCell<TokenBucket>,
+    pub(crate) settled_pages: RefCell<TokenBucket>,
     pub(crate) draining: Cell<bool>,
 }
 
 /// Where a job is.
-enum Place {
+pub(crate) enum Place {
     /// On this node.
     Here(Rc<Job>),
     /// On another node, which runs it.
@@ -104,19 +98,10 @@
 
 impl BatchService {
     /// Returns a service over `runner` and the stored jobs.
-    pub fn new(
-        runner: Runner,
-        ledger: Ledger,
-        peers: Peers,
-        protocol: Rc<dyn Protocol>,
-        feed: Feed,
-        options: BatchOptions,
-    ) -> Self {
+    pub fn new(runner: Runner, peers: Peers, feed: Feed, options: BatchOptions) -> Self {
         let inner = Inner {
             runner,
-            ledger,
             peers,
-            protocol,
             options,
             feed,
             runners: RefCell::default(),
@@ -127,6 +112,11 @@
         Self { inner: Rc::new(inner) }
     }
 
+    /// Returns what the runner works with.
+    pub(crate) fn parts(&self) -> &RunnerParts {
+        &self.inner.runner.inner.parts
+    }
+
     /// Takes no new jobs from other nodes from now on.
     pub fn set_draining(&self) {
         self.inner.draining.set(true);
@@ -176,7 +166,7 @@
     }
 
     /// Stores a job and runs it on this node, unless it was stored before.
-    async fn accept(
+    pub(crate) async fn accept(
         &self,
         id: &str,
         host: &str,
@@ -187,16 +177,17 @@
         if self.inner.runner.job(id).is_some() {
             return Ok(());
         }
-        let decoded = self.inner.protocol.batch_job(id.to_owned(), host, path, body);
+        let decoded = self.parts().protocol.batch_job(id.to_owned(), host, path, body);
         let mut job = decoded.map_err(|error| CallError::new(ErrorKind::BadRequest, error))?;
         set_limits(&mut job, route);
-        let runner = &self.inner.runner.inner;
+        let runner = self.parts();
         // If this node goes silent at once after the acceptance, the leader knows of the job.
         let announced = runner.checkpoints.announce(id);
-        let stored = self.inner.ledger.accept(&job, &runner.vm, runner.address);
+        let stored = self.parts().ledger.accept(&job, &runner.vm, runner.address);
         let (stored, ()) = futures_util::future::join(stored, announced).await;
         match stored {
             Accepted::Stored(record, revision) => {
+                runner.observer.job(JobChange::Accepted);
                 log::info!(target: "batch", "job accepted job={id} items={} step={} model={} min_version={}", job.items.len(), job.step, job.model, job.min_version);
                 self.inner.runner.start_job(id, record, revision, job.items);
                 Ok(())
@@ -209,11 +200,13 @@
                 Ok(())
             }
             Accepted::NotStored(error) => {
+                runner.observer.job(JobChange::Refused);
                 log::warn!(target: "batch", "job refused job={id} error={error}");
                 let error = CallError::new(ErrorKind::StoreUnavailable, error.to_string());
                 Err(error.with_retry_after(self.inner.options.submit_retry))
             }
             Accepted::Unknown(error) => {
+                runner.observer.job(JobChange::InDoubt);
                 log::warn!(target: "batch", "job in doubt job={id} error={error}");
                 Err(CallError::new(ErrorKind::DeadlineExceeded, error.to_string()))
             }
@@ -222,14 +215,29 @@
 
     /// Serves a caller's call on a job.
     pub async fn call(&self, call: BatchCall, head: &CallHead) -> Response<Body> {
-        match call {
+        let started = Instant::now();
+        let (job, response) = match &call {
             BatchCall::Read { job, from } => {
                 let wait = head.read_wait.unwrap_or(Duration::ZERO);
-                self.read(&job, from, wait.min(self.inner.options.max_read_wait)).await
+                (job, self.read(job, *from, wait.min(self.inner.options.max_read_wait)).await)
+            }
+            BatchCall::ItemBody { job, item } => (job, self.item_body(job, item).await),
+            BatchCall::End { job } => (job, self.end(job).await),
+        };
+        let (status, ms) = (response.status(), started.elapsed().as_millis());
+        let level = if status.is_success() { log::Level::Info } else { log::Level::Warn };
+        match &call {
+            BatchCall::Read { from, .. } => {
+                log::log!(target: "batch", level, "read answered job={job} from={from} status={} ms={ms}", status.as_u16());
+            }
+            BatchCall::ItemBody { item, .. } => {
+                log::log!(target: "batch", level, "body answered job={job} item={item} status={} ms={ms}", status.as_u16());
+            }
+            BatchCall::End { .. } => {
+                log::log!(target: "batch", level, "end answered job={job} status={} ms={ms}", status.as_u16());
             }
-            BatchCall::ItemBody { job, item } => self.item_body(&job, &item).await,
-            BatchCall::End { job } => self.end(&job).await,
         }
+        response
     }
 
     async fn read(&self, id: &str, from: usize, wait: Duration) -> Response<Body> {
@@ -260,13 +268,15 @@
 
     /// Finds out which node runs a job, and takes it over if that node does not answer.
     pub(crate) async fn look_after(&self, id: &str) {
-        // A position that no job has: the runner only answers whether it runs the job.
-        let answer = self.read(id, usize::MAX, Duration::ZERO).await;
-        let status = answer.status();
+        let there = |node| async move { self.inner.peers.ask_runner(node, id).await };
+        let status = match self.find(id, there).await {
+            Found::Here(_) | Found::Copy(_) => StatusCode::OK,
+            Found::Answered(response) => response.status(),
+        };
         log::debug!(target: "batch", "silent job job={id} status={status}");
         if status == ErrorKind::UnknownJob.row().status {
             // It was announced and then not stored.
-            self.inner.runner.inner.checkpoints.remove(id).await;
+            self.parts().checkpoints.remove(id).await;
         }
     }
 
@@ -331,7 +341,7 @@
 
     /// Reads a job that another node runs from the object API.
     async fn copy(&self, id: &str) -> Found {
-        let loaded = match self.inner.ledger.record(id).await {
+        let loaded = match self.parts().ledger.record(id).await {
             Ok(Some((record, revision))) => self.load_for_reads(id, record, revision).await,
             Ok(None) => return Found::Answered(unknown_job(id)),
             Err(error) => Err(error),
@@ -345,20 +355,24 @@
         }
     }
 
-    fn known(&self, id: &str) -> Option<Rc<Job>> {
+    pub(crate) fn known(&self, id: &str) -> Option<Rc<Job>> {
         let settled = || self.inner.settled.borrow().iter().find(|job| job.id == id).cloned();
         self.inner.runner.job(id).or_else(settled)
     }
 
     /// Finds out where a job is run. A job of a node among `silent` is taken over.
-    async fn locate(&self, id: &str, silent: &[SocketAddr]) -> Result<Option<Place>, StoreError> {
-        let Some((record, revision)) = self.inner.ledger.record(id).await? else {
+    pub(crate) async fn locate(
+        &self,
+        id: &str,
+        silent: &[SocketAddr],
+    ) -> Result<Option<Place>, StoreError> {
+        let Some((record, revision)) = self.parts().ledger.record(id).await? else {
             return Ok(None);
         };
         if let Some(job) = self.inner.runner.job(id) {
             return Ok(Some(Place::Here(job)));
         }
-        let runner = &self.inner.runner.inner;
+        let runner = self.parts();
         if record.runner == runner.vm && record.address == runner.address {
             let job = self.inner.runner.load_job(id, record, revision).await?;
             return Ok(Some(Place::Here(job)));
@@ -379,19 +393,20 @@
         record: JobRecord,
         revision: u64,
     ) -> Result<Place, StoreError> {
-        let runner = &self.inner.runner.inner;
+        let runner = self.parts();
         let from = record.runner.clone();
         let record = JobRecord { runner: runner.vm.clone(), address: runner.address, ..record };
-        let revision = match self.inner.ledger.replace(id, revision, &record).await {
+        let revision = match self.parts().ledger.replace(id, revision, &record).await {
             Ok(revision) => revision,
             Err(StoreError::Conflict(_)) => {
                 // Another node was faster.
-                let current = self.inner.ledger.record(id).await?;
+                let current = self.parts().ledger.record(id).await?;
                 let (record, _) = current.ok_or(StoreError::Conflict(None))?;
                 return Ok(Place::There(record.address));
             }
             Err(error) => return Err(error),
         };
+        runner.observer.job(JobChange::TakenOver);
         log::info!(target: "batch", "job taken over job={id} from={from}");
         self.inner.runner.load_job(id, record, revision).await.map(Place::Here)
     }
@@ -403,9 +418,7 @@
         record: JobRecord,
         revision: u64,
     ) -> Result<Rc<Job>, StoreError> {
-        let items = self.inner.ledger.items(id, &record).await?;
-        let job = Rc::new(Job::new(id.to_owned(), record, revision, items));
-        publish::list_stored(&self.inner.runner.inner, &job).await?;
+        let job = Rc::new(self.inner.runner.inner.stored_job(id, record, revision).await?);
         job.stop.cancel();
         if job.is_ended() || job.is_complete() {
             let mut settled = self.inner.settled.borrow_mut();
@@ -416,7 +429,12 @@
         Ok(job)
     }
 
-    async fn read_here(&self, job: &Rc<Job>, from: usize, wait: Duration) -> Response<Body> {
+    pub(crate) async fn read_here(
+        &self,
+        job: &Rc<Job>,
+        from: usize,
+        wait: Duration,
+    ) -> Response<Body> {
         let until = Instant::now() + wait;
         let mut positions = job.positions.subscribe();
         loop {
@@ -469,31 +487,36 @@
         let count = listed[from..].iter().take_while(fits).count();
         let count = count.max(usize::from(from < listed.len()));
         let page = ResultPage { total: job.total(), from, results: &listed[from..from + count] };
-        json_bytes(StatusCode::OK, self.inner.protocol.result_page(page))
+        json_bytes(StatusCode::OK, self.parts().protocol.result_page(page))
     }
 
-    fn item_body_here(&self, job: &Job, item: &str) -> Response<Body> {
+    pub(crate) fn item_body_here(&self, job: &Job, item: &str) -> Response<Body> {
         let Some(run) = job.unlisted_item(item) else {
             return error_response(&CallError::new(ErrorKind::UnknownJob, "no such item"), item);
         };
-        match self.inner.protocol.item_body(&run.item.body) {
+        match self.parts().protocol.item_body(&run.item.body) {
             Ok(body) => Response::new(Body::full(body)),
             Err(error) => error_response(&CallError::new(ErrorKind::Internal, error), item),
         }
     }
 
-    async fn end_here(&self, job: &Rc<Job>) -> Response<Body> {
+    pub(crate) async fn end_here(&self, job: &Rc<Job>) -> Response<Body> {
         if job.is_ended() || job.is_complete() {
             job.stop.cancel();
             return Response::new(Body::empty());
         }
         for _ in 0..END_TRIES {
             let record = JobRecord { ended: true, ..job.record.borrow().clone() };
-            match self.inner.ledger.replace(&job.id, job.revision.get(), &record).await {
+            match self.parts().ledger.replace(&job.id, job.revision.get(), &record).await {
                 Ok(revision) => {
                     job.record.replace(record);
                     job.revision.set(revision);
                     job.stop.cancel();
+                    let observer = &self.parts().observer;
+                    observer.job(JobChange::Ended);
+                    for _ in 0..job.open_groups() {
+                        observer.group(false);
+                    }
                     log::info!(target: "batch", "job ended job={} listed={}", job.id, job.listed.borrow().len());
                     return Response::new(Body::empty());
                 }
@@ -514,94 +537,10 @@
         unsure(&job.id)
     }
 
-    /// Serves a call of another node.
-    pub async fn serve_peer(&self, request: Request<Incoming>) -> Response<Body> {
-        let path = request.uri().path().to_owned();
-        if path == PING_PATH {
-            return status_only(StatusCode::OK);
-        }
-        let Some(rest) = path.strip_prefix(JOBS_PATH) else {
-            return status_only(StatusCode::NOT_FOUND);
-        };
-        let (id, item) = match rest.split_once("/items/") {
-            Some((id, item)) => (id.to_owned(), Some(item.to_owned())),
-            None => (rest.to_owned(), None),
-        };
-        if *request.method() == Method::POST {
-            return self.serve_submit(&id, request).await;
-        }
-        if *request.method() == Method::PUT {
-            return self.serve_handover(&id, request).await;
-        }
-        let Some(job) = self.job_for_peer(&id).await else { return status_only(NOT_HERE) };
-        match (request.method().clone(), item) {
-            (Method::GET, Some(item)) => self.item_body_here(&job, &item),
-            (Method::GET, None) => {
-                let query = request.uri().query().unwrap_or_default();
-                let from = number_parameter(query, "from").unwrap_or(0) as usize;
-                let wait = Duration::from_millis(number_parameter(query, "wait_ms").unwrap_or(0));
-                let wait = wait.min(self.inner.options.max_read_wait);
-                let answer = self.read_here(&job, from, wait).await;
-                let bytes = answer.body().size_hint().lower();
-                let is_settled = job.is_ended() || job.is_overdue(Instant::now());
-                let mut pages = self.inner.settled_pages.borrow_mut();
-                if is_settled && !pages.try_overdraw(bytes as f64, Instant::now()) {
-                    return status_only(AT_OBJECT_API);
-                }
-                answer
-            }
-            (Method::DELETE, None) => self.end_here(&job).await,
-            _ => status_only(StatusCode::NOT_FOUND),
-        }
-    }
-
-    /// Returns a job that this node runs, or ran before it was restarted.
-    async fn job_for_peer(&self, id: &str) -> Option<Rc<Job>> {
-        if let Some(job) = self.known(id) {
-            return Some(job);
-        }
-        match self.locate(id, &[]).await {
-            Ok(Some(Place::Here(job))) => Some(job),
-            Ok(Some(Place::There(_)) | None) | Err(_) => None,
-        }
-    }
-
-    async fn serve_submit(&self, id: &str, request: Request<Incoming>) -> Response<Body> {
-        if self.inner.draining.get() {
-            let error = CallError::new(ErrorKind::Draining, "this node is stopping");
-            return error_response(&error, id);
-        }
-        let text = |name: &str| {
-            let value = request.headers().get(name)?.to_str().ok()?;
-            Some(value.to_owned())
-        };
-        let (host, path) = (text(header::HOST.as_str()), text(SUBMITTED_PATH));
-        let (Some(host), Some(path)) = (host, path) else {
-            return status_only(NOT_HERE);
-        };
-        let configuration = self.inner.runner.inner.view.configuration();
-        let route = configuration.and_then(|c| c.route(&host, &path).cloned());
-        let Some(route) = route.filter(|route| route.kind == RouteKind::Rollout) else {
-            // The sender may know a newer configuration.
-            return status_only(NOT_HERE);
-        };
-        let body = match read_body(request.into_body(), self.inner.options.max_body_bytes).await {
-            Ok(body) => body,
-            Err(error) => {
-                log::info!(target: "batch", "submission not received job={id} error={error}");
-                return status_only(StatusCode::SERVICE_UNAVAILABLE);
-            }
-        };
-        match self.accept(id, &host, &path, &route, &body).await {
-            Ok(()) => accepted(),
-            Err(error) => error_response(&error, id),
-        }
-    }
-
     /// Returns the leader, unless it is this node.
     pub(crate) fn other_leader(&self) -> Option<Leader> {
         let leader = self.inner.feed.leader()?;
-        (leader.vm != self.inner.runner.inner.vm).then_some(leader)
+        (leader.vm != self.parts().vm).then_some(leader)
     }
 }
 
@@ -634,7 +573,7 @@
     !id.is_empty() && id.len() <= MAX_BYTES && id.bytes().all(allowed)
 }
 
-fn accepted() -> Response<Body> {
+pub(crate) fn accepted() -> Response<Body> {
     status_only(StatusCode::ACCEPTED)
 }
 
--- a/crates/batch/src/sweep.rs
+++ b/crates/batch/src/sweep.rs
@@ -95,7 +95,7 @@
 
     /// Deletes the objects of old jobs until `cancel` is cancelled. One node of the fleet does it.
     pub async fn sweep(&self, retention: Duration, cancel: CancellationToken) {
-        let mut sweeper = Sweeper::new(self.inner.ledger.clone(), retention);
+        let mut sweeper = Sweeper::new(self.parts().ledger.clone(), retention);
         let pause = || cancel.run_until_cancelled(monoio::time::sleep(SWEEP_INTERVAL));
         while pause().await.is_some() {
             match sweeper.sweep(Instant::now()).await {
--- a/crates/batch/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -25,10 +25,18 @@
         view: view.clone(),
         engines: Engines::default(),
         ledger: ledger.clone(),
-        forwarder: Forwarder::new(view, client.clone(), protocol.clone(), crashes, options),
+        forwarder: Forwarder::new(
+            view,
+            client.clone(),
+            protocol.clone(),
+            crashes,
+            Rc::new(()),
+            options,
+        ),
         checkpoints: Checkpoints::new(client.clone()),
         client,
         protocol,
+        observer: Rc::new(()),
     }
 }
 
--- a/crates/batch/tests/service.rs
+++ b/crates/batch/tests/service.rs
@@ -58,7 +58,7 @@
     let feed = Feed::new(address, incarnation, client.clone(), follower, feed_options);
     let peers = Peers::new(client);
     let options = BatchOptions::default();
-    let service = BatchService::new(runner, ledger.clone(), peers, protocol, feed, options);
+    let service = BatchService::new(runner, peers, feed, options);
     Node { service, ledger, cancel }
 }
 
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -326,6 +326,9 @@
 
     fn apply(&self, page: Page) {
         let follower = &self.inner.follower;
+        if let Some(at) = Instant::now().checked_sub(Duration::from_millis(page.age_ms)) {
+            follower.view.set_checked(at);
+        }
         if let Some(configuration) = &page.configuration {
             follower.apply_configuration(configuration);
         }
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -298,7 +298,13 @@
     }
 
     fn answered(&self, state: &mut Followed) {
-        self.freshness.checked_at.borrow_mut().insert(state.kind, Instant::now());
+        let checked = Instant::now();
+        self.freshness.checked_at.borrow_mut().insert(state.kind, checked);
+        let kinds = [self.kinds.configuration, self.kinds.targets];
+        let age = self.freshness.age(&kinds, checked);
+        if let Some(at) = age.and_then(|age| checked.checked_sub(age)) {
+            self.view.set_checked(at);
+        }
         state.backoff.reset();
         if std::mem::take(&mut state.outage) {
             let now = Instant::now();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod feed;
 pub mod follow;
 pub mod node;
+pub mod observe;
 pub mod protocol;
 pub mod target;
 pub mod view;
@@ -19,6 +20,7 @@
 pub use feed::{Feed, FeedOptions, Leader};
 pub use follow::{FollowOptions, Follower, Kinds};
 pub use node::{Bounds, NodeSettings};
+pub use observe::{AttemptEnd, JobChange, Observer, RunEnd};
 pub use protocol::{
     BatchCall, BatchJob, BatchLimits, CallHead, Dispatch, Item, ItemOutcome, ItemResult, Order,
     OrderReply, Protocol, ReplyHead, ResultPage, RewardCall, TargetReport,
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -247,6 +247,19 @@
     Refused(u16),
 }
 
+impl OrderReply {
+    /// Returns the name in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::AlreadyDone => "already_done",
+            Self::Conflict => "conflict",
+            Self::StaleFencing => "stale_fencing",
+            Self::Refused(_) => "refused",
+        }
+    }
+}
+
 /// State that a target reports about itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct TargetReport {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap, HashSet},
+    fmt,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -33,6 +34,8 @@
     /// Targets whose entries went missing around an outage of the object API, and when they count
     /// as gone.
     missing: RefCell<HashMap<TargetId, Instant>>,
+    /// When configuration and targets were last known to be up to date.
+    checked_at: Cell<Option<Instant>>,
     /// Whether the targets were listed.
     targets_listed: Cell<bool>,
     /// When the object API answered again after an outage.
@@ -50,6 +53,7 @@
             targets: RefCell::default(),
             versions: RefCell::default(),
             missing: RefCell::default(),
+            checked_at: Cell::new(None),
             targets_listed: Cell::new(false),
             returned_at: Cell::new(None),
             router,
@@ -85,6 +89,22 @@
         *self.inner.changes.borrow()
     }
 
+    /// Takes note that configuration and targets were up to date at a moment.
+    pub fn set_checked(&self, at: Instant) {
+        self.inner.checked_at.set(Some(at));
+    }
+
+    /// Returns the age of what is known of configuration and targets.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.inner.checked_at.get().map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Returns version and age of what is known, for log lines.
+    pub fn known(&self) -> Known {
+        let version = self.configuration().map(|configuration| configuration.version);
+        Known { version, age: self.age(Instant::now()) }
+    }
+
     /// Returns the last version that was named for a model.
     pub fn named_version(&self, model: &str) -> Option<WeightVersion> {
         self.inner.versions.borrow().get(model).copied()
@@ -267,3 +287,24 @@
         },
     }
 }
+
+/// Version and age of what a node knew when it decided something.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Known {
+    /// Version of the configuration in force.
+    pub version: Option<u64>,
+    /// Age of what is known of configuration and targets.
+    pub age: Option<Duration>,
+}
+
+impl fmt::Display for Known {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (self.version, self.age) {
+            (Some(version), Some(age)) => {
+                write!(f, "configuration={version} known_ms={}", age.as_millis())
+            }
+            (Some(version), None) => write!(f, "configuration={version}"),
+            (None, _) => write!(f, "configuration=none"),
+        }
+    }
+}
--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use deck_core::error::CallError;
+use deck_core::{error::CallError, id::TargetId};
 use deck_fleet::ReplyHead;
 use deck_net::{Body, Client, ClientResponse, NetError, server::json_response};
 use futures_util::future::Either;
@@ -17,6 +17,8 @@
 
 /// Answer of a target.
 pub struct Reply {
+    /// The target.
+    pub target: TargetId,
     /// Status.
     pub status: StatusCode,
     /// Headers as received.
@@ -126,9 +128,10 @@
     }
 }
 
-/// Returns the response for an error of the node's own.
+/// Returns the response for an error of the node's own; its extensions hold the [`ErrorKind`].
 pub fn error_response(error: &CallError, request_id: &str) -> Response<Body> {
     let mut response = json_response(error.kind.row().status, &error.body(request_id));
+    response.extensions_mut().insert(error.kind);
     if let Some(wait) = error.retry_after
         && let Ok(value) = HeaderValue::from_str(&retry_after_seconds(wait))
     {
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use deck_core::id::TargetId;
-use deck_fleet::{Dispatch, Protocol};
+use deck_fleet::{AttemptEnd, Dispatch, Observer, Protocol};
 use deck_limit::crash::{Fingerprint, TargetKey};
 use deck_net::{Body, Client, ClientResponse, NetError};
 use deck_route::{Outcome, Pick};
@@ -34,6 +34,7 @@
 pub(crate) struct Attempt {
     pub client: Client,
     pub crashes: CrashGuard,
+    pub observer: Rc<dyn Observer>,
     /// Service whose targets run the request.
     pub service: String,
     pub fingerprint: Fingerprint,
@@ -57,13 +58,20 @@
         let Pick { target, address, mut in_flight } = pick;
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         let request = self.request(&target, time_left);
+        let mut observed = Observed {
+            observer: &*self.observer,
+            started: Instant::now(),
+            first_byte: None,
+            end: AttemptEnd::Cancelled,
+        };
         let key = TargetKey { pool: self.service.clone(), target: target.clone() };
         let running = self.crashes.start(&self.request_id, self.fingerprint, key);
         let mut running = Some(running);
         let exchange = async {
             let response = self.client.send(address, request).await.map_err(attempt_error)?;
             in_flight.first_byte(Instant::now());
-            self.receive(response, &mut running).await
+            observed.first_byte = Some(observed.started.elapsed());
+            self.receive(&target, response, &mut running).await
         };
         let result = match monoio::time::timeout(time_left, exchange).await {
             Ok(result) => result,
@@ -77,12 +85,24 @@
             Err(AttemptError::Unknown(_) | AttemptError::Broken(_)) => Outcome::Crashed,
         };
         in_flight.finish(outcome, 1, Instant::now());
+        observed.end = match outcome {
+            Outcome::Failed => AttemptEnd::Failed,
+            Outcome::Refused | Outcome::Leaving => AttemptEnd::Refused,
+            Outcome::TimedOut => AttemptEnd::TimedOut,
+            Outcome::Crashed => AttemptEnd::Broken,
+            Outcome::Ok => AttemptEnd::Answered,
+        };
+        drop(observed);
         if let Err(error) = &result {
             if let (AttemptError::Broken(_), Some(running)) = (error, running) {
                 running.broken(self.client.clone(), address);
             }
             let id = &self.request_id;
-            log::info!(target: "forward", "attempt failed request={id} target={target} {error:?}");
+            let level = match error {
+                AttemptError::NotRun(_) => log::Level::Info,
+                AttemptError::Unknown(_) | AttemptError::Broken(_) => log::Level::Warn,
+            };
+            log::log!(target: "forward", level, "attempt failed request={id} target={target} {error:?}");
         }
         (target, result)
     }
@@ -107,6 +127,7 @@
     /// Receives an answer; a streamed one takes over `running`.
     async fn receive(
         &self,
+        target: &TargetId,
         response: ClientResponse,
         running: &mut Option<RunningCall>,
     ) -> Result<Reply, AttemptError> {
@@ -141,7 +162,21 @@
             }
         };
         let failures = u32::from(status == StatusCode::INTERNAL_SERVER_ERROR);
-        Ok(Reply { status, headers, head, body, failures })
+        Ok(Reply { target: target.clone(), status, headers, head, body, failures })
+    }
+}
+
+/// Tells the observer of an attempt when it ends, also if it is dropped before.
+struct Observed<'a> {
+    observer: &'a dyn Observer,
+    started: Instant,
+    first_byte: Option<Duration>,
+    end: AttemptEnd,
+}
+
+impl Drop for Observed<'_> {
+    fn drop(&mut self) {
+        self.observer.attempt(self.end, self.first_byte);
     }
 }
 
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -11,7 +11,7 @@
     id::{RequestId, TargetId},
     priority::Priority,
 };
-use deck_fleet::{Protocol, Route, RouteKind, View};
+use deck_fleet::{Observer, Protocol, Route, RouteKind, View};
 use deck_limit::{BudgetOptions, HedgeBudget, RetryBudget, crash::fingerprint};
 use deck_net::Client;
 use deck_route::{Pick, PickRequest};
@@ -83,6 +83,7 @@
     client: Client,
     protocol: Rc<dyn Protocol>,
     crashes: CrashGuard,
+    observer: Rc<dyn Observer>,
     options: ForwardOptions,
     hedges: HedgeBudget,
 }
@@ -111,11 +112,12 @@
         client: Client,
         protocol: Rc<dyn Protocol>,
         crashes: CrashGuard,
+        observer: Rc<dyn Observer>,
         options: ForwardOptions,
     ) -> Self {
         let retries = RetryBudget::new(options.hedge_budget);
         let hedges = HedgeBudget::new(options.hedge_budget, retries);
-        Self { view, client, protocol, crashes, options, hedges }
+        Self { view, client, protocol, crashes, observer, options, hedges }
     }
 
     /// Forwards a request and returns the target's answer.
@@ -124,6 +126,24 @@
     ///
     /// The error's run state is `not_run` only if no target can have run the request.
     pub async fn forward(&self, call: Call) -> Result<Reply, CallError> {
+        let (id, route) = (call.request_id.clone(), call.route.clone());
+        let (started, known) = (Instant::now(), self.view.known());
+        let result = self.run(call).await;
+        let (route, ms) = (&route.name, started.elapsed().as_millis());
+        match result {
+            Ok(reply) => {
+                let (target, status) = (&reply.target, reply.status.as_u16());
+                log::info!(target: "forward", "served request={id} route={route} target={target} status={status} ms={ms} {known}");
+                Ok(reply)
+            }
+            Err(NotServed { error, tried }) => {
+                log::warn!(target: "forward", "not served request={id} route={route} tried={tried} ms={ms} {known} error={error}");
+                Err(error)
+            }
+        }
+    }
+
+    async fn run(&self, call: Call) -> Result<Reply, NotServed> {
         let route = call.route.clone();
         let service = route.service(rand::random::<f64>()).to_owned();
         let streaming = route.kind == RouteKind::Streaming;
@@ -148,7 +168,7 @@
                 match self.next_pick(&service, &progress, route.attempts, &attempt) {
                     Ok(pick) => {
                         progress.tried.push(pick.target.clone());
-                        running.push(run(attempt.clone(), pick).boxed_local());
+                        running.push(run_attempt(attempt.clone(), pick).boxed_local());
                     }
                     Err(error) => return self.give_up(progress, &attempt, error),
                 }
@@ -215,6 +235,7 @@
         Attempt {
             client: self.client.clone(),
             crashes: self.crashes.clone(),
+            observer: self.observer.clone(),
             service,
             fingerprint,
             protocol: self.protocol.clone(),
@@ -282,7 +303,7 @@
         match pick {
             Some(Ok(pick)) => {
                 progress.tried.push(pick.target.clone());
-                running.push(run(attempt.clone(), pick).boxed_local());
+                running.push(run_attempt(attempt.clone(), pick).boxed_local());
             }
             Some(Err(_)) | None => progress.may_hedge = false,
         }
@@ -294,7 +315,7 @@
         progress: Progress,
         attempt: &Attempt,
         refusal: Option<CallError>,
-    ) -> Result<Reply, CallError> {
+    ) -> Result<Reply, NotServed> {
         if let Some(reply) = progress.failure {
             return Ok(reply);
         }
@@ -307,15 +328,20 @@
                 CallError::new(ErrorKind::DeadlineBeforeRun, "no target took the request in time")
             }
         };
-        let (id, tried) = (&attempt.request_id, progress.tried.len());
-        log::info!(target: "forward", "not served request={id} tried={tried} error={error}");
-        Err(error)
+        Err(NotServed { error, tried: progress.tried.len() })
     }
 }
 
+/// Why a request has no answer of a target.
+struct NotServed {
+    error: CallError,
+    /// Targets that were tried.
+    tried: usize,
+}
+
 type AttemptResult = (TargetId, Result<Reply, AttemptError>);
 
-async fn run(attempt: Rc<Attempt>, pick: Pick) -> AttemptResult {
+async fn run_attempt(attempt: Rc<Attempt>, pick: Pick) -> AttemptResult {
     attempt.run(pick).await
 }
 
--- a/crates/forward/tests/crashes.rs
+++ b/crates/forward/tests/crashes.rs
@@ -67,7 +67,7 @@
         view.set_configuration(Configuration::new(1, vec![], vec![service], limits));
         view.set_targets(self.targets.clone(), Instant::now());
         let options = ForwardOptions::default();
-        Forwarder::new(view, Client::default(), Rc::new(Wire), crashes, options)
+        Forwarder::new(view, Client::default(), Rc::new(Wire), crashes, Rc::new(()), options)
     }
 
     fn received(&self, body: &str) -> usize {
--- a/crates/forward/tests/forward.rs
+++ b/crates/forward/tests/forward.rs
@@ -76,7 +76,8 @@
     view.set_configuration(Configuration::new(1, vec![], vec![service], CallerLimits::default()));
     view.set_targets(targets, Instant::now());
     let (client, options) = (Client::default(), ForwardOptions::default());
-    let forwarder = Forwarder::new(view, client, Rc::new(Wire), CrashGuard::default(), options);
+    let forwarder =
+        Forwarder::new(view, client, Rc::new(Wire), CrashGuard::default(), Rc::new(()), options);
     World { forwarder, received, cancel }
 }
 
--- a/crates/forward/tests/streams.rs
+++ b/crates/forward/tests/streams.rs
@@ -120,8 +120,14 @@
     view.set_configuration(Configuration::new(1, vec![], vec![service], CallerLimits::default()));
     view.set_targets(targets, Instant::now());
     let options = ForwardOptions::default();
-    let forwarder =
-        Forwarder::new(view, Client::default(), Rc::new(Wire), CrashGuard::default(), options);
+    let forwarder = Forwarder::new(
+        view,
+        Client::default(),
+        Rc::new(Wire),
+        CrashGuard::default(),
+        Rc::new(()),
+        options,
+    );
     World { forwarder, received, cancel }
 }
 
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod bounded;
 pub mod logs;
 pub mod metrics;
+pub mod process;
 pub mod reference;
--- a/crates/swap/src/giver.rs
+++ b/crates/swap/src/giver.rs
@@ -13,7 +13,9 @@
     CancellationToken,
     id::{TargetId, WeightVersion},
 };
-use deck_fleet::{Engines, Order, OrderReply, Protocol, Target, TargetReport, TargetState, View};
+use deck_fleet::{
+    Engines, Observer, Order, OrderReply, Protocol, Target, TargetReport, TargetState, View,
+};
 use deck_net::{Body, Client};
 use deck_plat::LeaseToken;
 use futures_util::future::select;
@@ -65,6 +67,7 @@
     engines: Engines,
     client: Client,
     protocol: Rc<dyn Protocol>,
+    observer: Rc<dyn Observer>,
     options: SwapOptions,
     /// Told when an order has ended, so that the next one follows at once.
     ended: Notify,
@@ -80,11 +83,13 @@
         engines: Engines,
         client: Client,
         protocol: Rc<dyn Protocol>,
+        observer: Rc<dyn Observer>,
         options: SwapOptions,
     ) -> Self {
         let accepted = RefCell::default();
         let ended = Notify::new();
-        let inner = Inner { vm, view, engines, client, protocol, options, ended, accepted };
+        let inner =
+            Inner { vm, view, engines, client, protocol, observer, options, ended, accepted };
         Self { inner: Rc::new(inner) }
     }
 
@@ -200,6 +205,7 @@
         let request = self.protocol.order(&target.id, &order);
         let reply = self.send(target, request).await;
         let reply = reply.map(|(status, _)| self.protocol.order_reply(status));
+        self.observer.order(reply.map(OrderReply::label));
         let (id, fencing) = (&target.id, order.fencing);
         log::info!(target: "swap", "order target={id} model={model} version={version} fencing={fencing} expected_orders={expected_orders} reply={reply:?}");
         match reply {
@@ -234,6 +240,9 @@
                     self.engines.set_version(target, model, *shown);
                 }
                 if shown.is_some_and(|(_, shown)| *shown >= version) || !report.busy {
+                    if shown.is_some_and(|(_, shown)| *shown >= version) {
+                        self.observer.loaded(started.elapsed());
+                    }
                     let (id, ms) = (&target.id, started.elapsed().as_millis());
                     log::info!(target: "swap", "order ended target={id} model={model} version={version} shown={shown:?} ms={ms}");
                     return;
