Count each wait of a watch, and log calls on the object API at debug

Cause: the price of calls on a grown site could not be told apart by its calls: waits of watches were not counted, and the counts are only at the nodes' addresses. Change: MeteredApi tells of each wait of a watch; decknode logs each call at level debug.

--- a/bins/decknode/src/metrics.rs
+++ b/bins/decknode/src/metrics.rs
@@ -57,7 +57,7 @@
     LEADS = "decknode_leads", "gauge", "nodes", "",
         "1 if this node holds the lease of the leader.";
     STORE_CALLS = "decknode_store_calls_total", "counter", "calls", "operation, kind, outcome",
-        "Calls on the object API that have ended, watches left out.";
+        "Calls on the object API that have ended; each wait of a watch counts.";
     STORE_CALL_TIME = "decknode_store_call_seconds", "histogram", "seconds", "operation",
         "Time of these calls.";
     CONFIGURATION_VERSION = "decknode_configuration_version", "gauge", "version", "",
@@ -200,6 +200,9 @@
 
     /// Takes note of a call on the object API.
     pub fn record_store_call(&self, call: CallRecord<'_>) {
+        let CallRecord { operation, kind, outcome, time } = call;
+        let (operation, outcome, ms) = (operation.label(), outcome.label(), time.as_millis());
+        log::debug!(target: "store", "call operation={operation} kind={kind} outcome={outcome} ms={ms}");
         let operation = KeyValue::new("operation", call.operation.label());
         let kind = KeyValue::new("kind", call.kind.to_owned());
         let outcome = KeyValue::new("outcome", call.outcome.label());
--- a/crates/plat/src/metered.rs
+++ b/crates/plat/src/metered.rs
@@ -6,10 +6,12 @@
 };
 
 use deck_core::id::Revision;
-use futures_util::{FutureExt, future::LocalBoxFuture};
+use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture};
 use serde_json::Value;
 
-use crate::store::{Freshness, Object, ObjectApi, Precondition, StoreError, Watch, WriteTo};
+use crate::store::{
+    Freshness, Object, ObjectApi, Precondition, StoreError, Watch, WatchEvent, WriteTo,
+};
 
 /// One call on the object API that has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +41,8 @@
     Replace,
     /// A deletion.
     Delete,
+    /// A wait for the next changes of a watch.
+    Watch,
 }
 
 impl Operation {
@@ -51,6 +55,7 @@
             Self::Create => "create",
             Self::Replace => "replace",
             Self::Delete => "delete",
+            Self::Watch => "watch",
         }
     }
 }
@@ -85,10 +90,16 @@
     fn of<T>(result: &Result<T, StoreError>) -> Self {
         match result {
             Ok(_) => Self::Ok,
-            Err(StoreError::Conflict(_)) => Self::Conflict,
-            Err(StoreError::ResponseLost(_)) => Self::Lost,
-            Err(StoreError::Decode(_)) => Self::Invalid,
-            Err(_) => Self::Refused,
+            Err(error) => Self::of_error(error),
+        }
+    }
+
+    fn of_error(error: &StoreError) -> Self {
+        match error {
+            StoreError::Conflict(_) => Self::Conflict,
+            StoreError::ResponseLost(_) => Self::Lost,
+            StoreError::Decode(_) => Self::Invalid,
+            _ => Self::Refused,
         }
     }
 }
@@ -96,7 +107,7 @@
 /// Told of each call that has ended.
 pub type Observer = Rc<dyn Fn(CallRecord<'_>)>;
 
-/// Object API that tells an observer of its calls. Watches are not calls.
+/// Object API that tells an observer of its calls, and of each wait of a watch that has ended.
 pub struct MeteredApi {
     api: Rc<dyn ObjectApi>,
     observer: Observer,
@@ -173,6 +184,23 @@
         from: Revision,
         wait: Duration,
     ) -> LocalBoxFuture<'a, Result<Watch, StoreError>> {
-        self.api.watch(kinds, from, wait)
+        let observer = self.observer.clone();
+        let watching = async move {
+            let watch = self.api.watch(kinds, from, wait).await?;
+            let kind = kinds.join(",");
+            let mut asked_at = Instant::now();
+            let events = watch.into_events().inspect(move |event| {
+                let outcome = match event {
+                    Ok(WatchEvent::Bookmark(_)) => Outcome::Ok,
+                    Ok(_) => return,
+                    Err(error) => Outcome::of_error(error),
+                };
+                let time = asked_at.elapsed();
+                asked_at = Instant::now();
+                observer(CallRecord { operation: Operation::Watch, kind: &kind, outcome, time });
+            });
+            Ok(Watch::new(events.boxed_local()))
+        };
+        watching.boxed_local()
     }
 }
--- a/crates/plat/src/store.rs
+++ b/crates/plat/src/store.rs
@@ -168,6 +168,11 @@
         Self { events }
     }
 
+    /// Returns the events as a stream.
+    pub fn into_events(self) -> LocalBoxStream<'static, Result<WatchEvent, StoreError>> {
+        self.events
+    }
+
     /// Returns the next event; `None` after the server has ended the watch.
     ///
     /// # Errors
--- a/crates/plat/tests/metered.rs
+++ b/crates/plat/tests/metered.rs
@@ -30,6 +30,9 @@
         store.put("k", "a", replace, &json!(2)).await.expect_err("lost");
         objects.set_fault(Some(Fault::Down), Some(1));
         store.list("k").await.expect_err("down");
+        // The objects in memory have no history.
+        let mut watch = store.watch(&["k"], revision).await.expect("watch");
+        watch.next().await.expect_err("compacted");
         let expected = [
             (Operation::Create, Outcome::Ok),
             (Operation::Create, Outcome::Conflict),
@@ -37,6 +40,7 @@
             (Operation::GetOld, Outcome::Ok),
             (Operation::Replace, Outcome::Lost),
             (Operation::List, Outcome::Refused),
+            (Operation::Watch, Outcome::Refused),
         ];
         assert_eq!(*seen.borrow(), expected);
     };
