Leave the object API to the watchers at the start and in outages

Pattern: the object API is away, or cuts all watches, in a fleet of 60 nodes; a large fleet starts. Cause: a node whose watchers were behind followed the object API itself for 5 s, with lists of two kinds at most 0.6 s apart, and so did all 62 others; at the start of a fleet each node followed it until it knew the others. Ruled out: fewer watchers (a third of the waits of watches; less is left when one is cut off); older knowledge allowed (a change has to be in force in 3 s). Change: a node without a recent watcher first waits 0.4 s and asks the watchers for the age of their knowledge; then one cheap call finds out whether the object API answers, and only if it does and no watcher has recovered does the node follow it. A node that starts waits for the list of nodes, in a new fleet for 1 s, so that one read shows all.

--- a/bins/decknode/src/nodes.rs
+++ b/bins/decknode/src/nodes.rs
@@ -13,7 +13,9 @@
 /// Time between two reads of the list. A node that is missing from the list is only not asked for
 /// relayed calls.
 const READ_INTERVAL: Duration = Duration::from_secs(15);
-/// Time after the start of a node at which the others have registered too.
+/// Time in which the nodes of a new fleet have registered; they start within some 0.3 s.
+pub const FLEET_START: Duration = Duration::from_millis(1000);
+/// Time after the first read at which nodes that started late have registered too.
 const SECOND_READ: Duration = Duration::from_secs(2);
 /// Wait after a call that failed.
 const RETRY: Duration = Duration::from_millis(1500);
@@ -32,8 +34,9 @@
     if !keep_registering(&store, &settings, &cancel).await {
         return;
     }
-    // A node that starts again knows the others at once; in a new fleet they register meanwhile.
-    let mut waits = [Duration::ZERO, SECOND_READ].into_iter();
+    // A node that starts again knows the others at once.
+    let first_read = if settings.fleet_starts { FLEET_START } else { Duration::ZERO };
+    let mut waits = [first_read, SECOND_READ].into_iter();
     let mut known = false;
     let mut retry = None;
     loop {
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -53,6 +53,8 @@
 const METRICS_PATH: &str = "/metrics";
 /// Largest call of another node on the object API.
 const MAX_RELAYED_BYTES: usize = 4 * 1024 * 1024;
+/// Time in which a node that starts learns the nodes of its fleet; two calls on the object API.
+const LEARN_LIMIT: Duration = Duration::from_millis(300);
 /// Time in which a connection has to come about; links take a few milliseconds.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Probes of idle connections: a silent one is noticed within three seconds.
@@ -119,7 +121,8 @@
         FeedOptions::default(),
     );
     let (feeding, token) = (feed.clone(), ended.clone());
-    monoio::spawn(async move { feeding.run(token).await });
+    let learn_limit = if settings.fleet_starts { nodes::FLEET_START * 2 } else { LEARN_LIMIT };
+    monoio::spawn(async move { feeding.run(learn_limit, token).await });
     let checkpoints = Checkpoints::new(client.clone());
     let (registry, own) = (store.clone(), settings.clone());
     let known = checkpoints.clone();
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -21,7 +21,7 @@
 use http::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{CrashBoard, Follower, NodeCrashes, Target};
 
@@ -58,6 +58,13 @@
     pub pause: Duration,
     /// Time for which a node follows the object API itself after no watcher had an answer.
     pub fallback: Duration,
+    /// Pause between two looks for a source while neither watchers nor the object API are one. With the
+    /// largest age and the wait for an answer it stays below the time in which a change has to be in
+    /// force.
+    pub search_pause: Duration,
+    /// Time that a watcher needs at the end of an outage until its knowledge is recent; above the
+    /// longest wait between two of its tries.
+    pub recovery: Duration,
 }
 
 impl Default for FeedOptions {
@@ -70,6 +77,8 @@
             max_age: Duration::from_millis(1500),
             pause: Duration::from_millis(50),
             fallback: Duration::from_secs(5),
+            search_pause: Duration::from_millis(400),
+            recovery: Duration::from_millis(800),
         }
     }
 }
@@ -126,6 +135,8 @@
     options: FeedOptions,
     /// Nodes in the order in which they are watchers.
     ranked: RefCell<Vec<SocketAddr>>,
+    /// Told when the nodes of the fleet are set.
+    learned: Notify,
     /// VMs with a disk.
     disks: RefCell<Vec<SocketAddr>>,
     leader: watch::Sender<Option<Leader>>,
@@ -149,6 +160,7 @@
             follower,
             options,
             ranked: RefCell::default(),
+            learned: Notify::new(),
             disks: RefCell::default(),
             leader: watch::channel(None).0,
             crashes: CrashBoard::default(),
@@ -160,6 +172,7 @@
     /// Sets the nodes of the fleet, in the order in which they are watchers.
     pub fn set_ranked(&self, nodes: Vec<SocketAddr>) {
         self.inner.ranked.replace(nodes);
+        self.inner.learned.notify_one();
     }
 
     /// Returns the nodes of the fleet, in the order in which they are watchers.
@@ -224,8 +237,14 @@
             .then(|| ranked.iter().take(options.watchers).copied().collect())
     }
 
-    /// Follows the object API as a watcher and watchers otherwise, until `cancel` is cancelled.
-    pub async fn run(&self, cancel: CancellationToken) {
+    /// Follows the object API as a watcher and watchers otherwise, until `cancel` is cancelled. Waits
+    /// up to `learn_limit` for the nodes of the fleet: most nodes of a large one need not follow the
+    /// object API, not even at their start.
+    pub async fn run(&self, learn_limit: Duration, cancel: CancellationToken) {
+        let learned = monoio::time::timeout(learn_limit, self.inner.learned.notified());
+        if cancel.run_until_cancelled(learned).await.is_none() {
+            return;
+        }
         while !cancel.is_cancelled() {
             let Some(watchers) = self.watchers().filter(|_| !self.is_watcher()) else {
                 self.watch_until(&cancel, None).await;
@@ -234,13 +253,67 @@
             if cancel.run_until_cancelled(self.ask(&watchers)).await.is_none() {
                 return;
             }
-            if !cancel.is_cancelled() && !self.is_watcher() {
+            let found = cancel.run_until_cancelled(self.find_source(&watchers)).await;
+            let Some(source) = found else { return };
+            if source == Source::ObjectApi && !self.is_watcher() {
                 let until = Instant::now() + self.inner.options.fallback;
                 self.watch_until(&cancel, Some(until)).await;
             }
         }
     }
 
+    /// Waits until the object API or a watcher can tell what is new. In an outage of the object API
+    /// the nodes of a large fleet would make thousands of calls if each of them followed it.
+    async fn find_source(&self, watchers: &[SocketAddr]) -> Source {
+        let inner = &self.inner;
+        let mut was_away = false;
+        loop {
+            // Watchers whose watches were cut, or which have just started, need a moment.
+            monoio::time::sleep(inner.options.search_pause).await;
+            if self.is_any_recent(watchers).await {
+                return Source::Watcher;
+            }
+            if self.is_watcher() {
+                return Source::ObjectApi;
+            }
+            let is_away = !inner.follower.reaches_object_api().await;
+            if !is_away && !was_away {
+                return Source::ObjectApi;
+            }
+            if was_away && !is_away {
+                monoio::time::sleep(inner.options.recovery).await;
+            }
+            was_away = is_away;
+        }
+    }
+
+    /// Returns whether the knowledge of any watcher is recent enough.
+    async fn is_any_recent(&self, watchers: &[SocketAddr]) -> bool {
+        let first = rand::random_range(0..watchers.len());
+        for node in watchers.iter().cycle().skip(first).take(watchers.len()) {
+            match self.ask_age(*node).await {
+                Ok(age) if age <= self.inner.options.max_age => return true,
+                Ok(_) => {}
+                Err(error) => {
+                    log::debug!(target: "fleet", "watcher does not answer node={node} error={error}");
+                }
+            }
+        }
+        false
+    }
+
+    /// Asks a watcher how old its knowledge is.
+    async fn ask_age(&self, node: SocketAddr) -> Result<Duration, NetError> {
+        let request = Request::builder()
+            .uri(format!("{FEED_PATH}?{AGE_ONLY}=1"))
+            .body(Body::empty())
+            .map_err(|error| NetError::Decode(error.to_string()))?;
+        let limit = self.inner.options.poll_wait;
+        let age = self.inner.client.call(node, request, limit, MAX_PAGE_BYTES).await?.ok()?;
+        let age: Result<u64, _> = ciborium::from_reader(&*age);
+        age.map(Duration::from_millis).map_err(|error| NetError::Decode(error.to_string()))
+    }
+
     /// Follows the object API while this node is a watcher, and until `until`.
     async fn watch_until(&self, cancel: &CancellationToken, until: Option<Instant>) {
         let inner = &self.inner;
@@ -354,6 +427,12 @@
             return status_only(StatusCode::NOT_FOUND);
         }
         let parameter = |name| number_parameter(query, name);
+        if parameter(AGE_ONLY).is_some() {
+            return match self.age() {
+                Some(age) => encoded(&(age.as_millis() as u64)),
+                None => status_only(StatusCode::SERVICE_UNAVAILABLE),
+            };
+        }
         let known = parameter("changes").unwrap_or(0);
         let same_epoch = parameter("epoch") == Some(inner.epoch);
         let view = &inner.follower.view;
@@ -363,9 +442,7 @@
             let wait = wait.min(inner.options.poll_wait);
             let _ = monoio::time::timeout(wait, changes.changed()).await;
         }
-        let kinds = [inner.follower.kinds.configuration, inner.follower.kinds.targets];
-        let age = inner.follower.freshness.age(&kinds, Instant::now());
-        let Some(age) = age else { return status_only(StatusCode::SERVICE_UNAVAILABLE) };
+        let Some(age) = self.age() else { return status_only(StatusCode::SERVICE_UNAVAILABLE) };
         let changed = !same_epoch || view.change_count() != known;
         let version = view.configuration().map_or(0, |configuration| configuration.version);
         let newer = version > parameter("configuration").unwrap_or(0);
@@ -391,13 +468,34 @@
             nodes: self.ranked(),
             disks: self.disks(),
         };
-        let mut encoded = Vec::new();
-        match ciborium::into_writer(&page, &mut encoded) {
-            Ok(()) => Response::new(Body::full(Bytes::from(encoded))),
-            Err(error) => {
-                log::error!(target: "fleet", "page not encoded error={error}");
-                status_only(StatusCode::INTERNAL_SERVER_ERROR)
-            }
+        encoded(&page)
+    }
+
+    /// Returns the age of what this node knows from the object API.
+    fn age(&self) -> Option<Duration> {
+        let follower = &self.inner.follower;
+        let kinds = [follower.kinds.configuration, follower.kinds.targets];
+        follower.freshness.age(&kinds, Instant::now())
+    }
+}
+
+/// Where a node can learn what is new.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    ObjectApi,
+    Watcher,
+}
+
+/// Parameter of a question that asks only for the age of a watcher's knowledge.
+const AGE_ONLY: &str = "age_only";
+
+fn encoded<T: Serialize>(value: &T) -> Response<Body> {
+    let mut bytes = Vec::new();
+    match ciborium::into_writer(value, &mut bytes) {
+        Ok(()) => Response::new(Body::full(Bytes::from(bytes))),
+        Err(error) => {
+            log::error!(target: "fleet", "answer not encoded error={error}");
+            status_only(StatusCode::INTERNAL_SERVER_ERROR)
         }
     }
 }
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -124,6 +124,19 @@
         Self { freshness, watch_wait, store, view, protocol, kinds, options }
     }
 
+    /// Returns whether the object API answers this node; takes one cheap call.
+    pub async fn reaches_object_api(&self) -> bool {
+        // An object that does not exist: any answer will do.
+        const PROBED_NAME: &str = "reachable";
+        match self.store.get_any(self.kinds.configuration, PROBED_NAME).await {
+            Ok(_) => true,
+            Err(error) => {
+                log::debug!(target: "fleet", "object API not reached error={error}");
+                false
+            }
+        }
+    }
+
     /// Sets the time after which a watch tells that there are no changes. A node that passes on what
     /// it knows has to know soon that it is up to date.
     pub fn set_watch_wait(&self, wait: Option<Duration>) {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -19,6 +19,8 @@
     pub peer_address: SocketAddr,
     /// Addresses of a few other nodes, possibly stale.
     pub seeds: Vec<SocketAddr>,
+    /// Whether all nodes of the deployment start for the first time now.
+    pub fleet_starts: bool,
     /// Address of the object API.
     pub object_api: SocketAddr,
     /// Part of a core that the VM has.
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -1,6 +1,10 @@
 //! Knowledge that watchers pass on to the other nodes of a large fleet.
 
-use std::{net::SocketAddr, rc::Rc, time::Instant};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use deck_core::CancellationToken;
 use deck_fleet::{
@@ -64,7 +68,7 @@
 
 fn run(node: &Node, cancel: &CancellationToken) {
     let (feed, cancel) = (node.feed.clone(), cancel.clone());
-    monoio::spawn(async move { feed.run(cancel).await });
+    monoio::spawn(async move { feed.run(Duration::ZERO, cancel).await });
 }
 
 async fn knows(node: &Node, version: u64) {
@@ -155,6 +159,73 @@
     deck_net::runtime::run(test).expect("runtime");
 }
 
+/// Pattern: a large fleet starts. Guards against nodes that all follow the object API before they
+/// know each other, and against one that waits for ever for the others.
+#[test]
+fn node_that_starts_waits_for_the_fleet_and_not_for_ever() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let objects = MemoryObjects::default();
+        common::write(&objects, KINDS.configuration, "main", 1).await;
+        let (own, alone) = (MemoryObjects::default(), MemoryObjects::default());
+        common::write(&alone, KINDS.configuration, "main", 1).await;
+        let nodes = [&objects, &own, &alone].map(|objects| start(objects, &cancel));
+        let before = [own.calls(), alone.calls()];
+        for node in &nodes {
+            let (feed, cancel) = (node.feed.clone(), cancel.clone());
+            let limit = Duration::from_millis(300);
+            monoio::spawn(async move { feed.run(limit, cancel).await });
+        }
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!([own.calls(), alone.calls()], before);
+        let [watcher, node, lone] = &nodes;
+        for one in [watcher, node] {
+            one.feed.set_ranked(vec![watcher.address, node.address]);
+        }
+        knows(node, 1).await;
+        assert_eq!(own.calls(), before[0]);
+        knows(lone, 1).await;
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// Pattern: the object API is down for the whole of a large fleet. Guards against nodes that all
+/// follow it themselves, each with lists in quick succession, because their watchers are behind.
+#[test]
+fn node_makes_few_calls_while_the_object_api_is_down_for_all() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let objects = MemoryObjects::default();
+        common::write(&objects, KINDS.configuration, "main", 1).await;
+        let own = MemoryObjects::default();
+        let (watcher, node) = (start(&objects, &cancel), start(&own, &cancel));
+        let ranked = vec![watcher.address, node.address];
+        for one in [&watcher, &node] {
+            one.feed.set_ranked(ranked.clone());
+            run(one, &cancel);
+        }
+        knows(&node, 1).await;
+        let before = own.calls();
+        objects.set_fault(Some(Fault::Down), None);
+        own.set_fault(Some(Fault::Down), None);
+        monoio::time::sleep(Duration::from_secs(5)).await;
+        let calls = own.calls() - before;
+        assert!(calls <= 10, "{calls} calls in an outage of 5 s");
+        // Both reach it again: the watcher is soon up to date, and the node need not follow.
+        for objects in [&objects, &own] {
+            objects.set_fault(None, None);
+        }
+        common::write(&objects, KINDS.configuration, "main", 2).await;
+        knows(&node, 2).await;
+        monoio::time::sleep(Duration::from_secs(1)).await;
+        let calls = own.calls() - before;
+        assert!(calls <= 12, "{calls} calls in an outage of 5 s and after it");
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
 /// Guards against a small fleet that waits for watchers, and against a node that has not heard of
 /// the fleet yet and follows nobody.
 #[test]
