Give fast engines to the models with long texts, load empty engines first

Pattern: a step waits for its longest texts, of up to 152 events of 45 ms; a third of the engines is slower by a third, and a load holds up the runs on its engine. Cause: engines were assigned to models without regard to their speed, and the fullest ones loaded first, so that long texts ran at 59 ms an event and were held up by up to 0.9 s. Change: the time for one event in an engine's fastest recent run and the mean length of a model's texts decide which engines are exchanged between models; usable engines load emptiest first.

--- a/crates/batch/src/run.rs
+++ b/crates/batch/src/run.rs
@@ -76,11 +76,14 @@
     };
     drop(guard);
     observer.run(ended.as_run_end(), started.elapsed());
-    let ms = started.elapsed().as_millis();
+    let time = started.elapsed();
+    let ms = time.as_millis();
     let at = run.progress.borrow().last_event;
+    inner.parts.engines.record_run(&target, at.saturating_sub(from), time, Instant::now());
     match ended {
         Ended::Complete => {
             log::info!(target: "batch", "run complete item={id} target={} event={at} ms={ms}", target.id);
+            inner.parts.engines.record_text(&job.record.borrow().model, at);
             run.enter(Phase::Complete);
         }
         Ended::Broken(reason) => {
--- a/crates/fleet/src/engines.rs
+++ b/crates/fleet/src/engines.rs
@@ -27,10 +27,19 @@
 /// Longest time for which an engine that fails again and again gets no work.
 const MAX_BLOCK_TIME: Duration = Duration::from_secs(4);
 
+/// Fewest events of a run that tells the speed of its engine; the first one takes the prompt's time.
+const MIN_RUN_EVENTS: u64 = 8;
+/// Part by which the fastest recent run of an engine counts as slower each second.
+const BEST_DECAY_PER_S: f64 = 0.01;
+/// Part of the newest text in the mean length of a model's texts.
+const NEWEST_TEXT_PART: f64 = 0.02;
+
 /// States of all engines; clones share them.
 #[derive(Clone, Default)]
 pub struct Engines {
     states: Rc<RefCell<HashMap<TargetId, EngineState>>>,
+    /// Mean number of events of a text, by model.
+    text_events: Rc<RefCell<HashMap<ModelName, f64>>>,
 }
 
 /// State of one engine.
@@ -50,6 +59,15 @@
     failures: u32,
     /// Times between two events of one run.
     gaps: Option<Gaps>,
+    /// Time for one event in the fastest recent run.
+    best: Option<Best>,
+}
+
+/// Fastest recent run of an engine.
+#[derive(Debug, Clone, Copy)]
+struct Best {
+    event_ms: f64,
+    at: Instant,
 }
 
 /// Means of the times between two events of a run.
@@ -74,6 +92,12 @@
         Some(usual_ms + (gaps.long_ms - usual_ms) * kept)
     }
 
+    /// Returns the time for one event in the fastest recent run in milliseconds: the engine's own
+    /// speed, without its load and its neighbours.
+    pub fn best_event_ms(&self, now: Instant) -> Option<f64> {
+        self.best.map(|best| best.event_ms_at(now))
+    }
+
     /// Returns the long mean of the time between two events in milliseconds.
     pub fn long_gap_ms(&self) -> Option<f64> {
         self.gaps.map(|gaps| gaps.long_ms)
@@ -141,6 +165,33 @@
         });
     }
 
+    /// Takes note of a run that made `events` in `time`.
+    pub fn record_run(&self, target: &Target, events: u64, time: Duration, now: Instant) {
+        if events < MIN_RUN_EVENTS {
+            return;
+        }
+        let event_ms = time.as_secs_f64() * 1000.0 / events as f64;
+        self.with(target, |state| {
+            let known = state.best.map(|best| best.event_ms_at(now));
+            let event_ms = known.map_or(event_ms, |known| known.min(event_ms));
+            state.best = Some(Best { event_ms, at: now });
+        });
+    }
+
+    /// Takes note of the length of a model's text.
+    pub fn record_text(&self, model: &str, events: u64) {
+        let mut texts = self.text_events.borrow_mut();
+        match texts.get_mut(model) {
+            Some(mean) => *mean += (events as f64 - *mean) * NEWEST_TEXT_PART,
+            None => drop(texts.insert(model.to_owned(), events as f64)),
+        }
+    }
+
+    /// Returns the mean number of events of a model's texts.
+    pub fn text_events(&self, model: &str) -> Option<f64> {
+        self.text_events.borrow().get(model).copied()
+    }
+
     /// Takes note that the target refused a run, or broke it off.
     pub fn record_failure(&self, target: &Target, now: Instant) {
         self.with(target, |state| {
@@ -168,6 +219,13 @@
     }
 }
 
+impl Best {
+    fn event_ms_at(&self, now: Instant) -> f64 {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.event_ms * (1.0 + BEST_DECAY_PER_S * passed)
+    }
+}
+
 /// Accounts for one run on an engine.
 pub struct RunGuard {
     engines: Engines,
--- a/crates/swap/src/giver.rs
+++ b/crates/swap/src/giver.rs
@@ -128,6 +128,7 @@
                 name: name.clone(),
                 named: self.inner.view.named_version(name),
                 demand: 1.0,
+                text_events: self.inner.engines.text_events(name),
             };
             let models: Vec<NamedModel> = engine.models.iter().map(named).collect();
             let targets = self.inner.view.targets_of(&service.name);
@@ -146,11 +147,13 @@
     fn engine_versions(&self, target: &Target, models: &[NamedModel]) -> EngineVersions {
         let engines = &self.inner.engines;
         let version = |model: &NamedModel| engines.version(target, &model.name);
+        let state = engines.state(target);
         EngineVersions {
             target: target.id.clone(),
             versions: models.iter().map(version).collect(),
             loading: engines.changing(target).is_some(),
-            free_slots: target.slots.saturating_sub(engines.state(target).running),
+            free_slots: target.slots.saturating_sub(state.running),
+            event_ms: state.best_event_ms(Instant::now()),
         }
     }
 
--- a/crates/swap/src/plan.rs
+++ b/crates/swap/src/plan.rs
@@ -25,7 +25,7 @@
 }
 
 /// One engine as the planner sees it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct EngineVersions {
     /// The engine.
     pub target: TargetId,
@@ -35,6 +35,8 @@
     pub loading: bool,
     /// Slots that are not taken.
     pub free_slots: u32,
+    /// Time for one event of a text in milliseconds; `None` if it is not known.
+    pub event_ms: Option<f64>,
 }
 
 /// One model as the planner sees it.
@@ -46,6 +48,8 @@
     pub named: Option<WeightVersion>,
     /// Part of the work that is for this model, compared with the other models.
     pub demand: f64,
+    /// Mean number of events of a text; `None` if it is not known.
+    pub text_events: Option<f64>,
 }
 
 /// Change of one engine to a version of one model.
@@ -64,8 +68,8 @@
 /// Each engine is assigned to one model and follows only that model's versions: loads are the
 /// scarcest resource where trainers name a version every few seconds. Engines that can no longer
 /// generate for the newest step come first, those of the model with the fewest usable engines before
-/// others. Engines that are usable change in the remaining room, the fullest first, because an
-/// engine starts no new runs while it loads.
+/// others. Engines that are usable change in the remaining room, the emptiest first: a load holds up
+/// the runs on its engine for up to its whole time.
 pub fn plan(
     engines: &[EngineVersions],
     models: &[NamedModel],
@@ -97,7 +101,8 @@
     }
     behind.sort_by_key(|(index, model, lag)| {
         let is_useless = *lag > options.usable_lag;
-        let order = if is_useless { usable[*model] as u32 } else { engines[*index].free_slots };
+        let fullness = u32::MAX - engines[*index].free_slots;
+        let order = if is_useless { usable[*model] as u32 } else { fullness };
         (Reverse(is_useless), order, Reverse(*lag), engines[*index].target.clone())
     });
     let change = |(index, model, _): (usize, usize, u64)| {
@@ -118,7 +123,8 @@
 /// Assigns each engine to a model: returns the model's index for each engine.
 ///
 /// The models take turns and pick the engine with their newest version, so assignments stay once
-/// they are made. Each model gets engines in proportion to its demand.
+/// they are made. Each model gets engines in proportion to its demand. Then engines are exchanged so
+/// that fast ones run long texts.
 pub fn assign(engines: &[EngineVersions], models: &[NamedModel]) -> Vec<Option<usize>> {
     let mut assigned = vec![None; engines.len()];
     let mut quotas = quotas(engines.len(), models);
@@ -142,7 +148,55 @@
             }
         }
         if !picked {
-            return assigned;
+            break;
+        }
+    }
+    give_fast_engines_to_long_texts(engines, models, &mut assigned);
+    assigned
+}
+
+/// Factor by which an engine is faster than another one that is worth a change of both. Below it,
+/// the difference may be that of their load.
+const WORTH_A_CHANGE: f64 = 1.15;
+/// Factor by which texts of one model are longer than those of another one that is worth a change.
+const MUCH_LONGER: f64 = 1.3;
+
+/// Exchanges engines between models so that those with long texts have the fast ones: a step waits
+/// for its longest texts, which take as long as their engines need for each event.
+fn give_fast_engines_to_long_texts(
+    engines: &[EngineVersions],
+    models: &[NamedModel],
+    assigned: &mut [Option<usize>],
+) {
+    let mut by_length: Vec<(usize, f64)> = models
+        .iter()
+        .enumerate()
+        .filter_map(|(index, model)| Some((index, model.text_events?)))
+        .collect();
+    by_length.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+    for (position, (long, long_events)) in by_length.iter().enumerate() {
+        for (short, short_events) in by_length[position + 1..].iter().rev() {
+            if *long_events < short_events * MUCH_LONGER {
+                continue;
+            }
+            let of = |model: usize, assigned: &[Option<usize>]| -> Vec<(usize, f64)> {
+                let of_model = (0..engines.len()).filter(|index| assigned[*index] == Some(model));
+                of_model.filter_map(|index| Some((index, engines[index].event_ms?))).collect()
+            };
+            let order = |a: &(usize, f64), b: &(usize, f64)| {
+                let target = |index: usize| &engines[index].target;
+                a.1.total_cmp(&b.1).then_with(|| target(a.0).cmp(target(b.0)))
+            };
+            let (mut slow, mut fast) = (of(*long, assigned), of(*short, assigned));
+            slow.sort_by(|a, b| order(b, a));
+            fast.sort_by(order);
+            for (slow, fast) in slow.iter().zip(&fast) {
+                if slow.1 < fast.1 * WORTH_A_CHANGE {
+                    break;
+                }
+                assigned[slow.0] = Some(*short);
+                assigned[fast.0] = Some(*long);
+            }
         }
     }
 }
--- a/crates/swap/tests/plan.rs
+++ b/crates/swap/tests/plan.rs
@@ -6,7 +6,7 @@
 };
 
 fn model(name: &str, named: u64) -> NamedModel {
-    NamedModel { name: name.to_owned(), named: Some(named), demand: 1.0 }
+    NamedModel { name: name.to_owned(), named: Some(named), demand: 1.0, text_events: None }
 }
 
 fn engine(index: usize, versions: &[u64], free_slots: u32) -> EngineVersions {
@@ -15,6 +15,7 @@
         versions: versions.iter().map(|version| Some(*version)).collect(),
         loading: false,
         free_slots,
+        event_ms: None,
     }
 }
 
@@ -108,3 +109,59 @@
     assert_eq!(max_loading(1, &PlanOptions::default()), 1);
     assert_eq!(max_loading(38, &PlanOptions::default()), 8);
 }
+
+/// Pattern: a step waits for its longest texts, and a third of the engines is slower by a third.
+/// Guards against long texts on slow engines while the model with short texts has the fast ones.
+#[test]
+fn fast_engines_run_the_long_texts() {
+    let long = |name: &str| NamedModel { text_events: Some(20.0), ..model(name, 2) };
+    let models = [long("a"), NamedModel { text_events: Some(7.0), ..model("b", 2) }, long("c")];
+    let engines: Vec<_> = (0..9)
+        .map(|index| EngineVersions {
+            event_ms: Some(if index % 3 == 0 { 59.0 } else { 45.0 }),
+            ..engine(index, &[1, 1, 1], 8)
+        })
+        .collect();
+    let assigned = assign(&engines, &models);
+    let of_short: Vec<usize> = (0..9).filter(|index| assigned[*index] == Some(1)).collect();
+    assert_eq!(of_short, [0, 3, 6], "{assigned:?}");
+    let mut loaded = engines;
+    for (engine, model) in loaded.iter_mut().zip(&assigned) {
+        engine.versions[model.expect("a model")] = Some(2);
+    }
+    assert_eq!(assign(&loaded, &models), assigned, "engines change their model again");
+}
+
+/// Pattern: engines differ by their load of the moment only. Guards against exchanges that cost loads
+/// and gain nothing.
+#[test]
+fn engines_of_about_the_same_speed_are_not_exchanged() {
+    let models =
+        [model("a", 2), model("b", 2)].map(|model| NamedModel { text_events: Some(20.0), ..model });
+    let shorter = [models[0].clone(), NamedModel { text_events: Some(5.0), ..models[1].clone() }];
+    let engines = |slow_ms: f64| -> Vec<_> {
+        let speed = |index: usize| if index < 4 { slow_ms } else { 45.0 };
+        (0..8)
+            .map(|index| EngineVersions {
+                event_ms: Some(speed(index)),
+                ..engine(index, &[if index < 4 { 2 } else { 1 }, 1], 8)
+            })
+            .collect()
+    };
+    for (models, slow_ms) in [(&models, 90.0), (&shorter, 48.0)] {
+        let assigned = assign(&engines(slow_ms), models);
+        assert!(assigned[..4].iter().all(|model| *model == Some(0)), "{assigned:?}");
+    }
+    let assigned = assign(&engines(59.0), &shorter);
+    assert!(assigned[..4].iter().all(|model| *model == Some(1)), "{assigned:?}");
+}
+
+/// Pattern: the long texts of a step still run while the next version is loaded. Guards against loads
+/// that hold up running texts while other engines are empty.
+#[test]
+fn empty_engines_load_before_busy_ones() {
+    let engines = [engine(0, &[4], 1), engine(1, &[4], 8), engine(2, &[4], 3), engine(3, &[4], 0)];
+    let options = PlanOptions { loading_part: 0.5, spare_part: 0.0, ..PlanOptions::default() };
+    let changes = plan(&engines, &[model("m", 5)], &options);
+    assert_eq!(targets(&changes), ["e1", "e2"]);
+}
