--- a/crates/swap/tests/plan.rs
+++ b/crates/swap/tests/plan.rs
@@ -144,7 +144,7 @@
         (0..8)
             .map(|index| EngineVersions {
                 event_ms: Some(speed(index)),
-                ..engine(index, &[if index < 4 { 2 } else { 1 }, 1], 8)
+                ..engine(index, if index < 4 { &[2, 1] } else { &[1, 2] }, 8)
             })
             .collect()
     };
