Find another source in time when all watchers are silent

Pattern: a node is cut off from all others, silently, and still reaches the object API. Also: nodes that are no longer watchers are not told of crashes again and again.

--- a/crates/batch/src/run.rs
+++ b/crates/batch/src/run.rs
@@ -75,8 +75,8 @@
         }
     };
     drop(guard);
-    observer.run(ended.as_run_end(), started.elapsed());
     let time = started.elapsed();
+    observer.run(ended.as_run_end(), time);
     let ms = time.as_millis();
     let at = run.progress.borrow().last_event;
     inner.parts.engines.record_run(&target, at.saturating_sub(from), time, Instant::now());
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -18,6 +18,7 @@
     Body, Client, NetError,
     server::{number_parameter, status_only},
 };
+use futures_util::future::join_all;
 use http::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -250,10 +251,9 @@
                 self.watch_until(&cancel, None).await;
                 continue;
             };
-            if cancel.run_until_cancelled(self.ask(&watchers)).await.is_none() {
-                return;
-            }
-            let found = cancel.run_until_cancelled(self.find_source(&watchers)).await;
+            let asked = cancel.run_until_cancelled(self.ask(&watchers)).await;
+            let Some(end) = asked else { return };
+            let found = cancel.run_until_cancelled(self.find_source(&watchers, end)).await;
             let Some(source) = found else { return };
             if source == Source::ObjectApi && !self.is_watcher() {
                 let until = Instant::now() + self.inner.options.fallback;
@@ -264,8 +264,11 @@
 
     /// Waits until the object API or a watcher can tell what is new. In an outage of the object API
     /// the nodes of a large fleet would make thousands of calls if each of them followed it.
-    async fn find_source(&self, watchers: &[SocketAddr]) -> Source {
+    async fn find_source(&self, watchers: &[SocketAddr], asked: AskEnd) -> Source {
         let inner = &self.inner;
+        if asked == AskEnd::Unreachable && inner.follower.reaches_object_api().await {
+            return Source::ObjectApi;
+        }
         let mut was_away = false;
         loop {
             // Watchers whose watches were cut, or which have just started, need a moment.
@@ -289,17 +292,15 @@
 
     /// Returns whether the knowledge of any watcher is recent enough.
     async fn is_any_recent(&self, watchers: &[SocketAddr]) -> bool {
-        let first = rand::random_range(0..watchers.len());
-        for node in watchers.iter().cycle().skip(first).take(watchers.len()) {
-            match self.ask_age(*node).await {
-                Ok(age) if age <= self.inner.options.max_age => return true,
-                Ok(_) => {}
-                Err(error) => {
-                    log::debug!(target: "fleet", "watcher does not answer node={node} error={error}");
-                }
+        let ages = join_all(watchers.iter().map(|node| self.ask_age(*node))).await;
+        let is_recent = |age: &Duration| *age <= self.inner.options.max_age;
+        ages.iter().zip(watchers).any(|(age, node)| match age {
+            Ok(age) => is_recent(age),
+            Err(error) => {
+                log::debug!(target: "fleet", "watcher does not answer node={node} error={error}");
+                false
             }
-        }
-        false
+        })
     }
 
     /// Asks a watcher how old its knowledge is.
@@ -341,18 +342,20 @@
     }
 
     /// Asks watchers for changes, until none of them has an answer that is recent enough.
-    async fn ask(&self, watchers: &[SocketAddr]) {
+    async fn ask(&self, watchers: &[SocketAddr]) -> AskEnd {
         let inner = &self.inner;
         // Each node begins with another watcher.
         let offset = inner.own.ip().to_string().bytes().map(usize::from).sum::<usize>();
         let mut failed = 0;
         let mut next = offset;
         let mut position = None;
+        let mut end = AskEnd::Unreachable;
         while failed < watchers.len() && !self.is_watcher() {
             let node = watchers[next % watchers.len()];
             match self.ask_one(node, position).await {
                 Ok(page) if Duration::from_millis(page.age_ms) <= inner.options.max_age => {
                     failed = 0;
+                    end = AskEnd::Unreachable;
                     let Page { epoch, changes, crash_version, .. } = page;
                     position = Some(Position { epoch, changes, crash_version });
                     self.apply(page);
@@ -360,18 +363,24 @@
                 }
                 Ok(page) => {
                     log::info!(target: "fleet", "watcher is behind node={node} age_ms={}", page.age_ms);
+                    end = AskEnd::Behind;
                     failed += 1;
                     next += 1;
                     position = None;
                 }
                 Err(error) => {
                     log::info!(target: "fleet", "watcher does not answer node={node} error={error}");
+                    // It answers, but not with a page.
+                    if matches!(error, NetError::Decode(_)) {
+                        end = AskEnd::Behind;
+                    }
                     failed += 1;
                     next += 1;
                     position = None;
                 }
             }
         }
+        end
     }
 
     async fn ask_one(
@@ -392,7 +401,9 @@
             .uri(path)
             .body(Body::empty())
             .map_err(|error| NetError::Decode(error.to_string()))?;
-        let limit = wait + inner.options.poll_wait;
+        // Without a position the watcher has something to tell at once.
+        let waits = position.map_or(Duration::ZERO, |_| wait);
+        let limit = waits + inner.options.poll_wait;
         let page = inner.client.call(node, request, limit, MAX_PAGE_BYTES).await?.ok()?;
         ciborium::from_reader(&*page).map_err(|error| NetError::Decode(error.to_string()))
     }
@@ -479,6 +490,15 @@
     }
 }
 
+/// Why a node no longer asks the watchers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AskEnd {
+    /// At least one of them answers, and none knows enough.
+    Behind,
+    /// None of them answers.
+    Unreachable,
+}
+
 /// Where a node can learn what is new.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -1,7 +1,7 @@
 //! Knowledge that watchers pass on to the other nodes of a large fleet.
 
 use std::{
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -41,6 +41,10 @@
 
 /// Starts a node with its own way to the object API.
 fn start(objects: &MemoryObjects, cancel: &CancellationToken) -> Node {
+    start_with(objects, cancel, options())
+}
+
+fn start_with(objects: &MemoryObjects, cancel: &CancellationToken, options: FeedOptions) -> Node {
     let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
     let address = listener.local_addr().expect("address");
     let view = View::new(Router::new(RouterOptions::default()));
@@ -48,8 +52,7 @@
     let options_of_follower = FollowOptions::default();
     let follower =
         Follower::new(objects.store(), view.clone(), protocol, KINDS, options_of_follower);
-    let feed =
-        Feed::new(address, u64::from(address.port()), Client::default(), follower, options());
+    let feed = Feed::new(address, u64::from(address.port()), Client::default(), follower, options);
     let served = feed.clone();
     monoio::spawn(deck_net::serve(
         listener,
@@ -159,6 +162,30 @@
     deck_net::runtime::run(test).expect("runtime");
 }
 
+/// Pattern: a node is cut off from all others, silently, and reaches the object API. Guards against a
+/// search for other sources that takes longer than a change may take to be in force.
+#[test]
+fn node_whose_watchers_are_silent_follows_the_object_api_in_time() {
+    /// Time in which a change has to be in force on the deployments of the milestone.
+    const IN_FORCE: Duration = Duration::from_secs(3);
+    let test = async {
+        let cancel = CancellationToken::new();
+        let objects = MemoryObjects::default();
+        common::write(&objects, KINDS.configuration, "main", 1).await;
+        let node = start_with(&objects, &cancel, FeedOptions { watchers: 3, ..options() });
+        let silent: Vec<_> = (0..3).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
+        let silent: Vec<_> = silent.into_iter().map(|listener| listener.expect("bind")).collect();
+        let addresses = silent.iter().map(|listener| listener.local_addr().expect("address"));
+        node.feed.set_ranked(addresses.chain([node.address]).collect());
+        let started = Instant::now();
+        run(&node, &cancel);
+        knows(&node, 1).await;
+        assert!(started.elapsed() < IN_FORCE, "{:?}", started.elapsed());
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
 /// Pattern: a large fleet starts. Guards against nodes that all follow the object API before they
 /// know each other, and against one that waits for ever for the others.
 #[test]
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -139,8 +139,11 @@
             told_version = version;
             let node = NodeCrashes { vm: self.inner.vm.clone(), crashes };
             self.inner.board.set(node.clone(), Instant::now());
-            let retries = !is_news && !failed.is_empty();
-            let to = if retries { failed } else { feed.told_nodes() };
+            let mut to = feed.told_nodes();
+            if !is_news && !failed.is_empty() {
+                // Nodes that are no longer told anything are not tried again.
+                to.retain(|node| failed.contains(node));
+            }
             failed = tell(&client, &to, &node).await;
         }
     }
