Look for the lease as soon as the node follows the object API

Cause: a node looked every 1.2 s whether it follows the object API before it competes for the lease. Change: the feed tells when it follows.

--- a/bins/decknode/src/lead.rs
+++ b/bins/decknode/src/lead.rs
@@ -63,9 +63,8 @@
     while !cancel.is_cancelled() {
         // Watchers compete for the lease and tell the other nodes who has it. A node that reaches no
         // watcher follows the object API itself, and competes too.
-        if !duties.feed.is_following() {
-            cancel.run_until_cancelled(monoio::time::sleep(LOOK_INTERVAL)).await;
-            continue;
+        if cancel.run_until_cancelled(duties.feed.until_following()).await.is_none() {
+            return;
         }
         candidate = match candidate.try_acquire().await {
             Acquire::Held(held) => match lead(&duties, held, &cancel).await {
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -6,7 +6,7 @@
 //! from the object API turns to another one, or to the object API itself.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -142,7 +142,7 @@
     disks: RefCell<Vec<SocketAddr>>,
     leader: watch::Sender<Option<Leader>>,
     crashes: CrashBoard,
-    is_watching: Cell<bool>,
+    is_watching: watch::Sender<bool>,
 }
 
 impl Feed {
@@ -165,7 +165,7 @@
             disks: RefCell::default(),
             leader: watch::channel(None).0,
             crashes: CrashBoard::default(),
-            is_watching: Cell::new(false),
+            is_watching: watch::channel(false).0,
         };
         Self { inner: Rc::new(inner) }
     }
@@ -227,7 +227,14 @@
 
     /// Returns whether this node follows the object API itself now.
     pub fn is_following(&self) -> bool {
-        self.inner.is_watching.get()
+        *self.inner.is_watching.borrow()
+    }
+
+    /// Waits until this node follows the object API itself.
+    pub async fn until_following(&self) {
+        let mut is_watching = self.inner.is_watching.subscribe();
+        // The sender lives as long as the feed.
+        let _ = is_watching.wait_for(|is_watching| *is_watching).await;
     }
 
     /// Returns the watchers; `None` if all nodes are.
@@ -321,7 +328,7 @@
         let stop = cancel.child_token();
         let feeds_others = self.watchers().is_some() && until.is_none();
         inner.follower.set_watch_wait(feeds_others.then_some(inner.options.watch_wait));
-        inner.is_watching.set(true);
+        inner.is_watching.send_replace(true);
         let (follower, token) = (inner.follower.clone(), stop.clone());
         monoio::spawn(async move { follower.configuration(token).await });
         let (follower, token) = (inner.follower.clone(), stop.clone());
@@ -337,7 +344,7 @@
                 break;
             }
         }
-        inner.is_watching.set(false);
+        inner.is_watching.send_replace(false);
         stop.cancel();
     }
 
@@ -434,7 +441,7 @@
     /// Answers another node's question.
     pub async fn serve(&self, query: &str) -> Response<Body> {
         let inner = &self.inner;
-        if !inner.is_watching.get() {
+        if !self.is_following() {
             return status_only(StatusCode::NOT_FOUND);
         }
         let parameter = |name| number_parameter(query, name);
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -212,6 +212,8 @@
         knows(node, 1).await;
         assert_eq!(own.calls(), before[0]);
         knows(lone, 1).await;
+        lone.feed.until_following().await;
+        assert!(lone.feed.is_following() && !node.feed.is_following());
         cancel.cancel();
     };
     deck_net::runtime::run(test).expect("runtime");
