--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -376,7 +376,7 @@
                 return feed.serve(request.uri().query().unwrap_or_default()).await;
             }
             if request.uri().path() == CRASHES_PATH {
-                return take_message(&feed, request).await;
+                return take_crash_message(&feed, request).await;
             }
             if request.uri().path() == relay::RELAY_PATH {
                 return relay_call(&*api, request).await;
@@ -388,7 +388,7 @@
 }
 
 /// Takes a message with the crashes of another node.
-async fn take_message(feed: &Feed, request: Request<Incoming>) -> Response<Body> {
+async fn take_crash_message(feed: &Feed, request: Request<Incoming>) -> Response<Body> {
     let message = read_body(request.into_body(), MAX_CRASHES_BYTES).await;
     match message.and_then(|message| take_crashes(feed.crashes(), &message)) {
         Ok(()) => status_only(StatusCode::OK),
--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -128,7 +128,8 @@
     }
 }
 
-/// Returns the response for an error of the node's own; its extensions hold the [`ErrorKind`].
+/// Returns the response for an error of the node's own; its extensions hold the error's
+/// [`ErrorKind`](deck_core::error::ErrorKind).
 pub fn error_response(error: &CallError, request_id: &str) -> Response<Body> {
     let mut response = json_response(error.kind.row().status, &error.body(request_id));
     response.extensions_mut().insert(error.kind);
