Share targets, route and calls among the tests of deck-forward

Three test files built the same target, route, view and call; the new one made the repetition clear.

--- /dev/null
+++ b/crates/forward/tests/common/mod.rs
@@ -0,0 +1,75 @@
+//! Targets, a route and a forwarder for tests with scripted targets.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use deck_fleet::{
+    CallerLimits, Configuration, Route, RouteKind, Service, Target, TargetState, View,
+};
+use deck_forward::{Call, CrashGuard, ForwardOptions, Forwarder};
+use deck_net::{
+    Client,
+    http::{HeaderMap, Method},
+};
+use deck_platform::Wire;
+use deck_route::{Router, RouterOptions};
+
+/// Returns a target of the only service.
+pub fn target(index: usize, address: SocketAddr) -> Target {
+    Target {
+        id: format!("t{index}"),
+        service: "s".to_owned(),
+        address,
+        data_centre: "a".to_owned(),
+        state: TargetState::Ready,
+        slots: 8,
+        models: Vec::new(),
+        started_at_ms: 0,
+    }
+}
+
+/// Returns a forwarder of a node that knows the targets.
+pub fn forwarder(targets: Vec<Target>, crashes: CrashGuard) -> Forwarder {
+    let view = View::new(Router::new(RouterOptions::default()));
+    let service = Service { name: "s".to_owned(), engine: None };
+    view.set_configuration(Configuration::new(1, vec![], vec![service], CallerLimits::default()));
+    view.set_targets(targets, Instant::now());
+    let options = ForwardOptions::default();
+    Forwarder::new(view, Client::default(), Rc::new(Wire), crashes, Rc::new(()), options)
+}
+
+/// Returns a route to the service on which a request runs on two targets at most.
+pub fn route(kind: RouteKind) -> Route {
+    Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind,
+        resumable: false,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(100),
+        priority: 1,
+        split: vec![("s".to_owned(), 1)],
+        attempts: 2,
+        results_due: Duration::ZERO,
+        give_up: Duration::ZERO,
+        single_version: false,
+    }
+}
+
+/// Returns a request whose caller waits for `wait`.
+pub fn call(route: Route, body: &'static str, wait: Duration) -> Call {
+    Call {
+        request_id: "r-1".to_owned(),
+        method: Method::POST,
+        uri: "/x".parse().expect("uri"),
+        headers: HeaderMap::new(),
+        body: body.into(),
+        route: Rc::new(route),
+        deadline: Instant::now() + wait,
+        last_event: None,
+    }
+}
--- a/crates/forward/tests/crashes.rs
+++ b/crates/forward/tests/crashes.rs
@@ -9,18 +9,15 @@
 
 use deck_core::{CancellationToken, error::ErrorKind};
 use deck_fleet::{
-    CallerLimits, Configuration, CrashBoard, Feed, FeedOptions, FollowOptions, Follower, Kinds,
-    NodeCrashes, Route, RouteKind, Service, Target, TargetState, View,
+    CrashBoard, Feed, FeedOptions, FollowOptions, Follower, Kinds, NodeCrashes, Route, RouteKind,
+    Target, View,
 };
-use deck_forward::{Call, CrashGuard, ForwardOptions, Forwarder, crashes::take_crashes};
+use deck_forward::{Call, CrashGuard, Forwarder, crashes::take_crashes};
 use deck_limit::{
     CrashOptions,
     crash::{CrashCounts, PublishedCrash},
 };
-use deck_net::{
-    Client, bind,
-    http::{HeaderMap, Method},
-};
+use deck_net::{Client, bind};
 use deck_platform::Wire;
 use deck_route::{Router, RouterOptions};
 use deck_testkit::memory::MemoryObjects;
@@ -28,6 +25,9 @@
     io::{AsyncReadRent, AsyncWriteRentExt},
     net::{TcpListener, TcpStream},
 };
+use test_case::test_case;
+
+mod common;
 
 const POISON: &str = "poison";
 const TARGETS: usize = 8;
@@ -45,29 +45,14 @@
             let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
             let address = listener.local_addr().expect("address");
             monoio::spawn(serve(listener, received.clone()));
-            Target {
-                id: format!("t{index}"),
-                service: "s".to_owned(),
-                address,
-                data_centre: "a".to_owned(),
-                state: TargetState::Ready,
-                slots: 8,
-                models: Vec::new(),
-                started_at_ms: 0,
-            }
+            common::target(index, address)
         });
         Self { targets: targets.collect(), received }
     }
 
     /// Returns a forwarder of another node.
     fn forwarder(&self, crashes: CrashGuard) -> Forwarder {
-        let view = View::new(Router::new(RouterOptions::default()));
-        let service = Service { name: "s".to_owned(), engine: None };
-        let limits = CallerLimits::default();
-        view.set_configuration(Configuration::new(1, vec![], vec![service], limits));
-        view.set_targets(self.targets.clone(), Instant::now());
-        let options = ForwardOptions::default();
-        Forwarder::new(view, Client::default(), Rc::new(Wire), crashes, Rc::new(()), options)
+        common::forwarder(self.targets.clone(), crashes)
     }
 
     fn received(&self, body: &str) -> usize {
@@ -116,31 +101,9 @@
 }
 
 fn call(kind: RouteKind, body: &'static str) -> Call {
-    let route = Route {
-        name: "r".to_owned(),
-        host: "h".to_owned(),
-        path_prefix: "/".to_owned(),
-        kind,
-        resumable: false,
-        timeout: Duration::from_secs(2),
-        target_latency: Duration::from_millis(1000),
-        priority: 1,
-        split: vec![("s".to_owned(), 1)],
-        attempts: 2,
-        results_due: Duration::ZERO,
-        give_up: Duration::ZERO,
-        single_version: false,
-    };
-    Call {
-        request_id: "r-1".to_owned(),
-        method: Method::POST,
-        uri: "/x".parse().expect("uri"),
-        headers: HeaderMap::new(),
-        body: body.into(),
-        route: Rc::new(route),
-        deadline: Instant::now() + Duration::from_secs(2),
-        last_event: None,
-    }
+    let (timeout, target_latency) = (Duration::from_secs(2), Duration::from_secs(1));
+    let route = Route { timeout, target_latency, ..common::route(kind) };
+    common::call(route, body, timeout)
 }
 
 fn guard(vm: &str, board: &CrashBoard) -> CrashGuard {
@@ -169,8 +132,8 @@
 
 /// Pattern: a caller sends a request that crashes each target that runs it again and again, at
 /// different nodes. Guards against a fleet that goes on running it.
-#[test_case::test_case(RouteKind::Idempotent)]
-#[test_case::test_case(RouteKind::NonIdempotent)]
+#[test_case(RouteKind::Idempotent)]
+#[test_case(RouteKind::NonIdempotent)]
 fn request_that_crashes_targets_is_stopped_on_all_nodes(kind: RouteKind) {
     let test = async move {
         let (world, objects, cancel) =
--- a/crates/forward/tests/forward.rs
+++ b/crates/forward/tests/forward.rs
@@ -8,17 +8,15 @@
 };
 
 use deck_core::{CancellationToken, error::RunState};
-use deck_fleet::{
-    CallerLimits, Configuration, Route, RouteKind, Service, Target, TargetState, View,
-};
-use deck_forward::{Call, CrashGuard, ForwardOptions, Forwarder, ReplyBody};
+use deck_fleet::RouteKind;
+use deck_forward::{Call, CrashGuard, Forwarder, ReplyBody};
 use deck_net::{
-    Body, Client, ServerOptions, bind,
-    http::{HeaderMap, Method, Response, StatusCode},
+    Body, ServerOptions, bind,
+    http::{Response, StatusCode},
     server::{drop_connection, text_response},
 };
-use deck_platform::Wire;
-use deck_route::{Router, RouterOptions};
+
+mod common;
 
 /// How a target answers.
 #[derive(Clone, Copy, PartialEq)]
@@ -48,7 +46,6 @@
 fn start(behaviours: &[Behaviour]) -> World {
     let (received, cancel): (Rc<RefCell<Vec<usize>>>, _) =
         (Rc::default(), CancellationToken::new());
-    let view = View::new(Router::new(RouterOptions::default()));
     let mut targets = Vec::new();
     for (index, behaviour) in behaviours.iter().copied().enumerate() {
         let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
@@ -61,23 +58,9 @@
                 async move { answer(behaviour, &id).await }
             });
         monoio::spawn(serve);
-        targets.push(Target {
-            id: format!("t{index}"),
-            service: "s".to_owned(),
-            address,
-            data_centre: "a".to_owned(),
-            state: TargetState::Ready,
-            slots: 8,
-            models: Vec::new(),
-            started_at_ms: 0,
-        });
+        targets.push(common::target(index, address));
     }
-    let service = Service { name: "s".to_owned(), engine: None };
-    view.set_configuration(Configuration::new(1, vec![], vec![service], CallerLimits::default()));
-    view.set_targets(targets, Instant::now());
-    let (client, options) = (Client::default(), ForwardOptions::default());
-    let forwarder =
-        Forwarder::new(view, client, Rc::new(Wire), CrashGuard::default(), Rc::new(()), options);
+    let forwarder = common::forwarder(targets, CrashGuard::default());
     World { forwarder, received, cancel }
 }
 
@@ -106,31 +89,7 @@
 }
 
 fn call(kind: RouteKind) -> Call {
-    let route = Route {
-        name: "r".to_owned(),
-        host: "h".to_owned(),
-        path_prefix: "/".to_owned(),
-        kind,
-        resumable: false,
-        timeout: Duration::from_secs(1),
-        target_latency: Duration::from_millis(100),
-        priority: 1,
-        split: vec![("s".to_owned(), 1)],
-        attempts: 2,
-        results_due: Duration::ZERO,
-        give_up: Duration::ZERO,
-        single_version: false,
-    };
-    Call {
-        request_id: "r-1".to_owned(),
-        method: Method::POST,
-        uri: "/x".parse().expect("uri"),
-        headers: HeaderMap::new(),
-        body: "body".into(),
-        route: Rc::new(route),
-        deadline: Instant::now() + Duration::from_millis(800),
-        last_event: None,
-    }
+    common::call(common::route(kind), "body", Duration::from_millis(800))
 }
 
 fn run<F: Future<Output = ()>>(test: F) {
--- a/crates/forward/tests/streams.rs
+++ b/crates/forward/tests/streams.rs
@@ -1,26 +1,19 @@
 //! Streams of events against scripted targets.
 
-use std::{
-    cell::RefCell,
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use deck_core::CancellationToken;
-use deck_fleet::{
-    CallerLimits, Configuration, Route, RouteKind, Service, Target, TargetState, View,
-};
-use deck_forward::{Call, CrashGuard, ForwardOptions, Forwarder, reply_response};
+use deck_fleet::{Route, RouteKind};
+use deck_forward::{Call, CrashGuard, Forwarder, reply_response};
 use deck_net::{
-    Body, Client, ServerOptions, bind,
-    http::{HeaderMap, Method, Response},
+    Body, ServerOptions, bind,
+    http::{Method, Response},
 };
-use deck_platform::Wire;
-use deck_route::{Router, RouterOptions};
 use http_body_util::BodyExt;
 use test_case::test_case;
 
+mod common;
+
 /// Events of a whole stream.
 const EVENTS: u64 = 6;
 
@@ -81,7 +74,6 @@
 
 fn start(scripts: &[Script]) -> World {
     let (received, cancel): (Received, _) = (Rc::default(), CancellationToken::new());
-    let view = View::new(Router::new(RouterOptions::default()));
     // Each target plays the next script, whichever is asked first.
     let scripts: Rc<RefCell<Vec<Script>>> =
         Rc::new(RefCell::new(scripts.iter().rev().copied().collect()));
@@ -105,58 +97,20 @@
                 std::future::ready(response)
             });
         monoio::spawn(serve);
-        targets.push(Target {
-            id: format!("t{index}"),
-            service: "s".to_owned(),
-            address,
-            data_centre: "a".to_owned(),
-            state: TargetState::Ready,
-            slots: 8,
-            models: Vec::new(),
-            started_at_ms: 0,
-        });
+        targets.push(common::target(index, address));
     }
-    let service = Service { name: "s".to_owned(), engine: None };
-    view.set_configuration(Configuration::new(1, vec![], vec![service], CallerLimits::default()));
-    view.set_targets(targets, Instant::now());
-    let options = ForwardOptions::default();
-    let forwarder = Forwarder::new(
-        view,
-        Client::default(),
-        Rc::new(Wire),
-        CrashGuard::default(),
-        Rc::new(()),
-        options,
-    );
+    let forwarder = common::forwarder(targets, CrashGuard::default());
     World { forwarder, received, cancel }
 }
 
 fn call(resumable: bool) -> Call {
     let route = Route {
-        name: "r".to_owned(),
-        host: "h".to_owned(),
-        path_prefix: "/".to_owned(),
-        kind: RouteKind::Streaming,
         resumable,
         timeout: Duration::from_secs(5),
-        target_latency: Duration::from_millis(100),
-        priority: 1,
-        split: vec![("s".to_owned(), 1)],
         attempts: 3,
-        results_due: Duration::ZERO,
-        give_up: Duration::ZERO,
-        single_version: false,
+        ..common::route(RouteKind::Streaming)
     };
-    Call {
-        request_id: "r-1".to_owned(),
-        method: Method::POST,
-        uri: "/x".parse().expect("uri"),
-        headers: HeaderMap::new(),
-        body: "body".into(),
-        route: Rc::new(route),
-        deadline: Instant::now() + Duration::from_secs(3),
-        last_event: None,
-    }
+    common::call(route, "body", Duration::from_secs(3))
 }
 
 /// Returns what the caller gets, and whether the stream ended as complete.
