Share items, jobs and a stored job among the tests of deck-batch

Three test files built the same item and job, two tests the same runner with a stored job. Bodies, groups and limits that differ stay as they were; no assertion has changed.

--- a/crates/batch/tests/checkpoint.rs
+++ b/crates/batch/tests/checkpoint.rs
@@ -11,6 +11,8 @@
 use deck_fleet::{BatchJob, BatchLimits, Item, ItemOutcome};
 use deck_testkit::memory::MemoryObjects;
 
+mod common;
+
 fn folder() -> PathBuf {
     let folder = std::env::temp_dir().join(format!("checkpoint-{}", deck_core::id::random_id()));
     std::fs::create_dir_all(&folder).expect("folder");
@@ -142,40 +144,11 @@
     std::fs::remove_dir_all(folder).expect("remove");
 }
 
-fn item(id: &str) -> Item {
-    Item {
-        id: id.to_owned(),
-        path: "/p".to_owned(),
-        headers: Vec::new(),
-        body: String::new(),
-        tokens: 100,
-        group: None,
-        reward: None,
-        length_hint: None,
-    }
-}
-
 async fn running_job() -> Job {
-    let limits = BatchLimits {
-        results_due_ms: 7500,
-        give_up_ms: 40_000,
-        attempts: 3,
-        single_version: false,
-        priority: 1,
-    };
-    let items: Vec<Item> = ["a", "b", "c", "d"].map(item).into();
-    let job = BatchJob {
-        id: "job".to_owned(),
-        host: "h".to_owned(),
-        path: "/j/job".to_owned(),
-        step: 0,
-        model: "m".to_owned(),
-        min_version: 1,
-        group_count: 0,
-        items: items.clone(),
-        limits,
-        submitted_at_ms: 0,
-    };
+    let items: Vec<Item> = ["a", "b", "c", "d"].map(common::item).into();
+    let job = common::job("job", items.clone());
+    let limits = BatchLimits { give_up_ms: 40_000, ..job.limits.clone() };
+    let job = BatchJob { limits, ..job };
     let ledger = Ledger::new(MemoryObjects::default().store(), 1 << 20);
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
     let accepted = ledger.accept(&job, "vm-1", address).await;
--- a/crates/batch/tests/ledger.rs
+++ b/crates/batch/tests/ledger.rs
@@ -15,6 +15,8 @@
 use deck_fleet::{BatchJob, BatchLimits, Item, ItemOutcome, ItemResult};
 use deck_testkit::memory::{Fault, MemoryObjects};
 
+mod common;
+
 const MAX_OBJECT_BYTES: usize = 4096;
 
 fn run<F: Future<Output = ()>>(test: F) {
@@ -26,37 +28,13 @@
 }
 
 fn item(id: &str) -> Item {
-    Item {
-        id: id.to_owned(),
-        path: "/p".to_owned(),
-        headers: Vec::new(),
-        body: "x".repeat(600),
-        tokens: 100,
-        group: Some("g".to_owned()),
-        reward: None,
-        length_hint: None,
-    }
+    Item { body: "x".repeat(600), group: Some("g".to_owned()), ..common::item(id) }
 }
 
 fn job(items: usize) -> BatchJob {
-    BatchJob {
-        id: "job".to_owned(),
-        host: "h".to_owned(),
-        path: "/j/job".to_owned(),
-        step: 0,
-        model: "m".to_owned(),
-        min_version: 1,
-        group_count: 1,
-        items: (0..items).map(|index| item(&format!("i{index}"))).collect(),
-        limits: BatchLimits {
-            results_due_ms: 7500,
-            give_up_ms: 40_000,
-            attempts: 3,
-            single_version: false,
-            priority: 1,
-        },
-        submitted_at_ms: 0,
-    }
+    let job = common::job("job", (0..items).map(|index| item(&format!("i{index}"))).collect());
+    let limits = BatchLimits { give_up_ms: 40_000, ..job.limits.clone() };
+    BatchJob { group_count: 1, limits, ..job }
 }
 
 fn result(id: &str, text: &str) -> Rc<ItemResult> {
--- a/crates/batch/tests/runner.rs
+++ b/crates/batch/tests/runner.rs
@@ -3,11 +3,11 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use deck_batch::{
-    Accepted, Ledger, RunOptions, Runner,
+    Accepted, JobRecord, Ledger, RunOptions, Runner,
     handover::Handover,
     job::{Job, Phase, Progress},
 };
-use deck_core::CancellationToken;
+use deck_core::{CancellationToken, id::Revision};
 use deck_fleet::{BatchJob, Item, ItemOutcome};
 use deck_testkit::memory::MemoryObjects;
 use futures_util::future::join;
@@ -90,16 +90,21 @@
     deck_net::runtime::run(test).expect("runtime");
 }
 
+/// Starts a runner whose node is named in the record of a stored job.
+async fn runner_with_stored_job() -> (Runner, JobRecord, Revision, CancellationToken) {
+    let cancel = CancellationToken::new();
+    let ledger = Ledger::new(MemoryObjects::default().store(), 1 << 20);
+    let accepted = ledger.accept(&job(), "vm-1", address()).await;
+    let Accepted::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+    (runner(&ledger, &cancel), record, revision, cancel)
+}
+
 /// Guards against two states of one job on a node: after a restart two readers load it at the same
 /// time, and one of them would not see what the other one's state lists.
 #[test]
 fn job_that_two_readers_load_is_one_job() {
     let test = async {
-        let cancel = CancellationToken::new();
-        let ledger = Ledger::new(MemoryObjects::default().store(), 1 << 20);
-        let accepted = ledger.accept(&job(), "vm-1", address()).await;
-        let Accepted::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
-        let runner = runner(&ledger, &cancel);
+        let (runner, record, revision, cancel) = runner_with_stored_job().await;
         let load = || runner.load_job("job", record.clone(), revision);
         let (one, other) = join(load(), load()).await;
         let (one, other) = (one.expect("loaded"), other.expect("loaded"));
@@ -115,11 +120,7 @@
 #[test]
 fn job_that_is_known_is_not_replaced() {
     let test = async {
-        let cancel = CancellationToken::new();
-        let ledger = Ledger::new(MemoryObjects::default().store(), 1 << 20);
-        let accepted = ledger.accept(&job(), "vm-1", address()).await;
-        let Accepted::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
-        let runner = runner(&ledger, &cancel);
+        let (runner, record, revision, cancel) = runner_with_stored_job().await;
         let known = runner.start_job("job", record.clone(), revision, job().items);
         let other = Job::new("job".to_owned(), record.clone(), revision, job().items);
         let handed = Handover::of(&other).into_job("job".to_owned(), record, revision);
