Find a request's destination once, and simplify three places

The front decoded the kind of each request and searched its route twice, for the metrics and for the answer. The branches of a failed question to a watcher repeated three lines; a success of a suspected request was found by comparing versions before and after; an answer of a target was taken apart into a pair.

--- a/bins/decknode/src/front.rs
+++ b/bins/decknode/src/front.rs
@@ -41,8 +41,20 @@
 impl Front {
     /// Serves one request.
     pub async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
-        let (arrived, purpose) = (Instant::now(), self.purpose(&request));
-        let mut response = self.answer(request).await;
+        let (arrived, uri) = (Instant::now(), request.uri());
+        let batch_call = self.protocol.batch_call(request.method(), uri.path(), uri.query());
+        let (purpose, mut response) = match batch_call {
+            Some(call) => {
+                let head = self.protocol.call_head(request.headers());
+                (Purpose::Batch, self.batch.call(call, &head).await)
+            }
+            None => {
+                let configuration = self.view.configuration();
+                let route = configuration.as_ref().and_then(|known| find_route(known, &request));
+                let purpose = purpose_of(route.as_deref());
+                (purpose, self.answer(request, arrived, configuration, route).await)
+            }
+        };
         let error = response.extensions().get::<ErrorKind>().copied();
         self.metrics.record(&purpose, response.status().as_u16(), error, arrived.elapsed());
         if self.draining.get() {
@@ -51,38 +63,27 @@
         response
     }
 
-    fn purpose(&self, request: &Request<Incoming>) -> Purpose {
-        let uri = request.uri();
-        if self.protocol.batch_call(request.method(), uri.path(), uri.query()).is_some() {
-            return Purpose::Batch;
-        }
-        let configuration = self.view.configuration();
-        let route = configuration.and_then(|configuration| find_route(&configuration, request));
-        route.map_or(Purpose::None, |route| Purpose::Route {
-            kind: route.kind,
-            name: route.name.clone(),
-        })
-    }
-
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
-        let arrived = Instant::now();
+    /// Answers a request that is not a call on a batch job.
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        arrived: Instant,
+        configuration: Option<Rc<Configuration>>,
+        route: Option<Rc<Route>>,
+    ) -> Response<Body> {
         let head = self.protocol.call_head(request.headers());
         let (method, uri) = (request.method().clone(), request.uri().clone());
-        if let Some(call) = self.protocol.batch_call(&method, uri.path(), uri.query()) {
-            return self.batch.call(call, &head).await;
-        }
         let id = head.request_id.clone().unwrap_or_default();
         let refuse = |error: CallError| {
             let known = self.view.known();
             log::warn!(target: "front", "refused request={id} {known} error={error}");
             error_response(&error, &id)
         };
-        let Some(configuration) = self.view.configuration().filter(|_| self.view.is_complete())
-        else {
+        let Some(configuration) = configuration.filter(|_| self.view.is_complete()) else {
             let error = CallError::new(ErrorKind::NotReady, "no configuration yet");
             return refuse(error.with_retry_after(NOT_READY_RETRY));
         };
-        let Some(route) = find_route(&configuration, &request) else {
+        let Some(route) = route else {
             return refuse(CallError::new(ErrorKind::UnknownPool, "no route for host and path"));
         };
         if id.is_empty() {
@@ -122,6 +123,13 @@
     }
 }
 
+fn purpose_of(route: Option<&Route>) -> Purpose {
+    route.map_or(Purpose::None, |route| Purpose::Route {
+        kind: route.kind,
+        name: route.name.clone(),
+    })
+}
+
 fn find_route(configuration: &Configuration, request: &Request<Incoming>) -> Option<Rc<Route>> {
     configuration.route(host_of(request)?, request.uri().path()).cloned()
 }
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -367,13 +367,11 @@
                     position = Some(Position { epoch, changes, crash_version });
                     self.apply(page);
                     monoio::time::sleep(inner.options.pause).await;
+                    continue;
                 }
                 Ok(page) => {
                     log::info!(target: "fleet", "watcher is behind node={node} age_ms={}", page.age_ms);
                     end = AskEnd::Behind;
-                    failed += 1;
-                    next += 1;
-                    position = None;
                 }
                 Err(error) => {
                     log::info!(target: "fleet", "watcher does not answer node={node} error={error}");
@@ -381,11 +379,11 @@
                     if matches!(error, NetError::Decode(_)) {
                         end = AskEnd::Behind;
                     }
-                    failed += 1;
-                    next += 1;
-                    position = None;
                 }
             }
+            failed += 1;
+            next += 1;
+            position = None;
         }
         end
     }
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -206,10 +206,8 @@
 impl RunningCall {
     /// Takes note that the target answered, so that the request has not crashed it.
     pub(crate) fn survived(self) {
-        let tracker = &self.guard.inner.tracker;
-        let version = tracker.borrow().version();
-        tracker.borrow_mut().succeeded(self.fingerprint);
-        if tracker.borrow().version() != version {
+        let was_held = self.guard.inner.tracker.borrow_mut().succeeded(self.fingerprint);
+        if was_held {
             self.guard.inner.changed.notify_one();
         }
     }
--- a/crates/limit/src/crash.rs
+++ b/crates/limit/src/crash.rs
@@ -176,11 +176,14 @@
         self.version += 1;
     }
 
-    /// Notes that the fingerprint ran to its end: it is no longer held against it here.
-    pub fn succeeded(&mut self, fingerprint: Fingerprint) {
-        if self.own.remove(&fingerprint).is_some() {
+    /// Notes that the fingerprint ran to its end: it is no longer held against it here. Returns whether
+    /// anything was.
+    pub fn succeeded(&mut self, fingerprint: Fingerprint) -> bool {
+        let was_held = self.own.remove(&fingerprint).is_some();
+        if was_held {
             self.version += 1;
         }
+        was_held
     }
 
     /// Returns what to publish: the worst fingerprints first.
--- a/crates/swap/src/giver.rs
+++ b/crates/swap/src/giver.rs
@@ -16,7 +16,7 @@
 use deck_fleet::{
     Engines, Observer, Order, OrderReply, Protocol, Target, TargetReport, TargetState, View,
 };
-use deck_net::{Body, Client};
+use deck_net::{Body, Client, WholeResponse};
 use deck_plat::LeaseToken;
 use futures_util::future::select;
 use http::{Request, StatusCode};
@@ -207,7 +207,7 @@
         };
         let request = self.protocol.order(&target.id, &order);
         let reply = self.send(target, request).await;
-        let reply = reply.map(|(status, _)| self.protocol.order_reply(status));
+        let reply = reply.map(|reply| self.protocol.order_reply(reply.status));
         self.observer.order(reply.map(OrderReply::label));
         let (id, fencing) = (&target.id, order.fencing);
         log::info!(target: "swap", "order target={id} model={model} version={version} fencing={fencing} expected_orders={expected_orders} reply={reply:?}");
@@ -256,11 +256,11 @@
     }
 
     async fn report(&self, target: &Target) -> Option<TargetReport> {
-        let (status, body) = self.send(target, self.protocol.report_request(&target.id)).await?;
-        if status != StatusCode::OK {
+        let answer = self.send(target, self.protocol.report_request(&target.id)).await?;
+        if answer.status != StatusCode::OK {
             return None;
         }
-        match self.protocol.report(&body) {
+        match self.protocol.report(&answer.body) {
             Ok(report) => Some(report),
             Err(error) => {
                 log::warn!(target: "swap", "report not read target={} error={error}", target.id);
@@ -269,13 +269,13 @@
         }
     }
 
-    async fn send(&self, target: &Target, request: Request<Bytes>) -> Option<(StatusCode, Bytes)> {
+    async fn send(&self, target: &Target, request: Request<Bytes>) -> Option<WholeResponse> {
         /// Largest answer to an order or a question for a report.
         const MAX_ANSWER_BYTES: usize = 1024 * 1024;
         let (address, limit) = (target.address, self.options.call_limit);
         let request = request.map(Body::full);
         match self.client.call(address, request, limit, MAX_ANSWER_BYTES).await {
-            Ok(answer) => Some((answer.status, answer.body)),
+            Ok(answer) => Some(answer),
             Err(error) => {
                 log::info!(target: "swap", "target does not answer target={} error={error}", target.id);
                 None
