--- a/crates/batch/src/checkpoint.rs
+++ b/crates/batch/src/checkpoint.rs
@@ -24,6 +24,7 @@
     Body, Client, NetError,
     server::{number_parameter, read_body},
 };
+use futures_util::future::join_all;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -436,9 +437,12 @@
     pub(crate) async fn silent(&self, silence: Duration) -> BTreeSet<RequestId> {
         let mut silent = BTreeSet::new();
         let nodes = self.nodes.borrow().clone();
-        for node in nodes {
-            let path = format!("{SILENT_PATH}?ms={}", silence.as_millis());
-            match self.call(node, Method::GET, path, Bytes::new()).await {
+        let path = format!("{SILENT_PATH}?ms={}", silence.as_millis());
+        let asked =
+            nodes.iter().map(|node| self.call(*node, Method::GET, path.clone(), Bytes::new()));
+        let answers = join_all(asked).await;
+        for (node, answer) in nodes.iter().zip(answers) {
+            match answer {
                 Ok(bytes) => match ciborium::from_reader::<Vec<RequestId>, _>(&*bytes) {
                     Ok(jobs) => silent.extend(jobs),
                     Err(error) => {
