Send nothing to targets that say they leave; pass on differences of targets

Cause: the platform's servers now say in each answer that they leave; the answers were not read for that, so requests went on until the entry in the object API changed. The feed sent all targets to each reader with each change of one target, and pools of all services were rebuilt for it.

Change: the view keeps the runs of targets that have said so, from plain answers, streams, refusals, item runs, reward calls, orders and reports. Lists of any age do not bring them back; a later start under the same id does. A 421 says nothing of the target. Readers get the targets that changed since their last page, the list of nodes only when it differs, and pause by the number of readers of a watcher. A change of versions alone rebuilds no pool.

--- a/bins/decknode/tests/calm.rs
+++ b/bins/decknode/tests/calm.rs
@@ -237,3 +237,36 @@
         assert_eq!(again.expect("answer").0, StatusCode::OK);
     });
 }
+
+/// Guards against requests, items and reward calls that reach a server after it has said in an answer
+/// that it leaves, while the object API still lists it as ready.
+#[test]
+fn servers_that_say_they_leave_get_no_further_work() {
+    run(async {
+        let fleet = Fleet::start(1);
+        fleet.wait_until_ready().await;
+        let plain = async |id: &str| {
+            let headers = [("Request-Id", id), ("Deadline-Ms", "2000")];
+            let callers = fleet.nodes[0].callers;
+            let answer = fleet.call(callers, Method::POST, "/plain/x", &headers, vec![]).await;
+            assert_eq!(answer.expect("answer").0, StatusCode::OK);
+        };
+        plain("first").await;
+        let used = fleet.records().await[0]["server"].as_str().expect("server").to_owned();
+        fleet.set_faults(serde_json::json!({"leaving": ["engine-0", used]})).await;
+        let work = async |round: u64| {
+            for index in 0..10 {
+                plain(&format!("plain-{round}-{index}")).await;
+            }
+            let mut lot = fleet.submit(round, 4, 1).await;
+            fleet.read_to_end(&mut lot).await;
+            let records = fleet.records().await;
+            let count = |key: &str, name: &str| records.iter().filter(|r| r[key] == name).count();
+            (count("engine", "engine-0"), count("server", &used))
+        };
+        let before = work(0).await;
+        // The request before, and the one whose answer says that the server leaves.
+        assert!(before.0 > 0 && before.1 == 2, "{before:?}");
+        assert_eq!(work(1).await, before);
+    });
+}
--- a/bins/deckstandin/src/platform.rs
+++ b/bins/deckstandin/src/platform.rs
@@ -63,6 +63,8 @@
     cut_streams: u32,
     /// Reward calls that are answered with 500.
     failed_rewards: u32,
+    /// Ids of servers that say in all their answers that they leave.
+    leaving: Vec<String>,
 }
 
 struct State {
@@ -432,6 +434,14 @@
 }
 
 async fn handle_server(server: Rc<Server>, call: Call) -> Response<Body> {
+    let mut response = serve_server(&server, call).await;
+    if server.state.faults.get().leaving.contains(&server.id) {
+        response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
+    }
+    response
+}
+
+async fn serve_server(server: &Rc<Server>, call: Call) -> Response<Body> {
     if call.header("target-instance").is_some_and(|target| target != server.id) {
         let mut response = json_response(421, &Value::Null);
         *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
--- a/crates/batch/src/run.rs
+++ b/crates/batch/src/run.rs
@@ -134,6 +134,9 @@
     };
     let status = response.status;
     let head = inner.parts.protocol.reply_head(status, &response.headers);
+    if head.leaving {
+        inner.parts.view.set_leaving(target, Instant::now());
+    }
     if head.request_id.as_ref().is_some_and(|id| *id != run.item.id) {
         return Ended::Broken("response to another request".to_owned());
     }
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -6,14 +6,14 @@
 //! from the object API turns to another one, or to the object API itself.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use deck_core::{CancellationToken, id::VmId};
+use deck_core::{CancellationToken, hash::hash64, id::VmId};
 use deck_net::{
     Body, Client, NetError,
     server::{number_parameter, status_only},
@@ -24,7 +24,7 @@
 use serde_json::Value;
 use tokio::sync::{Notify, watch};
 
-use crate::{CrashBoard, Follower, NodeCrashes, Target};
+use crate::{CrashBoard, Follower, NodeCrashes, TargetChanges};
 
 /// Path at which watchers serve what they know.
 pub const FEED_PATH: &str = "/peer/feed";
@@ -55,8 +55,11 @@
     /// Age at which a watcher's knowledge is too old. With the waits above, a change is known
     /// everywhere in less than the two seconds that deployments allow.
     pub max_age: Duration,
-    /// Pause between two questions.
+    /// Shortest pause between two questions.
     pub pause: Duration,
+    /// Time in which a watcher gives one answer, on average: with more readers each of them pauses
+    /// longer, so that changes in quick succession do not take up the watcher.
+    pub answer_interval: Duration,
     /// Time for which a node follows the object API itself after no watcher had an answer.
     pub fallback: Duration,
     /// Pause between two looks for a source while neither watchers nor the object API are one. With the
@@ -77,6 +80,7 @@
             poll_wait: Duration::from_millis(500),
             max_age: Duration::from_millis(1500),
             pause: Duration::from_millis(50),
+            answer_interval: Duration::from_millis(4),
             fallback: Duration::from_secs(5),
             search_pause: Duration::from_millis(400),
             recovery: Duration::from_millis(800),
@@ -89,20 +93,20 @@
 struct Page {
     /// Distinguishes the runs of a watcher's process.
     epoch: u64,
-    /// Number of the watcher's changes.
+    /// Number of the last change of the watcher's targets.
     changes: u64,
     /// Age of what the watcher knows.
     age_ms: u64,
     /// Configuration, if the asking node has an older one.
     configuration: Option<Value>,
-    /// Targets, if something changed.
-    targets: Option<Vec<Target>>,
+    /// What has changed of the targets.
+    targets: Option<TargetChanges>,
     /// Leader, if known.
     leader: Option<Leader>,
-    /// Nodes of the fleet.
-    nodes: Vec<SocketAddr>,
-    /// VMs with a disk.
-    disks: Vec<SocketAddr>,
+    /// Version of the members that the watcher knows of.
+    member_version: u64,
+    /// Members, if the asking node does not know this version.
+    members: Option<Members>,
     /// Version of the crashes that the watcher knows of.
     #[serde(default)]
     crash_version: u64,
@@ -111,15 +115,37 @@
     crashes: Option<Vec<NodeCrashes>>,
 }
 
+/// Nodes of a fleet.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+struct Members {
+    /// Entry nodes in the order in which they are watchers.
+    ranked: Vec<SocketAddr>,
+    /// VMs with a disk.
+    disks: Vec<SocketAddr>,
+}
+
+impl Members {
+    /// Returns a number that differs between different members, on all nodes alike.
+    fn version(&self) -> u64 {
+        let addresses = self.ranked.iter().map(|node| (node, "entry"));
+        let addresses = addresses.chain(self.disks.iter().map(|node| (node, "disk")));
+        let text: String = addresses.map(|(node, role)| format!("{role} {node},")).collect();
+        hash64(text.as_bytes())
+    }
+}
+
 /// What a node knows of a watcher's knowledge.
 #[derive(Debug, Clone, Copy, Default)]
 struct Position {
     /// Run of the watcher's process.
     epoch: u64,
-    /// Number of the watcher's changes.
+    /// Number of the last change of the watcher's targets.
     changes: u64,
     /// Version of the watcher's crashes.
     crash_version: u64,
+    /// Version of the watcher's members.
+    member_version: u64,
 }
 
 /// Passes on and receives knowledge; clones share their state.
@@ -134,12 +160,11 @@
     client: Client,
     follower: Follower,
     options: FeedOptions,
-    /// Nodes in the order in which they are watchers.
-    ranked: RefCell<Vec<SocketAddr>>,
+    members: RefCell<Members>,
+    /// Version of `members`.
+    member_version: Cell<u64>,
     /// Told when the nodes of the fleet are set.
     learned: Notify,
-    /// VMs with a disk.
-    disks: RefCell<Vec<SocketAddr>>,
     leader: watch::Sender<Option<Leader>>,
     crashes: CrashBoard,
     is_watching: watch::Sender<bool>,
@@ -160,9 +185,9 @@
             client,
             follower,
             options,
-            ranked: RefCell::default(),
+            members: RefCell::default(),
+            member_version: Cell::new(0),
             learned: Notify::new(),
-            disks: RefCell::default(),
             leader: watch::channel(None).0,
             crashes: CrashBoard::default(),
             is_watching: watch::channel(false).0,
@@ -172,23 +197,31 @@
 
     /// Sets the nodes of the fleet, in the order in which they are watchers.
     pub fn set_ranked(&self, nodes: Vec<SocketAddr>) {
-        self.inner.ranked.replace(nodes);
-        self.inner.learned.notify_one();
+        self.inner.members.borrow_mut().ranked = nodes;
+        self.members_changed();
     }
 
     /// Returns the nodes of the fleet, in the order in which they are watchers.
     pub fn ranked(&self) -> Vec<SocketAddr> {
-        self.inner.ranked.borrow().clone()
+        self.inner.members.borrow().ranked.clone()
     }
 
     /// Sets the VMs with a disk.
     pub fn set_disks(&self, disks: Vec<SocketAddr>) {
-        self.inner.disks.replace(disks);
+        self.inner.members.borrow_mut().disks = disks;
+        self.members_changed();
     }
 
     /// Returns the VMs with a disk.
     pub fn disks(&self) -> Vec<SocketAddr> {
-        self.inner.disks.borrow().clone()
+        self.inner.members.borrow().disks.clone()
+    }
+
+    fn members_changed(&self) {
+        self.inner.member_version.set(self.inner.members.borrow().version());
+        if !self.inner.members.borrow().ranked.is_empty() {
+            self.inner.learned.notify_one();
+        }
     }
 
     /// Takes note of the leader.
@@ -239,7 +272,7 @@
 
     /// Returns the watchers; `None` if all nodes are.
     fn watchers(&self) -> Option<Vec<SocketAddr>> {
-        let ranked = self.inner.ranked.borrow();
+        let ranked = &self.inner.members.borrow().ranked;
         let options = &self.inner.options;
         (ranked.len() > options.all_watch)
             .then(|| ranked.iter().take(options.watchers).copied().collect())
@@ -363,10 +396,10 @@
                 Ok(page) if Duration::from_millis(page.age_ms) <= inner.options.max_age => {
                     failed = 0;
                     end = AskEnd::Unreachable;
-                    let Page { epoch, changes, crash_version, .. } = page;
-                    position = Some(Position { epoch, changes, crash_version });
+                    let Page { epoch, changes, crash_version, member_version, .. } = page;
+                    position = Some(Position { epoch, changes, crash_version, member_version });
                     self.apply(page);
-                    monoio::time::sleep(inner.options.pause).await;
+                    monoio::time::sleep(self.pause(watchers.len())).await;
                     continue;
                 }
                 Ok(page) => {
@@ -388,6 +421,14 @@
         end
     }
 
+    /// Returns the pause between two questions to one of `watchers` nodes.
+    fn pause(&self, watchers: usize) -> Duration {
+        let options = &self.inner.options;
+        let readers = self.inner.members.borrow().ranked.len() / watchers.max(1);
+        let answers = u32::try_from(readers).unwrap_or(u32::MAX);
+        options.pause.max(options.answer_interval * answers).min(options.poll_wait)
+    }
+
     async fn ask_one(
         &self,
         node: SocketAddr,
@@ -395,11 +436,12 @@
     ) -> Result<Page, NetError> {
         let inner = &self.inner;
         let version = inner.follower.view.configuration().map_or(0, |c| c.version);
-        let Position { epoch, changes, crash_version } = position.unwrap_or_default();
+        let Position { epoch, changes, crash_version, member_version } =
+            position.unwrap_or_default();
         let wait = inner.options.poll_wait;
         let path = format!(
             "{FEED_PATH}?epoch={epoch}&changes={changes}&configuration={version}\
-             &crashes={crash_version}&wait_ms={}",
+             &crashes={crash_version}&members={member_version}&wait_ms={}",
             wait.as_millis()
         );
         let request = Request::builder()
@@ -430,9 +472,9 @@
         if page.leader.is_some() {
             self.set_leader(page.leader);
         }
-        if !page.nodes.is_empty() {
-            self.set_ranked(page.nodes);
-            self.set_disks(page.disks);
+        if let Some(members) = page.members.filter(|members| !members.ranked.is_empty()) {
+            self.inner.members.replace(members);
+            self.members_changed();
         }
     }
 
@@ -449,40 +491,49 @@
                 None => status_only(StatusCode::SERVICE_UNAVAILABLE),
             };
         }
-        let known = parameter("changes").unwrap_or(0);
         let same_epoch = parameter("epoch") == Some(inner.epoch);
+        let known = |name| parameter(name).filter(|_| same_epoch);
         let view = &inner.follower.view;
+        let has_news = || {
+            let version = view.configuration().map_or(0, |configuration| configuration.version);
+            known("changes") != Some(view.target_changes())
+                || version > parameter("configuration").unwrap_or(0)
+                || known("crashes") != Some(inner.crashes.version())
+                || known("members") != Some(inner.member_version.get())
+        };
+        let wait = Duration::from_millis(parameter("wait_ms").unwrap_or(0));
+        let until = Instant::now() + wait.min(inner.options.poll_wait);
         let mut changes = view.changes();
-        if same_epoch && view.change_count() == known {
-            let wait = Duration::from_millis(parameter("wait_ms").unwrap_or(0));
-            let wait = wait.min(inner.options.poll_wait);
-            let _ = monoio::time::timeout(wait, changes.changed()).await;
+        while !has_news() {
+            let left = until.saturating_duration_since(Instant::now());
+            if monoio::time::timeout(left, changes.changed()).await.is_err() {
+                break;
+            }
         }
         let Some(age) = self.age() else { return status_only(StatusCode::SERVICE_UNAVAILABLE) };
-        let changed = !same_epoch || view.change_count() != known;
         let version = view.configuration().map_or(0, |configuration| configuration.version);
         let newer = version > parameter("configuration").unwrap_or(0);
+        let configuration = inner.follower.freshness.configuration.borrow().clone();
         let crashes = inner.crashes.nodes(Instant::now());
         let crash_version = inner.crashes.version();
-        let same_crashes = same_epoch && parameter("crashes") == Some(crash_version);
+        let (changes, member_version) = (view.target_changes(), inner.member_version.get());
+        let targets = match known("changes") {
+            Some(known) if known == changes => None,
+            Some(known) => Some(view.targets_since(known)),
+            None => Some(view.all_targets()),
+        };
         let page = Page {
-            crash_version,
-            crashes: (!same_crashes).then_some(crashes),
             epoch: inner.epoch,
-            changes: view.change_count(),
+            changes,
             age_ms: age.as_millis() as u64,
-            configuration: inner
-                .follower
-                .freshness
-                .configuration
-                .borrow()
-                .clone()
-                .filter(|_| newer),
-            targets: changed
-                .then(|| view.targets().iter().map(|target| (**target).clone()).collect()),
+            configuration: configuration.filter(|_| newer),
+            targets,
             leader: self.leader(),
-            nodes: self.ranked(),
-            disks: self.disks(),
+            member_version,
+            members: (known("members") != Some(member_version))
+                .then(|| inner.members.borrow().clone()),
+            crash_version,
+            crashes: (known("crashes") != Some(crash_version)).then_some(crashes),
         };
         encoded(&page)
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! names and formats of one platform into them.
 
 pub mod board;
+mod changes;
 pub mod config;
 pub mod engines;
 pub mod feed;
@@ -26,4 +27,4 @@
     OrderReply, Protocol, ReplyHead, ResultPage, RewardCall, TargetReport,
 };
 pub use target::{Target, TargetState};
-pub use view::View;
+pub use view::{TargetChanges, TargetList, View};
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -50,6 +50,9 @@
     pub signature: Option<String>,
     /// The target states that it did not run the request.
     pub not_run: bool,
+    /// The target states that it leaves: it takes no new requests. Never set by another target that
+    /// has its address now.
+    pub leaving: bool,
     /// Version of the weights at the start of the response.
     pub version: Option<WeightVersion>,
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -13,14 +13,19 @@
     object::{self, FencingCheck, PoolType, TargetPool},
 };
 use deck_route::Router;
+use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use crate::{Configuration, Target, TargetState, config::ModelName};
+use crate::{Configuration, Target, TargetState, changes::TargetLog, config::ModelName};
 
 /// Time after the return of the object API in which live targets register again if their entries
 /// expired during its outage. An entry that is missing after that belongs to a target that is gone.
 const REGISTER_AGAIN: Duration = Duration::from_millis(2200);
 
+/// Time for which a target that leaves is remembered after its entry is gone. A list that another node
+/// or a stale read brings back is seconds old.
+const LEAVING_MEMORY: Duration = Duration::from_secs(600);
+
 /// Knowledge of a node; clones share it.
 #[derive(Clone)]
 pub struct View {
@@ -30,6 +35,12 @@
 struct Inner {
     configuration: RefCell<Option<Rc<Configuration>>>,
     targets: RefCell<BTreeMap<TargetId, Rc<Target>>>,
+    /// Targets by service. Invariant: lists are as in `targets`, or missing.
+    by_service: RefCell<HashMap<PoolName, TargetList>>,
+    /// Changes of `targets`.
+    target_log: RefCell<TargetLog>,
+    /// Runs of targets that have said in an answer that they leave.
+    leaving: RefCell<HashMap<TargetId, Leaving>>,
     versions: RefCell<HashMap<ModelName, WeightVersion>>,
     /// Targets whose entries went missing around an outage of the object API, and when they count
     /// as gone.
@@ -45,12 +56,42 @@
     changes: watch::Sender<u64>,
 }
 
+/// Targets of one service; clones are cheap.
+pub type TargetList = Rc<[Rc<Target>]>;
+
+/// Run of a target that leaves.
+#[derive(Debug, Clone, Copy)]
+struct Leaving {
+    /// Start of the run, as in [`Target::started_at_ms`].
+    started_at_ms: u64,
+    /// When it was last known to leave, or listed.
+    noted_at: Instant,
+}
+
+/// Differences between two states of the targets.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum TargetChanges {
+    /// All targets; others are gone.
+    All(Vec<Target>),
+    /// Some targets.
+    Some {
+        /// Targets that were added or changed.
+        changed: Vec<Target>,
+        /// Targets that are gone.
+        removed: Vec<TargetId>,
+    },
+}
+
 impl View {
     /// Returns an empty view that keeps the pools of `router` up to date.
     pub fn new(router: Router) -> Self {
         let inner = Inner {
             configuration: RefCell::default(),
             targets: RefCell::default(),
+            by_service: RefCell::default(),
+            target_log: RefCell::default(),
+            leaving: RefCell::default(),
             versions: RefCell::default(),
             missing: RefCell::default(),
             checked_at: Cell::new(None),
@@ -74,9 +115,15 @@
     }
 
     /// Returns the targets of a service.
-    pub fn targets_of(&self, service: &str) -> Vec<Rc<Target>> {
+    pub fn targets_of(&self, service: &str) -> TargetList {
+        if let Some(list) = self.inner.by_service.borrow().get(service) {
+            return list.clone();
+        }
         let targets = self.inner.targets.borrow();
-        targets.values().filter(|target| target.service == service).cloned().collect()
+        let list = targets.values().filter(|target| target.service == service);
+        let list: TargetList = list.cloned().collect();
+        self.inner.by_service.borrow_mut().insert(service.to_owned(), list.clone());
+        list
     }
 
     /// Returns all targets.
@@ -84,9 +131,30 @@
         self.inner.targets.borrow().values().cloned().collect()
     }
 
-    /// Returns the number of changes so far.
-    pub fn change_count(&self) -> u64 {
-        *self.inner.changes.borrow()
+    /// Returns the number of the last change of the targets.
+    pub fn target_changes(&self) -> u64 {
+        self.inner.target_log.borrow().last()
+    }
+
+    /// Returns all targets, for another node.
+    pub fn all_targets(&self) -> TargetChanges {
+        let targets = self.inner.targets.borrow();
+        TargetChanges::All(targets.values().map(|target| (**target).clone()).collect())
+    }
+
+    /// Returns what has changed since the change with the given number.
+    pub fn targets_since(&self, number: u64) -> TargetChanges {
+        let targets = self.inner.targets.borrow();
+        let log = self.inner.target_log.borrow();
+        let Some(ids) = log.since(number) else { return self.all_targets() };
+        let (mut changed, mut removed) = (Vec::new(), Vec::new());
+        for id in ids {
+            match targets.get(id) {
+                Some(target) => changed.push((**target).clone()),
+                None => removed.push(id.clone()),
+            }
+        }
+        TargetChanges::Some { changed, removed }
     }
 
     /// Takes note that configuration and targets were up to date at a moment.
@@ -140,7 +208,7 @@
         let version = configuration.version;
         log::info!(target: "fleet", "configuration in force version={version} previous={current:?}");
         self.inner.configuration.replace(Some(Rc::new(configuration)));
-        self.update_pools();
+        self.update_pools(None);
         self.notify();
     }
 
@@ -170,22 +238,20 @@
         let present: HashSet<TargetId> = listed.iter().map(|target| target.id.clone()).collect();
         let known: Vec<TargetId> = self.inner.targets.borrow().keys().cloned().collect();
         for target in listed {
-            self.put_target(target);
+            // All pools are updated below.
+            self.put_target(target, &mut HashSet::new());
         }
         for id in known.into_iter().filter(|id| !present.contains(id)) {
             self.remove_target(&id, now);
         }
         self.inner.targets_listed.set(true);
-        self.update_pools();
+        self.update_pools(None);
         self.notify();
     }
 
     /// Adds or replaces a target.
     pub fn set_target(&self, target: Target) {
-        if self.put_target(target) {
-            self.update_pools();
-            self.notify();
-        }
+        self.change_targets(vec![target], &[]);
     }
 
     /// Takes note that a target's entry is missing.
@@ -198,7 +264,7 @@
             Some(gone_at) => {
                 self.inner.missing.borrow_mut().entry(id.to_owned()).or_insert(gone_at);
             }
-            None => self.drop_target(id),
+            None => self.change_targets(Vec::new(), &[id.to_owned()]),
         }
     }
 
@@ -209,44 +275,121 @@
             due.map(|(id, _)| id.clone()).collect::<Vec<_>>()
         };
         let gone = due(&self.inner.missing.borrow());
-        for id in gone {
-            self.inner.missing.borrow_mut().remove(&id);
-            self.drop_target(&id);
-        }
+        self.inner.missing.borrow_mut().retain(|id, _| !gone.contains(id));
+        self.change_targets(Vec::new(), &gone);
     }
 
-    /// Replaces all targets by those that another node knows. Unlike a list of the object API, it has
-    /// no gaps after an outage.
-    pub fn copy_targets(&self, targets: Vec<Target>, now: Instant) {
+    /// Takes over what another node knows of the targets. Unlike a list of the object API, it has no
+    /// gaps after an outage.
+    pub fn copy_targets(&self, changes: TargetChanges, now: Instant) {
         self.inner.missing.borrow_mut().clear();
         self.inner.returned_at.set(None);
-        self.set_targets(targets, now);
+        match changes {
+            TargetChanges::All(targets) => self.set_targets(targets, now),
+            TargetChanges::Some { changed, removed } => self.change_targets(changed, &removed),
+        }
     }
 
-    fn put_target(&self, target: Target) -> bool {
+    /// Takes note that a run of a target has said in an answer that it leaves: it gets no request
+    /// from now on, whatever lists say. Returns whether this is news.
+    pub fn set_leaving(&self, target: &Target, now: Instant) -> bool {
+        let run = Leaving { started_at_ms: target.started_at_ms, noted_at: now };
+        let mut leaving = self.inner.leaving.borrow_mut();
+        let targets = self.inner.targets.borrow();
+        leaving.retain(|id, run| {
+            targets.contains_key(id) || now.saturating_duration_since(run.noted_at) < LEAVING_MEMORY
+        });
+        let known = targets.get(&target.id).cloned();
+        drop(targets);
+        // A later run under the same id is another one.
+        let is_current = known.as_ref().is_none_or(|k| k.started_at_ms <= target.started_at_ms);
+        let is_news = leaving.get(&target.id).is_none_or(|k| k.started_at_ms < run.started_at_ms);
+        if !is_current || !is_news {
+            return false;
+        }
+        leaving.insert(target.id.clone(), run);
+        drop(leaving);
+        log::info!(target: "fleet", "target leaves target={} listed={:?}", target.id, known.as_ref().map(|k| k.state));
+        if let Some(known) = known {
+            self.set_target((*known).clone());
+        }
+        true
+    }
+
+    /// Applies changes and tells of them once.
+    fn change_targets(&self, changed: Vec<Target>, removed: &[TargetId]) {
+        let (mut any, mut services) = (false, HashSet::new());
+        for target in changed {
+            any |= self.put_target(target, &mut services);
+        }
+        for id in removed {
+            any |= self.drop_target(id, &mut services);
+        }
+        if !services.is_empty() {
+            self.update_pools(Some(&services));
+        }
+        if any {
+            self.notify();
+        }
+    }
+
+    /// Adds or replaces a target; returns whether this changes anything. Adds the services whose pools
+    /// change with it to `services`: versions of weights do not matter to the choice of a target.
+    fn put_target(&self, mut target: Target, services: &mut HashSet<PoolName>) -> bool {
         self.inner.missing.borrow_mut().remove(&target.id);
+        self.mark_if_leaving(&mut target);
         let mut targets = self.inner.targets.borrow_mut();
-        if targets.get(&target.id).is_some_and(|known| **known == target) {
+        let known = targets.get(&target.id);
+        if known.is_some_and(|known| **known == target) {
             return false;
         }
+        let mut by_service = self.inner.by_service.borrow_mut();
+        by_service.remove(&target.service);
+        if known.is_none_or(|known| !is_routed_alike(known, &target)) {
+            services.insert(target.service.clone());
+        }
+        if let Some(known) = known.filter(|known| known.service != target.service) {
+            by_service.remove(&known.service);
+            services.insert(known.service.clone());
+        }
+        self.inner.target_log.borrow_mut().record(&target.id);
         targets.insert(target.id.clone(), Rc::new(target));
         true
     }
 
-    fn drop_target(&self, id: &str) {
-        if self.inner.targets.borrow_mut().remove(id).is_some() {
-            log::info!(target: "fleet", "target gone target={id}");
-            self.update_pools();
-            self.notify();
+    /// Sets the state of a target that has said that it leaves, unless it has started anew.
+    fn mark_if_leaving(&self, target: &mut Target) {
+        let mut leaving = self.inner.leaving.borrow_mut();
+        match leaving.get(&target.id) {
+            Some(run) if run.started_at_ms >= target.started_at_ms => {
+                target.state = TargetState::Draining;
+            }
+            Some(_) => drop(leaving.remove(&target.id)),
+            None => {}
         }
     }
 
-    fn update_pools(&self) {
+    /// Removes a target; returns whether it was known.
+    fn drop_target(&self, id: &str, services: &mut HashSet<PoolName>) -> bool {
+        let Some(target) = self.inner.targets.borrow_mut().remove(id) else { return false };
+        log::info!(target: "fleet", "target gone target={id}");
+        self.inner.by_service.borrow_mut().remove(&target.service);
+        self.inner.target_log.borrow_mut().record_removal(&target.id);
+        if let Some(run) = self.inner.leaving.borrow_mut().get_mut(id) {
+            run.noted_at = Instant::now();
+        }
+        services.insert(target.service.clone());
+        true
+    }
+
+    /// Brings the pools of the given services up to date, or all.
+    fn update_pools(&self, only: Option<&HashSet<PoolName>>) {
         let Some(configuration) = self.configuration() else { return };
-        let targets = self.inner.targets.borrow();
         let mut pools = self.inner.pools.borrow_mut();
-        for (name, service) in &configuration.services {
-            let entries = targets.values().filter(|target| target.service == *name);
+        let is_wanted = |name: &PoolName| only.is_none_or(|only| only.contains(name));
+        for (name, service) in configuration.services.iter().filter(|(name, _)| is_wanted(name)) {
+            let targets = self.targets_of(name);
+            let entries = targets.iter();
             let slots = entries.clone().map(|target| target.slots).max().unwrap_or(1);
             let pool = TargetPool {
                 pool_type: PoolType::Service,
@@ -276,6 +419,12 @@
     }
 }
 
+/// Returns whether two entries of a target are the same to the choice of a target.
+fn is_routed_alike(a: &Target, b: &Target) -> bool {
+    (&a.service, a.address, &a.data_centre, a.state, a.slots)
+        == (&b.service, b.address, &b.data_centre, b.state, b.slots)
+}
+
 fn pool_target(target: &Target) -> object::Target {
     object::Target {
         id: target.id.clone(),
--- a/crates/fleet/tests/view.rs
+++ b/crates/fleet/tests/view.rs
@@ -6,7 +6,8 @@
 };
 
 use deck_fleet::{
-    CallerLimits, Configuration, Engines, Route, RouteKind, Service, Target, TargetState, View,
+    CallerLimits, Configuration, Engines, Route, RouteKind, Service, Target, TargetChanges,
+    TargetState, View,
 };
 use deck_route::{Router, RouterOptions};
 
@@ -164,3 +165,105 @@
     drop(guard);
     assert_eq!(engines.state(&engine).running, 0);
 }
+
+fn state(view: &View, id: &str) -> Option<TargetState> {
+    view.target(id).map(|target| target.state)
+}
+
+/// Guards against requests to a target that has said that it leaves, after a list that does not know
+/// of it yet: of the object API, of another node, or of a time before its entry was removed.
+#[test]
+fn lists_do_not_bring_a_leaving_target_back() {
+    let (view, now) = (view(), Instant::now());
+    let all = || vec![target("a"), target("b")];
+    view.set_targets(all(), now);
+    assert!(view.set_leaving(&target("a"), now));
+    assert!(!view.set_leaving(&target("a"), now));
+    assert_eq!(state(&view, "a"), Some(TargetState::Draining));
+    assert_eq!(state(&view, "b"), Some(TargetState::Ready));
+    view.set_target(target("a"));
+    assert_eq!(state(&view, "a"), Some(TargetState::Draining));
+    view.set_targets(all(), now);
+    assert_eq!(state(&view, "a"), Some(TargetState::Draining));
+    view.copy_targets(TargetChanges::All(all()), now);
+    assert_eq!(state(&view, "a"), Some(TargetState::Draining));
+    view.remove_target("a", now);
+    assert_eq!(state(&view, "a"), None);
+    view.copy_targets(TargetChanges::All(all()), now);
+    assert_eq!(state(&view, "a"), Some(TargetState::Draining));
+}
+
+/// Guards against a target that stays out of use after it has started again under its id, and against
+/// a late answer of the earlier run that puts the new run out of use.
+#[test]
+fn target_that_starts_again_is_in_use_again() {
+    let (view, now) = (view(), Instant::now());
+    view.set_targets(vec![target("a")], now);
+    view.set_leaving(&target("a"), now);
+    view.set_target(Target { started_at_ms: 2, ..target("a") });
+    assert_eq!(state(&view, "a"), Some(TargetState::Ready));
+    assert!(!view.set_leaving(&target("a"), now));
+    assert_eq!(state(&view, "a"), Some(TargetState::Ready));
+}
+
+/// Guards against memory that grows with each target that ever left, and against a mark that is
+/// dropped while the target is listed.
+#[test]
+fn leaving_targets_are_forgotten_long_after_their_entries_are_gone() {
+    let (view, now) = (view(), Instant::now());
+    view.set_targets(vec![target("a"), target("b")], now);
+    view.set_leaving(&target("a"), now);
+    view.set_leaving(&target("b"), now);
+    view.remove_target("a", now);
+    let later = now + Duration::from_secs(700);
+    view.set_leaving(&target("c"), later);
+    view.set_targets(vec![target("a"), target("b")], later);
+    assert_eq!(state(&view, "a"), Some(TargetState::Ready));
+    assert_eq!(state(&view, "b"), Some(TargetState::Draining));
+}
+
+/// Pattern: thousands of targets, of which a few change at a time. Guards against readers that get
+/// every target with each change, and against differences that miss one.
+#[test]
+fn readers_get_only_what_has_changed() {
+    let (watcher, reader, now) = (view(), view(), Instant::now());
+    let ids: Vec<String> = (0..3000).map(|index| format!("t{index}")).collect();
+    watcher.set_targets(ids.iter().map(|id| target(id)).collect(), now);
+    let mut known = watcher.target_changes();
+    reader.copy_targets(watcher.all_targets(), now);
+    for round in 0..50 {
+        let models = vec![("m".to_owned(), 2 + round)];
+        watcher.set_target(Target { models, ..target(&ids[round as usize * 7]) });
+        watcher.remove_target(&ids[round as usize * 11 + 1], now);
+        if round % 3 == 0 {
+            let changes = watcher.targets_since(known);
+            let TargetChanges::Some { changed, removed } = &changes else {
+                panic!("all targets were sent")
+            };
+            assert!(changed.len() + removed.len() <= 6, "{changed:?} {removed:?}");
+            reader.copy_targets(changes, now);
+            known = watcher.target_changes();
+        }
+    }
+    reader.copy_targets(watcher.targets_since(known), now);
+    assert_eq!(reader.all_targets(), watcher.all_targets());
+}
+
+/// Guards against a reader that keeps targets whose removal its watcher has forgotten.
+#[test]
+fn reader_that_is_far_behind_gets_all_targets() {
+    let (watcher, now) = (view(), Instant::now());
+    watcher.set_targets(vec![target("kept"), target("gone")], now);
+    let known = watcher.target_changes();
+    watcher.remove_target("gone", now);
+    for index in 0..2000 {
+        watcher.set_target(target(&format!("t{index}")));
+        watcher.remove_target(&format!("t{index}"), now);
+    }
+    assert_eq!(watcher.targets_since(known), TargetChanges::All(vec![target("kept")]));
+    let TargetChanges::Some { changed, removed } = watcher.targets_since(watcher.target_changes())
+    else {
+        panic!("all targets were sent")
+    };
+    assert!(changed.is_empty() && removed.is_empty());
+}
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use deck_core::id::TargetId;
-use deck_fleet::{AttemptEnd, Dispatch, Observer, Protocol};
+use deck_fleet::{AttemptEnd, Dispatch, Observer, Protocol, Target, View};
 use deck_limit::crash::{Fingerprint, TargetKey};
 use deck_net::{Body, Client, ClientResponse, NetError};
 use deck_route::{Outcome, Pick};
@@ -32,6 +32,7 @@
 /// What all attempts of a request have in common.
 #[derive(Clone)]
 pub(crate) struct Attempt {
+    pub view: View,
     pub client: Client,
     pub crashes: CrashGuard,
     pub observer: Rc<dyn Observer>,
@@ -56,6 +57,7 @@
     /// Sends the request to the picked target and receives its answer.
     pub async fn run(&self, pick: Pick) -> (TargetId, Result<Reply, AttemptError>) {
         let Pick { target, address, mut in_flight } = pick;
+        let sent_to = self.view.target(&target);
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         let request = self.request(&target, time_left);
         let mut observed = Observed {
@@ -71,7 +73,7 @@
             let response = self.client.send(address, request).await.map_err(attempt_error)?;
             in_flight.first_byte(Instant::now());
             observed.first_byte = Some(observed.started.elapsed());
-            self.receive(&target, response, &mut running).await
+            self.receive(&target, sent_to.as_deref(), response, &mut running).await
         };
         let result = match monoio::time::timeout(time_left, exchange).await {
             Ok(result) => result,
@@ -128,11 +130,15 @@
     async fn receive(
         &self,
         target: &TargetId,
+        sent_to: Option<&Target>,
         response: ClientResponse,
         running: &mut Option<RunningCall>,
     ) -> Result<Reply, AttemptError> {
         let (status, headers) = (response.status, response.headers.clone());
         let head = self.protocol.reply_head(status, &headers);
+        if let Some(sent_to) = sent_to.filter(|_| head.leaving) {
+            self.view.set_leaving(sent_to, Instant::now());
+        }
         if head.request_id.as_ref().is_some_and(|id| *id != self.request_id) {
             return Err(AttemptError::Unknown("answer to another request".to_owned()));
         }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -233,6 +233,7 @@
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
         Attempt {
+            view: self.view.clone(),
             client: self.client.clone(),
             crashes: self.crashes.clone(),
             observer: self.observer.clone(),
--- a/crates/forward/tests/forward.rs
+++ b/crates/forward/tests/forward.rs
@@ -15,6 +15,7 @@
     http::{Response, StatusCode},
     server::{drop_connection, text_response},
 };
+use test_case::test_case;
 
 mod common;
 
@@ -28,6 +29,10 @@
     Fails,
     Drops,
     Silent,
+    /// Answers, refuses or fails, and says that it leaves.
+    Leaves(StatusCode),
+    /// Another target has the address, and that one leaves.
+    OtherLeaves,
 }
 
 struct World {
@@ -84,6 +89,17 @@
         Behaviour::Fails => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
         Behaviour::Drops => return drop_connection(),
         Behaviour::Silent => monoio::time::sleep(Duration::from_secs(10)).await,
+        Behaviour::Leaves(status) => {
+            headers.insert("server-leaving", "1".parse().expect("one"));
+            if status == StatusCode::SERVICE_UNAVAILABLE {
+                headers.insert("not-executed", "1".parse().expect("one"));
+            }
+            *response.status_mut() = status;
+        }
+        Behaviour::OtherLeaves => {
+            headers.insert("server-leaving", "1".parse().expect("one"));
+            *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+        }
     }
     response
 }
@@ -184,6 +200,48 @@
     });
 }
 
+/// Guards against requests to a target after it has said in an answer that it leaves, while its entry
+/// still lists it as ready.
+#[test_case(StatusCode::OK; "in an answer")]
+#[test_case(StatusCode::INTERNAL_SERVER_ERROR; "in a failure")]
+#[test_case(StatusCode::SERVICE_UNAVAILABLE; "in a refusal")]
+fn target_that_says_it_leaves_gets_no_further_request(with: StatusCode) {
+    run(async {
+        let world = start(&[Behaviour::Leaves(with); 3]);
+        for _ in 0..20 {
+            let _ = status(&world, RouteKind::NonIdempotent).await;
+        }
+        let mut received = world.received.borrow().clone();
+        received.sort_unstable();
+        assert_eq!(received, [0, 1, 2]);
+    });
+}
+
+/// Guards against a request to the only target after it has said that it leaves: the refusal is true
+/// and comes at once.
+#[test]
+fn request_is_refused_if_all_targets_leave() {
+    run(async {
+        let world = start(&[Behaviour::Leaves(StatusCode::OK)]);
+        assert_eq!(status(&world, RouteKind::Idempotent).await, Ok(StatusCode::OK));
+        let result = status(&world, RouteKind::Idempotent).await;
+        assert_eq!(result, Err((503, RunState::NotRun)));
+        assert_eq!(world.received.borrow().len(), 1);
+    });
+}
+
+/// Guards against a target that is given up because another one, which has its address, leaves.
+#[test]
+fn misdirected_answer_says_nothing_of_the_target() {
+    run(async {
+        let world = start(&[Behaviour::OtherLeaves]);
+        for _ in 0..3 {
+            let _ = status(&world, RouteKind::NonIdempotent).await;
+        }
+        assert_eq!(world.received.borrow().len(), 3);
+    });
+}
+
 /// Guards against an answer that comes later than the caller waits.
 #[test]
 fn deadline_ends_the_request() {
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -107,6 +107,8 @@
 pub struct WholeResponse {
     /// Status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -185,9 +187,9 @@
         max_bytes: usize,
     ) -> Result<WholeResponse, NetError> {
         let exchange = async {
-            let response = self.send(address, request).await?;
-            let status = response.status;
-            Ok(WholeResponse { status, body: response.collect(max_bytes).await? })
+            let mut response = self.send(address, request).await?;
+            let (status, headers) = (response.status, std::mem::take(&mut response.headers));
+            Ok(WholeResponse { status, headers, body: response.collect(max_bytes).await? })
         };
         match monoio::time::timeout(limit, exchange).await {
             Ok(result) => result,
--- a/crates/swap/src/giver.rs
+++ b/crates/swap/src/giver.rs
@@ -275,7 +275,12 @@
         let (address, limit) = (target.address, self.options.call_limit);
         let request = request.map(Body::full);
         match self.client.call(address, request, limit, MAX_ANSWER_BYTES).await {
-            Ok(answer) => Some(answer),
+            Ok(answer) => {
+                if self.protocol.reply_head(answer.status, &answer.headers).leaving {
+                    self.view.set_leaving(target, Instant::now());
+                }
+                Some(answer)
+            }
             Err(error) => {
                 log::info!(target: "swap", "target does not answer target={} error={error}", target.id);
                 None
