--- a/bins/decknode/src/lead.rs
+++ b/bins/decknode/src/lead.rs
@@ -13,7 +13,7 @@
 use deck_plat::{
     Acquire, HeldLease, Kept, LeaseCandidate, LeaseOptions, Store, lease::parse_record,
 };
-use deck_swap::Giver;
+use deck_swap::{Giver, Runners, RunnersParts};
 
 use crate::retire;
 
@@ -40,6 +40,8 @@
     pub feed: Feed,
     /// Orders.
     pub giver: Giver,
+    /// What the choice of runners works with.
+    pub runners: RunnersParts,
     /// Follows the objects that only the leader needs.
     pub follower: Follower,
     /// Bounds of the deployment.
@@ -136,6 +138,9 @@
     monoio::spawn(async move { batch.guard(guard_stop).await });
     let (batch, sweep_stop) = (duties.batch.clone(), stop.clone());
     monoio::spawn(async move { batch.sweep(job_retention, sweep_stop).await });
+    let runners = Runners::new(duties.runners.clone(), token.fencing());
+    let runner_stop = stop.clone();
+    monoio::spawn(async move { runners.run(runner_stop).await });
     let (giver, order_stop) = (duties.giver.clone(), stop.clone());
     monoio::spawn(async move { giver.run(token, start, order_stop).await });
     duties.leads.set(true);
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -26,7 +26,7 @@
 use deck_forward::{CrashGuard, ForwardOptions, Forwarder, crashes::take_crashes};
 use deck_limit::CrashOptions;
 use deck_net::{
-    Body, Client, ClientOptions, ProbeOptions, ServerOptions, bind,
+    Body, Client, ClientOptions, NetError, ProbeOptions, ServerOptions, bind,
     http::{Request, Response, StatusCode},
     runtime::{hangup_flag, stop_token},
     server::{read_body, status_only, text_response},
@@ -34,7 +34,10 @@
 use deck_plat::{MeteredApi, ObjectApi, RelayNodes, RelayedApi, Store, metered::CallRecord, relay};
 use deck_platform::{KINDS, PlatformObjectApi, Wire, read_settings};
 use deck_route::{RouteMember, Router, RouterOptions};
-use deck_swap::{Giver, SwapOptions};
+use deck_swap::{
+    Giver, RunnersParts, SwapOptions,
+    runners::{MAX_MESSAGE_BYTES, RUNNER_PATH, TABLE_PATH, serve_told, take_table},
+};
 
 use hyper::body::Incoming;
 
@@ -166,11 +169,20 @@
         settings.vm.clone(),
         view.clone(),
         engines.clone(),
-        client,
+        client.clone(),
         protocol.clone(),
         observer,
         SwapOptions::default(),
     );
+    let informed = batch.clone();
+    let runners = RunnersParts {
+        view: view.clone(),
+        engines: engines.clone(),
+        feed: feed.clone(),
+        giver: giver.clone(),
+        client,
+        on_jobs: Rc::new(move |node, jobs| informed.note_runner(node, jobs)),
+    };
     let leads = Rc::new(Cell::new(false));
     let bounds = Rc::new(RefCell::new(settings.bounds.clone()));
     let duties = lead::Duties {
@@ -179,6 +191,7 @@
         store,
         feed: feed.clone(),
         giver,
+        runners,
         follower,
         bounds: bounds.clone(),
         batch: batch.clone(),
@@ -195,12 +208,20 @@
         draining: draining.clone(),
         metrics: metrics.clone(),
     };
-    let metrics = Rendered { metrics, view: view.clone(), engines, runner, leads };
-    serve_ready(&settings, view, protocol, draining.clone(), metrics.clone(), ended.clone())?;
+    let metrics = Rendered { metrics, view: view.clone(), engines: engines.clone(), runner, leads };
+    serve_ready(
+        &settings,
+        view.clone(),
+        protocol,
+        draining.clone(),
+        metrics.clone(),
+        ended.clone(),
+    )?;
     if let Some(port) = metrics_port {
         serve_metrics(SocketAddr::new(settings.peer_address.ip(), port), metrics, ended.clone());
     }
-    serve_peers(&settings, batch.clone(), feed.clone(), api, ended.clone())?;
+    let peers = PeerCalls { batch: batch.clone(), feed: feed.clone(), view, engines, api };
+    serve_peers(&settings, peers, ended.clone())?;
     let closing = CancellationToken::new();
     let served = serve_callers(&settings, front, closing.clone())?;
     monoio::spawn(watch_settings(file, settings.clone(), bounds.clone(), hangup, ended.clone()));
@@ -360,29 +381,66 @@
     }));
 }
 
-fn serve_peers(
-    settings: &NodeSettings,
+/// What serves the calls of other nodes.
+#[derive(Clone)]
+struct PeerCalls {
     batch: BatchService,
     feed: Feed,
+    view: View,
+    engines: Engines,
     api: Rc<dyn ObjectApi>,
+}
+
+impl PeerCalls {
+    async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        match path.as_str() {
+            FEED_PATH => self.feed.serve(request.uri().query().unwrap_or_default()).await,
+            CRASHES_PATH => take_crash_message(&self.feed, request).await,
+            RUNNER_PATH => self.serve_leader(request).await,
+            TABLE_PATH => self.take_table(request).await,
+            relay::RELAY_PATH => relay_call(&*self.api, request).await,
+            _ => self.batch.serve_peer(request).await,
+        }
+    }
+
+    /// Takes what the leader tells the runner of a model.
+    async fn serve_leader(&self, request: Request<Incoming>) -> Response<Body> {
+        let message = read_body(request.into_body(), MAX_MESSAGE_BYTES).await;
+        let answer = message.and_then(|message| {
+            let (jobs, draining) = (self.batch.job_ids(), self.batch.is_draining());
+            serve_told(&self.engines, &self.view, jobs, draining, &message)
+        });
+        match answer {
+            Ok(answer) => Response::new(Body::full(answer)),
+            Err(error) => not_read("message of the leader", &error),
+        }
+    }
+
+    async fn take_table(&self, request: Request<Incoming>) -> Response<Body> {
+        let message = read_body(request.into_body(), MAX_MESSAGE_BYTES).await;
+        match message.and_then(|message| take_table(&self.feed, &message)) {
+            Ok(()) => status_only(StatusCode::OK),
+            Err(error) => not_read("table of runners", &error),
+        }
+    }
+}
+
+fn not_read(what: &str, error: &NetError) -> Response<Body> {
+    log::warn!(target: "node", "{what} not read error={error}");
+    text_response(400, &error.to_string())
+}
+
+fn serve_peers(
+    settings: &NodeSettings,
+    calls: PeerCalls,
     ended: CancellationToken,
 ) -> std::io::Result<()> {
     let listener = bind(settings.peer_address)?;
     let options = ServerOptions { head_timeout: CALLER_IDLE, ..ServerOptions::default() };
     monoio::spawn(deck_net::serve(listener, options, ended, move |request| {
-        let (batch, feed, api) = (batch.clone(), feed.clone(), api.clone());
-        async move {
-            if request.uri().path() == FEED_PATH {
-                return feed.serve(request.uri().query().unwrap_or_default()).await;
-            }
-            if request.uri().path() == CRASHES_PATH {
-                return take_crash_message(&feed, request).await;
-            }
-            if request.uri().path() == relay::RELAY_PATH {
-                return relay_call(&*api, request).await;
-            }
-            batch.serve_peer(request).await
-        }
+        let calls = calls.clone();
+        async move { calls.serve(request).await }
     }));
     Ok(())
 }
@@ -392,10 +450,7 @@
     let message = read_body(request.into_body(), MAX_CRASHES_BYTES).await;
     match message.and_then(|message| take_crashes(feed.crashes(), &message)) {
         Ok(()) => status_only(StatusCode::OK),
-        Err(error) => {
-            log::warn!(target: "node", "crashes of another node not read error={error}");
-            text_response(400, &error.to_string())
-        }
+        Err(error) => not_read("crashes of another node", &error),
     }
 }
 
@@ -407,10 +462,7 @@
     };
     match answer {
         Ok(answer) => Response::new(Body::full(answer)),
-        Err(error) => {
-            log::warn!(target: "node", "call of another node not read error={error}");
-            text_response(400, &error.to_string())
-        }
+        Err(error) => not_read("call of another node", &error),
     }
 }
 
--- a/bins/decknode/tests/calm.rs
+++ b/bins/decknode/tests/calm.rs
@@ -270,3 +270,40 @@
         assert_eq!(work(1).await, before);
     });
 }
+
+/// Pattern: more nodes than the fleet has duties. Guards against a leader that runs the jobs of all
+/// models itself, and against a job that is lost with the node that runs its model.
+#[test]
+fn jobs_of_a_large_fleet_run_beside_the_leader() {
+    run(async {
+        // One more than the largest fleet in which all nodes watch, and a few to choose from.
+        let mut fleet = Fleet::start(13);
+        fleet.wait_until_ready().await;
+        let with_line = |fleet: &Fleet, text: &str| {
+            let logs = fleet.write_logs();
+            let has = |file| std::fs::read_to_string(file).expect("log").contains(text);
+            logs.iter().position(has)
+        };
+        eventually("the model has a runner", async || {
+            with_line(&fleet, "runners are RunnerTable").is_some()
+        })
+        .await;
+        // Every node has asked a watcher since.
+        monoio::time::sleep(Duration::from_secs(2)).await;
+        let mut lot = fleet.submit(0, 6, 1).await;
+        let runner = with_line(&fleet, "job accepted").expect("a node has accepted the job");
+        assert_ne!(Some(runner), with_line(&fleet, "lease held"));
+        let address = fleet.nodes[runner].callers;
+        let reader = fleet.entries().map(|node| node.callers).find(|other| *other != address);
+        fleet.read_on(reader.expect("another node"), &mut lot).await;
+        fleet.nodes[runner].process.take().expect("process").kill();
+        let mut other = fleet.submit(1, 2, 1).await;
+        eventually("the jobs are complete", async || {
+            for lot in [&mut lot, &mut other] {
+                fleet.read_on(reader.expect("another node"), lot).await;
+            }
+            lot.results.len() == lot.items.len() && other.results.len() == other.items.len()
+        })
+        .await;
+    });
+}
--- a/crates/batch/src/dispatch.rs
+++ b/crates/batch/src/dispatch.rs
@@ -34,8 +34,9 @@
     pub slots: u32,
     /// Expected time between two events in milliseconds.
     pub event_gap_ms: f64,
-    /// Whether it has read the item's prompt lately.
-    pub has_prompt: bool,
+    /// Whether it follows the versions of another model, whose runner does not know of runs from
+    /// here.
+    pub follows_other: bool,
 }
 
 /// Part by which each run of an engine slows the others down. Engines batch, so it is small.
@@ -45,6 +46,9 @@
 /// Part of the cost that each version behind the newest adds: text of an older version is of less
 /// use to the next step.
 const OLD_VERSION_COST: f64 = 0.03;
+/// Part of the cost that an engine of another model adds: runs from here take slots that the runner of
+/// that model takes for free, and are refused where it is faster.
+const OTHER_MODEL_COST: f64 = 0.5;
 /// Time that a move to another engine costs: a new connection and the text to read.
 const MOVE_TIME: Duration = Duration::from_millis(80);
 /// Least time that a move has to save. A step waits for its longest texts, which take several seconds;
@@ -67,22 +71,35 @@
     item.time_left.as_secs_f64() - item.expected.as_secs_f64()
 }
 
-/// Chooses the engine for an item: a free one that is fast, lightly loaded and recent.
-pub fn choose<'a>(item: &Waiting, candidates: &'a [Candidate]) -> Option<&'a Candidate> {
-    let usable = candidates.iter().filter(|candidate| {
+/// Chooses the engine for an item: a free one that is fast, lightly loaded and recent. `with_prompt`
+/// names the engine that has read the item's prompt lately. Returns the engine's index.
+pub fn choose(
+    item: &Waiting,
+    candidates: &[Candidate],
+    with_prompt: Option<&str>,
+) -> Option<usize> {
+    let is_usable = |candidate: &Candidate| {
         candidate.version >= item.min_version && candidate.running < candidate.slots
-    });
+    };
+    let usable = (0..candidates.len()).filter(|index| is_usable(&candidates[*index]));
+    let mut usable = usable.peekable();
+    usable.peek()?;
     let newest = candidates.iter().map(|candidate| candidate.version).max().unwrap_or(0);
     let usual = usual_gap(candidates);
-    usable.min_by(|a, b| cost(a, usual, newest).total_cmp(&cost(b, usual, newest)))
+    let cost = |index: &usize| {
+        let candidate = &candidates[*index];
+        cost(candidate, usual, newest, with_prompt == Some(candidate.target.as_str()))
+    };
+    usable.min_by(|a, b| cost(a).total_cmp(&cost(b)))
 }
 
-fn cost(candidate: &Candidate, usual_gap_ms: f64, newest: WeightVersion) -> f64 {
+fn cost(candidate: &Candidate, usual_gap_ms: f64, newest: WeightVersion, has_prompt: bool) -> f64 {
     let slowness = candidate.event_gap_ms / usual_gap_ms;
     let load = 1.0 + SLOWER_PER_RUN * f64::from(candidate.running);
     let age = OLD_VERSION_COST * (newest - candidate.version) as f64;
-    let prompt = if candidate.has_prompt { PROMPT_BONUS } else { 0.0 };
-    slowness * load + age - prompt
+    let prompt = if has_prompt { PROMPT_BONUS } else { 0.0 };
+    let other = if candidate.follows_other { OTHER_MODEL_COST } else { 0.0 };
+    slowness * load + age + other - prompt
 }
 
 /// Returns the median time between events.
@@ -119,6 +136,7 @@
         .iter()
         .filter(|candidate| {
             candidate.target != item.target
+                && !candidate.follows_other
                 && candidate.version >= item.min_version
                 && candidate.running < candidate.slots
         })
--- a/crates/batch/src/handover.rs
+++ b/crates/batch/src/handover.rs
@@ -126,13 +126,15 @@
 const MAX_HANDOVER_BYTES: usize = 64 * 1024 * 1024;
 
 impl BatchService {
-    /// Hands all running jobs to other nodes, the leader first; `nodes` are tried in their order.
+    /// Hands all running jobs to other nodes: the runner of their model, the leader, or else `nodes`,
+    /// which are tried in their order.
     pub async fn hand_over(&self, nodes: &[SocketAddr]) {
-        let leader = self.other_leader().map(|leader| leader.address);
         let own = self.parts().address;
-        let others = nodes.iter().copied().filter(|node| *node != own && Some(*node) != leader);
-        let nodes: Vec<SocketAddr> = leader.into_iter().chain(others).collect();
         for job in self.inner.runner.active_jobs() {
+            let first = self.runners_of(&job.record.borrow().model);
+            let others = nodes.iter().copied().filter(|node| !first.contains(node));
+            let nodes: Vec<SocketAddr> =
+                first.iter().copied().chain(others).filter(|node| *node != own).collect();
             job.stop.cancel();
             // The tasks of the job note its progress before it is handed over.
             monoio::time::sleep(HANDOVER_PAUSE).await;
--- a/crates/batch/src/peer_calls.rs
+++ b/crates/batch/src/peer_calls.rs
@@ -1,6 +1,7 @@
 //! Calls of other nodes on batch jobs.
 
 use std::{
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -10,7 +11,7 @@
 use deck_forward::error_response;
 use deck_net::{
     Body,
-    server::{number_parameter, read_body, status_only},
+    server::{number_parameter, read_body, status_only, text_response},
 };
 use http::{Method, Request, Response, StatusCode, header};
 use hyper::body::{Body as _, Incoming};
@@ -18,7 +19,7 @@
 use crate::{
     BatchService,
     job::Job,
-    peers::{AT_OBJECT_API, JOBS_PATH, NOT_HERE, PING_PATH, SUBMITTED_PATH},
+    peers::{AT_OBJECT_API, JOBS_PATH, NOT_HERE, PING_PATH, RUNS_ELSEWHERE, SUBMITTED_PATH},
     service::{Place, accepted},
 };
 
@@ -42,6 +43,9 @@
         if *request.method() == Method::PUT {
             return self.serve_handover(&id, request).await;
         }
+        if let Some(node) = self.runs_elsewhere(&id) {
+            return text_response(RUNS_ELSEWHERE.as_u16(), &node.to_string());
+        }
         let Some(job) = self.job_for_peer(&id).await else { return status_only(NOT_HERE) };
         match (request.method().clone(), item) {
             (Method::HEAD, None) => status_only(StatusCode::OK),
@@ -65,6 +69,12 @@
         }
     }
 
+    /// Returns the node that runs a job, if this node has heard of it and does not know the job itself.
+    fn runs_elsewhere(&self, id: &str) -> Option<SocketAddr> {
+        let node = self.inner.runners.borrow().get(id).copied()?;
+        (node != self.parts().address && self.known(id).is_none()).then_some(node)
+    }
+
     /// Returns a job that this node runs, or ran before it was restarted.
     async fn job_for_peer(&self, id: &str) -> Option<Rc<Job>> {
         if let Some(job) = self.known(id) {
--- a/crates/batch/src/peers.rs
+++ b/crates/batch/src/peers.rs
@@ -14,6 +14,8 @@
 pub const NOT_HERE: StatusCode = StatusCode::GONE;
 /// Status of a node that refers a read of a settled job to the object API.
 pub const AT_OBJECT_API: StatusCode = StatusCode::SEE_OTHER;
+/// Status of a node that knows another one that runs the job; the body is that node's address.
+pub const RUNS_ELSEWHERE: StatusCode = StatusCode::TEMPORARY_REDIRECT;
 /// Path at which a node answers at once, whatever its jobs wait for.
 pub const PING_PATH: &str = "/peer/ping";
 /// Time for a call beyond the time for which it may wait; covers a call on the object API that has to
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -1,7 +1,7 @@
 //! Jobs that this node runs.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
@@ -14,7 +14,8 @@
     id::{RequestId, Revision, VmId},
 };
 use deck_fleet::{
-    Engines, Item, ItemOutcome, Observer, Protocol, RouteKind, Target, TargetState, View,
+    Engines, Item, ItemOutcome, Observer, Outlook, Protocol, RouteKind, Target, TargetList,
+    TargetState, View,
 };
 use deck_forward::Forwarder;
 use deck_net::Client;
@@ -55,6 +56,8 @@
     pub takeover_settle: Duration,
     /// Time for which a run stays on its engine before it may move.
     pub settle_run: Duration,
+    /// Shortest time between two looks for runs that should move.
+    pub move_interval: Duration,
     /// Expected time for one token where nothing is known.
     pub token_time: Duration,
     /// Longest wait between two looks at waiting items.
@@ -73,6 +76,7 @@
             checkpoint_interval: Duration::from_millis(500),
             takeover_settle: Duration::from_secs(3),
             settle_run: Duration::from_millis(400),
+            move_interval: Duration::from_millis(150),
             token_time: Duration::from_micros(900),
             idle_round: Duration::from_millis(50),
         }
@@ -91,6 +95,8 @@
     pub jobs: RefCell<HashMap<RequestId, Rc<Job>>>,
     /// Engine that last read a shared prompt, by the prompt's hash.
     prompts: RefCell<HashMap<u64, String>>,
+    /// When runs were last looked through for one that should move.
+    moved_at: Cell<Instant>,
     pub wake: Notify,
 }
 
@@ -126,6 +132,7 @@
             options,
             jobs: RefCell::default(),
             prompts: RefCell::default(),
+            moved_at: Cell::new(Instant::now()),
             wake: Notify::new(),
         };
         let runner = Self { inner: Rc::new(inner) };
@@ -141,6 +148,11 @@
         self.inner.jobs.borrow().get(id).cloned()
     }
 
+    /// Returns the ids of all jobs that this node knows as their runner.
+    pub fn job_ids(&self) -> Vec<RequestId> {
+        self.inner.jobs.borrow().keys().cloned().collect()
+    }
+
     /// Returns the jobs of this node that are neither ended nor complete.
     pub fn active_jobs(&self) -> Vec<Rc<Job>> {
         let jobs = self.inner.jobs.borrow();
@@ -278,6 +290,7 @@
     /// Starts as many waiting items as engines take; returns whether items still wait.
     fn dispatch_round(self: &Rc<Self>) -> bool {
         let now = Instant::now();
+        self.parts.engines.expire_news(now);
         let mut runs: Vec<(Rc<Job>, Rc<ItemRun>)> = Vec::new();
         let mut waiting = Vec::new();
         for job in self.jobs.borrow().values().filter(|job| !job.stop.is_cancelled()) {
@@ -298,23 +311,39 @@
             }
         }
         if waiting.is_empty() {
+            let moved_at = self.moved_at.get();
+            if now.saturating_duration_since(moved_at) < self.options.move_interval {
+                return self.runs_items();
+            }
+            self.moved_at.set(now);
             return self.move_slow_runs(now);
         }
         sort_by_urgency(&mut waiting);
         let mut left = waiting.len();
+        let mut known: HashMap<(String, String), (TargetList, Vec<Candidate>)> = HashMap::new();
         for item in &waiting {
             let (job, run) = &runs[item.key];
             let Some(service) = self.service_of(job) else { continue };
-            let targets = self.parts.view.targets_of(&service);
-            let candidates = self.candidates(&targets, &item.model, item.prompt, now);
-            let Some(chosen) = choose(item, &candidates) else { continue };
+            let (targets, candidates) = known
+                .entry((service, item.model.clone()))
+                .or_insert_with_key(|(service, model)| {
+                    let targets = self.parts.view.targets_of(service);
+                    let candidates = self.candidates(&targets, model, now);
+                    (targets, candidates)
+                });
+            let prompts = self.prompts.borrow();
+            let with_prompt = prompts.get(&item.prompt).cloned();
+            drop(prompts);
+            let Some(index) = choose(item, candidates, with_prompt.as_deref()) else { continue };
+            let chosen = &mut candidates[index];
+            // Counted at once: the next item is placed before this run's task starts.
+            chosen.running += 1;
             let Some(target) = targets.iter().find(|target| target.id == chosen.target) else {
                 continue;
             };
             self.prompts.borrow_mut().insert(item.prompt, target.id.clone());
             run.enter(Phase::Running);
             left -= 1;
-            // Counted at once: the next item is placed before this run's task starts.
             let guard = self.parts.engines.start_run(target);
             monoio::spawn(run::run_item(
                 self.clone(),
@@ -348,39 +377,33 @@
         (route.kind == RouteKind::Rollout).then(|| route.service(0.0).to_owned())
     }
 
-    fn candidates(
-        &self,
-        targets: &[Rc<Target>],
-        model: &str,
-        prompt: u64,
-        now: Instant,
-    ) -> Vec<Candidate> {
-        let usual_ms = self.usual_gap_ms(targets);
-        let ready = targets.iter().filter(|target| {
-            target.state == TargetState::Ready && self.parts.engines.is_usable(target, model, now)
-        });
-        ready
-            .filter_map(|target| {
-                let state = self.parts.engines.state(target);
+    /// Returns the engines that may run the model, as they are now.
+    fn candidates(&self, targets: &[Rc<Target>], model: &str, now: Instant) -> Vec<Candidate> {
+        let engines = &self.parts.engines;
+        let ready = targets.iter().filter(|target| target.state == TargetState::Ready);
+        let outlooks: Vec<_> =
+            ready.map(|target| (target, engines.outlook(target, model, now))).collect();
+        let usual_ms = usual_gap_ms(outlooks.iter().map(|(_, outlook)| outlook));
+        let usable = outlooks.into_iter().filter(|(_, outlook)| outlook.is_usable);
+        usable
+            .filter_map(|(target, outlook)| {
                 Some(Candidate {
                     target: target.id.clone(),
-                    version: self.parts.engines.version(target, model)?,
-                    running: state.running,
+                    version: outlook.version?,
+                    running: outlook.running,
                     slots: target.slots,
-                    event_gap_ms: state.event_gap_ms(usual_ms, now).unwrap_or(usual_ms),
-                    has_prompt: self.prompts.borrow().get(&prompt) == Some(&target.id),
+                    event_gap_ms: outlook.event_gap_ms(usual_ms, now).unwrap_or(usual_ms),
+                    follows_other: engines.follows_other(&target.id, model),
                 })
             })
             .collect()
     }
 
-    /// Returns the median time between events on the targets where it is known.
-    fn usual_gap_ms(&self, targets: &[Rc<Target>]) -> f64 {
-        let known =
-            targets.iter().filter_map(|target| self.parts.engines.state(target).long_gap_ms());
-        let mut known: Vec<f64> = known.collect();
-        known.sort_by(f64::total_cmp);
-        known.get(known.len() / 2).copied().unwrap_or(UNKNOWN_GAP_MS)
+    /// Returns whether any item runs.
+    fn runs_items(&self) -> bool {
+        let jobs = self.jobs.borrow();
+        let mut jobs = jobs.values().filter(|job| !job.stop.is_cancelled());
+        jobs.any(|job| job.items.borrow().iter().any(|run| run.phase.get() == Phase::Running))
     }
 
     /// Moves the run that gains most from another engine; returns whether any item runs.
@@ -403,8 +426,12 @@
                 let record = job.record.borrow();
                 (record.model.clone(), record.min_version)
             };
-            let candidates = self.candidates(&targets, &model, 0, now);
-            let usual_ms = self.usual_gap_ms(&targets);
+            let candidates = self.candidates(&targets, &model, now);
+            let outlooks: Vec<_> = targets
+                .iter()
+                .map(|target| self.parts.engines.outlook(target, &model, now))
+                .collect();
+            let usual_ms = usual_gap_ms(outlooks.iter());
             for run in running {
                 let Some(item) = self.running_item(run, &service, usual_ms, min_version, now)
                 else {
@@ -458,5 +485,12 @@
     }
 }
 
+/// Returns the median time between events on the engines where it is known.
+fn usual_gap_ms<'a>(outlooks: impl Iterator<Item = &'a Outlook>) -> f64 {
+    let mut known: Vec<f64> = outlooks.filter_map(Outlook::long_gap_ms).collect();
+    known.sort_by(f64::total_cmp);
+    known.get(known.len() / 2).copied().unwrap_or(UNKNOWN_GAP_MS)
+}
+
 /// Time between two events where nothing is known yet.
 const UNKNOWN_GAP_MS: f64 = 45.0;
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -25,7 +25,7 @@
 use crate::{
     Accepted, JobRecord, Runner,
     job::Job,
-    peers::{AT_OBJECT_API, NOT_HERE, Peers},
+    peers::{AT_OBJECT_API, NOT_HERE, Peers, RUNS_ELSEWHERE},
     publish,
     runner::RunnerParts,
 };
@@ -136,22 +136,25 @@
             return error_response(&error, "");
         };
         let mut maybe_accepted = false;
-        if let Some(leader) = self.other_leader() {
-            match self.inner.peers.submit(leader.address, &id, host, path, body.clone()).await {
+        for node in self.runners_for(&body) {
+            if node == self.parts().address {
+                break;
+            }
+            match self.inner.peers.submit(node, &id, host, path, body.clone()).await {
                 Ok(answer) if answer.status == StatusCode::ACCEPTED => {
-                    self.inner.runners.borrow_mut().insert(id, leader.address);
+                    self.inner.runners.borrow_mut().insert(id, node);
                     return accepted();
                 }
                 Ok(answer) if answer.status.is_client_error() && answer.status != NOT_HERE => {
                     return peer_response(answer);
                 }
                 Ok(answer) => {
-                    maybe_accepted = answer.status != StatusCode::SERVICE_UNAVAILABLE;
-                    log::info!(target: "batch", "leader did not accept job={id} status={}", answer.status);
+                    maybe_accepted |= answer.status != StatusCode::SERVICE_UNAVAILABLE;
+                    log::info!(target: "batch", "node did not accept job={id} node={node} status={}", answer.status);
                 }
                 Err(error) => {
-                    maybe_accepted = error.may_have_been_sent();
-                    log::info!(target: "batch", "leader did not answer job={id} error={error}");
+                    maybe_accepted |= error.may_have_been_sent();
+                    log::info!(target: "batch", "node did not answer job={id} node={node} error={error}");
                 }
             }
         }
@@ -165,6 +168,37 @@
         }
     }
 
+    /// Returns the nodes that should run a new job.
+    fn runners_for(&self, body: &[u8]) -> Vec<SocketAddr> {
+        self.runners_of(&self.parts().protocol.batch_model(body).unwrap_or_default())
+    }
+
+    /// Returns the nodes that should run the jobs of a model, in the order in which they are asked:
+    /// the runner of the model, and the leader.
+    pub(crate) fn runners_of(&self, model: &str) -> Vec<SocketAddr> {
+        let runner = self.inner.feed.runner_of(model);
+        let leader = self.inner.feed.leader().map(|leader| leader.address);
+        let mut nodes: Vec<SocketAddr> = runner.into_iter().chain(leader).collect();
+        nodes.dedup();
+        nodes
+    }
+
+    /// Takes note of the node that runs some jobs.
+    pub fn note_runner(&self, node: SocketAddr, jobs: Vec<RequestId>) {
+        let mut runners = self.inner.runners.borrow_mut();
+        runners.extend(jobs.into_iter().map(|job| (job, node)));
+    }
+
+    /// Returns the ids of the jobs of which this node is the runner.
+    pub fn job_ids(&self) -> Vec<RequestId> {
+        self.inner.runner.job_ids()
+    }
+
+    /// Returns whether this node takes no new jobs.
+    pub fn is_draining(&self) -> bool {
+        self.inner.draining.get()
+    }
+
     /// Stores a job and runs it on this node, unless it was stored before.
     pub(crate) async fn accept(
         &self,
@@ -311,6 +345,12 @@
                 },
             };
             match there(node).await {
+                Ok(answer) if answer.status == RUNS_ELSEWHERE => {
+                    self.inner.runners.borrow_mut().remove(id);
+                    let address = std::str::from_utf8(&answer.body).ok();
+                    hint = address.and_then(|address| address.parse().ok());
+                    hint = hint.filter(|hint| *hint != self.parts().address);
+                }
                 Ok(answer) if answer.status == NOT_HERE => {
                     self.inner.runners.borrow_mut().remove(id);
                     if !is_hint {
@@ -544,8 +584,9 @@
     }
 }
 
-/// Nodes that are asked for a job before a call on it is refused.
-const FIND_TRIES: usize = 3;
+/// Nodes that are asked for a job before a call on it is refused; one of them may only know who runs
+/// it.
+const FIND_TRIES: usize = 4;
 /// Settled jobs that a node keeps for reads; a job takes about a megabyte.
 const MAX_SETTLED: usize = 8;
 /// Pages of settled jobs that a node sends to other nodes in bytes per second. Further ones are read
--- a/crates/batch/tests/dispatch.rs
+++ b/crates/batch/tests/dispatch.rs
@@ -24,10 +24,18 @@
         running,
         slots: 8,
         event_gap_ms: gap_ms,
-        has_prompt: false,
+        follows_other: false,
     }
 }
 
+fn choice<'a>(
+    item: &Waiting,
+    engines: &'a [Candidate],
+    with_prompt: Option<&str>,
+) -> Option<&'a Candidate> {
+    choose(item, engines, with_prompt).map(|index| &engines[index])
+}
+
 fn order(mut items: Vec<Waiting>) -> Vec<usize> {
     sort_by_urgency(&mut items);
     items.iter().map(|item| item.key).collect()
@@ -54,7 +62,7 @@
 #[test]
 fn fast_engine_with_one_free_slot_beats_an_idle_slow_one() {
     let engines = [engine("slow", 48.0, 0), engine("fast", 37.0, 7), engine("other", 37.0, 8)];
-    let chosen = choose(&waiting(0, 7500, 6400), &engines).expect("an engine");
+    let chosen = choice(&waiting(0, 7500, 6400), &engines, None).expect("an engine");
     assert_eq!(chosen.target, "fast");
 }
 
@@ -62,22 +70,38 @@
 #[test]
 fn engine_with_an_older_version_is_never_chosen() {
     let old = Candidate { version: 2, ..engine("old", 10.0, 0) };
-    assert!(choose(&waiting(0, 7500, 900), &[old]).is_none());
+    assert!(choice(&waiting(0, 7500, 900), &[old], None).is_none());
 }
 
 /// Guards against queues at engines, where items cannot be moved or reordered.
 #[test]
 fn full_engine_is_not_chosen() {
-    assert!(choose(&waiting(0, 7500, 900), &[engine("full", 37.0, 8)]).is_none());
+    assert!(choice(&waiting(0, 7500, 900), &[engine("full", 37.0, 8)], None).is_none());
 }
 
 /// Pattern: the items of a group share their prompt. Guards against prompts that are read again on
 /// an engine that is otherwise equal.
 #[test]
 fn engine_that_has_read_the_prompt_is_preferred() {
-    let cached = Candidate { has_prompt: true, ..engine("cached", 37.0, 1) };
-    let engines = [engine("a", 37.0, 0), cached];
-    assert_eq!(choose(&waiting(0, 7500, 900), &engines).expect("an engine").target, "cached");
+    let engines = [engine("a", 37.0, 0), engine("cached", 37.0, 1)];
+    let chosen = choice(&waiting(0, 7500, 900), &engines, Some("cached")).expect("an engine");
+    assert_eq!(chosen.target, "cached");
+}
+
+/// Pattern: at the start all engines have the first version of every model, and each runner fills
+/// them. Guards against runners that all send their items to the same engines, which refuse most of
+/// them, and against free engines that stay idle because another model will follow them.
+#[test]
+fn engines_of_other_models_are_used_last() {
+    let other = |name| Candidate { follows_other: true, ..engine(name, 30.0, 0) };
+    let own_left = [other("a"), other("b"), engine("own", 33.0, 5)];
+    let item = waiting(0, 7500, 900);
+    assert_eq!(choice(&item, &own_left, None).expect("an engine").target, "own");
+    let own_full = [other("a"), engine("own", 33.0, 8)];
+    assert_eq!(choice(&item, &own_full, Some("own")).expect("an engine").target, "a");
+    let moving = [other("a"), engine("here", 120.0, 1)];
+    let run = RunningItem { event_gap_ms: 120.0, events_left: 100.0, ..running(120.0, 100.0) };
+    assert!(choose_move(&run, &moving).is_none());
 }
 
 fn running(gap_ms: f64, events_left: f64) -> RunningItem {
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -13,7 +13,11 @@
 };
 
 use bytes::Bytes;
-use deck_core::{CancellationToken, hash::hash64, id::VmId};
+use deck_core::{
+    CancellationToken,
+    hash::hash64,
+    id::{FencingNumber, VmId},
+};
 use deck_net::{
     Body, Client, NetError,
     server::{number_parameter, status_only},
@@ -24,7 +28,7 @@
 use serde_json::Value;
 use tokio::sync::{Notify, watch};
 
-use crate::{CrashBoard, Follower, NodeCrashes, TargetChanges};
+use crate::{CrashBoard, Follower, NodeCrashes, TargetChanges, config::ModelName};
 
 /// Path at which watchers serve what they know.
 pub const FEED_PATH: &str = "/peer/feed";
@@ -41,6 +45,29 @@
     pub address: SocketAddr,
 }
 
+/// Node that runs the jobs of a model.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ModelRunner {
+    /// The model.
+    pub model: ModelName,
+    /// Address of the node for other nodes.
+    pub address: SocketAddr,
+}
+
+/// Nodes that run the jobs of the models, as the leader has chosen them. A job of a model that is not
+/// listed is run by the leader.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RunnerTable {
+    /// Fencing number of the leader's lease: the table of a later leader wins.
+    pub fencing: FencingNumber,
+    /// Number of the table among those of this leader.
+    pub number: u64,
+    /// The nodes; one for each model.
+    pub runners: Vec<ModelRunner>,
+}
+
 /// Options of a [`Feed`].
 #[derive(Debug, Clone)]
 pub struct FeedOptions {
@@ -103,6 +130,8 @@
     targets: Option<TargetChanges>,
     /// Leader, if known.
     leader: Option<Leader>,
+    /// Nodes that run the jobs of the models.
+    runners: RunnerTable,
     /// Version of the members that the watcher knows of.
     member_version: u64,
     /// Members, if the asking node does not know this version.
@@ -166,6 +195,7 @@
     /// Told when the nodes of the fleet are set.
     learned: Notify,
     leader: watch::Sender<Option<Leader>>,
+    runners: RefCell<RunnerTable>,
     crashes: CrashBoard,
     is_watching: watch::Sender<bool>,
 }
@@ -189,6 +219,7 @@
             member_version: Cell::new(0),
             learned: Notify::new(),
             leader: watch::channel(None).0,
+            runners: RefCell::default(),
             crashes: CrashBoard::default(),
             is_watching: watch::channel(false).0,
         };
@@ -241,6 +272,38 @@
         self.inner.leader.borrow().clone()
     }
 
+    /// Takes over a table of runners, unless a later one is known.
+    pub fn set_runners(&self, table: RunnerTable) {
+        let mut known = self.inner.runners.borrow_mut();
+        if (known.fencing, known.number) < (table.fencing, table.number) {
+            if known.runners != table.runners {
+                log::info!(target: "fleet", "runners are {table:?}");
+            }
+            *known = table;
+        }
+    }
+
+    /// Returns the table of runners as last known.
+    pub fn runners(&self) -> RunnerTable {
+        self.inner.runners.borrow().clone()
+    }
+
+    /// Returns the node that runs the jobs of a model, if it is not the leader.
+    pub fn runner_of(&self, model: &str) -> Option<SocketAddr> {
+        let table = self.inner.runners.borrow();
+        let runner = table.runners.iter().find(|runner| runner.model == model);
+        runner.map(|runner| runner.address)
+    }
+
+    /// Returns the nodes that may run jobs of a model in place of the leader, the strongest first;
+    /// none in a small fleet, whose leader runs all jobs. Watchers have other duties.
+    pub fn runner_candidates(&self) -> Vec<SocketAddr> {
+        let Some(watchers) = self.watchers() else { return Vec::new() };
+        let mut nodes = self.ranked();
+        nodes.retain(|node| *node != self.inner.own && !watchers.contains(node));
+        nodes
+    }
+
     /// Returns what the nodes have published of crashes.
     pub fn crashes(&self) -> &CrashBoard {
         &self.inner.crashes
@@ -472,6 +535,7 @@
         if page.leader.is_some() {
             self.set_leader(page.leader);
         }
+        self.set_runners(page.runners);
         if let Some(members) = page.members.filter(|members| !members.ranked.is_empty()) {
             self.inner.members.replace(members);
             self.members_changed();
@@ -529,6 +593,7 @@
             configuration: configuration.filter(|_| newer),
             targets,
             leader: self.leader(),
+            runners: self.runners(),
             member_version,
             members: (known("members") != Some(member_version))
                 .then(|| inner.members.borrow().clone()),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,8 +17,8 @@
 
 pub use board::{CrashBoard, NodeCrashes};
 pub use config::{CallerLimits, Configuration, Engine, Route, RouteKind, Service};
-pub use engines::{EngineState, Engines, RunGuard};
-pub use feed::{Feed, FeedOptions, Leader};
+pub use engines::{EngineLoad, EngineNews, EngineState, Engines, Outlook, RunGuard};
+pub use feed::{Feed, FeedOptions, Leader, ModelRunner, RunnerTable};
 pub use follow::{FollowOptions, Follower, Kinds};
 pub use node::{Bounds, NodeSettings};
 pub use observe::{AttemptEnd, JobChange, Observer, RunEnd};
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -319,6 +319,9 @@
         body: &[u8],
     ) -> Result<BatchJob, String>;
 
+    /// Returns the model of a batch job without decoding the rest; `None` if it names none.
+    fn batch_model(&self, body: &[u8]) -> Option<ModelName>;
+
     /// Encodes a page of results.
     fn result_page(&self, page: ResultPage<'_>) -> Bytes;
 
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -62,6 +62,10 @@
         Err("not used".to_owned())
     }
 
+    fn batch_model(&self, _body: &[u8]) -> Option<ModelName> {
+        None
+    }
+
     fn result_page(&self, _page: ResultPage<'_>) -> Bytes {
         Bytes::new()
     }
--- a/crates/swap/src/giver.rs
+++ b/crates/swap/src/giver.rs
@@ -14,7 +14,8 @@
     id::{TargetId, WeightVersion},
 };
 use deck_fleet::{
-    Engines, Observer, Order, OrderReply, Protocol, Target, TargetReport, TargetState, View,
+    EngineNews, Engines, Observer, Order, OrderReply, Protocol, Target, TargetReport, TargetState,
+    View, config::ModelName,
 };
 use deck_net::{Body, Client, WholeResponse};
 use deck_plat::LeaseToken;
@@ -22,7 +23,7 @@
 use http::{Request, StatusCode};
 use tokio::sync::Notify;
 
-use crate::plan::{EngineVersions, NamedModel, PlanOptions, plan};
+use crate::plan::{EngineVersions, NamedModel, PlanOptions, assign, plan_assigned};
 
 /// Options of a [`Giver`].
 #[derive(Debug, Clone)]
@@ -40,6 +41,8 @@
     pub order_limit: Duration,
     /// Longest wait between two plans.
     pub round: Duration,
+    /// Shortest time between two plans: a plan looks at all engines, whose changes come one by one.
+    pub gather: Duration,
 }
 
 impl Default for SwapOptions {
@@ -51,6 +54,7 @@
             look_interval: Duration::from_millis(50),
             order_limit: Duration::from_secs(5),
             round: Duration::from_millis(500),
+            gather: Duration::from_millis(20),
         }
     }
 }
@@ -73,6 +77,8 @@
     ended: Notify,
     /// Orders that each run of a target has accepted, by its id and start.
     accepted: RefCell<HashMap<(TargetId, u64), u64>>,
+    /// Models that the engines follow by the last plan.
+    assigned: RefCell<HashMap<TargetId, ModelName>>,
 }
 
 impl Giver {
@@ -86,13 +92,41 @@
         observer: Rc<dyn Observer>,
         options: SwapOptions,
     ) -> Self {
-        let accepted = RefCell::default();
-        let ended = Notify::new();
-        let inner =
-            Inner { vm, view, engines, client, protocol, observer, options, ended, accepted };
+        let inner = Inner {
+            vm,
+            view,
+            engines,
+            client,
+            protocol,
+            observer,
+            options,
+            ended: Notify::new(),
+            accepted: RefCell::default(),
+            assigned: RefCell::default(),
+        };
         Self { inner: Rc::new(inner) }
     }
 
+    /// Returns what this node knows of the engines beyond the list of targets, for the runner of a
+    /// model.
+    pub fn news(&self, model: &str) -> Vec<EngineNews> {
+        let Some(configuration) = self.inner.view.configuration() else { return Vec::new() };
+        let assigned = self.inner.assigned.borrow();
+        let follows = |target: &Target| assigned.get(&target.id).is_some_and(|own| own == model);
+        let services = configuration.services.values().filter(|service| {
+            service.engine.as_ref().is_some_and(|engine| engine.models.iter().any(|m| m == model))
+        });
+        let mut news = Vec::new();
+        for service in services {
+            let targets = self.inner.view.targets_of(&service.name);
+            let known = targets
+                .iter()
+                .filter_map(|target| self.inner.engines.news(target, model, follows(target)));
+            news.extend(known);
+        }
+        news
+    }
+
     /// Gives orders until `cancel` is cancelled or the lease has ended.
     ///
     /// The first order is given at `start` at the earliest, when no order of an earlier holder can
@@ -115,6 +149,7 @@
             let (change, ended) = (pin!(changes.changed()), pin!(self.inner.ended.notified()));
             let event = monoio::time::timeout(self.inner.options.round, select(change, ended));
             stop.run_until_cancelled(event).await;
+            stop.run_until_cancelled(monoio::time::sleep(self.inner.options.gather)).await;
         }
     }
 
@@ -122,6 +157,7 @@
     fn round(&self, token: &LeaseToken, stop: &CancellationToken) {
         let Some(configuration) = self.inner.view.configuration() else { return };
         self.inner.engines.retain_known(&self.inner.view);
+        let mut followed = HashMap::new();
         for service in configuration.services.values() {
             let Some(engine) = &service.engine else { continue };
             let named = |name: &String| NamedModel {
@@ -135,25 +171,32 @@
             let ready = targets.iter().filter(|target| target.state == TargetState::Ready);
             let states: Vec<EngineVersions> =
                 ready.map(|target| self.engine_versions(target, &models)).collect();
-            for change in plan(&states, &models, &self.inner.options.plan) {
+            let assigned = assign(&states, &models);
+            for (state, model) in states.iter().zip(&assigned) {
+                if let Some(model) = model {
+                    followed.insert(state.target.clone(), models[*model].name.clone());
+                }
+            }
+            for change in plan_assigned(&states, &models, &assigned, &self.inner.options.plan) {
                 if let Some(target) = targets.iter().find(|target| target.id == change.target) {
                     let model = &models[change.model].name;
                     self.start_order(target.clone(), model, change.version, token, stop);
                 }
             }
         }
+        self.inner.assigned.replace(followed);
     }
 
     fn engine_versions(&self, target: &Target, models: &[NamedModel]) -> EngineVersions {
         let engines = &self.inner.engines;
         let version = |model: &NamedModel| engines.version(target, &model.name);
-        let state = engines.state(target);
+        let load = engines.load(target, Instant::now());
         EngineVersions {
             target: target.id.clone(),
             versions: models.iter().map(version).collect(),
             loading: engines.changing(target).is_some(),
-            free_slots: target.slots.saturating_sub(state.running),
-            event_ms: state.best_event_ms(Instant::now()),
+            free_slots: target.slots.saturating_sub(load.running),
+            event_ms: load.best_event_ms,
         }
     }
 
--- a/crates/swap/src/lib.rs
+++ b/crates/swap/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod giver;
 pub mod plan;
+pub mod runners;
 
 pub use giver::{Giver, SwapOptions};
 pub use plan::{Change, EngineVersions, NamedModel, PlanOptions, plan};
+pub use runners::{Runners, RunnersParts};
--- a/crates/swap/src/plan.rs
+++ b/crates/swap/src/plan.rs
@@ -74,13 +74,22 @@
     engines: &[EngineVersions],
     models: &[NamedModel],
     options: &PlanOptions,
+) -> Vec<Change> {
+    plan_assigned(engines, models, &assign(engines, models), options)
+}
+
+/// As [`plan`], with the models that the engines are assigned to.
+pub fn plan_assigned(
+    engines: &[EngineVersions],
+    models: &[NamedModel],
+    assigned: &[Option<usize>],
+    options: &PlanOptions,
 ) -> Vec<Change> {
     let loading = engines.iter().filter(|engine| engine.loading).count();
     let room = max_loading(engines.len(), options).saturating_sub(loading);
     if room == 0 {
         return Vec::new();
     }
-    let assigned = assign(engines, models);
     let lag = |engine: &EngineVersions, model: usize| {
         let named = models[model].named?;
         Some(named.saturating_sub(engine.versions[model]?))
@@ -128,23 +137,31 @@
 pub fn assign(engines: &[EngineVersions], models: &[NamedModel]) -> Vec<Option<usize>> {
     let mut assigned = vec![None; engines.len()];
     let mut quotas = quotas(engines.len(), models);
+    // The engines that have a model, the one that it picks first at the end.
+    let wishes = |(model, named): (usize, &NamedModel)| {
+        let has = (0..engines.len()).filter(|index| engines[*index].versions[model].is_some());
+        let key = |index: usize| {
+            let engine = &engines[index];
+            (engine.versions[model], rendezvous_score(&named.name, &engine.target))
+        };
+        let mut wishes: Vec<(_, usize)> = has.map(|index| (key(index), index)).collect();
+        wishes.sort_unstable();
+        wishes
+    };
+    let mut wishes: Vec<_> = models.iter().enumerate().map(wishes).collect();
     loop {
         let mut picked = false;
-        for (model, named) in models.iter().enumerate() {
+        for model in 0..models.len() {
             if quotas[model] == 0 {
                 continue;
             }
-            let free = (0..engines.len()).filter(|index| {
-                assigned[*index].is_none() && engines[*index].versions[model].is_some()
-            });
-            let best = free.max_by_key(|index| {
-                let engine = &engines[*index];
-                (engine.versions[model], rendezvous_score(&named.name, &engine.target))
-            });
-            if let Some(index) = best {
-                assigned[index] = Some(model);
-                quotas[model] -= 1;
-                picked = true;
+            while let Some((_, index)) = wishes[model].pop() {
+                if assigned[index].is_none() {
+                    assigned[index] = Some(model);
+                    quotas[model] -= 1;
+                    picked = true;
+                    break;
+                }
             }
         }
         if !picked {
--- /dev/null
+++ b/crates/swap/tests/runners.rs
@@ -0,0 +1,286 @@
+//! Nodes that run the models of a large fleet, on loopback connections.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use deck_core::CancellationToken;
+use deck_fleet::{
+    CallerLimits, Configuration, Engine, EngineLoad, Engines, Feed, FeedOptions, FollowOptions,
+    Follower, Kinds, Service, Target, TargetState, View,
+};
+use deck_net::{
+    Body, Client, ServerOptions, bind,
+    http::Response,
+    server::{drop_connection, read_body, status_only},
+};
+use deck_platform::Wire;
+use deck_route::{Router, RouterOptions};
+use deck_swap::{
+    Giver, Runners, RunnersParts, SwapOptions,
+    runners::{MAX_MESSAGE_BYTES, RUNNER_PATH, models_per_node, serve_told, take_table},
+};
+use deck_testkit::{eventually, memory::MemoryObjects};
+use http::StatusCode;
+
+const KINDS: Kinds = Kinds {
+    configuration: "config",
+    targets: "targets",
+    versions: "versions",
+    retirements: "retirements",
+};
+
+/// One node of the fleet; the first one leads.
+struct Node {
+    address: SocketAddr,
+    view: View,
+    engines: Engines,
+    feed: Feed,
+    silent: Rc<Cell<bool>>,
+    draining: Rc<Cell<bool>>,
+    jobs: Rc<RefCell<Vec<String>>>,
+}
+
+fn engine(index: usize) -> Target {
+    Target {
+        id: format!("e{index}"),
+        service: "s".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: "a".to_owned(),
+        state: TargetState::Ready,
+        slots: 300,
+        models: vec![("m0".to_owned(), 1), ("m1".to_owned(), 1)],
+        started_at_ms: 1,
+    }
+}
+
+fn node(cancel: &CancellationToken) -> Node {
+    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+    let address = listener.local_addr().expect("address");
+    let view = View::new(Router::new(RouterOptions::default()));
+    let models = vec!["m0".to_owned(), "m1".to_owned()];
+    let engine_of = Engine { slots: 6, tokens_per_event: 1, models };
+    let service = Service { name: "s".to_owned(), engine: Some(engine_of) };
+    view.set_configuration(Configuration::new(1, vec![], vec![service], CallerLimits::default()));
+    view.set_targets((0..4).map(engine).collect(), Instant::now());
+    let store = MemoryObjects::default().store();
+    let options = FollowOptions::default();
+    let follower = Follower::new(store, view.clone(), Rc::new(Wire), KINDS, options);
+    let options = FeedOptions { all_watch: 1, watchers: 1, ..FeedOptions::default() };
+    let feed = Feed::new(address, 1, Client::default(), follower, options);
+    let node = Node {
+        address,
+        view,
+        engines: Engines::default(),
+        feed,
+        silent: Rc::default(),
+        draining: Rc::default(),
+        jobs: Rc::default(),
+    };
+    let (view, engines, feed) = (node.view.clone(), node.engines.clone(), node.feed.clone());
+    let (silent, draining) = (node.silent.clone(), node.draining.clone());
+    let jobs = node.jobs.clone();
+    let serve = move |request: http::Request<hyper::body::Incoming>| {
+        let (view, engines, feed) = (view.clone(), engines.clone(), feed.clone());
+        let (silent, draining, jobs) = (silent.get(), draining.get(), jobs.borrow().clone());
+        async move {
+            if silent {
+                return drop_connection();
+            }
+            let is_told = request.uri().path() == RUNNER_PATH;
+            let message = read_body(request.into_body(), MAX_MESSAGE_BYTES).await.expect("message");
+            if !is_told {
+                take_table(&feed, &message).expect("table");
+                return status_only(StatusCode::OK);
+            }
+            let answer = serve_told(&engines, &view, jobs, draining, &message).expect("told");
+            Response::new(Body::full(answer))
+        }
+    };
+    monoio::spawn(deck_net::serve(listener, ServerOptions::default(), cancel.clone(), serve));
+    node
+}
+
+/// A fleet whose first node leads, and the jobs that it has heard of.
+struct Fleet {
+    nodes: Vec<Node>,
+    heard: Rc<RefCell<Vec<(SocketAddr, String)>>>,
+    cancel: CancellationToken,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.cancel.cancel();
+    }
+}
+
+fn start(count: usize) -> Fleet {
+    let cancel = CancellationToken::new();
+    let nodes: Vec<Node> = (0..count).map(|_| node(&cancel)).collect();
+    let ranked: Vec<SocketAddr> = nodes.iter().map(|node| node.address).collect();
+    for node in &nodes {
+        node.feed.set_ranked(ranked.clone());
+    }
+    let leader = &nodes[0];
+    let (client, heard): (_, Rc<RefCell<Vec<_>>>) = (Client::default(), Rc::default());
+    let giver = Giver::new(
+        "leader".to_owned(),
+        leader.view.clone(),
+        leader.engines.clone(),
+        client.clone(),
+        Rc::new(Wire),
+        Rc::new(()),
+        SwapOptions::default(),
+    );
+    let noted = heard.clone();
+    let parts = RunnersParts {
+        view: leader.view.clone(),
+        engines: leader.engines.clone(),
+        feed: leader.feed.clone(),
+        giver,
+        client,
+        on_jobs: Rc::new(move |node, jobs: Vec<String>| {
+            noted.borrow_mut().extend(jobs.into_iter().map(|job| (node, job)));
+        }),
+    };
+    let (runners, token) = (Runners::new(parts, 7), cancel.clone());
+    monoio::spawn(async move { runners.run(token).await });
+    Fleet { nodes, heard, cancel }
+}
+
+impl Fleet {
+    fn runner_of(&self, model: &str) -> Option<&Node> {
+        let address = self.nodes[0].feed.runner_of(model)?;
+        self.nodes.iter().find(|node| node.address == address)
+    }
+
+    async fn until_chosen(&self) {
+        eventually("both models have a runner", async || {
+            ["m0", "m1"].iter().all(|model| self.runner_of(model).is_some())
+        })
+        .await;
+    }
+}
+
+fn run<F: Future<Output = ()>>(test: F) {
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// Pattern: engines with many slots. Guards against a leader that runs every job itself, and against
+/// models that share a node although their engines run more than one node carries.
+#[test]
+fn models_with_many_runs_have_nodes_of_their_own_beside_the_leader() {
+    run(async {
+        let fleet = start(4);
+        fleet.until_chosen().await;
+        let runners = ["m0", "m1"].map(|model| fleet.runner_of(model).expect("runner").address);
+        assert_ne!(runners[0], runners[1]);
+        assert!(!runners.contains(&fleet.nodes[0].address));
+    });
+}
+
+/// Pattern: the number of engines grows tenfold. Guards against one node that carries all runs, and
+/// against nodes that each know a part of the runs where one of them could know all.
+#[test]
+fn models_share_a_node_while_it_carries_their_runs() {
+    assert_eq!(models_per_node(0, 8), 8);
+    assert_eq!(models_per_node(77 * 6, 8), 8);
+    assert_eq!(models_per_node(250 * 6, 8), 3);
+    assert_eq!(models_per_node(750 * 6, 8), 1);
+    assert_eq!(models_per_node(100_000, 8), 1);
+}
+
+/// Pattern: a change of weights takes a second and the list of targets tells of it seconds later.
+/// Guards against a runner that sends items to an engine that loads, or not to one that has loaded,
+/// and against a leader that does not know the load of the engines.
+#[test]
+fn leader_and_runner_know_at_once_what_the_other_does() {
+    run(async {
+        let fleet = start(4);
+        fleet.until_chosen().await;
+        let (leader, runner) = (&fleet.nodes[0], fleet.runner_of("m0").expect("runner"));
+        let now = Instant::now();
+        leader.engines.set_changing(&engine(0), Some("m0".to_owned()));
+        eventually("the runner knows of the change", async || {
+            !runner.engines.is_usable(&engine(0), "m0", Instant::now())
+        })
+        .await;
+        leader.engines.set_version(&engine(0), "m0", 2);
+        leader.engines.set_changing(&engine(0), None);
+        eventually("the runner knows the version", async || {
+            runner.engines.is_usable(&engine(0), "m0", Instant::now())
+                && runner.engines.version(&engine(0), "m0") == Some(2)
+        })
+        .await;
+        let _guard = runner.engines.start_run(&engine(1));
+        runner.jobs.borrow_mut().push("job".to_owned());
+        eventually("the leader knows load and jobs", async || {
+            leader.engines.load(&engine(1), now).running == 1
+                && fleet.heard.borrow().contains(&(runner.address, "job".to_owned()))
+        })
+        .await;
+    });
+}
+
+/// Guards against new jobs that go to a node that is gone or stops, and against a change of runner
+/// because of one answer that did not come.
+#[test]
+fn silent_or_stopping_runner_is_replaced() {
+    run(async {
+        let fleet = start(5);
+        fleet.until_chosen().await;
+        let first = fleet.runner_of("m0").expect("runner");
+        first.silent.set(true);
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        first.silent.set(false);
+        monoio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(fleet.runner_of("m0").expect("runner").address, first.address);
+        first.silent.set(true);
+        eventually("another node runs the model", async || {
+            fleet.runner_of("m0").is_some_and(|runner| runner.address != first.address)
+        })
+        .await;
+        let second = fleet.runner_of("m1").expect("runner");
+        second.draining.set(true);
+        eventually("a node that stops is replaced", async || {
+            fleet.runner_of("m1").is_some_and(|runner| runner.address != second.address)
+        })
+        .await;
+    });
+}
+
+/// Guards against engines that stay out of use on a node that the leader no longer tells anything.
+#[test]
+fn news_of_a_leader_that_is_gone_expire() {
+    let (node, engines) = (View::new(Router::new(RouterOptions::default())), Engines::default());
+    node.set_targets(vec![engine(0), engine(1)], Instant::now());
+    let (leader, now) = (Engines::default(), Instant::now());
+    leader.set_changing(&engine(0), Some("m0".to_owned()));
+    let news = leader.news(&engine(0), "m0", true).expect("news");
+    engines.apply_news(&node, "m0", &[news], now);
+    assert!(!engines.is_usable(&engine(0), "m0", now) && engines.follows_other("e1", "m0"));
+    engines.expire_news(now + Duration::from_secs(1));
+    assert!(!engines.is_usable(&engine(0), "m0", now));
+    engines.expire_news(now + Duration::from_secs(2));
+    assert!(engines.is_usable(&engine(0), "m0", now) && !engines.follows_other("e1", "m0"));
+}
+
+/// Guards against load that counts twice or stays after the node that told of it is gone.
+#[test]
+fn load_of_other_nodes_is_replaced_as_a_whole() {
+    let (engines, now) = (Engines::default(), Instant::now());
+    let _own = engines.start_run(&engine(0));
+    let node = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let load =
+        |running, best_event_ms| EngineLoad { target: "e0".to_owned(), running, best_event_ms };
+    engines.set_remote_loads(node(1), vec![load(3, Some(40.0))]);
+    engines.set_remote_loads(node(1), vec![load(2, Some(50.0))]);
+    engines.set_remote_loads(node(2), vec![load(1, None)]);
+    let known = engines.load(&engine(0), now);
+    assert_eq!((known.running, known.best_event_ms), (4, Some(50.0)));
+    engines.set_remote_loads(node(1), Vec::new());
+    assert_eq!(engines.load(&engine(0), now).running, 2);
+}
