Wait for the nodes' log lines in tests that read them

Cause: a thread of the test receives the lines of the nodes. The node writes the line before it answers.

Change: the tests wait for the lines up to the usual deadline; what has to be in them is unchanged.

--- a/bins/decknode/tests/calm.rs
+++ b/bins/decknode/tests/calm.rs
@@ -88,7 +88,12 @@
         monoio::time::sleep(Duration::from_secs(3)).await;
         // Its items wait for a version that is named once their runner is paused.
         let mut lot = fleet.submit(0, 4, 2).await;
-        let runner = fleet.entries().find(|node| node.has_logged("job accepted"));
+        let mut runner = None;
+        eventually("a node has logged the acceptance", async || {
+            runner = fleet.entries().find(|node| node.has_logged("job accepted"));
+            runner.is_some()
+        })
+        .await;
         let runner = runner.expect("a node has accepted the job");
         runner.process.as_ref().expect("process").freeze();
         fleet.name_version(2).await;
@@ -291,6 +296,11 @@
         // Every node has asked a watcher since.
         monoio::time::sleep(Duration::from_secs(2)).await;
         let mut lot = fleet.submit(0, 6, 1).await;
+        // A thread of the test receives the nodes' lines.
+        eventually("the acceptance is logged", async || {
+            with_line(&fleet, "job accepted").is_some()
+        })
+        .await;
         let runner = with_line(&fleet, "job accepted").expect("a node has accepted the job");
         assert_ne!(Some(runner), with_line(&fleet, "lease held"));
         let address = fleet.nodes[runner].callers;
--- a/bins/decknode/tests/explain.rs
+++ b/bins/decknode/tests/explain.rs
@@ -3,21 +3,25 @@
 use std::{process::Command, time::Duration};
 
 use deck_net::http::{Method, StatusCode};
-use deck_testkit::{program, proxy::Direction};
+use deck_testkit::{eventually, program, proxy::Direction};
 use serde_json::json;
 
 mod common;
 
 use common::{Fleet, run};
 
-/// Returns what `deckctl explain` says about an id.
-fn explain(fleet: &Fleet, id: &str) -> String {
-    let files = fleet.write_logs();
-    let output = Command::new(program("deckctl")).arg("explain").arg(id).args(files).output();
-    let output = output.expect("program runs");
-    let text = String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned();
-    assert!(output.status.success(), "{text}");
-    text
+/// Checks that `deckctl explain` says all of `causes` about an id. A thread of the test receives the
+/// nodes' lines, so the newest ones may come after the answer that they are about.
+async fn assert_explained(fleet: &Fleet, id: &str, causes: &[&str]) {
+    eventually("the logs explain the id", async || {
+        let files = fleet.write_logs();
+        let output = Command::new(program("deckctl")).arg("explain").arg(id).args(files).output();
+        let output = output.expect("program runs");
+        let text = String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned();
+        println!("{text}");
+        output.status.success() && causes.iter().all(|cause| text.contains(cause))
+    })
+    .await;
 }
 
 /// Guards against a refusal whose reason the logs do not tell.
@@ -35,9 +39,8 @@
         let body = body.to_string().into_bytes();
         let sent = fleet.call(address, Method::POST, "/jobs/refused", &headers, body).await;
         assert_eq!(sent.expect("answer").0, StatusCode::SERVICE_UNAVAILABLE);
-        let text = explain(&fleet, "refused");
-        assert!(text.contains("refused the job, nothing of it runs"), "{text}");
-        assert!(text.contains("object API unavailable: status 503"), "{text}");
+        let causes = ["refused the job, nothing of it runs", "object API unavailable: status 503"];
+        assert_explained(&fleet, "refused", &causes).await;
     });
 }
 
@@ -54,10 +57,9 @@
         let address = fleet.nodes[0].callers;
         let sent = fleet.call(address, Method::POST, "/once/x", &headers, vec![]).await;
         assert_eq!(sent.expect("answer").0, StatusCode::GATEWAY_TIMEOUT);
-        let text = explain(&fleet, "unanswered");
-        assert!(text.contains("may have run the request"), "{text}");
-        assert!(text.contains("no answer before the deadline"), "{text}");
-        assert!(text.contains("edge-0 gave up"), "{text}");
+        let causes =
+            ["may have run the request", "no answer before the deadline", "edge-0 gave up"];
+        assert_explained(&fleet, "unanswered", &causes).await;
     });
 }
 
@@ -72,9 +74,7 @@
         fleet.name_version(2).await;
         fleet.read_to_end(&mut lot).await;
         let waited = "for an engine with version 2 or newer of m0";
-        let text = explain(&fleet, &lot.id);
-        assert!(text.contains(waited), "{text}");
-        let text = explain(&fleet, &lot.items[0]);
-        assert!(text.contains(waited), "{text}");
+        assert_explained(&fleet, &lot.id, &[waited]).await;
+        assert_explained(&fleet, &lot.items[0], &[waited]).await;
     });
 }
