End answers that stall, break off within an event or never end

Cause, found by tests with raw servers: a run of an item was kept as long as any byte came, so one that dripped bytes or comments never ended; a stream that ended within an event counted as complete; an event without end grew in memory and was scanned from its start with each read; a refusal was read to its end, however slow; a signed plain answer was held in memory whatever its length; and informational answers without end kept the client in one poll, so that the whole node stood still until the server stopped.

A slow but sound run is not cut. The time of submission in the shared job of the tests lay before the limit for giving up, so no test could have run it.

--- a/crates/batch/src/events.rs
+++ b/crates/batch/src/events.rs
@@ -34,6 +34,16 @@
         blocks.iter().filter_map(|block| self.parse(block)).collect()
     }
 
+    /// Returns whether no part of an event is waiting for the rest.
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty()
+    }
+
+    /// Returns whether the event that is waited for is larger than any event should be.
+    pub fn is_too_large(&self) -> bool {
+        self.blocks.is_too_large()
+    }
+
     fn parse(&self, block: &[u8]) -> Option<GeneratedEvent> {
         let block = std::str::from_utf8(block).ok()?;
         let mut event = GeneratedEvent { number: None, data: String::new(), version: None };
--- a/crates/batch/src/run.rs
+++ b/crates/batch/src/run.rs
@@ -141,14 +141,14 @@
         return Ended::Broken("response to another request".to_owned());
     }
     if head.not_run {
-        let _ = response.collect(MAX_REFUSAL_BYTES).await;
+        response.discard().await;
         return Ended::Refused(format!("status {status}"));
     }
     match status {
         StatusCode::UNPROCESSABLE_ENTITY => return Ended::Impossible,
         status if status.is_success() => {}
         StatusCode::INTERNAL_SERVER_ERROR if head.signature.is_some() => {
-            let _ = response.collect(MAX_REFUSAL_BYTES).await;
+            response.discard().await;
             return Ended::Failed(status);
         }
         status => return Ended::Broken(format!("status {status}")),
@@ -156,9 +156,6 @@
     receive(inner, job, run, target, response, head).await
 }
 
-/// Largest body of a refusal or failure that is read, so that its connection can be used again.
-const MAX_REFUSAL_BYTES: usize = 64 * 1024;
-
 fn request(
     inner: &Inner,
     job: &Job,
@@ -206,15 +203,22 @@
     }
     let mut parser = EventParser::new(inner.parts.protocol.version_field());
     let mut last_event_at: Option<Instant> = None;
+    // Bytes that are no whole event do not count: a stalled engine may send some now and then.
+    let mut waits_since = Instant::now();
     loop {
         let limit = gap_limit(inner, target, last_event_at.is_none());
-        let chunk = match monoio::time::timeout(limit, response.chunk()).await {
+        let left = limit.saturating_sub(waits_since.elapsed());
+        let chunk = match monoio::time::timeout(left, response.chunk()).await {
             Ok(Ok(Some(chunk))) => chunk,
-            Ok(Ok(None)) => return Ended::Complete,
+            Ok(Ok(None)) if parser.is_empty() => return Ended::Complete,
+            Ok(Ok(None)) => return Ended::Broken("ends within an event".to_owned()),
             Ok(Err(error)) => return Ended::Broken(error.to_string()),
-            Err(_) => return Ended::Broken(format!("silent for {} ms", limit.as_millis())),
+            Err(_) => return Ended::Broken(format!("no event for {} ms", limit.as_millis())),
         };
         let events = parser.push(&chunk);
+        if parser.is_too_large() {
+            return Ended::Broken("event is too large".to_owned());
+        }
         for event in &events {
             if let Some(changed) = event.version {
                 version = changed;
@@ -242,6 +246,7 @@
                 inner.parts.engines.record_gap(target, gap, now);
             }
             last_event_at = Some(now);
+            waits_since = now;
         }
     }
 }
--- a/crates/batch/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -12,7 +12,7 @@
 use deck_route::{Router, RouterOptions};
 
 /// Longest wait of the items in milliseconds: they are not given up within a test.
-pub const GIVE_UP_MS: u64 = 1 << 40;
+pub const GIVE_UP_MS: u64 = 1 << 42;
 
 /// Returns what a runner on `vm` works with; it knows no targets.
 pub fn parts(vm: &str, address: SocketAddr, ledger: &Ledger) -> RunnerParts {
--- /dev/null
+++ b/crates/batch/tests/engines.rs
@@ -0,0 +1,232 @@
+//! Items on engines that stall, break off or send bytes without end.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use deck_batch::{Accepted, Ledger, RunOptions, Runner};
+use deck_core::CancellationToken;
+use deck_fleet::{
+    CallerLimits, Configuration, Engine, Route, RouteKind, Service, Target, TargetState,
+};
+use deck_testkit::{
+    eventually,
+    memory::MemoryObjects,
+    raw::{RawCall, RawServer},
+};
+use test_case::test_case;
+
+mod common;
+
+/// Events of the whole text.
+const EVENTS: u64 = 4;
+/// Time in which an engine has to make its next event, in these tests.
+const EVENT_LIMIT: Duration = Duration::from_millis(400);
+/// Bytes that a node may take of an answer without end: its buffers and those of the connection.
+const MAX_ENDLESS_BYTES: u64 = 24 * 1024 * 1024;
+
+fn event(number: u64) -> String {
+    format!("id: {number}\ndata: text {number}\n\n")
+}
+
+fn head(call: &RawCall, status: &str, more: &str) -> String {
+    let id = call.header("request-id").unwrap_or_default();
+    format!(
+        "HTTP/1.1 {status}\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\nWeight-Versions: 1\r\n{more}"
+    )
+}
+
+const CHUNKED: &str = "Transfer-Encoding: chunked\r\n\r\n";
+
+/// Streams the events after the one that the request names, with a pause before each.
+fn stream(call: &mut RawCall, pause: Duration) {
+    let last = call.header("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
+    let head = head(call, "200 OK", CHUNKED);
+    call.write(&head);
+    for number in last + 1..=EVENTS {
+        std::thread::sleep(pause);
+        call.write_chunk(&event(number));
+    }
+    call.write("0\r\n\r\n");
+}
+
+/// Runs one item on an engine with the given script, and returns it when the item is complete.
+async fn complete(script: fn(&mut RawCall)) -> RawServer {
+    let server = RawServer::start(script);
+    let cancel = CancellationToken::new();
+    let ledger = Ledger::new(MemoryObjects::default().store(), 1 << 20);
+    let own = SocketAddr::from(([127, 0, 0, 1], 1));
+    let parts = common::parts("vm-1", own, &ledger);
+    let engine = Engine { slots: 8, tokens_per_event: 1, models: vec!["m".to_owned()] };
+    let service = Service { name: "s".to_owned(), engine: Some(engine) };
+    let route = Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        path_prefix: "/j/".to_owned(),
+        kind: RouteKind::Rollout,
+        resumable: false,
+        timeout: Duration::ZERO,
+        target_latency: Duration::from_millis(400),
+        priority: 1,
+        split: vec![("s".to_owned(), 1)],
+        attempts: 3,
+        results_due: Duration::from_secs(60),
+        give_up: Duration::from_secs(60),
+        single_version: false,
+    };
+    let limits = CallerLimits::default();
+    parts.view.set_configuration(Configuration::new(1, vec![route], vec![service], limits));
+    let target = Target {
+        id: "e".to_owned(),
+        service: "s".to_owned(),
+        address: server.address,
+        data_centre: "a".to_owned(),
+        state: TargetState::Ready,
+        slots: 8,
+        models: vec![("m".to_owned(), 1)],
+        started_at_ms: 1,
+    };
+    parts.view.set_targets(vec![target], Instant::now());
+    let options = RunOptions {
+        first_event_limit: EVENT_LIMIT * 2,
+        event_gap_limit: EVENT_LIMIT,
+        ..RunOptions::default()
+    };
+    let runner = Runner::start(parts, options, cancel.clone());
+    let job = common::job("job", vec![common::item("i")]);
+    let accepted = ledger.accept(&job, "vm-1", own).await;
+    let Accepted::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+    let job = runner.start_job("job", record, revision, job.items);
+    eventually("the item is complete", async || job.is_complete()).await;
+    let results: Vec<Rc<_>> = job.listed.borrow().clone();
+    let texts: Vec<String> = (1..=EVENTS).map(|number| format!("text {number}")).collect();
+    assert_eq!(results[0].text, texts.join("\n"));
+    cancel.cancel();
+    server
+}
+
+fn run<F: Future<Output = ()>>(test: F) {
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// The engine's first answer is wrong, later ones are sound.
+fn first(call: &mut RawCall, wrong: fn(&mut RawCall)) {
+    if call.number == 0 { wrong(call) } else { stream(call, Duration::ZERO) }
+}
+
+fn drips_bytes(call: &mut RawCall) {
+    first(call, |call| {
+        let head = head(call, "200 OK", CHUNKED);
+        call.write(&head);
+        call.write_chunk(&event(1));
+        call.write_chunk("data: ");
+        call.write_without_end("1\r\nx\r\n", EVENT_LIMIT / 4);
+    });
+}
+
+fn drips_comments(call: &mut RawCall) {
+    first(call, |call| {
+        let head = head(call, "200 OK", CHUNKED);
+        call.write(&head);
+        call.write_without_end("3\r\n:\n\n\r\n", EVENT_LIMIT / 4);
+    });
+}
+
+fn ends_within_an_event(call: &mut RawCall) {
+    first(call, |call| {
+        let head = head(call, "200 OK", CHUNKED);
+        call.write(&head);
+        call.write_chunk(&event(1));
+        call.write_chunk("id: 2\ndata: te");
+        call.write("0\r\n\r\n");
+    });
+}
+
+fn endless_event(call: &mut RawCall) {
+    first(call, |call| {
+        let head = head(call, "200 OK", "\r\n");
+        call.write(&head);
+        call.write_without_end(&"data: more ".repeat(1000), Duration::ZERO);
+    });
+}
+
+fn endless_head(call: &mut RawCall) {
+    first(call, |call| {
+        let head = head(call, "200 OK", "");
+        call.write(&head);
+        call.write_without_end("X-More: and more of it\r\n", Duration::ZERO);
+    });
+}
+
+fn endless_head_line(call: &mut RawCall) {
+    first(call, |call| {
+        let head = head(call, "200 OK", "X-More: ");
+        call.write(&head);
+        call.write_without_end(&"x".repeat(10_000), Duration::ZERO);
+    });
+}
+
+fn endless_informational_answers(call: &mut RawCall) {
+    first(call, |call| call.write_without_end("HTTP/1.1 100 Continue\r\n\r\n", Duration::ZERO));
+}
+
+fn endless_refusal(call: &mut RawCall) {
+    first(call, |call| {
+        let head = head(call, "503 Service Unavailable", "Not-Executed: 1\r\n\r\n");
+        call.write(&head);
+        call.write_without_end(&"full ".repeat(1000), Duration::ZERO);
+    });
+}
+
+fn dripping_refusal(call: &mut RawCall) {
+    first(call, |call| {
+        let head = head(call, "503 Service Unavailable", "Not-Executed: 1\r\n\r\n");
+        call.write(&head);
+        call.write_without_end("x", EVENT_LIMIT / 4);
+    });
+}
+
+fn endless_chunk_extension(call: &mut RawCall) {
+    first(call, |call| {
+        let head = head(call, "200 OK", CHUNKED);
+        call.write(&head);
+        call.write("5;");
+        call.write_without_end(&"x".repeat(10_000), Duration::ZERO);
+    });
+}
+
+/// Guards against an item that an engine holds for ever with bytes that are no event, against memory
+/// that grows with them, and against a text that ends where a stream broke off.
+#[test_case(drips_bytes)]
+#[test_case(drips_comments)]
+#[test_case(ends_within_an_event)]
+#[test_case(endless_event)]
+#[test_case(endless_head)]
+#[test_case(endless_head_line)]
+#[test_case(endless_informational_answers)]
+#[test_case(endless_refusal)]
+#[test_case(dripping_refusal)]
+#[test_case(endless_chunk_extension)]
+fn item_goes_on_after_a_wrong_answer(script: fn(&mut RawCall)) {
+    run(async {
+        let started = Instant::now();
+        let server = complete(script).await;
+        // The limit of the first event, the engine's rest after a failure, and a second run.
+        assert!(started.elapsed() < Duration::from_secs(6), "{:?}", started.elapsed());
+        eventually("the connection is closed", async || server.open_endless() == 0).await;
+        assert!(server.endless_bytes() < MAX_ENDLESS_BYTES, "{}", server.endless_bytes());
+        assert_eq!(server.requests(), 2);
+    });
+}
+
+/// Pattern: a slow engine makes each event in most of the time that it has. Guards against sound runs
+/// that are cut and begun again.
+#[test]
+fn slow_but_sound_run_is_not_cut() {
+    run(async {
+        let server = complete(|call| stream(call, EVENT_LIMIT.mul_f64(0.8))).await;
+        assert_eq!(server.requests(), 1);
+    });
+}
--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -44,6 +44,8 @@
 
 /// Body that is still being received.
 pub struct Streamed {
+    /// First bytes of the body, which were received before it was known to be long.
+    pub(crate) received: Bytes,
     pub(crate) response: ClientResponse,
     /// The request at its target.
     pub(crate) running: RunningCall,
@@ -53,6 +55,9 @@
 
 impl Streamed {
     pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, NetError> {
+        if !self.received.is_empty() {
+            return Ok(Some(std::mem::take(&mut self.received)));
+        }
         self.response.chunk().await
     }
 
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -9,7 +9,7 @@
 use deck_core::id::TargetId;
 use deck_fleet::{AttemptEnd, Dispatch, Observer, Protocol, Target, View};
 use deck_limit::crash::{Fingerprint, TargetKey};
-use deck_net::{Body, Client, ClientResponse, NetError};
+use deck_net::{Body, Client, ClientResponse, Collected, NetError};
 use deck_route::{Outcome, Pick};
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
 
@@ -143,8 +143,7 @@
             return Err(AttemptError::Unknown("answer to another request".to_owned()));
         }
         if head.not_run {
-            // The body of a refusal is read so that its connection can be used again.
-            let _ = response.collect(MAX_WHOLE_BYTES).await;
+            response.discard().await;
             return Err(AttemptError::NotRun(format!("refused with status {status}")));
         }
         if head.signature.is_none() {
@@ -155,16 +154,28 @@
         let large = stated.is_some_and(|length| length > MAX_WHOLE_BYTES);
         let body = match running.take_if(|_| self.streaming || large) {
             Some(running) => {
-                let client = self.client.clone();
-                ReplyBody::Stream(Box::new(Streamed { response, running, client }))
+                let (client, received) = (self.client.clone(), Bytes::new());
+                ReplyBody::Stream(Box::new(Streamed { received, response, running, client }))
             }
             None => {
-                let bytes = response.collect(usize::MAX).await;
-                let bytes = bytes.map_err(|error| AttemptError::Broken(error.to_string()))?;
-                if let Some(running) = running.take() {
-                    running.survived();
+                let body = response.collect_some(MAX_WHOLE_BYTES).await;
+                let body = body.map_err(|error| AttemptError::Broken(error.to_string()))?;
+                match (body, running.take()) {
+                    (Collected::Whole(bytes), running) => {
+                        if let Some(running) = running {
+                            running.survived();
+                        }
+                        ReplyBody::Whole(bytes)
+                    }
+                    (Collected::Part(received, response), Some(running)) => {
+                        let client = self.client.clone();
+                        let streamed = Streamed { received, response, running, client };
+                        ReplyBody::Stream(Box::new(streamed))
+                    }
+                    (Collected::Part(..), None) => {
+                        return Err(AttemptError::Broken("the answer is too large".to_owned()));
+                    }
                 }
-                ReplyBody::Whole(bytes)
             }
         };
         let failures = u32::from(status == StatusCode::INTERNAL_SERVER_ERROR);
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -1,10 +1,13 @@
 //! Streams that go on at another target after theirs has broken off.
 
-use std::rc::Rc;
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use deck_core::error::CallError;
-use deck_net::{body::BodySender, sse::EventBlocks};
+use deck_net::{NetError, body::BodySender, sse::EventBlocks};
 
 use crate::{
     AttemptError, ReplyBody, Streamed,
@@ -13,6 +16,10 @@
     forwarder::{Forwarder, Progress},
 };
 
+/// Time without a whole event after which a stream counts as broken. Callers leave after a pause of two
+/// seconds or several times the pause that their deployment allows.
+const STALL_LIMIT: Duration = Duration::from_secs(10);
+
 /// What is needed to go on with a stream at another target.
 pub struct Resume {
     pub(crate) forwarder: Forwarder,
@@ -69,12 +76,19 @@
 pub(crate) async fn pass_events(mut response: Streamed, mut resume: Resume, sender: BodySender) {
     let mut blocks = EventBlocks::default();
     let mut last_event = resume.attempt.last_event;
+    // Bytes that are no whole event do not count: a stalled target may send some now and then.
+    let mut waits_since = Instant::now();
     loop {
+        let left = STALL_LIMIT.saturating_sub(waits_since.elapsed());
+        let chunk = monoio::time::timeout(left, response.chunk());
         // The caller has left: dropping the response closes the target's connection.
-        let Some(next) = race(response.chunk(), sender.closed()).await else { return };
-        match next {
+        let Some(next) = race(chunk, sender.closed()).await else { return };
+        let stalled = || NetError::Body(format!("no event for {} ms", STALL_LIMIT.as_millis()));
+        match next.unwrap_or_else(|_| Err(stalled())) {
+            Ok(Some(_)) if blocks.is_too_large() => response.broken(),
             Ok(Some(chunk)) => {
                 let mut whole = Vec::with_capacity(chunk.len());
+                let mut has_event = false;
                 for block in blocks.push(&chunk) {
                     match (EventBlocks::number(&block), last_event) {
                         // A target may repeat events; each is passed on once.
@@ -87,11 +101,15 @@
                         (Some(number), _) => last_event = Some(number),
                         (None, _) => {}
                     }
+                    has_event |= EventBlocks::is_event(&block);
                     whole.extend_from_slice(&block);
                 }
                 if !whole.is_empty() && sender.send(Bytes::from(whole)).await.is_err() {
                     return;
                 }
+                if has_event {
+                    waits_since = Instant::now();
+                }
                 continue;
             }
             Ok(None) if blocks.is_empty() => {
@@ -101,6 +119,7 @@
             Ok(None) | Err(_) => response.broken(),
         }
         blocks = EventBlocks::default();
+        waits_since = Instant::now();
         let Some(Some(next)) = race(resume.next(last_event), sender.closed()).await else { return };
         response = next;
     }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -22,7 +22,10 @@
 use monoio_compat::hyper::MonoioIo;
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::{Body, NetError};
+use crate::{
+    Body, NetError,
+    guard::{GuardedIo, HeadBudget},
+};
 
 /// Time for which a connection is idle before it is used again. A faulty server may answer a request
 /// twice; the second answer arrives while the connection is idle, which closes it, and is not taken
@@ -81,12 +84,18 @@
 }
 
 struct IdleConnection {
-    sender: SendRequest<Body>,
+    connection: Connection,
     since: Instant,
     /// The connection is not used from here on.
     expires_at: Instant,
 }
 
+/// Open connection that serves one request at a time.
+struct Connection {
+    sender: SendRequest<Body>,
+    budget: HeadBudget,
+}
+
 /// Response whose body is read in pieces.
 pub struct ClientResponse {
     /// Status.
@@ -96,12 +105,25 @@
     body: Incoming,
     address: SocketAddr,
     /// Connection that returns to the pool after the whole body has been read.
-    sender: Option<SendRequest<Body>>,
+    connection: Option<Connection>,
     pool: Rc<Pool>,
     max_idle_per_address: usize,
     idle_timeout: Duration,
 }
 
+/// Body that was received up to a limit.
+pub enum Collected {
+    /// The whole body.
+    Whole(Bytes),
+    /// The first bytes of a longer body, whose rest is still to come.
+    Part(Bytes, ClientResponse),
+}
+
+/// Largest body that is received only to use its connection again.
+const MAX_DISCARDED_BYTES: usize = 64 * 1024;
+/// Time for that; a new connection costs less.
+const DISCARD_LIMIT: Duration = Duration::from_millis(100);
+
 /// Response that has been received whole.
 #[derive(Debug, Clone)]
 pub struct WholeResponse {
@@ -147,16 +169,16 @@
         mut request: Request<Body>,
     ) -> Result<ClientResponse, NetError> {
         set_host(&mut request, address);
-        while let Some(sender) = self.pool.take(address) {
-            match self.exchange(address, sender, request).await {
+        while let Some(connection) = self.pool.take(address) {
+            match self.exchange(address, connection, request).await {
                 Ok(response) => return Ok(response),
                 // The server closed the idle connection and nothing was sent: use another one.
                 Err((_, Some(unsent))) => request = unsent,
                 Err((error, None)) => return Err(error),
             }
         }
-        let sender = self.connect(address).await?;
-        self.exchange(address, sender, request).await.map_err(|(error, _)| error)
+        let connection = self.connect(address).await?;
+        self.exchange(address, connection, request).await.map_err(|(error, _)| error)
     }
 
     /// Sends a request on a connection that has not been used before.
@@ -170,8 +192,8 @@
         mut request: Request<Body>,
     ) -> Result<ClientResponse, NetError> {
         set_host(&mut request, address);
-        let sender = self.connect(address).await?;
-        self.exchange(address, sender, request).await.map_err(|(error, _)| error)
+        let connection = self.connect(address).await?;
+        self.exchange(address, connection, request).await.map_err(|(error, _)| error)
     }
 
     /// Sends a request and receives the whole response, of at most `max_bytes`, within `limit`.
@@ -240,17 +262,17 @@
             return true;
         }
         match monoio::time::timeout(LISTEN_LIMIT, self.connect(address)).await {
-            Ok(Ok(sender)) => {
+            Ok(Ok(connection)) => {
                 let options = &self.options;
                 let max_idle = options.max_idle_per_address;
-                self.pool.put(address, sender, max_idle, options.idle_timeout);
+                self.pool.put(address, connection, max_idle, options.idle_timeout);
                 true
             }
             Ok(Err(_)) | Err(_) => false,
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Body>, NetError> {
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, NetError> {
         let limit = self.options.connect_timeout;
         let stream = match monoio::time::timeout(limit, TcpStream::connect_addr(address)).await {
             Ok(Ok(stream)) => stream,
@@ -265,7 +287,9 @@
             }
         }
         let stream = stream.into_poll_io().map_err(|error| NetError::Connect(address, error))?;
-        let (sender, connection) = http1::handshake(MonoioIo::new(stream))
+        let budget = HeadBudget::default();
+        let io = GuardedIo::new(MonoioIo::new(stream), budget.clone());
+        let (sender, connection) = http1::handshake(io)
             .await
             .map_err(|error| NetError::NotSent(address, error.to_string()))?;
         monoio::spawn(async move {
@@ -273,21 +297,23 @@
                 log::debug!(target: "net", "connection closed address={address} error={error}");
             }
         });
-        Ok(sender)
+        Ok(Connection { sender, budget })
     }
 
     /// Sends `request` on one connection; gives the request back if no byte of it was sent.
     async fn exchange(
         &self,
         address: SocketAddr,
-        mut sender: SendRequest<Body>,
+        mut connection: Connection,
         request: Request<Body>,
     ) -> Result<ClientResponse, (NetError, Option<Request<Body>>)> {
-        if let Err(error) = sender.ready().await {
+        if let Err(error) = connection.sender.ready().await {
             return Err((NetError::NotSent(address, error.to_string()), Some(request)));
         }
-        match sender.try_send_request(request).await {
+        connection.budget.begin();
+        match connection.sender.try_send_request(request).await {
             Ok(response) => {
+                connection.budget.end();
                 let (parts, body): (_, Incoming) = Response::into_parts(response);
                 let idle_timeout = stated_idle_timeout(&parts.headers)
                     .map_or(self.options.idle_timeout, |stated| {
@@ -299,7 +325,7 @@
                     headers: parts.headers,
                     body,
                     address,
-                    sender: Some(sender),
+                    connection: Some(connection),
                     pool: self.pool.clone(),
                     max_idle_per_address: self.options.max_idle_per_address,
                 })
@@ -319,14 +345,14 @@
 }
 
 impl Pool {
-    fn take(&self, address: SocketAddr) -> Option<SendRequest<Body>> {
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
-        connections.retain(|entry| !entry.sender.is_closed() && now < entry.expires_at);
+        connections.retain(|entry| !entry.connection.sender.is_closed() && now < entry.expires_at);
         // The connection that is idle for longest is the first one.
         let settled = connections.first().is_some_and(|entry| entry.since.elapsed() >= SETTLE_TIME);
-        let taken = settled.then(|| connections.remove(0).sender);
+        let taken = settled.then(|| connections.remove(0).connection);
         if connections.is_empty() {
             idle.remove(&address);
         }
@@ -337,13 +363,13 @@
     fn has_open(&self, address: SocketAddr) -> bool {
         let idle = self.idle.borrow();
         let connections = idle.get(&address).into_iter().flatten();
-        connections.into_iter().any(|entry| !entry.sender.is_closed())
+        connections.into_iter().any(|entry| !entry.connection.sender.is_closed())
     }
 
     fn put(
         &self,
         address: SocketAddr,
-        sender: SendRequest<Body>,
+        connection: Connection,
         max_idle: usize,
         idle_timeout: Duration,
     ) {
@@ -351,7 +377,11 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
         if connections.len() < max_idle {
-            connections.push(IdleConnection { sender, since, expires_at: since + idle_timeout });
+            connections.push(IdleConnection {
+                connection,
+                since,
+                expires_at: since + idle_timeout,
+            });
         }
     }
 }
@@ -375,7 +405,7 @@
                     }
                 }
                 Some(Err(error)) => {
-                    self.sender = None;
+                    self.connection = None;
                     return Err(NetError::Body(error.to_string()));
                 }
             }
@@ -399,15 +429,39 @@
         Ok(received.into())
     }
 
+    /// Receives the rest of a body that nobody needs, so that its connection can be used again. A long
+    /// or slow one closes the connection.
+    pub async fn discard(self) {
+        let collected = self.collect(MAX_DISCARDED_BYTES);
+        // The connection closes with the response, whether it is too long, too slow or broken.
+        let _ = monoio::time::timeout(DISCARD_LIMIT, collected).await;
+    }
+
+    /// Receives the body up to about `limit_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NetError::Body`] if the body is cut short.
+    pub async fn collect_some(mut self, limit_bytes: usize) -> Result<Collected, NetError> {
+        let mut received = Vec::new();
+        while let Some(chunk) = self.chunk().await? {
+            received.extend_from_slice(&chunk);
+            if received.len() > limit_bytes {
+                return Ok(Collected::Part(received.into(), self));
+            }
+        }
+        Ok(Collected::Whole(received.into()))
+    }
+
     /// Returns the address of the server.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
     fn release(&mut self) {
-        if let Some(sender) = self.sender.take() {
+        if let Some(connection) = self.connection.take() {
             let max_idle = self.max_idle_per_address;
-            self.pool.put(self.address, sender, max_idle, self.idle_timeout);
+            self.pool.put(self.address, connection, max_idle, self.idle_timeout);
         }
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,12 +8,13 @@
 pub mod client;
 pub mod error;
 pub mod framing;
+mod guard;
 pub mod runtime;
 pub mod server;
 pub mod sse;
 
 pub use body::Body;
-pub use client::{Client, ClientOptions, ClientResponse, ProbeOptions, WholeResponse};
+pub use client::{Client, ClientOptions, ClientResponse, Collected, ProbeOptions, WholeResponse};
 pub use error::NetError;
 pub use server::{ServerOptions, bind, serve, serve_with};
 
--- a/crates/net/src/sse.rs
+++ b/crates/net/src/sse.rs
@@ -54,10 +54,16 @@
     })
 }
 
+/// Largest event that is waited for. Events hold some tokens of a text.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Splits the bytes of a stream into whole events, each as it was sent with its empty line.
 #[derive(Debug, Default)]
 pub struct EventBlocks {
+    /// Invariant: holds no whole event.
     buffer: Vec<u8>,
+    /// Bytes of the buffer in which no event ends.
+    scanned: usize,
 }
 
 impl EventBlocks {
@@ -65,17 +71,34 @@
     pub fn push(&mut self, bytes: &[u8]) -> Vec<Vec<u8>> {
         self.buffer.extend_from_slice(bytes);
         let mut blocks = Vec::new();
-        while let Some(end) = event_end(&self.buffer) {
-            blocks.push(self.buffer.drain(..end).collect());
+        let mut start = 0;
+        while let Some(end) = event_end(&self.buffer[start..], self.scanned) {
+            blocks.push(self.buffer[start..start + end].to_vec());
+            start += end;
+            self.scanned = 0;
         }
+        self.buffer.drain(..start);
+        // The last bytes may be the first ones of the end.
+        self.scanned = self.buffer.len().saturating_sub(END_BYTES);
         blocks
     }
 
+    /// Returns whether the event that is waited for is larger than any event should be.
+    pub fn is_too_large(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES
+    }
+
     /// Returns whether no part of an event is waiting for the rest.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
     }
 
+    /// Returns whether a block is an event; comments, which some servers send while they wait, are not.
+    pub fn is_event(block: &[u8]) -> bool {
+        let mut lines = block.split(|byte| *byte == b'\n');
+        lines.any(|line| line.starts_with(b"data") || line.starts_with(b"id"))
+    }
+
     /// Returns the number that an event states as its id.
     pub fn number(block: &[u8]) -> Option<u64> {
         let text = std::str::from_utf8(block).ok()?;
@@ -83,9 +106,14 @@
     }
 }
 
-/// Returns the position after the empty line that ends the first event.
-fn event_end(buffer: &[u8]) -> Option<usize> {
-    for (index, _) in buffer.iter().enumerate().filter(|(_, byte)| **byte == b'\n') {
+/// Bytes of the longest end of an event that may be received in part.
+const END_BYTES: usize = 3;
+
+/// Returns the position after the empty line that ends the first event, which does not begin before
+/// `from`.
+fn event_end(buffer: &[u8], from: usize) -> Option<usize> {
+    let bytes = buffer.iter().enumerate().skip(from);
+    for (index, _) in bytes.filter(|(_, byte)| **byte == b'\n') {
         let rest = &buffer[index + 1..];
         if rest.starts_with(b"\n") {
             return Some(index + 2);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod memory;
 pub mod proxy;
+pub mod raw;
 
 use std::{
     collections::HashMap,
