Tell nodes without jobs nothing of versions of weights

Change: a reader asks for versions while it runs jobs or a model. Others get only what matters to the choice of a target, from a log of its own.

--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -310,6 +310,9 @@
                 runs.push((job.clone(), run.clone()));
             }
         }
+        if !waiting.is_empty() {
+            self.parts.view.need_versions(now);
+        }
         if waiting.is_empty() {
             let moved_at = self.moved_at.get();
             if now.saturating_duration_since(moved_at) < self.options.move_interval {
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -28,7 +28,7 @@
 use serde_json::Value;
 use tokio::sync::{Notify, watch};
 
-use crate::{CrashBoard, Follower, NodeCrashes, TargetChanges, config::ModelName};
+use crate::{CrashBoard, Follower, NodeCrashes, TargetChanges, TargetContent, config::ModelName};
 
 /// Path at which watchers serve what they know.
 pub const FEED_PATH: &str = "/peer/feed";
@@ -165,12 +165,14 @@
 }
 
 /// What a node knows of a watcher's knowledge.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 struct Position {
     /// Run of the watcher's process.
     epoch: u64,
     /// Number of the last change of the watcher's targets.
     changes: u64,
+    /// What the node asked for of the targets, which `changes` counts.
+    content: TargetContent,
     /// Version of the watcher's crashes.
     crash_version: u64,
     /// Version of the watcher's members.
@@ -451,16 +453,18 @@
         let offset = inner.own.ip().to_string().bytes().map(usize::from).sum::<usize>();
         let mut failed = 0;
         let mut next = offset;
-        let mut position = None;
+        let mut position: Option<Position> = None;
         let mut end = AskEnd::Unreachable;
         while failed < watchers.len() && !self.is_watcher() {
             let node = watchers[next % watchers.len()];
-            match self.ask_one(node, position).await {
+            let content = self.wanted_content();
+            match self.ask_one(node, position, content).await {
                 Ok(page) if Duration::from_millis(page.age_ms) <= inner.options.max_age => {
                     failed = 0;
                     end = AskEnd::Unreachable;
                     let Page { epoch, changes, crash_version, member_version, .. } = page;
-                    position = Some(Position { epoch, changes, crash_version, member_version });
+                    position =
+                        Some(Position { epoch, changes, content, crash_version, member_version });
                     self.apply(page);
                     monoio::time::sleep(self.pause(watchers.len())).await;
                     continue;
@@ -484,6 +488,16 @@
         end
     }
 
+    /// Returns what this node needs to know of the targets.
+    fn wanted_content(&self) -> TargetContent {
+        let own = self.inner.own;
+        let runs = self.inner.runners.borrow().runners.iter().any(|runner| runner.address == own);
+        match runs || self.inner.follower.view.needs_versions(Instant::now()) {
+            true => TargetContent::WithVersions,
+            false => TargetContent::Routing,
+        }
+    }
+
     /// Returns the pause between two questions to one of `watchers` nodes.
     fn pause(&self, watchers: usize) -> Duration {
         let options = &self.inner.options;
@@ -496,17 +510,22 @@
         &self,
         node: SocketAddr,
         position: Option<Position>,
+        content: TargetContent,
     ) -> Result<Page, NetError> {
         let inner = &self.inner;
         let version = inner.follower.view.configuration().map_or(0, |c| c.version);
-        let Position { epoch, changes, crash_version, member_version } =
-            position.unwrap_or_default();
         let wait = inner.options.poll_wait;
-        let path = format!(
-            "{FEED_PATH}?epoch={epoch}&changes={changes}&configuration={version}\
-             &crashes={crash_version}&members={member_version}&wait_ms={}",
-            wait.as_millis()
-        );
+        let mut path = format!("{FEED_PATH}?configuration={version}&wait_ms={}", wait.as_millis());
+        if content == TargetContent::WithVersions {
+            path += "&versions=1";
+        }
+        if let Some(Position { epoch, crash_version, member_version, .. }) = position {
+            path += &format!("&epoch={epoch}&crashes={crash_version}&members={member_version}");
+        }
+        // Numbers of changes with and without versions differ.
+        if let Some(position) = position.filter(|position| position.content == content) {
+            path += &format!("&changes={}", position.changes);
+        }
         let request = Request::builder()
             .uri(path)
             .body(Body::empty())
@@ -557,10 +576,14 @@
         }
         let same_epoch = parameter("epoch") == Some(inner.epoch);
         let known = |name| parameter(name).filter(|_| same_epoch);
+        let content = match parameter("versions") {
+            Some(_) => TargetContent::WithVersions,
+            None => TargetContent::Routing,
+        };
         let view = &inner.follower.view;
         let has_news = || {
             let version = view.configuration().map_or(0, |configuration| configuration.version);
-            known("changes") != Some(view.target_changes())
+            known("changes") != Some(view.target_changes(content))
                 || version > parameter("configuration").unwrap_or(0)
                 || known("crashes") != Some(inner.crashes.version())
                 || known("members") != Some(inner.member_version.get())
@@ -580,11 +603,11 @@
         let configuration = inner.follower.freshness.configuration.borrow().clone();
         let crashes = inner.crashes.nodes(Instant::now());
         let crash_version = inner.crashes.version();
-        let (changes, member_version) = (view.target_changes(), inner.member_version.get());
+        let (changes, member_version) = (view.target_changes(content), inner.member_version.get());
         let targets = match known("changes") {
             Some(known) if known == changes => None,
-            Some(known) => Some(view.targets_since(known)),
-            None => Some(view.all_targets()),
+            Some(known) => Some(view.targets_since(known, content)),
+            None => Some(view.all_targets(content)),
         };
         let page = Page {
             epoch: inner.epoch,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,4 +27,4 @@
     OrderReply, Protocol, ReplyHead, ResultPage, RewardCall, TargetReport,
 };
 pub use target::{Target, TargetState};
-pub use view::{TargetChanges, TargetList, View};
+pub use view::{TargetChanges, TargetContent, TargetList, View};
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -22,6 +22,8 @@
 /// expired during its outage. An entry that is missing after that belongs to a target that is gone.
 const REGISTER_AGAIN: Duration = Duration::from_millis(2200);
 
+/// Time for which a node that had a job keeps following the versions: the next step comes within it.
+const VERSIONS_NEEDED: Duration = Duration::from_secs(10);
 /// Time for which a target that leaves is remembered after its entry is gone. A list that another node
 /// or a stale read brings back is seconds old.
 const LEAVING_MEMORY: Duration = Duration::from_secs(600);
@@ -39,6 +41,10 @@
     by_service: RefCell<HashMap<PoolName, TargetList>>,
     /// Changes of `targets`.
     target_log: RefCell<TargetLog>,
+    /// Changes that matter to the choice of a target: all but those of versions of weights.
+    routing_log: RefCell<TargetLog>,
+    /// When a job last needed to know which engines have which versions.
+    versions_needed_at: Cell<Option<Instant>>,
     /// Runs of targets that have said in an answer that they leave.
     leaving: RefCell<HashMap<TargetId, Leaving>>,
     versions: RefCell<HashMap<ModelName, WeightVersion>>,
@@ -68,6 +74,31 @@
     noted_at: Instant,
 }
 
+/// What another node needs to know of the targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetContent {
+    /// Everything.
+    WithVersions,
+    /// What matters to the choice of a target. Versions of weights change many times a second in a
+    /// large fleet, and only nodes that run jobs need them.
+    Routing,
+}
+
+impl TargetContent {
+    fn of(self, target: &Target) -> Target {
+        match self {
+            Self::WithVersions => target.clone(),
+            Self::Routing => Target {
+                id: target.id.clone(),
+                service: target.service.clone(),
+                data_centre: target.data_centre.clone(),
+                models: Vec::new(),
+                ..*target
+            },
+        }
+    }
+}
+
 /// Differences between two states of the targets.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -91,6 +122,8 @@
             targets: RefCell::default(),
             by_service: RefCell::default(),
             target_log: RefCell::default(),
+            routing_log: RefCell::default(),
+            versions_needed_at: Cell::new(None),
             leaving: RefCell::default(),
             versions: RefCell::default(),
             missing: RefCell::default(),
@@ -132,31 +165,49 @@
     }
 
     /// Returns the number of the last change of the targets.
-    pub fn target_changes(&self) -> u64 {
-        self.inner.target_log.borrow().last()
+    pub fn target_changes(&self, content: TargetContent) -> u64 {
+        self.log(content).borrow().last()
     }
 
     /// Returns all targets, for another node.
-    pub fn all_targets(&self) -> TargetChanges {
+    pub fn all_targets(&self, content: TargetContent) -> TargetChanges {
         let targets = self.inner.targets.borrow();
-        TargetChanges::All(targets.values().map(|target| (**target).clone()).collect())
+        TargetChanges::All(targets.values().map(|target| content.of(target)).collect())
     }
 
     /// Returns what has changed since the change with the given number.
-    pub fn targets_since(&self, number: u64) -> TargetChanges {
+    pub fn targets_since(&self, number: u64, content: TargetContent) -> TargetChanges {
         let targets = self.inner.targets.borrow();
-        let log = self.inner.target_log.borrow();
-        let Some(ids) = log.since(number) else { return self.all_targets() };
+        let log = self.log(content).borrow();
+        let Some(ids) = log.since(number) else { return self.all_targets(content) };
         let (mut changed, mut removed) = (Vec::new(), Vec::new());
         for id in ids {
             match targets.get(id) {
-                Some(target) => changed.push((**target).clone()),
+                Some(target) => changed.push(content.of(target)),
                 None => removed.push(id.clone()),
             }
         }
         TargetChanges::Some { changed, removed }
     }
 
+    fn log(&self, content: TargetContent) -> &RefCell<TargetLog> {
+        match content {
+            TargetContent::WithVersions => &self.inner.target_log,
+            TargetContent::Routing => &self.inner.routing_log,
+        }
+    }
+
+    /// Takes note that a job needs to know which engines have which versions.
+    pub fn need_versions(&self, now: Instant) {
+        self.inner.versions_needed_at.set(Some(now));
+    }
+
+    /// Returns whether jobs of this node need to know which engines have which versions.
+    pub fn needs_versions(&self, now: Instant) -> bool {
+        let needed_at = self.inner.versions_needed_at.get();
+        needed_at.is_some_and(|at| now.saturating_duration_since(at) < VERSIONS_NEEDED)
+    }
+
     /// Takes note that configuration and targets were up to date at a moment.
     pub fn set_checked(&self, at: Instant) {
         self.inner.checked_at.set(Some(at));
@@ -347,6 +398,7 @@
         by_service.remove(&target.service);
         if known.is_none_or(|known| !is_routed_alike(known, &target)) {
             services.insert(target.service.clone());
+            self.inner.routing_log.borrow_mut().record(&target.id);
         }
         if let Some(known) = known.filter(|known| known.service != target.service) {
             by_service.remove(&known.service);
@@ -375,6 +427,7 @@
         log::info!(target: "fleet", "target gone target={id}");
         self.inner.by_service.borrow_mut().remove(&target.service);
         self.inner.target_log.borrow_mut().record_removal(&target.id);
+        self.inner.routing_log.borrow_mut().record_removal(&target.id);
         if let Some(run) = self.inner.leaving.borrow_mut().get_mut(id) {
             run.noted_at = Instant::now();
         }
@@ -421,8 +474,8 @@
 
 /// Returns whether two entries of a target are the same to the choice of a target.
 fn is_routed_alike(a: &Target, b: &Target) -> bool {
-    (&a.service, a.address, &a.data_centre, a.state, a.slots)
-        == (&b.service, b.address, &b.data_centre, b.state, b.slots)
+    (&a.service, a.address, &a.data_centre, a.state, a.slots, a.started_at_ms)
+        == (&b.service, b.address, &b.data_centre, b.state, b.slots, b.started_at_ms)
 }
 
 fn pool_target(target: &Target) -> object::Target {
--- a/crates/fleet/tests/view.rs
+++ b/crates/fleet/tests/view.rs
@@ -7,10 +7,12 @@
 
 use deck_fleet::{
     CallerLimits, Configuration, Engines, Route, RouteKind, Service, Target, TargetChanges,
-    TargetState, View,
+    TargetContent, TargetState, View,
 };
 use deck_route::{Router, RouterOptions};
 
+use TargetContent::{Routing, WithVersions};
+
 fn view() -> View {
     View::new(Router::new(RouterOptions::default()))
 }
@@ -229,24 +231,24 @@
     let (watcher, reader, now) = (view(), view(), Instant::now());
     let ids: Vec<String> = (0..3000).map(|index| format!("t{index}")).collect();
     watcher.set_targets(ids.iter().map(|id| target(id)).collect(), now);
-    let mut known = watcher.target_changes();
-    reader.copy_targets(watcher.all_targets(), now);
+    let mut known = watcher.target_changes(WithVersions);
+    reader.copy_targets(watcher.all_targets(WithVersions), now);
     for round in 0..50 {
         let models = vec![("m".to_owned(), 2 + round)];
         watcher.set_target(Target { models, ..target(&ids[round as usize * 7]) });
         watcher.remove_target(&ids[round as usize * 11 + 1], now);
         if round % 3 == 0 {
-            let changes = watcher.targets_since(known);
+            let changes = watcher.targets_since(known, WithVersions);
             let TargetChanges::Some { changed, removed } = &changes else {
                 panic!("all targets were sent")
             };
             assert!(changed.len() + removed.len() <= 6, "{changed:?} {removed:?}");
             reader.copy_targets(changes, now);
-            known = watcher.target_changes();
+            known = watcher.target_changes(WithVersions);
         }
     }
-    reader.copy_targets(watcher.targets_since(known), now);
-    assert_eq!(reader.all_targets(), watcher.all_targets());
+    reader.copy_targets(watcher.targets_since(known, WithVersions), now);
+    assert_eq!(reader.all_targets(WithVersions), watcher.all_targets(WithVersions));
 }
 
 /// Guards against a reader that keeps targets whose removal its watcher has forgotten.
@@ -254,16 +256,55 @@
 fn reader_that_is_far_behind_gets_all_targets() {
     let (watcher, now) = (view(), Instant::now());
     watcher.set_targets(vec![target("kept"), target("gone")], now);
-    let known = watcher.target_changes();
+    let known = watcher.target_changes(WithVersions);
     watcher.remove_target("gone", now);
     for index in 0..2000 {
         watcher.set_target(target(&format!("t{index}")));
         watcher.remove_target(&format!("t{index}"), now);
     }
-    assert_eq!(watcher.targets_since(known), TargetChanges::All(vec![target("kept")]));
-    let TargetChanges::Some { changed, removed } = watcher.targets_since(watcher.target_changes())
+    assert_eq!(
+        watcher.targets_since(known, WithVersions),
+        TargetChanges::All(vec![target("kept")])
+    );
+    let TargetChanges::Some { changed, removed } =
+        watcher.targets_since(watcher.target_changes(WithVersions), WithVersions)
     else {
         panic!("all targets were sent")
     };
     assert!(changed.is_empty() && removed.is_empty());
 }
+
+/// Pattern: thousands of engines load a new version every few seconds. Guards against nodes without
+/// jobs that are told of each load, and against one that misses a change of state with it.
+#[test]
+fn nodes_without_jobs_are_not_told_of_versions() {
+    let (watcher, reader, now) = (view(), view(), Instant::now());
+    watcher.set_targets((0..50).map(|index| target(&format!("t{index}"))).collect(), now);
+    reader.copy_targets(watcher.all_targets(Routing), now);
+    let known = watcher.target_changes(Routing);
+    for index in 0..50 {
+        let models = vec![("m".to_owned(), 2)];
+        watcher.set_target(Target { models, ..target(&format!("t{index}")) });
+    }
+    assert_eq!(watcher.target_changes(Routing), known);
+    watcher.set_target(Target { state: TargetState::Draining, ..target("t7") });
+    watcher.set_target(Target { started_at_ms: 2, ..target("t8") });
+    watcher.remove_target("t9", now);
+    let changes = watcher.targets_since(known, Routing);
+    let TargetChanges::Some { changed, removed } = &changes else { panic!("{changes:?}") };
+    assert_eq!((changed.len(), removed.len()), (2, 1));
+    assert!(changed.iter().all(|target| target.models.is_empty()));
+    reader.copy_targets(changes, now);
+    assert_eq!(state(&reader, "t7"), Some(TargetState::Draining));
+    assert_eq!(state(&reader, "t9"), None);
+}
+
+/// Guards against a node that gets a job and does not learn which engines can run it.
+#[test]
+fn versions_are_followed_for_a_while_after_a_job_needed_them() {
+    let (view, now) = (view(), Instant::now());
+    assert!(!view.needs_versions(now));
+    view.need_versions(now);
+    assert!(view.needs_versions(now + Duration::from_secs(9)));
+    assert!(!view.needs_versions(now + Duration::from_secs(11)));
+}
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -168,7 +168,7 @@
                         ReplyBody::Whole(bytes)
                     }
                     (Collected::Part(received, response), Some(running)) => {
-                        let client = self.client.clone();
+                        let (response, client) = (*response, self.client.clone());
                         let streamed = Streamed { received, response, running, client };
                         ReplyBody::Stream(Box::new(streamed))
                     }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -116,7 +116,7 @@
     /// The whole body.
     Whole(Bytes),
     /// The first bytes of a longer body, whose rest is still to come.
-    Part(Bytes, ClientResponse),
+    Part(Bytes, Box<ClientResponse>),
 }
 
 /// Largest body that is received only to use its connection again.
@@ -447,7 +447,7 @@
         while let Some(chunk) = self.chunk().await? {
             received.extend_from_slice(&chunk);
             if received.len() > limit_bytes {
-                return Ok(Collected::Part(received.into(), self));
+                return Ok(Collected::Part(received.into(), Box::new(self)));
             }
         }
         Ok(Collected::Whole(received.into()))
