--- a/bins/decknode/src/metrics.rs
+++ b/bins/decknode/src/metrics.rs
@@ -66,6 +66,8 @@
         "Age of what the node knows of configuration and targets.";
     TARGETS = "decknode_targets", "gauge", "targets", "",
         "Targets that the node knows.";
+    LOOP_DELAY = "decknode_loop_delay_seconds", "histogram", "seconds", "",
+        "How late a timer of the event loop fires; long delays mean too much work or a VM that did not run.";
     MEMORY = "decknode_resident_bytes", "gauge", "bytes", "",
         "Resident memory of the process.";
 }
@@ -110,6 +112,7 @@
     configuration_version: Gauge<u64>,
     knowledge_age: Gauge<f64>,
     targets: Gauge<u64>,
+    loop_delay: Histogram<f64>,
     memory: Gauge<u64>,
     /// Routes with a label of their own.
     routes: RefCell<BTreeSet<String>>,
@@ -192,6 +195,7 @@
             configuration_version: CONFIGURATION_VERSION.gauge(meter),
             knowledge_age: KNOWLEDGE_AGE.seconds_gauge(meter),
             targets: TARGETS.gauge(meter),
+            loop_delay: LOOP_DELAY.latencies(meter),
             memory: MEMORY.gauge(meter),
             routes: RefCell::default(),
         };
@@ -210,6 +214,11 @@
         self.instruments.store_call_time.record(call.time.as_secs_f64(), &[operation]);
     }
 
+    /// Takes note of how late a timer has fired.
+    pub fn record_delay(&self, delay: Duration) {
+        self.instruments.loop_delay.record(delay.as_secs_f64(), &[]);
+    }
+
     /// Takes note of an answer; `error` is set if it is an error of the node's own.
     pub fn record(&self, purpose: &Purpose, status: u16, error: Option<ErrorKind>, time: Duration) {
         let labels = [
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -42,6 +42,7 @@
 use hyper::body::Incoming;
 
 use crate::{
+    delay,
     front::Front,
     lead,
     metrics::{NodeMetrics, NodeState},
@@ -94,6 +95,7 @@
     let protocol: Rc<dyn Protocol> = Rc::new(Wire);
     let client = client();
     let metrics = NodeMetrics::new();
+    monoio::spawn(delay::keep_measuring(metrics.clone(), ended.clone()));
     let direct = PlatformObjectApi::new(client.clone(), settings.object_api, STORE_CALL_LIMIT);
     let counted = metrics.clone();
     let observer = Rc::new(move |call: CallRecord<'_>| counted.record_store_call(call));
--- a/bins/decknode/tests/metrics.rs
+++ b/bins/decknode/tests/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use deck_core::CancellationToken;
 use deck_fleet::{
     AttemptEnd, CallerLimits, Configuration, Engines, ItemOutcome, JobChange, Observer, RouteKind,
     RunEnd, Service, Target, TargetState, View, config::Engine,
@@ -9,7 +10,10 @@
 use deck_obs::reference::documented_rows;
 use deck_plat::metered::{CallRecord, Operation, Outcome};
 use deck_route::{Router, RouterOptions};
-use decknode::metrics::{METRICS, NodeMetrics, NodeState, Purpose};
+use decknode::{
+    delay::keep_measuring,
+    metrics::{METRICS, NodeMetrics, NodeState, Purpose},
+};
 
 const PAGE: &str = include_str!("../../../docs/metrics.md");
 
@@ -62,6 +66,7 @@
     metrics.group(false);
     metrics.order(None);
     metrics.loaded(second);
+    metrics.record_delay(second);
     metrics.record_store_call(CallRecord {
         operation: Operation::List,
         kind: "nodes",
@@ -108,3 +113,25 @@
     assert_eq!(text.matches("decknode_requests_total{").count(), 65);
     assert!(text.contains("route=\"other\",status=\"200\"} 436"), "{text}");
 }
+
+/// Guards against a node whose work holds up everything that is due, and that does not show it.
+#[test]
+fn busy_event_loop_is_measured() {
+    deck_net::runtime::run(async {
+        let (metrics, cancel) = (NodeMetrics::new(), CancellationToken::new());
+        monoio::spawn(keep_measuring(metrics.clone(), cancel.clone()));
+        // The first timer is set, and fires only when this task gives way again.
+        monoio::time::sleep(Duration::from_millis(1)).await;
+        std::thread::sleep(Duration::from_millis(900));
+        monoio::time::sleep(Duration::from_millis(1)).await;
+        let engines = Engines::default();
+        let view = view_with_engines(&engines, &[]);
+        let state = NodeState { view: &view, engines: &engines, open_jobs: 0, leads: false };
+        let text = metrics.render(&state);
+        let sum = "decknode_loop_delay_seconds_sum ";
+        let sum = text.lines().find_map(|line| line.strip_prefix(sum)).expect("a measurement");
+        assert!(sum.parse::<f64>().expect("seconds") >= 0.5, "{text}");
+        cancel.cancel();
+    })
+    .expect("runtime");
+}
