Keep models at their node while engines come and go; forget engines that are gone

Runners also kept the state of every engine that ever ran there; only the leader dropped it.

Change: models are taken from a node at 130% of the runs that it is meant to carry; runners forget engines together with old jobs.

--- a/crates/batch/src/sweep.rs
+++ b/crates/batch/src/sweep.rs
@@ -70,6 +70,7 @@
         let pause = || cancel.run_until_cancelled(monoio::time::sleep(SWEEP_INTERVAL));
         while pause().await.is_some() {
             let forgotten = self.forget_expired(retention, Instant::now());
+            self.parts().engines.retain_known(&self.parts().view);
             log::info!(target: "batch", "old jobs forgotten count={forgotten}");
         }
     }
--- a/crates/swap/src/runners.rs
+++ b/crates/swap/src/runners.rs
@@ -41,6 +41,9 @@
 /// Runs at a time that one node is meant to carry. A node of half a core has carried engines with 462
 /// slots beside which its items waited no longer than with eight runners.
 const RUNS_PER_RUNNER: u32 = 600;
+/// Part of the runs that a node is meant to carry at which models are taken from it: engines that come
+/// and go do not move models back and forth.
+const OVERLOAD_PERCENT: u32 = 130;
 /// Time for which changes are gathered for one message.
 const GATHER: Duration = Duration::from_millis(20);
 /// Time in which a runner answers.
@@ -237,18 +240,25 @@
 
     /// Returns how many models a node runs at most.
     fn models_per_node(&self) -> usize {
+        let (slots, models) = self.slots_and_models();
+        models_per_node(slots, models)
+    }
+
+    /// Returns the slots of all engines and the number of models.
+    fn slots_and_models(&self) -> (u32, usize) {
         let (mut slots, mut models) = (0, 0);
         for (service, engine) in self.engine_services() {
             let targets = self.parts.view.targets_of(&service);
             slots += targets.iter().map(|target| target.slots).sum::<u32>();
             models += engine.models.len();
         }
-        models_per_node(slots, models)
+        (slots, models)
     }
 
-    /// Takes models from nodes that run more than they should by now; their next jobs go elsewhere.
+    /// Takes models from nodes that run far more than they should by now; their next jobs go elsewhere.
     fn spread(&self) {
-        let most = self.models_per_node();
+        let (slots, models) = self.slots_and_models();
+        let most = models_per_node(slots * 100 / OVERLOAD_PERCENT, models);
         let mut counts: BTreeMap<SocketAddr, usize> = BTreeMap::new();
         self.chosen.borrow_mut().retain(|model, node| {
             let count = counts.entry(*node).or_default();
