Let long pages of the feed arrive, and shorten them

Change: a page may take as long as parts of it come; a node goes on where it was with a watcher that it returns to; names of services, data centres and models stand once in a page.

--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -7,6 +7,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -19,7 +20,7 @@
     id::{FencingNumber, VmId},
 };
 use deck_net::{
-    Body, Client, NetError,
+    Body, CallLimits, Client, NetError,
     server::{number_parameter, status_only},
 };
 use futures_util::future::join_all;
@@ -28,7 +29,9 @@
 use serde_json::Value;
 use tokio::sync::{Notify, watch};
 
-use crate::{CrashBoard, Follower, NodeCrashes, TargetChanges, TargetContent, config::ModelName};
+use crate::{
+    CrashBoard, Follower, NodeCrashes, TargetContent, config::ModelName, packed::PackedChanges,
+};
 
 /// Path at which watchers serve what they know.
 pub const FEED_PATH: &str = "/peer/feed";
@@ -127,7 +130,7 @@
     /// Configuration, if the asking node has an older one.
     configuration: Option<Value>,
     /// What has changed of the targets.
-    targets: Option<TargetChanges>,
+    targets: Option<PackedChanges>,
     /// Leader, if known.
     leader: Option<Leader>,
     /// Nodes that run the jobs of the models.
@@ -453,18 +456,21 @@
         let offset = inner.own.ip().to_string().bytes().map(usize::from).sum::<usize>();
         let mut failed = 0;
         let mut next = offset;
-        let mut position: Option<Position> = None;
+        // A node that comes back to a watcher goes on where it was with it: what it has learned from
+        // others since is at least as recent.
+        let mut positions: HashMap<SocketAddr, Position> = HashMap::new();
         let mut end = AskEnd::Unreachable;
         while failed < watchers.len() && !self.is_watcher() {
             let node = watchers[next % watchers.len()];
             let content = self.wanted_content();
-            match self.ask_one(node, position, content).await {
+            match self.ask_one(node, positions.get(&node), content).await {
                 Ok(page) if Duration::from_millis(page.age_ms) <= inner.options.max_age => {
                     failed = 0;
                     end = AskEnd::Unreachable;
                     let Page { epoch, changes, crash_version, member_version, .. } = page;
-                    position =
-                        Some(Position { epoch, changes, content, crash_version, member_version });
+                    let position =
+                        Position { epoch, changes, content, crash_version, member_version };
+                    positions.insert(node, position);
                     self.apply(page);
                     monoio::time::sleep(self.pause(watchers.len())).await;
                     continue;
@@ -483,7 +489,6 @@
             }
             failed += 1;
             next += 1;
-            position = None;
         }
         end
     }
@@ -509,7 +514,7 @@
     async fn ask_one(
         &self,
         node: SocketAddr,
-        position: Option<Position>,
+        position: Option<&Position>,
         content: TargetContent,
     ) -> Result<Page, NetError> {
         let inner = &self.inner;
@@ -532,8 +537,12 @@
             .map_err(|error| NetError::Decode(error.to_string()))?;
         // Without a position the watcher has something to tell at once.
         let waits = position.map_or(Duration::ZERO, |_| wait);
-        let limit = waits + inner.options.poll_wait;
-        let page = inner.client.call(node, request, limit, MAX_PAGE_BYTES).await?.ok()?;
+        let limits = CallLimits {
+            head: waits + inner.options.poll_wait,
+            pause: inner.options.poll_wait,
+            max_bytes: MAX_PAGE_BYTES,
+        };
+        let page = inner.client.call_in_parts(node, request, limits).await?.ok()?;
         ciborium::from_reader(&*page).map_err(|error| NetError::Decode(error.to_string()))
     }
 
@@ -546,7 +555,7 @@
             follower.apply_configuration(configuration);
         }
         if let Some(targets) = page.targets {
-            follower.view.copy_targets(targets, Instant::now());
+            follower.view.copy_targets(targets.unpack(), Instant::now());
         }
         if let Some(crashes) = page.crashes {
             self.inner.crashes.replace(crashes, Instant::now());
@@ -609,6 +618,7 @@
             Some(known) => Some(view.targets_since(known, content)),
             None => Some(view.all_targets(content)),
         };
+        let targets = targets.as_ref().map(PackedChanges::pack);
         let page = Page {
             epoch: inner.epoch,
             changes,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod follow;
 pub mod node;
 pub mod observe;
+mod packed;
 pub mod protocol;
 pub mod target;
 pub mod view;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -13,7 +13,6 @@
     object::{self, FencingCheck, PoolType, TargetPool},
 };
 use deck_route::Router;
-use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use crate::{Configuration, Target, TargetState, changes::TargetLog, config::ModelName};
@@ -101,7 +100,6 @@
 
 /// Differences between two states of the targets.
 #[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
 pub enum TargetChanges {
     /// All targets; others are gone.
     All(Vec<Target>),
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use deck_core::id::{RequestId, TargetId, WeightVersion};
 use deck_fleet::{
     BatchCall, BatchJob, CallHead, CallerLimits, Configuration, Dispatch, Order, OrderReply,
-    Protocol, ReplyHead, ResultPage, Target, TargetReport, config::ModelName,
+    Protocol, ReplyHead, ResultPage, Target, TargetReport, TargetState, config::ModelName,
 };
 use deck_plat::Precondition;
 use deck_testkit::memory::MemoryObjects;
@@ -22,7 +22,7 @@
     store.put(kind, name, condition, &value).await.expect("write");
 }
 
-/// Protocol whose configuration is only a version; the tests need no more.
+/// Protocol whose configurations and targets are only a version; the tests need no more.
 #[derive(Debug, Default)]
 pub struct Plain;
 
@@ -32,8 +32,18 @@
         Ok(Configuration::new(version, Vec::new(), Vec::new(), CallerLimits::default()))
     }
 
-    fn target(&self, _id: &str, _value: &Value) -> Result<Target, String> {
-        Err("not used".to_owned())
+    fn target(&self, id: &str, value: &Value) -> Result<Target, String> {
+        let version = value["version"].as_u64().ok_or("version is missing")?;
+        Ok(Target {
+            id: id.to_owned(),
+            service: "s".to_owned(),
+            address: ([127, 0, 0, 1], 1).into(),
+            data_centre: "a".to_owned(),
+            state: TargetState::Ready,
+            slots: 4,
+            models: vec![("m".to_owned(), version), ("n".to_owned(), 1)],
+            started_at_ms: 7,
+        })
     }
 
     fn named_version(&self, _value: &Value) -> Result<(ModelName, WeightVersion), String> {
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -8,14 +8,16 @@
 
 use deck_core::CancellationToken;
 use deck_fleet::{
-    Feed, FeedOptions, FollowOptions, Follower, Kinds, Leader, NodeCrashes, View, feed::FEED_PATH,
+    Feed, FeedOptions, FollowOptions, Follower, Kinds, Leader, NodeCrashes, TargetContent, View,
+    feed::FEED_PATH,
 };
 use deck_limit::crash::{CrashCounts, PublishedCrash};
-use deck_net::{Client, ServerOptions, bind};
+use deck_net::{CallLimits, Client, ServerOptions, bind};
 use deck_route::{Router, RouterOptions};
 use deck_testkit::{
     eventually,
     memory::{Fault, MemoryObjects},
+    raw::RawServer,
 };
 
 mod common;
@@ -271,3 +273,73 @@
     };
     deck_net::runtime::run(test).expect("runtime");
 }
+
+/// Guards against nodes that know other targets than their watcher: at the start, after a change and a
+/// removal, with the versions for a node that runs jobs and without them for others, and after the
+/// watcher has started again.
+#[test]
+fn nodes_know_the_targets_of_their_watcher() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let (watched, unused) = (MemoryObjects::default(), MemoryObjects::default());
+        common::write(&watched, KINDS.configuration, "main", 1).await;
+        for name in ["t1", "t2", "t3"] {
+            common::write(&watched, KINDS.targets, name, 1).await;
+        }
+        let (watcher, node) = (start(&watched, &cancel), start(&unused, &cancel));
+        for one in [&watcher, &node] {
+            one.feed.set_ranked(vec![watcher.address, node.address]);
+            run(one, &cancel);
+        }
+        let agree = async |content: TargetContent, version: u64| {
+            eventually("the node knows the targets", async || {
+                if content == TargetContent::WithVersions {
+                    node.view.need_versions(Instant::now());
+                }
+                let known =
+                    watcher.view.target("t2").is_some_and(|t| t.version("m") == Some(version));
+                known && node.view.all_targets(content) == watcher.view.all_targets(content)
+            })
+            .await;
+        };
+        agree(TargetContent::Routing, 1).await;
+        assert!(node.view.target("t2").expect("target").models.is_empty());
+        agree(TargetContent::WithVersions, 1).await;
+        common::write(&watched, KINDS.targets, "t2", 2).await;
+        agree(TargetContent::WithVersions, 2).await;
+        let store = watched.store();
+        let gone = store.get(KINDS.targets, "t3").await.expect("read").expect("object");
+        store.delete(KINDS.targets, "t3", gone.revision).await.expect("deleted");
+        eventually("the node knows of the removal", async || node.view.target("t3").is_none())
+            .await;
+        agree(TargetContent::Routing, 2).await;
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// Pattern: hundreds of nodes fetch the list of thousands of targets at once after a restart of all,
+/// and their watcher's link is full. Guards against lists that are cut at a fixed time and begun
+/// again, so that none ever arrives, and against a list that stalls.
+#[test]
+fn long_page_may_take_its_time_while_parts_of_it_come() {
+    let fetch = async |pause: Duration| {
+        let server = RawServer::start(move |call| {
+            call.write("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n");
+            for _ in 0..8 {
+                std::thread::sleep(pause);
+                call.write("x");
+            }
+        });
+        let request = http::Request::new(deck_net::Body::empty());
+        let limit = Duration::from_millis(300);
+        let limits = CallLimits { head: limit, pause: limit, max_bytes: 100 };
+        Client::default().call_in_parts(server.address, request, limits).await
+    };
+    let test = async {
+        let answer = fetch(Duration::from_millis(100)).await.expect("the whole answer");
+        assert_eq!(&*answer.body, b"xxxxxxxx");
+        assert!(fetch(Duration::from_millis(900)).await.is_err());
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -124,6 +124,17 @@
 /// Time for that; a new connection costs less.
 const DISCARD_LIMIT: Duration = Duration::from_millis(100);
 
+/// Limits of a call whose answer may be long.
+#[derive(Debug, Clone, Copy)]
+pub struct CallLimits {
+    /// Time until the head of the answer has come.
+    pub head: Duration,
+    /// Time until each next part of the body has come.
+    pub pause: Duration,
+    /// Largest body.
+    pub max_bytes: usize,
+}
+
 /// Response that has been received whole.
 #[derive(Debug, Clone)]
 pub struct WholeResponse {
@@ -219,6 +230,34 @@
         }
     }
 
+    /// Sends a request and receives the whole response, which may take long as long as parts of it
+    /// come.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::call`].
+    pub async fn call_in_parts(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        limits: CallLimits,
+    ) -> Result<WholeResponse, NetError> {
+        let late = |what: &str| NetError::Exchange(address, format!("no {what} in time"));
+        let head = monoio::time::timeout(limits.head, self.send(address, request)).await;
+        let mut response = head.map_err(|_| late("answer"))??;
+        let (status, headers) = (response.status, std::mem::take(&mut response.headers));
+        let mut body = Vec::new();
+        loop {
+            let chunk = monoio::time::timeout(limits.pause, response.chunk()).await;
+            let Some(chunk) = chunk.map_err(|_| late("part of the answer"))?? else { break };
+            if body.len() + chunk.len() > limits.max_bytes {
+                return Err(NetError::BodyTooLarge(limits.max_bytes));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(WholeResponse { status, headers, body: body.into() })
+    }
+
     /// Sends a JSON request and reads a JSON response of at most 16 MiB.
     ///
     /// # Errors
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,7 +14,9 @@
 pub mod sse;
 
 pub use body::Body;
-pub use client::{Client, ClientOptions, ClientResponse, Collected, ProbeOptions, WholeResponse};
+pub use client::{
+    CallLimits, Client, ClientOptions, ClientResponse, Collected, ProbeOptions, WholeResponse,
+};
 pub use error::NetError;
 pub use server::{ServerOptions, bind, serve, serve_with};
 
