Take differences of targets only from the watcher of the last page

Change: one position, of the watcher that gave the last page. A watcher that merely had no answer still costs no list.

Test: removed_target_stays_gone_after_an_older_list_of_another_watcher, which fails on the code before.

--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -7,7 +7,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -456,21 +455,22 @@
         let offset = inner.own.ip().to_string().bytes().map(usize::from).sum::<usize>();
         let mut failed = 0;
         let mut next = offset;
-        // A node that comes back to a watcher goes on where it was with it: what it has learned from
-        // others since is at least as recent.
-        let mut positions: HashMap<SocketAddr, Position> = HashMap::new();
+        // The watcher that gave the last page: what this node knows of the targets is what that one
+        // knew. Its next page may be of differences, also after other watchers had no answer.
+        let mut last: Option<(SocketAddr, Position)> = None;
         let mut end = AskEnd::Unreachable;
         while failed < watchers.len() && !self.is_watcher() {
             let node = watchers[next % watchers.len()];
             let content = self.wanted_content();
-            match self.ask_one(node, positions.get(&node), content).await {
+            let position = last.as_ref().filter(|(given_by, _)| *given_by == node);
+            match self.ask_one(node, position.map(|(_, position)| position), content).await {
                 Ok(page) if Duration::from_millis(page.age_ms) <= inner.options.max_age => {
                     failed = 0;
                     end = AskEnd::Unreachable;
                     let Page { epoch, changes, crash_version, member_version, .. } = page;
                     let position =
                         Position { epoch, changes, content, crash_version, member_version };
-                    positions.insert(node, position);
+                    last = Some((node, position));
                     self.apply(page);
                     monoio::time::sleep(self.pause(watchers.len())).await;
                     continue;
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -343,3 +343,43 @@
     };
     deck_net::runtime::run(test).expect("runtime");
 }
+
+/// Guards against a target that is in use again for ever after its removal, because a node took it from
+/// the older list of a second watcher and then went on with the differences of the first one.
+#[test]
+fn removed_target_stays_gone_after_an_older_list_of_another_watcher() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let (current, older, unused) =
+            (MemoryObjects::default(), MemoryObjects::default(), MemoryObjects::default());
+        for objects in [&current, &older] {
+            common::write(objects, KINDS.configuration, "main", 1).await;
+            common::write(objects, KINDS.targets, "kept", 1).await;
+        }
+        // The second watcher has not heard of the removal.
+        common::write(&older, KINDS.targets, "gone", 1).await;
+        let options = FeedOptions { watchers: 2, ..options() };
+        let first = start_with(&current, &cancel, options.clone());
+        let second = start_with(&older, &cancel, options.clone());
+        let node = start_with(&unused, &cancel, options);
+        for one in [&first, &second, &node] {
+            one.feed.set_ranked(vec![first.address, second.address, node.address]);
+        }
+        run(&first, &cancel);
+        run(&second, &cancel);
+        run(&node, &cancel);
+        let uses = async |objects: &MemoryObjects, other: &MemoryObjects, has_gone: bool| {
+            objects.set_fault(None, None);
+            other.set_fault(Some(Fault::Down), None);
+            eventually("the node has the list of the watcher", async || {
+                node.view.target("kept").is_some() && node.view.target("gone").is_some() == has_gone
+            })
+            .await;
+        };
+        uses(&current, &older, false).await;
+        uses(&older, &current, true).await;
+        uses(&current, &older, false).await;
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
