Share the engines by the events that the jobs of each model ask for

Cause: with two trainers the model with texts of 28 events on average got as many engines as that with texts of 12; its items waited 1.6 to 2.5 s for a slot at the median.

--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -232,6 +232,11 @@
         if job.is_complete() || job.is_ended() {
             return job;
         }
+        {
+            let record = job.record.borrow();
+            let engines = &self.inner.parts.engines;
+            engines.record_job(&record.model, record.min_version, record.total, job.submitted_at);
+        }
         monoio::spawn(publish::publish_results(self.inner.clone(), job.clone()));
         monoio::spawn(publish::keep_confirmed(self.inner.clone(), job.clone()));
         monoio::spawn(self.inner.clone().keep_checkpoints(job.clone()));
--- a/crates/fleet/src/engines.rs
+++ b/crates/fleet/src/engines.rs
@@ -12,7 +12,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use crate::{Target, View, config::ModelName};
+use crate::{
+    Target, View,
+    config::ModelName,
+    demand::{DemandMeter, ModelDemand},
+};
 
 /// Time over which the short mean of the time between events is taken: within a neighbour's burst.
 const SHORT_MEAN: Duration = Duration::from_millis(250);
@@ -36,15 +40,15 @@
 const BEST_DECAY_PER_S: f64 = 0.01;
 /// Time for which what the node that gives orders has told holds: several of its messages.
 const NEWS_LIFETIME: Duration = Duration::from_millis(1500);
-/// Part of the newest text in the mean length of a model's texts.
-const NEWEST_TEXT_PART: f64 = 0.02;
 
 /// States of all engines; clones share them.
 #[derive(Clone, Default)]
 pub struct Engines {
     states: Rc<RefCell<HashMap<TargetId, EngineState>>>,
-    /// Mean number of events of a text, by model.
-    text_events: Rc<RefCell<HashMap<ModelName, f64>>>,
+    /// Demand by the jobs of this node, by model.
+    demands: Rc<RefCell<HashMap<ModelName, DemandMeter>>>,
+    /// Demand as last told by the runners of other nodes, by model.
+    remote_demands: Rc<RefCell<HashMap<ModelName, ModelDemand>>>,
     /// Load by the runs of other nodes, by node.
     remote: Rc<RefCell<HashMap<SocketAddr, HashMap<TargetId, EngineLoad>>>>,
     /// Engines that follow a model, for the models of which the node that gives orders has told
@@ -345,9 +349,46 @@
         }
     }
 
-    /// Takes over the mean length of a model's texts from the node that runs them.
-    pub fn set_text_events(&self, model: ModelName, events: f64) {
-        self.text_events.borrow_mut().insert(model, events);
+    /// Takes over the demand of a model's jobs from the node that runs them.
+    pub fn set_remote_demand(&self, model: ModelName, demand: ModelDemand) {
+        self.remote_demands.borrow_mut().insert(model, demand);
+    }
+
+    /// Returns the demand of a model's jobs, by the newest job that is known.
+    pub fn demand(&self, model: &str, now: Instant) -> ModelDemand {
+        let remote = self.remote_demands.borrow().get(model).cloned().unwrap_or_default();
+        let own = self.own_demand(model, now);
+        if own.oldest_allowed > remote.oldest_allowed { own } else { remote }
+    }
+
+    /// Returns the demand of a model's jobs on this node.
+    pub fn own_demand(&self, model: &str, now: Instant) -> ModelDemand {
+        let demands = self.demands.borrow();
+        demands.get(model).map(|meter| meter.demand(now)).unwrap_or_default()
+    }
+
+    /// Takes note of a job of this node.
+    pub fn record_job(
+        &self,
+        model: &str,
+        oldest_allowed: WeightVersion,
+        items: usize,
+        submitted: Instant,
+    ) {
+        self.meter(model, |meter| meter.record_job(oldest_allowed, items, submitted));
+    }
+
+    /// Takes note of the number of a model's items that wait for an engine on this node.
+    pub fn set_waiting(&self, model: &str, waiting: u32) {
+        self.meter(model, |meter| meter.set_waiting(waiting));
+    }
+
+    fn meter(&self, model: &str, change: impl FnOnce(&mut DemandMeter)) {
+        let mut demands = self.demands.borrow_mut();
+        match demands.get_mut(model) {
+            Some(meter) => change(meter),
+            None => change(demands.entry(model.to_owned()).or_default()),
+        }
     }
 
     /// Returns what the choice of an engine for a run of the model needs to know.
@@ -399,16 +440,7 @@
 
     /// Takes note of the length of a model's text.
     pub fn record_text(&self, model: &str, events: u64) {
-        let mut texts = self.text_events.borrow_mut();
-        match texts.get_mut(model) {
-            Some(mean) => *mean += (events as f64 - *mean) * NEWEST_TEXT_PART,
-            None => drop(texts.insert(model.to_owned(), events as f64)),
-        }
-    }
-
-    /// Returns the mean number of events of a model's texts.
-    pub fn text_events(&self, model: &str) -> Option<f64> {
-        self.text_events.borrow().get(model).copied()
+        self.meter(model, |meter| meter.record_text(events));
     }
 
     /// Takes note that the target refused a run, or broke it off.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod board;
 mod changes;
 pub mod config;
+pub mod demand;
 pub mod engines;
 pub mod feed;
 pub mod follow;
@@ -18,6 +19,7 @@
 
 pub use board::{CrashBoard, NodeCrashes};
 pub use config::{CallerLimits, Configuration, Engine, Route, RouteKind, Service};
+pub use demand::{DemandMeter, ModelDemand};
 pub use engines::{EngineLoad, EngineNews, EngineState, Engines, Outlook, RunGuard};
 pub use feed::{Feed, FeedOptions, Leader, ModelRunner, RunnerTable};
 pub use follow::{FollowOptions, Follower, Kinds};
--- a/crates/swap/src/giver.rs
+++ b/crates/swap/src/giver.rs
@@ -160,13 +160,8 @@
         let mut followed = HashMap::new();
         for service in configuration.services.values() {
             let Some(engine) = &service.engine else { continue };
-            let named = |name: &String| NamedModel {
-                name: name.clone(),
-                named: self.inner.view.named_version(name),
-                demand: 1.0,
-                text_events: self.inner.engines.text_events(name),
-            };
-            let models: Vec<NamedModel> = engine.models.iter().map(named).collect();
+            let models: Vec<NamedModel> =
+                engine.models.iter().map(|name| self.named_model(name)).collect();
             let targets = self.inner.view.targets_of(&service.name);
             let ready = targets.iter().filter(|target| target.state == TargetState::Ready);
             let states: Vec<EngineVersions> =
@@ -187,6 +182,14 @@
         self.inner.assigned.replace(followed);
     }
 
+    fn named_model(&self, name: &str) -> NamedModel {
+        NamedModel {
+            name: name.to_owned(),
+            named: self.inner.view.named_version(name),
+            demand: self.inner.engines.demand(name, Instant::now()),
+        }
+    }
+
     fn engine_versions(&self, target: &Target, models: &[NamedModel]) -> EngineVersions {
         let engines = &self.inner.engines;
         let version = |model: &NamedModel| engines.version(target, &model.name);
--- a/crates/swap/src/plan.rs
+++ b/crates/swap/src/plan.rs
@@ -6,6 +6,7 @@
     hash::rendezvous_score,
     id::{TargetId, WeightVersion},
 };
+use deck_fleet::ModelDemand;
 
 /// Options of [`plan`].
 #[derive(Debug, Clone)]
@@ -46,10 +47,8 @@
     pub name: String,
     /// Version that was named last; `None` if none was.
     pub named: Option<WeightVersion>,
-    /// Part of the work that is for this model, compared with the other models.
-    pub demand: f64,
-    /// Mean number of events of a text; `None` if it is not known.
-    pub text_events: Option<f64>,
+    /// What its jobs ask of the engines.
+    pub demand: ModelDemand,
 }
 
 /// Change of one engine to a version of one model.
@@ -188,7 +187,7 @@
     let mut by_length: Vec<(usize, f64)> = models
         .iter()
         .enumerate()
-        .filter_map(|(index, model)| Some((index, model.text_events?)))
+        .filter_map(|(index, model)| Some((index, model.demand.text_events?)))
         .collect();
     by_length.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
     for (position, (long, long_events)) in by_length.iter().enumerate() {
@@ -218,15 +217,14 @@
     }
 }
 
-/// Returns the number of engines for each model; each gets at least half of an equal part.
+/// Returns the number of engines for each model in proportion to the events that its jobs ask for;
+/// each gets at least half of an equal part, and an equal part until all demands are known.
 fn quotas(count: usize, models: &[NamedModel]) -> Vec<usize> {
-    let total: f64 = models.iter().map(|model| model.demand).sum();
     let equal = 1.0 / models.len().max(1) as f64;
-    let part = |model: &NamedModel| {
-        let wanted = if total > 0.0 { model.demand / total } else { equal };
-        wanted.max(equal / 2.0)
-    };
-    let parts: Vec<f64> = models.iter().map(part).collect();
+    let known: Option<Vec<f64>> = models.iter().map(|model| model.demand.events_per_s).collect();
+    let known = known.unwrap_or_else(|| vec![1.0; models.len()]);
+    let total = known.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+    let parts: Vec<f64> = known.iter().map(|demand| (demand / total).max(equal / 2.0)).collect();
     let sum: f64 = parts.iter().sum();
     let exact: Vec<f64> = parts.iter().map(|part| part / sum * count as f64).collect();
     let mut quotas: Vec<usize> = exact.iter().map(|quota| quota.floor() as usize).collect();
--- a/crates/swap/src/runners.rs
+++ b/crates/swap/src/runners.rs
@@ -19,7 +19,7 @@
     id::{FencingNumber, PoolName, RequestId},
 };
 use deck_fleet::{
-    Engine, EngineLoad, EngineNews, Engines, Feed, ModelRunner, RunnerTable, View,
+    Engine, EngineLoad, EngineNews, Engines, Feed, ModelDemand, ModelRunner, RunnerTable, View,
     config::ModelName,
 };
 use deck_net::{Body, Client, NetError};
@@ -72,8 +72,8 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Answer {
     loads: Vec<EngineLoad>,
-    /// Mean number of events of the model's texts.
-    text_events: Option<f64>,
+    /// What the runner's jobs of the model ask of the engines.
+    demand: ModelDemand,
     /// Jobs of the runner, if the leader does not know as many.
     jobs: Option<Vec<RequestId>>,
     /// Whether the node stops.
@@ -297,9 +297,7 @@
 
     fn take(&self, node: SocketAddr, model: &str, answer: Answer) {
         self.parts.engines.set_remote_loads(node, answer.loads);
-        if let Some(events) = answer.text_events {
-            self.parts.engines.set_text_events(model.to_owned(), events);
-        }
+        self.parts.engines.set_remote_demand(model.to_owned(), answer.demand);
         if let Some(jobs) = answer.jobs {
             (self.parts.on_jobs)(node, jobs);
         }
@@ -371,7 +369,7 @@
     engines.apply_news(view, &told.model, &told.news, now);
     let answer = Answer {
         loads: engines.own_loads(now),
-        text_events: engines.text_events(&told.model),
+        demand: engines.own_demand(&told.model, now),
         jobs: (jobs.len() != told.known_jobs).then_some(jobs),
         draining,
     };
--- a/crates/swap/tests/plan.rs
+++ b/crates/swap/tests/plan.rs
@@ -1,12 +1,23 @@
 //! Plans of weight changes, one test for each load pattern. No test needs the network.
 
+use deck_fleet::ModelDemand;
 use deck_swap::{
     Change, EngineVersions, NamedModel, PlanOptions, plan,
     plan::{assign, max_loading},
 };
 
 fn model(name: &str, named: u64) -> NamedModel {
-    NamedModel { name: name.to_owned(), named: Some(named), demand: 1.0, text_events: None }
+    NamedModel { name: name.to_owned(), named: Some(named), demand: ModelDemand::default() }
+}
+
+fn with_texts(model: NamedModel, text_events: f64) -> NamedModel {
+    let demand = ModelDemand { text_events: Some(text_events), ..model.demand };
+    NamedModel { demand, ..model }
+}
+
+fn with_work(model: NamedModel, events_per_s: f64) -> NamedModel {
+    let demand = ModelDemand { events_per_s: Some(events_per_s), ..model.demand };
+    NamedModel { demand, ..model }
 }
 
 fn engine(index: usize, versions: &[u64], free_slots: u32) -> EngineVersions {
@@ -87,12 +98,27 @@
 fn model_with_little_work_keeps_engines() {
     let engines: Vec<_> = (0..8).map(|index| engine(index, &[1, 1], 8)).collect();
     let models =
-        [NamedModel { demand: 99.0, ..model("a", 2) }, NamedModel { demand: 1.0, ..model("b", 2) }];
+        [with_work(model("a", 2), 9900.0), with_work(model("b", 2), 100.0)];
     let assigned = assign(&engines, &models);
     let of_b = assigned.iter().filter(|of| **of == Some(1)).count();
     assert!((1..4).contains(&of_b), "{assigned:?}");
 }
 
+/// Pattern: two trainers ask equally often, and the texts of one are two and a half times as long.
+/// Guards against steps of long texts that wait for slots while engines of the other model are idle.
+#[test]
+fn engines_are_shared_by_the_work_of_the_models() {
+    let engines: Vec<_> = (0..11).map(|index| engine(index, &[1, 1], 12)).collect();
+    let models = [with_work(model("short", 2), 330.0), with_work(model("long", 2), 850.0)];
+    let assigned = assign(&engines, &models);
+    let of_long = assigned.iter().filter(|of| **of == Some(1)).count();
+    assert_eq!(of_long, 8, "{assigned:?}");
+    let unknown = [with_work(model("short", 2), 330.0), model("long", 2)];
+    let assigned = assign(&engines, &unknown);
+    let of_long = assigned.iter().filter(|of| **of == Some(1)).count();
+    assert!((5..=6).contains(&of_long), "{assigned:?}");
+}
+
 /// Guards against orders for a model of which no version was named yet.
 #[test]
 fn nothing_is_loaded_before_a_version_is_named() {
@@ -114,8 +140,8 @@
 /// Guards against long texts on slow engines while the model with short texts has the fast ones.
 #[test]
 fn fast_engines_run_the_long_texts() {
-    let long = |name: &str| NamedModel { text_events: Some(20.0), ..model(name, 2) };
-    let models = [long("a"), NamedModel { text_events: Some(7.0), ..model("b", 2) }, long("c")];
+    let long = |name: &str| with_texts(model(name, 2), 20.0);
+    let models = [long("a"), with_texts(model("b", 2), 7.0), long("c")];
     let engines: Vec<_> = (0..9)
         .map(|index| EngineVersions {
             event_ms: Some(if index % 3 == 0 { 59.0 } else { 45.0 }),
@@ -137,8 +163,8 @@
 #[test]
 fn engines_of_about_the_same_speed_are_not_exchanged() {
     let models =
-        [model("a", 2), model("b", 2)].map(|model| NamedModel { text_events: Some(20.0), ..model });
-    let shorter = [models[0].clone(), NamedModel { text_events: Some(5.0), ..models[1].clone() }];
+        [model("a", 2), model("b", 2)].map(|model| with_texts(model, 20.0));
+    let shorter = [models[0].clone(), with_texts(models[1].clone(), 5.0)];
     let engines = |slow_ms: f64| -> Vec<_> {
         let speed = |index: usize| if index < 4 { slow_ms } else { 45.0 };
         (0..8)
