--- a/crates/batch/src/dispatch.rs
+++ b/crates/batch/src/dispatch.rs
@@ -128,6 +128,13 @@
     pub min_version: WeightVersion,
 }
 
+impl RunningItem {
+    /// Returns the time that the item is expected to take still on its engine.
+    pub fn time_left(&self) -> Duration {
+        Duration::from_secs_f64(self.events_left * self.event_gap_ms / 1000.0)
+    }
+}
+
 /// Returns the engine to which a running item should move, if it saves enough time there.
 pub fn choose_move<'a>(item: &RunningItem, candidates: &'a [Candidate]) -> Option<&'a Candidate> {
     let time = |gap_ms: f64| item.events_left * gap_ms / 1000.0;
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -49,8 +49,13 @@
     pub finished: Notify,
     /// Number of listed results, for readers that wait.
     pub positions: watch::Sender<usize>,
+    /// Items of the last open groups whose texts are generated ahead for the job that may repeat them.
+    /// Invariant: none of them is in `items`; they have no result in this job.
+    pub ahead: RefCell<Vec<Rc<ItemRun>>>,
     /// Cancelled when the job is ended or another node runs it.
     pub stop: CancellationToken,
+    /// Cancelled when nothing is generated ahead any more.
+    pub ahead_stop: CancellationToken,
 }
 
 /// Where an item is.
@@ -84,6 +89,8 @@
     pub moving: RefCell<CancellationToken>,
     /// When the current run started.
     pub started_at: Cell<Option<Instant>>,
+    /// Whether the text is generated ahead for a later job, see [`Job::ahead`].
+    pub is_ahead: bool,
 }
 
 /// Text of an item so far.
@@ -142,8 +149,14 @@
             target: RefCell::default(),
             moving: RefCell::default(),
             started_at: Cell::new(None),
+            is_ahead: false,
         }
     }
+
+    /// Returns an item whose text is generated ahead for a later job.
+    pub fn ahead(item: Item) -> Self {
+        Self { is_ahead: true, ..Self::new(item) }
+    }
 }
 
 impl Job {
@@ -169,7 +182,9 @@
             unlisted: RefCell::default(),
             finished: Notify::new(),
             positions: watch::channel(0).0,
+            ahead: RefCell::default(),
             stop: CancellationToken::new(),
+            ahead_stop: CancellationToken::new(),
         }
     }
 
--- a/crates/batch/src/reuse.rs
+++ b/crates/batch/src/reuse.rs
@@ -20,13 +20,14 @@
         let items = job.items.borrow();
         let wanted: HashMap<&RequestId, &Rc<ItemRun>> =
             items.iter().map(|run| (&run.item.id, run)).collect();
-        let (mut repeated, mut reused) = (0, 0);
+        let (mut repeated, mut reused, mut ahead) = (0, 0, 0);
         let jobs = self.inner.jobs.borrow();
         let over = |earlier: &&Rc<Job>| earlier.stop.is_cancelled() || earlier.is_complete();
         for earlier in jobs.values().filter(|earlier| earlier.id != job.id).filter(over) {
             if earlier.record.borrow().model != job.record.borrow().model {
                 continue;
             }
+            let known_repeated = repeated;
             let wanted = |id: &RequestId| {
                 let run = wanted.get(id)?;
                 (job.requests.get(id) == earlier.requests.get(id)).then_some(run)
@@ -40,6 +41,20 @@
                     reused += usize::from(take(job, run, &progress, complete));
                 }
             }
+            for known in earlier.ahead.borrow().iter() {
+                let Some(run) = wanted(&known.item.id) else { continue };
+                let complete = known.phase.get() == Phase::Complete;
+                let progress = known.progress.borrow();
+                if progress.last_event > 0 {
+                    ahead += usize::from(take(job, run, &progress, complete));
+                }
+                known.moving.borrow().cancel();
+            }
+            if repeated > known_repeated {
+                let min_version = |job: &Job| job.record.borrow().min_version;
+                let lead = min_version(job).saturating_sub(min_version(earlier));
+                self.inner.repeat_lead.set(self.inner.repeat_lead.get().max(lead));
+            }
             let (listed, unlisted) = (earlier.listed.borrow(), earlier.unlisted.borrow());
             for result in listed.iter().chain(unlisted.iter()) {
                 let Some(run) = wanted(&result.item) else { continue };
@@ -50,7 +65,7 @@
             }
         }
         if repeated > 0 {
-            log::info!(target: "batch", "items come again job={} items={repeated} texts_reused={reused}", job.id);
+            log::info!(target: "batch", "items come again job={} items={repeated} texts_reused={reused} ahead={ahead}", job.id);
         }
     }
 }
--- a/crates/batch/src/run.rs
+++ b/crates/batch/src/run.rs
@@ -11,6 +11,7 @@
 use http::{Method, Request, StatusCode};
 
 use crate::{
+    ahead::AHEAD_PRIORITY,
     events::EventParser,
     job::{ItemRun, Job, Phase},
     runner::Inner,
@@ -57,7 +58,7 @@
     let (id, from) = (&run.item.id, run.progress.borrow().last_event);
     log::info!(target: "batch", "run starts item={id} job={} target={} event={from}", job.id, target.id);
     let observer = inner.parts.observer.clone();
-    if run.started_at.get().is_none() {
+    if run.started_at.get().is_none() && !run.is_ahead {
         observer.first_run(job.submitted_at.elapsed());
     }
     run.target.replace(Some(target.id.clone()));
@@ -65,7 +66,8 @@
     let moving = CancellationToken::new();
     run.moving.replace(moving.clone());
     let generation = moving.run_until_cancelled(generate(&inner, &job, &run, &target));
-    let ended = match job.stop.run_until_cancelled(generation).await {
+    let stop = if run.is_ahead { &job.ahead_stop } else { &job.stop };
+    let ended = match stop.run_until_cancelled(generation).await {
         Some(ended) => ended.unwrap_or(Ended::Moved),
         // Dropping the run has closed its connection, which stops the engine.
         None => {
@@ -83,7 +85,9 @@
     match ended {
         Ended::Complete => {
             log::info!(target: "batch", "run complete item={id} target={} event={at} ms={ms}", target.id);
-            inner.parts.engines.record_text(&job.record.borrow().model, at);
+            if !run.is_ahead {
+                inner.parts.engines.record_text(&job.record.borrow().model, at);
+            }
             run.enter(Phase::Complete);
         }
         Ended::Broken(reason) => {
@@ -172,7 +176,7 @@
         target: &target.id,
         time_left: None,
         last_event,
-        priority: None,
+        priority: run.is_ahead.then_some(AHEAD_PRIORITY),
     };
     inner.parts.protocol.dispatch(&mut headers, &dispatch);
     let mut request = Request::new(Body::full(body));
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -11,7 +11,7 @@
 use deck_core::{
     CancellationToken,
     hash::hash64,
-    id::{RequestId, Revision, VmId},
+    id::{RequestId, Revision, VmId, WeightVersion},
 };
 use deck_fleet::{
     Engines, Item, ItemOutcome, Observer, Outlook, Protocol, RouteKind, Target, TargetList,
@@ -24,6 +24,7 @@
 
 use crate::{
     Checkpoints, JobRecord, Ledger,
+    ahead::MIN_REPEAT_LEAD,
     checkpoint::Sent,
     dispatch::{
         Candidate, RunningItem, Waiting, choose, choose_move, events_left, sort_by_urgency,
@@ -32,6 +33,18 @@
     publish, reward, run,
 };
 
+/// Engines as the running items of a job see them.
+pub(crate) struct JobOutlook {
+    /// Service that runs the items.
+    pub service: String,
+    /// Oldest version that may run them.
+    pub min_version: WeightVersion,
+    /// Engines that take runs.
+    pub candidates: Vec<Candidate>,
+    /// Usual time between two events in milliseconds.
+    pub usual_ms: f64,
+}
+
 /// Options of a [`Runner`].
 #[derive(Debug, Clone)]
 pub struct RunOptions {
@@ -97,6 +110,8 @@
     prompts: RefCell<HashMap<u64, String>>,
     /// When runs were last looked through for one that should move.
     moved_at: Cell<Instant>,
+    /// Versions by which jobs that repeat groups are ahead of the jobs that asked for them before.
+    pub repeat_lead: Cell<WeightVersion>,
     pub wake: Notify,
 }
 
@@ -133,6 +148,7 @@
             jobs: RefCell::default(),
             prompts: RefCell::default(),
             moved_at: Cell::new(Instant::now()),
+            repeat_lead: Cell::new(MIN_REPEAT_LEAD),
             wake: Notify::new(),
         };
         let runner = Self { inner: Rc::new(inner) };
@@ -240,6 +256,7 @@
         monoio::spawn(publish::publish_results(self.inner.clone(), job.clone()));
         monoio::spawn(publish::keep_confirmed(self.inner.clone(), job.clone()));
         monoio::spawn(self.inner.clone().keep_checkpoints(job.clone()));
+        monoio::spawn(self.inner.clone().end_ahead(job.clone()));
         self.inner.wake.notify_one();
         job
     }
@@ -364,7 +381,7 @@
         left > 0
     }
 
-    fn waiting(&self, job: &Job, run: &ItemRun, key: usize, now: Instant) -> Waiting {
+    pub fn waiting(&self, job: &Job, run: &ItemRun, key: usize, now: Instant) -> Waiting {
         let record = job.record.borrow();
         let tokens = run.item.length_hint.unwrap_or(run.item.tokens);
         Waiting {
@@ -417,7 +434,7 @@
     /// Moves the run that gains most from another engine; returns whether any item runs.
     ///
     /// One move a round: the next one sees the slots that this one has taken.
-    fn move_slow_runs(&self, now: Instant) -> bool {
+    fn move_slow_runs(self: &Rc<Self>, now: Instant) -> bool {
         let mut any = false;
         let mut best: Option<(f64, Rc<ItemRun>, String)> = None;
         for job in self.jobs.borrow().values().filter(|job| !job.stop.is_cancelled()) {
@@ -440,12 +457,11 @@
                 .map(|target| self.parts.engines.outlook(target, &model, now))
                 .collect();
             let usual_ms = usual_gap_ms(outlooks.iter());
+            let mut outlook = JobOutlook { service, min_version, candidates, usual_ms };
+            self.generate_ahead(job, &mut outlook, now);
             for run in running {
-                let Some(item) = self.running_item(run, &service, usual_ms, min_version, now)
-                else {
-                    continue;
-                };
-                if let Some(chosen) = choose_move(&item, &candidates) {
+                let Some(item) = self.running_item(run, &outlook, now) else { continue };
+                if let Some(chosen) = choose_move(&item, &outlook.candidates) {
                     let gain = item.events_left * (item.event_gap_ms - chosen.event_gap_ms);
                     if best.as_ref().is_none_or(|(most, ..)| gain > *most) {
                         best = Some((gain, run.clone(), chosen.target.clone()));
@@ -460,12 +476,10 @@
         any
     }
 
-    fn running_item(
+    pub fn running_item(
         &self,
         run: &ItemRun,
-        service: &str,
-        usual_ms: f64,
-        min_version: u64,
+        outlook: &JobOutlook,
         now: Instant,
     ) -> Option<RunningItem> {
         if run.moving.borrow().is_cancelled() {
@@ -480,15 +494,15 @@
             return None;
         }
         let configuration = self.parts.view.configuration()?;
-        let engine = configuration.services.get(service)?.engine.as_ref()?;
+        let engine = configuration.services.get(&outlook.service)?.engine.as_ref()?;
         let hinted = run.item.length_hint.unwrap_or(0) / engine.tokens_per_event;
         let made = run.progress.borrow().last_event;
-        let gap = self.parts.engines.state(&target).event_gap_ms(usual_ms, now)?;
+        let gap = self.parts.engines.state(&target).event_gap_ms(outlook.usual_ms, now)?;
         Some(RunningItem {
             target: target.id.clone(),
             event_gap_ms: gap,
             events_left: events_left(hinted, made),
-            min_version,
+            min_version: outlook.min_version,
         })
     }
 }
