--- a/bins/decknode/src/lead.rs
+++ b/bins/decknode/src/lead.rs
@@ -24,8 +24,10 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(1200);
 /// Time between two looks at the lease by a node that stops.
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(600);
-/// Added to the time after which no order of an earlier holder can still arrive.
-const ORDER_MARGIN: Duration = Duration::from_millis(300);
+/// Time between two looks at the lease while the object API does not answer.
+const RETRY_INTERVAL: Duration = Duration::from_millis(400);
+/// Time for which an order may be on its way: its call limit, and a margin.
+const ORDER_MARGIN: Duration = Duration::from_millis(1100);
 
 /// What the leader does.
 #[derive(Clone)]
@@ -68,6 +70,7 @@
         if cancel.run_until_cancelled(duties.feed.until_following()).await.is_none() {
             return;
         }
+        let mut pause = LOOK_INTERVAL;
         candidate = match candidate.try_acquire().await {
             Acquire::Held(held) => match lead(&duties, held, &cancel).await {
                 Some(candidate) => candidate,
@@ -81,10 +84,11 @@
             }
             Acquire::Failed(candidate, error) => {
                 log::info!(target: "lead", "lease not read error={error}");
+                pause = RETRY_INTERVAL;
                 candidate
             }
         };
-        cancel.run_until_cancelled(monoio::time::sleep(LOOK_INTERVAL)).await;
+        cancel.run_until_cancelled(monoio::time::sleep(pause)).await;
     }
 }
 
@@ -119,11 +123,11 @@
 ) -> Option<LeaseCandidate> {
     let token = held.token();
     let Bounds { lease, fencing_checked, job_retention, .. } = *duties.bounds.borrow();
-    // Targets that check fencing numbers refuse what an earlier holder still sends.
-    let start = match held.previous_holder() {
-        Some(previous) if previous != duties.vm && !fencing_checked => {
-            Instant::now() + held.previous_duration().unwrap_or(lease).max(lease) + ORDER_MARGIN
-        }
+    // Orders of two holders must be a whole lease apart, unless targets check fencing numbers and
+    // refuse what an earlier holder still sends.
+    let is_other = held.previous_holder().is_some_and(|previous| previous != duties.vm);
+    let start = match held.previous_acts_until() {
+        Some(acts_until) if is_other && !fencing_checked => acts_until + lease + ORDER_MARGIN,
         _ => Instant::now(),
     };
     log::info!(target: "lead", "lease held fencing={} previous={:?}", token.fencing(), held.previous_holder());
--- a/crates/batch/src/ahead.rs
+++ b/crates/batch/src/ahead.rs
@@ -28,7 +28,7 @@
 const MIN_TIME_LEFT: Duration = Duration::from_millis(1000);
 /// Open groups, compared with those that the caller need not wait for, up to which texts are generated
 /// ahead.
-const OPEN_GROUPS_FACTOR: usize = 2;
+const OPEN_GROUPS_FACTOR: usize = 4;
 /// Time after the end of a job for which texts are generated ahead on: the trainer trains, and asks for
 /// the later job after that.
 const AFTER_END: Duration = Duration::from_millis(2500);
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -313,6 +313,12 @@
     fn dispatch_round(self: &Rc<Self>) -> bool {
         let now = Instant::now();
         self.parts.engines.expire_news(now);
+        let moved_at = self.moved_at.get();
+        let looks = now.saturating_duration_since(moved_at) >= self.options.move_interval;
+        if looks {
+            self.moved_at.set(now);
+            self.move_slow_runs(now);
+        }
         let mut runs: Vec<(Rc<Job>, Rc<ItemRun>)> = Vec::new();
         let mut waiting = Vec::new();
         for job in self.jobs.borrow().values().filter(|job| !job.stop.is_cancelled()) {
@@ -336,12 +342,7 @@
             self.parts.view.need_versions(now);
         }
         if waiting.is_empty() {
-            let moved_at = self.moved_at.get();
-            if now.saturating_duration_since(moved_at) < self.options.move_interval {
-                return self.runs_items();
-            }
-            self.moved_at.set(now);
-            return self.move_slow_runs(now);
+            return self.runs_items();
         }
         sort_by_urgency(&mut waiting);
         let mut left = waiting.len();
--- a/crates/plat/src/lease.rs
+++ b/crates/plat/src/lease.rs
@@ -64,6 +64,8 @@
     duration: Option<Rc<dyn Fn() -> Duration>>,
     /// The last state of the lease that was read, and when this state was first seen.
     observed: Option<Observation>,
+    /// When the object API answered for the first time after it last failed to.
+    answered_since: Option<Instant>,
 }
 
 struct Observation {
@@ -77,8 +79,9 @@
     candidate: LeaseCandidate,
     record: LeaseRecord,
     revision: Revision,
-    /// Last state of the lease before this holder; `None` if there was none.
-    previous: Option<LeaseRecord>,
+    /// Last state of the lease before this holder, and when it was first seen; `None` if there was
+    /// none.
+    previous: Option<(LeaseRecord, Instant)>,
     /// Start of the last successful write. The lease lasts `duration` from some moment after it.
     last_write_start: Rc<Cell<Instant>>,
     /// Invariant: not longer than any duration that other candidates may know.
@@ -150,7 +153,7 @@
         options: LeaseOptions,
     ) -> Self {
         let (name, address) = (name.into(), address.into());
-        Self { store, name, holder, address, options, duration: None, observed: None }
+        Self { store, name, holder, address, options, duration: None, observed: None, answered_since: None }
     }
 
     /// Lets `duration` give the duration of the lease; a change holds from the next write on.
@@ -172,12 +175,11 @@
         let current = match self.store.get_any(LEASE_KIND, &self.name).await {
             Ok(current) => current,
             Err(error) => {
-                // The holder cannot renew either while the object API is down. Counting the outage
-                // as missed renewals would move all leases at once when it ends.
-                self.observed = None;
+                self.answered_since = None;
                 return Acquire::Failed(self, error);
             }
         };
+        self.answered_since.get_or_insert_with(Instant::now);
         let (condition, fencing, previous) = match current {
             None => (Precondition::Absent, 1, None),
             Some(object) => match self.observe(object) {
@@ -198,12 +200,13 @@
             nonce: deck_core::id::random_id(),
         };
         let started = Instant::now();
+        let since = self.observed.as_ref().map(|seen| seen.since);
         match self.write(condition, &record).await {
             Ok(revision) => Acquire::Held(HeldLease {
                 candidate: self,
                 record,
                 revision,
-                previous,
+                previous: previous.zip(since),
                 last_write_start: Rc::new(Cell::new(started)),
                 known_duration: Rc::new(Cell::new(duration)),
                 ended: CancellationToken::new(),
@@ -226,12 +229,19 @@
     }
 
     /// Returns whether the observed lease was released or not renewed for its duration.
+    ///
+    /// The holder cannot renew either while the object API is down. Counting the outage alone as missed
+    /// renewals would move all leases at once when it ends, so a live holder has half of the duration
+    /// to renew after the outage: it tries several times in that time.
     fn is_free(&self, record: &LeaseRecord) -> bool {
+        let is_lapsed = |seen: &Observation| {
+            let duration = Duration::from_millis(seen.record.duration_ms);
+            let answered = self.answered_since.is_some_and(|since| since.elapsed() >= duration / 2);
+            answered && seen.since.elapsed() >= duration
+        };
         record.holder.is_empty()
             || (self.options.reclaim_own && record.holder == self.holder)
-            || self.observed.as_ref().is_some_and(|seen| {
-                seen.since.elapsed() >= Duration::from_millis(seen.record.duration_ms)
-            })
+            || self.observed.as_ref().is_some_and(is_lapsed)
     }
 
     async fn write(
@@ -254,16 +264,21 @@
 
     /// Returns the holder before this one; `None` if there was none or it gave the lease up.
     pub fn previous_holder(&self) -> Option<&str> {
-        self.previous().map(|record| record.holder.as_str())
+        self.previous().map(|(record, _)| record.holder.as_str())
     }
 
-    /// Returns the duration of the lease under the holder before this one.
-    pub fn previous_duration(&self) -> Option<Duration> {
-        self.previous().map(|record| Duration::from_millis(record.duration_ms))
+    /// Returns the moment from which on the holder before this one no longer acts; `None` if there was
+    /// none or it gave the lease up.
+    ///
+    /// Its last renewal began before its state was first seen, and it acts for two thirds of the
+    /// duration after that, see [`LeaseToken::is_valid`].
+    pub fn previous_acts_until(&self) -> Option<Instant> {
+        let (record, since) = self.previous()?;
+        Some(*since + Duration::from_millis(record.duration_ms) * 2 / 3)
     }
 
-    fn previous(&self) -> Option<&LeaseRecord> {
-        self.previous.as_ref().filter(|record| !record.holder.is_empty())
+    fn previous(&self) -> Option<&(LeaseRecord, Instant)> {
+        self.previous.as_ref().filter(|(record, _)| !record.holder.is_empty())
     }
 
     /// Returns a token with which tasks check that the lease is valid.
--- a/crates/plat/tests/lease.rs
+++ b/crates/plat/tests/lease.rs
@@ -140,6 +140,48 @@
     });
 }
 
+/// Pattern: the holder is lost at the beginning of an outage. Guards against a lease that stays blocked
+/// for its whole duration once more when the outage ends, and against a wait of the next holder that
+/// counts from its own acquisition only.
+#[test]
+fn lease_of_a_lost_holder_is_free_soon_after_an_outage() {
+    const LONG: Duration = Duration::from_secs(4);
+    run(async {
+        let world = World::start();
+        let options = LeaseOptions { duration: LONG, ..LeaseOptions::default() };
+        let candidate = |vm: &str| {
+            let address = "127.0.0.1:1";
+            LeaseCandidate::new(world.store.clone(), "l", vm.to_owned(), address, options.clone())
+        };
+        let Acquire::Held(_lost) = candidate("a").try_acquire().await else {
+            panic!("the lease is free")
+        };
+        let Acquire::HeldElsewhere(second, _) = candidate("b").try_acquire().await else {
+            panic!("the lease is held");
+        };
+        let seen = Instant::now();
+        world.faults(json!({ "outage": "refuse" })).await;
+        let Acquire::Failed(mut second, _) = second.try_acquire().await else {
+            panic!("acquired in an outage");
+        };
+        monoio::time::sleep(LONG).await;
+        world.faults(json!({ "outage": "none" })).await;
+        let outage_end = Instant::now();
+        let held = loop {
+            second = match second.try_acquire().await {
+                Acquire::Held(held) => break held,
+                Acquire::HeldElsewhere(candidate, _) | Acquire::Failed(candidate, _) => candidate,
+            };
+            monoio::time::sleep(LONG / 40).await;
+        };
+        let waited = outage_end.elapsed();
+        assert!(waited >= LONG / 2, "no time for a live holder to renew: {waited:?}");
+        assert!(waited < LONG * 9 / 10, "{waited:?}");
+        let acts_until = held.previous_acts_until().expect("a holder before it");
+        assert!(acts_until <= seen + LONG * 2 / 3);
+    });
+}
+
 /// Guards against a changed duration that holds only after a restart, and against a holder that acts
 /// for longer than the duration that the others know.
 #[test]
@@ -165,9 +207,11 @@
         assert!(!token.is_valid(), "others may know the shorter duration already");
         world.faults(json!({ "outage": "none" })).await;
         held.renew().await.expect("renewed");
+        let renewed = Instant::now();
         let second = world.acquire("b").await;
         assert!(!token.is_valid());
-        assert_eq!(second.previous_duration(), Some(DURATION));
+        let acts_until = second.previous_acts_until().expect("a holder before it");
+        assert!(acts_until >= renewed + DURATION * 2 / 3, "the first holder may still act");
     });
 }
 
