--- a/crates/batch/src/ahead.rs
+++ b/crates/batch/src/ahead.rs
@@ -7,17 +7,15 @@
 //! such an engine has a free slot.
 
 use std::{
-    collections::HashSet,
+    cmp::Reverse,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use deck_core::id::{RequestId, WeightVersion};
+use deck_core::id::WeightVersion;
 
 use crate::{
-    dispatch::{Candidate, Waiting, choose},
     job::{ItemRun, Job, Phase},
-    run,
     runner::{Inner, JobOutlook},
 };
 
@@ -26,86 +24,53 @@
 pub(crate) const MIN_REPEAT_LEAD: WeightVersion = 2;
 /// Least remaining time of a text that is generated ahead as well.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(1000);
-/// Open groups, compared with those that the caller need not wait for, up to which texts are generated
-/// ahead.
-const OPEN_GROUPS_FACTOR: usize = 4;
+/// Texts of a job that are generated ahead at a time, for each group that its caller need not wait for.
+const TEXTS_PER_GROUP: usize = 4;
 /// Time after the end of a job for which texts are generated ahead on: the trainer trains, and asks for
 /// the later job after that.
 const AFTER_END: Duration = Duration::from_millis(2500);
 /// Urgency of a run ahead: all others come first.
 pub(crate) const AHEAD_PRIORITY: u8 = 9;
 
-impl Job {
-    /// Returns the items of the last open groups, or none if many groups are open or the caller waits
-    /// for all.
-    fn last_items(&self) -> Vec<Rc<ItemRun>> {
-        let wanted = self.record.borrow().group_count;
-        let items = self.items.borrow();
-        let open: Vec<&Rc<ItemRun>> =
-            items.iter().filter(|run| run.phase.get() != Phase::Done).collect();
-        let groups: HashSet<_> = open.iter().map(|run| &run.item.group).collect();
-        let unneeded = self.groups.saturating_sub(wanted);
-        if wanted == 0 || groups.len() > unneeded * OPEN_GROUPS_FACTOR {
-            return Vec::new();
-        }
-        open.into_iter().cloned().collect()
-    }
-
-    /// Returns the text of an item that was generated ahead.
-    pub(crate) fn text_ahead(&self, id: &RequestId) -> Option<Rc<ItemRun>> {
-        self.ahead.borrow().iter().find(|run| run.item.id == *id).cloned()
-    }
-}
-
 impl Inner {
-    /// Begins to generate texts of a job ahead where engines are free, and ends those that are no
-    /// longer of use.
-    pub(crate) fn generate_ahead(
-        self: &Rc<Self>,
-        job: &Rc<Job>,
-        outlook: &mut JobOutlook,
-        now: Instant,
-    ) {
-        let last = job.last_items();
-        job.ahead.borrow_mut().retain(|copy| {
-            let is_open = last.iter().any(|run| run.item.id == copy.item.id);
+    /// Chooses the texts of a job that are generated ahead, those that have grown longest first, and
+    /// ends those that are no longer of use.
+    pub(crate) fn choose_ahead(&self, job: &Job, outlook: &JobOutlook, now: Instant) {
+        let wanted = job.record.borrow().group_count;
+        if wanted == 0 {
+            return;
+        }
+        let later = self.later_version(job);
+        let most = job.groups.saturating_sub(wanted) * TEXTS_PER_GROUP;
+        let items = job.items.borrow();
+        let mut ahead = job.ahead.borrow_mut();
+        ahead.retain(|copy| {
+            let is_open = |run: &Rc<ItemRun>| {
+                run.item.id == copy.item.id && run.phase.get() == Phase::Running
+            };
+            let is_open = items.iter().any(is_open);
             if !is_open {
                 copy.moving.borrow().cancel();
             }
             is_open
         });
-        let later = outlook.min_version + self.repeat_lead.get();
-        for run in last.iter().filter(|run| run.phase.get() == Phase::Running) {
-            if run.progress.borrow().fits(later) {
-                continue;
-            }
-            let copy = job.text_ahead(&run.item.id);
-            if copy.as_ref().is_some_and(|copy| copy.phase.get() != Phase::Waiting) {
-                continue;
-            }
-            let item = self.running_item(run, outlook, now);
-            if item.is_none_or(|item| item.time_left() < MIN_TIME_LEFT) {
-                continue;
-            }
-            let waiting = Waiting { min_version: later, ..self.waiting(job, run, 0, now) };
-            let own: Vec<Candidate> =
-                outlook.candidates.iter().filter(|c| !c.follows_other).cloned().collect();
-            let Some(index) = choose(&waiting, &own, None) else { return };
-            let Some(target) = self.parts.view.target(&own[index].target) else { return };
-            let chosen = outlook.candidates.iter_mut().find(|c| c.target == target.id);
-            if let Some(chosen) = chosen {
-                chosen.running += 1;
-            }
-            let copy = copy.unwrap_or_else(|| {
-                let copy = Rc::new(ItemRun::ahead(run.item.clone()));
-                job.ahead.borrow_mut().push(copy.clone());
-                copy
-            });
-            copy.enter(Phase::Running);
-            log::info!(target: "batch", "text ahead item={} job={} target={}", run.item.id, job.id, target.id);
-            let guard = self.parts.engines.start_run(&target);
-            monoio::spawn(run::run_item(self.clone(), job.clone(), copy, target, guard));
-        }
+        let is_long = |run: &&Rc<ItemRun>| {
+            run.phase.get() == Phase::Running
+                && !run.progress.borrow().fits(later)
+                && ahead.iter().all(|copy| copy.item.id != run.item.id)
+                && self
+                    .running_item(run, outlook, now)
+                    .is_some_and(|item| item.time_left() >= MIN_TIME_LEFT)
+        };
+        let mut long: Vec<&Rc<ItemRun>> = items.iter().filter(is_long).collect();
+        long.sort_by_key(|run| Reverse(run.progress.borrow().last_event));
+        long.truncate(most.saturating_sub(ahead.len()));
+        ahead.extend(long.into_iter().map(|run| Rc::new(ItemRun::ahead(run.item.clone()))));
+    }
+
+    /// Returns the oldest version that the job which repeats groups of this one will allow.
+    pub(crate) fn later_version(&self, job: &Job) -> WeightVersion {
+        job.record.borrow().min_version + self.repeat_lead.get()
     }
 
     /// Ends the texts that are generated ahead of a job some time after the job has stopped.
--- a/crates/batch/src/dispatch.rs
+++ b/crates/batch/src/dispatch.rs
@@ -19,6 +19,8 @@
     pub min_version: WeightVersion,
     /// Hash of the prompt's shared part; items with the same one share cached tokens.
     pub prompt: u64,
+    /// Whether its text is generated ahead for a later job.
+    pub is_ahead: bool,
 }
 
 /// An engine that takes work.
@@ -58,13 +60,18 @@
 /// likely to go on.
 const OVERRUN_PART: f64 = 0.4;
 
-/// Sorts items so that the one with the least slack comes first.
+/// Sorts items so that the one with the least slack comes first, after texts that are generated ahead:
+/// these are few and long.
 ///
 /// Slack is the time left until the result is due, less the time that the item is expected to
 /// take. A long item of a young job thus starts before a short one of an older job, and the items
 /// of one job start longest first.
 pub fn sort_by_urgency(waiting: &mut [Waiting]) {
-    waiting.sort_by(|a, b| slack(a).total_cmp(&slack(b)).then_with(|| a.key.cmp(&b.key)));
+    waiting.sort_by(|a, b| {
+        (b.is_ahead.cmp(&a.is_ahead))
+            .then_with(|| slack(a).total_cmp(&slack(b)))
+            .then_with(|| a.key.cmp(&b.key))
+    });
 }
 
 fn slack(item: &Waiting) -> f64 {
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -337,6 +337,12 @@
                 waiting.push(self.waiting(job, run, runs.len(), now));
                 runs.push((job.clone(), run.clone()));
             }
+            let ahead = job.ahead.borrow();
+            for run in ahead.iter().filter(|run| run.phase.get() == Phase::Waiting) {
+                let min_version = self.later_version(job);
+                waiting.push(Waiting { min_version, ..self.waiting(job, run, runs.len(), now) });
+                runs.push((job.clone(), run.clone()));
+            }
         }
         if !waiting.is_empty() {
             self.parts.view.need_versions(now);
@@ -391,6 +397,7 @@
             expected: self.options.token_time * u32::try_from(tokens).unwrap_or(u32::MAX),
             model: record.model.clone(),
             min_version: record.min_version,
+            is_ahead: run.is_ahead,
             prompt: hash64(run.item.group.as_deref().unwrap_or(&run.item.id).as_bytes()),
         }
     }
@@ -435,7 +442,7 @@
     /// Moves the run that gains most from another engine; returns whether any item runs.
     ///
     /// One move a round: the next one sees the slots that this one has taken.
-    fn move_slow_runs(self: &Rc<Self>, now: Instant) -> bool {
+    fn move_slow_runs(&self, now: Instant) -> bool {
         let mut any = false;
         let mut best: Option<(f64, Rc<ItemRun>, String)> = None;
         for job in self.jobs.borrow().values().filter(|job| !job.stop.is_cancelled()) {
@@ -458,8 +465,8 @@
                 .map(|target| self.parts.engines.outlook(target, &model, now))
                 .collect();
             let usual_ms = usual_gap_ms(outlooks.iter());
-            let mut outlook = JobOutlook { service, min_version, candidates, usual_ms };
-            self.generate_ahead(job, &mut outlook, now);
+            let outlook = JobOutlook { service, min_version, candidates, usual_ms };
+            self.choose_ahead(job, &outlook, now);
             for run in running {
                 let Some(item) = self.running_item(run, &outlook, now) else { continue };
                 if let Some(chosen) = choose_move(&item, &outlook.candidates) {
--- a/crates/batch/tests/dispatch.rs
+++ b/crates/batch/tests/dispatch.rs
@@ -14,6 +14,7 @@
         model: "m".to_owned(),
         min_version: 3,
         prompt: 0,
+        is_ahead: false,
     }
 }
 
