Texts ahead have no result and reach no engine after the end; a leader without jobs asks for versions

A text ahead has no result now, and those that no engine has answered end with the job. The giver of orders asks for them now.

--- a/crates/batch/src/ahead.rs
+++ b/crates/batch/src/ahead.rs
@@ -73,10 +73,14 @@
         job.record.borrow().min_version + self.repeat_lead.get()
     }
 
-    /// Ends the texts that are generated ahead of a job some time after the job has stopped.
+    /// Ends the texts that are generated ahead of a job some time after the job has stopped. Nothing of
+    /// an ended job reaches an engine any more.
     pub(crate) async fn end_ahead(self: Rc<Self>, job: Rc<Job>) {
         job.stop.cancelled().await;
         if job.is_ended() {
+            for run in job.ahead.borrow().iter().filter(|run| !run.answered.get()) {
+                run.moving.borrow().cancel();
+            }
             monoio::time::sleep(AFTER_END).await;
         }
         job.ahead_stop.cancel();
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -89,6 +89,8 @@
     pub moving: RefCell<CancellationToken>,
     /// When the current run started.
     pub started_at: Cell<Option<Instant>>,
+    /// Whether its engine has answered the current run, so that nothing of it is still on its way.
+    pub answered: Cell<bool>,
     /// Whether the text is generated ahead for a later job, see [`Job::ahead`].
     pub is_ahead: bool,
 }
@@ -149,6 +151,7 @@
             target: RefCell::default(),
             moving: RefCell::default(),
             started_at: Cell::new(None),
+            answered: Cell::new(false),
             is_ahead: false,
         }
     }
@@ -223,9 +226,10 @@
         self.items.borrow().iter().find(|run| run.item.id == id).cloned()
     }
 
-    /// Takes note of an item's result, which becomes visible once it is stored.
+    /// Takes note of an item's result, which becomes visible once it is stored. A text that is
+    /// generated ahead has none in this job.
     pub fn finish(&self, run: &ItemRun, outcome: ItemOutcome, score: Option<String>) {
-        if run.phase.replace(Phase::Done) == Phase::Done {
+        if run.phase.replace(Phase::Done) == Phase::Done || run.is_ahead {
             return;
         }
         let progress = run.progress.take();
--- a/crates/batch/src/run.rs
+++ b/crates/batch/src/run.rs
@@ -63,6 +63,7 @@
     }
     run.target.replace(Some(target.id.clone()));
     run.started_at.set(Some(started));
+    run.answered.set(false);
     let moving = CancellationToken::new();
     run.moving.replace(moving.clone());
     let generation = moving.run_until_cancelled(generate(&inner, &job, &run, &target));
@@ -136,6 +137,7 @@
         Ok(Err(error)) => return Ended::Refused(error.to_string()),
         Err(_) => return Ended::Broken("no response in time".to_owned()),
     };
+    run.answered.set(true);
     let status = response.status;
     let head = inner.parts.protocol.reply_head(status, &response.headers);
     if head.leaving {
--- a/crates/swap/src/giver.rs
+++ b/crates/swap/src/giver.rs
@@ -156,6 +156,8 @@
     /// Starts the orders that the plan asks for now.
     fn round(&self, token: &LeaseToken, stop: &CancellationToken) {
         let Some(configuration) = self.inner.view.configuration() else { return };
+        // A leader may run no job, and may take its knowledge from a watcher.
+        self.inner.view.need_versions(Instant::now());
         self.inner.engines.retain_known(&self.inner.view);
         let mut followed = HashMap::new();
         for service in configuration.services.values() {
--- a/crates/swap/src/plan.rs
+++ b/crates/swap/src/plan.rs
@@ -275,9 +275,8 @@
     let equal = 1.0 / models.len().max(1) as f64;
     let known: Option<Vec<f64>> = models.iter().map(|model| model.demand.events_per_s).collect();
     let known = known.unwrap_or_else(|| vec![1.0; models.len()]);
-    let known: Vec<f64> = known.iter().map(|k| k.powf(1.5)).collect();
     let total = known.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-    let parts: Vec<f64> = known.iter().map(|demand| (demand / total).max(equal / 4.0)).collect();
+    let parts: Vec<f64> = known.iter().map(|demand| (demand / total).max(equal / 2.0)).collect();
     let sum: f64 = parts.iter().sum();
     let exact: Vec<f64> = parts.iter().map(|part| part / sum * count as f64).collect();
     let mut quotas: Vec<usize> = exact.iter().map(|quota| quota.floor() as usize).collect();
