--- a/crates/swap/src/giver.rs
+++ b/crates/swap/src/giver.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use deck_core::{
     CancellationToken,
-    id::{TargetId, WeightVersion},
+    id::{PoolName, TargetId, WeightVersion},
 };
 use deck_fleet::{
     EngineNews, Engines, Observer, Order, OrderReply, Protocol, Target, TargetReport, TargetState,
@@ -23,7 +23,7 @@
 use http::{Request, StatusCode};
 use tokio::sync::Notify;
 
-use crate::plan::{EngineVersions, NamedModel, PlanOptions, assign, plan_assigned};
+use crate::plan::{self, EngineVersions, NamedModel, PlanOptions, assign, plan_assigned};
 
 /// Options of a [`Giver`].
 #[derive(Debug, Clone)]
@@ -77,6 +77,8 @@
     ended: Notify,
     /// Orders that each run of a target has accepted, by its id and start.
     accepted: RefCell<HashMap<(TargetId, u64), u64>>,
+    /// Number of engines for each model of a service by the last plan.
+    quotas: RefCell<HashMap<PoolName, Vec<usize>>>,
     /// Models that the engines follow by the last plan.
     assigned: RefCell<HashMap<TargetId, ModelName>>,
 }
@@ -102,6 +104,7 @@
             options,
             ended: Notify::new(),
             accepted: RefCell::default(),
+            quotas: RefCell::default(),
             assigned: RefCell::default(),
         };
         Self { inner: Rc::new(inner) }
@@ -168,7 +171,10 @@
             let ready = targets.iter().filter(|target| target.state == TargetState::Ready);
             let states: Vec<EngineVersions> =
                 ready.map(|target| self.engine_versions(target, &models)).collect();
-            let assigned = assign(&states, &models);
+            let mut quotas = self.inner.quotas.borrow_mut();
+            let quotas = quotas.entry(service.name.clone()).or_default();
+            *quotas = plan::quotas(states.len(), &models, quotas);
+            let assigned = assign(&states, &models, quotas);
             for (state, model) in states.iter().zip(&assigned) {
                 if let Some(model) = model {
                     followed.insert(state.target.clone(), models[*model].name.clone());
--- a/crates/swap/src/plan.rs
+++ b/crates/swap/src/plan.rs
@@ -72,7 +72,8 @@
     models: &[NamedModel],
     options: &PlanOptions,
 ) -> Vec<Change> {
-    plan_assigned(engines, models, &assign(engines, models), options)
+    let quotas = quotas(engines.len(), models, &[]);
+    plan_assigned(engines, models, &assign(engines, models, &quotas), options)
 }
 
 /// As [`plan`], with the models that the engines are assigned to.
@@ -183,11 +184,15 @@
 /// Assigns each engine to a model: returns the model's index for each engine.
 ///
 /// The models take turns and pick the engine with their newest version, so assignments stay once
-/// they are made. Each model gets engines in proportion to its demand. Then engines are exchanged so
-/// that fast ones run long texts.
-pub fn assign(engines: &[EngineVersions], models: &[NamedModel]) -> Vec<Option<usize>> {
+/// they are made. Each model gets its number of engines. Then engines are exchanged so that fast ones
+/// run long texts.
+pub fn assign(
+    engines: &[EngineVersions],
+    models: &[NamedModel],
+    quotas: &[usize],
+) -> Vec<Option<usize>> {
     let mut assigned = vec![None; engines.len()];
-    let mut quotas = quotas(engines.len(), models);
+    let mut quotas = quotas.to_vec();
     // The engines that have a model, the one that it picks first at the end.
     let wishes = |(model, named): (usize, &NamedModel)| {
         let has = (0..engines.len()).filter(|index| engines[*index].versions[model].is_some());
@@ -271,7 +276,17 @@
 
 /// Returns the number of engines for each model in proportion to the events that its jobs ask for;
 /// each gets at least half of an equal part, and an equal part until all demands are known.
-fn quotas(count: usize, models: &[NamedModel]) -> Vec<usize> {
+///
+/// The numbers stay as they were in `before` unless one of them changes by two or more: an engine that
+/// goes to another model has to load it, and demands vary from job to job.
+pub fn quotas(count: usize, models: &[NamedModel], before: &[usize]) -> Vec<usize> {
+    let quotas = proportional(count, models);
+    let is_valid = before.len() == models.len() && before.iter().sum::<usize>() == count;
+    let is_close = |(now, before): (&usize, &usize)| now.abs_diff(*before) < 2;
+    if is_valid && quotas.iter().zip(before).all(is_close) { before.to_vec() } else { quotas }
+}
+
+fn proportional(count: usize, models: &[NamedModel]) -> Vec<usize> {
     let equal = 1.0 / models.len().max(1) as f64;
     let known: Option<Vec<f64>> = models.iter().map(|model| model.demand.events_per_s).collect();
     let known = known.unwrap_or_else(|| vec![1.0; models.len()]);
