--- a/crates/batch/src/ahead.rs
+++ b/crates/batch/src/ahead.rs
@@ -2,9 +2,9 @@
 //!
 //! A trainer ends a step when enough groups are complete, and asks for the others again in a later
 //! step, which allows only newer versions. The texts that decide when the first step ends are often
-//! the longest ones, and would begin anew in the later step. So while a job waits for its last groups,
-//! their texts are generated a second time on engines with a version that the later job allows, where
-//! such an engine has a free slot.
+//! the longest ones, and would begin anew in the later step. So the texts that have grown longest are
+//! generated a second time, on engines with a version that the later job allows. The later job takes
+//! these texts over.
 
 use std::{
     cmp::Reverse,
@@ -32,40 +32,61 @@
 /// Urgency of a run ahead: all others come first.
 pub(crate) const AHEAD_PRIORITY: u8 = 9;
 
+/// A running text as the choice of texts that are generated ahead sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunningText {
+    /// Events so far.
+    pub events: u64,
+    /// Expected time until it is complete.
+    pub time_left: Duration,
+    /// Whether the later job allows the versions of the text so far.
+    pub is_reusable: bool,
+}
+
+/// Returns the indexes of at most `most` texts that should be generated ahead: those that have grown
+/// longest, as long texts are likely to go on and hints tell little of them.
+pub fn choose_texts(texts: &[RunningText], most: usize) -> Vec<usize> {
+    let is_long = |text: &RunningText| !text.is_reusable && text.time_left >= MIN_TIME_LEFT;
+    let mut long: Vec<usize> = (0..texts.len()).filter(|index| is_long(&texts[*index])).collect();
+    long.sort_by_key(|index| Reverse(texts[*index].events));
+    long.truncate(most);
+    long
+}
+
 impl Inner {
-    /// Chooses the texts of a job that are generated ahead, those that have grown longest first, and
-    /// ends those that are no longer of use.
+    /// Chooses the texts of a job that are generated ahead, and ends those that are no longer of use.
     pub(crate) fn choose_ahead(&self, job: &Job, outlook: &JobOutlook, now: Instant) {
         let wanted = job.record.borrow().group_count;
         if wanted == 0 {
             return;
         }
-        let later = self.later_version(job);
-        let most = job.groups.saturating_sub(wanted) * TEXTS_PER_GROUP;
         let items = job.items.borrow();
         let mut ahead = job.ahead.borrow_mut();
         ahead.retain(|copy| {
-            let is_open = |run: &Rc<ItemRun>| {
-                run.item.id == copy.item.id && run.phase.get() == Phase::Running
-            };
-            let is_open = items.iter().any(is_open);
+            let open = items.iter().find(|run| run.item.id == copy.item.id);
+            let is_open = open.is_some_and(|run| run.phase.get().needs_text());
             if !is_open {
                 copy.moving.borrow().cancel();
             }
             is_open
         });
-        let is_long = |run: &&Rc<ItemRun>| {
-            run.phase.get() == Phase::Running
-                && !run.progress.borrow().fits(later)
-                && ahead.iter().all(|copy| copy.item.id != run.item.id)
-                && self
-                    .running_item(run, outlook, now)
-                    .is_some_and(|item| item.time_left() >= MIN_TIME_LEFT)
-        };
-        let mut long: Vec<&Rc<ItemRun>> = items.iter().filter(is_long).collect();
-        long.sort_by_key(|run| Reverse(run.progress.borrow().last_event));
-        long.truncate(most.saturating_sub(ahead.len()));
-        ahead.extend(long.into_iter().map(|run| Rc::new(ItemRun::ahead(run.item.clone()))));
+        let later = self.later_version(job);
+        let running = items.iter().filter(|run| {
+            let is_ahead = ahead.iter().any(|copy| copy.item.id == run.item.id);
+            run.phase.get() == Phase::Running && !is_ahead
+        });
+        let (runs, texts): (Vec<&Rc<ItemRun>>, Vec<RunningText>) = running
+            .filter_map(|run| {
+                let time_left = self.running_item(run, outlook, now)?.time_left();
+                let progress = run.progress.borrow();
+                let (events, is_reusable) = (progress.last_event, progress.fits(later));
+                Some((run, RunningText { events, time_left, is_reusable }))
+            })
+            .unzip();
+        let most = job.groups.saturating_sub(wanted) * TEXTS_PER_GROUP;
+        let chosen = choose_texts(&texts, most.saturating_sub(ahead.len()));
+        let copy = |index: usize| Rc::new(ItemRun::ahead(runs[index].item.clone()));
+        ahead.extend(chosen.into_iter().map(copy));
     }
 
     /// Returns the oldest version that the job which repeats groups of this one will allow.
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -49,8 +49,8 @@
     pub finished: Notify,
     /// Number of listed results, for readers that wait.
     pub positions: watch::Sender<usize>,
-    /// Items of the last open groups whose texts are generated ahead for the job that may repeat them.
-    /// Invariant: none of them is in `items`; they have no result in this job.
+    /// Second copies of open items, whose texts are generated ahead for the job that may repeat them, see
+    /// [`crate::ahead`]. Invariant: none of them is in `items`; they have no result in this job.
     pub ahead: RefCell<Vec<Rc<ItemRun>>>,
     /// Cancelled when the job is ended or another node runs it.
     pub stop: CancellationToken,
@@ -73,6 +73,13 @@
     Done,
 }
 
+impl Phase {
+    /// Returns whether the text is not complete yet.
+    pub fn needs_text(self) -> bool {
+        matches!(self, Self::Waiting | Self::Running)
+    }
+}
+
 /// One item and its progress.
 pub struct ItemRun {
     /// The item.
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -5,7 +5,7 @@
 //! stored in numbered chunks under fixed names, so two nodes that run the same job can never show
 //! different results at one position.
 
-mod ahead;
+pub mod ahead;
 pub mod checkpoint;
 pub mod dispatch;
 pub mod events;
--- a/crates/batch/tests/runner.rs
+++ b/crates/batch/tests/runner.rs
@@ -5,11 +5,11 @@
 use deck_batch::{
     Accepted, JobRecord, Ledger, RunOptions, Runner,
     handover::Handover,
-    job::{Job, Phase, Progress},
+    job::{ItemRun, Job, Phase, Progress},
 };
 use deck_core::{CancellationToken, id::Revision};
 use deck_fleet::{BatchJob, Item, ItemOutcome};
-use deck_testkit::memory::MemoryObjects;
+use deck_testkit::{eventually, memory::MemoryObjects};
 use futures_util::future::join;
 
 mod common;
@@ -90,6 +90,67 @@
     deck_net::runtime::run(test).expect("runtime");
 }
 
+/// Pattern: the longest texts of a step come again two steps later, which allows only newer versions.
+/// Guards against running them from the start there, and against a result of a second copy beside that
+/// of its item.
+#[test]
+fn text_that_was_generated_ahead_is_taken_over() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let ledger = Ledger::new(MemoryObjects::default().store(), 1 << 20);
+        let runner = runner(&ledger, &cancel);
+        let items = ["grown", "whole", "failed"].map(|id| item(id, "as before"));
+        let start = async |id: &str, min_version: u64| {
+            let job = BatchJob { id: id.to_owned(), min_version, items: items.to_vec(), ..job() };
+            let accepted = ledger.accept(&job, "vm-1", address()).await;
+            let Accepted::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+            runner.start_job(id, record, revision, job.items)
+        };
+        let earlier = start("step-1", 1).await;
+        let copies: Vec<Rc<ItemRun>> =
+            items.iter().map(|item| Rc::new(ItemRun::ahead(item.clone()))).collect();
+        for (copy, item) in copies.iter().zip(&items) {
+            earlier.unlisted_item(&item.id).expect("item").progress.replace(text(9, 1));
+            copy.progress.replace(text(4, 3));
+        }
+        copies[1].enter(Phase::Complete);
+        earlier.finish(&copies[2], ItemOutcome::Failed, None);
+        assert!(earlier.unlisted.borrow().is_empty(), "a second copy has a result");
+        earlier.ahead.replace(copies.clone());
+        earlier.stop.cancel();
+
+        let later = start("step-3", 3).await;
+        let run = |id: &str| later.unlisted_item(id).expect("item");
+        assert_eq!(*run("grown").progress.borrow(), text(4, 3));
+        assert_eq!(run("whole").phase.get(), Phase::Complete);
+        assert!(copies.iter().all(|copy| copy.moving.borrow().is_cancelled()), "runs on beside it");
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// Guards against a run of an ended job that is still on its way to an engine, and against one that goes
+/// on for good.
+#[test]
+fn texts_ahead_end_with_their_job() {
+    let test = async {
+        let (runner, record, revision, cancel) = runner_with_stored_job().await;
+        let job = runner.start_job("job", record.clone(), revision, job().items);
+        let [on_its_way, answered] = ["a", "b"].map(|id| Rc::new(ItemRun::ahead(item(id, ""))));
+        answered.answered.set(true);
+        job.ahead.replace(vec![on_its_way.clone(), answered.clone()]);
+        job.record.replace(JobRecord { ended: true, ..record });
+        job.stop.cancel();
+        eventually("the one on its way ends", async || on_its_way.moving.borrow().is_cancelled())
+            .await;
+        assert!(!answered.moving.borrow().is_cancelled(), "its text is lost to the later job");
+        assert!(!job.ahead_stop.is_cancelled());
+        eventually("the other one ends", async || job.ahead_stop.is_cancelled()).await;
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
 /// Starts a runner whose node is named in the record of a stored job.
 async fn runner_with_stored_job() -> (Runner, JobRecord, Revision, CancellationToken) {
     let cancel = CancellationToken::new();
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -1,6 +1,6 @@
 //! What the jobs of a model ask of the engines.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use deck_core::id::WeightVersion;
 use serde::{Deserialize, Serialize};
@@ -20,10 +20,6 @@
     pub events_per_s: Option<f64>,
     /// Oldest version that the newest job allows; `None` before the first job.
     pub oldest_allowed: Option<WeightVersion>,
-    /// Expected time until the next job in milliseconds; `None` if it is not known.
-    pub next_job_ms: Option<u64>,
-    /// Items that wait for an engine.
-    pub waiting: u32,
 }
 
 /// Measures the demand of a model by its jobs and texts.
@@ -36,7 +32,6 @@
     interval_ms: Option<f64>,
     /// Newest job.
     newest: Option<NewestJob>,
-    waiting: u32,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -46,8 +41,8 @@
 }
 
 impl DemandMeter {
-    /// Takes note of a job. One that allows no newer version than the newest job changes nothing: it
-    /// was taken over.
+    /// Takes note of a job. One that was submitted before the newest job, such as one that is taken
+    /// over, changes nothing.
     pub fn record_job(&mut self, oldest_allowed: WeightVersion, items: usize, submitted: Instant) {
         if self.newest.is_some_and(|newest| newest.submitted_at >= submitted) {
             return;
@@ -66,27 +61,15 @@
         self.text_events = Some(mean(self.text_events, events as f64, NEWEST_TEXT_PART));
     }
 
-    /// Takes note of the number of items that wait for an engine.
-    pub fn set_waiting(&mut self, waiting: u32) {
-        self.waiting = waiting;
-    }
-
-    /// Returns the demand at `now`.
-    pub fn demand(&self, now: Instant) -> ModelDemand {
+    /// Returns the demand.
+    pub fn demand(&self) -> ModelDemand {
         let per_s = |interval_ms: f64| {
             Some(self.text_events? * self.job_items? * 1000.0 / interval_ms.max(1.0))
         };
-        let next_job_ms = |newest: NewestJob| {
-            let passed = now.saturating_duration_since(newest.submitted_at);
-            let interval = Duration::from_secs_f64(self.interval_ms? / 1000.0);
-            Some(interval.saturating_sub(passed).as_millis() as u64)
-        };
         ModelDemand {
             text_events: self.text_events,
             events_per_s: self.interval_ms.and_then(per_s),
             oldest_allowed: self.newest.map(|newest| newest.oldest_allowed),
-            next_job_ms: self.newest.and_then(next_job_ms),
-            waiting: self.waiting,
         }
     }
 }
--- a/crates/fleet/src/engines.rs
+++ b/crates/fleet/src/engines.rs
@@ -355,16 +355,16 @@
     }
 
     /// Returns the demand of a model's jobs, by the newest job that is known.
-    pub fn demand(&self, model: &str, now: Instant) -> ModelDemand {
+    pub fn demand(&self, model: &str) -> ModelDemand {
         let remote = self.remote_demands.borrow().get(model).cloned().unwrap_or_default();
-        let own = self.own_demand(model, now);
+        let own = self.own_demand(model);
         if own.oldest_allowed > remote.oldest_allowed { own } else { remote }
     }
 
     /// Returns the demand of a model's jobs on this node.
-    pub fn own_demand(&self, model: &str, now: Instant) -> ModelDemand {
+    pub fn own_demand(&self, model: &str) -> ModelDemand {
         let demands = self.demands.borrow();
-        demands.get(model).map(|meter| meter.demand(now)).unwrap_or_default()
+        demands.get(model).map(DemandMeter::demand).unwrap_or_default()
     }
 
     /// Takes note of a job of this node.
@@ -378,11 +378,6 @@
         self.meter(model, |meter| meter.record_job(oldest_allowed, items, submitted));
     }
 
-    /// Takes note of the number of a model's items that wait for an engine on this node.
-    pub fn set_waiting(&self, model: &str, waiting: u32) {
-        self.meter(model, |meter| meter.set_waiting(waiting));
-    }
-
     fn meter(&self, model: &str, change: impl FnOnce(&mut DemandMeter)) {
         let mut demands = self.demands.borrow_mut();
         match demands.get_mut(model) {
--- a/crates/plat/src/lease.rs
+++ b/crates/plat/src/lease.rs
@@ -153,7 +153,16 @@
         options: LeaseOptions,
     ) -> Self {
         let (name, address) = (name.into(), address.into());
-        Self { store, name, holder, address, options, duration: None, observed: None, answered_since: None }
+        Self {
+            store,
+            name,
+            holder,
+            address,
+            options,
+            duration: None,
+            observed: None,
+            answered_since: None,
+        }
     }
 
     /// Lets `duration` give the duration of the lease; a change holds from the next write on.
--- a/crates/swap/src/giver.rs
+++ b/crates/swap/src/giver.rs
@@ -194,7 +194,7 @@
         NamedModel {
             name: name.to_owned(),
             named: self.inner.view.named_version(name),
-            demand: self.inner.engines.demand(name, Instant::now()),
+            demand: self.inner.engines.demand(name),
         }
     }
 
--- a/crates/swap/src/plan.rs
+++ b/crates/swap/src/plan.rs
@@ -1,5 +1,7 @@
 //! Which engines change to newly named versions, and when.
 
+use std::cmp::Reverse;
+
 use deck_core::{
     hash::rendezvous_score,
     id::{TargetId, WeightVersion},
@@ -88,92 +90,38 @@
     if room == 0 {
         return Vec::new();
     }
-    let mut behind: Vec<Behind> = Vec::new();
+    let lag = |engine: &EngineVersions, model: usize| {
+        let named = models[model].named?;
+        Some(named.saturating_sub(engine.versions[model]?))
+    };
+    let usable = |model: usize| {
+        let can = |engine: &&EngineVersions| {
+            lag(engine, model).is_some_and(|lag| lag <= options.usable_lag)
+        };
+        engines.iter().filter(can).count()
+    };
+    let usable: Vec<usize> = (0..models.len()).map(usable).collect();
+    let mut behind: Vec<(usize, usize, u64)> = Vec::new();
     for (index, engine) in engines.iter().enumerate().filter(|(_, engine)| !engine.loading) {
         let Some(model) = assigned[index] else { continue };
-        let Some((version, named)) = engine.versions[model].zip(models[model].named) else {
-            continue;
-        };
-        if version < named {
-            let use_of = use_of(version, named, &models[model].demand, options);
-            behind.push(Behind { index, model, use_of });
+        if let Some(lag) = lag(engine, model).filter(|lag| *lag > 0) {
+            behind.push((index, model, lag));
         }
     }
-    let fitness: Vec<f64> = (0..models.len()).map(|model| fit_part(model, engines, models)).collect();
-    behind.sort_by(|a, b| {
-        let urgency = |behind: &Behind| match behind.use_of {
-            Use::None => fitness[behind.model],
-            Use::UntilNextJob => next_job_ms(&models[behind.model]),
-            Use::NextJob => 0.0,
-        };
-        let engine = |behind: &Behind| &engines[behind.index];
-        (a.use_of.cmp(&b.use_of))
-            .then_with(|| urgency(a).total_cmp(&urgency(b)))
-            .then_with(|| engine(b).free_slots.cmp(&engine(a).free_slots))
-            .then_with(|| engine(a).target.cmp(&engine(b).target))
+    behind.sort_by_key(|(index, model, lag)| {
+        let is_useless = *lag > options.usable_lag;
+        let fullness = u32::MAX - engines[*index].free_slots;
+        let order = if is_useless { usable[*model] as u32 } else { fullness };
+        (Reverse(is_useless), order, Reverse(*lag), engines[*index].target.clone())
     });
-    let change = |behind: &Behind| {
-        let version = models[behind.model].named?;
-        let target = engines[behind.index].target.clone();
-        Some(Change { target, model: behind.model, version })
+    let change = |(index, model, _): (usize, usize, u64)| {
+        let version = models[model].named?;
+        Some(Change { target: engines[index].target.clone(), model, version })
     };
-    let urgent = behind.iter().filter(|behind| behind.use_of != Use::NextJob).count();
+    let useless = behind.iter().filter(|(_, _, lag)| *lag > options.usable_lag).count();
     let spare = (max_loading(engines.len(), options) as f64 * options.spare_part).floor() as usize;
-    let count = urgent.max(room.saturating_sub(spare)).min(room);
-    behind.iter().filter_map(change).take(count).collect()
-}
-
-/// An engine without the named version of the model that it follows.
-#[derive(Debug, Clone, Copy)]
-struct Behind {
-    /// Index of the engine.
-    index: usize,
-    /// Index of the model.
-    model: usize,
-    use_of: Use,
-}
-
-/// For what the version of an engine is of use, the least first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Use {
-    /// Not even for the newest job.
-    None,
-    /// For the newest job, not for the next one.
-    UntilNextJob,
-    /// For the next job as well.
-    NextJob,
-}
-
-/// Returns for what `version` is of use. Each job of a model allows one version more than the one
-/// before.
-fn use_of(
-    version: WeightVersion,
-    named: WeightVersion,
-    demand: &ModelDemand,
-    options: &PlanOptions,
-) -> Use {
-    match demand.oldest_allowed {
-        Some(oldest) if version < oldest => Use::None,
-        Some(oldest) if version == oldest => Use::UntilNextJob,
-        Some(_) => Use::NextJob,
-        None if named - version > options.usable_lag => Use::None,
-        None => Use::NextJob,
-    }
-}
-
-/// Returns the engines that may generate for the newest job of a model, compared with its part of the
-/// work.
-fn fit_part(model: usize, engines: &[EngineVersions], models: &[NamedModel]) -> f64 {
-    let demand = &models[model].demand;
-    let oldest = demand.oldest_allowed.unwrap_or(0);
-    let fits = |engine: &&EngineVersions| {
-        engine.versions[model].is_some_and(|version| version >= oldest)
-    };
-    engines.iter().filter(fits).count() as f64 / demand.events_per_s.unwrap_or(1.0).max(1.0)
-}
-
-fn next_job_ms(model: &NamedModel) -> f64 {
-    model.demand.next_job_ms.unwrap_or(0) as f64
+    let count = useless.max(room.saturating_sub(spare)).min(room);
+    behind.into_iter().filter_map(change).take(count).collect()
 }
 
 /// Returns how many of `count` engines load at the same time.
--- a/crates/swap/src/runners.rs
+++ b/crates/swap/src/runners.rs
@@ -369,7 +369,7 @@
     engines.apply_news(view, &told.model, &told.news, now);
     let answer = Answer {
         loads: engines.own_loads(now),
-        demand: engines.own_demand(&told.model, now),
+        demand: engines.own_demand(&told.model),
         jobs: (jobs.len() != told.known_jobs).then_some(jobs),
         draining,
     };
--- /dev/null
+++ b/crates/swap/tests/giver.rs
@@ -0,0 +1,52 @@
+//! The node that gives orders, with a lease in memory.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use deck_core::CancellationToken;
+use deck_fleet::{CallerLimits, Configuration, Engine, Engines, Service, View};
+use deck_net::Client;
+use deck_plat::{Acquire, LeaseCandidate, LeaseOptions};
+use deck_platform::Wire;
+use deck_route::{Router, RouterOptions};
+use deck_swap::{Giver, SwapOptions};
+use deck_testkit::{eventually, memory::MemoryObjects};
+
+/// Pattern: the leader of a large fleet runs no job and has its knowledge from a watcher, which sends
+/// versions only to nodes that need them. Guards against a leader that knows no version and gives no
+/// order.
+#[test]
+fn leader_without_jobs_needs_versions() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let view = View::new(Router::new(RouterOptions::default()));
+        let engine = Engine { slots: 8, tokens_per_event: 1, models: vec!["m".to_owned()] };
+        let service = Service { name: "s".to_owned(), engine: Some(engine) };
+        let limits = CallerLimits::default();
+        view.set_configuration(Configuration::new(1, vec![], vec![service], limits));
+        let giver = Giver::new(
+            "vm-1".to_owned(),
+            view.clone(),
+            Engines::default(),
+            Client::default(),
+            Rc::new(Wire),
+            Rc::new(()),
+            SwapOptions::default(),
+        );
+        let store = MemoryObjects::default().store();
+        let options = LeaseOptions { duration: Duration::from_secs(60), ..LeaseOptions::default() };
+        let address = "127.0.0.1:1";
+        let candidate = LeaseCandidate::new(store, "leader", "vm-1".to_owned(), address, options);
+        let Acquire::Held(held) = candidate.try_acquire().await else {
+            panic!("the lease is free");
+        };
+        assert!(!view.needs_versions(Instant::now()));
+        let (token, stop) = (held.token(), cancel.clone());
+        monoio::spawn(async move { giver.run(token, Instant::now(), stop).await });
+        eventually("versions are needed", async || view.needs_versions(Instant::now())).await;
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
--- a/crates/swap/tests/plan.rs
+++ b/crates/swap/tests/plan.rs
@@ -3,7 +3,7 @@
 use deck_fleet::ModelDemand;
 use deck_swap::{
     Change, EngineVersions, NamedModel, PlanOptions, plan,
-    plan::{assign, max_loading},
+    plan::{assign, max_loading, quotas},
 };
 
 fn model(name: &str, named: u64) -> NamedModel {
@@ -15,6 +15,11 @@
     NamedModel { demand, ..model }
 }
 
+/// Returns the models of the engines as they are assigned at first.
+fn assign_first(engines: &[EngineVersions], models: &[NamedModel]) -> Vec<Option<usize>> {
+    assign(engines, models, &quotas(engines.len(), models, &[]))
+}
+
 fn with_work(model: NamedModel, events_per_s: f64) -> NamedModel {
     let demand = ModelDemand { events_per_s: Some(events_per_s), ..model.demand };
     NamedModel { demand, ..model }
@@ -75,7 +80,7 @@
 fn each_engine_follows_one_model() {
     let engines: Vec<_> = (0..9).map(|index| engine(index, &[1, 1, 1], 8)).collect();
     let models = [model("a", 2), model("b", 2), model("c", 2)];
-    let assigned = assign(&engines, &models);
+    let assigned = assign_first(&engines, &models);
     for model in 0..3 {
         assert_eq!(assigned.iter().filter(|of| **of == Some(model)).count(), 3, "{assigned:?}");
     }
@@ -86,20 +91,19 @@
 fn assignment_stays_with_the_loaded_versions() {
     let mut engines: Vec<_> = (0..9).map(|index| engine(index, &[1, 1], 8)).collect();
     let models = [model("a", 2), model("b", 2)];
-    let before = assign(&engines, &models);
+    let before = assign_first(&engines, &models);
     for (engine, model) in engines.iter_mut().zip(&before) {
         engine.versions[model.expect("a model")] = Some(2);
     }
-    assert_eq!(assign(&engines, &models), before);
+    assert_eq!(assign_first(&engines, &models), before);
 }
 
 /// Pattern: one model has most of the work. Guards against a model without engines.
 #[test]
 fn model_with_little_work_keeps_engines() {
     let engines: Vec<_> = (0..8).map(|index| engine(index, &[1, 1], 8)).collect();
-    let models =
-        [with_work(model("a", 2), 9900.0), with_work(model("b", 2), 100.0)];
-    let assigned = assign(&engines, &models);
+    let models = [with_work(model("a", 2), 9900.0), with_work(model("b", 2), 100.0)];
+    let assigned = assign_first(&engines, &models);
     let of_b = assigned.iter().filter(|of| **of == Some(1)).count();
     assert!((1..4).contains(&of_b), "{assigned:?}");
 }
@@ -110,15 +114,28 @@
 fn engines_are_shared_by_the_work_of_the_models() {
     let engines: Vec<_> = (0..11).map(|index| engine(index, &[1, 1], 12)).collect();
     let models = [with_work(model("short", 2), 330.0), with_work(model("long", 2), 850.0)];
-    let assigned = assign(&engines, &models);
+    let assigned = assign_first(&engines, &models);
     let of_long = assigned.iter().filter(|of| **of == Some(1)).count();
     assert_eq!(of_long, 8, "{assigned:?}");
     let unknown = [with_work(model("short", 2), 330.0), model("long", 2)];
-    let assigned = assign(&engines, &unknown);
+    let assigned = assign_first(&engines, &unknown);
     let of_long = assigned.iter().filter(|of| **of == Some(1)).count();
     assert!((5..=6).contains(&of_long), "{assigned:?}");
 }
 
+/// Pattern: the work of two models varies a little from job to job. Guards against engines that go back
+/// and forth between models, each time with a load.
+#[test]
+fn shares_stay_while_the_work_varies_a_little() {
+    let models = |short, long| [with_work(model("a", 2), short), with_work(model("b", 2), long)];
+    let before = quotas(44, &models(500.0, 500.0), &[]);
+    assert_eq!(before, [22, 22]);
+    assert_eq!(quotas(44, &models(480.0, 520.0), &before), before);
+    let changed = quotas(44, &models(300.0, 700.0), &before);
+    assert_eq!(changed, [13, 31]);
+    assert_eq!(quotas(40, &models(300.0, 700.0), &changed), [12, 28], "engines are gone");
+}
+
 /// Guards against orders for a model of which no version was named yet.
 #[test]
 fn nothing_is_loaded_before_a_version_is_named() {
@@ -148,22 +165,21 @@
             ..engine(index, &[1, 1, 1], 8)
         })
         .collect();
-    let assigned = assign(&engines, &models);
+    let assigned = assign_first(&engines, &models);
     let of_short: Vec<usize> = (0..9).filter(|index| assigned[*index] == Some(1)).collect();
     assert_eq!(of_short, [0, 3, 6], "{assigned:?}");
     let mut loaded = engines;
     for (engine, model) in loaded.iter_mut().zip(&assigned) {
         engine.versions[model.expect("a model")] = Some(2);
     }
-    assert_eq!(assign(&loaded, &models), assigned, "engines change their model again");
+    assert_eq!(assign_first(&loaded, &models), assigned, "engines change their model again");
 }
 
 /// Pattern: engines differ by their load of the moment only. Guards against exchanges that cost loads
 /// and gain nothing.
 #[test]
 fn engines_of_about_the_same_speed_are_not_exchanged() {
-    let models =
-        [model("a", 2), model("b", 2)].map(|model| with_texts(model, 20.0));
+    let models = [model("a", 2), model("b", 2)].map(|model| with_texts(model, 20.0));
     let shorter = [models[0].clone(), with_texts(models[1].clone(), 5.0)];
     let engines = |slow_ms: f64| -> Vec<_> {
         let speed = |index: usize| if index < 4 { slow_ms } else { 45.0 };
@@ -175,10 +191,10 @@
             .collect()
     };
     for (models, slow_ms) in [(&models, 90.0), (&shorter, 48.0)] {
-        let assigned = assign(&engines(slow_ms), models);
+        let assigned = assign_first(&engines(slow_ms), models);
         assert!(assigned[..4].iter().all(|model| *model == Some(0)), "{assigned:?}");
     }
-    let assigned = assign(&engines(59.0), &shorter);
+    let assigned = assign_first(&engines(59.0), &shorter);
     assert!(assigned[..4].iter().all(|model| *model == Some(1)), "{assigned:?}");
 }
 
