Work out the outlooks of engines once a look, and take texts over in one loop

Found on reading the change again: a look for slow runs asked for the outlook of each engine twice, once in candidates; move_slow_runs returned what nobody reads any more; texts ahead were taken over by a copy of the loop over items.

--- a/crates/batch/src/reuse.rs
+++ b/crates/batch/src/reuse.rs
@@ -32,23 +32,19 @@
                 let run = wanted.get(id)?;
                 (job.requests.get(id) == earlier.requests.get(id)).then_some(run)
             };
-            for known in earlier.items.borrow().iter() {
+            let (items, copies) = (earlier.items.borrow(), earlier.ahead.borrow());
+            for known in items.iter().chain(copies.iter()) {
                 let Some(run) = wanted(&known.item.id) else { continue };
-                repeated += 1;
                 let complete = matches!(known.phase.get(), Phase::Complete | Phase::Scoring);
                 let progress = known.progress.borrow();
-                if progress.last_event > 0 {
-                    reused += usize::from(take(job, run, &progress, complete));
-                }
-            }
-            for known in earlier.ahead.borrow().iter() {
-                let Some(run) = wanted(&known.item.id) else { continue };
-                let complete = known.phase.get() == Phase::Complete;
-                let progress = known.progress.borrow();
-                if progress.last_event > 0 {
-                    ahead += usize::from(take(job, run, &progress, complete));
+                let is_taken = progress.last_event > 0 && take(job, run, &progress, complete);
+                if known.is_ahead {
+                    ahead += usize::from(is_taken);
+                    known.moving.borrow().cancel();
+                } else {
+                    repeated += 1;
+                    reused += usize::from(is_taken);
                 }
-                known.moving.borrow().cancel();
             }
             if repeated > known_repeated {
                 let min_version = |job: &Job| job.record.borrow().min_version;
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -314,8 +314,7 @@
         let now = Instant::now();
         self.parts.engines.expire_news(now);
         let moved_at = self.moved_at.get();
-        let looks = now.saturating_duration_since(moved_at) >= self.options.move_interval;
-        if looks {
+        if now.saturating_duration_since(moved_at) >= self.options.move_interval {
             self.moved_at.set(now);
             self.move_slow_runs(now);
         }
@@ -360,7 +359,8 @@
                 .entry((service, item.model.clone()))
                 .or_insert_with_key(|(service, model)| {
                     let targets = self.parts.view.targets_of(service);
-                    let candidates = self.candidates(&targets, model, now);
+                    let outlooks = self.outlooks(&targets, model, now);
+                    let candidates = self.candidates(&outlooks, model, now);
                     (targets, candidates)
                 });
             let prompts = self.prompts.borrow();
@@ -388,7 +388,7 @@
         left > 0
     }
 
-    pub fn waiting(&self, job: &Job, run: &ItemRun, key: usize, now: Instant) -> Waiting {
+    fn waiting(&self, job: &Job, run: &ItemRun, key: usize, now: Instant) -> Waiting {
         let record = job.record.borrow();
         let tokens = run.item.length_hint.unwrap_or(run.item.tokens);
         Waiting {
@@ -410,14 +410,28 @@
         (route.kind == RouteKind::Rollout).then(|| route.service(0.0).to_owned())
     }
 
-    /// Returns the engines that may run the model, as they are now.
-    fn candidates(&self, targets: &[Rc<Target>], model: &str, now: Instant) -> Vec<Candidate> {
+    /// Returns the engines with their outlooks for the model, as they are now.
+    fn outlooks<'a>(
+        &self,
+        targets: &'a [Rc<Target>],
+        model: &str,
+        now: Instant,
+    ) -> Vec<(&'a Target, Outlook)> {
+        let outlook = |target: &Target| self.parts.engines.outlook(target, model, now);
+        targets.iter().map(|target| (&**target, outlook(target))).collect()
+    }
+
+    /// Returns the engines that may run the model.
+    fn candidates(
+        &self,
+        outlooks: &[(&Target, Outlook)],
+        model: &str,
+        now: Instant,
+    ) -> Vec<Candidate> {
         let engines = &self.parts.engines;
-        let ready = targets.iter().filter(|target| target.state == TargetState::Ready);
-        let outlooks: Vec<_> =
-            ready.map(|target| (target, engines.outlook(target, model, now))).collect();
-        let usual_ms = usual_gap_ms(outlooks.iter().map(|(_, outlook)| outlook));
-        let usable = outlooks.into_iter().filter(|(_, outlook)| outlook.is_usable);
+        let ready = || outlooks.iter().filter(|(target, _)| target.state == TargetState::Ready);
+        let usual_ms = usual_gap_ms(ready().map(|(_, outlook)| outlook));
+        let usable = ready().filter(|(_, outlook)| outlook.is_usable);
         usable
             .filter_map(|(target, outlook)| {
                 Some(Candidate {
@@ -439,11 +453,10 @@
         jobs.any(|job| job.items.borrow().iter().any(|run| run.phase.get() == Phase::Running))
     }
 
-    /// Moves the run that gains most from another engine; returns whether any item runs.
+    /// Moves the run that gains most from another engine.
     ///
     /// One move a round: the next one sees the slots that this one has taken.
-    fn move_slow_runs(&self, now: Instant) -> bool {
-        let mut any = false;
+    fn move_slow_runs(&self, now: Instant) {
         let mut best: Option<(f64, Rc<ItemRun>, String)> = None;
         for job in self.jobs.borrow().values().filter(|job| !job.stop.is_cancelled()) {
             let items = job.items.borrow();
@@ -452,19 +465,15 @@
             if running.peek().is_none() {
                 continue;
             }
-            any = true;
             let Some(service) = self.service_of(job) else { continue };
             let targets = self.parts.view.targets_of(&service);
             let (model, min_version) = {
                 let record = job.record.borrow();
                 (record.model.clone(), record.min_version)
             };
-            let candidates = self.candidates(&targets, &model, now);
-            let outlooks: Vec<_> = targets
-                .iter()
-                .map(|target| self.parts.engines.outlook(target, &model, now))
-                .collect();
-            let usual_ms = usual_gap_ms(outlooks.iter());
+            let outlooks = self.outlooks(&targets, &model, now);
+            let candidates = self.candidates(&outlooks, &model, now);
+            let usual_ms = usual_gap_ms(outlooks.iter().map(|(_, outlook)| outlook));
             let outlook = JobOutlook { service, min_version, candidates, usual_ms };
             self.choose_ahead(job, &outlook, now);
             for run in running {
@@ -481,7 +490,6 @@
             log::info!(target: "batch", "item moves item={} to={to} expected_gain_ms={gain:.0}", run.item.id);
             run.moving.borrow().cancel();
         }
-        any
     }
 
     pub fn running_item(
