Encode and decode messages between nodes in one place

Found on reading the change again: the messages to runners had a pair of functions for CBOR that feed, crashes, relayed calls and checkpoints each wrote out too, with the same error. They call deck_net::cbor now. Places that handle the error otherwise stay as they are. No change of behaviour.

--- a/crates/batch/src/checkpoint.rs
+++ b/crates/batch/src/checkpoint.rs
@@ -21,7 +21,7 @@
     id::{RequestId, WeightVersion},
 };
 use deck_net::{
-    Body, Client, NetError,
+    Body, Client, NetError, cbor,
     server::{number_parameter, read_body},
 };
 use futures_util::future::join_all;
@@ -393,11 +393,8 @@
         job: &str,
         deltas: &[ItemDelta],
     ) -> Result<HashSet<RequestId>, NetError> {
-        let mut body = Vec::new();
-        ciborium::into_writer(deltas, &mut body)
-            .map_err(|error| NetError::Decode(error.to_string()))?;
-        let bytes = self.call(node, Method::POST, path_of(job), body.into()).await?;
-        ciborium::from_reader(&*bytes).map_err(|error| NetError::Decode(error.to_string()))
+        let bytes = self.call(node, Method::POST, path_of(job), cbor::encode(deltas)?).await?;
+        cbor::decode(&bytes)
     }
 
     /// Reads the checkpoint of a job; empty if no VM has one.
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -19,7 +19,7 @@
     id::{FencingNumber, VmId},
 };
 use deck_net::{
-    Body, CallLimits, Client, NetError,
+    Body, CallLimits, Client, NetError, cbor,
     server::{number_parameter, status_only},
 };
 use futures_util::future::join_all;
@@ -418,8 +418,7 @@
             .map_err(|error| NetError::Decode(error.to_string()))?;
         let limit = self.inner.options.poll_wait;
         let age = self.inner.client.call(node, request, limit, MAX_PAGE_BYTES).await?.ok()?;
-        let age: Result<u64, _> = ciborium::from_reader(&*age);
-        age.map(Duration::from_millis).map_err(|error| NetError::Decode(error.to_string()))
+        cbor::decode(&age).map(Duration::from_millis)
     }
 
     /// Follows the object API while this node is a watcher, and until `until`.
@@ -543,7 +542,7 @@
             max_bytes: MAX_PAGE_BYTES,
         };
         let page = inner.client.call_in_parts(node, request, limits).await?.ok()?;
-        ciborium::from_reader(&*page).map_err(|error| NetError::Decode(error.to_string()))
+        cbor::decode(&page)
     }
 
     fn apply(&self, page: Page) {
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -21,7 +21,7 @@
     CrashOptions,
     crash::{CrashTracker, Fingerprint, TargetKey},
 };
-use deck_net::{Body, Client, NetError};
+use deck_net::{Body, Client, NetError, cbor};
 use futures_util::future::join_all;
 use http::{Method, Request};
 use tokio::sync::Notify;
@@ -188,8 +188,7 @@
 ///
 /// Returns an error if the message is not of the expected form.
 pub fn take_crashes(board: &CrashBoard, message: &[u8]) -> Result<(), NetError> {
-    let node = ciborium::from_reader::<NodeCrashes, _>(message);
-    board.set(node.map_err(|error| NetError::Decode(error.to_string()))?, Instant::now());
+    board.set(cbor::decode(message)?, Instant::now());
     Ok(())
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod body;
+pub mod cbor;
 pub mod client;
 pub mod error;
 pub mod framing;
--- a/crates/plat/src/relay.rs
+++ b/crates/plat/src/relay.rs
@@ -12,11 +12,11 @@
 
 use bytes::Bytes;
 use deck_core::{CancellationToken, id::Revision};
-use deck_net::{Body, Client, NetError};
+use deck_net::{Body, Client, NetError, cbor};
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream};
 use http::{Method, Request};
 use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::{Freshness, Object, ObjectApi, Precondition, StoreError, Watch, WriteTo};
@@ -126,21 +126,17 @@
             .body(Body::full(body))
             .map_err(|error| NetError::Decode(error.to_string()))?;
         let answer = self.client.call(node, request, self.call_timeout, MAX_ANSWER_BYTES).await?;
-        decode(&answer.ok()?)
+        cbor::decode(&answer.ok()?)
     }
 }
 
-fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, NetError> {
-    ciborium::from_reader(bytes).map_err(|error| NetError::Decode(error.to_string()))
-}
-
 /// Makes a call of another node on this node's own connection and returns the encoded answer.
 ///
 /// # Errors
 ///
 /// Returns an error if the call cannot be read.
 pub async fn serve_relay(api: &dyn ObjectApi, body: &[u8]) -> Result<Bytes, NetError> {
-    let answer = match decode(body)? {
+    let answer = match cbor::decode(body)? {
         StoreCall::Get { kind, name, may_be_old } => {
             let freshness = if may_be_old { Freshness::MayBeOld } else { Freshness::Current };
             api.get(&kind, &name, freshness).await.map(StoreAnswer::Object)
@@ -158,10 +154,7 @@
         }
     };
     let answer = answer.unwrap_or_else(|error| StoreAnswer::Failed(failure(error)));
-    let mut encoded = Vec::new();
-    ciborium::into_writer(&answer, &mut encoded)
-        .map_err(|error| NetError::Decode(error.to_string()))?;
-    Ok(encoded.into())
+    cbor::encode(&answer)
 }
 
 fn failure(error: StoreError) -> Failure {
--- a/crates/swap/src/runners.rs
+++ b/crates/swap/src/runners.rs
@@ -22,10 +22,13 @@
     Engine, EngineLoad, EngineNews, Engines, Feed, ModelDemand, ModelRunner, RunnerTable, View,
     config::ModelName,
 };
-use deck_net::{Body, Client, NetError};
+use deck_net::{
+    Body, Client, NetError,
+    cbor::{decode, encode},
+};
 use futures_util::future::join_all;
 use http::{Method, Request};
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize};
 
 use crate::Giver;
 
@@ -385,14 +388,3 @@
     feed.set_runners(decode(message)?);
     Ok(())
 }
-
-fn encode<T: Serialize>(message: &T) -> Result<Bytes, NetError> {
-    let mut bytes = Vec::new();
-    let written = ciborium::into_writer(message, &mut bytes);
-    written.map_err(|error| NetError::Decode(error.to_string()))?;
-    Ok(Bytes::from(bytes))
-}
-
-fn decode<T: DeserializeOwned>(message: &[u8]) -> Result<T, NetError> {
-    ciborium::from_reader(message).map_err(|error| NetError::Decode(error.to_string()))
-}
