--- a/bins/decknode/src/metrics.rs
+++ b/bins/decknode/src/metrics.rs
@@ -9,8 +9,8 @@
 
 use deck_core::{error::ErrorKind, id::WeightVersion};
 use deck_fleet::{
-    AttemptOutcome, EngineRegistry, FleetView, ItemOutcome, ItemRunOutcome, JobEvent, Observer,
-    RouteKind, config::ModelName,
+    AttemptOutcome, ChunkFinder, EngineRegistry, FleetView, ItemOutcome, ItemRunOutcome, JobEvent,
+    Observer, RouteKind, config::ModelName,
 };
 use deck_obs::{define_metrics, metrics::Metrics, process::resident_bytes};
 use deck_plat::metered::CallRecord;
@@ -44,6 +44,8 @@
         "Items whose results this node has stored.";
     RESULTS = "decknode_results_stored_total", "counter", "results", "",
         "Results stored at their positions.";
+    CHUNKS_FOUND = "decknode_chunks_found_total", "counter", "chunks", "found_by",
+        "Chunks of results that were stored already when this node wrote or searched for them.";
     GROUPS = "decknode_groups_total", "counter", "groups", "on_time",
         "Groups whose results are all stored, in time or late, and groups open when their job was ended.";
     ORDERS = "decknode_orders_total", "counter", "orders", "reply",
@@ -102,6 +104,7 @@
     run_time: Histogram<f64>,
     items: Counter<u64>,
     results: Counter<u64>,
+    chunks_found: Counter<u64>,
     groups: Counter<u64>,
     orders: Counter<u64>,
     load_time: Histogram<f64>,
@@ -185,6 +188,7 @@
             run_time: RUN_TIME.latency_histogram(meter),
             items: ITEMS.counter(meter),
             results: RESULTS.counter(meter),
+            chunks_found: CHUNKS_FOUND.counter(meter),
             groups: GROUPS.counter(meter),
             orders: ORDERS.counter(meter),
             load_time: LOAD_TIME.latency_histogram(meter),
@@ -344,6 +348,10 @@
         self.instruments.results.add(count as u64, &[]);
     }
 
+    fn on_chunk_found(&self, found_by: ChunkFinder) {
+        self.instruments.chunks_found.add(1, &[KeyValue::new("found_by", found_by.label())]);
+    }
+
     fn on_group_end(&self, on_time: bool) {
         self.instruments.groups.add(1, &[KeyValue::new("on_time", on_time)]);
     }
--- a/bins/decknode/tests/metrics.rs
+++ b/bins/decknode/tests/metrics.rs
@@ -4,8 +4,8 @@
 
 use deck_core::CancellationToken;
 use deck_fleet::{
-    AttemptOutcome, CallerLimits, Configuration, EngineRegistry, FleetView, ItemOutcome,
-    ItemRunOutcome, JobEvent, Observer, RouteKind, ServiceConfig, Target, TargetState,
+    AttemptOutcome, CallerLimits, ChunkFinder, Configuration, EngineRegistry, FleetView,
+    ItemOutcome, ItemRunOutcome, JobEvent, Observer, RouteKind, ServiceConfig, Target, TargetState,
     config::EngineConfig,
 };
 use deck_obs::reference::documented_rows;
@@ -66,6 +66,7 @@
     metrics.on_item_run_end(ItemRunOutcome::Moved, one_second);
     metrics.on_item_result(ItemOutcome::Failed);
     metrics.on_results_stored(7);
+    metrics.on_chunk_found(ChunkFinder::Read);
     metrics.on_group_end(false);
     metrics.on_order_reply(None);
     metrics.on_weights_loaded(one_second);
@@ -88,6 +89,7 @@
         "decknode_requests_total{purpose=\"streaming\",reason=\"no_target\",route=\"r\",status=\"503\"} 1",
         "decknode_attempts_total{outcome=\"broken\"} 1",
         "decknode_results_stored_total 7",
+        "decknode_chunks_found_total{found_by=\"read\"} 1",
         "decknode_groups_total{on_time=\"false\"} 1",
         "decknode_orders_total{reply=\"none\"} 1",
         "decknode_engines{model=\"m\",versions_behind=\"0\"} 2",
--- a/crates/batch/src/publish.rs
+++ b/crates/batch/src/publish.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use deck_fleet::ItemResult;
+use deck_fleet::{ChunkFinder, ItemResult};
 use deck_plat::{Backoff, StoreError};
 
 use crate::{
@@ -55,7 +55,7 @@
                 retry_backoff.reset();
             }
             Ok(StoreChunkOutcome::AlreadyStored(results)) => {
-                log::info!(target: "batch", "chunk of another runner job={} chunk={chunk}", job.id);
+                record_found_chunk(&runner, &job, chunk, ChunkFinder::Write);
                 job.publish_chunk(chunk, results.into_iter().map(Rc::new).collect());
             }
             Err(error) => {
@@ -144,7 +144,7 @@
     }
     // The previous runner may still store a chunk shortly after the takeover.
     if job.taken_over_at.is_some_and(|at| at.elapsed() < runner.options.late_write_window) {
-        publish_stored_chunks(runner, job).await?;
+        publish_found_chunks(runner, job, ChunkFinder::Check).await?;
     }
     job.ownership_checked_at.set(started);
     Ok(())
@@ -165,3 +165,24 @@
         }
     }
 }
+
+/// As [`publish_stored_chunks`], for a job that may run; records the chunks that were found.
+pub(crate) async fn publish_found_chunks(
+    runner: &RunnerState,
+    job: &Job,
+    found_by: ChunkFinder,
+) -> Result<(), StoreError> {
+    let known_chunks = job.chunk_count.get();
+    let result = publish_stored_chunks(runner, job).await;
+    for chunk in known_chunks..job.chunk_count.get() {
+        record_found_chunk(runner, job, chunk, found_by);
+    }
+    result
+}
+
+/// Logs and counts a chunk that was stored before this node wrote it.
+fn record_found_chunk(runner: &RunnerState, job: &Job, chunk: usize, found_by: ChunkFinder) {
+    let found_by_label = found_by.label();
+    log::info!(target: "batch", "chunk of another runner job={} chunk={chunk} found_by={found_by_label}", job.id);
+    runner.deps.observer.on_chunk_found(found_by);
+}
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -14,8 +14,8 @@
     id::RequestId,
 };
 use deck_fleet::{
-    BatchCall, BatchJob, BatchLimits, FleetFeed, JobEvent, Leader, RequestMetadata, ResultPage,
-    Route,
+    BatchCall, BatchJob, BatchLimits, ChunkFinder, FleetFeed, JobEvent, Leader, RequestMetadata,
+    ResultPage, Route,
 };
 use deck_forward::error_response;
 use deck_limit::TokenBucket;
@@ -551,7 +551,9 @@
     async fn read_ended(&self, job: &Rc<Job>, from: usize) -> Response<Body> {
         if job.ownership_checked_at.get().elapsed() >= self.inner.options.max_ownership_age {
             let started = Instant::now();
-            if let Err(error) = publish::publish_stored_chunks(&self.inner.runner.inner, job).await
+            if let Err(error) =
+                publish::publish_found_chunks(&self.inner.runner.inner, job, ChunkFinder::Read)
+                    .await
             {
                 log::info!(target: "batch", "cannot check job state for read job={} error={error}", job.id);
                 return state_unavailable(&job.id);
@@ -562,9 +564,9 @@
     }
 
     /// Builds a page of published results from position `from` on.
-    fn results_page(&self, job: &Job, from: usize) -> Response<Body> {
+    fn results_page(&self, job: &Job, requested_from: usize) -> Response<Body> {
         let published_results = job.published_results.borrow();
-        let from = from.min(published_results.len());
+        let from = requested_from.min(published_results.len());
         let mut bytes = 0;
         let fits = |result: &&Rc<deck_fleet::ItemResult>| {
             bytes += result.encoded_bytes();
@@ -572,6 +574,11 @@
         };
         let count = published_results[from..].iter().take_while(fits).count();
         let count = count.max(usize::from(from < published_results.len()));
+        if count == 0 && !job.is_complete() {
+            let record = job.record.borrow();
+            let checked_ms = job.ownership_checked_at.get().elapsed().as_millis();
+            log::info!(target: "batch", "empty page job={} from={requested_from} listed={} chunk={} runner={} ended={} checked_ms={checked_ms}", job.id, published_results.len(), job.chunk_count.get(), record.runner, record.ended);
+        }
         let page = ResultPage {
             total: job.item_count(),
             from,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -38,7 +38,7 @@
 pub use feed::{FleetFeed, FleetFeedOptions, Leader, ModelRunner, RunnerTable};
 pub use follow::{ObjectFollower, ObjectFollowerOptions, ObjectKinds};
 pub use node::{Bounds, NodeSettings};
-pub use observer::{AttemptOutcome, ItemRunOutcome, JobEvent, Observer};
+pub use observer::{AttemptOutcome, ChunkFinder, ItemRunOutcome, JobEvent, Observer};
 pub use protocol::{
     BatchCall, BatchJob, BatchLimits, DispatchMetadata, Item, ItemOutcome, ItemResult,
     PlatformProtocol, RequestMetadata, ResponseMetadata, ResultPage, RewardCall, TargetReport,
--- a/crates/fleet/src/observer.rs
+++ b/crates/fleet/src/observer.rs
@@ -28,6 +28,10 @@
     /// `count` results of a job were stored in the object API.
     fn on_results_stored(&self, _count: usize) {}
 
+    /// A chunk of results was stored already when this node wrote or searched for it: by another
+    /// runner, or by a write of this node whose response was lost.
+    fn on_chunk_found(&self, _found_by: ChunkFinder) {}
+
     /// All results of a group are stored, or its job ended before that. `on_time` is `true` if the
     /// results were stored before their deadline.
     fn on_group_end(&self, _on_time: bool) {}
@@ -104,6 +108,28 @@
     }
 }
 
+/// What made a node find a chunk of results that was stored already.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChunkFinder {
+    /// A write of a chunk under the same number.
+    Write,
+    /// A search on behalf of a reader.
+    Read,
+    /// A periodic check of the job.
+    Check,
+}
+
+impl ChunkFinder {
+    /// Returns the label value used in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Write => "write",
+            Self::Read => "read",
+            Self::Check => "check",
+        }
+    }
+}
+
 /// Outcome of a run of a batch item on an engine, as counted in metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ItemRunOutcome {
