--- a/crates/batch/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -1,15 +1,23 @@
-//! Runner dependencies and a sample job for the tests.
+//! Nodes, runner dependencies and a sample job for the tests.
 
 #![allow(dead_code, reason = "no test file uses all helpers")]
 
 use std::{net::SocketAddr, rc::Rc};
 
-use deck_batch::{CheckpointClient, JobStore, runner::RunnerDependencies};
-use deck_fleet::{BatchJob, BatchLimits, EngineRegistry, FleetView, Item};
+use deck_batch::{
+    BatchOptions, BatchService, CheckpointClient, JobStore, Runner, RunnerOptions,
+    peer_client::BatchPeerClient, runner::RunnerDependencies,
+};
+use deck_core::{CancellationToken, id::new_incarnation};
+use deck_fleet::{
+    BatchJob, BatchLimits, EngineRegistry, FleetFeed, FleetFeedOptions, FleetView, Item,
+    ObjectFollower, ObjectFollowerOptions,
+};
 use deck_forward::{CrashGuard, ForwardOptions, Forwarder};
 use deck_net::Client;
-use deck_platform::PlatformWire;
+use deck_platform::{OBJECT_KINDS, PlatformWire};
 use deck_route::{Router, RouterOptions};
+use deck_testkit::memory::MemoryObjects;
 
 /// Time in milliseconds after which items are given up; never reached within a test.
 pub const GIVE_UP_MS: u64 = 1 << 42;
@@ -41,6 +49,37 @@
     }
 }
 
+/// Node without engines and without other nodes.
+pub struct Node {
+    pub runner: Runner,
+    pub service: BatchService,
+    pub job_store: JobStore,
+    cancel: CancellationToken,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.cancel.cancel();
+    }
+}
+
+/// Starts a node on the VM `vm` with its objects in `objects`.
+pub fn node(vm: &str, address: SocketAddr, objects: &MemoryObjects) -> Node {
+    let cancel = CancellationToken::new();
+    let job_store = JobStore::new(objects.store(), 1 << 20);
+    let deps = runner_deps(vm, address, &job_store);
+    let (view, client, protocol) = (deps.view.clone(), deps.client.clone(), deps.protocol.clone());
+    let runner = Runner::start(deps, RunnerOptions::default(), cancel.clone());
+    let options = ObjectFollowerOptions::default();
+    let follower =
+        ObjectFollower::new(objects.store(), view, protocol.clone(), OBJECT_KINDS, options);
+    let (incarnation, feed_options) = (new_incarnation(), FleetFeedOptions::default());
+    let feed = FleetFeed::new(address, incarnation, client.clone(), follower, feed_options);
+    let peers = BatchPeerClient::new(client);
+    let service = BatchService::new(runner.clone(), peers, feed, BatchOptions::default());
+    Node { runner, service, job_store, cancel }
+}
+
 /// Returns an item without a reward call.
 pub fn item(id: &str) -> Item {
     Item {
--- /dev/null
+++ b/crates/batch/tests/outdated_copies.rs
@@ -0,0 +1,152 @@
+//! Reads at a node whose copy of a job lacks results that are stored.
+//!
+//! A position that one node has listed must be listed by all nodes that answer 200. Each test stores
+//! a chunk that the reading node has not seen, and reads from the position of that chunk.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use deck_batch::{JobRecord, JobStore, StoreJobOutcome};
+use deck_core::id::Revision;
+use deck_fleet::{BatchCall, ItemOutcome, ItemResult, RequestMetadata};
+use deck_net::http::StatusCode;
+use deck_testkit::memory::{Fault, MemoryObjects};
+use http_body_util::BodyExt;
+use serde_json::Value;
+
+mod common;
+
+use common::{Node, node};
+
+/// Time within which all nodes have to list a result that one of them has listed.
+const SETTLE_TIME: Duration = Duration::from_millis(1000);
+/// Longer than [`deck_batch::RunnerOptions::late_write_window`] by default.
+const AFTER_LATE_WRITE_WINDOW: Duration = Duration::from_millis(3200);
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+fn other_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 2))
+}
+
+fn result(item: &str) -> Rc<ItemResult> {
+    Rc::new(ItemResult {
+        item: item.to_owned(),
+        outcome: ItemOutcome::Completed,
+        text: "text".to_owned(),
+        versions: vec![1],
+        score: None,
+    })
+}
+
+/// Starts a node and a job of two items that runs on it.
+async fn node_with_job(objects: &MemoryObjects) -> (Node, JobRecord, Revision) {
+    let node = node("vm-1", address(), objects);
+    let job = common::job("job", vec![common::item("a"), common::item("b")]);
+    let accepted = node.job_store.store_job(&job, "vm-1", address()).await;
+    let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+    (node, record, revision)
+}
+
+/// Stores the first chunk of the job, as another node does.
+async fn store_first_chunk(job_store: &JobStore) {
+    job_store.store_chunk("job", 0, &[result("a")]).await.expect("stored");
+}
+
+/// Reads from the first position without waiting for a result. Returns the number of results, or
+/// `None` if the node answers that it cannot tell.
+async fn read_without_wait(node: &Node) -> Option<usize> {
+    let call = BatchCall::Read { job: "job".to_owned(), from: 0 };
+    let response = node.service.call(call, &RequestMetadata::default()).await;
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    assert_eq!(response.status(), StatusCode::OK);
+    let body = response.into_body().collect().await.expect("body").to_bytes();
+    let page: Value = serde_json::from_slice(&body).expect("json");
+    Some(page["Results"].as_array().expect("results").len())
+}
+
+fn run_async<F: Future<Output = ()>>(test: F) {
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// Pattern: a runner is paused, another node takes its job over, and the first one wakes up and
+/// stores the results that it had. Guards against a new runner that never looks for them and lists
+/// fewer results than the first one has shown to a reader.
+#[test]
+fn chunk_of_the_previous_runner_is_listed_long_after_a_takeover() {
+    run_async(async {
+        let objects = MemoryObjects::default();
+        let (node, ..) = node_with_job(&objects).await;
+        assert_eq!(read_without_wait(&node).await, Some(0));
+        monoio::time::sleep(AFTER_LATE_WRITE_WINDOW).await;
+        store_first_chunk(&node.job_store).await;
+        monoio::time::sleep(SETTLE_TIME).await;
+        assert_eq!(read_without_wait(&node).await, Some(1));
+    });
+}
+
+/// Pattern: a VM is suspended, and another node takes its job over. The steady clock does not count
+/// the suspension, so the last check of the first runner seems recent. Guards against an answer from
+/// its outdated copy.
+#[test]
+fn suspended_runner_does_not_answer_from_its_outdated_copy() {
+    run_async(async {
+        let objects = MemoryObjects::default();
+        let (node, record, revision) = node_with_job(&objects).await;
+        assert_eq!(read_without_wait(&node).await, Some(0));
+        let taken_over =
+            JobRecord { runner: "vm-2".to_owned(), address: other_address(), ..record };
+        node.job_store.replace_record("job", revision, &taken_over).await.expect("taken over");
+        store_first_chunk(&node.job_store).await;
+        assert_ne!(read_without_wait(&node).await, Some(0));
+    });
+}
+
+/// Pattern: a runner is cut off, and another node takes its job over, lists a result and ends the
+/// job. Guards against a first runner that finds out while it answers a read, and still answers from
+/// its outdated copy.
+#[test]
+fn job_that_ended_under_another_runner_is_not_read_from_an_outdated_copy() {
+    run_async(async {
+        let objects = MemoryObjects::default();
+        let (node, record, revision) = node_with_job(&objects).await;
+        assert_eq!(read_without_wait(&node).await, Some(0));
+        monoio::time::sleep(SETTLE_TIME).await;
+        store_first_chunk(&node.job_store).await;
+        let ended = JobRecord {
+            runner: "vm-2".to_owned(),
+            address: other_address(),
+            ended: true,
+            ..record
+        };
+        node.job_store.replace_record("job", revision, &ended).await.expect("ended");
+        assert_ne!(read_without_wait(&node).await, Some(0));
+    });
+}
+
+/// Pattern: the object API carries writes out and does not answer them, so other nodes list a chunk
+/// of which its runner does not know yet. Guards against a runner that confirms its ownership of the
+/// job and lists fewer results than the other nodes.
+#[test]
+fn chunk_whose_response_was_lost_is_listed_by_its_runner() {
+    run_async(async {
+        let objects = MemoryObjects::default();
+        let (node, record, revision) = node_with_job(&objects).await;
+        let items = node.job_store.read_items("job", &record).await.expect("items");
+        let job = node.runner.start_job("job", record, revision, items);
+        objects.set_fault_for_kind("batchresults", Fault::ResponseLost, u32::MAX);
+        let item = job.unpublished_item("a").expect("item");
+        job.finish_item(&item, ItemOutcome::Completed, None);
+        deck_testkit::eventually("the chunk is stored", async || {
+            !objects.object_names("batchresults").is_empty()
+        })
+        .await;
+        monoio::time::sleep(SETTLE_TIME).await;
+        assert_ne!(read_without_wait(&node).await, Some(0));
+        objects.set_fault(None, None);
+        assert_eq!(read_without_wait(&node).await, Some(1));
+    });
+}
--- a/crates/batch/tests/service.rs
+++ b/crates/batch/tests/service.rs
@@ -8,20 +8,16 @@
 };
 
 use deck_batch::{
-    BatchOptions, BatchService, JobRecord, JobStore, Runner, RunnerOptions, StoreJobOutcome,
+    BatchService, JobRecord, JobStore, StoreJobOutcome,
     peer_client::{BatchPeerClient, PING_PATH, STATUS_READ_OBJECT_API},
 };
-use deck_core::{CancellationToken, id::new_incarnation};
-use deck_fleet::{
-    BatchCall, FleetFeed, FleetFeedOptions, ItemOutcome, ItemResult, ObjectFollower,
-    ObjectFollowerOptions, RequestMetadata,
-};
+use deck_core::CancellationToken;
+use deck_fleet::{BatchCall, ItemOutcome, ItemResult, RequestMetadata};
 use deck_net::{
     Body, Client, ServerOptions, bind,
     http::{Request, Response, StatusCode},
     server::empty_response,
 };
-use deck_platform::OBJECT_KINDS;
 use deck_testkit::memory::MemoryObjects;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -29,40 +25,13 @@
 
 mod common;
 
+use common::node;
+
 /// Number of items in the job.
 const ITEM_COUNT: usize = 40;
 /// Size of each text in bytes, such that the job needs several pages.
 const TEXT_BYTES: usize = 50_000;
 
-struct Node {
-    service: BatchService,
-    job_store: JobStore,
-    cancel: CancellationToken,
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        self.cancel.cancel();
-    }
-}
-
-fn node(vm: &str, address: SocketAddr, objects: &MemoryObjects) -> Node {
-    let cancel = CancellationToken::new();
-    let job_store = JobStore::new(objects.store(), 1 << 20);
-    let deps = common::runner_deps(vm, address, &job_store);
-    let (view, client, protocol) = (deps.view.clone(), deps.client.clone(), deps.protocol.clone());
-    let runner = Runner::start(deps, RunnerOptions::default(), cancel.clone());
-    let options = ObjectFollowerOptions::default();
-    let follower =
-        ObjectFollower::new(objects.store(), view, protocol.clone(), OBJECT_KINDS, options);
-    let (incarnation, feed_options) = (new_incarnation(), FleetFeedOptions::default());
-    let feed = FleetFeed::new(address, incarnation, client.clone(), follower, feed_options);
-    let peers = BatchPeerClient::new(client);
-    let options = BatchOptions::default();
-    let service = BatchService::new(runner, peers, feed, options);
-    Node { service, job_store, cancel }
-}
-
 fn result(item: usize) -> Rc<ItemResult> {
     Rc::new(ItemResult {
         item: format!("i{item}"),
