Hand over the items of results that are not stored yet

What callers could see: 404 for the body of an item that is not listed yet.

Cause: a handover sent the unfinished items and the finished results that were not stored, but not the items of these results. The next runner had neither the item nor a published result until it had stored the chunk, which an outage of the object API may delay, against the invariant of `Job::items`.

Change: the handover has these items in a field of its own. They are not part of `items`, as a node of an earlier build would run them again.

Test: `handed_over_job_resumes_its_items` stated the absence of the item ("d") as expected; that was wrong by the invariant. It now expects the item with its request and the phase `Done`, and the same number of unfinished groups, and failed before ("item" is `None`).

--- a/crates/batch/src/handover.rs
+++ b/crates/batch/src/handover.rs
@@ -42,6 +42,10 @@
     /// Finished results that are not stored yet.
     #[serde(rename = "unlisted")]
     pub unpublished_results: Vec<ItemResult>,
+    /// Items of these results, whose bodies can be read until the results are published. Not part of
+    /// `items`, as nodes without this field would run them again.
+    #[serde(default)]
+    pub finished_items: Vec<Item>,
 }
 
 /// An item without a result.
@@ -64,15 +68,16 @@
         let clone_results =
             |results: &[Rc<ItemResult>]| results.iter().map(|r| (**r).clone()).collect();
         let items = job.items.borrow();
-        let unfinished =
-            items.iter().filter(|item_state| item_state.phase.get() != ItemPhase::Done);
+        let (finished, unfinished): (Vec<_>, Vec<_>) =
+            items.iter().partition(|item_state| item_state.phase.get() == ItemPhase::Done);
         Self {
             record: job.record.borrow().clone(),
             revision: job.revision.get(),
-            items: unfinished.map(|item_state| HandoverItem::from_state(item_state)).collect(),
+            items: unfinished.into_iter().map(|state| HandoverItem::from_state(state)).collect(),
             published_results: clone_results(&job.published_results.borrow()),
             chunk_count: job.chunk_count.get(),
             unpublished_results: clone_results(&job.unpublished_results.borrow()),
+            finished_items: finished.into_iter().map(|state| state.item.clone()).collect(),
         }
     }
 
@@ -86,8 +91,13 @@
         // on this node.
         job.taken_over_at = Some(Instant::now());
         job.total_groups = count_groups(&self.items, job.total_groups);
-        job.items
-            .replace(self.items.into_iter().map(|item| Rc::new(item.into_item_state())).collect());
+        let unfinished = self.items.into_iter().map(HandoverItem::into_item_state);
+        let finished = self.finished_items.into_iter().map(|item| {
+            let item_state = ItemState::new(item);
+            item_state.set_phase(ItemPhase::Done);
+            item_state
+        });
+        job.items.replace(unfinished.chain(finished).map(Rc::new).collect());
         job.published_results.replace(self.published_results.into_iter().map(Rc::new).collect());
         job.chunk_count.set(self.chunk_count);
         job.published_count.send_replace(job.published_results.borrow().len());
--- a/crates/batch/tests/checkpoint.rs
+++ b/crates/batch/tests/checkpoint.rs
@@ -158,7 +158,7 @@
 }
 
 /// Guards against items that are lost, published twice or restarted when a stopping node hands over
-/// a job.
+/// a job, and against an item without a body between its result and the publication of the result.
 #[test]
 fn handed_over_job_resumes_its_items() {
     let test = async {
@@ -185,9 +185,12 @@
         assert_eq!(*item("a").progress.borrow(), progress(3));
         assert_eq!(item("a").phase.get(), ItemPhase::Waiting);
         assert_eq!(item("b").phase.get(), ItemPhase::Generated);
-        assert!(
-            next_job.unpublished_item("d").is_none() && next_job.unpublished_item("c").is_none()
+        assert_eq!(
+            (item("d").phase.get(), &item("d").item),
+            (ItemPhase::Done, &finished_item.item)
         );
+        assert!(next_job.unpublished_item("c").is_none());
+        assert_eq!(next_job.unfinished_groups(), job.unfinished_groups());
         assert!(!next_job.is_complete());
     };
     deck_net::runtime::run(test).expect("runtime");
