Test silent jobs at explicit times instead of after sleeps

The test took a job to be active if its heartbeat and the next query of the store were less than 60 ms apart on the wall clock. Between the two it deletes a checkpoint file, and on a busy disk the deletion alone takes longer than that.

CheckpointStore::silent_jobs now gets the time at which it is asked, and the test derives this time from instants read before and after the messages. The cases stay the same: a job without an event, a job with a heartbeat, removal and reopening.

--- a/crates/batch/src/checkpoint.rs
+++ b/crates/batch/src/checkpoint.rs
@@ -195,10 +195,13 @@
         self.jobs.borrow().get(job).map(|entry| entry.items.clone()).unwrap_or_default()
     }
 
-    /// Returns the jobs whose runners have sent no message for at least `silence`.
-    pub fn silent_jobs(&self, silence: Duration) -> Vec<RequestId> {
+    /// Returns the jobs whose runners have sent no message for at least `silence` at the time `now`.
+    pub fn silent_jobs(&self, silence: Duration, now: Instant) -> Vec<RequestId> {
         let jobs = self.jobs.borrow();
-        let silent = jobs.iter().filter(|(_, entry)| entry.last_message_at.elapsed() >= silence);
+        let is_silent = |entry: &StoredCheckpoint| {
+            now.saturating_duration_since(entry.last_message_at) >= silence
+        };
+        let silent = jobs.iter().filter(|(_, entry)| is_silent(entry));
         silent.map(|(job, _)| job.clone()).collect()
     }
 
@@ -231,7 +234,7 @@
             let query = request.uri().query().unwrap_or_default();
             let silence = numeric_query_parameter(query, "ms")
                 .map_or(CHECKPOINT_RETENTION, Duration::from_millis);
-            return cbor_response(&self.silent_jobs(silence));
+            return cbor_response(&self.silent_jobs(silence, Instant::now()));
         }
         let job = request.uri().path().strip_prefix(CHECKPOINTS_PATH).map(str::to_owned);
         // The id is used as a file name.
--- a/crates/batch/tests/checkpoint.rs
+++ b/crates/batch/tests/checkpoint.rs
@@ -1,6 +1,12 @@
 //! Checkpoints across crashes, incompletely written files and handovers.
 
-use std::{io::Write, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
+use std::{
+    io::Write,
+    net::SocketAddr,
+    path::PathBuf,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use deck_batch::{
     CheckpointStore, JobStore, StoreJobOutcome,
@@ -57,19 +63,34 @@
 #[test]
 fn job_without_heartbeats_is_silent() {
     const SILENCE: Duration = Duration::from_millis(60);
+    const INSTANT_STEP: Duration = Duration::from_nanos(1);
+    let sorted_silent_jobs = |store: &CheckpointStore, now: Instant| {
+        let mut silent = store.silent_jobs(SILENCE, now);
+        silent.sort();
+        silent
+    };
     let temp_dir = temp_dir();
     let store = CheckpointStore::open(Some(&temp_dir));
+    let before_messages = Instant::now();
     store.apply_and_persist("silent", &[]);
     store.apply_and_persist("running", &[delta("i", 0, &progress(2))]);
-    std::thread::sleep(SILENCE);
+    let after_messages = Instant::now();
+    assert!(sorted_silent_jobs(&store, before_messages + SILENCE - INSTANT_STEP).is_empty());
+    assert_eq!(sorted_silent_jobs(&store, after_messages + SILENCE), ["running", "silent"]);
+    // Makes the heartbeat strictly later than `after_messages`, whatever the clock's resolution.
+    std::thread::sleep(Duration::from_millis(1));
     store.apply_and_persist("running", &[]);
-    assert_eq!(store.silent_jobs(SILENCE), ["silent"]);
+    assert_eq!(sorted_silent_jobs(&store, after_messages + SILENCE), ["silent"]);
+    let after_heartbeat = Instant::now();
+    assert_eq!(sorted_silent_jobs(&store, after_heartbeat + SILENCE), ["running", "silent"]);
     store.remove("silent");
-    assert!(store.silent_jobs(SILENCE).is_empty());
+    assert!(sorted_silent_jobs(&store, after_messages + SILENCE).is_empty());
+    assert_eq!(sorted_silent_jobs(&store, after_heartbeat + SILENCE), ["running"]);
+    let before_reopening = Instant::now();
     let reopened = CheckpointStore::open(Some(&temp_dir));
-    assert!(reopened.silent_jobs(SILENCE).is_empty());
-    std::thread::sleep(SILENCE);
-    assert_eq!(reopened.silent_jobs(SILENCE), ["running"]);
+    let after_reopening = Instant::now();
+    assert!(sorted_silent_jobs(&reopened, before_reopening + SILENCE - INSTANT_STEP).is_empty());
+    assert_eq!(sorted_silent_jobs(&reopened, after_reopening + SILENCE), ["running"]);
     assert_eq!(reopened.get("running")["i"].progress, progress(2));
     std::fs::remove_dir_all(temp_dir).expect("remove");
 }
