Never refuse a reward call of an accepted item because targets crashed

What callers saw, in a report from a system like this one: an item under which several servers had crashed was never placed again, although all was calm and the servers had room.

Cause: items of batch jobs are run without a count of crashes, but their reward calls went through the forwarder like requests of clients. After three crashes of the targets that ran a reward call, every node refused it with `request_suspended` for 15 minutes, so its item was listed as `errored` at the end of its time.

A forwarded request now states whether it is owed, i.e. made on behalf of an accepted item. Owed requests have no fingerprint: they are not refused, not isolated and not held responsible for a crash. Requests of clients are treated as before, also if their content equals that of an owed one, which `owed_request_is_neither_refused_nor_held_responsible` checks.

Why it works: the guard acts only on fingerprints, and the forwarder gives one to each request that is not owed. What bounds an owed call is the item: its time, and the responses of 500 that end it.

--- a/bins/decknode/src/frontend.rs
+++ b/bins/decknode/src/frontend.rs
@@ -123,6 +123,7 @@
             route,
             deadline,
             last_event: head.last_event,
+            is_owed: false,
         };
         match self.forwarder.forward(call).await {
             Ok(reply) => response_from_reply(reply, &method),
--- a/crates/batch/src/reward.rs
+++ b/crates/batch/src/reward.rs
@@ -94,6 +94,7 @@
         route: route.clone(),
         deadline: std::time::Instant::now() + timeout,
         last_event: None,
+        is_owed: true,
     };
     runner.deps.forwarder.forward(call).await
 }
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -41,8 +41,9 @@
     pub observer: Rc<dyn Observer>,
     /// Service whose targets run the request; also the pool in the keys of crash tracking.
     pub service: String,
-    /// Hash of the request, under which the crashes of its targets are counted.
-    pub fingerprint: Fingerprint,
+    /// Hash of the request, under which the crashes of its targets are counted. `None` if the
+    /// request is owed: it is not held responsible for crashes.
+    pub fingerprint: Option<Fingerprint>,
     /// Writes the headers of requests to targets and reads those of their replies.
     pub protocol: Rc<dyn PlatformProtocol>,
     pub method: Method,
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -100,11 +100,12 @@
         tracker.targets_with_suspects(pool)
     }
 
-    /// Starts crash tracking of a request that is about to be sent to a target.
+    /// Starts crash tracking of a request that is about to be sent to a target. Crashes are not
+    /// attributed to a request without a fingerprint.
     pub(crate) fn start_call(
         &self,
         request_id: &str,
-        fingerprint: Fingerprint,
+        fingerprint: Option<Fingerprint>,
         target_key: TargetKey,
     ) -> RunningCall {
         let guard = self.clone();
@@ -223,7 +224,8 @@
 pub struct RunningCall {
     guard: CrashGuard,
     request_id: RequestId,
-    fingerprint: Fingerprint,
+    /// Fingerprint under which a crash is counted; `None` if no crash is attributed to the request.
+    fingerprint: Option<Fingerprint>,
     /// Target on which the request runs.
     target_key: TargetKey,
     /// Whether the tracker counts the call among the suspects that run at the target.
@@ -234,7 +236,8 @@
     /// Records that the target completed the request, and clears the crashes that this node has observed
     /// for the request.
     pub(crate) fn record_success(self) {
-        let had_crashes = self.guard.shared.tracker.borrow_mut().record_success(self.fingerprint);
+        let Some(fingerprint) = self.fingerprint else { return };
+        let had_crashes = self.guard.shared.tracker.borrow_mut().record_success(fingerprint);
         if had_crashes {
             self.guard.shared.local_crashes_changed.notify_one();
         }
@@ -242,6 +245,7 @@
 
     /// Checks whether the target has crashed after its connection broke, and records the crash.
     pub(crate) fn detect_crash(mut self, client: Client, address: SocketAddr) {
+        let Some(fingerprint) = self.fingerprint else { return };
         monoio::spawn(async move {
             if client.accepts_connections(address).await {
                 return;
@@ -249,11 +253,10 @@
             self.guard.import_remote_crashes();
             self.count_if_suspect();
             let tracker = &self.guard.shared.tracker;
-            let (fingerprint, was_suspect) = (self.fingerprint, self.is_counted_suspect);
             tracker.borrow_mut().record_crash(
                 fingerprint,
                 &self.target_key,
-                was_suspect,
+                self.is_counted_suspect,
                 Instant::now(),
             );
             let counts = tracker.borrow().counts(fingerprint);
@@ -268,8 +271,9 @@
 
     /// Counts the call among the target's running suspects if the request is a suspect by now.
     fn count_if_suspect(&mut self) {
+        let Some(fingerprint) = self.fingerprint else { return };
         let mut tracker = self.guard.shared.tracker.borrow_mut();
-        if !self.is_counted_suspect && tracker.is_suspect(self.fingerprint) {
+        if !self.is_counted_suspect && tracker.is_suspect(fingerprint) {
             tracker.record_suspect_start(&self.target_key);
             self.is_counted_suspect = true;
         }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -74,6 +74,9 @@
     pub deadline: Instant,
     /// Number of the last event that the caller has received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// Whether the request is made on behalf of an accepted batch item. Such a request is never
+    /// refused because of target crashes, and no crash is attributed to it.
+    pub is_owed: bool,
 }
 
 /// Forwards requests to targets. Clones share their budgets.
@@ -242,7 +245,8 @@
         always_stream: bool,
     ) -> AttemptContext {
         let path = call.uri.path_and_query().map_or("", |path| path.as_str());
-        let fingerprint = fingerprint(&service, call.method.as_str(), path, &call.body);
+        let fingerprint =
+            (!call.is_owed).then(|| fingerprint(&service, call.method.as_str(), path, &call.body));
         let mut headers = call.headers;
         strip_hop_by_hop(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
@@ -280,7 +284,9 @@
         if progress.possible_runs >= max_runs {
             return Err(None);
         }
-        self.crash_guard.check_allowed(context.fingerprint)?;
+        if let Some(fingerprint) = context.fingerprint {
+            self.crash_guard.check_allowed(fingerprint)?;
+        }
         let pick = |exclude: &[TargetId]| {
             self.fleet_view.router().pick(&PickRequest {
                 pool: service,
@@ -291,7 +297,9 @@
                 now: Instant::now(),
             })
         };
-        let suspect_targets = self.crash_guard.targets_to_avoid(context.fingerprint, service);
+        let suspect_targets = context.fingerprint.map_or_else(Vec::new, |fingerprint| {
+            self.crash_guard.targets_to_avoid(fingerprint, service)
+        });
         if !suspect_targets.is_empty() {
             let exclude = [suspect_targets, progress.tried_targets.clone()].concat();
             if let Ok(pick) = pick(&exclude) {
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -83,5 +83,6 @@
         route: Rc::new(route),
         deadline: Instant::now() + time_to_deadline,
         last_event: None,
+        is_owed: false,
     }
 }
--- a/crates/forward/tests/crashes.rs
+++ b/crates/forward/tests/crashes.rs
@@ -174,6 +174,36 @@
     deck_net::runtime::run(test).expect("runtime");
 }
 
+/// Guards against refusing a request that is made on behalf of an accepted batch item, and against
+/// attributing crashes to it. The protection against a plain request with the same content remains.
+#[test]
+fn owed_request_is_neither_refused_nor_held_responsible() {
+    let test = async {
+        let fleet = CrashingTargets::start();
+        let forwarder = fleet.forwarder(crash_guard("a", &CrashRegistry::default()));
+        let send = async |is_owed: bool| {
+            let call = call(RouteKind::NonIdempotent, CRASHING_BODY);
+            let error = forwarder.forward(ForwardRequest { is_owed, ..call }).await.err();
+            wait_for_crash_detection().await;
+            error.expect("no target answers").kind
+        };
+        for (is_owed, expected, received_count) in [
+            (true, ErrorKind::TargetFailed, 1),
+            (true, ErrorKind::TargetFailed, 2),
+            (true, ErrorKind::TargetFailed, 3),
+            (false, ErrorKind::TargetFailed, 4),
+            (false, ErrorKind::TargetFailed, 5),
+            (false, ErrorKind::TargetFailed, 6),
+            (false, ErrorKind::RequestSuspended, 6),
+            (true, ErrorKind::TargetFailed, 7),
+        ] {
+            assert_eq!(send(is_owed).await, expected, "owed: {is_owed}");
+            assert_eq!(fleet.received_count(CRASHING_BODY), received_count, "owed: {is_owed}");
+        }
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
 /// Guards against refusing a harmless request because it was in flight on targets that another
 /// request crashed.
 #[test]
