deck-call: never refuse samples of a rollout job because engines crashed

What callers saw: a step of a trainer waited up to 15 minutes for a sample under whose generation several engines had crashed.

Cause: `deckroll` has its samples generated as completions through `deckentry`, which counts crashes by method, path and body. The samples of a group share prompt and body, so that few crashes suffice. After three, each entry VM refuses the completion with 422 `request_condemned`; `deckroll` then drops the text and repeats the same request every 5 s, until the count expires after 900 s.

Evidence: `sample_of_a_rollout_job_is_owed_after_engine_crashes` failed before ("left: 422, right: 200", after three engines had crashed) and passed three times now.

A completion that generates a sample of an accepted job is owed and has no fingerprint: it is neither refused nor counted as a cause of crashes, and one call still runs on four engines at most. It is recognised by the accepted `RolloutJob` object: `X-Job` names the job, and the organisation, the pool and the prompt are the job's. The header alone proves nothing, as any caller can send it; the test checks that another prompt under the job's name is refused as before.

Why it works: crashes are attributed by fingerprint only, and without one no check applies. The prompts were accepted with the job, so a sample that is refused is one that the system owes.

--- a/bins/deckentry/tests/engines.rs
+++ b/bins/deckentry/tests/engines.rs
@@ -337,6 +337,57 @@
     });
 }
 
+/// Guards against a rollout sample that is refused for 15 minutes because several engines crashed
+/// while they generated it, and against a caller that escapes the refusal by naming the job with
+/// a prompt of its own.
+#[test]
+fn sample_of_a_rollout_job_is_owed_after_engine_crashes() {
+    run_test(async {
+        let other_prompt = format!("{CRASH_MARKER} and another prompt");
+        for (prompt, expected_status) in [(CRASH_MARKER, 200), (other_prompt.as_str(), 422)] {
+            let deployment = Deployment::start();
+            let (engines, entry) = start_engines(&deployment, &[&[] as &[&str]; 6], "").await;
+            let spec = json!({
+                "organisation": ORGANISATION, "pool": "rank", "scorer_address": "127.0.0.1:1",
+                "samples_per_step": 1, "group_size": 1, "staleness_bound_versions": 1,
+                "max_tokens": 10, "step_deadline_ms": 1000, "prompts": [CRASH_MARKER],
+            });
+            deployment.put("RolloutJob", "night", spec).await;
+            deployment.wait_for_propagation().await;
+            for engine in &engines {
+                deployment.set_faults(engine, json!({ "crash_marker": CRASH_MARKER })).await;
+            }
+            let headers = [
+                ("x-organisation", ORGANISATION),
+                ("x-job", "night"),
+                ("x-priority", "rollout"),
+                ("x-deadline-ms", "40000"),
+            ];
+            let body = request(prompt, 10, false).to_string();
+            let send = || deployment.send(entry.caller, "POST", "/v1/completions", &headers, &body);
+            // Each call runs on four engines at most.
+            let response = send().await;
+            assert_eq!(response.status, 502, "{response:?}");
+            let mut alive_engines = Vec::new();
+            for engine in &engines {
+                let state = deployment.try_send(engine.address, "GET", "/v1/state", &[], "").await;
+                alive_engines.extend(state.map(|_| engine));
+            }
+            assert!((2..=3).contains(&alive_engines.len()), "{} are left", alive_engines.len());
+            for engine in alive_engines {
+                deployment.set_faults(engine, json!({ "crash_marker": "" })).await;
+            }
+            // A call may try only crashed engines, and is then refused as not run.
+            let mut response = send().await;
+            while response.status == 503 {
+                monoio::time::sleep(Duration::from_millis(50)).await;
+                response = send().await;
+            }
+            assert_eq!(response.status, expected_status, "{prompt}: {response:?}");
+        }
+    });
+}
+
 /// Guards against idempotent calls that fail because a target fails.
 #[test]
 fn idempotent_service_calls_are_retried() {
--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -145,8 +145,10 @@
             leaving.record(&self.target_key, Instant::now());
             self.shared.router.mark_leaving(&self.target_key.pool, &self.target_key.target);
         }
-        if outcome == Outcome::Ok {
-            self.shared.crash_tracker.borrow_mut().record_success(self.call.fingerprint);
+        if outcome == Outcome::Ok
+            && let Some(fingerprint) = self.call.fingerprint
+        {
+            self.shared.crash_tracker.borrow_mut().record_success(fingerprint);
         }
         if let Some(in_flight) = self.in_flight.take() {
             in_flight.finish(outcome, tokens, Instant::now());
@@ -170,13 +172,14 @@
         );
         if crashed {
             self.shared.metrics.count_crash(&self.target_key.pool);
-            let mut crashes = self.shared.crash_tracker.borrow_mut();
-            crashes.record_crash(
-                self.call.fingerprint,
-                &self.target_key,
-                self.is_suspect,
-                Instant::now(),
-            );
+            if let Some(fingerprint) = self.call.fingerprint {
+                self.shared.crash_tracker.borrow_mut().record_crash(
+                    fingerprint,
+                    &self.target_key,
+                    self.is_suspect,
+                    Instant::now(),
+                );
+            }
         }
         self.finish(Outcome::Crashed, tokens);
         crashed
@@ -226,7 +229,9 @@
             let message = "the deadline passed before the request left for a target";
             return Err(CallError::new(ErrorKind::DeadlineBeforeRun, message));
         }
-        let is_suspect = shared.crash_tracker.borrow().is_suspect(call.fingerprint);
+        let is_suspect = call
+            .fingerprint
+            .is_some_and(|fingerprint| shared.crash_tracker.borrow().is_suspect(fingerprint));
         let mut excluded_targets = if exclude_failed { failed.to_vec() } else { Vec::new() };
         let mut suspect_targets = Vec::new();
         if is_suspect && pick_started.elapsed() < shared.options.crash.max_isolation_wait {
--- a/crates/call/src/call.rs
+++ b/crates/call/src/call.rs
@@ -21,8 +21,9 @@
     pub(crate) pool: Rc<PoolInfo>,
     /// Path and query of the request to the target.
     pub(crate) path: String,
-    /// Hash of the request, which attributes target crashes to it.
-    pub(crate) fingerprint: Fingerprint,
+    /// Hash of the request, which attributes target crashes to it. `None` for an owed call, which
+    /// is not held responsible for crashes.
+    pub(crate) fingerprint: Option<Fingerprint>,
     pub(crate) started_at: Instant,
     /// Predicted number of generated tokens; 1 for plain services.
     pub(crate) expected_tokens: u64,
@@ -55,7 +56,7 @@
             head,
             pool,
             path,
-            fingerprint,
+            fingerprint: Some(fingerprint),
             started_at,
             expected_tokens: 1,
             affinity_hash: None,
@@ -69,6 +70,12 @@
         }
     }
 
+    /// Marks the call as owed: it generates a sample of an accepted rollout job. Such a call is
+    /// never refused because of target crashes, and no crash is attributed to it.
+    pub(crate) fn set_owed(&mut self) {
+        self.fingerprint = None;
+    }
+
     pub(crate) fn body(&self) -> Bytes {
         self.body.bytes.clone()
     }
--- a/crates/call/src/handler.rs
+++ b/crates/call/src/handler.rs
@@ -315,7 +315,11 @@
     })?;
     let (name, priority) = (pool.name.clone(), head.priority.as_str());
     let path = "/v1/completions".to_owned();
+    let is_job_sample = shared.pools.borrow().is_job_sample(&head, &name, &request.prompt);
     let mut call = Call::new(shared.clone(), head, pool, path, body, started_at);
+    if is_job_sample {
+        call.set_owed();
+    }
     completion::set_routing_hints(shared, &mut call, &request);
     let (response, code) = completion::handle_completion(shared, Rc::new(call), request).await;
     Ok(HandledRequest { response, code, pool: name, priority })
--- a/crates/call/src/pool_index.rs
+++ b/crates/call/src/pool_index.rs
@@ -6,13 +6,16 @@
 };
 
 use deck_core::{
+    hash::hash128,
     id::{JobName, OrganisationId, PoolName},
-    object::{PoolType, TargetPool, TargetState},
+    object::{PoolType, RolloutJob, TargetPool, TargetState},
 };
 use deck_limit::{Admission, PoolCapacity, ShareAssignment};
 use deck_peer::ConfigView;
 use deck_route::Router;
 
+use crate::request_head::CallHead;
+
 /// Name and specification of a pool.
 #[derive(Debug)]
 pub(crate) struct PoolInfo {
@@ -48,7 +51,22 @@
     by_name: HashMap<PoolName, Rc<PoolInfo>>,
     by_model: HashMap<String, Rc<PoolInfo>>,
     organisations: HashSet<OrganisationId>,
-    jobs: HashSet<JobName>,
+    jobs: HashMap<JobName, JobInfo>,
+}
+
+/// What identifies the samples of a rollout job among the completions that callers request.
+struct JobInfo {
+    organisation: OrganisationId,
+    pool: PoolName,
+    /// Hashes of the job's prompts.
+    prompt_hashes: HashSet<u128>,
+}
+
+impl From<RolloutJob> for JobInfo {
+    fn from(job: RolloutJob) -> Self {
+        let prompt_hashes = job.prompts.iter().map(|prompt| hash128(prompt.as_bytes())).collect();
+        Self { organisation: job.organisation, pool: job.pool, prompt_hashes }
+    }
 }
 
 impl PoolIndex {
@@ -67,7 +85,18 @@
     }
 
     pub(crate) fn is_configured_job(&self, name: &str) -> bool {
-        self.jobs.contains(name)
+        self.jobs.contains_key(name)
+    }
+
+    /// Returns `true` if a completion generates a sample of the rollout job that it names. The
+    /// prompt must be one of the job's, so that a caller cannot declare any other request to be one.
+    pub(crate) fn is_job_sample(&self, head: &CallHead, pool: &str, prompt: &str) -> bool {
+        let job = head.job.as_ref().and_then(|name| self.jobs.get(name));
+        job.is_some_and(|job| {
+            job.organisation == head.organisation
+                && job.pool == pool
+                && job.prompt_hashes.contains(&hash128(prompt.as_bytes()))
+        })
     }
 
     /// Applies the current configuration to this index, the router and admission.
@@ -102,7 +131,8 @@
         self.by_model = by_model;
         self.organisations =
             config.organisation_shares().into_iter().map(|(name, ..)| name).collect();
-        self.jobs = config.rollout_jobs().into_iter().map(|(name, ..)| name).collect();
+        self.jobs =
+            config.rollout_jobs().into_iter().map(|(name, _, job)| (name, job.into())).collect();
         let organisation_shares = config.organisation_shares().into_iter();
         let assignments: Vec<_> = organisation_shares
             .map(|(organisation, _, share)| ShareAssignment { organisation, share })
--- a/crates/call/src/shared.rs
+++ b/crates/call/src/shared.rs
@@ -88,7 +88,8 @@
 
     /// Returns an error if the request is blocked because it repeatedly crashed targets.
     pub(crate) fn check_not_blocked(&self, call: &Call) -> Result<(), CallError> {
-        if !self.crash_tracker.borrow().is_blocked(call.fingerprint) {
+        let crash_tracker = self.crash_tracker.borrow();
+        if !call.fingerprint.is_some_and(|fingerprint| crash_tracker.is_blocked(fingerprint)) {
             return Ok(());
         }
         let message = "this request repeatedly broke the targets that ran it";
