deck-call: run suspects of different entry VMs on different targets

What callers saw: a harmless call got 502 `target_failed`, "this request repeatedly broke the targets that ran it". It failed `request_that_breaks_engines_is_refused_after_three` now and then.

Cause: after a crash, every call that was in flight on the target is a suspect, and suspects run on targets without another suspect, so that the next crash has one possible cause. A VM knew only its own suspects, though. In the logs of a failed run, the crashing call at the first entry VM and a harmless suspect at the second ran on the same engine twice in 30 ms (t5, t1), and each VM counted its own call as the only suspect: three crashes, the first one in company included, so the harmless call was refused.

Each target of a pool is now assigned to one entry VM, by its position in the pool object and the set of live VMs, and a suspect first runs on its own VM's targets. That needs no message, which would arrive too late: the calls in the log started within 25 ms of the crash. After 0.5 s, or if no target of the VM is usable, a suspect runs as before, so that requests that crash targets are found as before. `PickRequest` can limit the choice to some targets.

Why it works: with equal views of the pool and the VMs, no two VMs share a target in the first 0.5 s, so that a suspect that is alone at its VM is alone on its target. What remains: a pool with fewer targets than VMs, where the remaining VMs have no target of their own; and a crash caused by a request that is not known as a suspect at its VM yet. Each of these can still count against a harmless suspect.

--- a/bins/deckentry/tests/engines.rs
+++ b/bins/deckentry/tests/engines.rs
@@ -337,6 +337,57 @@
     });
 }
 
+/// Guards against blaming a harmless call for the crash of an engine on which another entry VM runs
+/// a call that is suspected too: each VM knows only its own calls.
+#[test]
+fn suspects_of_two_entries_run_on_different_engines() {
+    run_test(async {
+        let deployment = Deployment::start();
+        let (engines, first_entry) = start_engines(&deployment, &[&[] as &[&str]; 4], "").await;
+        let second = deployment.start_entry("e2", &[first_entry.peer], "").await;
+        deployment.wait_for_propagation().await;
+        let running_by_engine = async || {
+            let mut running_by_engine = Vec::new();
+            for engine in &engines {
+                let records =
+                    deployment.try_send(engine.address, "GET", "/admin/records", &[], "").await;
+                let runs = records.map(|records| records.json()["runs"].clone());
+                let runs = runs.and_then(|runs| runs.as_array().cloned()).unwrap_or_default();
+                running_by_engine.push(runs.iter().filter(|run| run["state"] == "running").count());
+            }
+            running_by_engine
+        };
+        // Both entry VMs prefer the same engine for calls with a common prefix.
+        let prefix = "seat".repeat(512);
+        let bodies = ["a", "b"].map(|suffix| request(&format!("{prefix}{suffix}"), 100_000, false));
+        let calls = join(
+            deployment.complete(&first_entry, &bodies[0]),
+            deployment.complete(&second, &bodies[1]),
+        );
+        let check = async {
+            let mut shared_engine = None;
+            eventually("one engine runs both calls", async || {
+                shared_engine = running_by_engine().await.iter().position(|count| *count == 2);
+                shared_engine.is_some()
+            })
+            .await;
+            let shared_engine = &engines[shared_engine.expect("found")];
+            deployment.set_faults(shared_engine, json!({ "crash": true })).await;
+            let mut running = Vec::new();
+            eventually("other engines run both calls", async || {
+                running = running_by_engine().await;
+                running.iter().sum::<usize>() == 2
+            })
+            .await;
+            assert!(running.iter().all(|count| *count <= 1), "{running:?}");
+        };
+        monoio::select! {
+            _ = calls => panic!("answered too early"),
+            _ = check => {}
+        }
+    });
+}
+
 /// Guards against a rollout sample that is refused for 15 minutes because several engines crashed
 /// while they generated it, and against a caller that escapes the refusal by naming the job with
 /// a prompt of its own.
--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -10,12 +10,13 @@
     error::{CallError, ErrorKind},
     id::TargetId,
 };
-use deck_limit::crash::TargetKey;
+use deck_limit::crash::{TargetKey, targets_for_suspects};
 use deck_net::{
     Body, ClientResponse, NetError,
     http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header},
 };
-use deck_route::{InFlightGuard, Outcome, Pick, PickError, PickRequest};
+use deck_peer::MemberState;
+use deck_route::{HealthState, InFlightGuard, Outcome, Pick, PickError, PickRequest};
 
 use crate::{
     body::timeout_at,
@@ -26,6 +27,9 @@
 
 /// Maximum time to wait for a target while all targets are busy.
 const MAX_BUSY_WAIT: Duration = Duration::from_secs(1);
+/// Maximum time that a suspect waits for a target on which this VM runs suspects, see
+/// [`targets_for_suspects`]. Afterwards it may run on any target without a suspect of this VM.
+const MAX_OWN_TARGET_WAIT: Duration = Duration::from_millis(500);
 /// Interval between target selections while no target is available.
 const PICK_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -244,14 +248,24 @@
             priority: call.head.priority,
             affinity: call.affinity_hash,
             exclude: &excluded_targets,
+            only: None,
             now,
         };
+        if is_suspect && pick_started.elapsed() < MAX_OWN_TARGET_WAIT {
+            let own_targets = own_targets_for_suspects(shared, call);
+            let own_request = PickRequest { only: Some(&own_targets), ..request.clone() };
+            if let Ok(pick) = shared.router.pick(&own_request) {
+                return Ok((pick, is_suspect));
+            }
+            if own_targets.iter().any(|target| suspect_targets.contains(target)) {
+                wait_for_suspect_end(shared, now).await;
+                continue;
+            }
+        }
         match shared.router.pick(&request) {
             Ok(pick) => return Ok((pick, is_suspect)),
             Err(PickError::NoTarget(_)) if !suspect_targets.is_empty() => {
-                let _ =
-                    timeout_at(now + PICK_RETRY_INTERVAL, shared.suspect_attempt_ended.notified())
-                        .await;
+                wait_for_suspect_end(shared, now).await;
             }
             Err(PickError::NoTarget(_)) if exclude_failed && !failed.is_empty() => {
                 // No other target is left; one that failed may have recovered.
@@ -266,6 +280,28 @@
     }
 }
 
+/// Waits until an attempt of a suspect ends, at most until the next target selection is due.
+async fn wait_for_suspect_end(shared: &SharedRef, now: Instant) {
+    let _ = timeout_at(now + PICK_RETRY_INTERVAL, shared.suspect_attempt_ended.notified()).await;
+}
+
+/// Returns the targets of the call's pool on which this VM runs suspects, without ejected ones.
+fn own_targets_for_suspects(shared: &SharedRef, call: &Call) -> Vec<TargetId> {
+    let members = shared.peer.members().into_iter();
+    let vms: Vec<_> = members
+        .filter(|member| matches!(member.state, MemberState::Live | MemberState::Suspect))
+        .map(|member| member.vm)
+        .collect();
+    let targets = call.pool.spec.targets.iter().map(|target| &target.id);
+    let mut own_targets = targets_for_suspects(&shared.options.vm, &vms, targets);
+    for status in shared.router.targets(&call.pool.name) {
+        if status.health != HealthState::Healthy {
+            own_targets.retain(|target| *target != status.target);
+        }
+    }
+    own_targets
+}
+
 /// Builds a request to a target, with the remaining time in the deadline header.
 pub(crate) fn build_target_request(
     call: &Call,
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -294,6 +294,7 @@
                 priority: Priority::Interactive,
                 affinity: None,
                 exclude,
+                only: None,
                 now: Instant::now(),
             })
         };
--- a/crates/limit/src/crash.rs
+++ b/crates/limit/src/crash.rs
@@ -10,7 +10,10 @@
     time::{Duration, Instant},
 };
 
-use deck_core::{hash::hash128, id::TargetId};
+use deck_core::{
+    hash::hash128,
+    id::{TargetId, VmId},
+};
 use serde::{Deserialize, Serialize};
 
 /// Settings of the detection of requests that crash targets.
@@ -111,6 +114,26 @@
     pub target: TargetId,
 }
 
+/// Returns the targets of a pool on which `vm` runs suspects. Each target is assigned to one VM, so
+/// that suspects of two VMs do not meet on a target, where each VM would take its own for the only
+/// one.
+///
+/// The assignment needs no messages: it depends only on the order of `targets`, which must be the
+/// same on all VMs, and on the set of VMs. It is by position rather than by hash, because a hash
+/// assigns no target to some VMs of a small pool. With more VMs than targets, the remaining VMs get
+/// none.
+pub fn targets_for_suspects<'a>(
+    vm: &VmId,
+    vms: &[VmId],
+    targets: impl IntoIterator<Item = &'a TargetId>,
+) -> Vec<TargetId> {
+    if !vms.contains(vm) {
+        return Vec::new();
+    }
+    let rank = vms.iter().filter(|other| *other < vm).count();
+    targets.into_iter().skip(rank).step_by(vms.len()).cloned().collect()
+}
+
 impl CrashTracker {
     /// Returns a tracker without crashes.
     pub fn new(options: CrashOptions) -> Self {
--- a/crates/limit/tests/crash.rs
+++ b/crates/limit/tests/crash.rs
@@ -5,6 +5,7 @@
 
 use deck_limit::crash::{
     CrashCounts, CrashOptions, CrashTracker, FingerprintCrashes, TargetKey, fingerprint,
+    targets_for_suspects,
 };
 
 const CRASHING: u128 = 1;
@@ -65,6 +66,20 @@
     assert!(tracker.targets_with_suspects("rank").is_empty());
 }
 
+/// Guards against suspects of two VMs on one target, where each VM takes its own for the only one.
+#[test]
+fn suspects_of_two_vms_have_different_targets() {
+    let [a, b, c, stranger] = ["a", "b", "c", "d"].map(str::to_owned);
+    let vms = [c.clone(), a.clone(), b.clone()];
+    let targets = ["t0", "t1", "t2", "t3", "t4"].map(str::to_owned);
+    let assigned = |vm| targets_for_suspects(vm, &vms, &targets);
+    assert_eq!(assigned(&a), ["t0", "t3"]);
+    assert_eq!(assigned(&b), ["t1", "t4"]);
+    assert_eq!(assigned(&c), ["t2"]);
+    assert!(assigned(&stranger).is_empty(), "its view of the VMs differs from that of the others");
+    assert!(targets_for_suspects(&c, &vms, &targets[..2]).is_empty());
+}
+
 /// Guards against counting the crashes of a request separately at each VM.
 #[test]
 fn crashes_observed_by_other_vms_count() {
--- a/crates/route/examples/route_bench/figures.rs
+++ b/crates/route/examples/route_bench/figures.rs
@@ -448,6 +448,7 @@
             priority: Priority::Interactive,
             affinity: affinity_base.map(|affinity_base| affinity_base * u64::from(number / 8)),
             exclude: &[],
+            only: None,
             now,
         };
         picks_in_flight.push_back(router.pick(&request).expect("targets are free"));
--- a/crates/route/examples/route_bench/policy.rs
+++ b/crates/route/examples/route_bench/policy.rs
@@ -159,6 +159,7 @@
             priority: call.priority,
             affinity: None,
             exclude: &exclude,
+            only: None,
             now,
         };
         let pick = self.routers[call.vm].pick(&request).ok()?;
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -71,7 +71,7 @@
             let state = target.state.borrow();
             !state.is_leaving()
                 && state.health.probe_overdue(request.now).is_some_and(|overdue| overdue >= delay)
-                && !request.exclude.contains(&target.id)
+                && request.allows(&target.id)
         };
         self.subset_targets().find(is_due).cloned()
     }
@@ -86,7 +86,7 @@
         let affinity_value = request.affinity?;
         let accepts_call = |index: &&usize| {
             let target = &self.targets[**index];
-            target.state.borrow().accepts_calls() && !request.exclude.contains(&target.id)
+            target.state.borrow().accepts_calls() && request.allows(&target.id)
         };
         let available_targets = self.nearest_indexes().iter().filter(accepts_call);
         let index = *available_targets
@@ -185,9 +185,10 @@
     /// Falls back to the ejected target with the fewest calls of this VM. Returns an error if a
     /// healthy target exists but has no capacity for the call, or if no target is left.
     fn ejected_fallback(&self, request: &PickRequest<'_>) -> Result<ChosenTarget, PickError> {
-        let candidates = self.targets.iter().filter(|target| {
-            !target.state.borrow().is_leaving() && !request.exclude.contains(&target.id)
-        });
+        let candidates = self
+            .targets
+            .iter()
+            .filter(|target| !target.state.borrow().is_leaving() && request.allows(&target.id));
         let mut any_accepting = false;
         let mut least_loaded: Option<&Rc<Target>> = None;
         for target in candidates {
@@ -233,7 +234,7 @@
     ) -> Option<f64> {
         let target = &self.targets[index];
         let state = target.state.borrow();
-        if !state.accepts_calls() || request.exclude.contains(&target.id) {
+        if !state.accepts_calls() || !request.allows(&target.id) {
             return None;
         }
         let external_calls = self.external_calls(&state, request.now);
--- a/crates/route/src/error.rs
+++ b/crates/route/src/error.rs
@@ -13,7 +13,7 @@
         UnknownPool(pool: String) {
             display("no pool named {pool:?}")
         }
-        /// Every target of the pool is leaving or excluded by the request.
+        /// Every target of the pool is leaving or not allowed by the request.
         NoTarget(pool: String) {
             display("pool {pool:?} has no target that takes work")
         }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -32,11 +32,20 @@
     pub affinity: Option<u64>,
     /// Targets that must not be selected, for example because an earlier attempt failed there.
     pub exclude: &'a [TargetId],
+    /// Targets from which to select; `None` allows all of the pool.
+    pub only: Option<&'a [TargetId]>,
     /// Time of the selection, from which the ages of load reports and of calls in flight are
     /// computed.
     pub now: Instant,
 }
 
+impl PickRequest<'_> {
+    /// Returns whether the request allows the target to be selected.
+    pub(crate) fn allows(&self, target: &TargetId) -> bool {
+        self.only.is_none_or(|only| only.contains(target)) && !self.exclude.contains(target)
+    }
+}
+
 /// Target selected for a call.
 #[derive(Debug)]
 pub struct Pick {
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -61,7 +61,15 @@
 
 pub fn request(priority: Priority, now: Instant) -> PickRequest<'static> {
     let expected_tokens = if priority == Priority::Rollout { 2000 } else { 50 };
-    PickRequest { pool: POOL, expected_tokens, priority, affinity: None, exclude: &[], now }
+    PickRequest {
+        pool: POOL,
+        expected_tokens,
+        priority,
+        affinity: None,
+        exclude: &[],
+        only: None,
+        now,
+    }
 }
 
 pub fn pick(router: &Router, priority: Priority, now: Instant) -> Pick {
--- a/crates/route/tests/health.rs
+++ b/crates/route/tests/health.rs
@@ -165,6 +165,7 @@
     let exclude = ["t1".to_owned()];
     let request = deck_route::PickRequest {
         exclude: &exclude,
+        only: None,
         ..request(Priority::Interactive, simulation.now)
     };
     assert_eq!(router.pick(&request).unwrap().target, "t0");
