--- a/bins/deckentry/tests/engines.rs
+++ b/bins/deckentry/tests/engines.rs
@@ -337,6 +337,108 @@
     });
 }
 
+/// Guards against blaming a harmless call for the crash of an engine on which another entry VM runs
+/// a call that is suspected too: each VM knows only its own calls.
+#[test]
+fn suspects_of_two_entries_run_on_different_engines() {
+    run_test(async {
+        let deployment = Deployment::start();
+        let (engines, first_entry) = start_engines(&deployment, &[&[] as &[&str]; 4], "").await;
+        let second = deployment.start_entry("e2", &[first_entry.peer], "").await;
+        deployment.wait_for_propagation().await;
+        let running_by_engine = async || {
+            let mut running_by_engine = Vec::new();
+            for engine in &engines {
+                let records =
+                    deployment.try_send(engine.address, "GET", "/admin/records", &[], "").await;
+                let runs = records.map(|records| records.json()["runs"].clone());
+                let runs = runs.and_then(|runs| runs.as_array().cloned()).unwrap_or_default();
+                running_by_engine.push(runs.iter().filter(|run| run["state"] == "running").count());
+            }
+            running_by_engine
+        };
+        // Both entry VMs prefer the same engine for calls with a common prefix.
+        let prefix = "seat".repeat(512);
+        let bodies = ["a", "b"].map(|suffix| request(&format!("{prefix}{suffix}"), 100_000, false));
+        let calls = join(
+            deployment.complete(&first_entry, &bodies[0]),
+            deployment.complete(&second, &bodies[1]),
+        );
+        let check = async {
+            let mut shared_engine = None;
+            eventually("one engine runs both calls", async || {
+                shared_engine = running_by_engine().await.iter().position(|count| *count == 2);
+                shared_engine.is_some()
+            })
+            .await;
+            let shared_engine = &engines[shared_engine.expect("found")];
+            deployment.set_faults(shared_engine, json!({ "crash": true })).await;
+            let mut running = Vec::new();
+            eventually("other engines run both calls", async || {
+                running = running_by_engine().await;
+                running.iter().sum::<usize>() == 2
+            })
+            .await;
+            assert!(running.iter().all(|count| *count <= 1), "{running:?}");
+        };
+        monoio::select! {
+            _ = calls => panic!("answered too early"),
+            _ = check => {}
+        }
+    });
+}
+
+/// Guards against a rollout sample that is refused for 15 minutes because several engines crashed
+/// while they generated it, and against a caller that escapes the refusal by naming the job with
+/// a prompt of its own.
+#[test]
+fn sample_of_a_rollout_job_is_owed_after_engine_crashes() {
+    run_test(async {
+        let other_prompt = format!("{CRASH_MARKER} and another prompt");
+        for (prompt, expected_status) in [(CRASH_MARKER, 200), (other_prompt.as_str(), 422)] {
+            let deployment = Deployment::start();
+            let (engines, entry) = start_engines(&deployment, &[&[] as &[&str]; 6], "").await;
+            let spec = json!({
+                "organisation": ORGANISATION, "pool": "rank", "scorer_address": "127.0.0.1:1",
+                "samples_per_step": 1, "group_size": 1, "staleness_bound_versions": 1,
+                "max_tokens": 10, "step_deadline_ms": 1000, "prompts": [CRASH_MARKER],
+            });
+            deployment.put("RolloutJob", "night", spec).await;
+            deployment.wait_for_propagation().await;
+            for engine in &engines {
+                deployment.set_faults(engine, json!({ "crash_marker": CRASH_MARKER })).await;
+            }
+            let headers = [
+                ("x-organisation", ORGANISATION),
+                ("x-job", "night"),
+                ("x-priority", "rollout"),
+                ("x-deadline-ms", "40000"),
+            ];
+            let body = request(prompt, 10, false).to_string();
+            let send = || deployment.send(entry.caller, "POST", "/v1/completions", &headers, &body);
+            // Each call runs on four engines at most.
+            let response = send().await;
+            assert_eq!(response.status, 502, "{response:?}");
+            let mut alive_engines = Vec::new();
+            for engine in &engines {
+                let state = deployment.try_send(engine.address, "GET", "/v1/state", &[], "").await;
+                alive_engines.extend(state.map(|_| engine));
+            }
+            assert!((2..=3).contains(&alive_engines.len()), "{} are left", alive_engines.len());
+            for engine in alive_engines {
+                deployment.set_faults(engine, json!({ "crash_marker": "" })).await;
+            }
+            // A call may try only crashed engines, and is then refused as not run.
+            let mut response = send().await;
+            while response.status == 503 {
+                monoio::time::sleep(Duration::from_millis(50)).await;
+                response = send().await;
+            }
+            assert_eq!(response.status, expected_status, "{prompt}: {response:?}");
+        }
+    });
+}
+
 /// Guards against idempotent calls that fail because a target fails.
 #[test]
 fn idempotent_service_calls_are_retried() {
