deck-net: close silent idle connections after a call on one of them timed out

What callers could see: all open connections of a node to an address fall silent at one moment, without a reset, while new connections work. For seconds after that, reads of jobs answer 503 and submissions are refused, because calls on other nodes and on the object API time out one after the other.

Cause: a call that timed out closed only its own connection. The pool keeps up to 64 idle connections to an address and reuses the one that has been idle for longest, so that each of the next calls took another silent connection and waited for its whole timeout. Keep-alive probes do not end this in time: they close idle connections after three seconds, but a call that starts just before that still waits for its timeout.

When a call on a reused connection times out, the idle connections to the address on which nothing has arrived since its request was sent are closed too. Idle connections do not show by themselves whether they work, but a connection on which bytes arrived meanwhile shows that it and all connections opened after it work, so these are kept: a slow response does not make the client replace its connections.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -4,10 +4,10 @@
 //! abandoned response cannot be mistaken for the response to another request.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     net::SocketAddr,
-    rc::Rc,
+    rc::{Rc, Weak},
     time::{Duration, Instant},
 };
 
@@ -78,11 +78,14 @@
     pool: Rc<Pool>,
 }
 
-/// Idle connections by server address.
+/// Connections by server address.
 #[derive(Default)]
 struct Pool {
     /// Invariant: the connections to an address are in the order in which they became idle.
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    /// Activity of the connections, whether idle or in use. Entries of closed connections are
+    /// removed when another connection is opened.
+    open: RefCell<HashMap<SocketAddr, Vec<Weak<Activity>>>>,
 }
 
 struct IdleConnection {
@@ -96,8 +99,32 @@
 struct Connection {
     sender: SendRequest<Body>,
     head_budget: HeadBudget,
+    activity: Rc<Activity>,
 }
 
+/// Times of a connection that show whether it has fallen silent.
+#[derive(Debug)]
+pub(crate) struct Activity {
+    opened_at: Instant,
+    /// Time of the last bytes received from the server, at first that of the opening.
+    last_received_at: Cell<Instant>,
+}
+
+impl Activity {
+    fn new() -> Self {
+        let now = Instant::now();
+        Self { opened_at: now, last_received_at: Cell::new(now) }
+    }
+
+    /// Records that bytes have arrived from the server.
+    pub(crate) fn record_received(&self) {
+        self.last_received_at.set(Instant::now());
+    }
+}
+
+/// Last exchange of a call: the activity of its connection, and when the request was sent.
+type ExchangeRecord = RefCell<Option<(Rc<Activity>, Instant)>>;
+
 /// Response whose body is read chunk by chunk.
 pub struct ClientResponse {
     /// HTTP status.
@@ -123,6 +150,11 @@
     Prefix(Bytes, Box<ClientResponse>),
 }
 
+/// Minimum time without a byte from the server after which a call that times out closes idle
+/// connections that are silent too. A single lost packet delays a response by a retransmission
+/// timeout, which is 200 ms or more.
+const MIN_SILENCE: Duration = Duration::from_millis(300);
+
 /// Maximum size of an unneeded body that is read so that its connection can be reused.
 const MAX_DISCARDED_BYTES: usize = 64 * 1024;
 /// Maximum time to read an unneeded body; after that, a new connection costs less.
@@ -180,12 +212,23 @@
     /// Call [`NetError::may_have_been_sent`] on the error to check whether the server may have
     /// received a part of the request.
     pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<ClientResponse, NetError> {
+        self.send_recorded(address, request, &ExchangeRecord::default()).await
+    }
+
+    /// As [`Client::send`]; stores in `record` on which connection the request is sent.
+    async fn send_recorded(
         &self,
         address: SocketAddr,
         mut request: Request<Body>,
+        record: &ExchangeRecord,
     ) -> Result<ClientResponse, NetError> {
         set_host(&mut request, address);
         while let Some(connection) = self.pool.take(address) {
+            record.replace(Some((connection.activity.clone(), Instant::now())));
             match self.exchange(address, connection, request).await {
                 Ok(response) => return Ok(response),
                 // The server closed the idle connection before any byte was sent: try another one.
@@ -193,6 +236,7 @@
                 Err((error, None)) => return Err(error),
             }
         }
+        record.take();
         let connection = self.connect(address).await?;
         self.exchange(address, connection, request).await.map_err(|(error, _)| error)
     }
@@ -215,6 +259,10 @@
     /// Sends a request and receives the whole response, with a body of at most `max_bytes`, within
     /// `timeout`.
     ///
+    /// If a reused connection has not delivered the response by then, other idle connections to the
+    /// address that may have fallen silent with it are closed. Otherwise each of the next calls could
+    /// time out on another one of them.
+    ///
     /// # Errors
     ///
     /// As [`Client::send`] and [`ClientResponse::collect`]; [`NetError::Exchange`] after the
@@ -226,14 +274,18 @@
         timeout: Duration,
         max_bytes: usize,
     ) -> Result<BufferedResponse, NetError> {
+        let record = ExchangeRecord::default();
         let exchange = async {
-            let mut response = self.send(address, request).await?;
+            let mut response = self.send_recorded(address, request, &record).await?;
             let (status, headers) = (response.status, std::mem::take(&mut response.headers));
             Ok(BufferedResponse { status, headers, body: response.collect(max_bytes).await? })
         };
         match monoio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
-            Err(_) => Err(NetError::Exchange(address, "no answer in time".to_owned())),
+            Err(_) => {
+                self.pool.close_silent(address, &record);
+                Err(NetError::Exchange(address, "no answer in time".to_owned()))
+            }
         }
     }
 
@@ -249,8 +301,13 @@
         request: Request<Body>,
         limits: ChunkedCallLimits,
     ) -> Result<BufferedResponse, NetError> {
-        let timed_out = |what: &str| NetError::Exchange(address, format!("no {what} in time"));
-        let head = monoio::time::timeout(limits.head_timeout, self.send(address, request)).await;
+        let record = ExchangeRecord::default();
+        let timed_out = |what: &str| {
+            self.pool.close_silent(address, &record);
+            NetError::Exchange(address, format!("no {what} in time"))
+        };
+        let pending_head = self.send_recorded(address, request, &record);
+        let head = monoio::time::timeout(limits.head_timeout, pending_head).await;
         let mut response = head.map_err(|_| timed_out("answer"))??;
         let (status, headers) = (response.status, std::mem::take(&mut response.headers));
         let mut body = Vec::new();
@@ -336,7 +393,8 @@
         }
         let stream = stream.into_poll_io().map_err(|error| NetError::Connect(address, error))?;
         let head_budget = HeadBudget::default();
-        let io = LimitedIo::new(MonoioIo::new(stream), head_budget.clone());
+        let activity = self.pool.register(address);
+        let io = LimitedIo::new(MonoioIo::new(stream), head_budget.clone(), activity.clone());
         let (sender, connection) = http1::handshake(io)
             .await
             .map_err(|error| NetError::NotSent(address, error.to_string()))?;
@@ -345,7 +403,7 @@
                 log::debug!(target: "net", "connection closed address={address} error={error}");
             }
         });
-        Ok(Connection { sender, head_budget })
+        Ok(Connection { sender, head_budget, activity })
     }
 
     /// Sends `request` on `connection` and waits for the head of the response. An error contains
@@ -412,6 +470,52 @@
         connection
     }
 
+    /// Returns the activity of a connection that was just opened.
+    fn register(&self, address: SocketAddr) -> Rc<Activity> {
+        let activity = Rc::new(Activity::new());
+        let mut open = self.open.borrow_mut();
+        open.retain(|_, activities| {
+            activities.retain(|entry| entry.strong_count() > 0);
+            !activities.is_empty()
+        });
+        open.entry(address).or_default().push(Rc::downgrade(&activity));
+        activity
+    }
+
+    /// Closes the idle connections that may have fallen silent together with the connection of a
+    /// call that timed out: nothing has arrived on them since, nor on an older connection.
+    ///
+    /// A server that is only slow still sends on other connections, and all that were opened after
+    /// one of these are kept.
+    fn close_silent(&self, address: SocketAddr, record: &ExchangeRecord) {
+        let Some((activity, sent_at)) = record.take() else { return };
+        let silent_since = activity.last_received_at.get().max(sent_at);
+        if silent_since.elapsed() < MIN_SILENCE {
+            return;
+        }
+        let open = self.open.borrow();
+        let activities = open.get(&address).into_iter().flatten().filter_map(Weak::upgrade);
+        let oldest_working_opened_at = activities
+            .filter(|other| other.last_received_at.get() > silent_since)
+            .map(|other| other.opened_at)
+            .min();
+        let is_silent = |other: &Activity| {
+            other.last_received_at.get() <= silent_since
+                && oldest_working_opened_at.is_none_or(|opened_at| other.opened_at < opened_at)
+        };
+        let mut idle = self.idle.borrow_mut();
+        let Some(connections) = idle.get_mut(&address) else { return };
+        let idle_count = connections.len();
+        connections.retain(|entry| !is_silent(&entry.connection.activity));
+        let closed_count = idle_count - connections.len();
+        if connections.is_empty() {
+            idle.remove(&address);
+        }
+        if closed_count > 0 {
+            log::debug!(target: "net", "closed silent connections address={address} count={closed_count}");
+        }
+    }
+
     /// Returns whether the pool has an open connection to the address.
     fn has_open_connection(&self, address: SocketAddr) -> bool {
         let idle = self.idle.borrow();
--- a/crates/net/src/read_limit.rs
+++ b/crates/net/src/read_limit.rs
@@ -1,5 +1,5 @@
 //! Read limits of client connections: the size of a response head, and the number of consecutive
-//! reads.
+//! reads. Reads are also recorded as activity of the connection.
 
 use std::{
     cell::Cell,
@@ -12,6 +12,8 @@
 
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 
+use crate::client::Activity;
+
 /// Maximum number of bytes received until the head of a response is complete: informational (1xx)
 /// responses, the head, and the part of the body that arrives with it.
 const MAX_HEAD_BYTES: usize = 1024 * 1024;
@@ -64,13 +66,14 @@
 pub(crate) struct LimitedIo<T> {
     inner: T,
     head_budget: HeadBudget,
+    activity: Rc<Activity>,
     /// Number of reads that returned data since the task last yielded.
     consecutive_reads: u32,
 }
 
 impl<T> LimitedIo<T> {
-    pub(crate) fn new(inner: T, head_budget: HeadBudget) -> Self {
-        Self { inner, head_budget, consecutive_reads: 0 }
+    pub(crate) fn new(inner: T, head_budget: HeadBudget, activity: Rc<Activity>) -> Self {
+        Self { inner, head_budget, activity, consecutive_reads: 0 }
     }
 }
 
@@ -91,6 +94,9 @@
         match Pin::new(&mut self.inner).poll_read(cx, read.unfilled()) {
             Poll::Ready(Ok(())) => {
                 self.consecutive_reads += 1;
+                if !read.filled().is_empty() {
+                    self.activity.record_received();
+                }
                 self.head_budget.count_received(read.filled().len())?;
                 buffer.put_slice(read.filled());
                 Poll::Ready(Ok(()))
