deck-plat: report a write as lost if an earlier relay may have executed it

A node takes its own write for the write of another node, for example of a runner that took the job over.

Cause: while direct calls fail, a call is sent to up to two other nodes. If the first one executes a write and its response is lost, the second one executes the same write again. Its error was returned as the result of the call: Conflict, with the call's own write, or Unavailable, which means that nothing was written. Only a lost response of the direct call was taken into account. A job record reported as Unavailable counts as not stored.

Evidence: two new tests with two relays, of which the first executes the write without a response.

RelayPeers::call now also returns whether a node without a response may have executed the call, and such a call is reported as ResponseLost like one whose direct response was lost. An undecodable response of the last node is treated in the same way, as it says nothing about the earlier write either.

--- a/crates/plat/src/relay.rs
+++ b/crates/plat/src/relay.rs
@@ -62,6 +62,14 @@
     Decode(String),
 }
 
+/// Result of a call sent to other nodes.
+struct RelayOutcome {
+    /// Response of the last node; `None` if no node responded.
+    response: Option<RelayedResponse>,
+    /// Whether a node that did not respond may have executed the call.
+    may_have_executed: bool,
+}
+
 /// Other nodes through which this node can make calls; clones share the list.
 #[derive(Clone)]
 pub struct RelayPeers {
@@ -96,13 +104,12 @@
         self.nodes.borrow().clone()
     }
 
-    /// Sends a call to randomly chosen nodes, one after the other, until one responds. The error is
-    /// `true` if one of them may have executed the call.
-    async fn call(&self, call: &RelayedCall) -> Result<RelayedResponse, bool> {
+    /// Sends a call to randomly chosen nodes, one after the other, until one responds.
+    async fn call(&self, call: &RelayedCall) -> RelayOutcome {
         let mut body = Vec::new();
         if let Err(error) = ciborium::into_writer(call, &mut body) {
             log::error!(target: "store", "failed to encode a relayed call error={error}");
-            return Err(false);
+            return RelayOutcome { response: None, may_have_executed: false };
         }
         let body = Bytes::from(body);
         let nodes: Vec<SocketAddr> =
@@ -110,14 +117,16 @@
         let mut may_have_executed = false;
         for node in nodes {
             match self.call_node(node, body.clone()).await {
-                Ok(response) => return Ok(response),
+                Ok(response) => {
+                    return RelayOutcome { response: Some(response), may_have_executed };
+                }
                 Err(error) => {
                     may_have_executed |= error.may_have_been_sent();
                     log::debug!(target: "store", "relayed call failed node={node} error={error}");
                 }
             }
         }
-        Err(may_have_executed)
+        RelayOutcome { response: None, may_have_executed }
     }
 
     async fn call_node(&self, node: SocketAddr, body: Bytes) -> Result<RelayedResponse, NetError> {
@@ -221,31 +230,39 @@
         call: impl FnOnce() -> RelayedCall,
         extract_result: impl Fn(RelayedResponse) -> Option<T>,
     ) -> Result<T, StoreError> {
-        let mut may_have_executed = false;
         let mut direct_error = StoreError::Unavailable("direct calls fail".to_owned());
         if !self.state.direct_calls_failing.get() {
             match direct.await {
                 Err(error) if is_outage(&error) => {
-                    may_have_executed = matches!(error, StoreError::ResponseLost(_));
                     direct_error = error;
                     self.start_outage();
                 }
                 other => return other,
             }
         }
-        match self.state.peers.call(&call()).await {
-            Ok(RelayedResponse::Failed(remote_error)) => match store_error(remote_error) {
+        let outcome = self.state.peers.call(&call()).await;
+        let earlier_error = match direct_error {
+            error @ StoreError::ResponseLost(_) => error,
+            _ if outcome.may_have_executed => {
+                StoreError::ResponseLost("the relay did not answer".to_owned())
+            }
+            error => error,
+        };
+        let may_have_executed = matches!(earlier_error, StoreError::ResponseLost(_));
+        match outcome.response {
+            Some(RelayedResponse::Failed(remote_error)) => match store_error(remote_error) {
                 // The conflict may be with the call's own earlier write, whose response was lost.
-                StoreError::Conflict(_) if may_have_executed => Err(direct_error),
-                StoreError::Unavailable(_) if may_have_executed => Err(direct_error),
+                // The other errors do not show that this write had no effect either.
+                StoreError::Conflict(_) | StoreError::Unavailable(_) | StoreError::Decode(_)
+                    if may_have_executed =>
+                {
+                    Err(earlier_error)
+                }
                 error => Err(error),
             },
-            Ok(response) => extract_result(response)
+            Some(response) => extract_result(response)
                 .ok_or_else(|| StoreError::Decode("another answer".to_owned())),
-            Err(may_have_executed_by_relay) if may_have_executed_by_relay && !may_have_executed => {
-                Err(StoreError::ResponseLost("the relay did not answer".to_owned()))
-            }
-            Err(_) => Err(direct_error),
+            None => Err(earlier_error),
         }
     }
 
--- a/crates/plat/tests/relay.rs
+++ b/crates/plat/tests/relay.rs
@@ -1,9 +1,13 @@
 //! Calls to the object API through another node.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use deck_core::CancellationToken;
-use deck_net::{Body, Client, ServerOptions, bind, http::Response, server::read_body};
+use deck_net::{
+    Body, Client, ServerOptions, bind,
+    http::{Request, Response},
+    server::{close_without_response, read_body},
+};
 use deck_plat::{
     AcquireResult, LeaseCandidate, LeaseOptions, Precondition, RelayPeers, RelayedApi, Store,
     StoreError, relay,
@@ -12,6 +16,7 @@
     eventually,
     memory::{Fault, MemoryObjects},
 };
+use hyper::body::Incoming;
 use serde_json::json;
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -103,6 +108,73 @@
     });
 }
 
+/// Starts two nodes that relay calls. The first call that arrives at either of them is executed on
+/// `objects` without a response, further calls are executed on `later_objects`.
+fn start_relay_nodes_with_lost_response(
+    objects: &MemoryObjects,
+    later_objects: &MemoryObjects,
+    cancel: &CancellationToken,
+) -> Vec<SocketAddr> {
+    let received_calls = Rc::new(Cell::new(0));
+    let start_node = || {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+        let address = listener.local_addr().expect("address");
+        let (objects, later_objects) = (objects.clone(), later_objects.clone());
+        let received_calls = received_calls.clone();
+        let handler = move |request: Request<Incoming>| {
+            let is_first_call = received_calls.replace(received_calls.get() + 1) == 0;
+            let objects = if is_first_call { objects.clone() } else { later_objects.clone() };
+            async move {
+                let body = read_body(request.into_body(), 1 << 20).await.expect("body");
+                let response = relay::serve_relayed_call(&objects, &body).await.expect("answer");
+                if is_first_call {
+                    close_without_response()
+                } else {
+                    Response::new(Body::full(response))
+                }
+            }
+        };
+        let options = ServerOptions::default();
+        monoio::spawn(deck_net::serve(listener, options, cancel.clone(), handler));
+        address
+    };
+    vec![start_node(), start_node()]
+}
+
+/// Guards against a write that is reported as a conflict with another writer, although the conflict
+/// is with the same write, carried out through another node whose response was lost.
+#[test]
+fn conflict_with_a_write_through_another_node_is_reported_as_response_lost() {
+    run(async {
+        let cancel = CancellationToken::new();
+        let (objects, direct_api) = (MemoryObjects::default(), MemoryObjects::default());
+        direct_api.set_fault(Some(Fault::Unavailable), None);
+        let nodes = start_relay_nodes_with_lost_response(&objects, &objects, &cancel);
+        let result =
+            relayed_store(&direct_api, nodes).put("k", "a", Precondition::Absent, &json!(1)).await;
+        assert_eq!(objects.object_names("k"), ["a"]);
+        assert!(matches!(result, Err(StoreError::ResponseLost(_))), "{result:?}");
+        cancel.cancel();
+    });
+}
+
+/// Guards against a job that is refused and runs later: its record was written through a node whose
+/// response was lost, and a second node could not reach the object API.
+#[test]
+fn write_through_one_node_is_not_reported_as_unavailable_by_another() {
+    run(async {
+        let cancel = CancellationToken::new();
+        let (objects, direct_api) = (MemoryObjects::default(), MemoryObjects::default());
+        direct_api.set_fault(Some(Fault::Unavailable), None);
+        let nodes = start_relay_nodes_with_lost_response(&objects, &direct_api, &cancel);
+        let result =
+            relayed_store(&direct_api, nodes).put("k", "a", Precondition::Absent, &json!(1)).await;
+        assert_eq!(objects.object_names("k"), ["a"]);
+        assert!(matches!(result, Err(StoreError::ResponseLost(_))), "{result:?}");
+        cancel.cancel();
+    });
+}
+
 /// Guards against a call that hangs or wrongly succeeds when no node can relay it.
 #[test]
 fn error_of_the_direct_call_is_returned_if_no_node_can_relay() {
