deck-plat: report a delayed write as lost if its repetition is refused

What callers could see: a write that is reported as having had no effect takes effect seconds later. An ended or taken over job, a lease and a claim of a request are written in this way. A claim answers 503, "this try was not run", for a key that it may still claim.

Cause: if the response to a write is lost and the object still has its old state, put_with_read_back repeats the write. If the object API refused the repetition, for example with 503, this error was returned. It describes only the repetition; the first write may still be in transit.

Evidence: a new test delays the first write and makes the object API unavailable for the second one. It failed before with Unavailable, and the first write took effect afterwards.

Only a success of the repetition is returned now. After any error the object is read back again, and the outcome is ResponseLost in the end.

--- a/crates/plat/src/store.rs
+++ b/crates/plat/src/store.rs
@@ -331,9 +331,9 @@
                 // Repeating it with the same precondition is conclusive: one of the two writes
                 // takes effect and the other one conflicts.
                 Ok(current) if satisfies_precondition(&current, condition) => {
-                    match self.put(kind, name, condition, value).await {
-                        Err(StoreError::ResponseLost(_) | StoreError::Conflict(_)) => {}
-                        other => return other,
+                    // An error of the repeated write shows nothing about the first one.
+                    if let Ok(revision) = self.put(kind, name, condition, value).await {
+                        return Ok(revision);
                     }
                 }
                 Ok(current) => return Err(StoreError::Conflict(current.map(|o| o.revision))),
