deck-net: do not reuse a connection whose request body is unfinished

What callers could see: a request to a target that accepts connections gets no answer before its deadline, and ends with 504.

Cause: a server may respond before it has read a long request body and keep the connection open. The connection returned to the pool after the response, and the next request to the server waited on it until the server had read the rest of the earlier body, for up to its whole timeout.

The pool takes the longest idle connection that is ready for a request. A connection that is not ready stays in the pool, as it may become ready later.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -459,11 +459,12 @@
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
         connections.retain(|entry| !entry.connection.sender.is_closed() && now < entry.expires_at);
-        // The first connection has been idle for longest.
-        let is_reusable = connections
-            .first()
-            .is_some_and(|entry| entry.idle_since.elapsed() >= MIN_IDLE_BEFORE_REUSE);
-        let connection = is_reusable.then(|| connections.remove(0).connection);
+        // The first of them has been idle for longest. A connection is not ready while the server
+        // still has to read the body of a request to which it responded early.
+        let first_ready = connections.iter().position(|entry| entry.connection.sender.is_ready());
+        let reusable = first_ready
+            .filter(|index| connections[*index].idle_since.elapsed() >= MIN_IDLE_BEFORE_REUSE);
+        let connection = reusable.map(|index| connections.remove(index).connection);
         if connections.is_empty() {
             idle.remove(&address);
         }
