Complete an interrupted deletion of a job's chunks

Cause: chunks were deleted in ascending order until one was missing. A pass that followed an interrupted one found no first chunk, took this for the end, deleted the record, and left the other chunks in the object API for ever. A chunk that is missing said nothing about those after it.

What callers could see: nothing until the id of the job is submitted again after its retention; its results then continue with chunks of the old job.

Change: the chunks are counted first and deleted in descending order, with the same number of calls, so that a missing chunk shows again that none follows. What earlier builds have left is not found.

Test: `deletion_that_is_interrupted_between_chunks_is_completed` fails one call at each point of a deletion.

--- a/crates/batch/src/job_store.rs
+++ b/crates/batch/src/job_store.rs
@@ -230,25 +230,26 @@
         record: &JobRecord,
         revision: Revision,
     ) -> Result<(), StoreError> {
-        let item_objects =
-            (0..record.item_objects).map(|index| (ITEM_KIND, format!("{id}.{index}")));
-        for (kind, name) in item_objects {
-            self.delete_object(kind, &name).await?;
+        for index in 0..record.item_objects {
+            let name = format!("{id}.{index}");
+            if let Some(object) = self.store.get(ITEM_KIND, &name).await? {
+                self.store.delete(ITEM_KIND, &name, object.revision).await?;
+            }
         }
-        let mut chunk = 0;
-        while self.delete_object(RESULT_KIND, &format!("{id}.{chunk}")).await? {
-            chunk += 1;
+        let mut chunk_revisions = Vec::new();
+        let chunk_name = |number: usize| format!("{id}.{number}");
+        while let Some(chunk) =
+            self.store.get(RESULT_KIND, &chunk_name(chunk_revisions.len())).await?
+        {
+            chunk_revisions.push(chunk.revision);
+        }
+        // The last chunk is deleted first, so that the others are still found after an interruption.
+        for (number, chunk_revision) in chunk_revisions.into_iter().enumerate().rev() {
+            self.store.delete(RESULT_KIND, &chunk_name(number), chunk_revision).await?;
         }
         self.store.delete(JOB_KIND, id, revision).await
     }
 
-    /// Deletes an item list or result chunk; returns whether it existed.
-    async fn delete_object(&self, kind: &str, name: &str) -> Result<bool, StoreError> {
-        let Some(object) = self.store.get(kind, name).await? else { return Ok(false) };
-        self.store.delete(kind, name, object.revision).await?;
-        Ok(true)
-    }
-
     /// Stores a chunk of results under its number, unless another node has stored that chunk.
     ///
     /// # Errors
--- a/crates/batch/tests/ledger.rs
+++ b/crates/batch/tests/ledger.rs
@@ -244,3 +244,34 @@
         assert_eq!(names().await, young_names);
     });
 }
+
+/// Pattern: the object API fails while the chunks of an expired job are deleted. Guards against a
+/// next pass that takes the first missing chunk for the end, deletes the record and leaves the other
+/// chunks for ever.
+#[test]
+fn deletion_that_is_interrupted_between_chunks_is_completed() {
+    const RETENTION: Duration = Duration::from_secs(120);
+    const CHUNKS: usize = 3;
+    run_async(async {
+        // Each chunk takes a read and a deletion, and a last read shows that there is none left.
+        for calls_before in 0..=2 * CHUNKS as u32 {
+            let objects = MemoryObjects::default();
+            let job_store = JobStore::new(objects.store(), MAX_OBJECT_BYTES);
+            let accepted = job_store.store_job(&job(CHUNKS), "vm-1", address()).await;
+            assert!(matches!(accepted, StoreJobOutcome::Stored(..)), "{accepted:?}");
+            for number in 0..CHUNKS {
+                let results = [result(&format!("i{number}"), "t")];
+                job_store.store_chunk("job", number, &results).await.expect("stored");
+            }
+            let mut sweeper = Sweeper::new(job_store, RETENTION);
+            let start = Instant::now();
+            assert_eq!(sweeper.delete_expired_jobs(start).await.expect("swept"), 0);
+            let late = start + RETENTION * 2 + Duration::from_secs(41);
+            objects.set_fault_after(calls_before, "batchresults", Fault::Unavailable, 1);
+            sweeper.delete_expired_jobs(late).await.expect_err("interrupted");
+            assert_eq!(sweeper.delete_expired_jobs(late).await.expect("swept"), 1);
+            assert_eq!(objects.object_names("batchjobs"), [""; 0]);
+            assert_eq!(objects.object_names("batchresults"), [""; 0], "after {calls_before}");
+        }
+    });
+}
--- a/crates/testkit/src/memory.rs
+++ b/crates/testkit/src/memory.rs
@@ -45,6 +45,8 @@
     revision: Cell<Revision>,
     /// Current fault and the number of further calls that it affects; `None` for all further calls.
     fault: Cell<Option<(Fault, Option<u32>)>>,
+    /// Number of further calls that the fault leaves alone.
+    calls_before_fault: Cell<u32>,
     /// Kind of the objects to which the fault is limited; `None` for all kinds.
     faulty_kind: RefCell<Option<String>>,
     delayed_writes: RefCell<Vec<DelayedWriteArguments>>,
@@ -61,12 +63,20 @@
     /// `None` as the fault ends the current one.
     pub fn set_fault(&self, fault: Option<Fault>, calls: Option<u32>) {
         self.state.fault.set(fault.map(|fault| (fault, calls)));
+        self.state.calls_before_fault.set(0);
         self.state.faulty_kind.replace(None);
     }
 
     /// Injects `fault` into the next `calls` calls for objects of one kind.
     pub fn set_fault_for_kind(&self, kind: &str, fault: Fault, calls: u32) {
+        self.set_fault_after(0, kind, fault, calls);
+    }
+
+    /// Injects `fault` into `calls` calls for objects of one kind, after `calls_before` such calls
+    /// without a fault.
+    pub fn set_fault_after(&self, calls_before: u32, kind: &str, fault: Fault, calls: u32) {
         self.state.fault.set(Some((fault, Some(calls))));
+        self.state.calls_before_fault.set(calls_before);
         self.state.faulty_kind.replace(Some(kind.to_owned()));
     }
 
@@ -98,6 +108,10 @@
             return None;
         }
         let (fault, remaining_calls) = self.state.fault.get()?;
+        if let Some(calls_before_fault) = self.state.calls_before_fault.get().checked_sub(1) {
+            self.state.calls_before_fault.set(calls_before_fault);
+            return None;
+        }
         match remaining_calls {
             Some(0) => return None,
             Some(remaining) => self.state.fault.set(Some((fault, Some(remaining - 1)))),
