Test that concurrent reads share a search for chunks

Guards against a call on the object API for each of many readers, and against readers that wait for a search whose caller has gone away. Passes on the present code: 51 readers, one of them cancelled, cause two calls.

--- a/crates/batch/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -11,10 +11,11 @@
 use deck_core::{CancellationToken, id::new_incarnation};
 use deck_fleet::{
     BatchJob, BatchLimits, EngineRegistry, FleetFeed, FleetFeedOptions, FleetView, Item,
-    ObjectFollower, ObjectFollowerOptions,
+    ObjectFollower, ObjectFollowerOptions, Observer,
 };
 use deck_forward::{CrashGuard, ForwardOptions, Forwarder};
 use deck_net::Client;
+use deck_plat::Store;
 use deck_platform::{OBJECT_KINDS, PlatformWire};
 use deck_route::{Router, RouterOptions};
 use deck_testkit::memory::MemoryObjects;
@@ -65,14 +66,23 @@
 
 /// Starts a node on the VM `vm` with its objects in `objects`.
 pub fn node(vm: &str, address: SocketAddr, objects: &MemoryObjects) -> Node {
+    node_with_store(vm, address, objects.store(), Rc::new(()))
+}
+
+/// As [`node`], with the object API behind `store` and with metrics that go to `observer`.
+pub fn node_with_store(
+    vm: &str,
+    address: SocketAddr,
+    store: Store,
+    observer: Rc<dyn Observer>,
+) -> Node {
     let cancel = CancellationToken::new();
-    let job_store = JobStore::new(objects.store(), 1 << 20);
-    let deps = runner_deps(vm, address, &job_store);
+    let job_store = JobStore::new(store.clone(), 1 << 20);
+    let deps = RunnerDependencies { observer, ..runner_deps(vm, address, &job_store) };
     let (view, client, protocol) = (deps.view.clone(), deps.client.clone(), deps.protocol.clone());
     let runner = Runner::start(deps, RunnerOptions::default(), cancel.clone());
     let options = ObjectFollowerOptions::default();
-    let follower =
-        ObjectFollower::new(objects.store(), view, protocol.clone(), OBJECT_KINDS, options);
+    let follower = ObjectFollower::new(store, view, protocol.clone(), OBJECT_KINDS, options);
     let (incarnation, feed_options) = (new_incarnation(), FleetFeedOptions::default());
     let feed = FleetFeed::new(address, incarnation, client.clone(), follower, feed_options);
     let peers = BatchPeerClient::new(client);
--- a/crates/batch/tests/outdated_copies.rs
+++ b/crates/batch/tests/outdated_copies.rs
@@ -3,19 +3,23 @@
 //! A position that one node has listed must be listed by all nodes that answer 200. Each test stores
 //! a chunk that the reading node has not seen, and reads from the position of that chunk.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use deck_batch::{JobRecord, JobStore, StoreJobOutcome};
 use deck_core::id::Revision;
 use deck_fleet::{BatchCall, ItemOutcome, ItemResult, RequestMetadata};
 use deck_net::http::StatusCode;
+use deck_plat::{
+    Object, ObjectApi, ObjectPart, Precondition, ReadConsistency, Store, StoreError, Watch,
+};
 use deck_testkit::memory::{Fault, MemoryObjects};
+use futures_util::{FutureExt, future::LocalBoxFuture};
 use http_body_util::BodyExt;
 use serde_json::Value;
 
 mod common;
 
-use common::{Node, node};
+use common::{Node, node, node_with_store};
 
 /// Time within which all nodes have to list a result that one of them has listed.
 const SETTLE_TIME: Duration = Duration::from_millis(1000);
@@ -150,3 +154,91 @@
         assert_eq!(read_without_wait(&node).await, Some(1));
     });
 }
+
+/// Object API whose responses take some time after the calls have taken effect.
+#[derive(Clone, Default)]
+struct SlowObjects {
+    objects: MemoryObjects,
+    /// Time until the response to a read of an object.
+    read_delay: Rc<Cell<Duration>>,
+}
+
+impl ObjectApi for SlowObjects {
+    fn get<'a>(
+        &'a self,
+        kind: &'a str,
+        name: &'a str,
+        consistency: ReadConsistency,
+    ) -> LocalBoxFuture<'a, Result<Option<Object>, StoreError>> {
+        async move {
+            let result = self.objects.get(kind, name, consistency).await;
+            monoio::time::sleep(self.read_delay.get()).await;
+            result
+        }
+        .boxed_local()
+    }
+
+    fn list<'a>(
+        &'a self,
+        kind: &'a str,
+    ) -> LocalBoxFuture<'a, Result<(Revision, Vec<Object>), StoreError>> {
+        self.objects.list(kind)
+    }
+
+    fn put<'a>(
+        &'a self,
+        kind: &'a str,
+        name: &'a str,
+        part: ObjectPart,
+        condition: Precondition,
+        value: &'a Value,
+    ) -> LocalBoxFuture<'a, Result<Revision, StoreError>> {
+        self.objects.put(kind, name, part, condition, value)
+    }
+
+    fn delete<'a>(
+        &'a self,
+        kind: &'a str,
+        name: &'a str,
+        revision: Revision,
+    ) -> LocalBoxFuture<'a, Result<(), StoreError>> {
+        self.objects.delete(kind, name, revision)
+    }
+
+    fn watch<'a>(
+        &'a self,
+        kinds: &'a [&'a str],
+        from: Revision,
+        wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<Watch, StoreError>> {
+        self.objects.watch(kinds, from, wait)
+    }
+}
+
+/// Guards against a search for each of many concurrent readers, and against readers that are left
+/// without an answer when the caller for whom the search was started goes away.
+#[test]
+fn concurrent_reads_share_a_search_that_may_be_cancelled() {
+    const READERS: usize = 50;
+    run_async(async {
+        let api = SlowObjects::default();
+        let store = Store::with_api(Rc::new(api.clone()));
+        let node = node_with_store("vm-1", address(), store, Rc::new(()));
+        let job = common::job("job", vec![common::item("a"), common::item("b")]);
+        let accepted = node.job_store.store_job(&job, "vm-1", address()).await;
+        let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+        node.runner.start_job("job", record, revision, job.items);
+        api.read_delay.set(Duration::from_millis(200));
+        let calls_before = api.objects.call_count();
+        let cancelled_read =
+            monoio::time::timeout(Duration::from_millis(50), read_without_wait(&node));
+        let other_reads = futures_util::future::join_all(
+            (0..READERS).map(|_| async { read_without_wait(&node).await }),
+        );
+        let (cancelled, others) = futures_util::future::join(cancelled_read, other_reads).await;
+        assert!(cancelled.is_err());
+        assert_eq!(others, [Some(0); READERS]);
+        // The cancelled search and one for all others.
+        assert_eq!(api.objects.call_count() - calls_before, 2);
+    });
+}
