Load the stored results of a job that is submitted again

Cause: a submission that found its record in the object API, naming this node, was taken for a repeat of the call's own write, and the job was started without results. The record may also come from an earlier process of the node, which has stored chunks: the caller repeats a submission whose answer was lost when the node was killed. The new instance had not been taken over, so it never looked for chunks, and confirmed its ownership.

Change: only a record with the submission time of this call starts a new job; another one that names this node is loaded, with its chunks, its checkpoint and the texts that earlier jobs have generated.

Test: `repeated_submission_at_a_restarted_runner_continues_the_stored_job` failed before (no result listed, the finished item runs again).

--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -225,6 +225,9 @@
         }
         let restored = if job.is_ended() { 0 } else { self.restore_checkpoint(&job).await };
         log::info!(target: "batch", "texts restored job={id} items={restored}");
+        if !job.is_ended() {
+            self.reuse_texts(&job);
+        }
         log::info!(target: "batch", "job loaded job={id} listed={} ended={}", job.published_results.borrow().len(), job.is_ended());
         Ok(self.register_job(job))
     }
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -245,10 +245,18 @@
                 Ok(())
             }
             StoreJobOutcome::Exists(record, revision) => {
-                // The existing record may come from an earlier attempt of this node whose response
-                // was lost.
-                if record.runner == deps.vm && record.address == deps.address {
+                let runs_here = record.runner == deps.vm && record.address == deps.address;
+                if runs_here && record.submitted_at_ms == job.submitted_at_ms {
+                    // Stored by this call, whose first response was lost.
                     self.inner.runner.start_job(id, record, revision, job.items);
+                } else if runs_here {
+                    // Stored by an earlier process, which may have stored results as well.
+                    let (runner, id) = (self.inner.runner.clone(), id.to_owned());
+                    monoio::spawn(async move {
+                        if let Err(error) = runner.load_job(&id, record, revision).await {
+                            log::info!(target: "batch", "repeated job not loaded job={id} error={error}");
+                        }
+                    });
                 }
                 Ok(())
             }
--- a/crates/batch/tests/outdated_copies.rs
+++ b/crates/batch/tests/outdated_copies.rs
@@ -7,7 +7,7 @@
 
 use deck_batch::{JobRecord, JobStore, StoreJobOutcome};
 use deck_core::id::Revision;
-use deck_fleet::{BatchCall, ItemOutcome, ItemResult, RequestMetadata};
+use deck_fleet::{BatchCall, ItemOutcome, ItemResult, RequestMetadata, Route, RouteKind};
 use deck_net::http::StatusCode;
 use deck_plat::{
     Object, ObjectApi, ObjectPart, Precondition, ReadConsistency, Store, StoreError, Watch,
@@ -15,7 +15,7 @@
 use deck_testkit::memory::{Fault, MemoryObjects};
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use http_body_util::BodyExt;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 mod common;
 
@@ -215,6 +215,56 @@
     }
 }
 
+fn rollout_route() -> Route {
+    Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        path_prefix: "/j/".to_owned(),
+        kind: RouteKind::Rollout,
+        resumable: false,
+        timeout: Duration::ZERO,
+        target_latency: Duration::ZERO,
+        priority: 1,
+        service_weights: vec![("s".to_owned(), 1)],
+        max_attempts: 3,
+        result_deadline: Duration::from_millis(7500),
+        item_deadline: Duration::from_secs(60),
+        single_version: false,
+    }
+}
+
+/// Submits the job of two items, as its caller does.
+async fn submit(node: &Node) -> StatusCode {
+    let items = [json!({ "Id": "a", "Path": "/p" }), json!({ "Id": "b", "Path": "/p" })];
+    let body = json!({ "Model": "m", "MinVersion": 1, "Items": items }).to_string();
+    let metadata =
+        RequestMetadata { request_id: Some("job".to_owned()), ..RequestMetadata::default() };
+    node.service.submit("h", "/j/job", &rollout_route(), &metadata, body.into()).await.status()
+}
+
+/// Pattern: the answer to a submission is lost, the job runs and stores results, its node restarts
+/// under the same address, and the caller submits the job again there. Guards against a job that
+/// starts from nothing beside its stored results: it would list none of them and run all items
+/// again.
+#[test]
+fn repeated_submission_at_a_restarted_runner_continues_the_stored_job() {
+    run_async(async {
+        let objects = MemoryObjects::default();
+        let first_process = node("vm-1", address(), &objects);
+        assert_eq!(submit(&first_process).await, StatusCode::ACCEPTED);
+        store_first_chunk(&first_process.job_store).await;
+        drop(first_process);
+        // A restart takes longer than the resolution of submission times.
+        monoio::time::sleep(Duration::from_millis(5)).await;
+        let node = node("vm-1", address(), &objects);
+        assert_eq!(submit(&node).await, StatusCode::ACCEPTED);
+        deck_testkit::eventually("the job runs", async || node.runner.job("job").is_some()).await;
+        let job = node.runner.job("job").expect("job");
+        assert_eq!(job.published_results.borrow().len(), 1);
+        assert!(job.unpublished_item("a").is_none(), "the item runs again");
+    });
+}
+
 /// Guards against a search for each of many concurrent readers, and against readers that are left
 /// without an answer when the caller for whom the search was started goes away.
 #[test]
