Check an own copy before a handover is taken for done

What callers could see: results late by the time until the job is recovered, and texts generated again.

Cause: a node that had the job in memory answered a handover with 200 without a change of the record. Its copy may be outdated: the node was paused or cut off, the sender took the job over meanwhile, and the ownership check, every 1.5 s, had not found out. The sender then forgot the job with its results that were not stored, and the record named a node that stops.

Change: such a node reads the record first; an outdated copy is removed and the handover is carried out.

Test: `handover_to_a_node_with_an_outdated_copy_changes_the_record` failed before (200, and the record still names "vm-2").

--- a/crates/batch/src/handover.rs
+++ b/crates/batch/src/handover.rs
@@ -21,6 +21,7 @@
 use crate::{
     BatchService, JobRecord,
     job::{ItemPhase, ItemState, Job, Progress},
+    publish,
 };
 
 /// Snapshot of a running job as it is sent to its next runner.
@@ -216,8 +217,16 @@
                 return empty_response(StatusCode::BAD_REQUEST);
             }
         };
-        if self.inner.runner.job(id).is_some() {
-            return empty_response(StatusCode::OK);
+        if let Some(job) = self.inner.runner.job(id) {
+            // The copy is outdated if another node, such as the sender, has taken the job over. The
+            // check removes it then.
+            if let Err(error) = publish::check_ownership(&self.inner.runner.inner, &job).await {
+                log::info!(target: "batch", "handover not checked job={id} error={error}");
+                return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            if self.inner.runner.job(id).is_some() {
+                return empty_response(StatusCode::OK);
+            }
         }
         let deps = self.deps();
         let record =
--- a/crates/batch/tests/service.rs
+++ b/crates/batch/tests/service.rs
@@ -9,6 +9,8 @@
 
 use deck_batch::{
     BatchService, JobRecord, JobStore, StoreJobOutcome,
+    handover::Handover,
+    job::Job,
     peer_client::{BatchPeerClient, PING_PATH, STATUS_READ_OBJECT_API},
 };
 use deck_core::CancellationToken;
@@ -18,7 +20,7 @@
     http::{Request, Response, StatusCode},
     server::empty_response,
 };
-use deck_testkit::memory::MemoryObjects;
+use deck_testkit::{eventually, memory::MemoryObjects};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde_json::Value;
@@ -162,3 +164,47 @@
     };
     deck_net::runtime::run(test).expect("runtime");
 }
+
+/// Pattern: a paused node wakes up with a job that another node has taken over, and that node stops
+/// and hands the job over to it before its ownership check finds out. Guards against an outdated
+/// copy that passes for the job: the stopping node would forget the job and its unstored results,
+/// and its record would name a node that is gone.
+#[test]
+fn handover_to_a_node_with_an_outdated_copy_changes_the_record() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let objects = MemoryObjects::default();
+        let service: Rc<Cell<Option<BatchService>>> = Rc::default();
+        let served = service.clone();
+        let address = serve(&cancel, move |request| {
+            let service = served.take().expect("service");
+            served.set(Some(service.clone()));
+            async move { service.serve_peer(request).await }
+        });
+        let woken = node("vm-1", address, &objects);
+        service.set(Some(woken.service.clone()));
+        let job = common::job("job", vec![common::item("a"), common::item("b")]);
+        let accepted = woken.job_store.store_job(&job, "vm-1", address).await;
+        let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+        woken.runner.start_job("job", record.clone(), revision, job.items.clone());
+        let other_address = SocketAddr::from(([127, 0, 0, 1], 2));
+        let taken_over = JobRecord { runner: "vm-2".to_owned(), address: other_address, ..record };
+        let revision =
+            woken.job_store.replace_record("job", revision, &taken_over).await.expect("taken over");
+        let stopping = Job::new("job".to_owned(), taken_over, revision, job.items);
+        let item = stopping.unpublished_item("a").expect("item");
+        stopping.finish_item(&item, ItemOutcome::Completed, Some("score".to_owned()));
+        let mut handover = Vec::new();
+        ciborium::into_writer(&Handover::from_job(&stopping), &mut handover).expect("encoded");
+        let peers = BatchPeerClient::new(Client::default());
+        let answer = peers.hand_over(address, "job", handover.into()).await.expect("answer");
+        let (record, _) = woken.job_store.read_record("job").await.expect("read").expect("record");
+        assert_eq!((answer.status, record.runner.as_str()), (StatusCode::OK, "vm-1"));
+        let received = woken.runner.job("job").expect("job");
+        let chunk_is_stored = async || !objects.object_names("batchresults").is_empty();
+        eventually("the result that was handed over is stored", chunk_is_stored).await;
+        assert_eq!(received.published_results.borrow()[0].score.as_deref(), Some("score"));
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
