Test the time of a read during a search for chunks

A read that arrives while another one searches waits for that search and then makes one of its own, as the lock is held for the whole call. With an object API that takes 600 ms for a call the second read takes 1.15 s; another node waits 800 ms for it and then reads the record, items and chunks of the job from the same object API.

--- a/crates/batch/tests/outdated_copies.rs
+++ b/crates/batch/tests/outdated_copies.rs
@@ -3,7 +3,12 @@
 //! A position that one node has listed must be listed by all nodes that answer 200. Each test stores
 //! a chunk that the reading node has not seen, and reads from the position of that chunk.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use deck_batch::{JobRecord, JobStore, StoreJobOutcome};
 use deck_core::id::Revision;
@@ -265,6 +270,35 @@
     });
 }
 
+/// Pattern: the object API takes 600 ms for a call, and a reader asks while the search for another
+/// one is under way. Another node waits 800 ms for the answer, and then reads the whole job from
+/// the slow object API. Guards against reads that take the time of two calls.
+#[test]
+fn read_during_a_search_takes_no_longer_than_one_call() {
+    const CALL_TIME: Duration = Duration::from_millis(600);
+    const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(800);
+    run_async(async {
+        let api = SlowObjects::default();
+        let store = Store::with_api(Rc::new(api.clone()));
+        let node = node_with_store("vm-1", address(), store, Rc::new(()));
+        let job = common::job("job", vec![common::item("a"), common::item("b")]);
+        let accepted = node.job_store.store_job(&job, "vm-1", address()).await;
+        let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+        node.runner.start_job("job", record, revision, job.items);
+        api.read_delay.set(CALL_TIME);
+        let first_read = read_without_wait(&node);
+        let second_read = async {
+            monoio::time::sleep(Duration::from_millis(50)).await;
+            let started = Instant::now();
+            let result_count = read_without_wait(&node).await;
+            (result_count, started.elapsed())
+        };
+        let (first, (second, time)) = futures_util::future::join(first_read, second_read).await;
+        assert_eq!((first, second), (Some(0), Some(0)));
+        assert!(time < PEER_CALL_TIMEOUT, "the second read took {time:?}");
+    });
+}
+
 /// Guards against a search for each of many concurrent readers, and against readers that are left
 /// without an answer when the caller for whom the search was started goes away.
 #[test]
