Test the metrics of a chunk that a read finds during its write

A read may find a chunk of its own runner whose write is not answered yet. The search publishes it, logs "chunk of another runner" and counts it as found, and the group that it completes is not counted, as the answer to the write finds the chunk published. Callers see nothing of it; the log line and the counter that tell of an outdated copy do so wrongly.

--- a/crates/batch/tests/outdated_copies.rs
+++ b/crates/batch/tests/outdated_copies.rs
@@ -4,7 +4,7 @@
 //! a chunk that the reading node has not seen, and reads from the position of that chunk.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -12,7 +12,9 @@
 
 use deck_batch::{JobRecord, JobStore, StoreJobOutcome};
 use deck_core::id::Revision;
-use deck_fleet::{BatchCall, ItemOutcome, ItemResult, RequestMetadata, Route, RouteKind};
+use deck_fleet::{
+    BatchCall, ChunkFinder, ItemOutcome, ItemResult, Observer, RequestMetadata, Route, RouteKind,
+};
 use deck_net::http::StatusCode;
 use deck_plat::{
     Object, ObjectApi, ObjectPart, Precondition, ReadConsistency, Store, StoreError, Watch,
@@ -166,6 +168,8 @@
     objects: MemoryObjects,
     /// Time until the response to a read of an object.
     read_delay: Rc<Cell<Duration>>,
+    /// Time until the response to a write.
+    write_delay: Rc<Cell<Duration>>,
 }
 
 impl ObjectApi for SlowObjects {
@@ -198,7 +202,12 @@
         condition: Precondition,
         value: &'a Value,
     ) -> LocalBoxFuture<'a, Result<Revision, StoreError>> {
-        self.objects.put(kind, name, part, condition, value)
+        async move {
+            let result = self.objects.put(kind, name, part, condition, value).await;
+            monoio::time::sleep(self.write_delay.get()).await;
+            result
+        }
+        .boxed_local()
     }
 
     fn delete<'a>(
@@ -220,6 +229,28 @@
     }
 }
 
+/// Counts of what a runner reports about stored results.
+#[derive(Default)]
+struct ResultCounts {
+    stored_results: Cell<usize>,
+    completed_groups: Cell<usize>,
+    found_chunks: RefCell<Vec<&'static str>>,
+}
+
+impl Observer for ResultCounts {
+    fn on_results_stored(&self, count: usize) {
+        self.stored_results.set(self.stored_results.get() + count);
+    }
+
+    fn on_group_end(&self, _on_time: bool) {
+        self.completed_groups.set(self.completed_groups.get() + 1);
+    }
+
+    fn on_chunk_found(&self, found_by: ChunkFinder) {
+        self.found_chunks.borrow_mut().push(found_by.label());
+    }
+}
+
 fn rollout_route() -> Route {
     Route {
         name: "r".to_owned(),
@@ -326,3 +357,33 @@
         assert_eq!(api.objects.call_count() - calls_before, 2);
     });
 }
+
+/// Pattern: a reader asks while the response to a write of results is on its way. Guards against
+/// metrics that take the runner's own chunk for one of another runner and leave out the group that
+/// it completes.
+#[test]
+fn chunk_that_a_read_finds_during_its_write_counts_as_stored_by_this_node() {
+    run_async(async {
+        let api = SlowObjects::default();
+        let store = Store::with_api(Rc::new(api.clone()));
+        let counts = Rc::new(ResultCounts::default());
+        let node = node_with_store("vm-1", address(), store, counts.clone());
+        let job = common::job("job", vec![common::item("a")]);
+        let accepted = node.job_store.store_job(&job, "vm-1", address()).await;
+        let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+        let job = node.runner.start_job("job", record, revision, job.items);
+        api.write_delay.set(Duration::from_millis(300));
+        job.finish_item(&job.unpublished_item("a").expect("item"), ItemOutcome::Completed, None);
+        deck_testkit::eventually("the chunk is stored", async || {
+            !api.objects.object_names("batchresults").is_empty()
+        })
+        .await;
+        assert_eq!(read_without_wait(&node).await, Some(1));
+        deck_testkit::eventually("the write is answered", async || {
+            counts.stored_results.get() == 1
+        })
+        .await;
+        assert_eq!(counts.completed_groups.get(), 1);
+        assert_eq!(*counts.found_chunks.borrow(), [""; 0]);
+    });
+}
