Test writes whose outcome is in doubt at a relay and at a lease

- A node whose direct calls fail asks two other nodes in turn.
If the first one may have carried a write out and the second one answers that it had no effect, or that it conflicts, the doubt is dropped.
A submission is then refused as not run although its record is stored, and the job runs.
- A renewal of a lease that took effect without an answer is repeated under the old revision; its conflict with the holder's own write is taken for another holder.

--- a/crates/plat/tests/relay.rs
+++ b/crates/plat/tests/relay.rs
@@ -1,6 +1,6 @@
 //! Calls to the object API through another node.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use deck_core::CancellationToken;
 use deck_net::{Body, Client, ServerOptions, bind, http::Response, server::read_body};
@@ -103,6 +103,80 @@
     });
 }
 
+/// Starts two nodes that relay calls. The one that gets the first call executes it on `objects` and
+/// does not answer in time; the other one executes its calls on `other_api`.
+fn start_relay_nodes_of_which_the_first_one_asked_is_silent(
+    objects: &MemoryObjects,
+    other_api: &MemoryObjects,
+    cancel: &CancellationToken,
+) -> Vec<SocketAddr> {
+    let call_count = Rc::new(Cell::new(0));
+    let start_node = || {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+        let address = listener.local_addr().expect("address");
+        let (call_count, objects, other_api) =
+            (call_count.clone(), objects.clone(), other_api.clone());
+        let serve =
+            deck_net::serve(listener, ServerOptions::default(), cancel.clone(), move |request| {
+                let call = call_count.replace(call_count.get() + 1);
+                let (objects, other_api) = (objects.clone(), other_api.clone());
+                async move {
+                    let body = read_body(request.into_body(), 1 << 20).await.expect("body");
+                    let api = if call == 0 { &objects } else { &other_api };
+                    let response = relay::serve_relayed_call(api, &body).await.expect("answer");
+                    if call == 0 {
+                        monoio::time::sleep(CALL_TIMEOUT * 4).await;
+                    }
+                    Response::new(Body::full(response))
+                }
+            });
+        monoio::spawn(serve);
+        address
+    };
+    vec![start_node(), start_node()]
+}
+
+/// Pattern: a node's direct calls fail, the node that it asks first carries the write out and its
+/// answer is lost, and the next one is turned away by the object API. Guards against a write that
+/// is reported as without effect: a submission would be refused as not run although its job exists.
+#[test]
+fn write_that_a_silent_relay_may_have_made_is_not_reported_as_without_effect() {
+    run(async {
+        let cancel = CancellationToken::new();
+        let (objects, failing_api) = (MemoryObjects::default(), MemoryObjects::default());
+        failing_api.set_fault(Some(Fault::Unavailable), None);
+        let nodes = start_relay_nodes_of_which_the_first_one_asked_is_silent(
+            &objects,
+            &failing_api,
+            &cancel,
+        );
+        let store = relayed_store(&failing_api, nodes);
+        let result = store.put("k", "a", Precondition::Absent, &json!(1)).await;
+        assert_eq!(objects.object_names("k"), ["a"]);
+        assert!(matches!(result, Err(StoreError::ResponseLost(_))), "{result:?}");
+        cancel.cancel();
+    });
+}
+
+/// Pattern: as above, and the next node is served. Guards against a conflict with the own write
+/// that passes for one with another writer: a holder would give up its lease, and a node that has
+/// received a job by a handover would refuse it.
+#[test]
+fn conflict_with_a_write_that_a_silent_relay_made_is_reported_as_response_lost() {
+    run(async {
+        let cancel = CancellationToken::new();
+        let (objects, failing_api) = (MemoryObjects::default(), MemoryObjects::default());
+        failing_api.set_fault(Some(Fault::Unavailable), None);
+        let nodes =
+            start_relay_nodes_of_which_the_first_one_asked_is_silent(&objects, &objects, &cancel);
+        let store = relayed_store(&failing_api, nodes);
+        let result = store.put("k", "a", Precondition::Absent, &json!(1)).await;
+        assert_eq!(objects.object_names("k"), ["a"]);
+        assert!(matches!(result, Err(StoreError::ResponseLost(_))), "{result:?}");
+        cancel.cancel();
+    });
+}
+
 /// Guards against a call that hangs or wrongly succeeds when no node can relay it.
 #[test]
 fn error_of_the_direct_call_is_returned_if_no_node_can_relay() {
@@ -143,3 +217,25 @@
         assert!(!first_lease.is_valid());
     });
 }
+
+/// Pattern: an outage of the object API begins right after a renewal has taken effect, so neither
+/// its response nor the reads that would resolve it arrive. Guards against a holder that takes the
+/// conflict of its next renewal for another holder and gives up a lease that it still has; without
+/// `reclaim_own` nobody holds the lease then until it expires.
+#[test]
+fn renewal_after_a_lost_response_does_not_give_up_the_own_lease() {
+    run(async {
+        let objects = MemoryObjects::default();
+        let options = LeaseOptions::default();
+        let calls_of_a_renewal = 1 + options.max_read_backs;
+        let candidate =
+            LeaseCandidate::new(objects.store(), "l", "vm-1".to_owned(), "127.0.0.1:1", options);
+        let AcquireResult::Held(mut lease) = candidate.try_acquire().await else {
+            panic!("not held")
+        };
+        objects.set_fault(Some(Fault::ResponseLost), Some(calls_of_a_renewal));
+        let lost = lease.renew().await;
+        assert!(matches!(lost, Err(StoreError::ResponseLost(_))), "{lost:?}");
+        lease.renew().await.expect("renewed");
+    });
+}
