--- a/crates/batch/tests/outdated_copies.rs
+++ b/crates/batch/tests/outdated_copies.rs
@@ -3,19 +3,30 @@
 //! A position that one node has listed must be listed by all nodes that answer 200. Each test stores
 //! a chunk that the reading node has not seen, and reads from the position of that chunk.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use deck_batch::{JobRecord, JobStore, StoreJobOutcome};
 use deck_core::id::Revision;
-use deck_fleet::{BatchCall, ItemOutcome, ItemResult, RequestMetadata};
+use deck_fleet::{
+    BatchCall, ChunkFinder, ItemOutcome, ItemResult, Observer, RequestMetadata, Route, RouteKind,
+};
 use deck_net::http::StatusCode;
+use deck_plat::{
+    Object, ObjectApi, ObjectPart, Precondition, ReadConsistency, Store, StoreError, Watch,
+};
 use deck_testkit::memory::{Fault, MemoryObjects};
+use futures_util::{FutureExt, future::LocalBoxFuture};
 use http_body_util::BodyExt;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 mod common;
 
-use common::{Node, node};
+use common::{Node, node, node_with_store};
 
 /// Time within which all nodes have to list a result that one of them has listed.
 const SETTLE_TIME: Duration = Duration::from_millis(1000);
@@ -150,3 +161,229 @@
         assert_eq!(read_without_wait(&node).await, Some(1));
     });
 }
+
+/// Object API whose responses take some time after the calls have taken effect.
+#[derive(Clone, Default)]
+struct SlowObjects {
+    objects: MemoryObjects,
+    /// Time until the response to a read of an object.
+    read_delay: Rc<Cell<Duration>>,
+    /// Time until the response to a write.
+    write_delay: Rc<Cell<Duration>>,
+}
+
+impl ObjectApi for SlowObjects {
+    fn get<'a>(
+        &'a self,
+        kind: &'a str,
+        name: &'a str,
+        consistency: ReadConsistency,
+    ) -> LocalBoxFuture<'a, Result<Option<Object>, StoreError>> {
+        async move {
+            let result = self.objects.get(kind, name, consistency).await;
+            monoio::time::sleep(self.read_delay.get()).await;
+            result
+        }
+        .boxed_local()
+    }
+
+    fn list<'a>(
+        &'a self,
+        kind: &'a str,
+    ) -> LocalBoxFuture<'a, Result<(Revision, Vec<Object>), StoreError>> {
+        self.objects.list(kind)
+    }
+
+    fn put<'a>(
+        &'a self,
+        kind: &'a str,
+        name: &'a str,
+        part: ObjectPart,
+        condition: Precondition,
+        value: &'a Value,
+    ) -> LocalBoxFuture<'a, Result<Revision, StoreError>> {
+        async move {
+            let result = self.objects.put(kind, name, part, condition, value).await;
+            monoio::time::sleep(self.write_delay.get()).await;
+            result
+        }
+        .boxed_local()
+    }
+
+    fn delete<'a>(
+        &'a self,
+        kind: &'a str,
+        name: &'a str,
+        revision: Revision,
+    ) -> LocalBoxFuture<'a, Result<(), StoreError>> {
+        self.objects.delete(kind, name, revision)
+    }
+
+    fn watch<'a>(
+        &'a self,
+        kinds: &'a [&'a str],
+        from: Revision,
+        wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<Watch, StoreError>> {
+        self.objects.watch(kinds, from, wait)
+    }
+}
+
+/// Counts of what a runner reports about stored results.
+#[derive(Default)]
+struct ResultCounts {
+    stored_results: Cell<usize>,
+    completed_groups: Cell<usize>,
+    found_chunks: RefCell<Vec<&'static str>>,
+}
+
+impl Observer for ResultCounts {
+    fn on_results_stored(&self, count: usize) {
+        self.stored_results.set(self.stored_results.get() + count);
+    }
+
+    fn on_group_end(&self, _on_time: bool) {
+        self.completed_groups.set(self.completed_groups.get() + 1);
+    }
+
+    fn on_chunk_found(&self, found_by: ChunkFinder) {
+        self.found_chunks.borrow_mut().push(found_by.label());
+    }
+}
+
+fn rollout_route() -> Route {
+    Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        path_prefix: "/j/".to_owned(),
+        kind: RouteKind::Rollout,
+        resumable: false,
+        timeout: Duration::ZERO,
+        target_latency: Duration::ZERO,
+        priority: 1,
+        service_weights: vec![("s".to_owned(), 1)],
+        max_attempts: 3,
+        result_deadline: Duration::from_millis(7500),
+        item_deadline: Duration::from_secs(60),
+        single_version: false,
+    }
+}
+
+/// Submits the job of two items, as its caller does.
+async fn submit(node: &Node) -> StatusCode {
+    let items = [json!({ "Id": "a", "Path": "/p" }), json!({ "Id": "b", "Path": "/p" })];
+    let body = json!({ "Model": "m", "MinVersion": 1, "Items": items }).to_string();
+    let metadata =
+        RequestMetadata { request_id: Some("job".to_owned()), ..RequestMetadata::default() };
+    node.service.submit("h", "/j/job", &rollout_route(), &metadata, body.into()).await.status()
+}
+
+/// Pattern: the answer to a submission is lost, the job runs and stores results, its node restarts
+/// under the same address, and the caller submits the job again there. Guards against a job that
+/// starts from nothing beside its stored results: it would list none of them and run all items
+/// again.
+#[test]
+fn repeated_submission_at_a_restarted_runner_continues_the_stored_job() {
+    run_async(async {
+        let objects = MemoryObjects::default();
+        let first_process = node("vm-1", address(), &objects);
+        assert_eq!(submit(&first_process).await, StatusCode::ACCEPTED);
+        store_first_chunk(&first_process.job_store).await;
+        drop(first_process);
+        // A restart takes longer than the resolution of submission times.
+        monoio::time::sleep(Duration::from_millis(5)).await;
+        let node = node("vm-1", address(), &objects);
+        assert_eq!(submit(&node).await, StatusCode::ACCEPTED);
+        deck_testkit::eventually("the job runs", async || node.runner.job("job").is_some()).await;
+        let job = node.runner.job("job").expect("job");
+        assert_eq!(job.published_results.borrow().len(), 1);
+        assert!(job.unpublished_item("a").is_none(), "the item runs again");
+    });
+}
+
+/// Pattern: the object API takes 600 ms for a call, and a reader asks while the search for another
+/// one is under way. Another node waits 800 ms for the answer, and then reads the whole job from
+/// the slow object API. Guards against reads that take the time of two calls.
+#[test]
+fn read_during_a_search_takes_no_longer_than_one_call() {
+    const CALL_TIME: Duration = Duration::from_millis(600);
+    const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(800);
+    run_async(async {
+        let api = SlowObjects::default();
+        let store = Store::with_api(Rc::new(api.clone()));
+        let node = node_with_store("vm-1", address(), store, Rc::new(()));
+        let job = common::job("job", vec![common::item("a"), common::item("b")]);
+        let accepted = node.job_store.store_job(&job, "vm-1", address()).await;
+        let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+        node.runner.start_job("job", record, revision, job.items);
+        api.read_delay.set(CALL_TIME);
+        let first_read = read_without_wait(&node);
+        let second_read = async {
+            monoio::time::sleep(Duration::from_millis(50)).await;
+            let started = Instant::now();
+            let result_count = read_without_wait(&node).await;
+            (result_count, started.elapsed())
+        };
+        let (first, (second, time)) = futures_util::future::join(first_read, second_read).await;
+        assert_eq!((first, second), (Some(0), Some(0)));
+        assert!(time < PEER_CALL_TIMEOUT, "the second read took {time:?}");
+    });
+}
+
+/// Guards against a search for each of many concurrent readers, and against readers that are left
+/// without an answer when the caller for whom the search was started goes away.
+#[test]
+fn concurrent_reads_share_a_search_that_may_be_cancelled() {
+    const READERS: usize = 50;
+    run_async(async {
+        let api = SlowObjects::default();
+        let store = Store::with_api(Rc::new(api.clone()));
+        let node = node_with_store("vm-1", address(), store, Rc::new(()));
+        let job = common::job("job", vec![common::item("a"), common::item("b")]);
+        let accepted = node.job_store.store_job(&job, "vm-1", address()).await;
+        let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+        node.runner.start_job("job", record, revision, job.items);
+        api.read_delay.set(Duration::from_millis(200));
+        let calls_before = api.objects.call_count();
+        let cancelled_read =
+            monoio::time::timeout(Duration::from_millis(50), read_without_wait(&node));
+        let other_reads = futures_util::future::join_all(
+            (0..READERS).map(|_| async { read_without_wait(&node).await }),
+        );
+        let (cancelled, others) = futures_util::future::join(cancelled_read, other_reads).await;
+        assert!(cancelled.is_err());
+        assert_eq!(others, [Some(0); READERS]);
+        // The cancelled search and one for all others.
+        assert_eq!(api.objects.call_count() - calls_before, 2);
+    });
+}
+
+/// Pattern: a reader asks while the response to a write of results is on its way. Guards against
+/// metrics that take the runner's own chunk for one of another runner and leave out the group that
+/// it completes.
+#[test]
+fn chunk_that_a_read_finds_during_its_write_counts_as_stored_by_this_node() {
+    run_async(async {
+        let api = SlowObjects::default();
+        let store = Store::with_api(Rc::new(api.clone()));
+        let counts = Rc::new(ResultCounts::default());
+        let node = node_with_store("vm-1", address(), store, counts.clone());
+        let job = common::job("job", vec![common::item("a")]);
+        let accepted = node.job_store.store_job(&job, "vm-1", address()).await;
+        let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+        let job = node.runner.start_job("job", record, revision, job.items);
+        api.write_delay.set(Duration::from_millis(300));
+        job.finish_item(&job.unpublished_item("a").expect("item"), ItemOutcome::Completed, None);
+        deck_testkit::eventually("the chunk is stored", async || {
+            !api.objects.object_names("batchresults").is_empty()
+        })
+        .await;
+        assert_eq!(read_without_wait(&node).await, Some(1));
+        deck_testkit::eventually("the write is answered", async || {
+            counts.stored_results.get() == 1
+        })
+        .await;
+        assert_eq!(counts.completed_groups.get(), 1);
+        assert_eq!(*counts.found_chunks.borrow(), [""; 0]);
+    });
+}
--- a/crates/plat/tests/relay.rs
+++ b/crates/plat/tests/relay.rs
@@ -215,3 +215,25 @@
         assert!(!first_lease.is_valid());
     });
 }
+
+/// Pattern: an outage of the object API begins right after a renewal has taken effect, so neither
+/// its response nor the reads that would resolve it arrive. Guards against a holder that takes the
+/// conflict of its next renewal for another holder and gives up a lease that it still has; without
+/// `reclaim_own` nobody holds the lease then until it expires.
+#[test]
+fn renewal_after_a_lost_response_does_not_give_up_the_own_lease() {
+    run(async {
+        let objects = MemoryObjects::default();
+        let options = LeaseOptions::default();
+        let calls_of_a_renewal = 1 + options.max_read_backs;
+        let candidate =
+            LeaseCandidate::new(objects.store(), "l", "vm-1".to_owned(), "127.0.0.1:1", options);
+        let AcquireResult::Held(mut lease) = candidate.try_acquire().await else {
+            panic!("not held")
+        };
+        objects.set_fault(Some(Fault::ResponseLost), Some(calls_of_a_renewal));
+        let lost = lease.renew().await;
+        assert!(matches!(lost, Err(StoreError::ResponseLost(_))), "{lost:?}");
+        lease.renew().await.expect("renewed");
+    });
+}
