deck-plat: keep a lease after a renewal whose response was lost

What callers could see: by reading, a rollout job or target pool without an owner for up to 9 s after a short outage of the object API, as deckroll and deckweight give up a lease that they still hold. decknode takes its own lease back at once.

Cause: a renewal took effect, and neither its response nor the reads that would resolve it arrived. The next renewal used the revision from before, and its conflict with the holder's own write counted as another holder.

Change: after a conflict the holder reads the lease. If the record has the nonce of its acquisition and a holder, it is an own renewal; its revision is adopted and the renewal is repeated. The time until which the holder may act still counts from the last renewal that was answered.

--- a/crates/plat/src/lease.rs
+++ b/crates/plat/src/lease.rs
@@ -368,6 +368,30 @@
     /// [`StoreError::Conflict`] means that another holder has the lease. After any other error the
     /// renewal can be retried.
     pub async fn renew(&mut self) -> Result<(), StoreError> {
+        match self.write_renewal().await {
+            // The conflict may be with an earlier renewal whose response was lost.
+            Err(StoreError::Conflict(_)) if self.adopt_own_renewal().await? => {
+                self.write_renewal().await
+            }
+            result => result,
+        }
+    }
+
+    /// Reads the lease and adopts its revision if this holder wrote it. Returns whether it did.
+    async fn adopt_own_renewal(&mut self) -> Result<bool, StoreError> {
+        let Some(object) = self.candidate.store.get(LEASE_KIND, self.name()).await? else {
+            return Ok(false);
+        };
+        let record = parse_record(&object)?;
+        let is_own = record.nonce == self.record.nonce && !record.holder.is_empty();
+        if is_own {
+            self.revision = object.revision;
+            self.record = record;
+        }
+        Ok(is_own)
+    }
+
+    async fn write_renewal(&mut self) -> Result<(), StoreError> {
         let mut record = self.record.clone();
         record.renewal += 1;
         let duration = self.candidate.duration();
