deck-batch: do not queue reads behind a slow search for chunks

What callers could see: while the object API is slow, a read that arrived during the search of another one took two calls. With calls of over 0.4 s a node that asks the runner gave up after its 0.8 s and loaded the whole job from the same object API.

Cause: the search held a lock for the whole call, so a later read, for which that search is too old, waited for its end before it started its own.

Change: a search runs in a task of its own and is shared by all reads that ended their wait before it starts. The next one starts at least 100 ms later, whether or not the one before has ended, which bounds the calls by many readers. The search starts after the wait for a result, not after the arrival of the request, so that a page rests on what was stored less than one call before its answer. A read whose search fails is answered with the results that were stored meanwhile, if any.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -13,7 +13,7 @@
 };
 use deck_fleet::{Item, ItemOutcome, ItemResult};
 use serde::{Deserialize, Serialize};
-use tokio::sync::{Mutex, Notify, watch};
+use tokio::sync::{Notify, watch};
 
 use crate::JobRecord;
 
@@ -35,9 +35,8 @@
     /// When this node last confirmed in the object API that it still runs the job. This says nothing
     /// about the results: another node may store a chunk without a change of the record.
     pub ownership_checked_at: Cell<Instant>,
-    /// Last search for chunks that are stored but not published on this node. Invariant: locked while
-    /// a search is under way.
-    pub chunk_search: Mutex<Option<ChunkSearch>>,
+    /// Newest search for chunks that are stored but not published on this node.
+    pub chunk_search: RefCell<Option<Rc<ChunkSearch>>>,
     /// Number of groups among the items. Lower than submitted if the job was handed over with some
     /// groups complete.
     pub total_groups: usize,
@@ -67,12 +66,13 @@
     pub speculation_stop_token: CancellationToken,
 }
 
-/// A completed search for chunks that are stored but not published on this node.
+/// A search for chunks that are stored but not published on this node.
 pub struct ChunkSearch {
-    /// When the search started; it finds all chunks that were stored before.
-    pub started_at: Instant,
-    /// Whether the object API answered.
-    pub succeeded: bool,
+    /// Earliest start of the search, which may be in the future. The search finds all chunks that
+    /// were stored before.
+    pub starts_at: Instant,
+    /// `None` until the search has ended; an error is the message of the object API client.
+    pub outcome: watch::Sender<Option<Result<(), String>>>,
 }
 
 /// Processing stage of an item.
@@ -200,7 +200,7 @@
             known_since: now,
             taken_over_at: None,
             ownership_checked_at: Cell::new(now),
-            chunk_search: Mutex::default(),
+            chunk_search: RefCell::default(),
             total_groups: items.iter().map(|item| &item.group).collect::<HashSet<_>>().len(),
             request_hashes: items
                 .iter()
--- a/crates/batch/src/publish.rs
+++ b/crates/batch/src/publish.rs
@@ -8,6 +8,7 @@
 
 use deck_fleet::{ChunkFinder, ItemResult};
 use deck_plat::{Backoff, StoreError};
+use tokio::sync::watch;
 
 use crate::{
     job::{ChunkSearch, ItemPhase, ItemState, Job},
@@ -18,6 +19,10 @@
 /// Initial and maximum wait before a write is retried.
 const RETRY_WAITS: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 
+/// Minimum time between the starts of two searches for chunks of a job. Bounds the calls that many
+/// readers of one job cause.
+const MIN_SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Stores and publishes results as items finish, until the job is complete or stopped.
 pub(crate) async fn publish_results(runner: Rc<RunnerState>, job: Rc<Job>) {
     let mut retry_backoff = Backoff::new(RETRY_WAITS.0, RETRY_WAITS.1);
@@ -175,18 +180,38 @@
 /// the VM. Concurrent calls share a search.
 pub(crate) async fn find_chunks_stored_before(
     since: Instant,
-    runner: &RunnerState,
-    job: &Job,
+    runner: &Rc<RunnerState>,
+    job: &Rc<Job>,
 ) -> Result<(), StoreError> {
-    let mut last_search = job.chunk_search.lock().await;
-    if let Some(search) = last_search.as_ref().filter(|search| search.started_at > since) {
-        let failed = || StoreError::Unavailable("a concurrent search failed".to_owned());
-        return search.succeeded.then_some(()).ok_or_else(failed);
+    let mut outcome = chunk_search_after(since, runner, job).outcome.subscribe();
+    let outcome = match outcome.wait_for(Option::is_some).await {
+        Ok(outcome) => outcome.clone(),
+        Err(_) => None,
+    };
+    let not_ended = || Err("the search has not ended".to_owned());
+    outcome.unwrap_or_else(not_ended).map_err(StoreError::Unavailable)
+}
+
+/// Returns a search that starts after `since`: the newest one of the job, or a new one. A new search
+/// does not wait for the end of the one before, so that a slow call delays only its own readers.
+fn chunk_search_after(since: Instant, runner: &Rc<RunnerState>, job: &Rc<Job>) -> Rc<ChunkSearch> {
+    let mut newest = job.chunk_search.borrow_mut();
+    if let Some(search) = newest.as_ref().filter(|search| search.starts_at > since) {
+        return search.clone();
     }
-    let started_at = Instant::now();
-    let result = publish_found_chunks(runner, job, ChunkFinder::Read).await;
-    *last_search = Some(ChunkSearch { started_at, succeeded: result.is_ok() });
-    result
+    let now = Instant::now();
+    let earliest = newest.as_ref().map(|search| search.starts_at + MIN_SEARCH_INTERVAL);
+    let starts_at = earliest.map_or(now, |earliest| earliest.max(now));
+    let search = Rc::new(ChunkSearch { starts_at, outcome: watch::channel(None).0 });
+    *newest = Some(search.clone());
+    monoio::spawn(run_chunk_search(runner.clone(), job.clone(), search.clone()));
+    search
+}
+
+async fn run_chunk_search(runner: Rc<RunnerState>, job: Rc<Job>, search: Rc<ChunkSearch>) {
+    monoio::time::sleep(search.starts_at.saturating_duration_since(Instant::now())).await;
+    let result = publish_found_chunks(&runner, &job, ChunkFinder::Read).await;
+    search.outcome.send_replace(Some(result.map_err(|error| error.to_string())));
 }
 
 /// Publishes and records the chunks that are stored but not published on this node yet, for a job
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -520,8 +520,7 @@
         from: usize,
         wait: Duration,
     ) -> Response<Body> {
-        let received_at = Instant::now();
-        let wait_deadline = received_at + wait;
+        let wait_deadline = Instant::now() + wait;
         let mut published_count = job.published_count.subscribe();
         let has_result = || job.published_results.borrow().len() > from || job.is_complete();
         while !has_result() && !job.is_ended() {
@@ -531,12 +530,16 @@
             }
             let _ = monoio::time::timeout(remaining, published_count.changed()).await;
         }
-        if !has_result()
-            && let Err(error) =
-                publish::find_chunks_stored_before(received_at, &self.inner.runner.inner, job).await
-        {
-            log::info!(target: "batch", "cannot search results for read job={} error={error}", job.id);
-            return state_unavailable(&job.id);
+        if !has_result() {
+            let (now, runner) = (Instant::now(), &self.inner.runner.inner);
+            let found = publish::find_chunks_stored_before(now, runner, job).await;
+            // The runner may have stored a result meanwhile.
+            if let Err(error) = found
+                && !has_result()
+            {
+                log::info!(target: "batch", "cannot search results for read job={} error={error}", job.id);
+                return state_unavailable(&job.id);
+            }
         }
         self.results_page(job, from)
     }
