deck-batch: recognise the chunk that this node is writing

A read may find the chunk whose write by this node is not answered yet. It was logged as "chunk of another runner" and counted as found by a read, and the group that it completed was not counted. The log line and the counter that tell of an outdated copy did so wrongly; callers saw nothing of it.

Change: a chunk with the results that this node wrote last is its own, whether the write, its repetition or a search finds it.

--- a/bins/decknode/src/metrics.rs
+++ b/bins/decknode/src/metrics.rs
@@ -45,7 +45,7 @@
     RESULTS = "decknode_results_stored_total", "counter", "results", "",
         "Results stored at their positions.";
     CHUNKS_FOUND = "decknode_chunks_found_total", "counter", "chunks", "found_by",
-        "Chunks of results that were stored already when this node wrote or searched for them.";
+        "Chunks of results that another runner had stored when this node wrote or searched for them.";
     GROUPS = "decknode_groups_total", "counter", "groups", "on_time",
         "Groups whose results are all stored, in time or late, and groups open when their job was ended.";
     ORDERS = "decknode_orders_total", "counter", "orders", "reply",
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -52,6 +52,9 @@
     pub chunk_count: Cell<usize>,
     /// Finished results that are not stored yet.
     pub unpublished_results: RefCell<Vec<Rc<ItemResult>>>,
+    /// Results of the chunk that this node is writing or has written last, by which a chunk that was
+    /// stored already is recognised as its own.
+    pub last_written_chunk: RefCell<Vec<Rc<ItemResult>>>,
     /// Notified when a result is added to `unpublished_results`.
     pub result_added: Notify,
     /// Number of published results; waiting reads subscribe to it.
@@ -212,6 +215,7 @@
             published_results: RefCell::default(),
             chunk_count: Cell::new(0),
             unpublished_results: RefCell::default(),
+            last_written_chunk: RefCell::default(),
             result_added: Notify::new(),
             published_count: watch::channel(0).0,
             speculative_items: RefCell::default(),
--- a/crates/batch/src/publish.rs
+++ b/crates/batch/src/publish.rs
@@ -45,23 +45,20 @@
             continue;
         }
         let chunk = job.chunk_count.get();
+        job.last_written_chunk.replace(result_batch.clone());
         match runner.deps.job_store.store_chunk(&job.id, chunk, &result_batch).await {
             Ok(StoreChunkOutcome::Stored) => {
-                let (id, count) = (&job.id, result_batch.len());
-                log::info!(target: "batch", "results stored job={id} chunk={chunk} count={count}");
-                let observer = &runner.deps.observer;
-                observer.on_results_stored(count);
-                for result in &result_batch {
-                    observer.on_item_result(result.outcome);
-                }
-                for _ in 0..job.publish_chunk(chunk, result_batch) {
-                    observer.on_group_end(Instant::now() <= job.due_at());
-                }
+                record_stored_results(&runner, &job, chunk, &result_batch);
+                publish_own_chunk(&runner, &job, chunk, result_batch);
                 retry_backoff.reset();
             }
             Ok(StoreChunkOutcome::AlreadyStored(results)) => {
-                record_found_chunk(&runner, &job, chunk, ChunkFinder::Write);
-                job.publish_chunk(chunk, results.into_iter().map(Rc::new).collect());
+                let results: Vec<_> = results.into_iter().map(Rc::new).collect();
+                // An earlier attempt has stored the chunk, and its response was lost.
+                if results == result_batch {
+                    record_stored_results(&runner, &job, chunk, &result_batch);
+                }
+                publish_found_chunk(&runner, &job, chunk, results, ChunkFinder::Write);
             }
             Err(error) => {
                 log::warn!(target: "batch", "results not stored job={} error={error}", job.id);
@@ -225,17 +222,53 @@
         let chunk = job.chunk_count.get();
         match runner.deps.job_store.find_chunk(&job.id, chunk).await? {
             Some(results) => {
-                record_found_chunk(runner, job, chunk, found_by);
-                job.publish_chunk(chunk, results.into_iter().map(Rc::new).collect());
+                let results = results.into_iter().map(Rc::new).collect();
+                publish_found_chunk(runner, job, chunk, results, found_by);
             }
             None => return Ok(()),
         }
     }
 }
 
-/// Logs and counts a chunk that was stored before this node wrote it.
-fn record_found_chunk(runner: &RunnerState, job: &Job, chunk: usize, found_by: ChunkFinder) {
+/// Publishes a chunk that was stored already when this node wrote or searched for it. Records it,
+/// unless it is the one that this node wrote.
+fn publish_found_chunk(
+    runner: &RunnerState,
+    job: &Job,
+    chunk: usize,
+    results: Vec<Rc<ItemResult>>,
+    found_by: ChunkFinder,
+) {
+    if results == *job.last_written_chunk.borrow() {
+        publish_own_chunk(runner, job, chunk, results);
+        return;
+    }
     let found_by_label = found_by.label();
     log::info!(target: "batch", "chunk of another runner job={} chunk={chunk} found_by={found_by_label}", job.id);
     runner.deps.observer.on_chunk_found(found_by);
+    job.publish_chunk(chunk, results);
+}
+
+/// Publishes a chunk that this node has stored and records the groups that it completes. A chunk that
+/// a search has published before is ignored.
+fn publish_own_chunk(runner: &RunnerState, job: &Job, chunk: usize, results: Vec<Rc<ItemResult>>) {
+    for _ in 0..job.publish_chunk(chunk, results) {
+        runner.deps.observer.on_group_end(Instant::now() <= job.due_at());
+    }
+}
+
+/// Logs and counts the results of a chunk that this node has stored.
+fn record_stored_results(
+    runner: &RunnerState,
+    job: &Job,
+    chunk: usize,
+    results: &[Rc<ItemResult>],
+) {
+    let (id, count) = (&job.id, results.len());
+    log::info!(target: "batch", "results stored job={id} chunk={chunk} count={count}");
+    let observer = &runner.deps.observer;
+    observer.on_results_stored(count);
+    for result in results {
+        observer.on_item_result(result.outcome);
+    }
 }
--- a/crates/fleet/src/observer.rs
+++ b/crates/fleet/src/observer.rs
@@ -28,8 +28,8 @@
     /// `count` results of a job were stored in the object API.
     fn on_results_stored(&self, _count: usize) {}
 
-    /// A chunk of results was stored already when this node wrote or searched for it: by another
-    /// runner, or by a write of this node whose response was lost.
+    /// Another runner, or an earlier process of this node, had stored a chunk of results when this
+    /// node wrote or searched for it.
     fn on_chunk_found(&self, _found_by: ChunkFinder) {}
 
     /// All results of a group are stored, or its job ended before that. `on_time` is `true` if the
