deckstandin: late writes and refused work as faults of the platform

The platform may carry out a write that got no response seconds later, if its condition still holds, and its servers may refuse all work for a while. Neither could be injected at the level of processes.

--- a/bins/deckstandin/src/platform.rs
+++ b/bins/deckstandin/src/platform.rs
@@ -59,6 +59,15 @@
     store_down: bool,
     /// Writes to the object API that take effect and whose connection is closed without a response.
     store_lost: u32,
+    /// Writes to the object API that get no response and are carried out `store_late_ms` later if
+    /// their condition still holds.
+    store_late: u32,
+    /// Delay of the writes that `store_late` affects, in milliseconds.
+    store_late_ms: u64,
+    /// Kind of the objects to which `store_late` is limited; empty for all kinds.
+    store_late_kind: String,
+    /// Whether the servers answer all requests with 503 and `not-executed`.
+    refuse_work: bool,
     /// Streams that are aborted after their next event.
     cut_streams: u32,
     /// Reward calls that are answered with 500.
@@ -255,6 +264,39 @@
         json_response(200, &Value::Null)
     }
 
+    /// Decides whether a write to an object of `kind` is late; returns its delay.
+    fn next_late_write(&self, kind: &str) -> Option<Duration> {
+        self.faults.update(|faults| {
+            let is_kind = faults.store_late_kind.is_empty() || faults.store_late_kind == kind;
+            if faults.store_late == 0 || !is_kind {
+                return None;
+            }
+            faults.store_late -= 1;
+            Some(Duration::from_millis(faults.store_late_ms))
+        })
+    }
+
+    /// Carries out a write like [`State::write`], or later and without a response if that fault is
+    /// set. A late write is carried out even if the client disconnects in the meantime.
+    async fn write_or_delay(
+        self: &Rc<Self>,
+        call: Call,
+        kind: &str,
+        name: Option<&str>,
+    ) -> Response<Body> {
+        let Some(delay) = self.next_late_write(kind) else {
+            return self.write(&call, kind, name);
+        };
+        self.record(json!({"late_write": kind, "path": call.path}));
+        let (state, kind, name) = (self.clone(), kind.to_owned(), name.map(str::to_owned));
+        let late_write = monoio::spawn(async move {
+            monoio::time::sleep(delay).await;
+            state.write(&call, &kind, name.as_deref());
+        });
+        late_write.await;
+        close_without_response()
+    }
+
     /// Carries out a `POST` or `PUT` of an object if its revision is the expected one.
     fn write(&self, call: &Call, kind: &str, name: Option<&str>) -> Response<Body> {
         let body: Value = match call.json() {
@@ -318,8 +360,10 @@
                 None => json_response(404, &Value::Null),
             }
         }
-        ("POST", ["v1", "objects", kind]) => state.write(&call, kind, None),
-        ("PUT", ["v1", "objects", kind, name]) => state.write(&call, kind, Some(name)),
+        ("POST", ["v1", "objects", kind]) => state.write_or_delay(call, kind, None).await,
+        ("PUT", ["v1", "objects", kind, name]) => {
+            state.write_or_delay(call, kind, Some(name)).await
+        }
         _ => not_found(&call),
     }
 }
@@ -404,9 +448,7 @@
         self.state
             .record(json!({"run": id, "engine": self.id, "after": after, "version": version}));
         if self.busy.get() {
-            let mut response = json_response(503, &Value::Null);
-            response.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
-            return response;
+            return not_executed();
         }
         let (sender, body) = Body::stream();
         let mut response = Response::new(body);
@@ -447,6 +489,13 @@
     }
 }
 
+/// Returns the response to a request that the server does not execute.
+fn not_executed() -> Response<Body> {
+    let mut response = json_response(503, &Value::Null);
+    response.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
+    response
+}
+
 /// Adds the headers by which a client matches a response to its request.
 fn add_correlation_headers(response: &mut Response<Body>, id: &str) {
     let headers = response.headers_mut();
@@ -485,6 +534,9 @@
             let Some(id) = call.header("request-id").map(str::to_owned) else {
                 return json_response(400, &Value::Null);
             };
+            if server.state.faults.get().refuse_work {
+                return not_executed();
+            }
             if server.model_version.get().is_some() {
                 server.start_text_stream(&call, &id).await
             } else {
