--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -38,6 +38,8 @@
     delay_ms: AtomicU64,
     /// Number of calls of [`Proxy::close_connections`]; a connection closes when it changes.
     generation: AtomicU32,
+    /// Number of calls of [`Proxy::silence_connections`]; a connection falls silent when it changes.
+    silent_generation: AtomicU32,
     /// Set when the proxy is dropped: its thread ends and all connections close.
     is_stopped: AtomicBool,
 }
@@ -99,7 +101,13 @@
         self.faults.generation.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Clears all faults; closed connections are not restored.
+    /// Holds back the data of all connections that are open now until they are closed. New
+    /// connections work.
+    pub fn silence_connections(&self) {
+        self.faults.silent_generation.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Clears all faults; closed and silent connections are not restored.
     pub fn clear_faults(&self) {
         self.set_blocked(Direction::ToTarget, false);
         self.set_blocked(Direction::FromTarget, false);
@@ -107,16 +115,32 @@
     }
 }
 
+/// Generations of the faults at the time when a connection was opened.
+#[derive(Debug, Clone, Copy)]
+struct Generations {
+    closing: u32,
+    silent: u32,
+}
+
+impl Generations {
+    fn current(faults: &Faults) -> Self {
+        Self {
+            closing: faults.generation.load(Ordering::Relaxed),
+            silent: faults.silent_generation.load(Ordering::Relaxed),
+        }
+    }
+}
+
 /// Connects to the target and forwards data in both directions until one of them ends.
 async fn forward_connection(stream: TcpStream, target: SocketAddr, faults: Arc<Faults>) {
-    let generation = faults.generation.load(Ordering::Relaxed);
+    let generations = Generations::current(&faults);
     let Ok(target_stream) = TcpStream::connect_addr(target).await else { return };
     let (client_reader, client_writer) = stream.into_split();
     let (target_reader, target_writer) = target_stream.into_split();
     let to_target =
-        forward_data(client_reader, target_writer, Direction::ToTarget, generation, &faults);
+        forward_data(client_reader, target_writer, Direction::ToTarget, generations, &faults);
     let from_target =
-        forward_data(target_reader, client_writer, Direction::FromTarget, generation, &faults);
+        forward_data(target_reader, client_writer, Direction::FromTarget, generations, &faults);
     // If one direction ends, both sides of the connection are closed.
     let (to_target, from_target) = (std::pin::pin!(to_target), std::pin::pin!(from_target));
     futures_util::future::select(to_target, from_target).await;
@@ -127,12 +151,16 @@
     mut reader: impl AsyncReadRent,
     mut writer: impl AsyncWriteRentExt,
     direction: Direction,
-    generation: u32,
+    generations: Generations,
     faults: &Faults,
 ) {
     let must_close = || {
         faults.is_stopped.load(Ordering::Relaxed)
-            || faults.generation.load(Ordering::Relaxed) != generation
+            || Generations::current(faults).closing != generations.closing
+    };
+    let is_held_back = || {
+        faults.is_blocked[direction as usize].load(Ordering::Relaxed)
+            || Generations::current(faults).silent != generations.silent
     };
     while !must_close() {
         let buffer = Vec::with_capacity(MAX_READ_BYTES);
@@ -146,7 +174,7 @@
         }
         let delay = faults.delay_ms.load(Ordering::Relaxed);
         monoio::time::sleep(Duration::from_millis(delay)).await;
-        while faults.is_blocked[direction as usize].load(Ordering::Relaxed) && !must_close() {
+        while is_held_back() && !must_close() {
             monoio::time::sleep(FAULT_POLL_INTERVAL).await;
         }
         if must_close() || writer.write_all(buffer).await.0.is_err() {
