--- a/bins/decknode/tests/common/mod.rs
+++ b/bins/decknode/tests/common/mod.rs
@@ -23,6 +23,11 @@
 pub const HOST: &str = "h.example";
 /// Timeout of one call of a caller.
 const CALL_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time after which every node has to show a result that any node has shown; the settle time of the
+/// deployments.
+pub const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Default time of one event of a text in milliseconds.
+const EVENT_MS: u64 = 10;
 /// Number of items in a group.
 const GROUP_SIZE: usize = 4;
 
@@ -74,6 +79,15 @@
     pub min_version: u64,
     /// Results read so far, in the order of their positions.
     pub results: Vec<Value>,
+    /// When each of `results` was read.
+    pub read_at: Vec<Instant>,
+}
+
+impl SubmittedJob {
+    /// Returns how many results were read at least `SETTLE_TIME` ago.
+    pub fn settled_count(&self) -> usize {
+        self.read_at.iter().take_while(|at| at.elapsed() >= SETTLE_TIME).count()
+    }
 }
 
 impl Drop for Fleet {
@@ -111,14 +125,19 @@
 impl Fleet {
     /// Starts the stand-in, `entry_nodes` nodes that serve callers and one node with a disk.
     pub fn start(entry_nodes: usize) -> Self {
-        let mut fleet = Self::new(entry_nodes, false);
+        let mut fleet = Self::new(entry_nodes, false, EVENT_MS);
         fleet.start_nodes();
         fleet
     }
 
     /// Like [`Fleet::start`], with proxies between the nodes and the stand-in.
     pub async fn start_with_proxies(entry_nodes: usize) -> Self {
-        let mut fleet = Self::new(entry_nodes, true);
+        Self::start_with_proxies_and_event_time(entry_nodes, EVENT_MS).await
+    }
+
+    /// Like [`Fleet::start_with_proxies`]; an event of a text takes `event_ms` milliseconds.
+    pub async fn start_with_proxies_and_event_time(entry_nodes: usize, event_ms: u64) -> Self {
+        let mut fleet = Self::new(entry_nodes, true, event_ms);
         let servers =
             fleet.call(fleet.object_api, Method::GET, "/v1/objects/servers", &[], Vec::new()).await;
         let servers: Value = serde_json::from_slice(&servers.expect("list").1).expect("json");
@@ -146,10 +165,11 @@
     }
 
     /// Starts the stand-in and writes the settings of the nodes, but does not start them.
-    fn new(entry_nodes: usize, with_proxies: bool) -> Self {
+    fn new(entry_nodes: usize, with_proxies: bool, event_ms: u64) -> Self {
         let dir = std::env::temp_dir().join(format!("decknode-{}", deck_core::id::random_id()));
         std::fs::create_dir_all(&dir).expect("folder");
-        let arguments = ["platform", "--listen", "127.0.0.1:0"];
+        let event_ms = event_ms.to_string();
+        let arguments = ["platform", "--listen", "127.0.0.1:0", "--event-ms", &event_ms];
         let mut platform = Process::start("platform", "deckstandin", &arguments, None);
         let object_api = platform.address("store");
         let client = Client::new(ClientOptions::default());
@@ -354,7 +374,7 @@
             assert!(Instant::now() < deadline, "job {id} was not accepted: {response:?}");
             monoio::time::sleep(Duration::from_millis(100)).await;
         }
-        SubmittedJob { id, items, min_version, results: Vec::new() }
+        SubmittedJob { id, items, min_version, results: Vec::new(), read_at: Vec::new() }
     }
 
     /// Reads the results of a job from a position at one node; `None` if the node gives no answer.
@@ -382,9 +402,23 @@
         for result in page["Results"].as_array().expect("results") {
             assert_valid_result(job, result);
             job.results.push(result.clone());
+            job.read_at.push(Instant::now());
         }
     }
 
+    /// Checks that a node, if it answers, has the results read so far from position `from` on.
+    pub async fn assert_readable(&self, node: &Node, job: &SubmittedJob, from: usize) {
+        let Some(page) = self.read(node.caller_address, job, from).await else { return };
+        let results = page["Results"].as_array().expect("results");
+        let (id, count, name) = (&job.id, job.results.len(), &node.name);
+        assert!(
+            !results.is_empty(),
+            "job {id}: {count} results had been read, and {name} has none at position {from}"
+        );
+        let compared = results.len().min(count - from);
+        assert_eq!(results[..compared], job.results[from..][..compared], "job {id} at {name}");
+    }
+
     /// Reads a job at the nodes in turn until all its results have been read.
     pub async fn read_until_complete(&self, job: &mut SubmittedJob) {
         let deadline = Instant::now() + EVENT_WAIT_TIMEOUT;
