--- a/bins/deckstandin/src/platform.rs
+++ b/bins/deckstandin/src/platform.rs
@@ -48,6 +48,9 @@
     /// Time of a change of version in milliseconds.
     #[bpaf(argument("MS"), fallback(200))]
     pub load_ms: u64,
+    /// Time after its submission at which an item may be given up, in seconds.
+    #[bpaf(argument("S"), fallback(40))]
+    pub max_wait_s: u64,
 }
 
 /// Injected faults of the platform. A count is the number of next operations that fail.
@@ -130,7 +133,7 @@
         advertised_addresses: RefCell::default(),
         options: options.clone(),
     });
-    state.put("config", "main", configuration());
+    state.put("config", "main", configuration(options.max_wait_s));
     for index in 0..options.engines + options.servers {
         let is_engine = index < options.engines;
         let name = if is_engine { format!("engine-{index}") } else { format!("server-{index}") };
@@ -144,7 +147,7 @@
 }
 
 /// Returns the initial configuration object, with one route of each type that the tests use.
-fn configuration() -> Value {
+fn configuration(max_wait_s: u64) -> Value {
     let app_route = |name: &str, prefix: &str, route_type: &str| {
         json!({"Name": name, "Host": "h.example", "PathPrefix": prefix, "RouteType": route_type,
                "TimeoutMs": 3000, "TargetLatencyMs": 500, "Priority": 2, "Service": "app",
@@ -158,7 +161,7 @@
             app_route("score", "/score/", "idempotent"),
             {"Name": "jobs", "Host": "h.example", "PathPrefix": "/jobs/", "RouteType": "rollout",
              "TargetLatencyMs": 400, "Priority": 1, "Service": "models", "Attempts": 3,
-             "ResultDeadlineMs": 7500, "MaxWaitS": 40},
+             "ResultDeadlineMs": 7500, "MaxWaitS": max_wait_s},
         ],
         "Services": [
             {"Name": "app", "HealthPath": "/healthz", "MaxConns": 100},
