decknode: give each test process a port range of its own

The range was chosen by the process id modulo 100, so two test processes at the same time could share one; the port of a killed node is free until its restart, and the other process took it.

--- a/bins/decknode/tests/common/mod.rs
+++ b/bins/decknode/tests/common/mod.rs
@@ -7,7 +7,10 @@
     collections::HashSet,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{
+        LazyLock,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -108,10 +111,22 @@
 /// Number of disjoint port ranges for test processes that run in parallel.
 const PORT_RANGES: u32 = 100;
 
+/// First port of the range of this test process, held with a listener until the process ends.
+/// Without it, another test process may take the port of a node that is stopped for a while, and
+/// the nodes of two fleets would then call each other.
+static FIRST_PORT_HOLDER: LazyLock<(TcpListener, u32)> = LazyLock::new(|| {
+    let ranges = (0..PORT_RANGES).map(|offset| (std::process::id() + offset) % PORT_RANGES);
+    let mut held = ranges.filter_map(|range| {
+        let first_port = FIRST_PORT + range * PORTS_PER_PROCESS;
+        TcpListener::bind(("127.0.0.1", first_port as u16)).ok().map(|held| (held, first_port))
+    });
+    held.next().expect("a free port range")
+});
+
 /// Returns a loopback address with a free port from the range of this test process.
 fn free_address() -> SocketAddr {
     static NEXT_OFFSET: AtomicU32 = AtomicU32::new(0);
-    let first_port = FIRST_PORT + std::process::id() % PORT_RANGES * PORTS_PER_PROCESS;
+    let first_port = FIRST_PORT_HOLDER.1;
     for _ in 0..PORTS_PER_PROCESS {
         let port = first_port + NEXT_OFFSET.fetch_add(1, Ordering::Relaxed) % PORTS_PER_PROCESS;
         let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
