decknode: test a previous runner that stores between two ownership checks

The new runner checks at intervals of 1.5 s and looks for chunks until 3 s after the takeover, so it misses one that is stored after its check at 1.5 s, although that is inside the window.

--- a/bins/decknode/tests/incident_reads.rs
+++ b/bins/decknode/tests/incident_reads.rs
@@ -9,14 +9,12 @@
 use deck_net::http::Method;
 use deck_testkit::eventually;
 use serde_json::{Value, json};
+use test_case::test_case;
 
 mod common;
 
 use common::{Fleet, SETTLE_TIME, SubmittedJob, run};
 
-/// Time after the takeover at which the previous runner goes on. Longer than the nodes expect a
-/// write of the previous runner to be under way.
-const OLD_RUNNER_DELAY: Duration = Duration::from_millis(4500);
 /// Time for which the new runner is paused so that a read at another node is served from the object
 /// API: longer than the timeout of a read between nodes, 1.1 s with the wait of the fixture's reads,
 /// and shorter than that plus the timeout of the health check that follows it, 0.4 s.
@@ -145,13 +143,15 @@
 
 /// Guards against a runner that answers from memory that a position has no result, although the
 /// runner before it has stored and shown one: the previous runner was paused while it stored its
-/// first results, and went on several seconds after the takeover.
-#[test]
-fn results_of_a_paused_runner_stay_readable_after_a_takeover() {
+/// first results, and went on after the takeover: between two ownership checks of the new runner, or
+/// later than three seconds after the takeover, when the new runner expects no write any more.
+#[test_case(2000; "between_two_checks")]
+#[test_case(4500; "long_after_it")]
+fn results_of_a_paused_runner_stay_readable_after_a_takeover(delay_ms: u64) {
     run(async {
         // The delayed write itself plays no part: the previous runner repeats it when it goes on.
         let mut takeover = Takeover::start(60_000).await;
-        monoio::time::sleep(OLD_RUNNER_DELAY).await;
+        monoio::time::sleep(Duration::from_millis(delay_ms)).await;
         takeover.read_at_resumed_runner().await;
         takeover.assert_readable().await;
         takeover.finish().await;
