--- a/crates/batch/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -15,7 +15,6 @@
 };
 use deck_forward::{CrashGuard, ForwardOptions, Forwarder};
 use deck_net::Client;
-use deck_plat::Store;
 use deck_platform::{OBJECT_KINDS, PlatformWire};
 use deck_route::{Router, RouterOptions};
 use deck_testkit::memory::MemoryObjects;
@@ -66,23 +65,24 @@
 
 /// Starts a node on the VM `vm` with its objects in `objects`.
 pub fn node(vm: &str, address: SocketAddr, objects: &MemoryObjects) -> Node {
-    node_with_store(vm, address, objects.store(), Rc::new(()))
+    node_with_observer(vm, address, objects, Rc::new(()))
 }
 
-/// As [`node`], with the object API behind `store` and with metrics that go to `observer`.
-pub fn node_with_store(
+/// As [`node`], with metrics that go to `observer`.
+pub fn node_with_observer(
     vm: &str,
     address: SocketAddr,
-    store: Store,
+    objects: &MemoryObjects,
     observer: Rc<dyn Observer>,
 ) -> Node {
     let cancel = CancellationToken::new();
-    let job_store = JobStore::new(store.clone(), 1 << 20);
+    let job_store = JobStore::new(objects.store(), 1 << 20);
     let deps = RunnerDependencies { observer, ..runner_deps(vm, address, &job_store) };
     let (view, client, protocol) = (deps.view.clone(), deps.client.clone(), deps.protocol.clone());
     let runner = Runner::start(deps, RunnerOptions::default(), cancel.clone());
     let options = ObjectFollowerOptions::default();
-    let follower = ObjectFollower::new(store, view, protocol.clone(), OBJECT_KINDS, options);
+    let follower =
+        ObjectFollower::new(objects.store(), view, protocol.clone(), OBJECT_KINDS, options);
     let (incarnation, feed_options) = (new_incarnation(), FleetFeedOptions::default());
     let feed = FleetFeed::new(address, incarnation, client.clone(), follower, feed_options);
     let peers = BatchPeerClient::new(client);
--- a/crates/batch/tests/outdated_copies.rs
+++ b/crates/batch/tests/outdated_copies.rs
@@ -16,17 +16,13 @@
     BatchCall, ChunkFinder, ItemOutcome, ItemResult, Observer, RequestMetadata, Route, RouteKind,
 };
 use deck_net::http::StatusCode;
-use deck_plat::{
-    Object, ObjectApi, ObjectPart, Precondition, ReadConsistency, Store, StoreError, Watch,
-};
 use deck_testkit::memory::{Fault, MemoryObjects};
-use futures_util::{FutureExt, future::LocalBoxFuture};
 use http_body_util::BodyExt;
 use serde_json::{Value, json};
 
 mod common;
 
-use common::{Node, node, node_with_store};
+use common::{Node, node, node_with_observer};
 
 /// Time within which all nodes have to list a result that one of them has listed.
 const SETTLE_TIME: Duration = Duration::from_millis(1000);
@@ -162,73 +158,6 @@
     });
 }
 
-/// Object API whose responses take some time after the calls have taken effect.
-#[derive(Clone, Default)]
-struct SlowObjects {
-    objects: MemoryObjects,
-    /// Time until the response to a read of an object.
-    read_delay: Rc<Cell<Duration>>,
-    /// Time until the response to a write.
-    write_delay: Rc<Cell<Duration>>,
-}
-
-impl ObjectApi for SlowObjects {
-    fn get<'a>(
-        &'a self,
-        kind: &'a str,
-        name: &'a str,
-        consistency: ReadConsistency,
-    ) -> LocalBoxFuture<'a, Result<Option<Object>, StoreError>> {
-        async move {
-            let result = self.objects.get(kind, name, consistency).await;
-            monoio::time::sleep(self.read_delay.get()).await;
-            result
-        }
-        .boxed_local()
-    }
-
-    fn list<'a>(
-        &'a self,
-        kind: &'a str,
-    ) -> LocalBoxFuture<'a, Result<(Revision, Vec<Object>), StoreError>> {
-        self.objects.list(kind)
-    }
-
-    fn put<'a>(
-        &'a self,
-        kind: &'a str,
-        name: &'a str,
-        part: ObjectPart,
-        condition: Precondition,
-        value: &'a Value,
-    ) -> LocalBoxFuture<'a, Result<Revision, StoreError>> {
-        async move {
-            let result = self.objects.put(kind, name, part, condition, value).await;
-            monoio::time::sleep(self.write_delay.get()).await;
-            result
-        }
-        .boxed_local()
-    }
-
-    fn delete<'a>(
-        &'a self,
-        kind: &'a str,
-        name: &'a str,
-        revision: Revision,
-    ) -> LocalBoxFuture<'a, Result<(), StoreError>> {
-        self.objects.delete(kind, name, revision)
-    }
-
-    fn watch<'a>(
-        &'a self,
-        kinds: &'a [&'a str],
-        from: Revision,
-        wait: Duration,
-    ) -> LocalBoxFuture<'a, Result<Watch, StoreError>> {
-        self.objects.watch(kinds, from, wait)
-    }
-}
-
 /// Counts of what a runner reports about stored results.
 #[derive(Default)]
 struct ResultCounts {
@@ -309,14 +238,13 @@
     const CALL_TIME: Duration = Duration::from_millis(600);
     const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(800);
     run_async(async {
-        let api = SlowObjects::default();
-        let store = Store::with_api(Rc::new(api.clone()));
-        let node = node_with_store("vm-1", address(), store, Rc::new(()));
+        let objects = MemoryObjects::default();
+        let node = node("vm-1", address(), &objects);
         let job = common::job("job", vec![common::item("a"), common::item("b")]);
         let accepted = node.job_store.store_job(&job, "vm-1", address()).await;
         let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
         node.runner.start_job("job", record, revision, job.items);
-        api.read_delay.set(CALL_TIME);
+        objects.set_read_delay(CALL_TIME);
         let first_read = read_without_wait(&node);
         let second_read = async {
             monoio::time::sleep(Duration::from_millis(50)).await;
@@ -336,15 +264,14 @@
 fn concurrent_reads_share_a_search_that_may_be_cancelled() {
     const READERS: usize = 50;
     run_async(async {
-        let api = SlowObjects::default();
-        let store = Store::with_api(Rc::new(api.clone()));
-        let node = node_with_store("vm-1", address(), store, Rc::new(()));
+        let objects = MemoryObjects::default();
+        let node = node("vm-1", address(), &objects);
         let job = common::job("job", vec![common::item("a"), common::item("b")]);
         let accepted = node.job_store.store_job(&job, "vm-1", address()).await;
         let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
         node.runner.start_job("job", record, revision, job.items);
-        api.read_delay.set(Duration::from_millis(200));
-        let calls_before = api.objects.call_count();
+        objects.set_read_delay(Duration::from_millis(200));
+        let calls_before = objects.call_count();
         let cancelled_read =
             monoio::time::timeout(Duration::from_millis(50), read_without_wait(&node));
         let other_reads = futures_util::future::join_all(
@@ -354,7 +281,7 @@
         assert!(cancelled.is_err());
         assert_eq!(others, [Some(0); READERS]);
         // The cancelled search and one for all others.
-        assert_eq!(api.objects.call_count() - calls_before, 2);
+        assert_eq!(objects.call_count() - calls_before, 2);
     });
 }
 
@@ -364,18 +291,17 @@
 #[test]
 fn chunk_that_a_read_finds_during_its_write_counts_as_stored_by_this_node() {
     run_async(async {
-        let api = SlowObjects::default();
-        let store = Store::with_api(Rc::new(api.clone()));
+        let objects = MemoryObjects::default();
         let counts = Rc::new(ResultCounts::default());
-        let node = node_with_store("vm-1", address(), store, counts.clone());
+        let node = node_with_observer("vm-1", address(), &objects, counts.clone());
         let job = common::job("job", vec![common::item("a")]);
         let accepted = node.job_store.store_job(&job, "vm-1", address()).await;
         let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
         let job = node.runner.start_job("job", record, revision, job.items);
-        api.write_delay.set(Duration::from_millis(300));
+        objects.set_write_delay(Duration::from_millis(300));
         job.finish_item(&job.unpublished_item("a").expect("item"), ItemOutcome::Completed, None);
         deck_testkit::eventually("the chunk is stored", async || {
-            !api.objects.object_names("batchresults").is_empty()
+            !objects.object_names("batchresults").is_empty()
         })
         .await;
         assert_eq!(read_without_wait(&node).await, Some(1));
--- a/crates/testkit/src/memory.rs
+++ b/crates/testkit/src/memory.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     rc::Rc,
     time::Duration,
 };
@@ -49,6 +49,12 @@
     calls_before_fault: Cell<u32>,
     /// Kind of the objects to which the fault is limited; `None` for all kinds.
     faulty_kind: RefCell<Option<String>>,
+    /// Faults of the next writes, in order. Reads have none of them.
+    write_faults: RefCell<VecDeque<Fault>>,
+    /// Time until the response to a read of an object, after the call has taken effect.
+    read_delay: Cell<Duration>,
+    /// Time until the response to a write, after the call has taken effect.
+    write_delay: Cell<Duration>,
     delayed_writes: RefCell<Vec<DelayedWriteArguments>>,
     call_count: Cell<u32>,
 }
@@ -80,6 +86,21 @@
         self.state.faulty_kind.replace(Some(kind.to_owned()));
     }
 
+    /// Injects the given faults into the next writes, one after the other.
+    pub fn set_write_faults(&self, faults: impl IntoIterator<Item = Fault>) {
+        self.state.write_faults.replace(faults.into_iter().collect());
+    }
+
+    /// Delays the responses to reads of an object.
+    pub fn set_read_delay(&self, delay: Duration) {
+        self.state.read_delay.set(delay);
+    }
+
+    /// Delays the responses to writes.
+    pub fn set_write_delay(&self, delay: Duration) {
+        self.state.write_delay.set(delay);
+    }
+
     /// Applies the writes delayed by [`Fault::DelayedWrite`] and returns how many took effect.
     pub fn apply_delayed_writes(&self) -> usize {
         let delayed_writes = self.state.delayed_writes.take();
@@ -165,6 +186,20 @@
     StoreError::ResponseLost("lost".to_owned())
 }
 
+/// Returns a future that responds with `result` after `delay`.
+fn respond_after<'a, T: 'a>(
+    delay: Duration,
+    result: Result<T, StoreError>,
+) -> LocalBoxFuture<'a, Result<T, StoreError>> {
+    async move {
+        if !delay.is_zero() {
+            monoio::time::sleep(delay).await;
+        }
+        result
+    }
+    .boxed_local()
+}
+
 impl ObjectApi for MemoryObjects {
     fn get<'a>(
         &'a self,
@@ -179,7 +214,7 @@
                 Ok(self.state.objects.borrow().get(&key).cloned())
             }
         };
-        async move { result }.boxed_local()
+        respond_after(self.state.read_delay.get(), result)
     }
 
     fn list<'a>(
@@ -206,7 +241,8 @@
         value: &'a Value,
     ) -> LocalBoxFuture<'a, Result<Revision, StoreError>> {
         let key = (kind.to_owned(), name.to_owned());
-        let result = match self.next_fault(kind) {
+        let fault = self.next_fault(kind);
+        let result = match self.state.write_faults.borrow_mut().pop_front().or(fault) {
             Some(Fault::Unavailable) => Err(unavailable()),
             Some(Fault::ResponseLost) => {
                 let _ = self.write(key, part, precondition, value);
@@ -223,7 +259,7 @@
             }
             None => self.write(key, part, precondition, value),
         };
-        async move { result }.boxed_local()
+        respond_after(self.state.write_delay.get(), result)
     }
 
     fn delete<'a>(
