--- a/crates/batch/src/publish.rs
+++ b/crates/batch/src/publish.rs
@@ -239,6 +239,10 @@
     results: Vec<Rc<ItemResult>>,
     found_by: ChunkFinder,
 ) {
+    // Another search may have published the chunk in the meantime.
+    if chunk != job.chunk_count.get() {
+        return;
+    }
     if results == *job.last_written_chunk.borrow() {
         publish_own_chunk(runner, job, chunk, results);
         return;
