Take an unreadable response to a successful write for a write in doubt

What callers could see: a submission is answered with 503, which promises that nothing of the job will run, and the job runs later (REFUSED).

Cause: a 2xx whose body cannot be decoded was reported as Decode, which counts as a write without effect. The status says that the write has taken effect.

Reads keep Decode.

--- a/crates/plat/src/http_api.rs
+++ b/crates/plat/src/http_api.rs
@@ -90,8 +90,13 @@
             return Err(StoreError::TooLarge);
         }
         let response = self.send_request(Method::PUT, &path, Some(condition), body).await?;
-        let put_response: RevisionResponse = self.decode_response(response).await?;
-        put_response.revision.ok_or_else(|| StoreError::Decode("no revision".to_owned()))
+        if !response.status.is_success() {
+            return Err(self.error_from_response(response).await);
+        }
+        // The write has taken effect, whatever its response contains.
+        let put_response: Result<RevisionResponse, _> = self.decode_response(response).await;
+        let revision = put_response.ok().and_then(|response| response.revision);
+        revision.ok_or_else(|| StoreError::ResponseLost("no revision".to_owned()))
     }
 
     async fn delete_object(
