--- a/crates/batch/tests/outdated_copies.rs
+++ b/crates/batch/tests/outdated_copies.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use deck_batch::{JobRecord, JobStore, StoreJobOutcome};
+use deck_batch::{JobRecord, JobStore, StoreJobOutcome, job::Job};
 use deck_core::id::Revision;
 use deck_fleet::{
     BatchCall, ChunkFinder, ItemOutcome, ItemResult, Observer, RequestMetadata, Route, RouteKind,
@@ -56,6 +56,14 @@
     (node, record, revision)
 }
 
+/// As [`node_with_job`], with the job started on the node.
+async fn node_that_runs_job(objects: &MemoryObjects) -> (Node, Rc<Job>) {
+    let (node, record, revision) = node_with_job(objects).await;
+    let items = node.job_store.read_items("job", &record).await.expect("items");
+    let job = node.runner.start_job("job", record, revision, items);
+    (node, job)
+}
+
 /// Stores the first chunk of the job, as another node does.
 async fn store_first_chunk(job_store: &JobStore) {
     job_store.store_chunk("job", 0, &[result("a")]).await.expect("stored");
@@ -141,9 +149,7 @@
 fn chunk_whose_response_was_lost_is_listed_by_its_runner() {
     run_async(async {
         let objects = MemoryObjects::default();
-        let (node, record, revision) = node_with_job(&objects).await;
-        let items = node.job_store.read_items("job", &record).await.expect("items");
-        let job = node.runner.start_job("job", record, revision, items);
+        let (node, job) = node_that_runs_job(&objects).await;
         objects.set_fault_for_kind("batchresults", Fault::ResponseLost, u32::MAX);
         let item = job.unpublished_item("a").expect("item");
         job.finish_item(&item, ItemOutcome::Completed, None);
@@ -239,11 +245,7 @@
     const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(800);
     run_async(async {
         let objects = MemoryObjects::default();
-        let node = node("vm-1", address(), &objects);
-        let job = common::job("job", vec![common::item("a"), common::item("b")]);
-        let accepted = node.job_store.store_job(&job, "vm-1", address()).await;
-        let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
-        node.runner.start_job("job", record, revision, job.items);
+        let (node, _) = node_that_runs_job(&objects).await;
         objects.set_read_delay(CALL_TIME);
         let first_read = read_without_wait(&node);
         let second_read = async {
@@ -265,11 +267,7 @@
     const READERS: usize = 50;
     run_async(async {
         let objects = MemoryObjects::default();
-        let node = node("vm-1", address(), &objects);
-        let job = common::job("job", vec![common::item("a"), common::item("b")]);
-        let accepted = node.job_store.store_job(&job, "vm-1", address()).await;
-        let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
-        node.runner.start_job("job", record, revision, job.items);
+        let (node, _) = node_that_runs_job(&objects).await;
         objects.set_read_delay(Duration::from_millis(200));
         let calls_before = objects.call_count();
         let cancelled_read =
--- a/crates/batch/tests/service.rs
+++ b/crates/batch/tests/service.rs
@@ -27,7 +27,7 @@
 
 mod common;
 
-use common::node;
+use common::{Node, node};
 
 /// Number of items in the job.
 const ITEM_COUNT: usize = 40;
@@ -83,6 +83,24 @@
     address
 }
 
+/// Starts a node that serves the requests of other nodes. Returns it with its address.
+fn node_that_serves_peers(
+    vm: &str,
+    objects: &MemoryObjects,
+    cancel: &CancellationToken,
+) -> (Node, SocketAddr) {
+    let service: Rc<Cell<Option<BatchService>>> = Rc::default();
+    let served = service.clone();
+    let address = serve(cancel, move |request| {
+        let service = served.take().expect("service");
+        served.set(Some(service.clone()));
+        async move { service.serve_peer(request).await }
+    });
+    let node = node(vm, address, objects);
+    service.set(Some(node.service.clone()));
+    (node, address)
+}
+
 /// Pattern: all readers request all old jobs of one node at once; its link is saturated and each
 /// answer takes longer than a reader waits. Guards against a job that cannot be read in this
 /// situation.
@@ -119,15 +137,7 @@
     let test = async {
         let cancel = CancellationToken::new();
         let objects = MemoryObjects::default();
-        let service: Rc<Cell<Option<BatchService>>> = Rc::default();
-        let served = service.clone();
-        let address = serve(&cancel, move |request| {
-            let service = served.take().expect("service");
-            served.set(Some(service.clone()));
-            async move { service.serve_peer(request).await }
-        });
-        let runner = node("vm-1", address, &objects);
-        service.set(Some(runner.service.clone()));
+        let (runner, address) = node_that_serves_peers("vm-1", &objects, &cancel);
         store_complete_job(&runner.job_store, "vm-1", address).await;
         let peers = BatchPeerClient::new(Client::default());
         let read = || peers.read(address, "job", 0, Duration::ZERO);
@@ -174,15 +184,7 @@
     let test = async {
         let cancel = CancellationToken::new();
         let objects = MemoryObjects::default();
-        let service: Rc<Cell<Option<BatchService>>> = Rc::default();
-        let served = service.clone();
-        let address = serve(&cancel, move |request| {
-            let service = served.take().expect("service");
-            served.set(Some(service.clone()));
-            async move { service.serve_peer(request).await }
-        });
-        let woken = node("vm-1", address, &objects);
-        service.set(Some(woken.service.clone()));
+        let (woken, address) = node_that_serves_peers("vm-1", &objects, &cancel);
         let job = common::job("job", vec![common::item("a"), common::item("b")]);
         let accepted = woken.job_store.store_job(&job, "vm-1", address).await;
         let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
--- a/crates/plat/tests/relay.rs
+++ b/crates/plat/tests/relay.rs
@@ -141,20 +141,30 @@
     vec![start_node(), start_node()]
 }
 
+/// Checks that a write is in doubt if the first node that relays it executes it without a response,
+/// and the second one executes its calls on `later_objects`.
+async fn assert_write_is_in_doubt(
+    objects: &MemoryObjects,
+    direct_api: &MemoryObjects,
+    later_objects: &MemoryObjects,
+) {
+    let cancel = CancellationToken::new();
+    direct_api.set_fault(Some(Fault::Unavailable), None);
+    let nodes = start_relay_nodes_with_lost_response(objects, later_objects, &cancel);
+    let result =
+        relayed_store(direct_api, nodes).put("k", "a", Precondition::Absent, &json!(1)).await;
+    assert_eq!(objects.object_names("k"), ["a"]);
+    assert!(matches!(result, Err(StoreError::ResponseLost(_))), "{result:?}");
+    cancel.cancel();
+}
+
 /// Guards against a write that is reported as a conflict with another writer, although the conflict
 /// is with the same write, carried out through another node whose response was lost.
 #[test]
 fn conflict_with_a_write_through_another_node_is_reported_as_response_lost() {
     run(async {
-        let cancel = CancellationToken::new();
         let (objects, direct_api) = (MemoryObjects::default(), MemoryObjects::default());
-        direct_api.set_fault(Some(Fault::Unavailable), None);
-        let nodes = start_relay_nodes_with_lost_response(&objects, &objects, &cancel);
-        let result =
-            relayed_store(&direct_api, nodes).put("k", "a", Precondition::Absent, &json!(1)).await;
-        assert_eq!(objects.object_names("k"), ["a"]);
-        assert!(matches!(result, Err(StoreError::ResponseLost(_))), "{result:?}");
-        cancel.cancel();
+        assert_write_is_in_doubt(&objects, &direct_api, &objects).await;
     });
 }
 
@@ -163,15 +173,8 @@
 #[test]
 fn write_through_one_node_is_not_reported_as_unavailable_by_another() {
     run(async {
-        let cancel = CancellationToken::new();
         let (objects, direct_api) = (MemoryObjects::default(), MemoryObjects::default());
-        direct_api.set_fault(Some(Fault::Unavailable), None);
-        let nodes = start_relay_nodes_with_lost_response(&objects, &direct_api, &cancel);
-        let result =
-            relayed_store(&direct_api, nodes).put("k", "a", Precondition::Absent, &json!(1)).await;
-        assert_eq!(objects.object_names("k"), ["a"]);
-        assert!(matches!(result, Err(StoreError::ResponseLost(_))), "{result:?}");
-        cancel.cancel();
+        assert_write_is_in_doubt(&objects, &direct_api, &direct_api).await;
     });
 }
 
