Log what tells apart the causes of work for an ended job

The logs could not tell whether such a run belongs to an item or to a speculative copy, whether its job was complete, how old the runner's last check was, or whether an end that was answered with 200 had been stored, and by whom.

`run starts` now has `speculative=`, `job_complete=` and `checked_ms=`; an end that is answered without a write logs `end needs no write`; `job ended` names the runner in the record. No logic changes.

--- a/crates/batch/src/item_run.rs
+++ b/crates/batch/src/item_run.rs
@@ -57,7 +57,9 @@
 ) {
     let started = Instant::now();
     let (id, start_event) = (&item_state.item.id, item_state.progress.borrow().last_event);
-    log::info!(target: "batch", "run starts item={id} job={} target={} event={start_event}", job.id, target.id);
+    let (speculative, complete) = (item_state.is_speculative, job.is_complete());
+    let checked_ms = job.ownership_checked_at.get().elapsed().as_millis();
+    log::info!(target: "batch", "run starts item={id} job={} target={} event={start_event} speculative={speculative} job_complete={complete} checked_ms={checked_ms}", job.id, target.id);
     let observer = runner.deps.observer.clone();
     if item_state.started_at.get().is_none() && !item_state.is_speculative {
         observer.on_first_run(job.submitted_at.elapsed());
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -582,6 +582,8 @@
     /// Marks a job on this node as ended and stops it.
     pub(crate) async fn end_local(&self, job: &Rc<Job>) -> Response<Body> {
         if job.is_ended() || job.is_complete() {
+            let record = job.record.borrow();
+            log::info!(target: "batch", "end needs no write job={} ended={} listed={} runner={}", job.id, record.ended, job.published_results.borrow().len(), record.runner);
             job.stop_token.cancel();
             return Response::new(Body::empty());
         }
@@ -597,7 +599,7 @@
                     for _ in 0..job.unfinished_groups() {
                         observer.on_group_end(false);
                     }
-                    log::info!(target: "batch", "job ended job={} listed={}", job.id, job.published_results.borrow().len());
+                    log::info!(target: "batch", "job ended job={} listed={} runner={}", job.id, job.published_results.borrow().len(), job.record.borrow().runner);
                     return Response::new(Body::empty());
                 }
                 Err(StoreError::Conflict(_)) => {
