--- a/crates/batch/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -54,6 +54,8 @@
     pub runner: Runner,
     pub service: BatchService,
     pub job_store: JobStore,
+    /// Configuration and targets of the node; empty at first.
+    pub view: FleetView,
     cancel: CancellationToken,
 }
 
@@ -82,12 +84,12 @@
     let runner = Runner::start(deps, RunnerOptions::default(), cancel.clone());
     let options = ObjectFollowerOptions::default();
     let follower =
-        ObjectFollower::new(objects.store(), view, protocol.clone(), OBJECT_KINDS, options);
+        ObjectFollower::new(objects.store(), view.clone(), protocol, OBJECT_KINDS, options);
     let (incarnation, feed_options) = (new_incarnation(), FleetFeedOptions::default());
     let feed = FleetFeed::new(address, incarnation, client.clone(), follower, feed_options);
     let peers = BatchPeerClient::new(client);
     let service = BatchService::new(runner.clone(), peers, feed, BatchOptions::default());
-    Node { runner, service, job_store, cancel }
+    Node { runner, service, job_store, view, cancel }
 }
 
 /// Returns an item without a reward call.
