deck-batch: stop all requests of a job when it is complete

What callers saw: an item reached a target after the acknowledged end of its job.

Cause: a job stopped only when its runner learned of its end or of another runner. Completion ended the ownership checks, since nothing seemed left to run, but not the requests: speculative copies that waited for a newer version stayed in the queue, because copies are dropped only while an original runs, and reward calls of an item that another runner had listed were repeated. An end that another node acknowledged then stopped nothing, and a copy was sent once an engine had the version that the trainer names after the step.

Change: a job's stop token is cancelled when its last result is published, or when it is registered as complete. All that sends requests already runs under that token, so nothing is sent whatever the runner learns later, and the copies of a complete job, which no later job repeats, no longer use engines.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -63,7 +63,8 @@
     /// [`crate::speculation`]. Invariant: none of them is in `items`, and none has a result in this
     /// job.
     pub speculative_items: RefCell<Vec<Rc<ItemState>>>,
-    /// Cancelled when the job has ended or another node runs it.
+    /// Cancelled when the job has ended or is complete, or when another node runs it. Invariant: no
+    /// request for the job is sent from then on.
     pub stop_token: CancellationToken,
     /// Cancelled when the speculative runs have to stop.
     pub speculation_stop_token: CancellationToken,
@@ -310,6 +311,10 @@
         published_results.extend(results);
         self.chunk_count.set(self.chunk_count.get() + 1);
         self.published_count.send_replace(published_results.len());
+        drop(published_results);
+        if self.is_complete() {
+            self.stop_token.cancel();
+        }
         unfinished_before - self.unfinished_groups()
     }
 }
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -262,10 +262,8 @@
             return existing;
         }
         self.inner.jobs.borrow_mut().insert(job.id.clone(), job.clone());
-        if job.is_ended() {
-            job.stop_token.cancel();
-        }
         if job.is_complete() || job.is_ended() {
+            job.stop_token.cancel();
             return job;
         }
         {
--- a/crates/batch/src/speculation.rs
+++ b/crates/batch/src/speculation.rs
@@ -111,8 +111,8 @@
         job.record.borrow().min_version + self.repeat_version_gap.get()
     }
 
-    /// Stops the speculative runs of a job some time after the job itself has stopped. Copies that
-    /// no engine has answered yet are cancelled at once, because an ended job must not send new
+    /// Stops the speculative runs of a job: some time after its end, otherwise with the job. Copies
+    /// that no engine has answered yet are cancelled at once, because an ended job must not send new
     /// requests to engines.
     pub(crate) async fn stop_speculation(self: Rc<Self>, job: Rc<Job>) {
         job.stop_token.cancelled().await;
