deck-batch: store the end of a complete job before it is acknowledged

What callers saw: an item reached a target after the acknowledged end of its job.

Cause: a node whose copy of a job was complete answered its end with 200 and wrote nothing. Other nodes than the runner do hold such copies: a runner that is slow, or that has served more than a megabyte a second of settled jobs, sends readers to the object API, and the copy that they load then also answers the end. The runner was not told and could not find out from the record; it went on with speculative copies, and, if another runner had stored the last results, with items.

Change: the end of a job is acknowledged only once its record says so, whatever the node knows of the results. The cost is one write for each job that is complete at its end. During an outage of the object API the end of a complete job now waits for it, as that of others did.

--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -579,11 +579,10 @@
         }
     }
 
-    /// Marks a job on this node as ended and stops it.
+    /// Marks a job on this node as ended and stops it. An end is acknowledged only once it is stored,
+    /// also that of a complete job: the job may run on another node that lacks the last results.
     pub(crate) async fn end_local(&self, job: &Rc<Job>) -> Response<Body> {
-        if job.is_ended() || job.is_complete() {
-            let record = job.record.borrow();
-            log::info!(target: "batch", "end needs no write job={} ended={} listed={} runner={}", job.id, record.ended, job.published_results.borrow().len(), record.runner);
+        if job.is_ended() {
             job.stop_token.cancel();
             return Response::new(Body::empty());
         }
