deck-batch: tell a job's runner of an end that another node has stored

What callers saw: an item reached a target after the acknowledged end of its job.

Cause: a node that stores the end of a job which another node runs did not tell that node, which went on sending items until its next ownership check: up to 1.5 s, plus the time of a slow call.

Change: the node sends the end to the runner that the record names; the runner finds the stored end by the conflict of its own write. The message only shortens the time; the ownership check remains what is relied on. The handling of ends moves to a file of its own.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -19,9 +19,11 @@
 
 pub mod checkpoint;
 pub mod dispatch;
+mod end;
 pub mod events;
 pub mod expiry;
 pub mod handover;
+
 mod item_run;
 pub mod job;
 pub mod job_store;
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -92,7 +92,7 @@
 }
 
 /// Result of looking up a job for a request.
-enum JobLookup {
+pub(crate) enum JobLookup {
     /// The job runs on this node or is in its cache of settled jobs.
     Local(Rc<Job>),
     /// Read-only copy from the object API; the job runs on another node.
@@ -321,15 +321,6 @@
         }
     }
 
-    /// Ends a job, wherever it runs.
-    async fn end(&self, id: &str) -> Response<Body> {
-        let call_runner = |node| async move { self.inner.peers.end(node, id).await };
-        match self.find_job(id, call_runner).await {
-            JobLookup::Local(job) | JobLookup::Snapshot(job) => self.end_local(&job).await,
-            JobLookup::Response(response) => response,
-        }
-    }
-
     /// Recovers a job whose runner sends no heartbeats: asks the runner, and takes the job over if
     /// the runner does not answer.
     pub(crate) async fn recover_silent_job(&self, id: &str) {
@@ -350,7 +341,11 @@
     ///
     /// Takes the job over if its node is down. If that node is alive but does not answer in time,
     /// or refers to the object API, the request is served from a copy that is read from there.
-    async fn find_job<T>(&self, id: &str, call_runner: impl Fn(SocketAddr) -> T) -> JobLookup
+    pub(crate) async fn find_job<T>(
+        &self,
+        id: &str,
+        call_runner: impl Fn(SocketAddr) -> T,
+    ) -> JobLookup
     where
         T: Future<Output = Result<BufferedResponse, NetError>>,
     {
@@ -579,45 +574,6 @@
         }
     }
 
-    /// Marks a job on this node as ended and stops it. An end is acknowledged only once it is stored,
-    /// also that of a complete job: the job may run on another node that lacks the last results.
-    pub(crate) async fn end_local(&self, job: &Rc<Job>) -> Response<Body> {
-        if job.is_ended() {
-            job.stop_token.cancel();
-            return Response::new(Body::empty());
-        }
-        for _ in 0..MAX_END_ATTEMPTS {
-            let record = JobRecord { ended: true, ..job.record.borrow().clone() };
-            match self.deps().job_store.replace_record(&job.id, job.revision.get(), &record).await {
-                Ok(revision) => {
-                    job.record.replace(record);
-                    job.revision.set(revision);
-                    job.stop_token.cancel();
-                    let observer = &self.deps().observer;
-                    observer.on_job_event(JobEvent::Ended);
-                    for _ in 0..job.unfinished_groups() {
-                        observer.on_group_end(false);
-                    }
-                    log::info!(target: "batch", "job ended job={} listed={} runner={}", job.id, job.published_results.borrow().len(), job.record.borrow().runner);
-                    return Response::new(Body::empty());
-                }
-                Err(StoreError::Conflict(_)) => {
-                    if publish::check_ownership(&self.inner.runner.inner, job).await.is_err() {
-                        break;
-                    }
-                    if job.is_ended() {
-                        return Response::new(Body::empty());
-                    }
-                }
-                Err(error) => {
-                    log::warn!(target: "batch", "cannot store end of job job={} error={error}", job.id);
-                    break;
-                }
-            }
-        }
-        state_unavailable(&job.id)
-    }
-
     /// Returns the leader, unless it is this node.
     pub(crate) fn other_leader(&self) -> Option<Leader> {
         let leader = self.inner.feed.leader()?;
@@ -634,8 +590,6 @@
 /// the other nodes read from the object API, so that reads of old jobs do not saturate the link
 /// that running jobs need.
 const SETTLED_PAGE_BYTES_PER_S: f64 = 1024.0 * 1024.0;
-/// Attempts to mark a job as ended while another node changes its record concurrently.
-const MAX_END_ATTEMPTS: u32 = 4;
 
 /// Sets the limits of the route and the submission time on a decoded job.
 fn set_limits(job: &mut BatchJob, route: &Route) {
@@ -668,7 +622,7 @@
 }
 
 /// Retryable response if the state of a job cannot be determined.
-fn state_unavailable(id: &str) -> Response<Body> {
+pub(crate) fn state_unavailable(id: &str) -> Response<Body> {
     let message = "the state of the job cannot be read now";
     let error = CallError::new(ErrorKind::StoreUnavailable, message);
     error_response(&error.with_retry_after(Duration::from_millis(300)), id)
--- a/crates/batch/tests/ended_jobs.rs
+++ b/crates/batch/tests/ended_jobs.rs
@@ -339,3 +339,31 @@
         eventually("the end is stored", async || is_end_stored(&runner).await).await;
     });
 }
+
+/// Pattern: a runner is too slow to answer an end, so another node stores it. Guards against a runner
+/// that goes on until its next ownership check, although it could be told.
+#[test]
+fn runner_is_told_of_an_end_that_another_node_has_stored() {
+    run_async(async {
+        let deletions = Arc::new(Mutex::new(0));
+        let counted = deletions.clone();
+        // Leaves the first deletion unanswered and answers everything else.
+        let runner = RawServer::start(move |call: &mut RawExchange| {
+            if call.head.starts_with("DELETE") {
+                let mut deletions = counted.lock().expect("deletions");
+                *deletions += 1;
+                if *deletions == 1 {
+                    return;
+                }
+            }
+            call.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        });
+        let objects = MemoryObjects::default();
+        let node = node("vm-1", address(), &objects);
+        let job = common::job("job", vec![common::item("a")]);
+        node.job_store.store_job(&job, "vm-2", runner.address).await;
+        assert_eq!(end(&node).await, StatusCode::OK);
+        assert!(is_end_stored(&node).await);
+        eventually("the runner is told", async || *deletions.lock().expect("deletions") == 2).await;
+    });
+}
