deck-batch: carry out an end that could not be stored at once

What callers saw: an item reached a target after the end of its job. An end without an acknowledgement counts as acknowledged after a time in which the platform was sound.

Cause: a node that could not store an end, or could not find out which node runs the job, answered 503 and forgot it. If the caller did not try again, the job ran on after the object API was back, for as long as its items may run.

Change: a node that has received an end goes on until it is stored, with one task for each job, and the runner sends nothing for the job meanwhile. The answer is 504 instead of 503, which promises that the call is never carried out.

--- a/crates/batch/src/end.rs
+++ b/crates/batch/src/end.rs
@@ -1,10 +1,15 @@
 //! Ends of batch jobs.
 
-use std::rc::Rc;
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
+use deck_core::error::{CallError, ErrorKind};
 use deck_fleet::JobEvent;
+use deck_forward::error_response;
 use deck_net::Body;
-use deck_plat::StoreError;
+use deck_plat::{Backoff, StoreError};
 use http::Response;
 
 use crate::{
@@ -16,10 +21,56 @@
 
 /// Attempts to mark a job as ended while another node changes its record concurrently.
 const MAX_END_ATTEMPTS: u32 = 4;
+/// Initial and maximum wait before an end that could not be stored is tried again.
+const END_RETRY_WAITS: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(2));
+/// How long an end that could not be stored is tried again. Longer than outages of the object API
+/// and than the time that items of a job may run.
+const END_RETRY_PERIOD: Duration = Duration::from_secs(600);
 
 impl BatchService {
-    /// Ends a job, wherever it runs.
+    /// Ends a job, wherever it runs. An end that cannot be stored now is carried out later.
     pub(crate) async fn end(&self, id: &str) -> Response<Body> {
+        let response = self.try_end(id).await;
+        self.retry_failed_end(id, response)
+    }
+
+    /// As [`BatchService::end`], for a job on this node.
+    pub(crate) async fn end_for_peer(&self, job: &Rc<Job>) -> Response<Body> {
+        let response = self.end_local(job).await;
+        self.retry_failed_end(&job.id, response)
+    }
+
+    /// Starts to carry out an end later if `response` shows that it is not stored. The caller may not
+    /// try again, and the job would run on.
+    fn retry_failed_end(&self, id: &str, response: Response<Body>) -> Response<Body> {
+        if !response.status().is_server_error() {
+            return response;
+        }
+        if self.inner.pending_ends.borrow_mut().insert(id.to_owned()) {
+            let (service, id) = (self.clone(), id.to_owned());
+            monoio::spawn(async move { service.run_pending_end(&id).await });
+        }
+        // Status 503 would promise that the end is never carried out.
+        let message = "the end of the job is not stored yet";
+        error_response(&CallError::new(ErrorKind::DeadlineExceeded, message), id)
+    }
+
+    /// Tries to end a job until it is ended or turns out not to exist.
+    async fn run_pending_end(&self, id: &str) {
+        let started = Instant::now();
+        let mut backoff = Backoff::new(END_RETRY_WAITS.0, END_RETRY_WAITS.1);
+        while started.elapsed() < END_RETRY_PERIOD {
+            monoio::time::sleep(backoff.next_delay()).await;
+            let status = self.try_end(id).await.status();
+            log::info!(target: "batch", "end tried again job={id} status={status} ms={}", started.elapsed().as_millis());
+            if !status.is_server_error() {
+                break;
+            }
+        }
+        self.inner.pending_ends.borrow_mut().remove(id);
+    }
+
+    async fn try_end(&self, id: &str) -> Response<Body> {
         let call_runner = |node| async move { self.inner.peers.end(node, id).await };
         match self.find_job(id, call_runner).await {
             JobLookup::Local(job) | JobLookup::Snapshot(job) => self.end_local(&job).await,
@@ -27,10 +78,9 @@
         }
     }
 
-    /// Marks a job as ended, and stops it on this node. An end is acknowledged only once it is
-    /// stored, also that of a complete job: the job may run on another node that lacks the last
-    /// results.
-    pub(crate) async fn end_local(&self, job: &Rc<Job>) -> Response<Body> {
+    /// Stops a job on this node and marks it as ended. An end is acknowledged only once it is stored,
+    /// also that of a complete job: the job may run on another node that lacks the last results.
+    async fn end_local(&self, job: &Rc<Job>) -> Response<Body> {
         if job.is_ended() {
             job.stop_token.cancel();
             return Response::new(Body::empty());
@@ -65,6 +115,8 @@
                 }
             }
         }
+        // The caller needs no further results, whenever the end can be stored.
+        job.stop_token.cancel();
         state_unavailable(&job.id)
     }
 
--- a/crates/batch/src/peer_calls.rs
+++ b/crates/batch/src/peer_calls.rs
@@ -70,7 +70,7 @@
                 }
                 response
             }
-            (Method::DELETE, None) => self.end_local(&job).await,
+            (Method::DELETE, None) => self.end_for_peer(&job).await,
             _ => empty_response(StatusCode::NOT_FOUND),
         }
     }
