deck-batch: send requests of a job only after a recent confirmation of its ownership

What callers saw: an item reached a target after the acknowledged end of its job.

Cause: a runner learns of an end that another node has stored only by reading the job's record every 1.5 s. If the reads failed, it went on sending items, speculative copies and reward calls without a bound: the interval was one between reads that succeed. Besides, the time of the last read started when the job object was made. A job that is loaded after a restart or a takeover reads its items, results and texts first, which takes seconds if the object API is slow, and a new job starts only when the response to its write has arrived; an end in that time was seen one interval later than thought. And a suspension of the VM did not count.

Change: a job has the time at which the last read or write of its record started that has shown that this node runs it and that it has not ended, on the clock that counts suspensions. A loaded job has none until its first check. Runs that a target has received go on. Whatever delays a check, a job that has ended sends nothing later than the bound.

--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -173,10 +173,12 @@
         forward_options,
     );
     let engines = EngineRegistry::default();
+    let bounds = Rc::new(RefCell::new(settings.bounds.clone()));
     let job_store = JobStore::new(store.clone(), settings.max_object_bytes);
     let runner_dependencies = RunnerDependencies {
         vm: settings.vm.clone(),
         address: settings.peer_address,
+        bounds: bounds.clone(),
         view: view.clone(),
         engines: engines.clone(),
         job_store,
@@ -212,7 +214,6 @@
         on_runner_jobs: Rc::new(move |node, jobs| batch_jobs.record_runner(node, jobs)),
     };
     let is_leader = Rc::new(Cell::new(false));
-    let bounds = Rc::new(RefCell::new(settings.bounds.clone()));
     let leadership_context = leadership::LeadershipContext {
         vm: settings.vm.clone(),
         address: settings.peer_address,
--- a/crates/batch/src/end.rs
+++ b/crates/batch/src/end.rs
@@ -15,7 +15,7 @@
 use crate::{
     BatchService, JobRecord,
     job::Job,
-    publish,
+    ownership,
     service::{JobLookup, state_unavailable},
 };
 
@@ -102,7 +102,7 @@
                     return Response::new(Body::empty());
                 }
                 Err(StoreError::Conflict(_)) => {
-                    if publish::check_ownership(&self.inner.runner.inner, job).await.is_err() {
+                    if ownership::check_ownership(&self.inner.runner.inner, job).await.is_err() {
                         break;
                     }
                     if job.is_ended() {
--- a/crates/batch/src/handover.rs
+++ b/crates/batch/src/handover.rs
@@ -14,14 +14,14 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use deck_core::id::Revision;
+use deck_core::{boot_clock::BootInstant, id::Revision};
 use deck_fleet::{Item, ItemResult, JobEvent};
 use serde::{Deserialize, Serialize};
 
 use crate::{
     BatchService, JobRecord,
     job::{ItemPhase, ItemState, Job, Progress},
-    publish,
+    ownership,
 };
 
 /// Snapshot of a running job as it is sent to its next runner.
@@ -220,7 +220,7 @@
         if let Some(job) = self.inner.runner.job(id) {
             // The copy is outdated if another node, such as the sender, has taken the job over. The
             // check removes it then.
-            if let Err(error) = publish::check_ownership(&self.inner.runner.inner, &job).await {
+            if let Err(error) = ownership::check_ownership(&self.inner.runner.inner, &job).await {
                 log::info!(target: "batch", "handover not checked job={id} error={error}");
                 return empty_response(StatusCode::SERVICE_UNAVAILABLE);
             }
@@ -231,11 +231,13 @@
         let deps = self.deps();
         let record =
             JobRecord { runner: deps.vm.clone(), address: deps.address, ..handover.record.clone() };
+        let written_at = BootInstant::now();
         match deps.job_store.replace_record(id, handover.revision, &record).await {
             Ok(revision) => {
                 deps.observer.on_job_event(JobEvent::Received);
                 log::info!(target: "batch", "job received job={id} open={}", handover.items.len());
                 let job = handover.into_job(id.to_owned(), record, revision);
+                job.confirm_ownership(written_at);
                 self.inner.runner.register_job(Rc::new(job));
                 empty_response(StatusCode::OK)
             }
--- a/crates/batch/src/item_run.rs
+++ b/crates/batch/src/item_run.rs
@@ -31,6 +31,8 @@
     Impossible,
     /// The run was cancelled to migrate the item to a faster engine.
     Moved,
+    /// The run was not sent, because the job's ownership has to be confirmed first.
+    Withheld,
 }
 
 impl RunOutcome {
@@ -43,6 +45,7 @@
             Self::Failed(_) => ItemRunOutcome::Failed,
             Self::Impossible => ItemRunOutcome::Impossible,
             Self::Moved => ItemRunOutcome::Moved,
+            Self::Withheld => ItemRunOutcome::Stopped,
         }
     }
 }
@@ -58,7 +61,7 @@
     let started = Instant::now();
     let (id, start_event) = (&item_state.item.id, item_state.progress.borrow().last_event);
     let (speculative, complete) = (item_state.is_speculative, job.is_complete());
-    let checked_ms = job.ownership_checked_at.get().elapsed().as_millis();
+    let checked_ms = job.ownership_age_ms();
     log::info!(target: "batch", "run starts item={id} job={} target={} event={start_event} speculative={speculative} job_complete={complete} checked_ms={checked_ms}", job.id, target.id);
     let observer = runner.deps.observer.clone();
     if item_state.started_at.get().is_none() && !item_state.is_speculative {
@@ -124,6 +127,10 @@
             log::info!(target: "batch", "run moves item={id} target={} event={end_event} ms={ms}", target.id);
             item_state.set_phase(ItemPhase::Waiting);
         }
+        RunOutcome::Withheld => {
+            log::info!(target: "batch", "run withheld item={id} job={} checked_ms={}", job.id, job.ownership_age_ms());
+            item_state.set_phase(ItemPhase::Waiting);
+        }
         RunOutcome::Impossible => {
             log::info!(target: "batch", "item impossible item={id} target={}", target.id);
             job.finish_item(&item_state, deck_fleet::ItemOutcome::Failed, None);
@@ -146,6 +153,10 @@
             return RunOutcome::Impossible;
         }
     };
+    // The task of this run may have started late.
+    if !runner.may_send(job) {
+        return RunOutcome::Withheld;
+    }
     let send = runner.deps.client.send(target.address, request);
     let response = match monoio::time::timeout(runner.options.first_event_timeout, send).await {
         Ok(Ok(response)) => response,
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -9,6 +9,7 @@
 
 use deck_core::{
     CancellationToken,
+    boot_clock::BootInstant,
     id::{RequestId, Revision, TargetId, WeightVersion},
 };
 use deck_fleet::{Item, ItemOutcome, ItemResult};
@@ -32,9 +33,12 @@
     /// When this node took the job over from another node; `None` if it has run the job from the
     /// start.
     pub taken_over_at: Option<Instant>,
-    /// When this node last confirmed in the object API that it still runs the job. This says nothing
+    /// Start of the last read or write of the record which has shown that this node runs the job and
+    /// that it has not ended; `None` if there was none since the job was created. This says nothing
     /// about the results: another node may store a chunk without a change of the record.
-    pub ownership_checked_at: Cell<Instant>,
+    pub ownership_confirmed_at: Cell<Option<BootInstant>>,
+    /// Notified when `ownership_confirmed_at` changes.
+    pub ownership_confirmed: Notify,
     /// Newest search for chunks that are stored but not published on this node.
     pub chunk_search: RefCell<Option<Rc<ChunkSearch>>>,
     /// Number of groups among the items. Lower than submitted if the job was handed over with some
@@ -192,7 +196,7 @@
 }
 
 impl Job {
-    /// Creates a job whose items have no results yet.
+    /// Creates a job whose items have no results yet, and whose ownership is not confirmed.
     pub fn new(id: RequestId, record: JobRecord, revision: Revision, items: Vec<Item>) -> Self {
         let now = Instant::now();
         let age = age_of(record.submitted_at_ms);
@@ -203,7 +207,8 @@
             submitted_at: now.checked_sub(age).unwrap_or(now),
             known_since: now,
             taken_over_at: None,
-            ownership_checked_at: Cell::new(now),
+            ownership_confirmed_at: Cell::new(None),
+            ownership_confirmed: Notify::new(),
             chunk_search: RefCell::default(),
             total_groups: items.iter().map(|item| &item.group).collect::<HashSet<_>>().len(),
             request_hashes: items
@@ -225,6 +230,23 @@
         }
     }
 
+    /// Records that a read or write of the record that started at `started_at` has shown that this
+    /// node runs the job and that it has not ended.
+    pub fn confirm_ownership(&self, started_at: BootInstant) {
+        self.ownership_confirmed_at.set(Some(started_at));
+        self.ownership_confirmed.notify_waiters();
+    }
+
+    /// Returns the time since the last confirmation of the ownership; `None` if there was none.
+    pub fn ownership_age(&self) -> Option<Duration> {
+        self.ownership_confirmed_at.get().map(BootInstant::elapsed)
+    }
+
+    /// Returns the time since the last confirmation of the ownership in milliseconds, for log lines.
+    pub(crate) fn ownership_age_ms(&self) -> String {
+        self.ownership_age().map_or("none".to_owned(), |age| age.as_millis().to_string())
+    }
+
     /// Returns the number of submitted items.
     pub fn item_count(&self) -> usize {
         self.record.borrow().item_count
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -27,6 +27,7 @@
 mod item_run;
 pub mod job;
 pub mod job_store;
+mod ownership;
 mod peer_calls;
 pub mod peer_client;
 mod publish;
--- a/crates/batch/src/publish.rs
+++ b/crates/batch/src/publish.rs
@@ -1,4 +1,4 @@
-//! Stores finished results and checks that this node still owns a job.
+//! Stores finished results and finds results that other nodes have stored.
 
 use std::{
     collections::HashSet,
@@ -104,55 +104,6 @@
             && job.total_groups.saturating_sub(unfinished.len()) >= required_groups)
 }
 
-/// Periodically checks that this node still owns the job, until the job is complete or stopped.
-pub(crate) async fn check_ownership_periodically(runner: Rc<RunnerState>, job: Rc<Job>) {
-    while !job.is_complete() {
-        let wait = runner
-            .options
-            .ownership_check_interval
-            .saturating_sub(job.ownership_checked_at.get().elapsed());
-        let wait = wait.max(Duration::from_millis(50));
-        if job.stop_token.run_until_cancelled(monoio::time::sleep(wait)).await.is_none() {
-            return;
-        }
-        if job.ownership_checked_at.get().elapsed() < runner.options.ownership_check_interval {
-            continue;
-        }
-        if let Err(error) = check_ownership(&runner, &job).await {
-            log::warn!(target: "batch", "ownership check failed job={} error={error}", job.id);
-            monoio::time::sleep(RETRY_WAITS.1).await;
-        }
-    }
-}
-
-/// Reads the record of a job from the object API. Stops the job if another node runs it now or if
-/// it has ended.
-pub(crate) async fn check_ownership(runner: &RunnerState, job: &Job) -> Result<(), StoreError> {
-    let started = Instant::now();
-    let Some((record, revision)) = runner.deps.job_store.read_record(&job.id).await? else {
-        return Err(StoreError::Decode("the job's record is missing".to_owned()));
-    };
-    let runs_elsewhere = record.runner != runner.deps.vm;
-    let ended = record.ended;
-    job.record.replace(record);
-    job.revision.set(revision);
-    if runs_elsewhere || ended {
-        log::info!(target: "batch", "stopping job job={} ended={ended} other_runner={runs_elsewhere}", job.id);
-        job.stop_token.cancel();
-        if runs_elsewhere {
-            runner.remove_job(&job.id);
-        }
-        return Ok(());
-    }
-    // The previous runner may still store a chunk shortly after the takeover. Knowing it early saves
-    // generating its texts again.
-    if job.taken_over_at.is_some_and(|at| at.elapsed() < runner.options.late_write_window) {
-        publish_found_chunks(runner, job, ChunkFinder::Check).await?;
-    }
-    job.ownership_checked_at.set(started);
-    Ok(())
-}
-
 /// Publishes the chunks that are stored but not published on this node yet, for a job that is being
 /// loaded.
 pub(crate) async fn publish_stored_chunks(
@@ -213,7 +164,7 @@
 
 /// Publishes and records the chunks that are stored but not published on this node yet, for a job
 /// whose chunks this node normally knows.
-async fn publish_found_chunks(
+pub(crate) async fn publish_found_chunks(
     runner: &RunnerState,
     job: &Job,
     found_by: ChunkFinder,
--- a/crates/batch/src/reward.rs
+++ b/crates/batch/src/reward.rs
@@ -45,7 +45,10 @@
         let path = reward.path.split('?').next().unwrap_or_default();
         let route = configuration.and_then(|c| c.route(&reward.host, path).cloned());
         if let Some(route) = route {
-            match call_scorer(runner, reward, &route).await {
+            let call = call_scorer(runner, reward, &route);
+            // A reward call may be repeated.
+            let Some(result) = runner.run_while_confirmed(job, call).await else { continue };
+            match result {
                 Ok(reply) if reply.status.is_success() && reply.metadata.signature.is_some() => {
                     return reply.metadata.signature;
                 }
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -10,12 +10,13 @@
 
 use deck_core::{
     CancellationToken,
+    boot_clock::BootInstant,
     hash::hash64,
     id::{RequestId, Revision, VmId, WeightVersion},
 };
 use deck_fleet::{
-    EngineEstimate, EngineRegistry, FleetView, Item, ItemOutcome, Observer, PlatformProtocol,
-    RouteKind, Target, TargetList, TargetState,
+    Bounds, EngineEstimate, EngineRegistry, FleetView, Item, ItemOutcome, Observer,
+    PlatformProtocol, RouteKind, Target, TargetList, TargetState,
 };
 use deck_forward::Forwarder;
 use deck_net::Client;
@@ -31,7 +32,7 @@
     },
     item_run,
     job::{ItemPhase, ItemState, Job},
-    publish, reward,
+    ownership, publish, reward,
     speculation::MIN_REPEAT_VERSION_GAP,
 };
 
@@ -62,9 +63,6 @@
     pub near_due_batch_delay: Duration,
     /// Time before the due time of the results from which on `near_due_batch_delay` applies.
     pub near_due_window: Duration,
-    /// Maximum time between two checks that this node still owns the job. Bounds how long it runs
-    /// items of a job that has ended or moved to another node.
-    pub ownership_check_interval: Duration,
     /// Time between two checkpoints of a job, and so the most generation time that a crash loses.
     pub checkpoint_interval: Duration,
     /// How long after a takeover the ownership checks also look for results that the previous runner
@@ -88,7 +86,6 @@
             result_batch_delay: Duration::from_millis(500),
             near_due_batch_delay: Duration::from_millis(120),
             near_due_window: Duration::from_millis(1500),
-            ownership_check_interval: Duration::from_millis(1500),
             checkpoint_interval: Duration::from_millis(500),
             late_write_window: Duration::from_secs(3),
             min_run_time: Duration::from_millis(400),
@@ -131,6 +128,8 @@
     pub vm: VmId,
     /// Address at which other nodes reach this node.
     pub address: SocketAddr,
+    /// Time limits of the deployment; may change while the node runs.
+    pub bounds: Rc<RefCell<Bounds>>,
     /// Current configuration and targets.
     pub view: FleetView,
     /// State and load of the engines.
@@ -192,15 +191,18 @@
             .collect()
     }
 
-    /// Starts a new job whose stored record names this node as its runner.
+    /// Starts a new job whose record, which names this node as its runner, was stored by a write that
+    /// started at `written_at`.
     pub fn start_job(
         &self,
         id: &str,
         record: JobRecord,
         revision: Revision,
+        written_at: BootInstant,
         items: Vec<Item>,
     ) -> Rc<Job> {
         let job = Job::new(id.to_owned(), record, revision, items);
+        job.confirm_ownership(written_at);
         self.reuse_texts(&job);
         self.register_job(Rc::new(job))
     }
@@ -277,7 +279,7 @@
             );
         }
         monoio::spawn(publish::publish_results(self.inner.clone(), job.clone()));
-        monoio::spawn(publish::check_ownership_periodically(self.inner.clone(), job.clone()));
+        monoio::spawn(ownership::check_ownership_periodically(self.inner.clone(), job.clone()));
         monoio::spawn(self.inner.clone().send_checkpoints(job.clone()));
         monoio::spawn(self.inner.clone().stop_speculation(job.clone()));
         self.inner.wake.notify_one();
@@ -345,7 +347,8 @@
         }
         let mut queued_items: Vec<(Rc<Job>, Rc<ItemState>)> = Vec::new();
         let mut dispatch_queue = Vec::new();
-        for job in self.jobs.borrow().values().filter(|job| !job.stop_token.is_cancelled()) {
+        let may_send = |job: &&Rc<Job>| !job.stop_token.is_cancelled() && self.may_send(job);
+        for job in self.jobs.borrow().values().filter(may_send) {
             let items = job.items.borrow();
             for item_state in
                 items.iter().filter(|item_state| item_state.phase.get() == ItemPhase::Generated)
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use deck_core::{
+    boot_clock::BootInstant,
     error::{CallError, ErrorKind},
     id::RequestId,
 };
@@ -238,20 +239,21 @@
         // The announcement lets the leader find the job even if this node crashes right after
         // accepting it.
         let announcement = deps.checkpoints.announce(id);
+        let written_at = BootInstant::now();
         let store = self.deps().job_store.store_job(&job, &deps.vm, deps.address);
         let (outcome, ()) = futures_util::future::join(store, announcement).await;
         match outcome {
             StoreJobOutcome::Stored(record, revision) => {
                 deps.observer.on_job_event(JobEvent::Accepted);
                 log::info!(target: "batch", "job accepted job={id} items={} step={} model={} min_version={}", job.items.len(), job.step, job.model, job.min_version);
-                self.inner.runner.start_job(id, record, revision, job.items);
+                self.inner.runner.start_job(id, record, revision, written_at, job.items);
                 Ok(())
             }
             StoreJobOutcome::Exists(record, revision) => {
                 let runs_here = record.runner == deps.vm && record.address == deps.address;
                 if runs_here && record.submitted_at_ms == job.submitted_at_ms {
                     // Stored by this call, whose first response was lost.
-                    self.inner.runner.start_job(id, record, revision, job.items);
+                    self.inner.runner.start_job(id, record, revision, written_at, job.items);
                 } else if runs_here {
                     // Stored by an earlier process, which may have stored results as well.
                     let (runner, id) = (self.inner.runner.clone(), id.to_owned());
@@ -555,7 +557,7 @@
         let count = count.max(usize::from(from < published_results.len()));
         if count == 0 && !job.is_complete() {
             let record = job.record.borrow();
-            let checked_ms = job.ownership_checked_at.get().elapsed().as_millis();
+            let checked_ms = job.ownership_age_ms();
             log::info!(target: "batch", "empty page job={} from={requested_from} listed={} chunk={} runner={} ended={} checked_ms={checked_ms}", job.id, published_results.len(), job.chunk_count.get(), record.runner, record.ended);
         }
         let page = ResultPage {
--- a/crates/batch/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "no test file uses all helpers")]
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use deck_batch::{
     BatchOptions, BatchService, CheckpointClient, JobStore, Runner, RunnerOptions,
@@ -10,7 +10,7 @@
 };
 use deck_core::{CancellationToken, id::new_incarnation};
 use deck_fleet::{
-    BatchJob, BatchLimits, EngineRegistry, FleetFeed, FleetFeedOptions, FleetView, Item,
+    BatchJob, BatchLimits, Bounds, EngineRegistry, FleetFeed, FleetFeedOptions, FleetView, Item,
     ObjectFollower, ObjectFollowerOptions, Observer,
 };
 use deck_forward::{CrashGuard, ForwardOptions, Forwarder};
@@ -31,6 +31,13 @@
     RunnerDependencies {
         vm: vm.to_owned(),
         address,
+        bounds: Rc::new(RefCell::new(Bounds {
+            stop_grace: Duration::from_secs(8),
+            lease: Duration::from_secs(3),
+            job_retention: Duration::from_secs(120),
+            job_end_effect: Duration::from_secs(3),
+            fencing_checked: true,
+        })),
         view: view.clone(),
         engines: EngineRegistry::default(),
         job_store: job_store.clone(),
--- a/crates/batch/tests/ended_jobs.rs
+++ b/crates/batch/tests/ended_jobs.rs
@@ -15,6 +15,7 @@
     JobRecord, StoreJobOutcome,
     job::{ItemPhase, ItemState, Job},
 };
+use deck_core::boot_clock::BootInstant;
 use deck_core::id::{Revision, WeightVersion};
 use deck_fleet::{
     BatchCall, CallerLimits, Configuration, EngineConfig, Item, ItemOutcome, ItemResult,
@@ -140,7 +141,7 @@
     let node = node("vm-1", address(), objects);
     configure(&node);
     let (record, revision) = store_job(&node, items.clone()).await;
-    let job = node.runner.start_job("job", record, revision, items);
+    let job = node.runner.start_job("job", record, revision, BootInstant::now(), items);
     (node, job)
 }
 
--- a/crates/batch/tests/engines.rs
+++ b/crates/batch/tests/engines.rs
@@ -8,6 +8,7 @@
 
 use deck_batch::{JobStore, Runner, RunnerOptions, StoreJobOutcome};
 use deck_core::CancellationToken;
+use deck_core::boot_clock::BootInstant;
 use deck_fleet::{
     CallerLimits, Configuration, EngineConfig, Route, RouteKind, ServiceConfig, Target, TargetState,
 };
@@ -101,7 +102,7 @@
     let job = common::job("job", vec![common::item("i")]);
     let accepted = job_store.store_job(&job, "vm-1", own).await;
     let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
-    let job = runner.start_job("job", record, revision, job.items);
+    let job = runner.start_job("job", record, revision, BootInstant::now(), job.items);
     eventually("the item is complete", async || job.is_complete()).await;
     let results: Vec<Rc<_>> = job.published_results.borrow().clone();
     let texts: Vec<String> = (1..=EVENT_COUNT).map(|number| format!("text {number}")).collect();
--- a/crates/batch/tests/outdated_copies.rs
+++ b/crates/batch/tests/outdated_copies.rs
@@ -11,6 +11,7 @@
 };
 
 use deck_batch::{JobRecord, JobStore, StoreJobOutcome, job::Job};
+use deck_core::boot_clock::BootInstant;
 use deck_core::id::Revision;
 use deck_fleet::{
     BatchCall, ChunkFinder, ItemOutcome, ItemResult, Observer, RequestMetadata, Route, RouteKind,
@@ -60,7 +61,7 @@
 async fn node_that_runs_job(objects: &MemoryObjects) -> (Node, Rc<Job>) {
     let (node, record, revision) = node_with_job(objects).await;
     let items = node.job_store.read_items("job", &record).await.expect("items");
-    let job = node.runner.start_job("job", record, revision, items);
+    let job = node.runner.start_job("job", record, revision, BootInstant::now(), items);
     (node, job)
 }
 
@@ -295,7 +296,7 @@
         let job = common::job("job", vec![common::item("a")]);
         let accepted = node.job_store.store_job(&job, "vm-1", address()).await;
         let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
-        let job = node.runner.start_job("job", record, revision, job.items);
+        let job = node.runner.start_job("job", record, revision, BootInstant::now(), job.items);
         objects.set_write_delay(Duration::from_millis(300));
         job.finish_item(&job.unpublished_item("a").expect("item"), ItemOutcome::Completed, None);
         deck_testkit::eventually("the chunk is stored", async || {
--- a/crates/batch/tests/reward.rs
+++ b/crates/batch/tests/reward.rs
@@ -9,6 +9,7 @@
 
 use deck_batch::{JobStore, Runner, RunnerOptions, StoreJobOutcome, job::ItemPhase};
 use deck_core::CancellationToken;
+use deck_core::boot_clock::BootInstant;
 use deck_fleet::{
     BatchJob, CallerLimits, Configuration, Item, ItemOutcome, RewardCall, Route, RouteKind,
     ServiceConfig, Target, TargetState,
@@ -136,7 +137,7 @@
         let BatchJob { items, .. } = common::job("job", vec![item.clone()]);
         let accepted = job_store.store_job(&common::job("job", vec![item]), "vm-1", address).await;
         let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
-        let job = runner.start_job("job", record, revision, items);
+        let job = runner.start_job("job", record, revision, BootInstant::now(), items);
         job.unpublished_item("i").expect("item").set_phase(ItemPhase::Generated);
 
         eventually("the item has a result", async || job.is_complete()).await;
--- a/crates/batch/tests/runner.rs
+++ b/crates/batch/tests/runner.rs
@@ -7,7 +7,7 @@
     handover::Handover,
     job::{ItemPhase, ItemState, Job, Progress},
 };
-use deck_core::{CancellationToken, id::Revision};
+use deck_core::{CancellationToken, boot_clock::BootInstant, id::Revision};
 use deck_fleet::{BatchJob, Item, ItemOutcome};
 use deck_testkit::{eventually, memory::MemoryObjects};
 use futures_util::future::join;
@@ -56,7 +56,7 @@
             let StoreJobOutcome::Stored(record, revision) = accepted else {
                 panic!("{accepted:?}")
             };
-            runner.start_job(id, record, revision, job.items)
+            runner.start_job(id, record, revision, BootInstant::now(), job.items)
         };
         let ids = ["partial", "whole", "listed", "old", "changed", "other", "failed"];
         let items = ids.map(|id| item(id, "as before"));
@@ -112,7 +112,7 @@
             let StoreJobOutcome::Stored(record, revision) = accepted else {
                 panic!("{accepted:?}")
             };
-            runner.start_job(id, record, revision, job.items)
+            runner.start_job(id, record, revision, BootInstant::now(), job.items)
         };
         let earlier_job = start("step-1", 1).await;
         let copies: Vec<Rc<ItemState>> =
@@ -149,7 +149,8 @@
 fn speculative_runs_stop_with_their_job() {
     let test = async {
         let (runner, record, revision, cancel) = runner_with_stored_job().await;
-        let job = runner.start_job("job", record.clone(), revision, job().items);
+        let job =
+            runner.start_job("job", record.clone(), revision, BootInstant::now(), job().items);
         let [in_flight, response_received] =
             ["a", "b"].map(|id| Rc::new(ItemState::speculative(item(id, ""))));
         response_received.response_received.set(true);
@@ -206,7 +207,8 @@
 fn registered_job_is_not_replaced() {
     let test = async {
         let (runner, record, revision, cancel) = runner_with_stored_job().await;
-        let registered = runner.start_job("job", record.clone(), revision, job().items);
+        let registered =
+            runner.start_job("job", record.clone(), revision, BootInstant::now(), job().items);
         let loaded = Job::new("job".to_owned(), record.clone(), revision, job().items);
         let handed_over = Handover::from_job(&loaded).into_job("job".to_owned(), record, revision);
         assert!(Rc::ptr_eq(&runner.register_job(Rc::new(handed_over)), &registered));
--- a/crates/batch/tests/service.rs
+++ b/crates/batch/tests/service.rs
@@ -14,6 +14,7 @@
     peer_client::{BatchPeerClient, PING_PATH, STATUS_READ_OBJECT_API},
 };
 use deck_core::CancellationToken;
+use deck_core::boot_clock::BootInstant;
 use deck_fleet::{BatchCall, ItemOutcome, ItemResult, RequestMetadata};
 use deck_net::{
     Body, Client, ServerOptions, bind,
@@ -188,7 +189,13 @@
         let job = common::job("job", vec![common::item("a"), common::item("b")]);
         let accepted = woken.job_store.store_job(&job, "vm-1", address).await;
         let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
-        woken.runner.start_job("job", record.clone(), revision, job.items.clone());
+        woken.runner.start_job(
+            "job",
+            record.clone(),
+            revision,
+            BootInstant::now(),
+            job.items.clone(),
+        );
         let other_address = SocketAddr::from(([127, 0, 0, 1], 2));
         let taken_over = JobRecord { runner: "vm-2".to_owned(), address: other_address, ..record };
         let revision =
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,6 +1,7 @@
 //! Types shared by all cowslipdeck crates: identifiers, error kinds, objects, timers and
 //! cancellation.
 
+pub mod boot_clock;
 pub mod error;
 pub mod hash;
 pub mod id;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -43,6 +43,9 @@
     pub lease: Duration,
     /// Minimum time after its submission for which a batch job remains readable.
     pub job_retention: Duration,
+    /// Time after the acknowledgement of a batch job's end after which no request for the job may
+    /// reach a target.
+    pub job_end_effect: Duration,
     /// Whether targets reject orders with an outdated fencing number.
     pub fencing_checked: bool,
 }
