--- a/crates/batch/tests/ended_jobs.rs
+++ b/crates/batch/tests/ended_jobs.rs
@@ -12,9 +12,10 @@
 };
 
 use deck_batch::{
-    JobRecord, StoreJobOutcome,
+    JobRecord, JobStore, Runner, RunnerOptions, StoreJobOutcome,
     job::{ItemPhase, ItemState, Job},
 };
+use deck_core::CancellationToken;
 use deck_core::boot_clock::BootInstant;
 use deck_core::id::{Revision, WeightVersion};
 use deck_fleet::{
@@ -368,3 +369,189 @@
         eventually("the runner is told", async || *deletions.lock().expect("deletions") == 2).await;
     });
 }
+
+/// Pattern: the object API is slow or down as a caller ends a job, and the caller closes its
+/// connection before the answer. Guards against an end that is forgotten because its handler is
+/// dropped together with the connection.
+#[test]
+fn end_whose_caller_disconnects_is_carried_out() {
+    run_async(async {
+        let objects = MemoryObjects::default();
+        let (node, _job) = node_that_runs(&objects, vec![common::item("a")]).await;
+        objects.set_fault(Some(Fault::Unavailable), None);
+        objects.set_write_delay(Duration::from_millis(500));
+        // The server drops the future of a call when the connection of its caller closes.
+        let call = monoio::time::timeout(Duration::from_millis(100), end(&node)).await;
+        assert!(call.is_err());
+        objects.set_fault(None, None);
+        objects.set_write_delay(Duration::ZERO);
+        monoio::time::sleep(STOP_TIME).await;
+        assert!(is_end_stored(&node).await);
+    });
+}
+
+/// Pattern: as [`end_whose_caller_disconnects_is_carried_out`], at a node that is still looking for
+/// the job's runner.
+#[test]
+fn end_whose_caller_disconnects_during_the_lookup_is_carried_out() {
+    run_async(async {
+        let objects = MemoryObjects::default();
+        let (runner, _job) = node_that_runs(&objects, vec![common::item("a")]).await;
+        let other = node("vm-2", SocketAddr::from(([127, 0, 0, 1], 2)), &objects);
+        objects.set_read_delay(Duration::from_millis(500));
+        let call = monoio::time::timeout(Duration::from_millis(100), end(&other)).await;
+        assert!(call.is_err());
+        objects.set_read_delay(Duration::ZERO);
+        monoio::time::sleep(STOP_TIME).await;
+        assert!(is_end_stored(&runner).await);
+    });
+}
+
+/// Pattern: a node that holds an end which it could not store yet gets the signal to stop when the
+/// object API answers again. Guards against an end that is lost with the process, after which the
+/// next runner resumes the job.
+#[test]
+fn pending_end_is_stored_before_the_node_stops() {
+    run_async(async {
+        let objects = MemoryObjects::default();
+        let (node, _job) = node_that_runs(&objects, vec![common::item("a")]).await;
+        objects.set_fault(Some(Fault::Unavailable), None);
+        assert_eq!(end(&node).await, StatusCode::GATEWAY_TIMEOUT);
+        // The waits between two attempts have grown to two seconds.
+        monoio::time::sleep(STOP_TIME).await;
+        objects.set_fault(None, None);
+        node.service.set_draining();
+        node.service.hand_over_jobs(&[]).await;
+        assert!(is_end_stored(&node).await);
+    });
+}
+
+/// Pattern: a trainer gives a step up and ends its job while a node is still storing the job. Guards
+/// against an end that is answered as that of an unknown job and forgotten, after which all items of
+/// the job are sent.
+#[test]
+fn job_that_ends_while_it_is_stored_sends_nothing() {
+    run_async(async {
+        let target = RecordingTarget::start("200 OK");
+        let objects = MemoryObjects::default();
+        let node = node("vm-1", address(), &objects);
+        configure(&node);
+        set_targets(&node, vec![target.target("e", 1)]);
+        objects.set_write_delay(Duration::from_millis(500));
+        let service = node.service.clone();
+        let submission = monoio::spawn(async move {
+            let body = br#"{"Step":0,"Model":"m","MinVersion":1,"GroupCount":0,"Items":[{"Id":"a","Path":"/p","Headers":{},"Body":"","Tokens":100}]}"#;
+            let id = RequestMetadata { request_id: Some("job".to_owned()), ..Default::default() };
+            let route = route("jobs", "/j/", RouteKind::Rollout);
+            service.submit("h", "/j/job", &route, &id, body.as_slice().into()).await.status()
+        });
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        end(&node).await;
+        let status = submission.await;
+        objects.set_write_delay(Duration::ZERO);
+        monoio::time::sleep(STOP_TIME).await;
+        assert_eq!(target.arrival_count(), 0, "the submission was answered with {status}");
+    });
+}
+
+/// Pattern: a check of a job's record is under way as this node stores the end of the job. Guards
+/// against an end that the older record undoes in memory.
+#[test]
+fn record_that_was_read_before_the_end_does_not_undo_it() {
+    run_async(async {
+        let objects = MemoryObjects::default();
+        let (node, job) = node_that_runs(&objects, vec![common::item("a")]).await;
+        objects.set_read_delay(Duration::from_millis(1000));
+        // The periodic check has started after this time.
+        monoio::time::sleep(Duration::from_millis(1800)).await;
+        assert_eq!(end(&node).await, StatusCode::OK);
+        assert!(job.is_ended());
+        monoio::time::sleep(Duration::from_millis(1500)).await;
+        assert!(job.is_ended());
+    });
+}
+
+/// Pattern: a deployment allows an end less time than a request needs to reach its target. Guards
+/// against checks that follow one another without a pause.
+#[test]
+fn short_bound_for_ends_causes_no_busy_loop() {
+    run_async(async {
+        let objects = MemoryObjects::default();
+        objects.set_read_delay(Duration::from_millis(1));
+        let job_store = JobStore::new(objects.store(), 1 << 20);
+        let deps = common::runner_deps("vm-1", address(), &job_store);
+        deps.bounds.borrow_mut().job_end_effect = Duration::from_millis(500);
+        let cancel = CancellationToken::new();
+        let runner = Runner::start(deps, RunnerOptions::default(), cancel.clone());
+        let job = common::job("job", vec![common::item("a")]);
+        let accepted = job_store.store_job(&job, "vm-1", address()).await;
+        let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+        let calls_before = objects.call_count();
+        runner.start_job("job", record, revision, BootInstant::now(), job.items);
+        monoio::time::sleep(Duration::from_millis(1000)).await;
+        let calls = objects.call_count() - calls_before;
+        assert!(calls <= 10, "{calls} calls in a second");
+        cancel.cancel();
+    });
+}
+
+/// Pattern: the object API is down, and a run that its target has received is slower than it would be
+/// elsewhere. Guards against a run that is broken off to move although it may not be sent again.
+#[test]
+fn run_does_not_move_while_ownership_checks_fail() {
+    run_async(async {
+        // Streams forever: slowly for the first request, and fast for all others.
+        let requests = Arc::new(Mutex::new(0));
+        let counted = requests.clone();
+        let server = RawServer::start(move |call: &mut RawExchange| {
+            let id = call.header("request-id").unwrap_or_default().to_owned();
+            let is_slow = id == "slow";
+            if is_slow {
+                *counted.lock().expect("requests") += 1;
+            }
+            let after: u64 =
+                call.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+            call.write(&format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\nWeight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            ));
+            for number in after + 1..after + 1000 {
+                std::thread::sleep(Duration::from_millis(if is_slow { 300 } else { 20 }));
+                if !call.write_chunk(&format!("id: {number}\ndata: text\n\n")) {
+                    return;
+                }
+            }
+        });
+        let target = |id: &str| Target {
+            id: id.to_owned(),
+            service: "s".to_owned(),
+            address: server.address,
+            data_centre: "a".to_owned(),
+            state: TargetState::Ready,
+            slots: 1,
+            models: vec![("m".to_owned(), 1)],
+            started_at_ms: 1,
+        };
+        let objects = MemoryObjects::default();
+        let items = ["slow", "fast"].map(|id| Item {
+            tokens: 1000,
+            length_hint: Some(1000),
+            ..common::item(id)
+        });
+        let (node, job) = node_that_runs(&objects, items.to_vec()).await;
+        set_targets(&node, vec![target("e"), target("f")]);
+        let phase = |id: &str| job.unpublished_item(id).expect("item").phase.get();
+        eventually("both items run", async || {
+            phase("slow") == ItemPhase::Running && phase("fast") == ItemPhase::Running
+        })
+        .await;
+        objects.set_fault(Some(Fault::Unavailable), None);
+        monoio::time::sleep(STOP_TIME).await;
+        // Adds a fast engine with a free slot.
+        let fast = job.unpublished_item("fast").expect("item");
+        job.finish_item(&fast, ItemOutcome::Completed, None);
+        fast.migration_token.borrow().cancel();
+        monoio::time::sleep(STOP_TIME).await;
+        assert_eq!(phase("slow"), ItemPhase::Running);
+        assert_eq!(*requests.lock().expect("requests"), 1);
+    });
+}
--- a/crates/batch/tests/service.rs
+++ b/crates/batch/tests/service.rs
@@ -21,7 +21,10 @@
     http::{Request, Response, StatusCode},
     server::empty_response,
 };
-use deck_testkit::{eventually, memory::MemoryObjects};
+use deck_testkit::{
+    eventually,
+    memory::{Fault, MemoryObjects},
+};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde_json::Value;
@@ -217,3 +220,68 @@
     };
     deck_net::runtime::run(test).expect("runtime");
 }
+
+/// Pattern: the object API fails slowly as another node passes on the end of a job, and that node stops
+/// waiting. Guards against an end that is forgotten because the server drops its handler when the
+/// connection closes.
+#[test]
+fn end_from_a_node_that_stops_waiting_is_carried_out() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let objects = MemoryObjects::default();
+        let (runner, address) = node_that_serves_peers("vm-1", &objects, &cancel);
+        let job = common::job("job", vec![common::item("a")]);
+        let accepted = runner.job_store.store_job(&job, "vm-1", address).await;
+        let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+        runner.runner.start_job("job", record, revision, BootInstant::now(), job.items);
+        objects.set_fault(Some(Fault::Unavailable), None);
+        objects.set_write_delay(Duration::from_millis(500));
+        let peers = BatchPeerClient::new(Client::default());
+        let end = monoio::time::timeout(Duration::from_millis(100), peers.end(address, "job"));
+        assert!(end.await.is_err());
+        monoio::time::sleep(Duration::from_millis(1000)).await;
+        objects.set_fault(None, None);
+        objects.set_write_delay(Duration::ZERO);
+        monoio::time::sleep(Duration::from_secs(3)).await;
+        let (record, _) = runner.job_store.read_record("job").await.expect("read").expect("record");
+        assert!(record.ended);
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// Pattern: a check of an outdated copy of a job is slow, and meanwhile the job is handed over to this
+/// node again. Guards against a new copy that the check of the old one removes, so that none of its
+/// items is dispatched.
+#[test]
+fn check_of_an_outdated_copy_keeps_the_job_that_was_handed_over() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let objects = MemoryObjects::default();
+        let (node, address) = node_that_serves_peers("vm-1", &objects, &cancel);
+        let job = common::job("job", vec![common::item("a")]);
+        let accepted = node.job_store.store_job(&job, "vm-1", address).await;
+        let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+        let items = job.items.clone();
+        node.runner.start_job("job", record.clone(), revision, BootInstant::now(), items);
+        let other_address = SocketAddr::from(([127, 0, 0, 1], 2));
+        let taken_over = JobRecord { runner: "vm-2".to_owned(), address: other_address, ..record };
+        let revision =
+            node.job_store.replace_record("job", revision, &taken_over).await.expect("taken over");
+        // The periodic check of the old copy starts within this time and takes a second.
+        objects.set_read_delay(Duration::from_millis(1000));
+        monoio::time::sleep(Duration::from_millis(1800)).await;
+        objects.set_read_delay(Duration::ZERO);
+        let mut handover = Vec::new();
+        let handed_over = Job::new("job".to_owned(), taken_over, revision, job.items);
+        ciborium::into_writer(&Handover::from_job(&handed_over), &mut handover).expect("encoded");
+        let peers = BatchPeerClient::new(Client::default());
+        let answer = peers.hand_over(address, "job", handover.into()).await.expect("answer");
+        assert_eq!(answer.status, StatusCode::OK);
+        assert!(node.runner.job("job").is_some());
+        monoio::time::sleep(Duration::from_millis(1500)).await;
+        assert!(node.runner.job("job").is_some());
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
