deck-batch: move no run while it could not be sent again

Cause: the search for a run to migrate looked at all jobs that are not stopped. While the ownership of a job cannot be confirmed, a run that was broken off to move waited for the object API instead of going on, one run every 150 ms, so that healthy engines emptied during an outage.

Change: migration and dispatch ask the same question.

--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -347,8 +347,7 @@
         }
         let mut queued_items: Vec<(Rc<Job>, Rc<ItemState>)> = Vec::new();
         let mut dispatch_queue = Vec::new();
-        let may_send = |job: &&Rc<Job>| !job.stop_token.is_cancelled() && self.may_send(job);
-        for job in self.jobs.borrow().values().filter(may_send) {
+        for job in self.jobs.borrow().values().filter(|job| self.may_dispatch(job)) {
             let items = job.items.borrow();
             for item_state in
                 items.iter().filter(|item_state| item_state.phase.get() == ItemPhase::Generated)
@@ -431,6 +430,11 @@
         waiting_count > 0
     }
 
+    /// Returns whether runs of a job may be started, and broken off to move to another engine.
+    fn may_dispatch(&self, job: &Job) -> bool {
+        !job.stop_token.is_cancelled() && self.may_send(job)
+    }
+
     /// Builds the dispatch queue entry of an item.
     fn waiting_item(
         &self,
@@ -518,7 +522,7 @@
     /// taken.
     fn migrate_slowest_item(&self, now: Instant) {
         let mut best_migration: Option<(f64, Rc<ItemState>, String)> = None;
-        for job in self.jobs.borrow().values().filter(|job| !job.stop_token.is_cancelled()) {
+        for job in self.jobs.borrow().values().filter(|job| self.may_dispatch(job)) {
             let items = job.items.borrow();
             let mut running_items = items
                 .iter()
