deck-batch: carry out an end whose caller disconnects

What callers saw: an item reached a target after the end of its job.

Cause: the server drops the handler of a call when the caller's connection closes. An end that was looking for the runner or waiting for a slow object API then was neither stored nor remembered, at the node that the caller had called, and at the runner when the other node stopped waiting.

Evidence: end_whose_caller_disconnects_is_carried_out, end_whose_caller_disconnects_during_the_lookup_ is_carried_out and end_from_a_node_that_stops_waiting_is_carried_out failed before.

Change: an end runs in a task of its own, and the handler only waits for it.

--- a/crates/batch/src/end.rs
+++ b/crates/batch/src/end.rs
@@ -30,14 +30,23 @@
 impl BatchService {
     /// Ends a job, wherever it runs. An end that cannot be stored now is carried out later.
     pub(crate) async fn end(&self, id: &str) -> Response<Body> {
-        let response = self.try_end(id).await;
-        self.retry_failed_end(id, response)
+        let (service, id) = (self.clone(), id.to_owned());
+        // A task of its own: the caller may disconnect, which drops this future.
+        monoio::spawn(async move {
+            let response = service.try_end(&id).await;
+            service.retry_failed_end(&id, response)
+        })
+        .await
     }
 
     /// As [`BatchService::end`], for a job on this node.
     pub(crate) async fn end_for_peer(&self, job: &Rc<Job>) -> Response<Body> {
-        let response = self.end_local(job).await;
-        self.retry_failed_end(&job.id, response)
+        let (service, job) = (self.clone(), job.clone());
+        monoio::spawn(async move {
+            let response = service.end_local(&job).await;
+            service.retry_failed_end(&job.id, response)
+        })
+        .await
     }
 
     /// Starts to carry out an end later if `response` shows that it is not stored. The caller may not
