deck-batch: carry out the end of a job that is still being stored

What callers saw: an item reached a target after the end of its job.

Cause: an end that arrives while a node is still storing the job finds no record, was answered with 404 and forgotten. The submission then succeeded and all items were sent. Nor did a node that had received an end honour it when it accepted, loaded or received that job.

Evidence: job_that_ends_while_it_is_stored_sends_nothing failed before.

Change: the end of an unknown job is still answered with 404, and tried again for ten seconds. A job whose end is pending on a node is registered there as stopped.

--- a/crates/batch/src/end.rs
+++ b/crates/batch/src/end.rs
@@ -26,6 +26,9 @@
 /// How long an end that could not be stored is tried again. Longer than outages of the object API
 /// and than the time that items of a job may run.
 const END_RETRY_PERIOD: Duration = Duration::from_secs(600);
+/// How long the end of an unknown job is tried again. Its submission may still be under way, and takes
+/// a few seconds if the object API is slow.
+const UNKNOWN_JOB_RETRY_PERIOD: Duration = Duration::from_secs(10);
 
 impl BatchService {
     /// Ends a job, wherever it runs. An end that cannot be stored now is carried out later.
@@ -52,13 +55,16 @@
     /// Starts to carry out an end later if `response` shows that it is not stored. The caller may not
     /// try again, and the job would run on.
     fn retry_failed_end(&self, id: &str, response: Response<Body>) -> Response<Body> {
-        if !response.status().is_server_error() {
+        if response.status().is_success() {
             return response;
         }
-        if self.inner.pending_ends.borrow_mut().insert(id.to_owned()) {
+        if self.inner.runner.inner.pending_ends.borrow_mut().insert(id.to_owned()) {
             let (service, id) = (self.clone(), id.to_owned());
             monoio::spawn(async move { service.run_pending_end(&id).await });
         }
+        if !response.status().is_server_error() {
+            return response;
+        }
         // Status 503 would promise that the end is never carried out.
         let message = "the end of the job is not stored yet";
         error_response(&CallError::new(ErrorKind::DeadlineExceeded, message), id)
@@ -72,11 +78,12 @@
             monoio::time::sleep(backoff.next_delay()).await;
             let status = self.try_end(id).await.status();
             log::info!(target: "batch", "end tried again job={id} status={status} ms={}", started.elapsed().as_millis());
-            if !status.is_server_error() {
+            let is_unknown = status.is_client_error();
+            if status.is_success() || (is_unknown && started.elapsed() > UNKNOWN_JOB_RETRY_PERIOD) {
                 break;
             }
         }
-        self.inner.pending_ends.borrow_mut().remove(id);
+        self.inner.runner.inner.pending_ends.borrow_mut().remove(id);
     }
 
     async fn try_end(&self, id: &str) -> Response<Body> {
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -110,6 +110,8 @@
     pub options: RunnerOptions,
     /// Jobs that this node runs or has run, by id.
     pub jobs: RefCell<HashMap<RequestId, Rc<Job>>>,
+    /// Jobs whose end this node has received and could not store yet. Nothing is sent for them.
+    pub pending_ends: RefCell<HashSet<RequestId>>,
     /// Engine that last processed each prompt, keyed by prompt hash. Its prefix cache is likely to
     /// hold the prompt.
     last_engine_by_prompt: RefCell<HashMap<u64, String>>,
@@ -159,6 +161,7 @@
             deps,
             options,
             jobs: RefCell::default(),
+            pending_ends: RefCell::default(),
             last_engine_by_prompt: RefCell::default(),
             migration_checked_at: Cell::new(Instant::now()),
             repeat_version_gap: Cell::new(MIN_REPEAT_VERSION_GAP),
@@ -264,7 +267,8 @@
             return existing;
         }
         self.inner.jobs.borrow_mut().insert(job.id.clone(), job.clone());
-        if job.is_complete() || job.is_ended() {
+        let is_ending = self.inner.pending_ends.borrow().contains(&job.id);
+        if job.is_complete() || job.is_ended() || is_ending {
             job.stop_token.cancel();
             return job;
         }
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, HashSet, VecDeque},
+    collections::{HashMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -80,8 +80,6 @@
     settled_jobs: RefCell<VecDeque<Rc<Job>>>,
     /// Limits the bytes per second of result pages of settled jobs that are sent to other nodes.
     pub(crate) settled_page_budget: RefCell<TokenBucket>,
-    /// Jobs whose end this node has received and could not store yet.
-    pub(crate) pending_ends: RefCell<HashSet<RequestId>>,
     /// Whether this node refuses new jobs because it is stopping.
     pub(crate) draining: Cell<bool>,
 }
@@ -123,7 +121,6 @@
                 SETTLED_PAGE_BYTES_PER_S,
                 Instant::now(),
             )),
-            pending_ends: RefCell::default(),
             draining: Cell::new(false),
         };
         Self { inner: Rc::new(inner) }
