deck-batch: store pending ends before a node stops

What callers saw: an item reached a target after the end of its job.

Cause: an end that a node could not store is in the memory of that node. A node that stopped between two attempts, up to two seconds apart, lost it, and the next runner resumed the job.

Evidence: pending_end_is_stored_before_the_node_stops failed before.

Change: a stopping node tries its pending ends once more before it hands its jobs over. An end that cannot be stored even then is lost, as it is if the node crashes.

--- a/crates/batch/src/end.rs
+++ b/crates/batch/src/end.rs
@@ -5,11 +5,15 @@
     time::{Duration, Instant},
 };
 
-use deck_core::error::{CallError, ErrorKind};
+use deck_core::{
+    error::{CallError, ErrorKind},
+    id::RequestId,
+};
 use deck_fleet::JobEvent;
 use deck_forward::error_response;
 use deck_net::Body;
 use deck_plat::{Backoff, StoreError};
+use futures_util::future::join_all;
 use http::Response;
 
 use crate::{
@@ -86,6 +90,13 @@
         self.inner.runner.inner.pending_ends.borrow_mut().remove(id);
     }
 
+    /// Tries all pending ends once more, before this node stops.
+    pub(crate) async fn try_pending_ends(&self) {
+        let pending: Vec<RequestId> =
+            self.inner.runner.inner.pending_ends.borrow().iter().cloned().collect();
+        join_all(pending.iter().map(|id| self.try_end(id))).await;
+    }
+
     async fn try_end(&self, id: &str) -> Response<Body> {
         let call_runner = |node| async move { self.inner.peers.end(node, id).await };
         match self.find_job(id, call_runner).await {
--- a/crates/batch/src/handover.rs
+++ b/crates/batch/src/handover.rs
@@ -151,6 +151,7 @@
     /// Hands all active jobs to other nodes. Tries the nodes that should run the job's model first,
     /// then `nodes` in the given order.
     pub async fn hand_over_jobs(&self, nodes: &[SocketAddr]) {
+        self.try_pending_ends().await;
         let own_address = self.deps().address;
         for job in self.inner.runner.active_jobs() {
             let preferred = self.nodes_for_model(&job.record.borrow().model);
