deck-batch: ignore a record that was read before the end was stored

What callers saw: nothing wrong; reads of an ended job took longer.

Cause: a check of a job's record that was under way while the node stored the end replaced the newer record in memory by the older one. The job stayed stopped but no longer counted as ended, so reads waited for results and searched for chunks, and a repeated end was written again.

Evidence: record_that_was_read_before_the_end_does_not_undo_it failed before.

Change: a check ignores a record with an older revision than the one that the node knows.

--- a/crates/batch/src/ownership.rs
+++ b/crates/batch/src/ownership.rs
@@ -89,6 +89,10 @@
     let Some((record, revision)) = runner.deps.job_store.read_record(&job.id).await? else {
         return Err(StoreError::Decode("the job's record is missing".to_owned()));
     };
+    // A write of this node, or a later check, was faster.
+    if revision < job.revision.get() {
+        return Ok(());
+    }
     let runs_elsewhere = record.runner != runner.deps.vm;
     let ended = record.ended;
     job.record.replace(record);
