deck-batch: keep a job that has come back when an outdated copy is removed

What callers saw: a job that no longer made progress until somebody asked for it.

Cause: a check that finds another runner removes the job by its id. If the check of an outdated copy was slow and the job had been handed back meanwhile, it removed the new instance, which was then neither dispatched nor noticed as silent, as its heartbeats went on.

Evidence: check_of_an_outdated_copy_keeps_the_job_that_was_handed_over failed before.

Change: only the instance that was checked is removed.

--- a/crates/batch/src/handover.rs
+++ b/crates/batch/src/handover.rs
@@ -166,7 +166,7 @@
             // Lets the tasks of the job save their progress before the snapshot is taken.
             monoio::time::sleep(TASK_STOP_WAIT).await;
             self.hand_over_job(&job, &nodes).await;
-            self.inner.runner.inner.remove_job(&job.id);
+            self.inner.runner.inner.remove_job(&job);
         }
     }
 
--- a/crates/batch/src/ownership.rs
+++ b/crates/batch/src/ownership.rs
@@ -101,7 +101,7 @@
         log::info!(target: "batch", "stopping job job={} ended={ended} other_runner={runs_elsewhere}", job.id);
         job.stop_token.cancel();
         if runs_elsewhere {
-            runner.remove_job(&job.id);
+            runner.remove_job(job);
         }
         return Ok(());
     }
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -305,9 +305,13 @@
         Ok(job)
     }
 
-    /// Removes a job that another node runs now.
-    pub fn remove_job(&self, id: &str) {
-        self.jobs.borrow_mut().remove(id);
+    /// Removes a job that another node runs now. Leaves another instance of it, which has come back to
+    /// this node, where it is.
+    pub fn remove_job(&self, job: &Job) {
+        let mut jobs = self.jobs.borrow_mut();
+        if jobs.get(&job.id).is_some_and(|registered| std::ptr::eq(&**registered, job)) {
+            jobs.remove(&job.id);
+        }
     }
 
     /// Sends checkpoints of a job at intervals until it is complete or stopped.
