deck-batch: keep a pause between checks when the bound for ends is short

Cause: the half second that a request needs to reach its target was taken from the bound without a limit. With a bound of half a second or less a confirmation was never valid: no job ran, and its checks followed one another without a pause (some 400 a second).

Change: at most half of the bound is taken off, and two checks are 100 ms apart at least. The expiry of a confirmation also comes before the progress of a call that is polled late, a reward call whose confirmation expires does not skip the time at which its item is given up, and the boot clock has no fallback that would make everything look recent.

--- a/crates/batch/src/ownership.rs
+++ b/crates/batch/src/ownership.rs
@@ -15,8 +15,10 @@
 /// Wait before a failed check is repeated.
 const CHECK_RETRY_WAIT: Duration = Duration::from_millis(400);
 /// Part of the time in which an end has to take effect that is left for a request to reach its
-/// target. Covers a new connection.
+/// target, but at most half of it. Covers a new connection.
 const SEND_TIME: Duration = Duration::from_millis(500);
+/// Minimum time between two checks of a job.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two checks, as a fraction of the time for which a confirmation is valid. A check that
 /// fails can be repeated before the confirmation expires.
 const CHECK_FRACTION: f64 = 0.6;
@@ -24,7 +26,8 @@
 impl RunnerState {
     /// Returns how long requests for a job may be sent after a confirmation of its ownership.
     fn confirmation_validity(&self) -> Duration {
-        self.deps.bounds.borrow().job_end_effect.saturating_sub(SEND_TIME)
+        let job_end_effect = self.deps.bounds.borrow().job_end_effect;
+        job_end_effect - SEND_TIME.min(job_end_effect / 2)
     }
 
     /// Returns for how long requests for a job may still be sent; zero if its ownership has to be
@@ -58,9 +61,11 @@
                 monoio::time::sleep(self.remaining_validity(job)).await;
             }
         };
+        // The expiry comes first, so that a task that wakes late makes no further attempt.
         monoio::select! {
-            result = call => Some(result),
+            biased;
             () = expired => None,
+            result = call => Some(result),
         }
     }
 }
@@ -68,7 +73,8 @@
 /// Periodically checks that this node still owns the job, until the job is complete or stopped.
 pub(crate) async fn check_ownership_periodically(runner: Rc<RunnerState>, job: Rc<Job>) {
     while !job.stop_token.is_cancelled() {
-        let interval = runner.confirmation_validity().mul_f64(CHECK_FRACTION);
+        let interval =
+            runner.confirmation_validity().mul_f64(CHECK_FRACTION).max(MIN_CHECK_INTERVAL);
         let remaining = |age| interval.saturating_sub(age);
         let wait = job.ownership_age().map_or(Duration::ZERO, remaining);
         if !wait.is_zero() {
--- a/crates/batch/src/reward.rs
+++ b/crates/batch/src/reward.rs
@@ -47,12 +47,14 @@
         if let Some(route) = route {
             let call = call_scorer(runner, reward, &route);
             // A reward call may be repeated.
-            let Some(result) = runner.run_while_confirmed(job, call).await else { continue };
-            match result {
-                Ok(reply) if reply.status.is_success() && reply.metadata.signature.is_some() => {
+            match runner.run_while_confirmed(job, call).await {
+                None => {}
+                Some(Ok(reply))
+                    if reply.status.is_success() && reply.metadata.signature.is_some() =>
+                {
                     return reply.metadata.signature;
                 }
-                Ok(reply) => {
+                Some(Ok(reply)) => {
                     failures += reply.status_500_count;
                     let (id, status) = (&item_state.item.id, reply.status);
                     log::info!(target: "batch", "reward failed item={id} call={} status={status} failures={failures}", reward.id);
@@ -61,7 +63,7 @@
                     }
                     monoio::time::sleep(RETRY_WAIT).await;
                 }
-                Err(error) => {
+                Some(Err(error)) => {
                     let id = &item_state.item.id;
                     log::info!(target: "batch", "no reward yet item={id} call={} error={error}", reward.id);
                     monoio::time::sleep(error.retry_after.unwrap_or(RETRY_WAIT).min(RETRY_WAIT))
--- a/crates/core/src/boot_clock.rs
+++ b/crates/core/src/boot_clock.rs
@@ -11,10 +11,12 @@
 
 impl BootInstant {
     /// Returns the current time.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system has no boot clock; Linux has had one since 2.6.39.
     pub fn now() -> Self {
-        // Every Linux system has this clock; without it, the age of everything is unknown.
-        let now = clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::MAX, Duration::from);
-        Self(now)
+        Self(clock_gettime(ClockId::CLOCK_BOOTTIME).expect("boot clock").into())
     }
 
     /// Returns the time since this point.
