Know the software version of targets

The entry of a target names the version of its software, which was not read. Targets of different versions must not continue each other's texts, so nodes need it wherever a text may go on.

Target gets the optional field `software_version`. It is part of what matters for routing, and the feed carries it beside the rows, whose length is fixed for nodes of earlier releases. Nothing uses it yet.

--- a/bins/decknode/tests/metrics.rs
+++ b/bins/decknode/tests/metrics.rs
@@ -38,6 +38,7 @@
         address: ([127, 0, 0, 1], 1 + index as u16).into(),
         data_centre: "a".to_owned(),
         state: TargetState::Ready,
+        software_version: None,
         slots: 4,
         models: Vec::new(),
         started_at_ms: 0,
--- a/crates/batch/tests/engines.rs
+++ b/crates/batch/tests/engines.rs
@@ -87,6 +87,7 @@
         address: server.address,
         data_centre: "a".to_owned(),
         state: TargetState::Ready,
+        software_version: None,
         slots: 8,
         models: vec![("m".to_owned(), 1)],
         started_at_ms: 1,
--- a/crates/batch/tests/reward.rs
+++ b/crates/batch/tests/reward.rs
@@ -40,6 +40,7 @@
             address,
             data_centre: "a".to_owned(),
             state: TargetState::Ready,
+            software_version: None,
             slots: 8,
             models: Vec::new(),
             started_at_ms: 0,
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -25,6 +25,8 @@
 pub type FencingNumber = u64;
 /// Version of a model's weights.
 pub type WeightVersion = u64;
+/// Version of the software that a target runs. Versions have no order.
+pub type SoftwareVersion = String;
 /// Number that distinguishes two runs of the same process; a later run has a higher one.
 pub type Incarnation = u64;
 
--- a/crates/fleet/src/packed.rs
+++ b/crates/fleet/src/packed.rs
@@ -21,6 +21,10 @@
     rows: Vec<PackedTarget>,
     /// Ids of removed targets.
     removed: Vec<TargetId>,
+    /// Indices into `names` of the software version of each row, for the rows that have one. Not part
+    /// of the rows, whose length is fixed for nodes of earlier releases.
+    #[serde(rename = "software", default, skip_serializing_if = "Vec::is_empty")]
+    software_versions: Vec<(usize, usize)>,
 }
 
 /// One target: id, service, address, data centre, whether it is draining, slots, start time, and
@@ -59,13 +63,18 @@
             )
         };
         let rows = targets.iter().map(&mut row).collect();
-        Self { is_complete, names: names.list, rows, removed }
+        let software_versions = targets.iter().enumerate().filter_map(|(row, target)| {
+            Some((row, names.index(target.software_version.as_deref()?)))
+        });
+        let software_versions = software_versions.collect();
+        Self { is_complete, names: names.list, rows, removed, software_versions }
     }
 
     /// Decodes the changes. Targets that refer to a missing name are skipped.
     pub(crate) fn unpack(self) -> TargetChanges {
         let name = |index: usize| self.names.get(index).cloned();
-        let target = |row: PackedTarget| {
+        let software_versions: HashMap<usize, usize> = self.software_versions.into_iter().collect();
+        let target = |(index, row): (usize, PackedTarget)| {
             let PackedTarget(
                 id,
                 service,
@@ -83,12 +92,16 @@
                 address,
                 data_centre: name(data_centre)?,
                 state: if draining { TargetState::Draining } else { TargetState::Ready },
+                software_version: match software_versions.get(&index) {
+                    Some(version) => Some(name(*version)?),
+                    None => None,
+                },
                 slots,
                 models: models.collect::<Option<_>>()?,
                 started_at_ms,
             })
         };
-        let targets = self.rows.into_iter().filter_map(target).collect();
+        let targets = self.rows.into_iter().enumerate().filter_map(target).collect();
         match self.is_complete {
             true => TargetChanges::Complete(targets),
             false => TargetChanges::Incremental { changed: targets, removed: self.removed },
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use deck_core::id::{DataCentreId, PoolName, TargetId, WeightVersion};
+use deck_core::id::{DataCentreId, PoolName, SoftwareVersion, TargetId, WeightVersion};
 
 use serde::{Deserialize, Serialize};
 
@@ -33,6 +33,10 @@
     pub data_centre: DataCentreId,
     /// Whether the target accepts new requests.
     pub state: TargetState,
+    /// Version of the target's software; `None` if it is not registered. Targets of different
+    /// versions must not continue each other's streams.
+    #[serde(default)]
+    pub software_version: Option<SoftwareVersion>,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// Models and their loaded weight versions; empty for services without engines.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -96,6 +96,7 @@
                 id: target.id.clone(),
                 service: target.service.clone(),
                 data_centre: target.data_centre.clone(),
+                software_version: target.software_version.clone(),
                 models: Vec::new(),
                 ..*target
             },
@@ -496,6 +497,7 @@
 fn is_same_for_routing(a: &Target, b: &Target) -> bool {
     (&a.service, a.address, &a.data_centre, a.state, a.slots, a.started_at_ms)
         == (&b.service, b.address, &b.data_centre, b.state, b.slots, b.started_at_ms)
+        && a.software_version == b.software_version
 }
 
 fn to_pool_target(target: &Target) -> object::Target {
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -41,6 +41,7 @@
             address: ([127, 0, 0, 1], 1).into(),
             data_centre: "a".to_owned(),
             state: TargetState::Ready,
+            software_version: Some("v1".to_owned()),
             slots: 4,
             models: vec![("m".to_owned(), version), ("n".to_owned(), 1)],
             started_at_ms: 7,
--- a/crates/fleet/tests/view.rs
+++ b/crates/fleet/tests/view.rs
@@ -25,6 +25,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         data_centre: "a".to_owned(),
         state: TargetState::Ready,
+        software_version: None,
         slots: 8,
         models: vec![("m".to_owned(), 1)],
         started_at_ms: 1,
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -25,6 +25,7 @@
         address,
         data_centre: "a".to_owned(),
         state: TargetState::Ready,
+        software_version: None,
         slots: 8,
         models: Vec::new(),
         started_at_ms: 0,
--- a/crates/swap/tests/runners.rs
+++ b/crates/swap/tests/runners.rs
@@ -55,6 +55,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         data_centre: "a".to_owned(),
         state: TargetState::Ready,
+        software_version: None,
         slots: 300,
         models: vec![("m0".to_owned(), 1), ("m1".to_owned(), 1)],
         started_at_ms: 1,
