Never join a restarted text with its predecessor in a checkpoint

What callers saw: after a crash of the runner, the text of an item could consist of the first events of a text that had been discarded and the later events of its replacement.

Cause: the runner sends the events after the last one that it has sent. It recognised a restarted text only by its being shorter than what it had sent. On a single-version route a text is discarded when the weight version changes; if the replacement is longer by the next checkpoint, its tail was appended to the discarded text, and if it is equally long, the discarded text stayed. The checkpoint VM compared event numbers only, so it also joined the texts of two runners of one job.

Evidence: text_that_outgrows_its_discarded_predecessor_replaces_it failed in both cases; the longer one stored "old 1..3, new 4..6". delta_of_another_text_is_rejected fails without the check of the hash at the VM.

Change: the runner keeps the hash of the text that it has sent of each item, and sends a text in full unless the sent one is its prefix. A delta carries the hash of the text that it continues, and the VM rejects it if its own text has another one, after which the runner sends the text in full. Deltas of earlier releases carry no hash and are accepted as before.

Handovers and reused texts replace a text as a whole, so they cannot join two.

--- a/crates/batch/src/checkpoint.rs
+++ b/crates/batch/src/checkpoint.rs
@@ -64,6 +64,10 @@
     pub item: RequestId,
     /// Number of the last event that the checkpoint already holds. 0 replaces the stored text.
     pub after_event: u64,
+    /// Hash of the text up to that event, by which a delta of another text is recognised. `None` if
+    /// the sender runs an earlier release.
+    #[serde(default)]
+    pub prefix_hash: Option<u64>,
     /// Text after that event, including the line feed that separates it.
     pub text: String,
     /// Number of the last event in `text`.
@@ -79,6 +83,14 @@
     pub complete: bool,
 }
 
+impl ItemDelta {
+    /// Returns whether `stored` is the text up to `after_event`.
+    fn continues(&self, stored: &Progress) -> bool {
+        stored.last_event == self.after_event
+            && self.prefix_hash.is_none_or(|hash| hash == stored.prefix_hash(self.after_event))
+    }
+}
+
 /// Checkpoint of one item.
 #[derive(Debug, Clone, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -176,7 +188,7 @@
             let item = entry.items.entry(delta.item.clone()).or_default();
             if delta.after_event == 0 {
                 *item = ItemCheckpoint::default();
-            } else if item.progress.last_event != delta.after_event {
+            } else if !delta.continues(&item.progress) {
                 rejected.push(delta.item.clone());
                 continue;
             }
@@ -338,8 +350,19 @@
     node: Option<SocketAddr>,
     /// When that VM last acknowledged a message.
     last_sent_at: Option<Instant>,
-    /// Number of the last event that was sent of each item, and whether its text was complete.
-    items: HashMap<RequestId, (u64, bool)>,
+    /// Text that was sent of each item.
+    items: HashMap<RequestId, SentText>,
+}
+
+/// Text of one item as a checkpoint VM holds it.
+struct SentText {
+    /// Number of the last event.
+    last_event: u64,
+    /// Hash of the text. An item that begins anew may have a text of the same length or a longer one
+    /// by the next message.
+    hash: u64,
+    /// Whether the text was complete.
+    complete: bool,
 }
 
 impl CheckpointClient {
@@ -388,7 +411,7 @@
             if sent.node != Some(node) {
                 *sent = SentProgress { node: Some(node), ..SentProgress::default() };
             }
-            let deltas = unsent_deltas(job, sent);
+            let (deltas, texts) = unsent_deltas(job, sent);
             if deltas.is_empty()
                 && sent.last_sent_at.is_some_and(|at| at.elapsed() < HEARTBEAT_INTERVAL)
             {
@@ -397,9 +420,8 @@
             match self.send_to(node, &job.id, &deltas).await {
                 Ok(rejected) => {
                     sent.last_sent_at = Some(Instant::now());
-                    for delta in deltas.iter().filter(|delta| !rejected.contains(&delta.item)) {
-                        sent.items.insert(delta.item.clone(), (delta.last_event, delta.complete));
-                    }
+                    let items = deltas.into_iter().map(|delta| delta.item);
+                    sent.items.extend(items.zip(texts));
                     sent.items.retain(|item, _| !rejected.contains(item));
                     return;
                 }
@@ -515,33 +537,44 @@
     }
 }
 
-/// Returns the text of all unfinished items that has not been sent.
-fn unsent_deltas(job: &Job, sent: &SentProgress) -> Vec<ItemDelta> {
+/// Returns the text of all unfinished items that has not been sent, and the text that a VM holds with
+/// it.
+fn unsent_deltas(job: &Job, sent: &SentProgress) -> (Vec<ItemDelta>, Vec<SentText>) {
     let items = job.items.borrow();
     let unfinished = items.iter().filter(|item_state| item_state.phase.get() != ItemPhase::Done);
-    unfinished.filter_map(|item_state| unsent_delta(item_state, sent)).collect()
+    unfinished.filter_map(|item_state| unsent_delta(item_state, sent)).unzip()
 }
 
 /// Returns the text of one item that has not been sent; `None` if there is nothing new.
-fn unsent_delta(item_state: &ItemState, sent: &SentProgress) -> Option<ItemDelta> {
+fn unsent_delta(item_state: &ItemState, sent: &SentProgress) -> Option<(ItemDelta, SentText)> {
     let progress = item_state.progress.borrow();
     let complete = matches!(item_state.phase.get(), ItemPhase::Generated | ItemPhase::Scoring);
-    let (sent_event, sent_complete) =
-        sent.items.get(&item_state.item.id).copied().unwrap_or_default();
-    if progress.last_event == 0 || (progress.last_event == sent_event && complete == sent_complete)
+    if progress.last_event == 0 {
+        return None;
+    }
+    // A text that was restarted replaces what was sent.
+    let is_prefix = |sent_text: &&SentText| {
+        sent_text.last_event <= progress.last_event
+            && sent_text.hash == progress.prefix_hash(sent_text.last_event)
+    };
+    let sent_text = sent.items.get(&item_state.item.id).filter(is_prefix);
+    if sent_text
+        .is_some_and(|sent| (sent.last_event, sent.complete) == (progress.last_event, complete))
     {
         return None;
     }
-    // A text that was restarted is shorter than what was sent, and replaces it.
-    let after_event = if progress.last_event < sent_event { 0 } else { sent_event };
-    Some(ItemDelta {
+    let after_event = sent_text.map_or(0, |sent_text| sent_text.last_event);
+    let last_event = progress.last_event;
+    let delta = ItemDelta {
         item: item_state.item.id.clone(),
         after_event,
+        prefix_hash: Some(progress.prefix_hash(after_event)),
         text: progress.text_after(after_event).to_owned(),
-        last_event: progress.last_event,
+        last_event,
         event_ends: progress.event_ends[after_event as usize..].to_vec(),
         versions: progress.versions.clone(),
         failures: item_state.failures.get(),
         complete,
-    })
+    };
+    Some((delta, SentText { last_event, hash: progress.prefix_hash(last_event), complete }))
 }
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -9,6 +9,7 @@
 
 use deck_core::{
     CancellationToken,
+    hash::hash64,
     id::{RequestId, Revision, TargetId, WeightVersion},
 };
 use deck_fleet::{Item, ItemOutcome, ItemResult};
@@ -151,8 +152,18 @@
 
     /// Returns the text after the given event, including the line feed that separates it.
     pub fn text_after(&self, event: u64) -> &str {
+        &self.text[self.end_of(event)..]
+    }
+
+    /// Returns the hash of the text up to the given event.
+    pub fn prefix_hash(&self, event: u64) -> u64 {
+        hash64(&self.text.as_bytes()[..self.end_of(event)])
+    }
+
+    /// Returns the byte length of the text up to the given event; 0 if there is no such event.
+    fn end_of(&self, event: u64) -> usize {
         let end = event.checked_sub(1).and_then(|index| self.event_ends.get(index as usize));
-        &self.text[end.copied().unwrap_or(0)..]
+        end.copied().unwrap_or(0)
     }
 
     /// Returns whether all versions of the text are at least `min_version`.
--- a/crates/batch/tests/checkpoint.rs
+++ b/crates/batch/tests/checkpoint.rs
@@ -5,17 +5,23 @@
     net::SocketAddr,
     path::PathBuf,
     rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use deck_batch::{
-    CheckpointStore, JobStore, StoreJobOutcome,
+    CheckpointStore, JobStore, Runner, RunnerOptions, StoreJobOutcome,
     checkpoint::ItemDelta,
     handover::Handover,
     job::{ItemPhase, Job, Progress},
 };
+use deck_core::CancellationToken;
 use deck_fleet::{BatchJob, BatchLimits, Item, ItemOutcome};
-use deck_testkit::memory::MemoryObjects;
+use deck_testkit::{eventually, memory::MemoryObjects, raw::RawServer};
+use test_case::test_case;
 
 mod common;
 
@@ -27,9 +33,14 @@
 
 /// Returns a text with the given number of events.
 fn progress(events: u64) -> Progress {
+    text("event", events)
+}
+
+/// Returns a text whose events begin with `word`.
+fn text(word: &str, events: u64) -> Progress {
     let mut progress = Progress::default();
     for number in 1..=events {
-        progress.push(number, &format!("event {number}"), 3 + number / 3);
+        progress.push(number, &format!("{word} {number}"), 3 + number / 3);
     }
     progress
 }
@@ -38,6 +49,7 @@
     ItemDelta {
         item: item.to_owned(),
         after_event,
+        prefix_hash: Some(complete_text.prefix_hash(after_event)),
         text: complete_text.text_after(after_event).to_owned(),
         last_event: complete_text.last_event,
         event_ends: complete_text.event_ends[after_event as usize..].to_vec(),
@@ -107,6 +119,29 @@
     assert_eq!(store.get("job")["i"].progress, progress(3));
 }
 
+/// Guards against a stored text that is joined with another text of the item: two runners of a job may
+/// send texts of one length in turn, and a message may arrive late.
+#[test]
+fn delta_of_another_text_is_rejected() {
+    let store = CheckpointStore::open(None);
+    store.apply_and_persist("job", &[delta("i", 0, &progress(3))]);
+    let other_text = text("other", 5);
+    assert_eq!(store.apply_and_persist("job", &[delta("i", 3, &other_text)]), ["i"]);
+    assert_eq!(store.get("job")["i"].progress, progress(3));
+    assert!(store.apply_and_persist("job", &[delta("i", 0, &other_text)]).is_empty());
+    assert_eq!(store.get("job")["i"].progress, other_text);
+}
+
+/// Guards against checkpoints of nodes of an earlier release that are not stored during an update.
+#[test]
+fn delta_without_a_hash_is_accepted() {
+    let store = CheckpointStore::open(None);
+    store.apply_and_persist("job", &[delta("i", 0, &progress(3))]);
+    let without_hash = ItemDelta { prefix_hash: None, ..delta("i", 3, &progress(5)) };
+    assert!(store.apply_and_persist("job", &[without_hash]).is_empty());
+    assert_eq!(store.get("job")["i"].progress, progress(5));
+}
+
 /// Guards against remains of a discarded text in front of its replacement.
 #[test]
 fn restarted_text_replaces_the_stored_one() {
@@ -166,6 +201,82 @@
     std::fs::remove_dir_all(temp_dir).expect("remove");
 }
 
+/// Guards against a checkpoint that joins a discarded text with its replacement: between two messages
+/// to the checkpoint VM, a text is discarded because the weight version changed, and the item begins
+/// anew and becomes as long as before or longer.
+#[test_case(3; "as long as before")]
+#[test_case(6; "longer than before")]
+fn text_that_outgrows_its_discarded_predecessor_replaces_it(new_events: u64) {
+    const OLD_EVENTS: u64 = 3;
+    let test = async move {
+        let is_checkpointed = Arc::<AtomicBool>::default();
+        let old_text_is_checkpointed = is_checkpointed.clone();
+        let server = RawServer::start(move |call| {
+            if call.request_index == 0 {
+                common::start_stream(call, 1);
+                for number in 1..=OLD_EVENTS {
+                    call.write_chunk(&common::event("old", number));
+                }
+                while !old_text_is_checkpointed.load(Ordering::Relaxed) {
+                    std::thread::sleep(Duration::from_millis(5));
+                }
+                let next = common::event("old", OLD_EVENTS + 1);
+                call.write_chunk(&format!("weight-versions: 2\n{next}"));
+                return;
+            }
+            common::start_stream(call, 2);
+            let events: String =
+                (1..=new_events).map(|number| common::event("new", number)).collect();
+            call.write_chunk(&events);
+            call.write_endless_response("3\r\n:\n\n\r\n", Duration::from_millis(50));
+        });
+        let cancel = CancellationToken::new();
+        let store = Rc::new(CheckpointStore::open(None));
+        let served_store = store.clone();
+        let checkpoint_node = common::serve(&cancel, move |request| {
+            let store = served_store.clone();
+            async move { store.serve(request).await }
+        });
+        let job_store = JobStore::new(MemoryObjects::default().store(), 1 << 20);
+        let own = SocketAddr::from(([127, 0, 0, 1], 1));
+        let deps = common::runner_deps("vm-1", own, &job_store);
+        deps.checkpoints.set_nodes(vec![checkpoint_node]);
+        deps.view.set_configuration(common::rollout_configuration(true));
+        deps.view.set_targets(vec![common::engine("e", server.address)], Instant::now());
+        let options = RunnerOptions {
+            checkpoint_interval: Duration::from_millis(50),
+            event_gap_timeout: Duration::from_secs(60),
+            ..RunnerOptions::default()
+        };
+        let runner = Runner::start(deps, options, cancel.clone());
+        let job = common::job("job", vec![common::item("i")]);
+        let limits = BatchLimits { single_version: true, ..job.limits.clone() };
+        let job = BatchJob { limits, ..job };
+        let accepted = job_store.store_job(&job, "vm-1", own).await;
+        let StoreJobOutcome::Stored(record, revision) = accepted else { panic!("{accepted:?}") };
+        let job = runner.start_job("job", record, revision, job.items);
+        let stored_progress = || store.get("job").remove("i").unwrap_or_default().progress;
+
+        eventually("the old text is stored", async || stored_progress().last_event == OLD_EVENTS)
+            .await;
+        is_checkpointed.store(true, Ordering::Relaxed);
+        let item_state = job.unpublished_item("i").expect("item");
+        let new_text = common::joined_events("new", new_events);
+        eventually("the new text is generated", async || {
+            item_state.progress.borrow().text == new_text
+        })
+        .await;
+        // The message with the new text follows within the checkpoint interval.
+        let deadline = Instant::now() + Duration::from_secs(5);
+        while stored_progress() != *item_state.progress.borrow() && Instant::now() < deadline {
+            monoio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(stored_progress(), *item_state.progress.borrow());
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
 async fn running_job() -> Job {
     let items: Vec<Item> = ["a", "b", "c", "d"].map(common::item).into();
     let job = common::job("job", items.clone());
--- a/crates/batch/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "no test file uses all helpers")]
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use deck_batch::{
     BatchOptions, BatchService, CheckpointClient, JobStore, Runner, RunnerOptions,
@@ -10,14 +10,19 @@
 };
 use deck_core::{CancellationToken, id::new_incarnation};
 use deck_fleet::{
-    BatchJob, BatchLimits, EngineRegistry, FleetFeed, FleetFeedOptions, FleetView, Item,
-    ObjectFollower, ObjectFollowerOptions, Observer,
+    BatchJob, BatchLimits, CallerLimits, Configuration, EngineConfig, EngineRegistry, FleetFeed,
+    FleetFeedOptions, FleetView, Item, ObjectFollower, ObjectFollowerOptions, Observer, Route,
+    RouteKind, ServiceConfig, Target, TargetState,
 };
 use deck_forward::{CrashGuard, ForwardOptions, Forwarder};
-use deck_net::Client;
+use deck_net::{
+    Body, Client, ServerOptions, bind,
+    http::{Request, Response},
+};
 use deck_platform::{OBJECT_KINDS, PlatformWire};
 use deck_route::{Router, RouterOptions};
-use deck_testkit::memory::MemoryObjects;
+use deck_testkit::{memory::MemoryObjects, raw::RawExchange};
+use hyper::body::Incoming;
 
 /// Time in milliseconds after which items are given up; never reached within a test.
 pub const GIVE_UP_MS: u64 = 1 << 42;
@@ -90,6 +95,80 @@
     Node { runner, service, job_store, cancel }
 }
 
+/// Returns a configuration whose only route runs jobs of the model `m` on the service `s`.
+pub fn rollout_configuration(single_version: bool) -> Configuration {
+    let engine = EngineConfig { slots: 8, tokens_per_event: 1, models: vec!["m".to_owned()] };
+    let service = ServiceConfig { name: "s".to_owned(), engine: Some(engine) };
+    let route = Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        path_prefix: "/j/".to_owned(),
+        kind: RouteKind::Rollout,
+        resumable: false,
+        timeout: Duration::ZERO,
+        target_latency: Duration::from_millis(400),
+        priority: 1,
+        service_weights: vec![("s".to_owned(), 1)],
+        max_attempts: 3,
+        result_deadline: Duration::from_secs(60),
+        item_deadline: Duration::from_secs(60),
+        single_version,
+    };
+    Configuration::new(1, vec![route], vec![service], CallerLimits::default())
+}
+
+/// Returns an engine of the service `s` with the model `m`.
+pub fn engine(id: &str, address: SocketAddr) -> Target {
+    Target {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address,
+        data_centre: "a".to_owned(),
+        state: TargetState::Ready,
+        software_version: None,
+        slots: 8,
+        models: vec![("m".to_owned(), 1)],
+        started_at_ms: 1,
+    }
+}
+
+/// Starts the response to an item with an event stream of the given weight version.
+pub fn start_stream(call: &mut RawExchange, weight_version: u64) {
+    let id = call.header("request-id").unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\nWeight-Versions: {weight_version}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    call.write(&head);
+}
+
+/// Returns the number of the last event that a request for an item continues; 0 if it starts the
+/// text.
+pub fn last_event(call: &RawExchange) -> u64 {
+    call.header("last-event-id").map_or(0, |number| number.parse().expect("event number"))
+}
+
+/// Returns an event of the text with the given name.
+pub fn event(text: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {text} {number}\n\n")
+}
+
+/// Returns the first `count` events of the text with the given name, as a result contains them.
+pub fn joined_events(text: &str, count: u64) -> String {
+    (1..=count).map(|number| format!("{text} {number}")).collect::<Vec<_>>().join("\n")
+}
+
+/// Serves HTTP requests on loopback; returns the address.
+pub fn serve<F, R>(cancel: &CancellationToken, answer: F) -> SocketAddr
+where
+    F: Fn(Request<Incoming>) -> R + 'static,
+    R: Future<Output = Response<Body>> + 'static,
+{
+    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("listener");
+    let address = listener.local_addr().expect("address");
+    monoio::spawn(deck_net::serve(listener, ServerOptions::default(), cancel.clone(), answer));
+    address
+}
+
 /// Returns an item without a reward call.
 pub fn item(id: &str) -> Item {
     Item {
--- a/crates/batch/tests/engines.rs
+++ b/crates/batch/tests/engines.rs
@@ -8,9 +8,6 @@
 
 use deck_batch::{JobStore, Runner, RunnerOptions, StoreJobOutcome};
 use deck_core::CancellationToken;
-use deck_fleet::{
-    CallerLimits, Configuration, EngineConfig, Route, RouteKind, ServiceConfig, Target, TargetState,
-};
 use deck_testkit::{
     eventually,
     memory::MemoryObjects,
@@ -62,37 +59,8 @@
     let job_store = JobStore::new(MemoryObjects::default().store(), 1 << 20);
     let own = SocketAddr::from(([127, 0, 0, 1], 1));
     let deps = common::runner_deps("vm-1", own, &job_store);
-    let engine = EngineConfig { slots: 8, tokens_per_event: 1, models: vec!["m".to_owned()] };
-    let service = ServiceConfig { name: "s".to_owned(), engine: Some(engine) };
-    let route = Route {
-        name: "r".to_owned(),
-        host: "h".to_owned(),
-        path_prefix: "/j/".to_owned(),
-        kind: RouteKind::Rollout,
-        resumable: false,
-        timeout: Duration::ZERO,
-        target_latency: Duration::from_millis(400),
-        priority: 1,
-        service_weights: vec![("s".to_owned(), 1)],
-        max_attempts: 3,
-        result_deadline: Duration::from_secs(60),
-        item_deadline: Duration::from_secs(60),
-        single_version: false,
-    };
-    let limits = CallerLimits::default();
-    deps.view.set_configuration(Configuration::new(1, vec![route], vec![service], limits));
-    let target = Target {
-        id: "e".to_owned(),
-        service: "s".to_owned(),
-        address: server.address,
-        data_centre: "a".to_owned(),
-        state: TargetState::Ready,
-        software_version: None,
-        slots: 8,
-        models: vec![("m".to_owned(), 1)],
-        started_at_ms: 1,
-    };
-    deps.view.set_targets(vec![target], Instant::now());
+    deps.view.set_configuration(common::rollout_configuration(false));
+    deps.view.set_targets(vec![common::engine("e", server.address)], Instant::now());
     let options = RunnerOptions {
         first_event_timeout: EVENT_TIMEOUT * 2,
         event_gap_timeout: EVENT_TIMEOUT,
--- a/crates/batch/tests/service.rs
+++ b/crates/batch/tests/service.rs
@@ -15,19 +15,14 @@
 };
 use deck_core::CancellationToken;
 use deck_fleet::{BatchCall, ItemOutcome, ItemResult, RequestMetadata};
-use deck_net::{
-    Body, Client, ServerOptions, bind,
-    http::{Request, Response, StatusCode},
-    server::empty_response,
-};
+use deck_net::{Client, http::StatusCode, server::empty_response};
 use deck_testkit::{eventually, memory::MemoryObjects};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde_json::Value;
 
 mod common;
 
-use common::{Node, node};
+use common::{Node, node, serve};
 
 /// Number of items in the job.
 const ITEM_COUNT: usize = 40;
@@ -72,17 +67,6 @@
     results
 }
 
-fn serve<F, R>(cancel: &CancellationToken, answer: F) -> SocketAddr
-where
-    F: Fn(Request<Incoming>) -> R + 'static,
-    R: Future<Output = Response<Body>> + 'static,
-{
-    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("listener");
-    let address = listener.local_addr().expect("address");
-    monoio::spawn(deck_net::serve(listener, ServerOptions::default(), cancel.clone(), answer));
-    address
-}
-
 /// Starts a node that serves the requests of other nodes. Returns it with its address.
 fn node_that_serves_peers(
     vm: &str,
