Continue the text of an item only on engines of its software version

What callers saw: where engines of several software versions served side by side, a result could consist of the first events of one version and the later events of another. These do not fit together.

Cause: the runner continued a text with Last-Event-Id on any engine: after a broken run, a migration, a handover or a restart, and for the text of an earlier job. It did not know which version had begun a text.

Change: Progress has the software version of the engine that generated its first event. Checkpoints, handovers, speculative copies and reused texts carry it, and it goes away with the text. The hash by which a checkpoint delta continues a stored text covers it. Messages of earlier releases decode to no version, which equals only itself.

An item with a text takes only engines of its version while one of them accepts runs. If none does, the item starts anew on another version. If they are merely full, it waits for as long as generating the text again takes: the version that began a text shrinks during a roll-out, and items must neither pile up on its last engine nor wait for ever. Migrations stay within a version. The dispatcher compares the text with the chosen target right before a run starts, so no run can continue a text of another version, whatever the choice was based on.

The log has `text discarded item= events= version= reason=`, and `run starts` names the version.

--- a/bins/deckctl/tests/explain.rs
+++ b/bins/deckctl/tests/explain.rs
@@ -64,7 +64,7 @@
         line(1, "run starts item=i job=one target=t event=0"),
         line(2, "run complete item=i target=t event=20 ms=1000"),
         line(3, "job accepted job=two items=1 step=1 model=m min_version=2"),
-        line(5, "run starts item=i job=two target=t event=0"),
+        line(5, "run starts item=i job=two target=t event=0 version=v1"),
         line(11, "run complete item=i target=t event=90 ms=6000"),
     ];
     let file = log_file(&log.concat());
--- a/crates/batch/src/checkpoint.rs
+++ b/crates/batch/src/checkpoint.rs
@@ -19,7 +19,7 @@
 use bytes::Bytes;
 use deck_core::{
     hash::{hash64, rendezvous_score},
-    id::{RequestId, WeightVersion},
+    id::{RequestId, SoftwareVersion, WeightVersion},
 };
 use deck_net::{
     Body, Client, NetError, cbor,
@@ -64,8 +64,8 @@
     pub item: RequestId,
     /// Number of the last event that the checkpoint already holds. 0 replaces the stored text.
     pub after_event: u64,
-    /// Hash of the text up to that event, by which a delta of another text is recognised. `None` if
-    /// the sender runs an earlier release.
+    /// Hash of the text up to that event and of its software version, by which a delta of another text
+    /// is recognised. `None` if the sender runs an earlier release.
     #[serde(default)]
     pub prefix_hash: Option<u64>,
     /// Text after that event, including the line feed that separates it.
@@ -77,6 +77,9 @@
     pub event_ends: Vec<usize>,
     /// Weight versions that generated the whole text.
     pub versions: BTreeSet<WeightVersion>,
+    /// Software version of the engines that generated the whole text.
+    #[serde(default)]
+    pub software_version: Option<SoftwareVersion>,
     /// Number of runs that failed on the engine.
     pub failures: u32,
     /// Whether the whole text is complete.
@@ -196,6 +199,7 @@
             item.progress.last_event = delta.last_event;
             item.progress.event_ends.extend(&delta.event_ends);
             item.progress.versions.clone_from(&delta.versions);
+            item.progress.software_version.clone_from(&delta.software_version);
             item.failures = delta.failures;
             item.complete = delta.complete;
         }
@@ -358,8 +362,8 @@
 struct SentText {
     /// Number of the last event.
     last_event: u64,
-    /// Hash of the text. An item that begins anew may have a text of the same length or a longer one
-    /// by the next message.
+    /// Hash of the text and of its software version. An item that begins anew may have a text of the
+    /// same length or a longer one by the next message.
     hash: u64,
     /// Whether the text was complete.
     complete: bool,
@@ -573,6 +577,7 @@
         last_event,
         event_ends: progress.event_ends[after_event as usize..].to_vec(),
         versions: progress.versions.clone(),
+        software_version: progress.software_version.clone(),
         failures: item_state.failures.get(),
         complete,
     };
--- a/crates/batch/src/dispatch.rs
+++ b/crates/batch/src/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use deck_core::id::{TargetId, WeightVersion};
+use deck_core::id::{SoftwareVersion, TargetId, WeightVersion};
 
 /// An item that waits for an engine.
 #[derive(Debug, Clone)]
@@ -21,6 +21,19 @@
     pub prompt_hash: u64,
     /// Whether the item is a speculative copy for a later job.
     pub is_speculative: bool,
+    /// Text that the item has so far; `None` if it has no events.
+    pub text: Option<WaitingText>,
+}
+
+/// Text of an item that waits for an engine to continue it.
+#[derive(Debug, Clone)]
+pub struct WaitingText {
+    /// Software version of the engines that may continue the text.
+    pub software_version: Option<SoftwareVersion>,
+    /// Number of events so far.
+    pub events: u64,
+    /// Time for which the item has been waiting.
+    pub waiting_time: Duration,
 }
 
 /// An engine that accepts runs.
@@ -30,6 +43,8 @@
     pub target: TargetId,
     /// Version of the requested model that the engine serves.
     pub version: WeightVersion,
+    /// Version of the engine's software.
+    pub software_version: Option<SoftwareVersion>,
     /// Number of runs on the engine.
     pub active_runs: u32,
     /// Maximum number of concurrent runs.
@@ -83,16 +98,56 @@
     item.time_until_due.as_secs_f64() - item.expected_duration.as_secs_f64()
 }
 
+/// Returns whether an engine may continue the item's text and accepts runs of it, even if it has no
+/// free slot. True for an item without a text if there is any engine for it.
+pub fn can_continue_text(item: &WaitingItem, candidates: &[EngineCandidate]) -> bool {
+    candidates
+        .iter()
+        .any(|candidate| candidate.version >= item.min_version && fits_text(item, candidate))
+}
+
+/// Returns whether the engine runs the software version that began the item's text, if any.
+fn fits_text(item: &WaitingItem, candidate: &EngineCandidate) -> bool {
+    item.text.as_ref().is_none_or(|text| text.software_version == candidate.software_version)
+}
+
 /// Chooses an engine with a free slot and an allowed version for an item. Prefers engines that are
 /// fast, lightly loaded and up to date. `cached_engine` is the engine that last processed the
 /// item's prompt. Returns an index into `candidates`.
+///
+/// An engine of another software version than that of the item's text is chosen only if no engine
+/// can continue the text, or if the item has waited for a slot of such an engine for as long as it
+/// takes to generate the text again. Otherwise the items of a version that is being replaced would
+/// wait for its last engines. The text has to be discarded then.
 pub fn choose_engine(
     item: &WaitingItem,
     candidates: &[EngineCandidate],
     cached_engine: Option<&str>,
+) -> Option<usize> {
+    let fits = |candidate: &EngineCandidate| fits_text(item, candidate);
+    if let Some(index) = cheapest_engine(item, candidates, cached_engine, fits) {
+        return Some(index);
+    }
+    let text = item.text.as_ref()?;
+    let index = cheapest_engine(item, candidates, cached_engine, |_| true)?;
+    let regeneration_s = text.events as f64 * candidates[index].event_gap_ms / 1000.0;
+    let waits =
+        can_continue_text(item, candidates) && text.waiting_time.as_secs_f64() < regeneration_s;
+    (!waits).then_some(index)
+}
+
+/// Returns the index of the engine with the lowest cost among those that satisfy `filter`, have a free
+/// slot and an allowed version.
+fn cheapest_engine(
+    item: &WaitingItem,
+    candidates: &[EngineCandidate],
+    cached_engine: Option<&str>,
+    filter: impl Fn(&EngineCandidate) -> bool,
 ) -> Option<usize> {
     let is_eligible = |candidate: &EngineCandidate| {
-        candidate.version >= item.min_version && candidate.active_runs < candidate.slots
+        candidate.version >= item.min_version
+            && candidate.active_runs < candidate.slots
+            && filter(candidate)
     };
     let eligible = (0..candidates.len()).filter(|index| is_eligible(&candidates[*index]));
     let mut eligible = eligible.peekable();
@@ -152,6 +207,8 @@
     pub remaining_events: f64,
     /// Oldest weight version that may run the item.
     pub min_version: WeightVersion,
+    /// Software version of the engine, and of the engines that may continue the text.
+    pub software_version: Option<SoftwareVersion>,
 }
 
 impl RunningItem {
@@ -174,6 +231,7 @@
             candidate.target != item.target
                 && !candidate.assigned_to_other_model
                 && candidate.version >= item.min_version
+                && candidate.software_version == item.software_version
                 && candidate.active_runs < candidate.slots
         })
         .min_by(|a, b| a.event_gap_ms.total_cmp(&b.event_gap_ms))?;
--- a/crates/batch/src/item_run.rs
+++ b/crates/batch/src/item_run.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     events::EventParser,
-    job::{ItemPhase, ItemState, Job},
+    job::{ItemPhase, ItemState, Job, Progress},
     runner::RunnerState,
     speculation::SPECULATIVE_PRIORITY,
 };
@@ -57,7 +57,7 @@
 ) {
     let started = Instant::now();
     let (id, start_event) = (&item_state.item.id, item_state.progress.borrow().last_event);
-    log::info!(target: "batch", "run starts item={id} job={} target={} event={start_event}", job.id, target.id);
+    log::info!(target: "batch", "run starts item={id} job={} target={} event={start_event} version={}", job.id, target.id, software_label(target.software_version.as_deref()));
     let observer = runner.deps.observer.clone();
     if item_state.started_at.get().is_none() && !item_state.is_speculative {
         observer.on_first_run(job.submitted_at.elapsed());
@@ -130,6 +130,27 @@
     runner.wake.notify_one();
 }
 
+/// Discards the text of an item that is about to run on `target`, unless the target's software version
+/// may continue it.
+pub(crate) fn discard_text_of_other_software(
+    item_state: &ItemState,
+    target: &Target,
+    reason: &'static str,
+) {
+    let mut progress = item_state.progress.borrow_mut();
+    if progress.fits_software(target.software_version.as_deref()) {
+        return;
+    }
+    let version = software_label(progress.software_version.as_deref());
+    log::info!(target: "batch", "text discarded item={} events={} version={version} reason={reason}", item_state.item.id, progress.last_event);
+    *progress = Progress::default();
+}
+
+/// Returns a software version as it is logged.
+fn software_label(software_version: Option<&str>) -> &str {
+    software_version.unwrap_or("none")
+}
+
 /// Sends the item to the engine and receives its text.
 async fn generate_text(
     runner: &RunnerState,
@@ -275,7 +296,12 @@
                         "received event {number}, expected {expected}"
                     ));
                 }
-                _ => progress.push(expected, &event.data, version),
+                _ => progress.push(
+                    expected,
+                    &event.data,
+                    version,
+                    target.software_version.as_deref(),
+                ),
             }
         }
         if !events.is_empty() {
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -26,8 +26,8 @@
     CheckpointClient, JobRecord, JobStore,
     checkpoint::SentProgress,
     dispatch::{
-        EngineCandidate, RunningItem, WaitingItem, choose_engine, choose_migration,
-        remaining_events, sort_by_urgency,
+        EngineCandidate, RunningItem, WaitingItem, WaitingText, can_continue_text, choose_engine,
+        choose_migration, remaining_events, sort_by_urgency,
     },
     item_run,
     job::{ItemPhase, ItemState, Job},
@@ -416,6 +416,12 @@
                 continue;
             };
             self.last_engine_by_prompt.borrow_mut().insert(item.prompt_hash, target.id.clone());
+            let discard_reason = match can_continue_text(item, candidates) {
+                true => "engines of its version are full",
+                false => "no engine of its version is usable",
+            };
+            item_run::discard_text_of_other_software(item_state, target, discard_reason);
+            item_state.waiting_since.set(None);
             item_state.set_phase(ItemPhase::Running);
             waiting_count -= 1;
             let guard = self.deps.engines.start_run(target);
@@ -438,6 +444,14 @@
         item_index: usize,
         now: Instant,
     ) -> WaitingItem {
+        let waiting_since = item_state.waiting_since.get().unwrap_or(now);
+        item_state.waiting_since.set(Some(waiting_since));
+        let progress = item_state.progress.borrow();
+        let text = (progress.last_event > 0).then(|| WaitingText {
+            software_version: progress.software_version.clone(),
+            events: progress.last_event,
+            waiting_time: now.saturating_duration_since(waiting_since),
+        });
         let record = job.record.borrow();
         let tokens = item_state.item.length_hint.unwrap_or(item_state.item.tokens);
         WaitingItem {
@@ -448,6 +462,7 @@
             model: record.model.clone(),
             min_version: record.min_version,
             is_speculative: item_state.is_speculative,
+            text,
             prompt_hash: hash64(
                 item_state.item.group.as_deref().unwrap_or(&item_state.item.id).as_bytes(),
             ),
@@ -490,6 +505,7 @@
                 Some(EngineCandidate {
                     target: target.id.clone(),
                     version: estimate.version?,
+                    software_version: target.software_version.clone(),
                     active_runs: estimate.active_runs,
                     slots: target.slots,
                     event_gap_ms: estimate
@@ -578,7 +594,12 @@
         let configuration = self.deps.view.configuration()?;
         let engine = configuration.services.get(&job_engines.service)?.engine.as_ref()?;
         let hinted_events = item_state.item.length_hint.unwrap_or(0) / engine.tokens_per_event;
-        let generated_events = item_state.progress.borrow().last_event;
+        let progress = item_state.progress.borrow();
+        let generated_events = progress.last_event;
+        let software_version = match generated_events {
+            0 => &target.software_version,
+            _ => &progress.software_version,
+        };
         let gap_ms = self
             .deps
             .engines
@@ -589,6 +610,7 @@
             event_gap_ms: gap_ms,
             remaining_events: remaining_events(hinted_events, generated_events),
             min_version: job_engines.min_version,
+            software_version: software_version.clone(),
         })
     }
 }
--- a/crates/batch/tests/checkpoint.rs
+++ b/crates/batch/tests/checkpoint.rs
@@ -12,6 +12,7 @@
     time::{Duration, Instant},
 };
 
+use ciborium::Value;
 use deck_batch::{
     CheckpointStore, JobStore, Runner, RunnerOptions, StoreJobOutcome,
     checkpoint::ItemDelta,
@@ -21,6 +22,7 @@
 use deck_core::CancellationToken;
 use deck_fleet::{BatchJob, BatchLimits, Item, ItemOutcome};
 use deck_testkit::{eventually, memory::MemoryObjects, raw::RawServer};
+use serde::{Serialize, de::DeserializeOwned};
 use test_case::test_case;
 
 mod common;
@@ -40,7 +42,7 @@
 fn text(word: &str, events: u64) -> Progress {
     let mut progress = Progress::default();
     for number in 1..=events {
-        progress.push(number, &format!("{word} {number}"), 3 + number / 3);
+        progress.push(number, &format!("{word} {number}"), 3 + number / 3, Some("v1"));
     }
     progress
 }
@@ -54,6 +56,7 @@
         last_event: complete_text.last_event,
         event_ends: complete_text.event_ends[after_event as usize..].to_vec(),
         versions: complete_text.versions.clone(),
+        software_version: complete_text.software_version.clone(),
         failures: 1,
         complete: false,
     }
@@ -132,6 +135,37 @@
     assert_eq!(store.get("job")["i"].progress, other_text);
 }
 
+/// Guards against a checkpoint that keeps the software version of a discarded text whose replacement
+/// begins with the same events.
+#[test]
+fn delta_of_another_software_version_is_rejected() {
+    let store = CheckpointStore::open(None);
+    store.apply_and_persist("job", &[delta("i", 0, &progress(3))]);
+    let other_text = Progress { software_version: Some("v2".to_owned()), ..progress(5) };
+    assert_eq!(store.apply_and_persist("job", &[delta("i", 3, &other_text)]), ["i"]);
+    assert!(store.apply_and_persist("job", &[delta("i", 0, &other_text)]).is_empty());
+    assert_eq!(store.get("job")["i"].progress, other_text);
+}
+
+/// Guards against checkpoints and handovers of nodes of an earlier release, which have no software
+/// versions, that are not decoded during an update.
+#[test]
+fn text_without_a_software_version_is_decoded() {
+    fn decode_without<T: Serialize + DeserializeOwned>(value: &T, fields: &[&str]) -> T {
+        let mut encoded = Value::serialized(value).expect("encoded");
+        let map = encoded.as_map_mut().expect("map");
+        let field_count = map.len();
+        map.retain(|(key, _)| !fields.contains(&key.as_text().expect("field name")));
+        assert_eq!(map.len(), field_count - fields.len());
+        encoded.deserialized().expect("decoded")
+    }
+    let without_version = Progress { software_version: None, ..progress(3) };
+    assert_eq!(decode_without(&progress(3), &["software_version"]), without_version);
+    let earlier_delta = ItemDelta { prefix_hash: None, ..delta("i", 0, &without_version) };
+    let fields = ["software_version", "prefix_hash"];
+    assert_eq!(decode_without(&delta("i", 0, &progress(3)), &fields), earlier_delta);
+}
+
 /// Guards against checkpoints of nodes of an earlier release that are not stored during an update.
 #[test]
 fn delta_without_a_hash_is_accepted() {
--- a/crates/batch/tests/dispatch.rs
+++ b/crates/batch/tests/dispatch.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use deck_batch::dispatch::{
-    EngineCandidate, RunningItem, WaitingItem, choose_engine, choose_migration, remaining_events,
-    sort_by_urgency,
+    EngineCandidate, RunningItem, WaitingItem, WaitingText, can_continue_text, choose_engine,
+    choose_migration, remaining_events, sort_by_urgency,
 };
 
 fn waiting(item_index: usize, due_in_ms: u64, expected_ms: u64) -> WaitingItem {
@@ -16,6 +16,7 @@
         min_version: 3,
         prompt_hash: 0,
         is_speculative: false,
+        text: None,
     }
 }
 
@@ -23,6 +24,7 @@
     EngineCandidate {
         target: name.to_owned(),
         version: 3,
+        software_version: None,
         active_runs,
         slots: 8,
         event_gap_ms: gap_ms,
@@ -116,6 +118,7 @@
         event_gap_ms: gap_ms,
         remaining_events,
         min_version: 3,
+        software_version: None,
     }
 }
 
@@ -148,6 +151,82 @@
     );
 }
 
+fn engine_of(software_version: &str, active_runs: u32) -> EngineCandidate {
+    let software_version = Some(software_version.to_owned());
+    EngineCandidate { software_version, ..engine("e", 40.0, active_runs) }
+}
+
+/// Returns an item that has waited for `waiting_ms` with a text of version "v1" of ten events.
+fn waiting_with_text(waiting_ms: u64) -> WaitingItem {
+    let text = WaitingText {
+        software_version: Some("v1".to_owned()),
+        events: 10,
+        waiting_time: Duration::from_millis(waiting_ms),
+    };
+    WaitingItem { text: Some(text), ..waiting(0, 7500, 900) }
+}
+
+/// Pattern: engines of two software versions serve side by side. Guards against a text that another
+/// version continues although an engine of its own version has a free slot, however slow that is.
+#[test]
+fn text_prefers_engines_of_its_software_version() {
+    let slow_engine = EngineCandidate { event_gap_ms: 400.0, ..engine_of("v1", 7) };
+    let engines = [engine_of("v2", 0), slow_engine, engine("unregistered", 30.0, 0)];
+    assert_eq!(choose_engine(&waiting_with_text(0), &engines, None), Some(1));
+    assert_eq!(choose_engine(&waiting_with_text(60_000), &engines, None), Some(1));
+    assert_eq!(choose_engine(&waiting(0, 7500, 900), &engines, None), Some(2));
+}
+
+/// Pattern: the engines of the version that began a text are full, in a roll-out for ever. Guards
+/// against an item that discards its text although a slot may become free sooner than the text can
+/// be generated again, and against one that waits for longer.
+#[test]
+fn text_waits_for_a_slot_as_long_as_generating_it_again_takes() {
+    let engines = [engine_of("v2", 0), engine_of("v1", 8)];
+    assert_eq!(choose_engine(&waiting_with_text(0), &engines, None), None);
+    assert_eq!(choose_engine(&waiting_with_text(399), &engines, None), None);
+    assert_eq!(choose_engine(&waiting_with_text(400), &engines, None), Some(0));
+    assert!(can_continue_text(&waiting_with_text(400), &engines));
+    let full = [engine_of("v2", 8), engine_of("v1", 8)];
+    assert_eq!(choose_engine(&waiting_with_text(60_000), &full, None), None);
+}
+
+/// Pattern: the version that began a text has vanished, or its engines have older weights than the
+/// item allows. Guards against an item that waits for an engine that can never continue its text.
+#[test]
+fn text_without_an_engine_of_its_software_version_starts_anew() {
+    let outdated_engine = EngineCandidate { version: 2, ..engine_of("v1", 0) };
+    let engines = [outdated_engine, engine_of("v2", 0)];
+    assert_eq!(choose_engine(&waiting_with_text(0), &engines, None), Some(1));
+    assert!(!can_continue_text(&waiting_with_text(0), &engines));
+    let unregistered = [engine("e", 40.0, 0)];
+    assert_eq!(choose_engine(&waiting_with_text(0), &unregistered, None), Some(0));
+    assert!(!can_continue_text(&waiting_with_text(0), &unregistered));
+}
+
+/// Guards against a text of engines without a registered software version that goes on at an engine
+/// with one, and against one that is discarded although its engines are still there.
+#[test]
+fn unregistered_software_version_equals_only_itself() {
+    let mut item = waiting_with_text(0);
+    item.text.as_mut().expect("text").software_version = None;
+    let engines = [engine_of("v1", 0), engine("unregistered", 400.0, 7)];
+    assert_eq!(choose_engine(&item, &engines, None), Some(1));
+    assert!(!can_continue_text(&item, &engines[..1]));
+}
+
+/// Guards against a migration that interrupts a text for an engine that may not continue it.
+#[test]
+fn text_migrates_only_within_its_software_version() {
+    let item = RunningItem { software_version: Some("v1".to_owned()), ..running_item(120.0, 60.0) };
+    let other = EngineCandidate { event_gap_ms: 10.0, ..engine_of("v2", 0) };
+    assert!(choose_migration(&item, std::slice::from_ref(&other)).is_none());
+    assert!(choose_migration(&item, &[engine("unregistered", 10.0, 0)]).is_none());
+    let engines = [other, engine_of("v1", 2)];
+    let chosen = choose_migration(&item, &engines).expect("a migration");
+    assert_eq!(chosen.software_version.as_deref(), Some("v1"));
+}
+
 /// Pattern: length hints are often far off. Guards against treating a text that is past its hint as
 /// finished.
 #[test]
--- a/crates/batch/tests/ledger.rs
+++ b/crates/batch/tests/ledger.rs
@@ -187,8 +187,8 @@
 fn text_is_accepted_by_its_oldest_version() {
     let mut progress = deck_batch::job::Progress::default();
     assert!(progress.meets_min_version(9));
-    progress.push(1, "a", 4);
-    progress.push(2, "b", 5);
+    progress.push(1, "a", 4, None);
+    progress.push(2, "b", 5, None);
     assert!(progress.meets_min_version(4) && !progress.meets_min_version(5));
     assert_eq!(progress.text, "a\nb");
 }
--- a/crates/batch/tests/runner.rs
+++ b/crates/batch/tests/runner.rs
@@ -36,7 +36,7 @@
 fn text(events: u64, version: u64) -> Progress {
     let mut progress = Progress::default();
     for number in 1..=events {
-        progress.push(number, &format!("event {number}"), version);
+        progress.push(number, &format!("event {number}"), version, Some("v1"));
     }
     progress
 }
