Resume a stream only at its software version

Callers saw streams that two software versions of a service had written: when a stream broke off in the middle of an answer, the node resumed it at any target of the service. What two versions write does not fit together, and targets do not check it.

StreamResumption asked the router for any target that had not been tried. Attempts now have a required software version, and only ready targets of that version are candidates. It is the version in the target's entry when the request was sent, because the target may have left the view since. If the target starts again under its id between sending and the head of the reply, either process may have received the request; such a stream is not resumed at all. If no target of the version is left, the caller's stream is broken off at once, as it is when the attempts are used up. The refusal has an error kind of its own, without Retry-After.

Before the change, stream_goes_on_only_at_a_target_of_its_software_version (both cases; 25 streams over two targets of v1 and two of v2) and stream_without_a_further_target_of_its_software_version_is_aborted failed. stream_of_a_target_that_has_just_restarted_is_not_resumed fails without the comparison of the entries.

--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -98,6 +98,9 @@
     ClaimRateExceeded => 503, "claim_rate_exceeded", NotRun, true;
     /// No target of the pool accepts requests.
     NoTarget => 503, "no_target", NotRun, true;
+    /// The stream can be resumed only at targets of the software version that began it, and none
+    /// is left.
+    SoftwareVersionGone => 503, "software_version_gone", NotRun, false;
     /// The request needs the object API, which does not respond.
     StoreUnavailable => 503, "store_unavailable", NotRun, true;
     /// The VM is stopping.
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use deck_core::id::TargetId;
+use deck_core::id::{SoftwareVersion, TargetId};
 use deck_fleet::{AttemptOutcome, DispatchMetadata, FleetView, Observer, PlatformProtocol, Target};
 use deck_limit::crash::{Fingerprint, TargetKey};
 use deck_net::{Body, Client, ClientResponse, CollectedBody, NetError};
@@ -60,6 +60,17 @@
     pub deadline: Instant,
     /// Whether the response body is always streamed to the caller instead of being buffered.
     pub always_stream: bool,
+    /// Software version that a target must have to run the request.
+    pub required_version: RequiredVersion,
+}
+
+/// Software version that a target must have to run a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum RequiredVersion {
+    /// Any version: the request does not resume a stream.
+    Any,
+    /// The version of the target that began the stream.
+    Exactly(Option<SoftwareVersion>),
 }
 
 impl AttemptContext {
@@ -82,7 +93,7 @@
             let response = self.client.send(address, request).await.map_err(classify_net_error)?;
             in_flight.record_first_byte(Instant::now());
             reporter.time_to_first_byte = Some(reporter.started_at.elapsed());
-            self.receive(&target, target_entry.as_deref(), response, &mut running_call).await
+            self.receive(&target, target_entry, response, &mut running_call).await
         };
         let result = match monoio::time::timeout(time_left, receive_reply).await {
             Ok(result) => result,
@@ -141,13 +152,13 @@
     async fn receive(
         &self,
         target: &TargetId,
-        target_entry: Option<&Target>,
+        target_entry: Option<Rc<Target>>,
         response: ClientResponse,
         running_call: &mut Option<RunningCall>,
     ) -> Result<Reply, AttemptError> {
         let (status, headers) = (response.status, response.headers.clone());
         let metadata = self.protocol.decode_response_metadata(status, &headers);
-        if let Some(target_entry) = target_entry.filter(|_| metadata.leaving) {
+        if let Some(target_entry) = target_entry.as_deref().filter(|_| metadata.leaving) {
             self.fleet_view.mark_leaving(target_entry, Instant::now());
         }
         if metadata.request_id.as_ref().is_some_and(|id| *id != self.request_id) {
@@ -197,7 +208,8 @@
             }
         };
         let status_500_count = u32::from(status == StatusCode::INTERNAL_SERVER_ERROR);
-        Ok(Reply { target: target.clone(), status, headers, metadata, body, status_500_count })
+        let target = target.clone();
+        Ok(Reply { target, target_entry, status, headers, metadata, body, status_500_count })
     }
 }
 
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -8,10 +8,10 @@
 use bytes::Bytes;
 use deck_core::{
     error::{CallError, ErrorKind},
-    id::{RequestId, TargetId},
+    id::{RequestId, SoftwareVersion, TargetId},
     priority::Priority,
 };
-use deck_fleet::{FleetView, Observer, PlatformProtocol, Route, RouteKind};
+use deck_fleet::{FleetView, Observer, PlatformProtocol, Route, RouteKind, Target, TargetState};
 use deck_limit::{BudgetOptions, HedgeBudget, RetryBudget, crash::fingerprint};
 use deck_net::Client;
 use deck_route::{Pick, PickRequest};
@@ -19,7 +19,9 @@
 use http::{HeaderMap, Method, Uri, header};
 
 use crate::{
-    AttemptError, CrashGuard, Reply, ReplyBody, attempt::AttemptContext, headers::strip_hop_by_hop,
+    AttemptError, CrashGuard, Reply, ReplyBody,
+    attempt::{AttemptContext, RequiredVersion},
+    headers::strip_hop_by_hop,
     stream::StreamResumption,
 };
 
@@ -223,20 +225,35 @@
         context: Rc<AttemptContext>,
         progress: RequestProgress,
     ) -> Reply {
-        let can_resume =
-            route.kind == RouteKind::Streaming && route.resumable && reply.status.is_success();
-        let body = match reply.body {
-            ReplyBody::Streaming(streaming) if can_resume => {
+        let can_resume = is_resumable(route) && reply.status.is_success();
+        let software_version = if can_resume { self.running_version(&reply) } else { None };
+        let body = match (reply.body, software_version) {
+            (ReplyBody::Streaming(streaming), Some(software_version)) => {
+                let required_version = RequiredVersion::Exactly(software_version);
+                let context = Rc::new(AttemptContext { required_version, ..(*context).clone() });
                 let (forwarder, max_runs) = (self.clone(), route.max_attempts);
                 let resumption =
                     StreamResumption { forwarder, context, service, max_runs, progress };
                 ReplyBody::EventStream(streaming, Box::new(resumption))
             }
-            body => body,
+            (body, _) => body,
         };
         Reply { body, ..reply }
     }
 
+    /// Returns the software version of the process that replied, or `None` if it is not certain:
+    /// the target has started again under its id since the request was sent, and either process may
+    /// have received it.
+    fn running_version(&self, reply: &Reply) -> Option<Option<SoftwareVersion>> {
+        let entry = reply.target_entry.as_ref()?;
+        let current = self.fleet_view.target(&entry.id);
+        let is_same_process = current.is_none_or(|current| {
+            (current.started_at_ms, &current.software_version)
+                == (entry.started_at_ms, &entry.software_version)
+        });
+        is_same_process.then(|| entry.software_version.clone())
+    }
+
     /// Builds the data that all attempts of a request share.
     fn attempt_context(
         &self,
@@ -268,12 +285,14 @@
             priority: None,
             deadline: call.deadline,
             always_stream,
+            required_version: RequiredVersion::Any,
         }
     }
 
     /// Chooses the target of the next attempt. Returns `Err(None)` if the attempts are used up.
     ///
     /// Suspect requests avoid targets that run another suspect, unless no other target is available.
+    /// A request that resumes a stream is sent only to targets of the required software version.
     pub(crate) fn pick_target(
         &self,
         service: &str,
@@ -287,6 +306,7 @@
         if let Some(fingerprint) = context.fingerprint {
             self.crash_guard.check_allowed(fingerprint)?;
         }
+        let allowed_targets = self.allowed_targets(service, &context.required_version)?;
         let pick = |exclude: &[TargetId]| {
             self.fleet_view.router().pick(&PickRequest {
                 pool: service,
@@ -294,7 +314,7 @@
                 priority: Priority::Interactive,
                 affinity: None,
                 exclude,
-                only: None,
+                only: allowed_targets.as_deref(),
                 now: Instant::now(),
             })
         };
@@ -318,6 +338,27 @@
         })
     }
 
+    /// Returns the targets of a service that have the required software version; `None` allows all.
+    fn allowed_targets(
+        &self,
+        service: &str,
+        required_version: &RequiredVersion,
+    ) -> Result<Option<Vec<TargetId>>, CallError> {
+        let RequiredVersion::Exactly(version) = required_version else { return Ok(None) };
+        let targets = self.fleet_view.targets_of(service);
+        let is_allowed = |target: &&Rc<Target>| {
+            target.state == TargetState::Ready && target.software_version == *version
+        };
+        let allowed = targets.iter().filter(is_allowed).map(|target| target.id.clone());
+        let allowed: Vec<TargetId> = allowed.collect();
+        if allowed.is_empty() {
+            let version = version.as_deref().unwrap_or("none");
+            let message = format!("no target of software version {version} is left");
+            return Err(CallError::new(ErrorKind::SoftwareVersionGone, message));
+        }
+        Ok(Some(allowed))
+    }
+
     /// Starts an attempt on a second target while the first one runs, if the hedge budget allows it.
     fn start_hedge<'a>(
         &self,
@@ -363,6 +404,11 @@
     }
 }
 
+/// Returns whether a broken stream of the route may go on at another target.
+fn is_resumable(route: &Route) -> bool {
+    route.kind == RouteKind::Streaming && route.resumable
+}
+
 /// Failure of a request to which no target replied.
 struct NotServed {
     /// Error that the caller receives.
--- a/crates/forward/src/reply.rs
+++ b/crates/forward/src/reply.rs
@@ -1,10 +1,10 @@
 //! Replies of targets and their conversion to responses to callers.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use deck_core::{error::CallError, id::TargetId};
-use deck_fleet::ResponseMetadata;
+use deck_fleet::{ResponseMetadata, Target};
 use deck_net::{Body, Client, ClientResponse, NetError, server::json_response};
 use futures_util::future::Either;
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, header};
@@ -19,6 +19,9 @@
 pub struct Reply {
     /// Target that replied.
     pub target: TargetId,
+    /// Entry of the target when the request was sent to it; `None` if the entry was removed just
+    /// then.
+    pub(crate) target_entry: Option<Rc<Target>>,
     /// HTTP status as received from the target.
     pub status: StatusCode,
     /// Headers as received, hop-by-hop headers included.
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -23,6 +23,8 @@
 /// State needed to resume a stream at another target.
 pub struct StreamResumption {
     pub(crate) forwarder: Forwarder,
+    /// Data of the attempts. Invariant: it requires the software version of the target that began
+    /// the stream.
     pub(crate) context: Rc<AttemptContext>,
     /// Service whose targets can resume the stream.
     pub(crate) service: String,
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Builders of targets, routes, requests and forwarders for tests with scripted targets.
 
+#![allow(dead_code, reason = "not every test file uses every item")]
+
 use std::{
     net::SocketAddr,
     rc::Rc,
@@ -34,6 +36,11 @@
 
 /// Returns a forwarder that chooses among `targets`.
 pub fn forwarder(targets: Vec<Target>, crashes: CrashGuard) -> Forwarder {
+    forwarder_for(&fleet_view(targets), crashes)
+}
+
+/// Returns a view that knows `targets` and the service `s`.
+pub fn fleet_view(targets: Vec<Target>) -> FleetView {
     let fleet_view = FleetView::new(Router::new(RouterOptions::default()));
     let service = ServiceConfig { name: "s".to_owned(), engine: None };
     fleet_view.set_configuration(Configuration::new(
@@ -43,9 +50,14 @@
         CallerLimits::default(),
     ));
     fleet_view.set_targets(targets, Instant::now());
+    fleet_view
+}
+
+/// Returns a forwarder that chooses among the targets of `fleet_view`.
+pub fn forwarder_for(fleet_view: &FleetView, crashes: CrashGuard) -> Forwarder {
     let options = ForwardOptions::default();
     Forwarder::new(
-        fleet_view,
+        fleet_view.clone(),
         Client::default(),
         Rc::new(PlatformWire),
         crashes,
--- a/crates/forward/tests/streams.rs
+++ b/crates/forward/tests/streams.rs
@@ -1,10 +1,15 @@
 //! Event streams from targets with scripted behaviour.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use deck_core::CancellationToken;
-use deck_fleet::{Route, RouteKind};
-use deck_forward::{CrashGuard, ForwardRequest, Forwarder, response_from_reply};
+use deck_fleet::{FleetView, Route, RouteKind, Target};
+use deck_forward::{CrashGuard, ForwardRequest, Forwarder, Reply, response_from_reply};
 use deck_net::{
     Body, ServerOptions, bind,
     http::{Method, Response},
@@ -33,8 +38,13 @@
 /// For each received request, the index of its target and its `Last-Event-ID`.
 type Received = Rc<RefCell<Vec<(usize, Option<u64>)>>>;
 
+/// Action on each request, with the index of the target that received it.
+type RequestHook = Rc<RefCell<Option<Box<dyn Fn(usize)>>>>;
+
 struct TestSetup {
     forwarder: Forwarder,
+    on_request: RequestHook,
+    fleet_view: FleetView,
     received: Received,
     cancel: CancellationToken,
 }
@@ -74,21 +84,31 @@
     sender.finish().await;
 }
 
+/// Starts one target per script.
 fn start(scripts: &[Script]) -> TestSetup {
+    start_with_versions(scripts, &vec!["v1"; scripts.len()])
+}
+
+/// Starts one target per software version; each request takes the next script.
+fn start_with_versions(scripts: &[Script], versions: &[&str]) -> TestSetup {
     let (received, cancel): (Received, _) = (Rc::default(), CancellationToken::new());
     // Scripts apply in the order of the requests, whichever target receives them.
     let scripts: Rc<RefCell<Vec<Script>>> =
         Rc::new(RefCell::new(scripts.iter().rev().copied().collect()));
+    let on_request = RequestHook::default();
     let mut targets = Vec::new();
-    for index in 0..scripts.borrow().len() {
+    for (index, version) in versions.iter().enumerate() {
         let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
         let address = listener.local_addr().expect("address");
-        let (received, scripts) = (received.clone(), scripts.clone());
+        let (received, scripts, hook) = (received.clone(), scripts.clone(), on_request.clone());
         let serve =
             deck_net::serve(listener, ServerOptions::default(), cancel.clone(), move |request| {
                 let last_event = request.headers().get("last-event-id");
                 let last_event = last_event.and_then(|number| number.to_str().ok()?.parse().ok());
                 received.borrow_mut().push((index, last_event));
+                if let Some(hook) = &*hook.borrow() {
+                    hook(index);
+                }
                 let script = scripts.borrow_mut().pop().expect("a script");
                 let id = request.headers()["request-id"].clone();
                 let (sender, body) = Body::stream();
@@ -99,10 +119,12 @@
                 std::future::ready(response)
             });
         monoio::spawn(serve);
-        targets.push(common::target(index, address));
+        let software_version = Some((*version).to_owned());
+        targets.push(Target { software_version, ..common::target(index, address) });
     }
-    let forwarder = common::forwarder(targets, CrashGuard::default());
-    TestSetup { forwarder, received, cancel }
+    let fleet_view = common::fleet_view(targets);
+    let forwarder = common::forwarder_for(&fleet_view, CrashGuard::default());
+    TestSetup { forwarder, on_request, fleet_view, received, cancel }
 }
 
 fn call(resumable: bool) -> ForwardRequest {
@@ -118,6 +140,11 @@
 /// Returns the text that the caller receives, and whether the stream ended properly.
 async fn receive(setup: &TestSetup, resumable: bool) -> (String, bool) {
     let reply = setup.forwarder.forward(call(resumable)).await.expect("reply");
+    receive_body(reply).await
+}
+
+/// Returns the text of a reply, and whether the stream ended properly.
+async fn receive_body(reply: Reply) -> (String, bool) {
     let mut body = response_from_reply(reply, &Method::POST).into_body();
     let mut text = String::new();
     while let Some(frame) = body.frame().await {
@@ -186,3 +213,67 @@
     })
     .expect("runtime");
 }
+
+/// Runs that a test repeats because targets are chosen at random. With two versions of two targets
+/// each, a choice that ignores the version passes all of them by chance less than once in 10,000.
+const RANDOM_CHOICE_RUNS: usize = 25;
+
+/// Guards against a stream that goes on at a target of another software version than that of the
+/// target that began it, and against a stream that breaks off although such a target is left.
+#[test_case(false; "all targets stay")]
+#[test_case(true; "first target leaves the view during the stream")]
+fn stream_goes_on_only_at_a_target_of_its_software_version(first_target_leaves: bool) {
+    deck_net::runtime::run(async {
+        let versions = ["v1", "v1", "v2", "v2"];
+        for _ in 0..RANDOM_CHOICE_RUNS {
+            let scripts = [Script::BreaksAfter(2), Script::Complete];
+            let setup = start_with_versions(&scripts, &versions);
+            let reply = setup.forwarder.forward(call(true)).await.expect("reply");
+            if first_target_leaves {
+                setup.fleet_view.remove_target(&reply.target, Instant::now());
+            }
+            assert_eq!(receive_body(reply).await, (complete_stream(), true));
+            let received = setup.received.borrow();
+            let used: Vec<&str> = received.iter().map(|(index, _)| versions[*index]).collect();
+            assert!(used.len() == 2 && used[0] == used[1], "{used:?}");
+        }
+    })
+    .expect("runtime");
+}
+
+/// Guards against a stream that is handed to another software version when its own has no further
+/// target.
+#[test]
+fn stream_without_a_further_target_of_its_software_version_is_aborted() {
+    deck_net::runtime::run(async {
+        let scripts = [Script::BreaksAfter(2), Script::Complete];
+        let setup = start_with_versions(&scripts, &["v1", "v2", "v3"]);
+        let expected: String = (1..=2).map(event).collect();
+        assert_eq!(receive(&setup, true).await, (expected, false));
+        assert_eq!(setup.received.borrow().len(), 1);
+    })
+    .expect("runtime");
+}
+
+/// Guards against a stream that is attributed to the software version of an earlier process of its
+/// target: the target starts again under its id, as another version, before it replies.
+#[test]
+fn stream_of_a_target_that_has_just_restarted_is_not_resumed() {
+    deck_net::runtime::run(async {
+        let scripts = [Script::BreaksAfter(2), Script::Complete];
+        let setup = start_with_versions(&scripts, &["v1", "v1", "v1"]);
+        let fleet_view = setup.fleet_view.clone();
+        *setup.on_request.borrow_mut() = Some(Box::new(move |index| {
+            let entry = fleet_view.target(&format!("t{index}")).expect("entry");
+            let software_version = Some("v2".to_owned());
+            fleet_view.set_target(Target {
+                software_version,
+                started_at_ms: 1,
+                ..(*entry).clone()
+            });
+        }));
+        assert!(!receive(&setup, true).await.1);
+        assert_eq!(setup.received.borrow().len(), 1);
+    })
+    .expect("runtime");
+}
