Let the platform stand-in stream from several software versions

The stand-in's servers all have the software version v1, and none of its routes streams to callers, so no test could show what a node does when a caller resumes a stream while two versions serve.

The admin call /admin/remove deletes the entries of servers, which continue to serve. Fleet::start_with_options passes options without proxies.

--- a/bins/decknode/tests/common/mod.rs
+++ b/bins/decknode/tests/common/mod.rs
@@ -138,7 +138,12 @@
 impl Fleet {
     /// Starts the stand-in, `entry_nodes` nodes that serve callers and one node with a disk.
     pub fn start(entry_nodes: usize) -> Self {
-        let mut fleet = Self::new(entry_nodes, false, &[]);
+        Self::start_with_options(entry_nodes, &[])
+    }
+
+    /// Like [`Fleet::start`], with options for the stand-in.
+    pub fn start_with_options(entry_nodes: usize, options: &[&str]) -> Self {
+        let mut fleet = Self::new(entry_nodes, false, options);
         fleet.start_nodes();
         fleet
     }
--- a/bins/deckstandin/src/platform.rs
+++ b/bins/deckstandin/src/platform.rs
@@ -3,6 +3,8 @@
 //! It uses the names and formats of the platform's own API. Engines register themselves in the
 //! object API, generate texts that depend only on the request id and change versions on orders.
 
+mod streams;
+
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
@@ -42,6 +44,9 @@
     /// Plain servers.
     #[bpaf(argument("COUNT"), fallback(2))]
     pub servers: usize,
+    /// Software versions of the servers of the streaming route, separated by commas.
+    #[bpaf(argument("VERSIONS"), fallback(String::new()))]
+    pub stream_versions: String,
     /// Time of one event in milliseconds.
     #[bpaf(argument("MS"), fallback(10))]
     pub event_ms: u64,
@@ -139,6 +144,7 @@
         let name = if is_engine { format!("engine-{index}") } else { format!("server-{index}") };
         start_server(&state, name, is_engine, stop.clone())?;
     }
+    streams::start(&state, &options.stream_versions, &stop)?;
     let listener =
         bind(options.listen).map_err(|error| StandinError::Bind(options.listen, error))?;
     print_listen_address("store", listener.local_addr()?);
@@ -162,11 +168,13 @@
             {"Name": "jobs", "Host": "h.example", "PathPrefix": "/jobs/", "RouteType": "rollout",
              "TargetLatencyMs": 400, "Priority": 1, "Service": "models", "Attempts": 3,
              "ResultDeadlineMs": 7500, "MaxWaitS": max_wait_s},
+            streams::route(),
         ],
         "Services": [
             {"Name": "app", "HealthPath": "/healthz", "MaxConns": 100},
             {"Name": "models", "HealthPath": "/healthz", "MaxConns": 100, "Engine": {
                 "Slots": 8, "KvTokens": 80000, "Stride": 10, "Models": [{"Name": MODEL}]}},
+            streams::service(),
         ],
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576, "HeaderTimeoutMs": 3000,
                    "IdleTimeoutMs": 15000},
@@ -215,6 +223,35 @@
         object
     }
 
+    /// Removes the entries of servers, given as a JSON list of their ids; they continue to serve.
+    fn remove_servers(&self, call: &Call) -> Response<Body> {
+        let ids: Vec<String> = match call.json() {
+            Ok(ids) => ids,
+            Err(response) => return response,
+        };
+        for id in ids {
+            let kind = "servers".to_owned();
+            let Some(mut object) = self.objects.borrow_mut().remove(&(kind.clone(), id)) else {
+                return not_found(call);
+            };
+            let revision = self.revision.get() + 1;
+            self.revision.set(revision);
+            object["Metadata"]["Revision"] = revision.into();
+            self.history.borrow_mut().push((revision, kind, true, object));
+        }
+        self.changed.notify_waiters();
+        json_response(200, &Value::Null)
+    }
+
+    /// Decides whether a stream is cut after the event that it has just sent.
+    fn next_stream_is_cut(&self) -> bool {
+        self.faults.update(|faults| {
+            let cut = faults.cut_streams > 0;
+            faults.cut_streams = faults.cut_streams.saturating_sub(1);
+            cut
+        })
+    }
+
     fn record(&self, record: Value) {
         self.records.borrow_mut().push(record);
     }
@@ -339,6 +376,7 @@
         return match *endpoint {
             "faults" => state.faults.patch(&call),
             "records" => json_response(200, &*state.records.borrow()),
+            "remove" => state.remove_servers(&call),
             "advertise" => state.set_advertised_addresses(&call),
             _ => not_found(&call),
         };
@@ -479,12 +517,7 @@
             if sender.send(event).await.is_err() {
                 return;
             }
-            let cut = self.state.faults.update(|faults| {
-                let cut = faults.cut_streams > 0;
-                faults.cut_streams = faults.cut_streams.saturating_sub(1);
-                cut
-            });
-            if cut {
+            if self.state.next_stream_is_cut() {
                 return abort_after_flush(sender).await;
             }
         }
