Know which software versions a service has had

A node that is asked to resume a stream, and has no record of it, may only continue it if there was no other software version that could have begun it. The view knows the versions of the targets that are listed now, but not of those that have left, nor for how long it has known them.

FleetView now remembers when a target of a version was removed or became another version, and since when its target list has been current without an interruption of ten seconds. software_versions() states that a period has had a single version only if the list has been followed for longer than the period and is at most three seconds old: a node that has just started, or that is cut off from the object API, cannot exclude another version.

The tests in crates/fleet/tests/software.rs cover a start, an old list, an interruption, removed and restarted targets, and several services.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod observer;
 mod packed;
 pub mod protocol;
+pub mod software;
 pub mod target;
 pub mod view;
 
@@ -44,5 +45,6 @@
     PlatformProtocol, RequestMetadata, ResponseMetadata, ResultPage, RewardCall, TargetReport,
     WeightLoadOrder, WeightLoadReply,
 };
+pub use software::KnownVersions;
 pub use target::{Target, TargetState};
 pub use view::{FleetView, TargetChanges, TargetContent, TargetList};
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -16,7 +16,10 @@
 use deck_route::Router;
 use tokio::sync::watch;
 
-use crate::{Configuration, Target, TargetState, change_log::TargetChangeLog, config::ModelName};
+use crate::{
+    Configuration, KnownVersions, Target, TargetState, change_log::TargetChangeLog,
+    config::ModelName, software::SoftwareHistory,
+};
 
 /// Time after the recovery of the object API within which live targets register again if their
 /// entries expired during the outage. Targets whose entries are still missing after it are removed.
@@ -55,6 +58,8 @@
     missing_since_outage: RefCell<HashMap<TargetId, Instant>>,
     /// When configuration and targets were last known to be up to date.
     up_to_date_at: Cell<Option<Instant>>,
+    /// Software versions that the targets have had.
+    software: RefCell<SoftwareHistory>,
     /// Whether a complete target list has been received.
     targets_listed: Cell<bool>,
     /// When the object API became reachable after an outage.
@@ -132,6 +137,7 @@
             published_versions: RefCell::default(),
             missing_since_outage: RefCell::default(),
             up_to_date_at: Cell::new(None),
+            software: RefCell::default(),
             targets_listed: Cell::new(false),
             object_api_recovered_at: Cell::new(None),
             router,
@@ -216,6 +222,20 @@
     /// Records that configuration and targets were up to date at the given time.
     pub fn set_up_to_date_at(&self, at: Instant) {
         self.inner.up_to_date_at.set(Some(at));
+        self.inner.software.borrow_mut().set_up_to_date_at(at);
+    }
+
+    /// Returns which software versions the targets of `services` have had in the last `period`.
+    pub fn software_versions(
+        &self,
+        services: &[&str],
+        period: Duration,
+        now: Instant,
+    ) -> KnownVersions {
+        let lists: Vec<TargetList> = services.iter().map(|name| self.targets_of(name)).collect();
+        let listed = lists.iter().flat_map(|targets| targets.iter());
+        let listed = listed.map(|target| target.software_version.clone());
+        self.inner.software.borrow().versions_within(period, services, listed, now)
     }
 
     /// Returns the time since configuration and targets were last known to be up to date.
@@ -414,6 +434,12 @@
         if existing.is_some_and(|existing| **existing == target) {
             return false;
         }
+        if let Some(existing) = existing.filter(|existing| {
+            (&existing.service, &existing.software_version)
+                != (&target.service, &target.software_version)
+        }) {
+            self.record_version_removed(existing);
+        }
         let mut targets_by_service = self.inner.targets_by_service.borrow_mut();
         targets_by_service.remove(&target.service);
         if existing.is_none_or(|existing| !is_same_for_routing(existing, &target)) {
@@ -446,6 +472,7 @@
     fn delete_target(&self, id: &str, services: &mut HashSet<PoolName>) -> bool {
         let Some(target) = self.inner.targets.borrow_mut().remove(id) else { return false };
         log::info!(target: "fleet", "target gone target={id}");
+        self.record_version_removed(&target);
         self.inner.targets_by_service.borrow_mut().remove(&target.service);
         self.inner.target_log.borrow_mut().record_removal(&target.id);
         self.inner.routing_log.borrow_mut().record_removal(&target.id);
@@ -456,6 +483,11 @@
         true
     }
 
+    fn record_version_removed(&self, target: &Target) {
+        let (version, now) = (target.software_version.clone(), Instant::now());
+        self.inner.software.borrow_mut().record_removed(&target.service, version, now);
+    }
+
     /// Updates the router pools of the given services, or of all services.
     fn update_pools(&self, services: Option<&HashSet<PoolName>>) {
         let Some(configuration) = self.configuration() else { return };
--- /dev/null
+++ b/crates/fleet/tests/software.rs
@@ -0,0 +1,111 @@
+//! Which software versions a node can say that the targets of a service have had.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use deck_fleet::{FleetView, KnownVersions, Target, TargetState};
+use deck_route::{Router, RouterOptions};
+use test_case::test_case;
+
+const PERIOD: Duration = Duration::from_secs(30);
+
+fn target(id: &str, service: &str, version: &str) -> Target {
+    Target {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: "a".to_owned(),
+        state: TargetState::Ready,
+        software_version: Some(version.to_owned()),
+        slots: 8,
+        models: Vec::new(),
+        started_at_ms: 1,
+    }
+}
+
+/// Returns a view whose target list was current every second from `first_s` to `last_s` seconds
+/// after `start`.
+fn view_followed(start: Instant, first_s: u64, last_s: u64) -> FleetView {
+    let view = FleetView::new(Router::new(RouterOptions::default()));
+    view.set_targets(vec![target("a", "s", "v1"), target("b", "s", "v1")], start);
+    follow(&view, start, first_s, last_s);
+    view
+}
+
+fn follow(view: &FleetView, start: Instant, first_s: u64, last_s: u64) {
+    for second in first_s..=last_s {
+        view.set_up_to_date_at(start + Duration::from_secs(second));
+    }
+}
+
+fn single(version: &str) -> KnownVersions {
+    KnownVersions::Single(Some(version.to_owned()))
+}
+
+/// Guards against a node that claims to know all versions although it has only just started, its
+/// list is old, or it has not followed the list for a while.
+#[test_case(0, 31, 31, single("v1"); "followed for longer than the period")]
+#[test_case(0, 30, 30, KnownVersions::Unknown; "followed for just the period")]
+#[test_case(0, 31, 35, KnownVersions::Unknown; "list is old")]
+#[test_case(20, 31, 31, KnownVersions::Unknown; "just started")]
+fn version_is_known_if_the_list_was_followed(
+    first_s: u64,
+    last_s: u64,
+    now_s: u64,
+    expected: KnownVersions,
+) {
+    let start = Instant::now();
+    let view = view_followed(start, first_s, last_s);
+    let now = start + Duration::from_secs(now_s);
+    assert_eq!(view.software_versions(&["s"], PERIOD, now), expected);
+}
+
+/// Guards against versions that came and went during an interruption and are taken for unused.
+#[test]
+fn long_interruption_starts_the_period_again() {
+    let start = Instant::now();
+    let view = view_followed(start, 0, 40);
+    follow(&view, start, 60, 80);
+    let at = |second| start + Duration::from_secs(second);
+    assert_eq!(view.software_versions(&["s"], PERIOD, at(80)), KnownVersions::Unknown);
+    follow(&view, start, 81, 91);
+    assert_eq!(view.software_versions(&["s"], PERIOD, at(91)), single("v1"));
+}
+
+/// Guards against forgetting the version of a target that was removed or became another version
+/// while its streams may still be resumed.
+#[test_case(false; "removed")]
+#[test_case(true; "started again as another version")]
+fn version_of_a_former_target_counts_within_the_period(starts_again: bool) {
+    let start = Instant::now();
+    let view = view_followed(start, 0, 31);
+    let at = |second| start + Duration::from_secs(second);
+    view.set_target(target("c", "s", "v2"));
+    assert_eq!(view.software_versions(&["s"], PERIOD, at(31)), KnownVersions::Several);
+    if starts_again {
+        view.set_target(Target { started_at_ms: 2, ..target("c", "s", "v1") });
+    } else {
+        view.remove_target("c", Instant::now());
+    }
+    // The change is recorded with the current time, which is close to `start`.
+    assert_eq!(view.software_versions(&["s"], PERIOD, at(29)), KnownVersions::Several);
+    follow(&view, start, 32, 40);
+    assert_eq!(view.software_versions(&["s"], PERIOD, at(40)), single("v1"));
+}
+
+/// Guards against mixing up services: each has its own versions, and a route with several services
+/// has one version only if all of them have the same.
+#[test]
+fn services_have_their_own_versions() {
+    let start = Instant::now();
+    let view = view_followed(start, 0, 31);
+    view.set_target(target("c", "other", "v2"));
+    view.set_target(target("d", "same", "v1"));
+    let now = start + Duration::from_secs(31);
+    assert_eq!(view.software_versions(&["s"], PERIOD, now), single("v1"));
+    assert_eq!(view.software_versions(&["s", "same"], PERIOD, now), single("v1"));
+    assert_eq!(view.software_versions(&["s", "other"], PERIOD, now), KnownVersions::Several);
+    assert_eq!(view.software_versions(&["empty"], PERIOD, now), KnownVersions::Unknown);
+}
