Resume callers' streams at the version that began them

Callers that took a stream up again with a new attempt got the rest of it from any software version of the service, so that two versions had written their stream. A target continues any stream from Last-Event-Id on, and the node that receives the new attempt did not know which version began it: it did not read Resumes, and may never have seen the first attempt.

A node that passes on the head of a resumable stream now records the id of the caller's attempt with the service and software version, and sends the record in the background to the two other nodes that rank first for the id by rendezvous hashing. Records for one node are collected for 10 ms; nodes that do not accept them are replaced by the next ones in rank. A node that is asked to resume looks up the id in Resumes among its own records, then asks the nodes of the first ranks at once, and repeats that after 40 and 120 ms, because a fast caller may be ahead of the record. The request then runs only on targets of that version and service. Without a record it runs only if the service has had a single version for longer than a stream lasts. Otherwise, and if no target of the version is left, it is refused at once with 503 and without Retry-After; full targets of the version lead to the usual refusal. A resumption that goes on refreshes the record under the first attempt's id. Records are kept for the longer of the route's timeout and the caller's wait, plus 10 s, at most 20,000 on a node; nothing is written to the object API.

A target that starts again under its id while a resuming request is on its way may be another version by the time it replies; such a reply is discarded.

Log lines state the version, how it was found and why a resumption was refused, and decknode_stream_resumptions_total counts the outcomes.

--- a/bins/decknode/src/frontend.rs
+++ b/bins/decknode/src/frontend.rs
@@ -123,6 +123,8 @@
             route,
             deadline,
             last_event: head.last_event,
+            resumes: head.resumes,
+            max_stream_duration: head.deadline.map_or(timeout, |wait| wait.max(timeout)),
             is_owed: false,
         };
         match self.forwarder.forward(call).await {
--- a/bins/decknode/src/lib.rs
+++ b/bins/decknode/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod metrics;
 mod node_registry;
 pub mod process;
+mod stream_origins;
 mod vm_retirement;
--- a/bins/decknode/src/metrics.rs
+++ b/bins/decknode/src/metrics.rs
@@ -10,7 +10,7 @@
 use deck_core::{error::ErrorKind, id::WeightVersion};
 use deck_fleet::{
     AttemptOutcome, ChunkFinder, EngineRegistry, FleetView, ItemOutcome, ItemRunOutcome, JobEvent,
-    Observer, RouteKind, config::ModelName,
+    Observer, ResumptionOutcome, ResumptionScope, RouteKind, config::ModelName,
 };
 use deck_obs::{define_metrics, metrics::Metrics, process::resident_bytes};
 use deck_plat::metered::CallRecord;
@@ -28,6 +28,8 @@
         "Attempts of plain requests and reward calls at targets that have ended.";
     FIRST_BYTE = "decknode_first_byte_seconds", "histogram", "seconds", "",
         "Time from the start of an attempt to the head of the target's answer.";
+    STREAM_RESUMPTIONS = "decknode_stream_resumptions_total", "counter", "resumptions", "scope, outcome",
+        "Streams that were to go on at another target, within a response or with a caller's new request.";
     JOBS = "decknode_jobs_total", "counter", "jobs", "change",
         "Batch jobs that this node accepted, refused, doubts, took over, received or ended.";
     OPEN_JOBS = "decknode_open_jobs", "gauge", "jobs", "",
@@ -96,6 +98,7 @@
     request_time: Histogram<f64>,
     attempts: Counter<u64>,
     first_byte: Histogram<f64>,
+    stream_resumptions: Counter<u64>,
     job_changes: Counter<u64>,
     open_jobs: Gauge<u64>,
     item_wait: Histogram<f64>,
@@ -180,6 +183,7 @@
             request_time: REQUEST_TIME.latency_histogram(meter),
             attempts: ATTEMPTS.counter(meter),
             first_byte: FIRST_BYTE.latency_histogram(meter),
+            stream_resumptions: STREAM_RESUMPTIONS.counter(meter),
             job_changes: JOBS.counter(meter),
             open_jobs: OPEN_JOBS.gauge(meter),
             item_wait: ITEM_WAIT.latency_histogram(meter),
@@ -318,6 +322,12 @@
         }
     }
 
+    fn on_stream_resumption(&self, scope: ResumptionScope, outcome: ResumptionOutcome) {
+        let labels =
+            [KeyValue::new("scope", scope.label()), KeyValue::new("outcome", outcome.label())];
+        self.instruments.stream_resumptions.add(1, &labels);
+    }
+
     fn on_job_event(&self, event: JobEvent) {
         self.instruments.job_changes.add(1, &[KeyValue::new("change", event.label())]);
     }
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -22,8 +22,11 @@
     ObjectFollowerOptions, Observer, PlatformProtocol,
     crash_registry::{CRASHES_PATH, MAX_CRASHES_BYTES},
     feed::FEED_PATH,
+    stream_origins::{STREAM_ORIGIN_LOOKUP_PATH, STREAM_ORIGINS_PATH},
+};
+use deck_forward::{
+    CrashGuard, ForwardOptions, Forwarder, StreamOrigins, crashes::receive_crashes,
 };
-use deck_forward::{CrashGuard, ForwardOptions, Forwarder, crashes::receive_crashes};
 use deck_limit::CrashOptions;
 use deck_net::{
     Body, Client, ClientOptions, NetError, ServerOptions, TcpKeepaliveOptions, bind,
@@ -48,7 +51,7 @@
     frontend::Frontend,
     leadership, loop_delay,
     metrics::{GaugeState, NodeMetrics},
-    node_registry,
+    node_registry, stream_origins,
 };
 
 /// Timeout of one call on the object API, which normally answers in a few milliseconds.
@@ -172,6 +175,13 @@
         metrics_observer.clone(),
         forward_options,
     );
+    let origins = stream_origins::share(
+        feed.clone(),
+        settings.peer_address,
+        client.clone(),
+        background_cancel.clone(),
+    );
+    let forwarder = forwarder.with_stream_origins(origins.clone());
     let engines = EngineRegistry::default();
     let job_store = JobStore::new(store.clone(), settings.max_object_bytes);
     let runner_dependencies = RunnerDependencies {
@@ -254,8 +264,14 @@
             background_cancel.clone(),
         );
     }
-    let peer_service =
-        PeerService { batch: batch.clone(), feed: feed.clone(), view, engines, object_api };
+    let peer_service = PeerService {
+        batch: batch.clone(),
+        feed: feed.clone(),
+        view,
+        engines,
+        object_api,
+        origins,
+    };
     serve_peers(&settings, peer_service, background_cancel.clone())?;
     let frontend_cancel = CancellationToken::new();
     let frontend_task = serve_callers(&settings, frontend, frontend_cancel.clone())?;
@@ -454,6 +470,8 @@
     engines: EngineRegistry,
     /// Object API for calls that other nodes relay through this one; never relayed further.
     object_api: Rc<dyn ObjectApi>,
+    /// Which software version began each stream.
+    origins: StreamOrigins,
 }
 
 impl PeerService {
@@ -462,6 +480,10 @@
         match path.as_str() {
             FEED_PATH => self.feed.serve(request.uri().query().unwrap_or_default()).await,
             CRASHES_PATH => receive_crash_report(&self.feed, request).await,
+            STREAM_ORIGINS_PATH | STREAM_ORIGIN_LOOKUP_PATH => {
+                let answer = stream_origins::serve(&self.origins, request).await;
+                answer.unwrap_or_else(|error| unreadable_request("stream origins", &error))
+            }
             LEADER_UPDATE_PATH => self.serve_runner_message(request).await,
             RUNNER_TABLE_PATH => self.receive_runner_table(request).await,
             relay::RELAY_PATH => serve_relayed_call(&*self.object_api, request).await,
--- a/bins/decknode/tests/metrics.rs
+++ b/bins/decknode/tests/metrics.rs
@@ -5,8 +5,8 @@
 use deck_core::CancellationToken;
 use deck_fleet::{
     AttemptOutcome, CallerLimits, ChunkFinder, Configuration, EngineRegistry, FleetView,
-    ItemOutcome, ItemRunOutcome, JobEvent, Observer, RouteKind, ServiceConfig, Target, TargetState,
-    config::EngineConfig,
+    ItemOutcome, ItemRunOutcome, JobEvent, Observer, ResumptionOutcome, ResumptionScope, RouteKind,
+    ServiceConfig, Target, TargetState, config::EngineConfig,
 };
 use deck_obs::reference::documented_rows;
 use deck_plat::metered::{CallRecord, Operation, Outcome};
@@ -61,6 +61,7 @@
     let route = RequestPurpose::Route { kind: RouteKind::Streaming, name: "r".to_owned() };
     metrics.record_request(&route, 503, Some(deck_core::error::ErrorKind::NoTarget), one_second);
     metrics.on_attempt_end(AttemptOutcome::Broken, Some(one_second));
+    metrics.on_stream_resumption(ResumptionScope::Caller, ResumptionOutcome::VersionGone);
     metrics.on_job_event(JobEvent::TakenOver);
     metrics.on_first_run(one_second);
     metrics.on_first_event(one_second);
@@ -89,6 +90,7 @@
     for line in [
         "decknode_requests_total{purpose=\"streaming\",reason=\"no_target\",route=\"r\",status=\"503\"} 1",
         "decknode_attempts_total{outcome=\"broken\"} 1",
+        "decknode_stream_resumptions_total{outcome=\"version_gone\",scope=\"caller\"} 1",
         "decknode_results_stored_total 7",
         "decknode_chunks_found_total{found_by=\"read\"} 1",
         "decknode_groups_total{on_time=\"false\"} 1",
--- a/crates/batch/src/reward.rs
+++ b/crates/batch/src/reward.rs
@@ -94,6 +94,8 @@
         route: route.clone(),
         deadline: std::time::Instant::now() + timeout,
         last_event: None,
+        resumes: None,
+        max_stream_duration: timeout,
         is_owed: true,
     };
     runner.deps.forwarder.forward(call).await
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -101,6 +101,8 @@
     /// The stream can be resumed only at targets of the software version that began it, and none
     /// is left.
     SoftwareVersionGone => 503, "software_version_gone", NotRun, false;
+    /// The request resumes a stream, and it is not known which software version began it.
+    SoftwareVersionUnknown => 503, "software_version_unknown", NotRun, false;
     /// The request needs the object API, which does not respond.
     StoreUnavailable => 503, "store_unavailable", NotRun, true;
     /// The VM is stopping.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 mod packed;
 pub mod protocol;
 pub mod software;
+pub mod stream_origins;
 pub mod target;
 pub mod view;
 
@@ -39,12 +40,16 @@
 pub use feed::{FleetFeed, FleetFeedOptions, Leader, ModelRunner, RunnerTable};
 pub use follow::{ObjectFollower, ObjectFollowerOptions, ObjectKinds};
 pub use node::{Bounds, NodeSettings};
-pub use observer::{AttemptOutcome, ChunkFinder, ItemRunOutcome, JobEvent, Observer};
+pub use observer::{
+    AttemptOutcome, ChunkFinder, ItemRunOutcome, JobEvent, Observer, ResumptionOutcome,
+    ResumptionScope,
+};
 pub use protocol::{
     BatchCall, BatchJob, BatchLimits, DispatchMetadata, Item, ItemOutcome, ItemResult,
     PlatformProtocol, RequestMetadata, ResponseMetadata, ResultPage, RewardCall, TargetReport,
     WeightLoadOrder, WeightLoadReply,
 };
 pub use software::KnownVersions;
+pub use stream_origins::{OriginRecord, StreamOrigin, StreamOriginStore};
 pub use target::{Target, TargetState};
 pub use view::{FleetView, TargetChanges, TargetContent, TargetList};
--- a/crates/fleet/src/observer.rs
+++ b/crates/fleet/src/observer.rs
@@ -10,6 +10,9 @@
     /// head of the response.
     fn on_attempt_end(&self, _outcome: AttemptOutcome, _first_byte: Option<Duration>) {}
 
+    /// A stream was to go on at another target.
+    fn on_stream_resumption(&self, _scope: ResumptionScope, _outcome: ResumptionOutcome) {}
+
     /// The state of a batch job has changed.
     fn on_job_event(&self, _event: JobEvent) {}
 
@@ -77,6 +80,53 @@
     }
 }
 
+/// Who resumes a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResumptionScope {
+    /// This node, within one response.
+    Response,
+    /// The caller, with a new request.
+    Caller,
+}
+
+impl ResumptionScope {
+    /// Returns the label value used in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Response => "response",
+            Self::Caller => "caller",
+        }
+    }
+}
+
+/// Outcome of the resumption of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResumptionOutcome {
+    /// A target of the software version that began the stream continues it.
+    Resumed,
+    /// It is not known which software version began the stream.
+    VersionUnknown,
+    /// No target of the software version that began the stream is left.
+    VersionGone,
+    /// The targets of that version did not take the request.
+    Refused,
+    /// The targets of that version failed, or the attempts were used up.
+    Failed,
+}
+
+impl ResumptionOutcome {
+    /// Returns the label value used in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Resumed => "resumed",
+            Self::VersionUnknown => "version_unknown",
+            Self::VersionGone => "version_gone",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// State change of a batch job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobEvent {
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -23,6 +23,8 @@
     pub deadline: Option<Duration>,
     /// Number of the last event that the caller has received; the stream resumes after it.
     pub last_event: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of the stream to resume.
+    pub resumes: Option<RequestId>,
     /// Time for which a read of batch results may wait for the first result.
     pub read_wait: Option<Duration>,
 }
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -1,6 +1,7 @@
 //! A single attempt to run a request on one target.
 
 use std::{
+    fmt,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -73,6 +74,15 @@
     Exactly(Option<SoftwareVersion>),
 }
 
+impl fmt::Display for RequiredVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Any => f.write_str("any"),
+            Self::Exactly(version) => f.write_str(version.as_deref().unwrap_or("none")),
+        }
+    }
+}
+
 impl AttemptContext {
     /// Sends the request to the picked target and receives its reply.
     pub async fn run(&self, pick: Pick) -> (TargetId, Result<Reply, AttemptError>) {
@@ -171,6 +181,13 @@
         if metadata.signature.is_none() {
             return Err(AttemptError::Unknown(format!("status {status} without a signature")));
         }
+        let is_resumption = self.required_version != RequiredVersion::Any;
+        let restarted = target_entry
+            .as_deref()
+            .is_none_or(|entry| running_version(&self.fleet_view, entry).is_none());
+        if is_resumption && restarted {
+            return Err(AttemptError::Unknown("the target has started again".to_owned()));
+        }
         let content_length = headers.get(header::CONTENT_LENGTH);
         let content_length =
             content_length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
@@ -213,6 +230,21 @@
     }
 }
 
+/// Returns the software version of a process that has just replied, given the target's entry when the
+/// request was sent. `None` if the target has started again under its id since, because either
+/// process may have received the request.
+pub(crate) fn running_version(
+    fleet_view: &FleetView,
+    entry: &Target,
+) -> Option<Option<SoftwareVersion>> {
+    let current = fleet_view.target(&entry.id);
+    let is_same_process = current.is_none_or(|current| {
+        (current.started_at_ms, &current.software_version)
+            == (entry.started_at_ms, &entry.software_version)
+    });
+    is_same_process.then(|| entry.software_version.clone())
+}
+
 /// Reports an attempt to the observer when it ends, including when it is dropped before that.
 struct AttemptReporter<'a> {
     observer: &'a dyn Observer,
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -8,10 +8,13 @@
 use bytes::Bytes;
 use deck_core::{
     error::{CallError, ErrorKind},
-    id::{RequestId, SoftwareVersion, TargetId},
+    id::{RequestId, TargetId},
     priority::Priority,
 };
-use deck_fleet::{FleetView, Observer, PlatformProtocol, Route, RouteKind, Target, TargetState};
+use deck_fleet::{
+    FleetView, Observer, PlatformProtocol, ResumptionOutcome, ResumptionScope, Route, RouteKind,
+    StreamOrigin, Target, TargetState,
+};
 use deck_limit::{BudgetOptions, HedgeBudget, RetryBudget, crash::fingerprint};
 use deck_net::Client;
 use deck_route::{Pick, PickRequest};
@@ -19,9 +22,10 @@
 use http::{HeaderMap, Method, Uri, header};
 
 use crate::{
-    AttemptError, CrashGuard, Reply, ReplyBody,
-    attempt::{AttemptContext, RequiredVersion},
+    AttemptError, CrashGuard, Reply, ReplyBody, StreamOrigins,
+    attempt::{AttemptContext, RequiredVersion, running_version},
     headers::strip_hop_by_hop,
+    resume::{Destination, OriginKey, failed_outcome},
     stream::StreamResumption,
 };
 
@@ -76,6 +80,10 @@
     pub deadline: Instant,
     /// Number of the last event that the caller has received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the first event, when the caller resumes a stream.
+    pub resumes: Option<RequestId>,
+    /// Longest time that a stream of the caller may take over all its attempts.
+    pub max_stream_duration: Duration,
     /// Whether the request is made on behalf of an accepted batch item. Such a request is never
     /// refused because of target crashes, and no crash is attributed to it.
     pub is_owed: bool,
@@ -84,11 +92,13 @@
 /// Forwards requests to targets. Clones share their budgets.
 #[derive(Clone)]
 pub struct Forwarder {
-    fleet_view: FleetView,
+    pub(crate) fleet_view: FleetView,
     client: Client,
     protocol: Rc<dyn PlatformProtocol>,
     crash_guard: CrashGuard,
-    observer: Rc<dyn Observer>,
+    pub(crate) observer: Rc<dyn Observer>,
+    /// Which software version began each stream.
+    pub(crate) origins: StreamOrigins,
     options: ForwardOptions,
     hedge_budget: HedgeBudget,
 }
@@ -124,7 +134,13 @@
     ) -> Self {
         let retry_budget = RetryBudget::new(options.hedge_budget);
         let hedge_budget = HedgeBudget::new(options.hedge_budget, retry_budget);
-        Self { fleet_view, client, protocol, crash_guard, observer, options, hedge_budget }
+        let origins = StreamOrigins::default();
+        Self { fleet_view, client, protocol, crash_guard, observer, origins, options, hedge_budget }
+    }
+
+    /// Shares the origins of streams with other nodes, so that callers can resume streams there.
+    pub fn with_stream_origins(self, origins: StreamOrigins) -> Self {
+        Self { origins, ..self }
     }
 
     /// Forwards a request and returns the target's reply.
@@ -136,7 +152,16 @@
     pub async fn forward(&self, call: ForwardRequest) -> Result<Reply, CallError> {
         let (id, route) = (call.request_id.clone(), call.route.clone());
         let (started_at, known_state) = (Instant::now(), self.fleet_view.version_and_age());
+        let is_resumption = call.is_resumption();
         let result = self.try_targets(call).await;
+        if is_resumption {
+            let outcome = match &result {
+                Ok(reply) if reply.status.is_success() => ResumptionOutcome::Resumed,
+                Ok(_) => ResumptionOutcome::Failed,
+                Err(not_served) => failed_outcome(&not_served.error),
+            };
+            self.observer.on_stream_resumption(ResumptionScope::Caller, outcome);
+        }
         let (route, ms) = (&route.name, started_at.elapsed().as_millis());
         match result {
             Ok(reply) => {
@@ -154,11 +179,15 @@
     /// Tries targets one after the other, or hedged, until one replies or the attempts are used up.
     async fn try_targets(&self, call: ForwardRequest) -> Result<Reply, NotServed> {
         let route = call.route.clone();
-        let service = route.pick_service(rand::random::<f64>()).to_owned();
+        let destination = self.choose_destination(&call).await;
+        let destination = destination.map_err(|error| NotServed { error, tried_count: 0 })?;
+        let Destination { service, required_version } = destination;
         let always_stream = route.kind == RouteKind::Streaming;
         let may_retry = route.allows_retry();
         self.hedge_budget.record_call(&service, HEDGE_BUDGET_KEY);
-        let context = Rc::new(self.attempt_context(call, service.clone(), always_stream));
+        let mut origin_key = OriginKey::of(&call).filter(|_| is_resumable(&route));
+        let context = self.attempt_context(call, service.clone(), always_stream, required_version);
+        let context = Rc::new(context);
         let mut progress = RequestProgress {
             tried_targets: Vec::new(),
             possible_runs: 0,
@@ -196,7 +225,8 @@
             match result {
                 Ok(reply) if !may_retry || !reply.status.is_server_error() => {
                     progress.possible_runs += 1;
-                    return Ok(self.make_resumable(reply, &route, service, context, progress));
+                    let key = origin_key.take();
+                    return Ok(self.make_resumable(reply, &route, service, key, context, progress));
                 }
                 Ok(mut reply) => {
                     progress.possible_runs += 1;
@@ -216,19 +246,27 @@
         }
     }
 
-    /// Turns a streamed reply into one that another target can resume, if its route allows that.
+    /// Turns a streamed reply into one that another target can resume, if its route allows that, and
+    /// records under `origin_key` which software version streams it.
     fn make_resumable(
         &self,
         reply: Reply,
         route: &Route,
         service: String,
+        origin_key: Option<OriginKey>,
         context: Rc<AttemptContext>,
         progress: RequestProgress,
     ) -> Reply {
         let can_resume = is_resumable(route) && reply.status.is_success();
-        let software_version = if can_resume { self.running_version(&reply) } else { None };
+        let entry = reply.target_entry.as_ref().filter(|_| can_resume);
+        let software_version = entry.and_then(|entry| running_version(&self.fleet_view, entry));
         let body = match (reply.body, software_version) {
             (ReplyBody::Streaming(streaming), Some(software_version)) => {
+                if let Some(key) = origin_key {
+                    let software_version = software_version.clone();
+                    let origin = StreamOrigin { service: service.clone(), software_version };
+                    self.origins.record(key.record(origin));
+                }
                 let required_version = RequiredVersion::Exactly(software_version);
                 let context = Rc::new(AttemptContext { required_version, ..(*context).clone() });
                 let (forwarder, max_runs) = (self.clone(), route.max_attempts);
@@ -241,25 +279,13 @@
         Reply { body, ..reply }
     }
 
-    /// Returns the software version of the process that replied, or `None` if it is not certain:
-    /// the target has started again under its id since the request was sent, and either process may
-    /// have received it.
-    fn running_version(&self, reply: &Reply) -> Option<Option<SoftwareVersion>> {
-        let entry = reply.target_entry.as_ref()?;
-        let current = self.fleet_view.target(&entry.id);
-        let is_same_process = current.is_none_or(|current| {
-            (current.started_at_ms, &current.software_version)
-                == (entry.started_at_ms, &entry.software_version)
-        });
-        is_same_process.then(|| entry.software_version.clone())
-    }
-
     /// Builds the data that all attempts of a request share.
     fn attempt_context(
         &self,
         call: ForwardRequest,
         service: String,
         always_stream: bool,
+        required_version: RequiredVersion,
     ) -> AttemptContext {
         let path = call.uri.path_and_query().map_or("", |path| path.as_str());
         let fingerprint =
@@ -285,7 +311,7 @@
             priority: None,
             deadline: call.deadline,
             always_stream,
-            required_version: RequiredVersion::Any,
+            required_version,
         }
     }
 
@@ -405,7 +431,7 @@
 }
 
 /// Returns whether a broken stream of the route may go on at another target.
-fn is_resumable(route: &Route) -> bool {
+pub(crate) fn is_resumable(route: &Route) -> bool {
     route.kind == RouteKind::Streaming && route.resumable
 }
 
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use deck_core::error::CallError;
+use deck_fleet::{ResumptionOutcome, ResumptionScope};
 use deck_net::{NetError, body::BodySender, sse::EventSplitter};
 
 use crate::{
@@ -14,6 +15,7 @@
     attempt::AttemptContext,
     forwarder::{Forwarder, RequestProgress},
     reply::run_until_stopped,
+    resume::failed_outcome,
 };
 
 /// Time without a complete event after which a stream counts as broken. Callers disconnect after a
@@ -55,7 +57,8 @@
                     self.progress.possible_runs += 1;
                     if let ReplyBody::Streaming(body) = reply.body {
                         let id = &context.request_id;
-                        log::info!(target: "forward", "stream goes on request={id} target={target} event={last_event:?}");
+                        log::info!(target: "forward", "stream goes on request={id} target={target} event={last_event:?} version={}", context.required_version);
+                        self.observe(ResumptionOutcome::Resumed);
                         return Some(*body);
                     }
                 }
@@ -70,8 +73,14 @@
     /// Logs why no target can resume the stream; without an error, the attempts are used up.
     fn log_not_resumed(&self, last_event: Option<u64>, error: Option<CallError>) {
         let (id, tried_count) = (&self.context.request_id, self.progress.tried_targets.len());
+        let version = &self.context.required_version;
+        self.observe(error.as_ref().map_or(ResumptionOutcome::Failed, failed_outcome));
         let reason = error.map_or("no attempts left".to_owned(), |error| error.to_string());
-        log::info!(target: "forward", "stream not resumed request={id} tried={tried_count} event={last_event:?} reason={reason}");
+        log::info!(target: "forward", "stream not resumed request={id} tried={tried_count} event={last_event:?} version={version} reason={reason}");
+    }
+
+    fn observe(&self, outcome: ResumptionOutcome) {
+        self.forwarder.observer.on_stream_resumption(ResumptionScope::Response, outcome);
     }
 }
 
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -9,7 +9,8 @@
 };
 
 use deck_fleet::{
-    CallerLimits, Configuration, FleetView, Route, RouteKind, ServiceConfig, Target, TargetState,
+    CallerLimits, Configuration, FleetView, Observer, Route, RouteKind, ServiceConfig, Target,
+    TargetState,
 };
 use deck_forward::{CrashGuard, ForwardOptions, ForwardRequest, Forwarder};
 use deck_net::{
@@ -55,13 +56,22 @@
 
 /// Returns a forwarder that chooses among the targets of `fleet_view`.
 pub fn forwarder_for(fleet_view: &FleetView, crashes: CrashGuard) -> Forwarder {
+    forwarder_with_observer(fleet_view, crashes, Rc::new(()))
+}
+
+/// Like [`forwarder_for`], with an observer.
+pub fn forwarder_with_observer(
+    fleet_view: &FleetView,
+    crashes: CrashGuard,
+    observer: Rc<dyn Observer>,
+) -> Forwarder {
     let options = ForwardOptions::default();
     Forwarder::new(
         fleet_view.clone(),
         Client::default(),
         Rc::new(PlatformWire),
         crashes,
-        Rc::new(()),
+        observer,
         options,
     )
 }
@@ -96,6 +106,8 @@
         route: Rc::new(route),
         deadline: Instant::now() + time_to_deadline,
         last_event: None,
+        resumes: None,
+        max_stream_duration: time_to_deadline,
         is_owed: false,
     }
 }
--- a/crates/forward/tests/streams.rs
+++ b/crates/forward/tests/streams.rs
@@ -255,15 +255,11 @@
     .expect("runtime");
 }
 
-/// Guards against a stream that is attributed to the software version of an earlier process of its
-/// target: the target starts again under its id, as another version, before it replies.
-#[test]
-fn stream_of_a_target_that_has_just_restarted_is_not_resumed() {
-    deck_net::runtime::run(async {
-        let scripts = [Script::BreaksAfter(2), Script::Complete];
-        let setup = start_with_versions(&scripts, &["v1", "v1", "v1"]);
-        let fleet_view = setup.fleet_view.clone();
-        *setup.on_request.borrow_mut() = Some(Box::new(move |index| {
+/// Lets the target that receives the given request start again as another version just then.
+fn restart_at_request(setup: &TestSetup, request_number: usize) {
+    let (fleet_view, received) = (setup.fleet_view.clone(), setup.received.clone());
+    *setup.on_request.borrow_mut() = Some(Box::new(move |index| {
+        if received.borrow().len() == request_number {
             let entry = fleet_view.target(&format!("t{index}")).expect("entry");
             let software_version = Some("v2".to_owned());
             fleet_view.set_target(Target {
@@ -271,9 +267,34 @@
                 started_at_ms: 1,
                 ..(*entry).clone()
             });
-        }));
+        }
+    }));
+}
+
+/// Guards against a stream that is attributed to the software version of an earlier process of its
+/// target: the target starts again under its id, as another version, before it replies.
+#[test]
+fn stream_of_a_target_that_has_just_restarted_is_not_resumed() {
+    deck_net::runtime::run(async {
+        let scripts = [Script::BreaksAfter(2), Script::Complete];
+        let setup = start_with_versions(&scripts, &["v1", "v1", "v1"]);
+        restart_at_request(&setup, 1);
         assert!(!receive(&setup, true).await.1);
         assert_eq!(setup.received.borrow().len(), 1);
     })
     .expect("runtime");
 }
+
+/// Guards against events of another software version from a target that starts again under its id
+/// while a stream is resumed there.
+#[test]
+fn target_that_has_just_restarted_does_not_continue_a_stream() {
+    deck_net::runtime::run(async {
+        let scripts = [Script::BreaksAfter(2), Script::Complete, Script::Complete];
+        let setup = start_with_versions(&scripts, &["v1", "v1", "v1"]);
+        restart_at_request(&setup, 2);
+        assert_eq!(receive(&setup, true).await, (complete_stream(), true));
+        assert_eq!(setup.received.borrow().len(), 3, "the second reply is discarded");
+    })
+    .expect("runtime");
+}
