--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -1,12 +1,13 @@
 //! A single attempt to run a request on one target.
 
 use std::{
+    fmt,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use deck_core::id::TargetId;
+use deck_core::id::{SoftwareVersion, TargetId};
 use deck_fleet::{AttemptOutcome, DispatchMetadata, FleetView, Observer, PlatformProtocol, Target};
 use deck_limit::crash::{Fingerprint, TargetKey};
 use deck_net::{Body, Client, ClientResponse, CollectedBody, NetError};
@@ -60,6 +61,26 @@
     pub deadline: Instant,
     /// Whether the response body is always streamed to the caller instead of being buffered.
     pub always_stream: bool,
+    /// Software version that a target must have to run the request.
+    pub required_version: RequiredVersion,
+}
+
+/// Software version that a target must have to run a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum RequiredVersion {
+    /// Any version: the request does not resume a stream.
+    Any,
+    /// The version of the target that began the stream.
+    Exactly(Option<SoftwareVersion>),
+}
+
+impl fmt::Display for RequiredVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Any => f.write_str("any"),
+            Self::Exactly(version) => f.write_str(version.as_deref().unwrap_or("none")),
+        }
+    }
 }
 
 impl AttemptContext {
@@ -82,7 +103,7 @@
             let response = self.client.send(address, request).await.map_err(classify_net_error)?;
             in_flight.record_first_byte(Instant::now());
             reporter.time_to_first_byte = Some(reporter.started_at.elapsed());
-            self.receive(&target, target_entry.as_deref(), response, &mut running_call).await
+            self.receive(&target, target_entry, response, &mut running_call).await
         };
         let result = match monoio::time::timeout(time_left, receive_reply).await {
             Ok(result) => result,
@@ -141,13 +162,13 @@
     async fn receive(
         &self,
         target: &TargetId,
-        target_entry: Option<&Target>,
+        target_entry: Option<Rc<Target>>,
         response: ClientResponse,
         running_call: &mut Option<RunningCall>,
     ) -> Result<Reply, AttemptError> {
         let (status, headers) = (response.status, response.headers.clone());
         let metadata = self.protocol.decode_response_metadata(status, &headers);
-        if let Some(target_entry) = target_entry.filter(|_| metadata.leaving) {
+        if let Some(target_entry) = target_entry.as_deref().filter(|_| metadata.leaving) {
             self.fleet_view.mark_leaving(target_entry, Instant::now());
         }
         if metadata.request_id.as_ref().is_some_and(|id| *id != self.request_id) {
@@ -160,6 +181,13 @@
         if metadata.signature.is_none() {
             return Err(AttemptError::Unknown(format!("status {status} without a signature")));
         }
+        let is_resumption = self.required_version != RequiredVersion::Any;
+        let restarted = target_entry
+            .as_deref()
+            .is_none_or(|entry| running_version(&self.fleet_view, entry).is_none());
+        if is_resumption && restarted {
+            return Err(AttemptError::Unknown("the target has started again".to_owned()));
+        }
         let content_length = headers.get(header::CONTENT_LENGTH);
         let content_length =
             content_length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
@@ -197,10 +225,26 @@
             }
         };
         let status_500_count = u32::from(status == StatusCode::INTERNAL_SERVER_ERROR);
-        Ok(Reply { target: target.clone(), status, headers, metadata, body, status_500_count })
+        let target = target.clone();
+        Ok(Reply { target, target_entry, status, headers, metadata, body, status_500_count })
     }
 }
 
+/// Returns the software version of a process that has just replied, given the target's entry when the
+/// request was sent. `None` if the target has started again under its id since, because either
+/// process may have received the request.
+pub(crate) fn running_version(
+    fleet_view: &FleetView,
+    entry: &Target,
+) -> Option<Option<SoftwareVersion>> {
+    let current = fleet_view.target(&entry.id);
+    let is_same_process = current.is_none_or(|current| {
+        (current.started_at_ms, &current.software_version)
+            == (entry.started_at_ms, &entry.software_version)
+    });
+    is_same_process.then(|| entry.software_version.clone())
+}
+
 /// Reports an attempt to the observer when it ends, including when it is dropped before that.
 struct AttemptReporter<'a> {
     observer: &'a dyn Observer,
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Builders of targets, routes, requests and forwarders for tests with scripted targets.
 
+#![allow(dead_code, reason = "not every test file uses every item")]
+
 use std::{
     net::SocketAddr,
     rc::Rc,
@@ -7,7 +9,8 @@
 };
 
 use deck_fleet::{
-    CallerLimits, Configuration, FleetView, Route, RouteKind, ServiceConfig, Target, TargetState,
+    CallerLimits, Configuration, FleetView, Observer, Route, RouteKind, ServiceConfig, Target,
+    TargetState,
 };
 use deck_forward::{CrashGuard, ForwardOptions, ForwardRequest, Forwarder};
 use deck_net::{
@@ -34,6 +37,11 @@
 
 /// Returns a forwarder that chooses among `targets`.
 pub fn forwarder(targets: Vec<Target>, crashes: CrashGuard) -> Forwarder {
+    forwarder_for(&fleet_view(targets), crashes)
+}
+
+/// Returns a view that knows `targets` and the service `s`.
+pub fn fleet_view(targets: Vec<Target>) -> FleetView {
     let fleet_view = FleetView::new(Router::new(RouterOptions::default()));
     let service = ServiceConfig { name: "s".to_owned(), engine: None };
     fleet_view.set_configuration(Configuration::new(
@@ -43,13 +51,27 @@
         CallerLimits::default(),
     ));
     fleet_view.set_targets(targets, Instant::now());
+    fleet_view
+}
+
+/// Returns a forwarder that chooses among the targets of `fleet_view`.
+pub fn forwarder_for(fleet_view: &FleetView, crashes: CrashGuard) -> Forwarder {
+    forwarder_with_observer(fleet_view, crashes, Rc::new(()))
+}
+
+/// Like [`forwarder_for`], with an observer.
+pub fn forwarder_with_observer(
+    fleet_view: &FleetView,
+    crashes: CrashGuard,
+    observer: Rc<dyn Observer>,
+) -> Forwarder {
     let options = ForwardOptions::default();
     Forwarder::new(
-        fleet_view,
+        fleet_view.clone(),
         Client::default(),
         Rc::new(PlatformWire),
         crashes,
-        Rc::new(()),
+        observer,
         options,
     )
 }
@@ -84,6 +106,8 @@
         route: Rc::new(route),
         deadline: Instant::now() + time_to_deadline,
         last_event: None,
+        resumes: None,
+        max_stream_duration: time_to_deadline,
         is_owed: false,
     }
 }
