deck-batch: let texts wait for engines of their version that rest

Cause: engines in their backoff or with a load under way were no candidates at all, so their version counted as gone and its texts were discarded, although a backoff lasts 0.4 s at first.

Evidence: long_text_waits_for_the_backoff_of_the_only_engine_of_its_version failed before.

Change: such engines are candidates without slots. A text of their version waits for them as for full ones: for at most the time that it takes to generate the text again.

--- a/crates/batch/src/dispatch.rs
+++ b/crates/batch/src/dispatch.rs
@@ -36,7 +36,7 @@
     pub waiting_time: Duration,
 }
 
-/// An engine that accepts runs.
+/// An engine that accepts runs, now or soon.
 #[derive(Debug, Clone)]
 pub struct EngineCandidate {
     /// Id of the engine's target.
@@ -47,7 +47,7 @@
     pub software_version: Option<SoftwareVersion>,
     /// Number of runs on the engine.
     pub active_runs: u32,
-    /// Maximum number of concurrent runs.
+    /// Maximum number of concurrent runs; 0 while the engine starts none.
     pub slots: u32,
     /// Expected time between two events in milliseconds.
     pub event_gap_ms: f64,
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -502,7 +502,8 @@
         targets.iter().map(|target| (&**target, estimate(target))).collect()
     }
 
-    /// Returns the engines that accept runs of the model.
+    /// Returns the engines that accept runs of the model. One that is loading weights or in its backoff
+    /// after a failure has no slots: it may soon continue the texts of its software version.
     fn candidates(
         &self,
         estimates: &[(&Target, EngineEstimate)],
@@ -512,15 +513,14 @@
         let engines = &self.deps.engines;
         let ready = || estimates.iter().filter(|(target, _)| target.state == TargetState::Ready);
         let median_gap_ms = median_event_gap_ms(ready().map(|(_, estimate)| estimate));
-        let usable = ready().filter(|(_, estimate)| estimate.is_usable);
-        usable
+        ready()
             .filter_map(|(target, estimate)| {
                 Some(EngineCandidate {
                     target: target.id.clone(),
                     version: estimate.version?,
                     software_version: target.software_version.clone(),
                     active_runs: estimate.active_runs,
-                    slots: target.slots,
+                    slots: if estimate.is_usable { target.slots } else { 0 },
                     event_gap_ms: estimate
                         .expected_event_interval_ms(median_gap_ms, now)
                         .unwrap_or(median_gap_ms),
--- a/crates/batch/tests/software_versions.rs
+++ b/crates/batch/tests/software_versions.rs
@@ -235,6 +235,29 @@
     });
 }
 
+/// Guards against a long text that is discarded because the only engine of its software version is in
+/// its backoff, which is shorter than the time to generate the text again.
+#[test]
+fn long_text_waits_for_the_backoff_of_the_only_engine_of_its_version() {
+    run_async(async {
+        let old = Engine::start("old", "v1", AtPause::Wait, PAUSE_AFTER);
+        let new = Engine::start("new", "v2", AtPause::Complete, PAUSE_AFTER);
+        let node = TestRunner::start(&MemoryObjects::default());
+        let (job, ..) = node.start_text(&old, PAUSE_AFTER).await;
+        node.set_engines(&[&old, &new]);
+        let gap = Duration::from_millis(1000);
+        node.engines.record_event_interval(&new.target, gap, Instant::now());
+        old.set_at_pause(AtPause::Break);
+        eventually("the engine is in its backoff", async || {
+            !node.engines.is_usable(&old.target, "m", Instant::now())
+        })
+        .await;
+        old.set_at_pause(AtPause::Complete);
+        assert_eq!(result_text(&job).await, whole_text("v1"));
+        assert!(new.requests().is_empty());
+    });
+}
+
 /// Guards against a migration that continues a text on an engine of another software version, or that
 /// leaves the text on a slow engine although a fast one of its version is idle.
 #[test]
