Read an undecodable object without losing its list or watch

Callers saw nodes that stopped following the targets: a new node received no list at all, and a running node relisted without end and kept an outdated view. The same held for a node whose own registration was overwritten: it could neither read the revision of the conflict nor the object, and retried for ever.

The client of the platform's object API decoded each response as one JSON document. serde_json refuses the whole document for nesting deeper than 128, numbers such as 1e999 and invalid text, so one entry of another writer made every list, watch response and conflict unreadable. The position of the next page was also put into the URL without encoding, so a name with a space at the end of a page made the list fail. Large floating-point numbers saturated to the largest integer.

Responses are now split into their parts by counting brackets, which uses no stack and does not interpret values, and each part is decoded by itself. An object with an undecodable value has the value null: decoders of targets, configurations and own records refuse it, its revision still allows it to be replaced, and a log line names it. A change without a readable name ends the watch with a new list, because only that shows which object it was; its position advances first. A page without a readable name to continue from is an error instead of a complete list. Names are percent-encoded in URLs.

percent-encoding is a new dependency.

--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod http_api;
 pub mod lease;
 pub mod metered;
+pub mod raw_json;
 pub mod relay;
 pub mod status;
 pub mod store;
@@ -13,6 +14,7 @@
 pub use http_api::HttpObjectApi;
 pub use lease::{AcquireResult, HeldLease, LeaseCandidate, LeaseEnd, LeaseOptions, LeaseToken};
 pub use metered::MeteredApi;
+pub use raw_json::{RawJson, RawMembers};
 pub use relay::{RelayPeers, RelayedApi};
 pub use store::{
     Object, ObjectApi, ObjectPart, Precondition, ReadConsistency, Store, StoreError, Watch,
--- a/crates/testkit/src/raw.rs
+++ b/crates/testkit/src/raw.rs
@@ -97,7 +97,12 @@
 
     /// Writes raw text; returns whether the write succeeded.
     pub fn write(&mut self, text: &str) -> bool {
-        self.stream.write_all(text.as_bytes()).is_ok()
+        self.write_bytes(text.as_bytes())
+    }
+
+    /// Writes raw bytes; returns whether the write succeeded.
+    pub fn write_bytes(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).is_ok()
     }
 
     /// Writes a chunk of a chunked body; returns whether the write succeeded.
