--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -71,8 +71,8 @@
 impl Route {
     /// Selects a service by the weights of the route, given a uniform random number from 0 to 1.
     pub fn pick_service(&self, random: f64) -> &str {
-        let total: u32 = self.service_weights.iter().map(|(_, weight)| weight).sum();
-        let mut remaining_weight = random * f64::from(total);
+        let total: f64 = self.service_weights.iter().map(|(_, weight)| f64::from(*weight)).sum();
+        let mut remaining_weight = random * total;
         for (service, weight) in &self.service_weights {
             remaining_weight -= f64::from(*weight);
             if remaining_weight < 0.0 {
