Acquire a lease whose record is undecodable after its duration

A fleet whose lease was overwritten with an undecodable value had no leader any more: each candidate failed to decode the record and tried again for ever, and the holder retried its renewal instead of giving up the lease. The models got no new weight versions and the jobs no runners.

An error of the decoder was returned as if the object API had failed, although the revision was known. undecodable_lease_is_acquired_after_its_duration failed before, with a candidate that ended in Failed.

A candidate now treats an undecodable record as that of an unknown holder, which may still act: the lease becomes available after the candidate has seen the revision unchanged for its own duration. The next fencing number follows the revision, which is at least as high as any earlier fencing number because each acquisition is a write. A holder that finds an undecodable record has lost the lease.

--- a/crates/plat/src/lease.rs
+++ b/crates/plat/src/lease.rs
@@ -53,6 +53,9 @@
     }
 }
 
+/// Holder in the record that stands for an undecodable one.
+const UNKNOWN_HOLDER: &str = "unknown";
+
 /// Candidate that tries to acquire a lease.
 pub struct LeaseCandidate {
     store: Store,
@@ -197,11 +200,11 @@
         let (condition, fencing, previous_record) = match current {
             None => (Precondition::Absent, 1, None),
             Some(object) => match self.observe(object) {
-                Ok((revision, record)) if self.is_available(&record) => {
-                    (Precondition::Revision(revision), record.fencing + 1, Some(record))
+                (revision, record) if self.is_available(&record) => {
+                    let fencing = record.fencing.saturating_add(1);
+                    (Precondition::Revision(revision), fencing, Some(record))
                 }
-                Ok((_, record)) => return AcquireResult::HeldElsewhere(self, record),
-                Err(error) => return AcquireResult::Failed(self, error),
+                (_, record) => return AcquireResult::HeldElsewhere(self, record),
             },
         };
         let duration = self.duration();
@@ -230,8 +233,11 @@
     }
 
     /// Decodes a lease that was read, and records when its revision was read for the first time.
-    fn observe(&mut self, object: Object) -> Result<(Revision, LeaseRecord), StoreError> {
-        let record = parse_record(&object)?;
+    fn observe(&mut self, object: Object) -> (Revision, LeaseRecord) {
+        let record = parse_record(&object).unwrap_or_else(|error| {
+            log::warn!(target: "lease", "undecodable lease={} revision={} error={error}", self.name, object.revision);
+            self.record_of_unknown_holder(object.revision)
+        });
         let is_same_revision = self
             .last_observation
             .as_ref()
@@ -243,7 +249,23 @@
                 first_seen: Instant::now(),
             });
         }
-        Ok((object.revision, record))
+        (object.revision, record)
+    }
+
+    /// Returns the record that stands for an undecodable one with this revision. Its holder may still
+    /// act, so it is not available before its duration has passed.
+    ///
+    /// Each acquisition is a write and increases the revision, so that no fencing number is higher
+    /// than the revision.
+    fn record_of_unknown_holder(&self, revision: Revision) -> LeaseRecord {
+        LeaseRecord {
+            holder: UNKNOWN_HOLDER.to_owned(),
+            address: String::new(),
+            fencing: revision,
+            duration_ms: self.duration().as_millis() as u64,
+            renewal: 0,
+            nonce: String::new(),
+        }
     }
 
     /// Returns whether the lease was released or has expired.
@@ -382,7 +404,8 @@
         let Some(object) = self.candidate.store.get(LEASE_KIND, self.name()).await? else {
             return Ok(false);
         };
-        let record = parse_record(&object)?;
+        // An undecodable record is another writer's.
+        let Ok(record) = parse_record(&object) else { return Ok(false) };
         let is_own = record.nonce == self.record.nonce && !record.holder.is_empty();
         if is_own {
             self.revision = object.revision;
