Allocate no memory by the item count of a job record

A node that took over a job whose record states a huge item count ended with "capacity overflow", and so did each node after it. The count was used as the capacity of the list of items before any item was read. record_with_a_huge_item_count_allocates_nothing failed before with this panic. The list now grows with the items that are read.

--- a/crates/batch/src/job_store.rs
+++ b/crates/batch/src/job_store.rs
@@ -170,7 +170,7 @@
     ///
     /// Returns an error if the object API does not answer.
     pub async fn read_items(&self, id: &str, record: &JobRecord) -> Result<Vec<Item>, StoreError> {
-        let mut items = Vec::with_capacity(record.item_count);
+        let mut items = Vec::new();
         for index in 0..record.item_objects {
             let name = format!("{id}.{index}");
             let item_list: Option<Vec<Item>> = self.read_immutable(ITEM_KIND, &name).await?;
