Decode each object of the built-in object API by itself

The watchers of deckentry failed to list a kind for ever when one value was nested too deeply or contained a number that is too large, and their watches ended at such a change. The client decoded the response as one document. undecodable_value_costs_only_its_object failed before in both cases, with "number out of range" and "recursion limit exceeded".

The client now splits a response into its objects first, as the client of the platform's object API does. A value that cannot be decoded is null and is logged with the name of its object. A change without a readable name or revision ends the watch with Compacted.

--- a/crates/plat/src/http_api.rs
+++ b/crates/plat/src/http_api.rs
@@ -12,20 +12,16 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::store::{
-    Object, ObjectApi, ObjectPart, Precondition, ReadConsistency, StoreError, Watch, WatchEvent,
+use crate::{
+    RawJson,
+    store::{
+        Object, ObjectApi, ObjectPart, Precondition, ReadConsistency, StoreError, Watch, WatchEvent,
+    },
 };
 
 /// Maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
-/// Response to a list of objects.
-#[derive(Deserialize)]
-struct ListResponse {
-    revision: Revision,
-    items: Vec<Object>,
-}
-
 /// Response to a write; the body of a conflict has the same form, with the current revision.
 #[derive(Deserialize)]
 struct RevisionResponse {
@@ -33,18 +29,6 @@
     revision: Option<Revision>,
 }
 
-/// Data of a server-sent event of a watch.
-#[derive(Deserialize)]
-struct WatchEventData {
-    #[serde(default)]
-    kind: String,
-    #[serde(default)]
-    name: String,
-    revision: Revision,
-    #[serde(default)]
-    value: Value,
-}
-
 /// Client of an object API that uses the built-in HTTP and JSON format.
 pub struct HttpObjectApi {
     client: Client,
@@ -65,15 +49,29 @@
         let response = self.send_request(Method::GET, &path, None, Vec::new()).await?;
         match response.status {
             StatusCode::NOT_FOUND => Ok(None),
-            _ => self.decode_response(response).await.map(Some),
+            _ => {
+                let body = self.success_body(response).await?;
+                decode_object(RawJson::new(&body)).map(Some)
+            }
         }
     }
 
     async fn list_objects(&self, kind: &str) -> Result<(Revision, Vec<Object>), StoreError> {
         let path = format!("/v1/objects/{kind}");
         let response = self.send_request(Method::GET, &path, None, Vec::new()).await?;
-        let list: ListResponse = self.decode_response(response).await?;
-        Ok((list.revision, list.items))
+        let body = self.success_body(response).await?;
+        let list = RawJson::new(&body).members();
+        let revision = list.as_ref().and_then(|list| list.decode("revision"));
+        let items = list.as_ref().and_then(|list| list.get("items")?.elements());
+        let (Some(revision), Some(items)) = (revision, items) else {
+            return Err(StoreError::Decode("no list of objects".to_owned()));
+        };
+        let decode = |item: RawJson<'_>| {
+            let log_error =
+                |error: &StoreError| log::warn!(target: "store", "kind={kind} error={error}");
+            decode_object(item).inspect_err(log_error).ok()
+        };
+        Ok((revision, items.into_iter().filter_map(decode).collect()))
     }
 
     async fn put_object(
@@ -166,11 +164,16 @@
         &self,
         response: ClientResponse,
     ) -> Result<T, StoreError> {
+        let bytes = self.success_body(response).await?;
+        serde_json::from_slice(&bytes).map_err(|error| StoreError::Decode(error.to_string()))
+    }
+
+    /// Returns the body of a successful response.
+    async fn success_body(&self, response: ClientResponse) -> Result<Vec<u8>, StoreError> {
         if !response.status.is_success() {
             return Err(self.error_from_response(response).await);
         }
-        let bytes = self.read_body(response).await?;
-        serde_json::from_slice(&bytes).map_err(|error| StoreError::Decode(error.to_string()))
+        self.read_body(response).await
     }
 
     async fn read_body(&self, response: ClientResponse) -> Result<Vec<u8>, StoreError> {
@@ -285,15 +288,39 @@
         Ok(None) => return Ok(None),
         Err(error) => return Err(StoreError::ResponseLost(error.to_string())),
     };
-    let data: WatchEventData =
-        serde_json::from_str(&event.data).map_err(|error| StoreError::Decode(error.to_string()))?;
-    let WatchEventData { kind, name, revision, value } = data;
+    let data = RawJson::new(event.data.as_bytes());
+    let members = data.members();
+    let text = |field: &str| members.as_ref().and_then(|data| data.decode(field));
+    let (kind, name) = (text("kind").unwrap_or_default(), text("name").unwrap_or_default());
+    let revision: Option<Revision> = members.as_ref().and_then(|data| data.decode("revision"));
+    // Without the revision or the object, only a list shows which objects have not changed and the
+    // revision to continue from.
+    let relist = |error: StoreError| {
+        log::warn!(target: "store", "undecodable change error={error}");
+        StoreError::Compacted
+    };
+    let revision = revision.ok_or_else(|| relist(StoreError::Decode("no revision".to_owned())))?;
     match event.event_type.as_str() {
-        "put" => {
-            Ok(Some(WatchEvent::Put(Object { kind, name, revision, value, status: Value::Null })))
-        }
+        "put" => decode_object(data).map(|object| Some(WatchEvent::Put(object))).map_err(relist),
         "delete" => Ok(Some(WatchEvent::Delete { kind, name, revision })),
         "bookmark" => Ok(Some(WatchEvent::Bookmark(revision))),
         other => Err(StoreError::Decode(format!("event {other:?}"))),
     }
 }
+
+/// Decodes an object. A value that cannot be decoded is null, so that its reader ignores the object
+/// like any other that is not valid, and an own object can be replaced.
+fn decode_object(object: RawJson<'_>) -> Result<Object, StoreError> {
+    let invalid = |field: &str| StoreError::Decode(format!("object with an invalid {field}"));
+    let members = object.members().ok_or_else(|| invalid("form"))?;
+    let kind = members.decode("kind").ok_or_else(|| invalid("kind"))?;
+    let name = members.decode("name").ok_or_else(|| invalid("name"))?;
+    let revision = members.decode("revision").ok_or_else(|| invalid("revision"))?;
+    let value = members.get("value").map_or(Ok(Value::Null), RawJson::decode);
+    let value = value.unwrap_or_else(|error| {
+        log::warn!(target: "store", "undecodable object kind={kind} name={name:?} error={error}");
+        Value::Null
+    });
+    let status = members.decode("status").unwrap_or(Value::Null);
+    Ok(Object { kind, name, revision, value, status })
+}
--- a/crates/plat/tests/undecodable.rs
+++ b/crates/plat/tests/undecodable.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use deck_net::Client;
 use deck_plat::{
     AcquireResult, HeldLease, LeaseCandidate, LeaseOptions, Precondition, Store, StoreError,
+    WatchEvent,
 };
-use deck_testkit::memory::MemoryObjects;
+use deck_testkit::{memory::MemoryObjects, raw::RawServer};
 use serde_json::{Value, json};
 use test_case::test_case;
 
@@ -54,3 +56,50 @@
     })
     .expect("runtime");
 }
+
+/// Starts an object API in the built-in format with an undecodable value in each response.
+fn start_object_api(value: &'static str) -> (RawServer, Store) {
+    let server = RawServer::start(move |exchange| {
+        let undecodable = format!(r#"{{"kind":"k","name":"a","revision":8,"value":{value}}}"#);
+        let valid = r#"{"kind":"k","name":"b","revision":9,"value":1}"#;
+        let body = if exchange.head.contains("/v1/watch") {
+            format!("event: put\ndata: {undecodable}\n\nevent: put\ndata: {valid}\n\n")
+        } else if exchange.head.contains("/v1/objects/k/a") {
+            undecodable
+        } else {
+            format!(r#"{{"revision":9,"items":[{undecodable},{valid},7]}}"#)
+        };
+        let length = body.len();
+        exchange.write(&format!(
+            "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}"
+        ));
+    });
+    let store = Store::new(Client::default(), server.address, Duration::from_secs(5));
+    (server, store)
+}
+
+/// Guards against a list or watch of the built-in format that fails for ever because one value
+/// cannot be decoded, and against an own object that can never be replaced for that reason.
+#[test_case("1e999"; "number that is too large")]
+#[test_case("[".repeat(500).leak(); "nesting that is too deep")]
+fn undecodable_value_costs_only_its_object(value: &'static str) {
+    deck_net::runtime::run(async {
+        let value = format!("{value}{}", "]".repeat(value.matches('[').count())).leak();
+        let (_server, store) = start_object_api(value);
+        let (revision, objects) = store.list("k").await.expect("list");
+        let values: Vec<_> =
+            objects.iter().map(|object| (object.name.as_str(), object.value.clone())).collect();
+        assert_eq!((revision, values), (9, vec![("a", Value::Null), ("b", json!(1))]));
+        let object = store.get("k", "a").await.expect("get").expect("object");
+        assert_eq!((object.revision, object.value), (8, Value::Null));
+        let mut watch = store.watch(&["k"], 5).await.expect("watch");
+        for (name, value) in [("a", Value::Null), ("b", json!(1))] {
+            let event = watch.next().await.expect("event");
+            assert!(
+                matches!(&event, Some(WatchEvent::Put(put)) if put.name == name && put.value == value),
+                "{event:?}"
+            );
+        }
+    })
+    .expect("runtime");
+}
