Test responses that are truncated or end with their connection

A response with neither a length nor chunks is complete when its connection is closed in order, and not when it is reset. RULES.md states both, and HTTP (RFC 9112, 6.3) defines no other end of such a body.

--- a/crates/batch/tests/engines.rs
+++ b/crates/batch/tests/engines.rs
@@ -202,6 +202,41 @@
     });
 }
 
+fn ends_in_the_head(call: &mut RawExchange) {
+    answer_first(call, |call| {
+        let head = head(call, "200 OK", "Content-Le");
+        call.write(&head);
+    });
+}
+
+fn ends_after_the_head(call: &mut RawExchange) {
+    answer_first(call, |call| {
+        let head = head(call, "200 OK", CHUNKED);
+        call.write(&head);
+    });
+}
+
+fn ends_in_a_chunk_size(call: &mut RawExchange) {
+    answer_first(call, |call| {
+        let head = head(call, "200 OK", CHUNKED);
+        call.write(&head);
+        call.write_chunk(&event(1));
+        call.write("1");
+    });
+}
+
+fn is_reset_between_events_without_a_length(call: &mut RawExchange) {
+    answer_first(call, |call| {
+        let head = head(call, "200 OK", "\r\n");
+        call.write(&head);
+        call.write(&event(1));
+        call.write(&event(2));
+        // Leaves time to read the events before the reset discards them.
+        std::thread::sleep(Duration::from_millis(20));
+        call.reset();
+    });
+}
+
 /// Guards against an engine that blocks an item by sending data without events, against memory that
 /// grows with such data, and against a truncated text that counts as complete.
 #[test_case(partial_event_then_slow_bytes)]
@@ -214,6 +249,10 @@
 #[test_case(endless_refusal)]
 #[test_case(slow_refusal)]
 #[test_case(endless_chunk_extension)]
+#[test_case(ends_in_the_head)]
+#[test_case(ends_after_the_head)]
+#[test_case(ends_in_a_chunk_size)]
+#[test_case(is_reset_between_events_without_a_length)]
 fn item_resumes_after_an_invalid_response(script: fn(&mut RawExchange)) {
     run_async(async {
         let started = Instant::now();
@@ -231,6 +270,25 @@
     });
 }
 
+fn ends_with_its_connection(call: &mut RawExchange) {
+    let head = head(call, "200 OK", "\r\n");
+    call.write(&head);
+    for number in 1..=EVENT_COUNT {
+        call.write(&event(number));
+    }
+}
+
+/// Guards against a complete text that is run again because its end is an orderly close of the
+/// connection.
+/// MIXED in RULES.md: "A server's answer may have no length and end with its connection".
+#[test]
+fn text_that_ends_with_its_connection_is_complete() {
+    run_async(async {
+        let server = run_item_to_completion(ends_with_its_connection).await;
+        assert_eq!(server.request_count(), 1);
+    });
+}
+
 /// Pattern: a slow engine uses most of the allowed time for each event. Guards against cancelling
 /// and restarting valid runs.
 #[test]
--- a/crates/testkit/src/raw.rs
+++ b/crates/testkit/src/raw.rs
@@ -105,6 +105,16 @@
         self.stream.write_all(bytes).is_ok()
     }
 
+    /// Resets the connection when the script ends, instead of closing it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the socket option cannot be set.
+    pub fn reset(&self) {
+        let socket = socket2::SockRef::from(&self.stream);
+        socket.set_linger(Some(Duration::ZERO)).expect("linger");
+    }
+
     /// Writes a chunk of a chunked body; returns whether the write succeeded.
     pub fn write_chunk(&mut self, text: &str) -> bool {
         self.write(&format!("{:x}\r\n{text}\r\n", text.len()))
