Resume a stream only with an event stream

Callers found a JSON error in the middle of their stream, and the stream ended as if it were complete, after its first target broke off and the next one answered with a signed 200 that was no event stream. With an empty body of that kind the stream lacked its last events and ended properly.

The cases with 500, 503, 404, an unsigned 200, a 200 of another request, half a head and an error within a chunk are regression tests.

A success with another content type than text/event-stream now counts as a failed attempt, and the stream goes on at yet another target within the attempts of its route, or is aborted.

--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -7,7 +7,11 @@
 
 use bytes::Bytes;
 use deck_core::error::CallError;
-use deck_net::{NetError, body::BodySender, sse::EventSplitter};
+use deck_net::{
+    NetError,
+    body::BodySender,
+    sse::{EventSplitter, may_be_event_stream},
+};
 
 use crate::{
     AttemptError, ReplyBody, StreamingBody,
@@ -51,7 +55,9 @@
             match result {
                 Ok(reply) if reply.status.is_success() => {
                     self.progress.possible_runs += 1;
-                    if let ReplyBody::Streaming(body) = reply.body {
+                    if may_be_event_stream(&reply.headers)
+                        && let ReplyBody::Streaming(body) = reply.body
+                    {
                         let id = &context.request_id;
                         log::info!(target: "forward", "stream goes on request={id} target={target} event={last_event:?}");
                         return Some(*body);
--- a/crates/net/src/sse.rs
+++ b/crates/net/src/sse.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use eventsource_stream::{EventStreamError, Eventsource};
 use futures_util::{Stream, StreamExt, stream::LocalBoxStream};
-use http::{HeaderValue, Response};
+use http::{HeaderMap, HeaderValue, Response, header};
 
 use crate::{Body, ClientResponse, NetError, body::BodySender};
 
@@ -55,6 +55,14 @@
     })
 }
 
+/// Returns whether a response may be an event stream: it states no other content type.
+pub fn may_be_event_stream(headers: &HeaderMap) -> bool {
+    headers.get(header::CONTENT_TYPE).is_none_or(|content_type| {
+        let essence = content_type.as_bytes().split(|byte| *byte == b';').next();
+        essence.unwrap_or_default().trim_ascii().eq_ignore_ascii_case(b"text/event-stream")
+    })
+}
+
 /// Maximum size of an event; events usually contain a few tokens of text.
 pub const MAX_EVENT_BYTES: usize = 256 * 1024;
 
@@ -141,7 +149,7 @@
     let (sender, body) = Body::stream();
     let mut response = Response::new(body);
     let headers = response.headers_mut();
-    headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
-    headers.insert(http::header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
     (sender, response)
 }
