Accept the text of an item only from a signed event stream

The result of an item contained the text of an error, or ended after its first events, when an engine answered with an unsigned 200 or with a 200 that was no event stream. A server at an address that was assigned again, or a proxy before it, may send either.

The run checked the request id of the response and for a failure its signature, but not the signature of a success, and read any body as events. item_text_contains_no_error failed before in 2 of 6 cases (resumption_gets_an_unsigned_success and resumption_gets_no_event_stream). The cases with 500, 404, 503 and a success of another request are regression tests.

Both answers now break off the run, and the item resumes after its last event.

--- a/crates/batch/src/item_run.rs
+++ b/crates/batch/src/item_run.rs
@@ -7,7 +7,7 @@
 
 use deck_core::{CancellationToken, id::WeightVersion};
 use deck_fleet::{DispatchMetadata, ItemRunOutcome, ResponseMetadata, RunGuard, Target};
-use deck_net::{Body, ClientResponse};
+use deck_net::{Body, ClientResponse, sse::may_be_event_stream};
 use http::{Method, Request, StatusCode};
 
 use crate::{
@@ -168,6 +168,12 @@
     }
     match status {
         StatusCode::UNPROCESSABLE_ENTITY => return RunOutcome::Impossible,
+        status if status.is_success() && metadata.signature.is_none() => {
+            return RunOutcome::Broken(format!("status {status} without a signature"));
+        }
+        status if status.is_success() && !may_be_event_stream(&response.headers) => {
+            return RunOutcome::Broken(format!("status {status} without an event stream"));
+        }
         status if status.is_success() => {}
         StatusCode::INTERNAL_SERVER_ERROR if metadata.signature.is_some() => {
             response.discard().await;
--- a/crates/batch/tests/engines.rs
+++ b/crates/batch/tests/engines.rs
@@ -237,6 +237,87 @@
     });
 }
 
+/// Text of an error response that looks like an event.
+const ERROR_EVENT: &str = "data: the engine failed\n\n";
+
+/// Answers the second request with the given status, headers and body, and the first one with half
+/// a stream.
+fn answer_resumption_with(call: &mut RawExchange, head_lines: &str, body: &str) {
+    match call.request_index {
+        0 => {
+            let head = head(call, "200 OK", CHUNKED);
+            call.write(&head);
+            call.write_chunk(&event(1));
+            call.write("40\r\nid: 2\ndata: te");
+        }
+        1 => {
+            let id = call.header("request-id").unwrap_or_default().to_owned();
+            let length = body.len();
+            call.write(&format!(
+                "HTTP/1.1 {}\r\nContent-Length: {length}\r\n\r\n{body}",
+                head_lines.replace("ID", &id)
+            ));
+        }
+        _ => stream_events(call, Duration::ZERO),
+    }
+}
+
+fn resumption_gets_500(call: &mut RawExchange) {
+    answer_resumption_with(
+        call,
+        "500 Internal Server Error\r\nRequest-Id: ID\r\nResponse-Stamp: s",
+        ERROR_EVENT,
+    );
+}
+
+fn resumption_gets_404(call: &mut RawExchange) {
+    answer_resumption_with(
+        call,
+        "404 Not Found\r\nRequest-Id: ID\r\nResponse-Stamp: s",
+        ERROR_EVENT,
+    );
+}
+
+fn resumption_gets_503(call: &mut RawExchange) {
+    answer_resumption_with(call, "503 Service Unavailable\r\nRequest-Id: ID", ERROR_EVENT);
+}
+
+fn resumption_gets_an_unsigned_success(call: &mut RawExchange) {
+    answer_resumption_with(call, "200 OK\r\nRequest-Id: ID\r\nWeight-Versions: 1", ERROR_EVENT);
+}
+
+fn resumption_gets_a_success_of_another_request(call: &mut RawExchange) {
+    answer_resumption_with(
+        call,
+        "200 OK\r\nRequest-Id: other\r\nResponse-Stamp: s\r\nWeight-Versions: 1",
+        ERROR_EVENT,
+    );
+}
+
+fn resumption_gets_no_event_stream(call: &mut RawExchange) {
+    answer_resumption_with(
+        call,
+        "200 OK\r\nRequest-Id: ID\r\nResponse-Stamp: s\r\nWeight-Versions: 1\r\n\
+         Content-Type: application/json",
+        "{}\n\n",
+    );
+}
+
+/// Guards against an item whose text contains the text of an error, or counts as complete, because
+/// the engine that resumes it answers with an error.
+#[test_case(resumption_gets_500)]
+#[test_case(resumption_gets_404)]
+#[test_case(resumption_gets_503)]
+#[test_case(resumption_gets_an_unsigned_success)]
+#[test_case(resumption_gets_a_success_of_another_request)]
+#[test_case(resumption_gets_no_event_stream)]
+fn item_text_contains_no_error(script: fn(&mut RawExchange)) {
+    run_async(async {
+        let server = run_item_to_completion(script).await;
+        assert_eq!(server.request_count(), 3);
+    });
+}
+
 /// Guards against an engine that blocks an item by sending data without events, against memory that
 /// grows with such data, and against a truncated text that counts as complete.
 #[test_case(partial_event_then_slow_bytes)]
