Score an item only after the whole response to its reward call

The result of an item carried the signature of a response whose body was truncated, if the body was too large to be buffered or the route of the reward call streams. The score was taken from the head of the response.

The reward call now receives the body of a success to its end, within the same deadline, and is repeated if the body is truncated.

--- a/crates/batch/src/reward.rs
+++ b/crates/batch/src/reward.rs
@@ -1,10 +1,13 @@
 //! Scores complete texts with reward calls.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use deck_core::error::CallError;
+use deck_core::error::{CallError, ErrorKind};
 use deck_fleet::{ItemOutcome, RewardCall, Route};
-use deck_forward::{ForwardRequest, Reply};
+use deck_forward::{ForwardRequest, Reply, ReplyBody};
 use http::Method;
 
 use crate::{
@@ -68,23 +71,23 @@
         } else {
             monoio::time::sleep(RETRY_WAIT).await;
         }
-        if std::time::Instant::now() >= job.give_up_at() {
+        if Instant::now() >= job.give_up_at() {
             return None;
         }
     }
 }
 
-/// Sends a reward call through the forwarder.
+/// Sends a reward call through the forwarder. The body of a success has been received to its end.
 async fn call_scorer(
     runner: &RunnerState,
     reward: &RewardCall,
     route: &Rc<Route>,
 ) -> Result<Reply, CallError> {
-    let bad_request =
-        |message: String| CallError::new(deck_core::error::ErrorKind::BadRequest, message);
+    let bad_request = |message: String| CallError::new(ErrorKind::BadRequest, message);
     let body = runner.deps.protocol.decode_item_body(&reward.body).map_err(bad_request)?;
     let uri = reward.path.parse().map_err(|error| bad_request(format!("path: {error}")))?;
     let timeout = if route.timeout.is_zero() { DEFAULT_REWARD_TIMEOUT } else { route.timeout };
+    let deadline = Instant::now() + timeout;
     let call = ForwardRequest {
         request_id: reward.id.clone(),
         method: Method::POST,
@@ -92,11 +95,21 @@
         headers: runner.deps.protocol.build_item_headers(&reward.host, &[]),
         body,
         route: route.clone(),
-        deadline: std::time::Instant::now() + timeout,
+        deadline,
         last_event: None,
         is_owed: true,
     };
-    runner.deps.forwarder.forward(call).await
+    let mut reply = runner.deps.forwarder.forward(call).await?;
+    if reply.status.is_success() {
+        let body = std::mem::replace(&mut reply.body, ReplyBody::Buffered(Default::default()));
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        let receive = monoio::time::timeout(time_left, body.receive_to_end());
+        if !receive.await.unwrap_or(false) {
+            let message = "the body of the reward is truncated";
+            return Err(CallError::new(ErrorKind::TargetFailed, message));
+        }
+    }
+    Ok(reply)
 }
 
 /// Timeout of a reward call if its route sets none.
--- a/crates/forward/src/reply.rs
+++ b/crates/forward/src/reply.rs
@@ -43,6 +43,29 @@
     EventStream(Box<StreamingBody>, Box<StreamResumption>),
 }
 
+impl ReplyBody {
+    /// Receives and drops the rest of the body; returns whether it is complete.
+    pub async fn receive_to_end(self) -> bool {
+        let mut streaming = match self {
+            Self::Buffered(_) => return true,
+            Self::Streaming(streaming) | Self::EventStream(streaming, _) => streaming,
+        };
+        loop {
+            match streaming.next_chunk().await {
+                Ok(Some(_)) => {}
+                Ok(None) => {
+                    streaming.record_complete();
+                    return true;
+                }
+                Err(_) => {
+                    streaming.record_broken();
+                    return false;
+                }
+            }
+        }
+    }
+}
+
 /// Body that is still being received from a target.
 pub struct StreamingBody {
     /// Start of a body that was too large to buffer; empty once it has been forwarded.
