List again after a change that a watcher cannot decode

The watchers of deckentry received no later change once their watch contained one without a readable name or revision: each new watch began at the same change and ended there. The watch reports Compacted within its events, as the relay through another node does too, but only Compacted in answer to the start of a watch led to a new list.

changes_after_a_nameless_one_arrive failed before: the later pool was not known within 60 seconds. The watcher now lists all objects and continues from the revision of the lists, with its usual delay between attempts.

--- a/crates/peer/src/watcher.rs
+++ b/crates/peer/src/watcher.rs
@@ -24,7 +24,7 @@
     /// The connection ended or was idle: open a new watch after the last revision seen.
     Resume,
     /// The object API no longer has the events after the last revision, because it has compacted
-    /// its history: list all objects again.
+    /// its history, or sent a change that cannot be decoded: list all objects again.
     Relist,
 }
 
@@ -83,6 +83,7 @@
             // No event or bookmark in time: a network partition may have broken the connection
             // without notice.
             Err(_) | Ok(Ok(None)) => return Ok(WatchEnd::Resume),
+            Ok(Err(StoreError::Compacted)) => return Ok(WatchEnd::Relist),
             Ok(Err(error)) => return Err(error),
             Ok(Ok(Some(WatchEvent::Bookmark(revision)))) => revision,
             Ok(Ok(Some(WatchEvent::Put(object)))) => {
--- a/crates/peer/tests/common/store.rs
+++ b/crates/peer/tests/common/store.rs
@@ -127,6 +127,16 @@
         revision
     }
 
+    /// Sends a change of an object of this kind that does not state its name.
+    pub fn send_nameless_change(&self, kind: &str) {
+        let mut state = self.state.borrow_mut();
+        state.revision += 1;
+        let (key, revision) = ((kind.to_owned(), String::new()), state.revision);
+        state.events.push(Event { key, revision, value: Some(Value::Null) });
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Returns the revision and value of an object.
     pub fn get(&self, kind: &str, name: &str) -> Option<(Revision, Value)> {
         self.state.borrow().objects.get(&(kind.to_owned(), name.to_owned())).cloned()
@@ -294,9 +304,10 @@
 
 fn encode(event: &Event) -> bytes::Bytes {
     let (kind, name) = &event.key;
-    let data = json!({
-        "kind": kind, "name": name, "revision": event.revision, "value": event.value,
-    });
+    let mut data = json!({"kind": kind, "revision": event.revision, "value": event.value});
+    if !name.is_empty() {
+        data["name"] = name.as_str().into();
+    }
     let label = if event.value.is_some() { "put" } else { "delete" };
     sse::encode(Some(label), &data.to_string())
 }
--- a/crates/peer/tests/relay.rs
+++ b/crates/peer/tests/relay.rs
@@ -155,6 +155,20 @@
     });
 }
 
+/// Guards against a watcher that receives no later change because each of its watches starts with the
+/// same change that it cannot decode.
+#[test]
+fn changes_after_a_nameless_one_arrive() {
+    run(async {
+        let cluster = Cluster::default();
+        let nodes = cluster.start_data_centre("a", 2).await;
+        eventually("two watches", async || watching_vms(&nodes).len() == 2).await;
+        cluster.store.send_nameless_change(pool_kind());
+        cluster.store.put(pool_kind(), "later", pool(7));
+        wait_slots(&node_refs(&nodes), "later", Some(7)).await;
+    });
+}
+
 /// Guards against a watch that stays open but delivers nothing, as after a silent connection loss.
 #[test]
 fn watch_without_events_is_reopened() {
