Log the name of a target entry that is refused

A node that refused a target entry of another writer, for example because of a port out of range, logged it only at the debug level, so that the log did not show which entry names no target. The line is now a warning, as for other undecodable objects, and quotes the name.

--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -344,7 +344,7 @@
         match self.protocol.decode_target(&object.name, &object.value) {
             Ok(target) => Some(target),
             Err(error) => {
-                log::debug!(target: "fleet", "target entry could not be decoded name={} {error}", object.name);
+                log::warn!(target: "fleet", "target entry could not be decoded name={:?} {error}", object.name);
                 None
             }
         }
