--- a/crates/plat/tests/relay.rs
+++ b/crates/plat/tests/relay.rs
@@ -240,3 +240,30 @@
         lease.renew().await.expect("renewed");
     });
 }
+
+/// Guards against a list that fails through another node because one object is nested as deeply as
+/// the object API's client accepts.
+#[test]
+fn deeply_nested_object_passes_through_another_node() {
+    /// Depth that `serde_json` decodes at most, less the levels of the object itself.
+    const DEPTH: usize = 126;
+    run(async {
+        let cancel = CancellationToken::new();
+        let objects = MemoryObjects::default();
+        let text = format!("{}{}", "[".repeat(DEPTH), "]".repeat(DEPTH));
+        let nested: serde_json::Value = serde_json::from_str(&text).expect("value");
+        objects.store().put("k", "a", Precondition::Absent, &nested).await.expect("put");
+        objects.store().put("k", "b", Precondition::Absent, &json!(1)).await.expect("put");
+        let (failing_api, relay_node) =
+            (MemoryObjects::default(), start_relay_node(objects.clone(), &cancel));
+        failing_api.set_fault(Some(Fault::Unavailable), None);
+        let store = relayed_store(&failing_api, vec![relay_node]);
+        let values: Vec<_> =
+            store.list("k").await.expect("list").1.into_iter().map(|object| object.value).collect();
+        assert_eq!(values, [nested.clone(), json!(1)]);
+        let object = store.get("k", "a").await.expect("get").expect("object");
+        let condition = Precondition::Revision(object.revision);
+        store.put("k", "a", condition, &nested).await.expect("put");
+        cancel.cancel();
+    });
+}
