Complete only requests to retire a VM that can be decoded

The leader answered each entry among the retirements with the status "completed", whatever it contained, and the platform removes the VM with its disk after that. One undecodable entry of another writer would have removed a VM that nobody asked to empty. The leader did not look at the entry's value.

fleet_serves_beside_undecodable_objects failed before at the status of an entry that is only a deeply nested list. The same test guards against processes that end or stop following a kind because of such entries among the configuration, servers, versions, retirements, nodes, jobs and leases, and passed there.

The stand-in accepts writes of a status.

--- a/bins/decknode/src/vm_retirement.rs
+++ b/bins/decknode/src/vm_retirement.rs
@@ -32,6 +32,11 @@
     while cancel.run_until_cancelled(monoio::time::sleep(ANSWER_INTERVAL)).await.is_some() {
         let next_request = pending_requests.borrow_mut().pop_front();
         let Some(object) = next_request else { continue };
+        // A VM is removed with its disk once its status is completed.
+        if !context.follower.protocol().is_retirement_request(&object.value) {
+            log::warn!(target: "retire", "not a request to empty a VM vm={:?}", object.name);
+            continue;
+        }
         let completed_status = context.follower.protocol().encode_completed_retirement();
         if object.status == completed_status {
             continue;
--- a/bins/deckstandin/src/platform.rs
+++ b/bins/deckstandin/src/platform.rs
@@ -197,8 +197,13 @@
 }
 
 impl State {
-    /// Writes an object without a condition and returns it with its metadata.
+    /// Writes the `Spec` of an object without a condition and returns the object.
     fn put(&self, kind: &str, name: &str, spec: Value) -> Value {
+        self.put_field(kind, name, "Spec", spec)
+    }
+
+    /// Writes the field `Spec` or `Status` of an object and returns the object.
+    fn put_field(&self, kind: &str, name: &str, field: &str, value: Value) -> Value {
         let key = (kind.to_owned(), name.to_owned());
         let revision = self.revision.get() + 1;
         self.revision.set(revision);
@@ -208,7 +213,7 @@
                    "DeletePending": false}, "Spec": null, "Status": null})
         });
         object["Metadata"]["Revision"] = revision.into();
-        object["Spec"] = spec;
+        object[field] = value;
         let object = object.clone();
         self.history.borrow_mut().push((revision, kind.to_owned(), false, object.clone()));
         self.changed.notify_waiters();
@@ -322,7 +327,8 @@
             }
             _ => {}
         }
-        let object = self.put(kind, &name, body["Spec"].clone());
+        let field = if call.path.ends_with("/status") { "Status" } else { "Spec" };
+        let object = self.put_field(kind, &name, field, body[field].clone());
         let response_lost = self.faults.update(|faults| {
             let response_lost = faults.store_lost > 0;
             faults.store_lost = faults.store_lost.saturating_sub(1);
@@ -364,7 +370,7 @@
             }
         }
         ("POST", ["v1", "objects", kind]) => state.write_or_delay(call, kind, None).await,
-        ("PUT", ["v1", "objects", kind, name]) => {
+        ("PUT", ["v1", "objects", kind, name] | ["v1", "objects", kind, name, "status"]) => {
             state.write_or_delay(call, kind, Some(name)).await
         }
         _ => not_found(&call),
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -302,6 +302,9 @@
     fn decode_published_version(&self, value: &Value)
     -> Result<(ModelName, WeightVersion), String>;
 
+    /// Returns whether an object is a request to retire a VM.
+    fn is_retirement_request(&self, value: &Value) -> bool;
+
     /// Encodes the status of a retirement request whose VM holds no more state.
     fn encode_completed_retirement(&self) -> Value;
 
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -54,6 +54,10 @@
         Err("not used".to_owned())
     }
 
+    fn is_retirement_request(&self, _value: &Value) -> bool {
+        false
+    }
+
     fn encode_completed_retirement(&self) -> Value {
         Value::Null
     }
