--- a/crates/batch/tests/engines.rs
+++ b/crates/batch/tests/engines.rs
@@ -172,6 +172,122 @@
     });
 }
 
+fn ends_in_the_head(call: &mut RawExchange) {
+    answer_first(call, |call| {
+        let head = head(call, "200 OK", "Content-Le");
+        call.write(&head);
+    });
+}
+
+fn ends_after_the_head(call: &mut RawExchange) {
+    answer_first(call, |call| {
+        let head = head(call, "200 OK", CHUNKED);
+        call.write(&head);
+    });
+}
+
+fn ends_in_a_chunk_size(call: &mut RawExchange) {
+    answer_first(call, |call| {
+        let head = head(call, "200 OK", CHUNKED);
+        call.write(&head);
+        call.write_chunk(&event(1));
+        call.write("1");
+    });
+}
+
+fn is_reset_between_events_without_a_length(call: &mut RawExchange) {
+    answer_first(call, |call| {
+        let head = head(call, "200 OK", "\r\n");
+        call.write(&head);
+        call.write(&event(1));
+        call.write(&event(2));
+        // Leaves time to read the events before the reset discards them.
+        std::thread::sleep(Duration::from_millis(20));
+        call.reset();
+    });
+}
+
+/// Text of an error response that looks like an event.
+const ERROR_EVENT: &str = "data: the engine failed\n\n";
+
+/// Answers the second request with the given status, headers and body, and the first one with half
+/// a stream.
+fn answer_resumption_with(call: &mut RawExchange, head_lines: &str, body: &str) {
+    match call.request_index {
+        0 => {
+            let head = head(call, "200 OK", CHUNKED);
+            call.write(&head);
+            call.write_chunk(&event(1));
+            call.write("40\r\nid: 2\ndata: te");
+        }
+        1 => {
+            let id = call.header("request-id").unwrap_or_default().to_owned();
+            let length = body.len();
+            call.write(&format!(
+                "HTTP/1.1 {}\r\nContent-Length: {length}\r\n\r\n{body}",
+                head_lines.replace("ID", &id)
+            ));
+        }
+        _ => stream_events(call, Duration::ZERO),
+    }
+}
+
+fn resumption_gets_500(call: &mut RawExchange) {
+    answer_resumption_with(
+        call,
+        "500 Internal Server Error\r\nRequest-Id: ID\r\nResponse-Stamp: s",
+        ERROR_EVENT,
+    );
+}
+
+fn resumption_gets_404(call: &mut RawExchange) {
+    answer_resumption_with(
+        call,
+        "404 Not Found\r\nRequest-Id: ID\r\nResponse-Stamp: s",
+        ERROR_EVENT,
+    );
+}
+
+fn resumption_gets_503(call: &mut RawExchange) {
+    answer_resumption_with(call, "503 Service Unavailable\r\nRequest-Id: ID", ERROR_EVENT);
+}
+
+fn resumption_gets_an_unsigned_success(call: &mut RawExchange) {
+    answer_resumption_with(call, "200 OK\r\nRequest-Id: ID\r\nWeight-Versions: 1", ERROR_EVENT);
+}
+
+fn resumption_gets_a_success_of_another_request(call: &mut RawExchange) {
+    answer_resumption_with(
+        call,
+        "200 OK\r\nRequest-Id: other\r\nResponse-Stamp: s\r\nWeight-Versions: 1",
+        ERROR_EVENT,
+    );
+}
+
+fn resumption_gets_no_event_stream(call: &mut RawExchange) {
+    answer_resumption_with(
+        call,
+        "200 OK\r\nRequest-Id: ID\r\nResponse-Stamp: s\r\nWeight-Versions: 1\r\n\
+         Content-Type: application/json",
+        "{}\n\n",
+    );
+}
+
+/// Guards against an item whose text contains the text of an error, or counts as complete, because
+/// the engine that resumes it answers with an error.
+#[test_case(resumption_gets_500)]
+#[test_case(resumption_gets_404)]
+#[test_case(resumption_gets_503)]
+#[test_case(resumption_gets_an_unsigned_success)]
+#[test_case(resumption_gets_a_success_of_another_request)]
+#[test_case(resumption_gets_no_event_stream)]
+fn item_text_contains_no_error(script: fn(&mut RawExchange)) {
+    run_async(async {
+        let server = run_item_to_completion(script).await;
+        assert_eq!(server.request_count(), 3);
+    });
+}
+
 /// Guards against an engine that blocks an item by sending data without events, against memory that
 /// grows with such data, and against a truncated text that counts as complete.
 #[test_case(partial_event_then_slow_bytes)]
@@ -184,6 +300,10 @@
 #[test_case(endless_refusal)]
 #[test_case(slow_refusal)]
 #[test_case(endless_chunk_extension)]
+#[test_case(ends_in_the_head)]
+#[test_case(ends_after_the_head)]
+#[test_case(ends_in_a_chunk_size)]
+#[test_case(is_reset_between_events_without_a_length)]
 fn item_resumes_after_an_invalid_response(script: fn(&mut RawExchange)) {
     run_async(async {
         let started = Instant::now();
@@ -201,6 +321,25 @@
     });
 }
 
+fn ends_with_its_connection(call: &mut RawExchange) {
+    let head = head(call, "200 OK", "\r\n");
+    call.write(&head);
+    for number in 1..=EVENT_COUNT {
+        call.write(&event(number));
+    }
+}
+
+/// Guards against a complete text that is run again because its end is an orderly close of the
+/// connection.
+/// MIXED in RULES.md: "A server's answer may have no length and end with its connection".
+#[test]
+fn text_that_ends_with_its_connection_is_complete() {
+    run_async(async {
+        let server = run_item_to_completion(ends_with_its_connection).await;
+        assert_eq!(server.request_count(), 1);
+    });
+}
+
 /// Pattern: a slow engine uses most of the allowed time for each event. Guards against cancelling
 /// and restarting valid runs.
 #[test]
