Show that small fleets never know a service's only software version

In a fleet of at most ten nodes each node watches the object API with a timeout of 10 s. While the configuration does not change, the target list counts as current only every 10 s, which is more than MAX_LIST_AGE, and the time between is more than MAX_UNSEEN_TIME, so that followed_since starts again each time.

--- a/bins/decknode/tests/stream_resumption.rs
+++ b/bins/decknode/tests/stream_resumption.rs
@@ -22,6 +22,9 @@
 /// Two targets of each version. Without the check of the version, half of the resumptions would go
 /// to the other one.
 const TWO_VERSIONS: [&str; 4] = ["--stream-versions", "v1,v1,v2,v2", "--event-ms", "30"];
+/// Time after which nodes know that a service has had a single version: the timeout of the route, the
+/// margin of ten seconds that is added to it, and the start of the nodes.
+const SINGLE_VERSION_TIME: Duration = Duration::from_secs(20);
 /// Time within which a request that cannot be served is refused; lookups of unknown streams take
 /// about 50 ms.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
@@ -248,3 +251,25 @@
         assert!(records.iter().all(|record| record.get("stream").is_none()), "{records:?}");
     });
 }
+
+/// Guards against refusing streams without a record, of callers that do not name their first attempt or
+/// after a restart of the nodes, in a small fleet whose service has always had one version. Some of
+/// the attempts come between two watches of the configuration, which does not change.
+#[test]
+fn stream_without_a_record_goes_on_in_a_service_of_one_version() {
+    run(async {
+        let fleet = Fleet::start_with_options(3, &["--stream-versions", "v1,v1"]);
+        fleet.wait_until_ready().await;
+        monoio::time::sleep(SINGLE_VERSION_TIME).await;
+        let node = fleet.nodes[0].caller_address;
+        let mut statuses = Vec::new();
+        for index in 0..12 {
+            let id = format!("o-{index}");
+            let headers = [("Request-Id", id.as_str()), ("Last-Event-Id", "28")];
+            let answer = fleet.call(node, Method::POST, "/stream/x", &headers, vec![]).await;
+            statuses.push(answer.expect("answer").0.as_u16());
+            monoio::time::sleep(Duration::from_secs(1)).await;
+        }
+        assert_eq!(statuses, [200; 12]);
+    });
+}
--- a/crates/fleet/tests/software.rs
+++ b/crates/fleet/tests/software.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use deck_fleet::{FleetView, KnownVersions, Target, TargetState};
+use deck_fleet::{FleetView, KnownVersions, ObjectFollowerOptions, Target, TargetState};
 use deck_route::{Router, RouterOptions};
 use test_case::test_case;
 
@@ -109,3 +109,25 @@
     assert_eq!(view.software_versions(&["s", "other"], PERIOD, now), KnownVersions::Several);
     assert_eq!(view.software_versions(&["empty"], PERIOD, now), KnownVersions::Unknown);
 }
+
+/// Pattern: a fleet of at most ten nodes, all of which follow the object API themselves, and a
+/// configuration that does not change: each watch of it returns after its full timeout and a round
+/// trip. Guards against a node that takes the time between two watches for an interruption, or the
+/// list for old, and so never knows that a service has had a single version.
+#[test]
+fn quiet_watches_are_no_interruption() {
+    let start = Instant::now();
+    let view = FleetView::new(Router::new(RouterOptions::default()));
+    view.set_targets(vec![target("a", "s", "v1"), target("b", "s", "v1")], start);
+    let round = ObjectFollowerOptions::default().watch_timeout + Duration::from_millis(20);
+    let mut up_to_date_at = start;
+    while up_to_date_at < start + 4 * PERIOD {
+        view.set_up_to_date_at(up_to_date_at);
+        up_to_date_at += round;
+    }
+    // Just before and just after the next watch returns.
+    let before = up_to_date_at - Duration::from_millis(1);
+    assert_eq!(view.software_versions(&["s"], PERIOD, before), single("v1"));
+    view.set_up_to_date_at(up_to_date_at);
+    assert_eq!(view.software_versions(&["s"], PERIOD, up_to_date_at), single("v1"));
+}
