Show that a long text waits more than five seconds for its version

A text of 2,000 events waits 80 s for full engines of its software version while engines of another one are idle. The rule LOST of batch jobs counts an item that is at no server for 5 s while the servers are under half full.

The test fails: no engine is chosen after 5 s.

--- a/crates/batch/tests/dispatch.rs
+++ b/crates/batch/tests/dispatch.rs
@@ -234,3 +234,14 @@
     assert!(remaining_events(20, 60) > 10.0);
     assert_eq!(remaining_events(100, 40), 60.0);
 }
+
+/// Pattern: a long text waits for the last full engines of its software version while engines of
+/// another version are idle. Guards against an item of a started step that is on no engine for five
+/// seconds although less than half of the slots are in use, which breaks the rule LOST of batch jobs.
+#[test]
+fn long_text_does_not_wait_for_its_software_version_for_five_seconds() {
+    let engines = [engine_of("v2", 0), engine_of("v2", 0), engine_of("v1", 8)];
+    let mut item = waiting_with_text(5000);
+    item.text.as_mut().expect("a text").events = 2000;
+    assert!(choose_engine(&item, &engines, None).is_some());
+}
