Show that a text is discarded because its engine pauses for 0.4 s

An engine in its backoff or loading weights is no candidate, so that the texts of the last engine of a software version start anew at once on another version.

Both cases fail: a text of 2,000 events is discarded although its engine is usable again after 0.4 s and generating it again takes 80 s.

--- a/crates/batch/tests/software_versions.rs
+++ b/crates/batch/tests/software_versions.rs
@@ -33,6 +33,9 @@
 /// Time between two events that a runner expects of an engine.
 const EVENT_GAP: Duration = Duration::from_millis(40);
 
+/// Number of events of a text that takes much longer to generate again than an engine's backoff.
+const LONG_TEXT_EVENTS: u64 = 2000;
+
 /// What an engine does at its pause.
 #[derive(Debug, Clone, Copy, PartialEq)]
 #[repr(u8)]
@@ -394,3 +397,31 @@
         old.set_at_pause(AtPause::Complete);
     });
 }
+
+/// Pattern: the last engine of a version has broken off a run once and accepts runs again after its
+/// backoff of 0.4 s, or is loading weights for as long. Guards against a long text that is discarded
+/// at once, although generating it again takes 200 times as long.
+#[test_case(false; "backoff")]
+#[test_case(true; "loading weights")]
+fn long_text_waits_for_an_engine_that_is_soon_usable(is_loading: bool) {
+    run_async(async move {
+        let old = Engine::start("old", "v1", AtPause::Wait, LONG_TEXT_EVENTS);
+        let new = Engine::start("new", "v2", AtPause::Complete, LONG_TEXT_EVENTS);
+        let node = TestRunner::start(&MemoryObjects::default());
+        let (job, ..) = node.start_text(&old, LONG_TEXT_EVENTS).await;
+        node.set_engines(&[&old, &new]);
+        node.engines.record_event_interval(&new.target, EVENT_GAP, Instant::now());
+        if is_loading {
+            node.engines.set_loading_model(&old.target, Some("m".to_owned()));
+            job.unpublished_item("i").expect("item").migration_token.borrow().cancel();
+        } else {
+            old.set_at_pause(AtPause::Break);
+        }
+        monoio::time::sleep(Duration::from_millis(200)).await;
+        old.set_at_pause(AtPause::Complete);
+        node.engines.set_loading_model(&old.target, None);
+        let text = result_text(&job).await;
+        assert!(new.requests().is_empty(), "the text was discarded");
+        assert!(text == common::joined_events("v1", LONG_TEXT_EVENTS + REMAINING_EVENTS));
+    });
+}
