Show a text of two software versions after a restart of its engine

Runs of items take the software version from the target's entry when they start. Unlike the forwarder they do not compare the entry when the reply arrives, so the text of an engine that has started again under its id as another version counts as a text of the earlier version.

The test fails: the text has v2 1..4 and v1 5..7.

--- a/crates/batch/tests/software_versions.rs
+++ b/crates/batch/tests/software_versions.rs
@@ -425,3 +425,40 @@
         assert!(text == common::joined_events("v1", LONG_TEXT_EVENTS + REMAINING_EVENTS));
     });
 }
+
+/// Guards against a text that is attributed to the software version of an earlier process of its
+/// engine, and that an engine of that version continues: the engine starts again under its id, as
+/// another version, before it replies.
+#[test]
+fn text_of_an_engine_that_has_just_restarted_is_not_continued() {
+    run_async(async {
+        let (may_reply, requests) = (Arc::new(AtomicU8::new(0)), Arc::<Mutex<u64>>::default());
+        let (server_may_reply, server_requests) = (may_reply.clone(), requests.clone());
+        let server = RawServer::start(move |call| {
+            *server_requests.lock().expect("requests") += 1;
+            while server_may_reply.load(Ordering::Relaxed) == 0 {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            generate(call, "v2", &AtomicU8::new(AtPause::Break as u8), PAUSE_AFTER);
+        });
+        let listed = Target {
+            software_version: Some("v1".to_owned()),
+            ..common::engine("restarted", server.address)
+        };
+        let same = Engine::start("same", "v1", AtPause::Complete, PAUSE_AFTER);
+        let node = TestRunner::start(&MemoryObjects::default());
+        node.view.set_targets(vec![listed.clone()], Instant::now());
+        let (job, ..) = node.start_job("job", common::item("i")).await;
+        eventually("the engine has the request", async || *requests.lock().expect("requests") == 1)
+            .await;
+        let restarted = Target {
+            software_version: Some("v2".to_owned()),
+            started_at_ms: listed.started_at_ms + 1,
+            ..listed
+        };
+        node.view.set_targets(vec![restarted, same.target.clone()], Instant::now());
+        may_reply.store(1, Ordering::Relaxed);
+        let text = result_text(&job).await;
+        assert!(text == whole_text("v1") || text == whole_text("v2"), "{text}");
+    });
+}
