Show a stream of two software versions after a late target update

A node whose target list is behind sends a request to a target that has started again under its id as another version. It learns of the restart only after the head of the reply, and does not compare the entries again.

The test fails: a target of v1 continues a stream of v2. The start time of the new process lies long before the request.

--- a/crates/forward/tests/streams.rs
+++ b/crates/forward/tests/streams.rs
@@ -298,3 +298,23 @@
     })
     .expect("runtime");
 }
+
+/// Pattern: the target list of the node is older than the last start of the target, and becomes
+/// current while the stream is on its way. Guards against a stream that is attributed to the software
+/// version of the earlier process: the new one had started long before the request was sent.
+#[test]
+fn stream_of_a_target_whose_earlier_restart_is_learned_of_later_is_not_resumed() {
+    deck_net::runtime::run(async {
+        let scripts = [Script::BreaksAfter(2), Script::Complete];
+        let setup = start_with_versions(&scripts, &["v1", "v1", "v1"]);
+        let reply = setup.forwarder.forward(call(true)).await.expect("reply");
+        let entry = setup.fleet_view.target(&reply.target).expect("entry");
+        let software_version = Some("v2".to_owned());
+        // A Unix time in milliseconds, far before the request.
+        let started_at_ms = 1_000;
+        setup.fleet_view.set_target(Target { software_version, started_at_ms, ..(*entry).clone() });
+        assert!(!receive_body(reply).await.1, "a target of v1 continues a stream of v2");
+        assert_eq!(setup.received.borrow().len(), 1);
+    })
+    .expect("runtime");
+}
