Show that silent nodes delay the refusal of a resumption

Each of the three rounds of a lookup waits up to 300 ms for every node that it asks, also for nodes that have just timed out.

The bound is that of stream_of_an_unknown_version_is_refused.

--- a/crates/forward/tests/resume.rs
+++ b/crates/forward/tests/resume.rs
@@ -456,3 +456,23 @@
         );
     });
 }
+
+/// Pattern: nodes that keep records are frozen, cut off or without power, so that calls to them time
+/// out instead of failing. Guards against a lookup that waits for each of them in each of its rounds:
+/// the same bound holds as for a refusal while all nodes answer.
+#[test]
+fn stream_of_an_unknown_version_is_refused_in_time_while_nodes_are_silent() {
+    run(async {
+        // The connections are accepted by the operating system and never served.
+        let listeners = [(); 3].map(|()| std::net::TcpListener::bind("127.0.0.1:0").expect("bind"));
+        let silent_nodes = listeners.each_ref().map(|l| l.local_addr().expect("address"));
+        let list: PeerList = Rc::new(move || silent_nodes.to_vec());
+        let fleet = start(1, &["v1", "v2"]);
+        let origins = StreamOrigins::new(list, Client::default(), fleet.cancel.child_token());
+        let forwarder = fleet.nodes[0].forwarder.clone().with_stream_origins(origins);
+        let started = Instant::now();
+        let error = forwarder.forward(later_attempt("lost")).await.err().expect("refusal");
+        assert_eq!(error.kind, ErrorKind::SoftwareVersionUnknown);
+        assert!(started.elapsed() < Duration::from_millis(500), "{:?}", started.elapsed());
+    });
+}
