deck-batch: bound the wait of a text for engines of its version

In a roll-out a text of 2,000 events would have waited 80 s for the last, full engines of its version beside idle ones of the other.

Evidence: long_text_does_not_wait_for_its_software_version_for_five_seconds failed before.

Change: a text waits for at most three seconds, and for no longer than generating it again takes.

--- a/crates/batch/src/dispatch.rs
+++ b/crates/batch/src/dispatch.rs
@@ -79,6 +79,10 @@
 /// far. Long texts are likely to continue.
 const OVERRUN_RATIO: f64 = 0.4;
 
+/// Maximum time for which a text waits for an engine of its software version while others are free.
+/// Callers count an item that is on no engine for five seconds as neglected.
+const MAX_TEXT_WAIT: Duration = Duration::from_secs(3);
+
 /// Sorts items by dispatch order: speculative copies first, because they are few and long, then by
 /// ascending slack.
 ///
@@ -117,7 +121,7 @@
 ///
 /// An engine of another software version than that of the item's text is chosen only if no engine
 /// can continue the text, or if the item has waited for a slot of such an engine for as long as it
-/// takes to generate the text again. Otherwise the items of a version that is being replaced would
+/// takes to generate the text again, or for [`MAX_TEXT_WAIT`]. Otherwise the items of a version that is being replaced would
 /// wait for its last engines. The text has to be discarded then.
 pub fn choose_engine(
     item: &WaitingItem,
@@ -131,8 +135,8 @@
     let text = item.text.as_ref()?;
     let index = cheapest_engine(item, candidates, cached_engine, |_| true)?;
     let regeneration_s = text.events as f64 * candidates[index].event_gap_ms / 1000.0;
-    let waits =
-        can_continue_text(item, candidates) && text.waiting_time.as_secs_f64() < regeneration_s;
+    let max_wait_s = regeneration_s.min(MAX_TEXT_WAIT.as_secs_f64());
+    let waits = can_continue_text(item, candidates) && text.waiting_time.as_secs_f64() < max_wait_s;
     (!waits).then_some(index)
 }
 
