deck-batch: measure the wait of a text until its next event

Cause: the wait of a text for an engine of its software version ended with each run, also one without an event. Now that engines in their backoff count as full, one that refuses each run would have begun the wait anew each time, and the item would never have gone to an idle engine of another version.

Change: only an event ends the wait. By reading; the pure decision has its tests in dispatch.rs.

--- a/crates/batch/src/item_run.rs
+++ b/crates/batch/src/item_run.rs
@@ -325,6 +325,7 @@
             }
         }
         if !events.is_empty() {
+            item_state.waiting_since.set(None);
             let now = Instant::now();
             if last_event_at.is_none() {
                 let started = item_state.started_at.get().unwrap_or(now);
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -123,7 +123,8 @@
     /// Start of the current or last run.
     pub started_at: Cell<Option<Instant>>,
     /// When the item began to wait for an engine; `None` if no dispatch round has seen it waiting since
-    /// its last run.
+    /// its last event. Runs without an event do not end the wait, as an engine may refuse each of
+    /// them.
     pub waiting_since: Cell<Option<Instant>>,
     /// Whether the engine has answered the current run, so that its request is no longer in flight.
     pub response_received: Cell<bool>,
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -429,7 +429,6 @@
                 false => "no engine of its version is usable",
             };
             item_run::discard_text_of_other_software(item_state, target, discard_reason);
-            item_state.waiting_since.set(None);
             item_state.set_phase(ItemPhase::Running);
             waiting_count -= 1;
             let guard = self.deps.engines.start_run(target);
