deck-batch: append no text of an engine that has restarted meanwhile

What callers saw: a text of two software versions.

Cause: an engine that starts again under its id with other software before a run reaches it was taken for the version of its entry at dispatch, although the node had learned of the restart by the time of the response. The text was labelled with the wrong version and went on at an engine of that one.

Evidence: text_of_an_engine_that_has_just_restarted_is_not_continued failed before ("v2 1..4, v1 5..7").

Change: a run whose target is another process when the response arrives is broken off without an event, as the forwarder does with streams.

--- a/crates/batch/src/item_run.rs
+++ b/crates/batch/src/item_run.rs
@@ -201,6 +201,11 @@
         response.discard().await;
         return RunOutcome::Refused(format!("status {status}"));
     }
+    // The target may have restarted with other software before the request reached it.
+    let known = runner.deps.view.target(&target.id);
+    if known.is_some_and(|known| !known.is_same_process(target)) {
+        return RunOutcome::Broken("the engine has restarted".to_owned());
+    }
     match status {
         StatusCode::UNPROCESSABLE_ENTITY => return RunOutcome::Impossible,
         status if status.is_success() && metadata.signature.is_none() => {
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -47,6 +47,11 @@
 }
 
 impl Target {
+    /// Returns whether two entries of a target describe the same process with the same software.
+    pub fn is_same_process(&self, other: &Self) -> bool {
+        self.started_at_ms == other.started_at_ms && self.software_version == other.software_version
+    }
+
     /// Returns the registered weight version of a model on this target.
     pub fn version(&self, model: &str) -> Option<WeightVersion> {
         self.models.iter().find(|(name, _)| name == model).map(|(_, version)| *version)
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -238,10 +238,7 @@
     entry: &Target,
 ) -> Option<Option<SoftwareVersion>> {
     let current = fleet_view.target(&entry.id);
-    let is_same_process = current.is_none_or(|current| {
-        (current.started_at_ms, &current.software_version)
-            == (entry.started_at_ms, &entry.software_version)
-    });
+    let is_same_process = current.is_none_or(|current| current.is_same_process(entry));
     is_same_process.then(|| entry.software_version.clone())
 }
 
