deck-fleet: take a running watch of the targets for a current list

What callers saw: in a fleet of at most ten nodes a stream without a record of its version was never resumed, though its service had one version only.

Cause: such nodes watch the object API themselves, and a watch without changes returns after ten seconds. Its answers were the only sign that the list is current, so the list was too old between two of them, and each gap counted as an interruption in which a version may have served unseen.

Change: the list counts as current while a watch of the targets that has answered goes on; a failed or silent connection ends it within the keep-alive time. A watch that continues from its position misses nothing, so its pauses are no interruption. quiet_watches_are_no_interruption states the watch by the new call.

--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -255,7 +255,11 @@
         };
         while !cancel.is_cancelled() {
             let list_and_watch = self.list_and_watch(&mut state, &mut apply);
-            let Some(result) = cancel.run_until_cancelled(list_and_watch).await else { return };
+            let result = cancel.run_until_cancelled(list_and_watch).await;
+            if kind == self.kinds.targets && !matches!(result, Some(Ok(()))) {
+                self.view.set_targets_unwatched();
+            }
+            let Some(result) = result else { return };
             // The position is kept only if the watch ended without an error.
             match result {
                 Ok(()) => {}
@@ -331,6 +335,9 @@
         if let Some(at) = age.and_then(|age| received_at.checked_sub(age)) {
             self.view.set_up_to_date_at(at);
         }
+        if state.kind == self.kinds.targets {
+            self.view.set_targets_watched_at(received_at);
+        }
         state.backoff.reset();
         if std::mem::take(&mut state.is_unreachable) {
             let now = Instant::now();
--- a/crates/fleet/src/software.rs
+++ b/crates/fleet/src/software.rs
@@ -32,6 +32,9 @@
     followed_since: Option<Instant>,
     /// When the target list was last known to be current.
     up_to_date_at: Option<Instant>,
+    /// Whether a watch of the targets that has answered is under way. The list is current then, however
+    /// long no target changes: a connection that breaks or falls silent ends the watch.
+    is_watched: bool,
     /// When a target of the service and version was last removed or became another version.
     removed_at: HashMap<(PoolName, Option<SoftwareVersion>), Instant>,
 }
@@ -39,13 +42,24 @@
 impl SoftwareHistory {
     /// Records that the target list was current at the given time.
     pub fn set_up_to_date_at(&mut self, at: Instant) {
-        let is_interrupted = self
-            .up_to_date_at
-            .is_none_or(|previous| at.saturating_duration_since(previous) > MAX_UNSEEN_TIME);
+        let is_interrupted = self.up_to_date_at.is_none_or(|previous| {
+            !self.is_watched && at.saturating_duration_since(previous) > MAX_UNSEEN_TIME
+        });
         if is_interrupted {
             self.followed_since = Some(at);
         }
-        self.up_to_date_at = Some(at);
+        self.up_to_date_at = self.up_to_date_at.max(Some(at));
+    }
+
+    /// Records that a list or watch of the targets has answered at the given time and goes on.
+    pub fn set_watched_at(&mut self, at: Instant) {
+        self.set_up_to_date_at(at);
+        self.is_watched = true;
+    }
+
+    /// Records that the watch of the targets has failed or was given up.
+    pub fn set_unwatched(&mut self) {
+        self.is_watched = false;
     }
 
     /// Records that a target of the service no longer has the version.
@@ -78,8 +92,9 @@
         if first.as_ref().is_some_and(|first| versions.any(|version| version != *first)) {
             return KnownVersions::Several;
         }
-        let is_current =
+        let is_recent =
             self.up_to_date_at.is_some_and(|at| now.saturating_duration_since(at) <= MAX_LIST_AGE);
+        let is_current = is_recent || self.is_watched;
         let is_followed = self.followed_since.is_some_and(|since| !is_within(since));
         match first {
             Some(version) if is_current && is_followed && period < VERSION_RETENTION => {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -225,6 +225,16 @@
         self.inner.software.borrow_mut().set_up_to_date_at(at);
     }
 
+    /// Records that a list or watch of the targets has answered at the given time and goes on.
+    pub fn set_targets_watched_at(&self, at: Instant) {
+        self.inner.software.borrow_mut().set_watched_at(at);
+    }
+
+    /// Records that the watch of the targets has failed or was given up.
+    pub fn set_targets_unwatched(&self) {
+        self.inner.software.borrow_mut().set_unwatched();
+    }
+
     /// Returns which software versions the targets of `services` have had in the last `period`.
     pub fn software_versions(
         &self,
--- a/crates/fleet/tests/software.rs
+++ b/crates/fleet/tests/software.rs
@@ -122,12 +122,29 @@
     let round = ObjectFollowerOptions::default().watch_timeout + Duration::from_millis(20);
     let mut up_to_date_at = start;
     while up_to_date_at < start + 4 * PERIOD {
-        view.set_up_to_date_at(up_to_date_at);
+        view.set_targets_watched_at(up_to_date_at);
         up_to_date_at += round;
     }
     // Just before and just after the next watch returns.
     let before = up_to_date_at - Duration::from_millis(1);
     assert_eq!(view.software_versions(&["s"], PERIOD, before), single("v1"));
-    view.set_up_to_date_at(up_to_date_at);
+    view.set_targets_watched_at(up_to_date_at);
     assert_eq!(view.software_versions(&["s"], PERIOD, up_to_date_at), single("v1"));
 }
+
+/// Pattern: the watch of the targets fails, and a new version serves and leaves before it works again.
+/// Guards against a node that takes the list for current, or the time for seen, without a watch.
+#[test]
+fn failed_watch_is_an_interruption() {
+    let start = Instant::now();
+    let view = FleetView::new(Router::new(RouterOptions::default()));
+    view.set_targets(vec![target("a", "s", "v1")], start);
+    view.set_targets_watched_at(start);
+    let failed_at = start + 2 * PERIOD;
+    assert_eq!(view.software_versions(&["s"], PERIOD, failed_at), single("v1"));
+    view.set_targets_unwatched();
+    assert_eq!(view.software_versions(&["s"], PERIOD, failed_at), KnownVersions::Unknown);
+    let back_at = failed_at + PERIOD;
+    view.set_targets_watched_at(back_at);
+    assert_eq!(view.software_versions(&["s"], PERIOD, back_at), KnownVersions::Unknown);
+}
