--- a/crates/batch/tests/ended_jobs.rs
+++ b/crates/batch/tests/ended_jobs.rs
@@ -20,7 +20,7 @@
 use deck_core::id::{Revision, WeightVersion};
 use deck_fleet::{
     BatchCall, CallerLimits, Configuration, EngineConfig, Item, ItemOutcome, ItemResult,
-    RequestMetadata, RewardCall, Route, RouteKind, ServiceConfig, Target, TargetState,
+    RequestMetadata, RewardCall, Route, RouteKind, ServiceConfig, Target,
 };
 use deck_net::http::StatusCode;
 use deck_testkit::{
@@ -74,17 +74,8 @@
     }
 
     fn target(&self, id: &str, version: WeightVersion) -> Target {
-        Target {
-            id: id.to_owned(),
-            service: "s".to_owned(),
-            address: self.server.address,
-            data_centre: "a".to_owned(),
-            state: TargetState::Ready,
-            software_version: None,
-            slots: 8,
-            models: vec![("m".to_owned(), version)],
-            started_at_ms: 1,
-        }
+        let models = vec![("m".to_owned(), version)];
+        Target { models, ..common::engine(id, self.server.address) }
     }
 
     fn arrival_count(&self) -> usize {
@@ -126,6 +117,17 @@
     node.view.set_configuration(Configuration::new(1, routes, vec![service], limits));
 }
 
+/// Returns an item with a reward call.
+fn scored_item() -> Item {
+    let reward = RewardCall {
+        id: "call".to_owned(),
+        host: "h".to_owned(),
+        path: "/score/1".to_owned(),
+        body: "Ym9keQ==".to_owned(),
+    };
+    Item { reward: Some(reward), ..common::item("a") }
+}
+
 fn set_targets(node: &Node, targets: Vec<Target>) {
     node.view.set_targets(targets, Instant::now());
 }
@@ -193,13 +195,7 @@
 fn reward_calls_stop_when_another_runner_completes_the_job() {
     run_async(async {
         let target = RecordingTarget::start("500 Internal Server Error");
-        let reward = RewardCall {
-            id: "call".to_owned(),
-            host: "h".to_owned(),
-            path: "/score/1".to_owned(),
-            body: "Ym9keQ==".to_owned(),
-        };
-        let item = Item { reward: Some(reward), ..common::item("a") };
+        let item = scored_item();
         let (node, job) = node_that_runs(&MemoryObjects::default(), vec![item]).await;
         job.unpublished_item("a").expect("item").set_phase(ItemPhase::Generated);
         set_targets(&node, vec![target.target("e", 1)]);
@@ -261,13 +257,7 @@
 fn reward_calls_are_not_sent_while_ownership_checks_fail() {
     run_async(async {
         let target = RecordingTarget::start("200 OK");
-        let reward = RewardCall {
-            id: "call".to_owned(),
-            host: "h".to_owned(),
-            path: "/score/1".to_owned(),
-            body: "Ym9keQ==".to_owned(),
-        };
-        let item = Item { reward: Some(reward), ..common::item("a") };
+        let item = scored_item();
         let objects = MemoryObjects::default();
         let (node, job) = node_that_runs(&objects, vec![item]).await;
         objects.set_fault(Some(Fault::Unavailable), None);
@@ -522,17 +512,7 @@
                 }
             }
         });
-        let target = |id: &str| Target {
-            id: id.to_owned(),
-            service: "s".to_owned(),
-            address: server.address,
-            data_centre: "a".to_owned(),
-            state: TargetState::Ready,
-            software_version: None,
-            slots: 1,
-            models: vec![("m".to_owned(), 1)],
-            started_at_ms: 1,
-        };
+        let target = |id: &str| Target { slots: 1, ..common::engine(id, server.address) };
         let objects = MemoryObjects::default();
         let items = ["slow", "fast"].map(|id| Item {
             tokens: 1000,
