--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -13,12 +13,15 @@
 };
 use deck_limit::crash::{CrashCounts, FingerprintCrashes};
 use deck_net::{ChunkedCallLimits, Client, ServerOptions, bind};
+use deck_plat::Precondition;
 use deck_route::{Router, RouterOptions};
 use deck_testkit::{
     eventually,
     memory::{Fault, MemoryObjects},
+    proxy::Proxy,
     raw::RawServer,
 };
+use serde_json::json;
 
 mod common;
 
@@ -31,6 +34,9 @@
     retirements: "retirements",
 };
 
+/// Time in which a large deployment requires that no request reaches a leaving target any more.
+const MAX_DRAIN_TIME: Duration = Duration::from_secs(3);
+
 struct Node {
     address: SocketAddr,
     view: FleetView,
@@ -399,3 +405,111 @@
     };
     deck_net::runtime::run(test).expect("runtime");
 }
+
+/// Starts a watcher and a node that polls it through a proxy, and waits until the node knows the
+/// target `t`. The node's own object API is `node_objects`.
+async fn start_node_behind_proxy(
+    watcher_objects: &MemoryObjects,
+    node_objects: &MemoryObjects,
+    cancel: &CancellationToken,
+) -> (Node, Proxy) {
+    common::write(watcher_objects, KINDS.configuration, "main", 1).await;
+    common::write(watcher_objects, KINDS.targets, "t", 1).await;
+    let watcher = start_node(watcher_objects, cancel);
+    let node = start_node(node_objects, cancel);
+    let proxy = Proxy::start(watcher.address);
+    watcher.feed.set_ranked_nodes(vec![watcher.address, node.address]);
+    node.feed.set_ranked_nodes(vec![proxy.address, node.address]);
+    spawn_feed_task(&watcher, cancel);
+    spawn_feed_task(&node, cancel);
+    eventually("the target is known", async || node.view.target("t").is_some()).await;
+    (node, proxy)
+}
+
+/// Removes the target `t` and returns the time until the node knows of the removal.
+async fn time_until_removal_is_known(objects: &[&MemoryObjects], node: &Node) -> Duration {
+    let removed_at = Instant::now();
+    for objects in objects {
+        let store = objects.store();
+        let object = store.get(KINDS.targets, "t").await.expect("read").expect("object");
+        store.delete(KINDS.targets, "t", object.revision).await.expect("deleted");
+    }
+    eventually("the removal is known", async || node.view.target("t").is_none()).await;
+    removed_at.elapsed()
+}
+
+/// A large configuration takes seconds on a busy link. Target changes that wait behind it leave
+/// the node sending requests to targets that have announced long ago that they leave (DRAIN).
+#[test]
+fn target_change_overtakes_a_large_configuration() {
+    /// Bytes that take several times [`MAX_DRAIN_TIME`] on the slow link.
+    const CONFIGURATION_BYTES: usize = 4 * 1024 * 1024;
+    let test = async {
+        let cancel = CancellationToken::new();
+        let (objects, node_objects) = (MemoryObjects::default(), MemoryObjects::default());
+        let (node, proxy) = start_node_behind_proxy(&objects, &node_objects, &cancel).await;
+        // The calls of the node itself must not help.
+        node_objects.set_fault(Some(Fault::Unavailable), None);
+        proxy.set_delay(Duration::from_millis(40));
+        let store = objects.store();
+        let object = store.get(KINDS.configuration, "main").await.expect("read").expect("object");
+        let value = json!({ "version": 2, "padding": "x".repeat(CONFIGURATION_BYTES) });
+        let condition = Precondition::Revision(object.revision);
+        store.put(KINDS.configuration, "main", condition, &value).await.expect("write");
+        // The watcher has the configuration by then, and its transfer is under way.
+        monoio::time::sleep(Duration::from_millis(800)).await;
+        let time = time_until_removal_is_known(&[&objects], &node).await;
+        assert!(time < MAX_DRAIN_TIME, "{time:?}");
+        let version = node.view.configuration().map(|configuration| configuration.version);
+        assert_eq!(version, Some(1), "the configuration arrived before the target change");
+        wait_for_configuration(&node, 2).await;
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// A watcher that cannot read the configuration still has current targets. A node that discards
+/// them with the outdated configuration keeps sending requests to leaving targets (DRAIN).
+#[test]
+fn targets_are_current_while_the_configuration_of_the_watcher_is_behind() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let (objects, node_objects) = (MemoryObjects::default(), MemoryObjects::default());
+        let (node, _proxy) = start_node_behind_proxy(&objects, &node_objects, &cancel).await;
+        node_objects.set_fault(Some(Fault::Unavailable), None);
+        objects.set_fault_for_kind(KINDS.configuration, Fault::Unavailable, u32::MAX);
+        // Longer than the age up to which the watcher's configuration counts as current.
+        monoio::time::sleep(Duration::from_secs(3)).await;
+        let time = time_until_removal_is_known(&[&objects], &node).await;
+        assert!(time < MAX_DRAIN_TIME, "{time:?}");
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// A page may arrive slowly, byte by byte. A node that waits for its end, although it can reach the
+/// object API itself, keeps sending requests to leaving targets (DRAIN).
+#[test]
+fn target_change_is_read_from_the_object_api_while_a_page_arrives_slowly() {
+    const CHANGED_TARGETS: usize = 400;
+    let test = async {
+        let cancel = CancellationToken::new();
+        let (objects, node_objects) = (MemoryObjects::default(), MemoryObjects::default());
+        for objects in [&objects, &node_objects] {
+            common::write(objects, KINDS.targets, "u", 1).await;
+        }
+        common::write(&node_objects, KINDS.configuration, "main", 1).await;
+        common::write(&node_objects, KINDS.targets, "t", 1).await;
+        let (node, proxy) = start_node_behind_proxy(&objects, &node_objects, &cancel).await;
+        proxy.set_delay(Duration::from_millis(400));
+        // The next page takes several seconds, without a pause that ends the call.
+        for number in 0..CHANGED_TARGETS {
+            common::write(&objects, KINDS.targets, &format!("new-{number:0>1000}"), 1).await;
+        }
+        monoio::time::sleep(Duration::from_millis(1000)).await;
+        let time = time_until_removal_is_known(&[&objects, &node_objects], &node).await;
+        assert!(time < MAX_DRAIN_TIME, "{time:?}");
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
