--- a/crates/batch/src/item_run.rs
+++ b/crates/batch/src/item_run.rs
@@ -63,7 +63,8 @@
     let (speculative, complete) = (item_state.is_speculative, job.is_complete());
     let checked_ms = job.ownership_age_ms();
     let version = software_label(target.software_version.as_deref());
-    log::info!(target: "batch", "run starts item={id} job={} target={} event={start_event} speculative={speculative} job_complete={complete} checked_ms={checked_ms} version={version}", job.id, target.id);
+    let known_ms = runner.deps.view.targets_age(started).unwrap_or_default().as_millis();
+    log::info!(target: "batch", "run starts item={id} job={} target={} event={start_event} speculative={speculative} job_complete={complete} checked_ms={checked_ms} known_ms={known_ms} version={version}", job.id, target.id);
     let observer = runner.deps.observer.clone();
     if item_state.started_at.get().is_none() && !item_state.is_speculative {
         observer.on_first_run(job.submitted_at.elapsed());
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -58,6 +58,8 @@
     missing_since_outage: RefCell<HashMap<TargetId, Instant>>,
     /// When configuration and targets were last known to be up to date.
     up_to_date_at: Cell<Option<Instant>>,
+    /// When the targets were last known to be up to date. Invariant: never decreases.
+    targets_up_to_date_at: Cell<Option<Instant>>,
     /// Software versions that the targets have had.
     software: RefCell<SoftwareHistory>,
     /// Whether a complete target list has been received.
@@ -137,6 +139,7 @@
             published_versions: RefCell::default(),
             missing_since_outage: RefCell::default(),
             up_to_date_at: Cell::new(None),
+            targets_up_to_date_at: Cell::new(None),
             software: RefCell::default(),
             targets_listed: Cell::new(false),
             object_api_recovered_at: Cell::new(None),
@@ -222,11 +225,20 @@
     /// Records that configuration and targets were up to date at the given time.
     pub fn set_up_to_date_at(&self, at: Instant) {
         self.inner.up_to_date_at.set(Some(at));
+        self.set_targets_up_to_date_at(at);
+    }
+
+    /// Records that the targets were up to date at the given time, whatever the age of the
+    /// configuration.
+    pub fn set_targets_up_to_date_at(&self, at: Instant) {
+        let latest = self.inner.targets_up_to_date_at.get().max(Some(at));
+        self.inner.targets_up_to_date_at.set(latest);
         self.inner.software.borrow_mut().set_up_to_date_at(at);
     }
 
     /// Records that a list or watch of the targets has answered at the given time and goes on.
     pub fn set_targets_watched_at(&self, at: Instant) {
+        self.set_targets_up_to_date_at(at);
         self.inner.software.borrow_mut().set_watched_at(at);
     }
 
@@ -253,6 +265,16 @@
         self.inner.up_to_date_at.get().map(|at| now.saturating_duration_since(at))
     }
 
+    /// Returns when the targets were last known to be up to date; `None` before the first list.
+    pub fn targets_up_to_date_at(&self) -> Option<Instant> {
+        self.inner.targets_up_to_date_at.get()
+    }
+
+    /// Returns the time since the targets were last known to be up to date.
+    pub fn targets_age(&self, now: Instant) -> Option<Duration> {
+        self.targets_up_to_date_at().map(|at| now.saturating_duration_since(at))
+    }
+
     /// Returns the configuration version and the age of the data, for log lines.
     pub fn version_and_age(&self) -> ViewFreshness {
         let version = self.configuration().map(|configuration| configuration.version);
