deck-fleet: send the configuration apart from the targets, and judge targets by their own age

Cause: a page of the feed carried the configuration, whole and encoded anew for each reader, beside the target changes. Target changes waited behind it on the watcher, on the link and on the reader, which polls again only after the page is applied. A page had one age, that of the older of both, as of its encoding; a reader discarded current targets because the configuration was read slowly, and took the time on the way for none. Class of fault: two kinds of data with different urgency share one message and one measure of freshness.

Two tests failed before: a removal was known 10.3 s later on a slow link, and never with an unreadable configuration; both pass now.

Change: pages state only the version of the configuration. A reader fetches it by a call of its own while it goes on polling; the watcher encodes each version once. Pages state the age of the targets and for how long the poll was held, so that a reader dates them from the time of its request. Targets of a page are applied if they continue the last page of that watcher, or if they are a complete list that is more recent than what the node has; the configuration's age only decides whether another source is sought. Nodes of earlier releases still get the configuration on the page.

Why it works: a target change depends on no transfer but that of a page of a few hundred bytes.

--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -5,6 +5,9 @@
 //! large fleet only a few nodes, the watchers, follow the object API; the other nodes long-poll a
 //! watcher. A watcher reports the age of its data, so that a node whose watcher has lost the object
 //! API can switch to another watcher or to the object API itself.
+//!
+//! The configuration travels separately from the targets: it may be large, and a node that learns
+//! late that a target is leaving still sends requests to it.
 
 use std::{
     cell::{Cell, RefCell},
@@ -30,7 +33,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    CrashRegistry, NodeCrashes, ObjectFollower, TargetContent, config::ModelName,
+    CrashRegistry, NodeCrashes, ObjectFollower, TargetContent,
+    config::{ConfigurationVersion, ModelName},
     packed::PackedChanges,
 };
 
@@ -131,8 +135,18 @@
     changes: u64,
     /// Age of the watcher's data in milliseconds.
     age_ms: u64,
-    /// Raw configuration, if newer than that of the polling node.
+    /// Age of the watcher's targets in milliseconds. `None` from nodes of earlier releases, whose
+    /// `age_ms` is that of the older of configuration and targets, as here.
+    #[serde(default)]
+    targets_age_ms: Option<u64>,
+    /// Time in milliseconds for which the watcher held the poll. The ages are as of its end.
+    #[serde(default)]
+    held_ms: u64,
+    /// Raw configuration, if newer than that of a polling node of an earlier release.
     configuration: Option<Value>,
+    /// Version of the watcher's configuration, for nodes that fetch it separately.
+    #[serde(default)]
+    configuration_version: Option<ConfigurationVersion>,
     /// Target changes since the polling node's last page.
     targets: Option<PackedChanges>,
     /// Leader, if known.
@@ -172,6 +186,18 @@
     }
 }
 
+impl FeedPage {
+    /// Returns the age of the older of the watcher's configuration and targets.
+    fn age(&self) -> Duration {
+        Duration::from_millis(self.age_ms)
+    }
+
+    /// Returns the age of the watcher's targets.
+    fn targets_age(&self) -> Duration {
+        Duration::from_millis(self.targets_age_ms.unwrap_or(self.age_ms))
+    }
+}
+
 /// Versions of a watcher's data as of the last page received from it.
 #[derive(Debug, Clone, Copy)]
 struct FeedPosition {
@@ -186,6 +212,16 @@
     crash_version: u64,
     /// Version of the watcher's member list.
     member_version: u64,
+    /// When this node's targets were up to date once the page was applied. A different time means
+    /// that another source has updated them since.
+    targets_up_to_date_at: Option<Instant>,
+}
+
+/// Raw configuration as it is sent to other nodes.
+#[derive(Debug, Clone)]
+struct EncodedConfiguration {
+    version: ConfigurationVersion,
+    bytes: Bytes,
 }
 
 /// Distributes deployment state between nodes, as a watcher or as a reader; clones share their
@@ -213,6 +249,10 @@
     crashes: CrashRegistry,
     /// Whether this node currently follows the object API itself.
     is_following_object_api: watch::Sender<bool>,
+    /// Last configuration that was encoded for other nodes.
+    encoded_configuration: RefCell<Option<EncodedConfiguration>>,
+    /// Whether this node is fetching a configuration from a watcher.
+    is_fetching_configuration: Cell<bool>,
 }
 
 impl FleetFeed {
@@ -238,6 +278,8 @@
             runners: RefCell::default(),
             crashes: CrashRegistry::default(),
             is_following_object_api: watch::channel(false).0,
+            encoded_configuration: RefCell::default(),
+            is_fetching_configuration: Cell::new(false),
         };
         Self { inner: Rc::new(inner) }
     }
@@ -376,7 +418,7 @@
                 self.follow_object_api(&cancel, None).await;
                 continue;
             };
-            let polling = cancel.run_until_cancelled(self.poll_watchers(&watchers)).await;
+            let polling = cancel.run_until_cancelled(self.poll_watchers(&watchers, &cancel)).await;
             let Some(failure) = polling else { return };
             let search = cancel.run_until_cancelled(self.wait_for_source(&watchers, failure)).await;
             let Some(source) = search else { return };
@@ -400,7 +442,7 @@
         loop {
             // Watchers that have just started or lost their watch need a moment to catch up.
             monoio::time::sleep(inner.options.source_check_interval).await;
-            if self.has_watcher_with_recent_data(watchers).await {
+            if self.has_recent_watcher(watchers, AGE_ONLY).await {
                 return DataSource::Watcher;
             }
             if self.is_watcher() {
@@ -410,6 +452,10 @@
             if !is_unreachable && !was_unreachable {
                 return DataSource::ObjectApi;
             }
+            // Only the watcher's configuration is behind.
+            if is_unreachable && self.has_recent_watcher(watchers, TARGETS_AGE_ONLY).await {
+                return DataSource::Watcher;
+            }
             if was_unreachable && !is_unreachable {
                 monoio::time::sleep(inner.options.watcher_recovery_delay).await;
             }
@@ -417,9 +463,10 @@
         }
     }
 
-    /// Returns whether the data of any watcher is recent enough.
-    async fn has_watcher_with_recent_data(&self, watchers: &[SocketAddr]) -> bool {
-        let ages = join_all(watchers.iter().map(|node| self.fetch_age(*node))).await;
+    /// Returns whether any watcher is recent enough by the age that the query parameter `age_query`
+    /// requests.
+    async fn has_recent_watcher(&self, watchers: &[SocketAddr], age_query: &str) -> bool {
+        let ages = join_all(watchers.iter().map(|node| self.fetch_age(*node, age_query))).await;
         let is_recent = |age: &Duration| *age <= self.inner.options.max_data_age;
         ages.iter().zip(watchers).any(|(age, node)| match age {
             Ok(age) => is_recent(age),
@@ -430,10 +477,10 @@
         })
     }
 
-    /// Queries the age of a watcher's data.
-    async fn fetch_age(&self, node: SocketAddr) -> Result<Duration, NetError> {
+    /// Queries an age of a watcher's data.
+    async fn fetch_age(&self, node: SocketAddr, age_query: &str) -> Result<Duration, NetError> {
         let request = Request::builder()
-            .uri(format!("{FEED_PATH}?{AGE_ONLY}=1"))
+            .uri(format!("{FEED_PATH}?{age_query}=1"))
             .body(Body::empty())
             .map_err(|error| NetError::Decode(error.to_string()))?;
         let timeout = self.inner.options.poll_timeout;
@@ -469,7 +516,11 @@
     }
 
     /// Polls the watchers for changes until none of them returns data that is recent enough.
-    async fn poll_watchers(&self, watchers: &[SocketAddr]) -> PollFailure {
+    async fn poll_watchers(
+        &self,
+        watchers: &[SocketAddr],
+        cancel: &CancellationToken,
+    ) -> PollFailure {
         let inner = &self.inner;
         // Spreads the nodes over the watchers.
         let offset = inner.own_address.ip().to_string().bytes().map(usize::from).sum::<usize>();
@@ -483,21 +534,29 @@
         while failed < watchers.len() && !self.is_watcher() {
             let node = watchers[next_index % watchers.len()];
             let content = self.required_content();
-            let position = last_position.as_ref().filter(|(sent_by, _)| *sent_by == node);
-            match self.fetch_page(node, position.map(|(_, position)| position), content).await {
-                Ok(page) if Duration::from_millis(page.age_ms) <= inner.options.max_data_age => {
-                    failed = 0;
-                    failure = PollFailure::Unreachable;
-                    let FeedPage { epoch, changes, crash_version, member_version, .. } = page;
-                    let position =
-                        FeedPosition { epoch, changes, content, crash_version, member_version };
-                    last_position = Some((node, position));
-                    self.apply_page(page);
-                    monoio::time::sleep(self.poll_pause(watchers.len())).await;
-                    continue;
-                }
+            let position = last_position
+                .filter(|(sent_by, position)| *sent_by == node && self.is_unchanged_since(position))
+                .map(|(_, position)| position);
+            let sent_at = Instant::now();
+            match self.fetch_page(node, position.as_ref(), content).await {
                 Ok(page) => {
-                    log::info!(target: "fleet", "watcher is behind node={node} age_ms={}", page.age_ms);
+                    let (age, targets_age) = (page.age(), page.targets_age());
+                    let newer_configuration = page.configuration_version.filter(|version| {
+                        *version > inner.follower.view.configuration().map_or(0, |c| c.version)
+                    });
+                    last_position = self
+                        .apply_page(page, sent_at, position, content)
+                        .map(|position| (node, position));
+                    if newer_configuration.is_some() {
+                        self.start_configuration_fetch(node, cancel);
+                    }
+                    if age <= inner.options.max_data_age {
+                        failed = 0;
+                        failure = PollFailure::Unreachable;
+                        monoio::time::sleep(self.poll_pause(watchers.len())).await;
+                        continue;
+                    }
+                    log::info!(target: "fleet", "watcher is behind node={node} age_ms={} targets_age_ms={}", age.as_millis(), targets_age.as_millis());
                     failure = PollFailure::Behind;
                 }
                 Err(error) => {
@@ -544,8 +603,13 @@
     ) -> Result<FeedPage, NetError> {
         let inner = &self.inner;
         let version = inner.follower.view.configuration().map_or(0, |c| c.version);
+        // A configuration that is on its way must not end each wait for changes at once.
+        let version = if inner.is_fetching_configuration.get() { u64::MAX } else { version };
         let wait = inner.options.poll_timeout;
-        let mut path = format!("{FEED_PATH}?configuration={version}&wait_ms={}", wait.as_millis());
+        let mut path = format!(
+            "{FEED_PATH}?configuration={version}&{SEPARATE_CONFIGURATION}=1&wait_ms={}",
+            wait.as_millis()
+        );
         if content == TargetContent::WithVersions {
             path += "&versions=1";
         }
@@ -573,16 +637,48 @@
         cbor::decode(&page)
     }
 
-    fn apply_page(&self, page: FeedPage) {
+    /// Returns whether no other source has updated the targets since the page with this position.
+    fn is_unchanged_since(&self, position: &FeedPosition) -> bool {
+        self.inner.follower.view.targets_up_to_date_at() == position.targets_up_to_date_at
+    }
+
+    /// Applies a page that was requested at `sent_at` with `position`. Returns the new position, or
+    /// `None` if this node has more recent targets than the page.
+    fn apply_page(
+        &self,
+        page: FeedPage,
+        sent_at: Instant,
+        position: Option<FeedPosition>,
+        content: TargetContent,
+    ) -> Option<FeedPosition> {
         let follower = &self.inner.follower;
-        if let Some(at) = Instant::now().checked_sub(Duration::from_millis(page.age_ms)) {
-            follower.view.set_up_to_date_at(at);
+        // The time on the way is not known, so the page counts as encoded as early as possible.
+        let encoded_at = sent_at + Duration::from_millis(page.held_ms);
+        let targets_at = encoded_at.checked_sub(page.targets_age())?;
+        let extends_last_page = position.is_some_and(|position| {
+            position.epoch == page.epoch && self.is_unchanged_since(&position)
+        });
+        let is_recent = page.targets_age() <= self.inner.options.max_data_age
+            && follower.view.targets_up_to_date_at().is_none_or(|known| known <= targets_at);
+        let is_complete = page.targets.as_ref().is_some_and(PackedChanges::is_complete);
+        let has_targets = extends_last_page || (is_complete && is_recent);
+        if has_targets {
+            if let Some(targets) = page.targets {
+                follower.view.apply_target_changes(targets.unpack(), Instant::now());
+            }
+            follower.view.set_targets_up_to_date_at(targets_at);
         }
         if let Some(configuration) = &page.configuration {
             follower.apply_configuration(configuration);
         }
-        if let Some(targets) = page.targets {
-            follower.view.apply_target_changes(targets.unpack(), Instant::now());
+        let own_version = follower.view.configuration().map_or(0, |c| c.version);
+        let has_configuration =
+            page.configuration_version.is_none_or(|version| version <= own_version);
+        if let Some(at) = encoded_at.checked_sub(Duration::from_millis(page.age_ms))
+            && has_targets
+            && has_configuration
+        {
+            follower.view.set_up_to_date_at(at);
         }
         if let Some(crashes) = page.crashes {
             self.inner.crashes.replace(crashes, Instant::now());
@@ -595,6 +691,61 @@
             self.inner.members.replace(members);
             self.update_member_version();
         }
+        has_targets.then(|| FeedPosition {
+            epoch: page.epoch,
+            changes: page.changes,
+            content,
+            crash_version: page.crash_version,
+            member_version: page.member_version,
+            targets_up_to_date_at: follower.view.targets_up_to_date_at(),
+        })
+    }
+
+    /// Fetches the configuration of a watcher while polling goes on, unless a fetch is under way.
+    fn start_configuration_fetch(&self, node: SocketAddr, cancel: &CancellationToken) {
+        if self.inner.is_fetching_configuration.replace(true) {
+            return;
+        }
+        let (feed, cancel) = (self.clone(), cancel.clone());
+        monoio::spawn(async move {
+            match cancel.run_until_cancelled(feed.fetch_configuration(node)).await {
+                Some(Ok(configuration)) => feed.inner.follower.apply_configuration(&configuration),
+                Some(Err(error)) => {
+                    log::info!(target: "fleet", "configuration not received node={node} error={error}");
+                }
+                None => {}
+            }
+            feed.inner.is_fetching_configuration.set(false);
+        });
+    }
+
+    async fn fetch_configuration(&self, node: SocketAddr) -> Result<Value, NetError> {
+        let timeout = self.inner.options.poll_timeout;
+        let request = Request::builder()
+            .uri(format!("{FEED_PATH}?{CONFIGURATION_ONLY}=1"))
+            .body(Body::empty())
+            .map_err(|error| NetError::Decode(error.to_string()))?;
+        let limits = ChunkedCallLimits {
+            head_timeout: timeout * 2,
+            chunk_timeout: timeout,
+            max_body_bytes: MAX_PAGE_BYTES,
+        };
+        let client = &self.inner.client;
+        let body = client.call_with_chunk_timeout(node, request, limits).await?.into_ok_body()?;
+        cbor::decode(&body)
+    }
+
+    /// Returns the encoded configuration of this node; each version is encoded once.
+    fn encoded_configuration(&self) -> Option<Bytes> {
+        let follower = &self.inner.follower;
+        let version = follower.view.configuration()?.version;
+        let mut cache = self.inner.encoded_configuration.borrow_mut();
+        if let Some(encoded) = cache.as_ref().filter(|encoded| encoded.version == version) {
+            return Some(encoded.bytes.clone());
+        }
+        let bytes = encode_cbor(follower.freshness.configuration.borrow().as_ref()?)?;
+        *cache = Some(EncodedConfiguration { version, bytes: bytes.clone() });
+        Some(bytes)
     }
 
     /// Handles a poll from another node, given the query string of the request.
@@ -607,12 +758,20 @@
             return empty_response(StatusCode::NOT_FOUND);
         }
         let parameter = |name| numeric_query_parameter(query, name);
-        if parameter(AGE_ONLY).is_some() {
-            return match self.age() {
+        let (targets_only, has_age_query) =
+            (parameter(TARGETS_AGE_ONLY).is_some(), parameter(AGE_ONLY).is_some());
+        if targets_only || has_age_query {
+            return match if targets_only { self.targets_age() } else { self.age() } {
                 Some(age) => cbor_response(&(age.as_millis() as u64)),
                 None => empty_response(StatusCode::SERVICE_UNAVAILABLE),
             };
         }
+        if parameter(CONFIGURATION_ONLY).is_some() {
+            return match self.encoded_configuration() {
+                Some(bytes) => Response::new(Body::full(bytes)),
+                None => empty_response(StatusCode::SERVICE_UNAVAILABLE),
+            };
+        }
         let same_epoch = parameter("epoch") == Some(inner.epoch);
         let reader_version = |name| parameter(name).filter(|_| same_epoch);
         let content = match parameter("versions") {
@@ -628,7 +787,8 @@
                 || reader_version("members") != Some(inner.member_version.get())
         };
         let wait = Duration::from_millis(parameter("wait_ms").unwrap_or(0));
-        let deadline = Instant::now() + wait.min(inner.options.poll_timeout);
+        let received_at = Instant::now();
+        let deadline = received_at + wait.min(inner.options.poll_timeout);
         let mut changes = view.subscribe();
         while !has_changes() {
             let remaining_wait = deadline.saturating_duration_since(Instant::now());
@@ -636,10 +796,15 @@
                 break;
             }
         }
-        let Some(age) = self.age() else { return empty_response(StatusCode::SERVICE_UNAVAILABLE) };
+        let held_ms = received_at.elapsed().as_millis() as u64;
+        let (Some(age), Some(targets_age)) = (self.age(), self.targets_age()) else {
+            return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+        };
         let version = view.configuration().map_or(0, |configuration| configuration.version);
         let is_newer = version > parameter("configuration").unwrap_or(0);
-        let configuration = inner.follower.freshness.configuration.borrow().clone();
+        let is_on_page = is_newer && parameter(SEPARATE_CONFIGURATION).is_none();
+        let configuration =
+            is_on_page.then(|| inner.follower.freshness.configuration.borrow().clone()).flatten();
         let crashes = inner.crashes.reports(Instant::now());
         let crash_version = inner.crashes.version();
         let (changes, member_version) =
@@ -654,7 +819,10 @@
             epoch: inner.epoch,
             changes,
             age_ms: age.as_millis() as u64,
-            configuration: configuration.filter(|_| is_newer),
+            targets_age_ms: Some(targets_age.as_millis() as u64),
+            held_ms,
+            configuration,
+            configuration_version: Some(version),
             targets,
             leader: self.leader(),
             runners: self.runners(),
@@ -673,6 +841,12 @@
         let kinds = [follower.kinds.configuration, follower.kinds.targets];
         follower.freshness.age(&kinds, Instant::now())
     }
+
+    /// Returns the age of the targets that this node has from the object API.
+    fn targets_age(&self) -> Option<Duration> {
+        let follower = &self.inner.follower;
+        follower.freshness.age(&[follower.kinds.targets], Instant::now())
+    }
 }
 
 /// Reason why polling the watchers ended.
@@ -693,14 +867,27 @@
 
 /// Query parameter that requests only the age of a watcher's data.
 const AGE_ONLY: &str = "age_only";
+/// Query parameter that requests only the age of a watcher's targets.
+const TARGETS_AGE_ONLY: &str = "targets_age_only";
+/// Query parameter that requests only the raw configuration.
+const CONFIGURATION_ONLY: &str = "configuration_only";
+/// Query parameter of nodes that fetch the configuration separately, so that pages do not carry it.
+const SEPARATE_CONFIGURATION: &str = "separate_configuration";
 
 fn cbor_response<T: Serialize>(value: &T) -> Response<Body> {
+    match encode_cbor(value) {
+        Some(bytes) => Response::new(Body::full(bytes)),
+        None => empty_response(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+fn encode_cbor<T: Serialize>(value: &T) -> Option<Bytes> {
     let mut bytes = Vec::new();
     match ciborium::into_writer(value, &mut bytes) {
-        Ok(()) => Response::new(Body::full(Bytes::from(bytes))),
+        Ok(()) => Some(Bytes::from(bytes)),
         Err(error) => {
             log::error!(target: "fleet", "feed page could not be encoded error={error}");
-            empty_response(StatusCode::INTERNAL_SERVER_ERROR)
+            None
         }
     }
 }
--- a/crates/fleet/src/packed.rs
+++ b/crates/fleet/src/packed.rs
@@ -70,6 +70,11 @@
         Self { is_complete, names: names.list, rows, removed, software_versions }
     }
 
+    /// Returns whether the list of targets is complete.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
     /// Decodes the changes. Targets that refer to a missing name are skipped.
     pub(crate) fn unpack(self) -> TargetChanges {
         let name = |index: usize| self.names.get(index).cloned();
