deck-fleet: read the targets from the object API when they get old while watchers are polled

Callers saw runs of items reach a target up to 3.7 s after it had announced that it leaves.

Cause: the delays on the way of a target change are bounded one by one, but not their sum. A poll may take 1 s until its head and has no bound for its end (a total timeout would end slow transfers after a restart of the fleet); up to three watchers are asked one after the other, and then the search for a source takes rounds of 0.4 s and more. Class of fault: local time-outs without a deadline for the whole.

Change: while a node polls watchers or looks for a source, it lists the targets in the object API once they are older than two thirds of DrainMs, and again each time that happens; after a failure it waits 2.5 s. Entries that are missing right after an outage have the usual time to register again.

Why it works: the age of the targets on a node that reaches the object API is bounded by one deadline, whatever the watchers do. In a healthy fleet the age stays below it, so no calls are added.

--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -79,6 +79,10 @@
 /// Part of the grace time that is reserved: shutdown stops waiting for open requests this long before
 /// the end of the grace time.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
+/// Age of the targets from which they are read from the object API, as a fraction of the time in
+/// which requests to a leaving target have to stop. The rest covers that read and the way of the
+/// last request.
+const MAX_TARGETS_AGE_FRACTION: f64 = 2.0 / 3.0;
 /// Interval at which the settings file is read again.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 /// Minimum idle timeout of server connections; deployments usually configure a shorter one.
@@ -139,7 +143,10 @@
         new_incarnation(),
         client.clone(),
         follower.clone(),
-        FleetFeedOptions::default(),
+        FleetFeedOptions {
+            max_targets_age: settings.bounds.drain.mul_f64(MAX_TARGETS_AGE_FRACTION),
+            ..FleetFeedOptions::default()
+        },
     );
     let (feed_task, feed_cancel) = (feed.clone(), background_cancel.clone());
     let discovery_timeout = if settings.is_first_fleet_start {
--- a/crates/batch/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -41,6 +41,7 @@
             lease: Duration::from_secs(3),
             job_retention: Duration::from_secs(120),
             job_end_effect: Duration::from_secs(3),
+            drain: Duration::from_secs(3),
             fencing_checked: true,
         })),
         view: view.clone(),
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -11,6 +11,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    convert::Infallible,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -26,7 +27,7 @@
     Body, ChunkedCallLimits, Client, NetError, cbor,
     server::{empty_response, numeric_query_parameter},
 };
-use futures_util::future::join_all;
+use futures_util::future::{Either, join_all, select};
 use http::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -93,6 +94,11 @@
     /// Age above which a watcher's data is too old to use. Together with the two timeouts above,
     /// every node receives a change within the two seconds that deployments allow.
     pub max_data_age: Duration,
+    /// Age of the targets from which a node that polls watchers reads them from the object API.
+    /// Leaves time for that read until no request may reach a leaving target any more.
+    pub max_targets_age: Duration,
+    /// Time after a failed read of the targets until the next one.
+    pub targets_retry_delay: Duration,
     /// Minimum pause between two polls.
     pub min_poll_pause: Duration,
     /// Average interval between the replies of one watcher. The pause between polls grows with the
@@ -117,6 +123,8 @@
             watch_timeout: Duration::from_millis(900),
             poll_timeout: Duration::from_millis(500),
             max_data_age: Duration::from_millis(1500),
+            max_targets_age: Duration::from_secs(2),
+            targets_retry_delay: Duration::from_millis(2500),
             min_poll_pause: Duration::from_millis(50),
             watcher_reply_interval: Duration::from_millis(4),
             fallback_duration: Duration::from_secs(5),
@@ -418,10 +426,18 @@
                 self.follow_object_api(&cancel, None).await;
                 continue;
             };
-            let polling = cancel.run_until_cancelled(self.poll_watchers(&watchers, &cancel)).await;
-            let Some(failure) = polling else { return };
-            let search = cancel.run_until_cancelled(self.wait_for_source(&watchers, failure)).await;
-            let Some(source) = search else { return };
+            let find_source = async {
+                let failure = self.poll_watchers(&watchers, &cancel).await;
+                self.wait_for_source(&watchers, failure).await
+            };
+            let find_source = std::pin::pin!(find_source);
+            let keep_targets_recent = std::pin::pin!(self.keep_targets_recent());
+            let polling = select(find_source, keep_targets_recent);
+            let source = match cancel.run_until_cancelled(polling).await {
+                Some(Either::Left((source, _))) => source,
+                Some(Either::Right((never, _))) => match never {},
+                None => return,
+            };
             if source == DataSource::ObjectApi && !self.is_watcher() {
                 let until = Instant::now() + self.inner.options.fallback_duration;
                 self.follow_object_api(&cancel, Some(until)).await;
@@ -429,6 +445,32 @@
         }
     }
 
+    /// Reads the targets from the object API whenever they are older than `max_targets_age`,
+    /// because the watchers are slow, behind or silent.
+    async fn keep_targets_recent(&self) -> Infallible {
+        let (view, options) = (&self.inner.follower.view, &self.inner.options);
+        let mut is_unreachable = false;
+        loop {
+            let now = Instant::now();
+            let time_until_old = view
+                .targets_age(now)
+                .map_or(options.max_targets_age, |age| options.max_targets_age.saturating_sub(age));
+            if !time_until_old.is_zero() {
+                monoio::time::sleep(time_until_old).await;
+                continue;
+            }
+            log::info!(target: "fleet", "targets are old age_ms={}", view.targets_age(now).unwrap_or_default().as_millis());
+            match self.inner.follower.read_targets(is_unreachable).await {
+                Ok(()) => is_unreachable = false,
+                Err(error) => {
+                    log::info!(target: "fleet", "reading the targets failed error={error}");
+                    is_unreachable = true;
+                    monoio::time::sleep(options.targets_retry_delay).await;
+                }
+            }
+        }
+    }
+
     /// Waits until the object API or a watcher can provide current data.
     ///
     /// If each node of a large fleet followed the object API during an outage, the nodes would make
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -203,6 +203,29 @@
         self.follow(self.kinds.targets, apply, cancel).await;
     }
 
+    /// Reads the targets once, for a node that otherwise receives them from other nodes.
+    ///
+    /// `was_unreachable` states that the last call failed: entries may then be missing for a moment
+    /// although their targets live.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the object API does not answer.
+    pub(crate) async fn read_targets(&self, was_unreachable: bool) -> Result<(), StoreError> {
+        let started_at = Instant::now();
+        let list = self.store.list(self.kinds.targets).await;
+        let (_, objects) = list.inspect_err(|_| self.view.set_object_api_unreachable())?;
+        let now = Instant::now();
+        if was_unreachable {
+            self.view.set_object_api_recovered(now);
+        }
+        let targets = objects.iter().filter_map(|object| self.decode_target(object));
+        self.view.set_targets(targets.collect(), now);
+        self.view.remove_expired_missing(now);
+        self.view.set_targets_up_to_date_at(started_at);
+        Ok(())
+    }
+
     /// Follows the published weight versions until `cancel` is cancelled.
     pub async fn follow_versions(&self, cancel: CancellationToken) {
         let apply = |change: ObjectChange| {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -46,6 +46,8 @@
     /// Time after the acknowledgement of a batch job's end after which no request for the job may
     /// reach a target.
     pub job_end_effect: Duration,
+    /// Time after a target has announced that it leaves after which no request may reach it.
+    pub drain: Duration,
     /// Whether targets reject orders with an outdated fencing number.
     pub fencing_checked: bool,
 }
