Keep to the request rates that targets in need name, over all nodes together

Evidence, with own stand-ins, before: a target that names 3 requests a second got 185 in 4 s (allowed 23) while another target was free, the same where it was the only one; an engine that names 4 got 60 runs within 0.02 s.

Class of fault: a statement of a target about itself is not read where the choice is made.

Change: each node knows its part of a rate from what all nodes know alike (member list, runner table), so no messages are added. Items: the rate is divided among the runners of the service's models, since no other node sends runs. Requests of callers: among all entry nodes; below one request a second for each, among fewer, and the others take turns by the time of day. The dispatcher sees the part as free slots; the forwarder passes over exhausted targets and refuses at once (503, not run) if none is left.

Ruled out: a count in the object API (a priced call for each request), and shares by measured use told on the feed, which has no path between the nodes of a small fleet. What an equal division wastes where the demand is uneven is open.

--- a/crates/batch/src/item_run.rs
+++ b/crates/batch/src/item_run.rs
@@ -180,6 +180,7 @@
     if !runner.may_send(job) {
         return RunOutcome::Withheld;
     }
+    let sent_at = Instant::now();
     let send = runner.deps.client.send(target.address, request);
     let response = match monoio::time::timeout(runner.options.first_event_timeout, send).await {
         Ok(Ok(response)) => response,
@@ -195,6 +196,10 @@
     if metadata.leaving {
         runner.deps.view.mark_leaving(target, Instant::now());
     }
+    if metadata.is_from_target {
+        let limits = runner.deps.view.limits();
+        limits.record(target, metadata.requests_per_s, sent_at, Instant::now());
+    }
     if metadata.request_id.as_ref().is_some_and(|id| *id != item_state.item.id) {
         return RunOutcome::Broken("response carries another request id".to_owned());
     }
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -16,7 +16,7 @@
 };
 use deck_fleet::{
     Bounds, EngineEstimate, EngineRegistry, FleetView, Item, ItemOutcome, Observer,
-    PlatformProtocol, RouteKind, Target, TargetList, TargetState,
+    PlatformProtocol, RequestPurpose, RouteKind, Target, TargetList, TargetState,
 };
 use deck_forward::Forwarder;
 use deck_net::Client;
@@ -431,6 +431,10 @@
             item_run::discard_text_of_other_software(item_state, target, discard_reason);
             item_state.set_phase(ItemPhase::Running);
             waiting_count -= 1;
+            if let Some(configuration) = self.deps.view.configuration() {
+                let (limits, purpose) = (self.deps.view.limits(), RequestPurpose::Item);
+                limits.count_request(target, purpose, &configuration, now);
+            }
             let guard = self.deps.engines.start_run(target);
             monoio::spawn(item_run::run_item(
                 self.clone(),
@@ -509,7 +513,18 @@
         model: &str,
         now: Instant,
     ) -> Vec<EngineCandidate> {
-        let engines = &self.deps.engines;
+        let (engines, limits) = (&self.deps.engines, self.deps.view.limits());
+        let configuration = self.deps.view.configuration().filter(|_| !limits.is_empty());
+        let slots = |target: &Target, estimate: &EngineEstimate| {
+            if !estimate.is_usable {
+                return 0;
+            }
+            let available = configuration.as_ref().and_then(|configuration| {
+                limits.available(target, RequestPurpose::Item, configuration, now)
+            });
+            let limited = |available| estimate.active_runs.saturating_add(available);
+            target.slots.min(available.map_or(u32::MAX, limited))
+        };
         let ready = || estimates.iter().filter(|(target, _)| target.state == TargetState::Ready);
         let median_gap_ms = median_event_gap_ms(ready().map(|(_, estimate)| estimate));
         ready()
@@ -519,7 +534,7 @@
                     version: estimate.version?,
                     software_version: target.software_version.clone(),
                     active_runs: estimate.active_runs,
-                    slots: if estimate.is_usable { target.slots } else { 0 },
+                    slots: slots(target, estimate),
                     event_gap_ms: estimate
                         .expected_event_interval_ms(median_gap_ms, now)
                         .unwrap_or(median_gap_ms),
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -155,6 +155,11 @@
         Self { version, routes: routes_by_host, services, limits }
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Rc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Returns the route of the host with the longest prefix of the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
         let routes = self.routes.get(host)?;
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -34,7 +34,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    CrashRegistry, NodeCrashes, ObjectFollower, TargetContent,
+    CrashRegistry, NodeCrashes, ObjectFollower, Senders, TargetContent,
     config::{ConfigurationVersion, ModelName},
     packed::PackedChanges,
 };
@@ -316,14 +316,27 @@
 
     fn update_member_version(&self) {
         self.inner.member_version.set(self.inner.members.borrow().version());
+        self.update_senders();
         if !self.inner.members.borrow().ranked.is_empty() {
             self.inner.nodes_known.notify_one();
         }
     }
 
+    /// Passes on which nodes send requests to targets; they share the limits of the targets.
+    fn update_senders(&self) {
+        let runners = self.inner.runners.borrow();
+        let runners = runners.runners.iter().map(|runner| (runner.model.clone(), runner.address));
+        self.inner.follower.view.limits().set_senders(Senders {
+            own_address: Some(self.inner.own_address),
+            entry_nodes: self.ranked_nodes(),
+            leader: self.leader().map(|leader| leader.address),
+            runners: runners.collect(),
+        });
+    }
+
     /// Sets the leader; `None` if unknown.
     pub fn set_leader(&self, leader: Option<Leader>) {
-        self.inner.leader.send_if_modified(|current| {
+        let is_changed = self.inner.leader.send_if_modified(|current| {
             let changed = *current != leader;
             if changed {
                 log::info!(target: "fleet", "leader is {leader:?}");
@@ -331,6 +344,9 @@
             }
             changed
         });
+        if is_changed {
+            self.update_senders();
+        }
     }
 
     /// Returns the last known leader.
@@ -346,6 +362,8 @@
                 log::info!(target: "fleet", "runners are {table:?}");
             }
             *current = table;
+            drop(current);
+            self.update_senders();
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod software;
 pub mod stream_origins;
 pub mod target;
+pub mod target_limits;
 pub mod view;
 
 pub use config::{CallerLimits, Configuration, EngineConfig, Route, RouteKind, ServiceConfig};
@@ -52,4 +53,5 @@
 pub use software::KnownVersions;
 pub use stream_origins::{OriginRecord, StreamOrigin, StreamOriginStore};
 pub use target::{Target, TargetState};
+pub use target_limits::{RequestPurpose, Senders, TargetLimits};
 pub use view::{FleetView, TargetChanges, TargetContent, TargetList};
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -59,6 +59,12 @@
     pub leaving: bool,
     /// Weight version at the start of the response.
     pub version: Option<WeightVersion>,
+    /// Whether the response is from the intended target, and not from another one that has taken
+    /// over its address.
+    pub is_from_target: bool,
+    /// Number of requests a second that the target takes from all nodes together; `None` if it
+    /// names no limit.
+    pub requests_per_s: Option<f64>,
 }
 
 /// Call on an existing batch job.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -17,7 +17,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    Configuration, KnownVersions, Target, TargetState, change_log::TargetChangeLog,
+    Configuration, KnownVersions, Target, TargetLimits, TargetState, change_log::TargetChangeLog,
     config::ModelName, software::SoftwareHistory,
 };
 
@@ -52,6 +52,8 @@
     versions_requested_at: Cell<Option<Instant>>,
     /// Target processes that announced in a response that they are leaving.
     leaving: RefCell<HashMap<TargetId, LeavingProcess>>,
+    /// Request rates that targets have named in their responses.
+    limits: TargetLimits,
     published_versions: RefCell<HashMap<ModelName, WeightVersion>>,
     /// Targets whose entries disappeared around an outage of the object API, with the time at which
     /// they are removed unless they register again.
@@ -136,6 +138,7 @@
             routing_log: RefCell::default(),
             versions_requested_at: Cell::new(None),
             leaving: RefCell::default(),
+            limits: TargetLimits::default(),
             published_versions: RefCell::default(),
             missing_since_outage: RefCell::default(),
             up_to_date_at: Cell::new(None),
@@ -292,6 +295,11 @@
         published_versions.iter().map(|(model, version)| (model.clone(), *version)).collect()
     }
 
+    /// Returns the request rates that targets have named in their responses.
+    pub fn limits(&self) -> &TargetLimits {
+        &self.inner.limits
+    }
+
     /// Returns the router whose pools this view keeps up to date.
     pub fn router(&self) -> &Router {
         &self.inner.router
@@ -505,6 +513,7 @@
         let Some(target) = self.inner.targets.borrow_mut().remove(id) else { return false };
         log::info!(target: "fleet", "target gone target={id}");
         self.record_version_removed(&target);
+        self.inner.limits.remove(id);
         self.inner.targets_by_service.borrow_mut().remove(&target.service);
         self.inner.target_log.borrow_mut().record_removal(&target.id);
         self.inner.routing_log.borrow_mut().record_removal(&target.id);
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -103,7 +103,8 @@
             let response = self.client.send(address, request).await.map_err(classify_net_error)?;
             in_flight.record_first_byte(Instant::now());
             reporter.time_to_first_byte = Some(reporter.started_at.elapsed());
-            self.receive(&target, target_entry, response, &mut running_call).await
+            let sent_at = reporter.started_at;
+            self.receive(&target, target_entry, response, sent_at, &mut running_call).await
         };
         let result = match monoio::time::timeout(time_left, receive_reply).await {
             Ok(result) => result,
@@ -164,6 +165,7 @@
         target: &TargetId,
         target_entry: Option<Rc<Target>>,
         response: ClientResponse,
+        sent_at: Instant,
         running_call: &mut Option<RunningCall>,
     ) -> Result<Reply, AttemptError> {
         let (status, headers) = (response.status, response.headers.clone());
@@ -171,6 +173,10 @@
         if let Some(target_entry) = target_entry.as_deref().filter(|_| metadata.leaving) {
             self.fleet_view.mark_leaving(target_entry, Instant::now());
         }
+        if let Some(target_entry) = target_entry.as_deref().filter(|_| metadata.is_from_target) {
+            let (limits, now) = (self.fleet_view.limits(), Instant::now());
+            limits.record(target_entry, metadata.requests_per_s, sent_at, now);
+        }
         if metadata.request_id.as_ref().is_some_and(|id| *id != self.request_id) {
             return Err(AttemptError::Unknown("answer to another request".to_owned()));
         }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -12,8 +12,8 @@
     priority::Priority,
 };
 use deck_fleet::{
-    FleetView, Observer, PlatformProtocol, ResumptionOutcome, ResumptionScope, Route, RouteKind,
-    StreamOrigin, Target, TargetState,
+    FleetView, Observer, PlatformProtocol, RequestPurpose, ResumptionOutcome, ResumptionScope,
+    Route, RouteKind, StreamOrigin, Target, TargetState,
 };
 use deck_limit::{BudgetOptions, HedgeBudget, RetryBudget, crash::fingerprint};
 use deck_net::Client;
@@ -333,6 +333,7 @@
             self.crash_guard.check_allowed(fingerprint)?;
         }
         let allowed_targets = self.allowed_targets(service, &context.required_version)?;
+        let LimitedTargets { exhausted, next_request_after } = self.limited_targets(service);
         let pick = |exclude: &[TargetId]| {
             self.fleet_view.router().pick(&PickRequest {
                 pool: service,
@@ -347,21 +348,60 @@
         let suspect_targets = context.fingerprint.map_or_else(Vec::new, |fingerprint| {
             self.crash_guard.targets_to_avoid(fingerprint, service)
         });
-        if !suspect_targets.is_empty() {
-            let exclude = [suspect_targets, progress.tried_targets.clone()].concat();
-            if let Ok(pick) = pick(&exclude) {
-                return Ok(pick);
-            }
+        let excluded = [progress.tried_targets.as_slice(), &exhausted].concat();
+        if !suspect_targets.is_empty()
+            && let Ok(pick) = pick(&[suspect_targets, excluded.clone()].concat())
+        {
+            self.count_request(&pick);
+            return Ok(pick);
         }
         let has_tried_targets = !progress.tried_targets.is_empty();
-        pick(&progress.tried_targets).map_err(|error| {
-            let (kind, wait) = if has_tried_targets {
-                (ErrorKind::TargetRefused, self.options.overload_retry_after)
-            } else {
-                (ErrorKind::NoTarget, self.options.no_target_retry_after)
+        let picked = pick(&excluded).map_err(|error| {
+            let (kind, wait) = match next_request_after {
+                // Another node may have more of the limit left.
+                Some(wait) => (ErrorKind::Overloaded, wait.min(self.options.no_target_retry_after)),
+                None if has_tried_targets => {
+                    (ErrorKind::TargetRefused, self.options.overload_retry_after)
+                }
+                None => (ErrorKind::NoTarget, self.options.no_target_retry_after),
             };
             Some(CallError::new(kind, error.to_string()).with_retry_after(wait))
-        })
+        });
+        picked.inspect(|pick| self.count_request(pick))
+    }
+
+    /// Returns the targets of a service that have named a limit and take no request of this node
+    /// now.
+    fn limited_targets(&self, service: &str) -> LimitedTargets {
+        let mut limited = LimitedTargets::default();
+        let limits = self.fleet_view.limits();
+        let Some(configuration) = self.fleet_view.configuration().filter(|_| !limits.is_empty())
+        else {
+            return limited;
+        };
+        for target in self.fleet_view.targets_of(service).iter() {
+            let wait = limits.time_until_available(
+                target,
+                RequestPurpose::Request,
+                &configuration,
+                Instant::now(),
+            );
+            if !wait.is_zero() {
+                limited.exhausted.push(target.id.clone());
+                let earliest = limited.next_request_after.unwrap_or(wait).min(wait);
+                limited.next_request_after = Some(earliest);
+            }
+        }
+        limited
+    }
+
+    /// Counts a request against the limit of its target, if that has named one.
+    fn count_request(&self, pick: &Pick) {
+        let target = self.fleet_view.target(&pick.target);
+        if let (Some(target), Some(configuration)) = (target, self.fleet_view.configuration()) {
+            let (limits, purpose) = (self.fleet_view.limits(), RequestPurpose::Request);
+            limits.count_request(&target, purpose, &configuration, Instant::now());
+        }
     }
 
     /// Returns the targets of a service that have the required software version; `None` allows all.
@@ -435,6 +475,14 @@
     route.kind == RouteKind::Streaming && route.resumable
 }
 
+/// Targets of a service that take no request of this node now, because of the limits they named.
+#[derive(Default)]
+struct LimitedTargets {
+    exhausted: Vec<TargetId>,
+    /// Time until the first of them takes a request; `None` if there are none.
+    next_request_after: Option<Duration>,
+}
+
 /// Failure of a request to which no target replied.
 struct NotServed {
     /// Error that the caller receives.
--- a/crates/limit/src/token_bucket.rs
+++ b/crates/limit/src/token_bucket.rs
@@ -26,6 +26,30 @@
         Self { tokens_per_s, tokens: tokens_per_s.max(1.0), updated_at: now, next_retry_at: now }
     }
 
+    /// Returns a bucket without tokens that gains `tokens_per_s` tokens per second.
+    pub fn new_empty(tokens_per_s: f64, now: Instant) -> Self {
+        Self { tokens: 0.0, ..Self::new(tokens_per_s, now) }
+    }
+
+    /// Changes the rate at which the bucket gains tokens; keeps the tokens that fit.
+    pub fn set_rate(&mut self, tokens_per_s: f64, now: Instant) {
+        self.refill(now);
+        self.tokens_per_s = tokens_per_s.max(0.001);
+        self.tokens = self.tokens.min(self.tokens_per_s.max(1.0));
+    }
+
+    /// Returns the number of tokens that can be taken now.
+    pub fn available(&mut self, now: Instant) -> u32 {
+        self.refill(now);
+        self.tokens.max(0.0) as u32
+    }
+
+    /// Returns the time until a token can be taken; zero if one is available.
+    pub fn time_until_available(&mut self, now: Instant) -> Duration {
+        self.refill(now);
+        Duration::from_secs_f64((1.0 - self.tokens).max(0.0) / self.tokens_per_s)
+    }
+
     /// Takes a token.
     ///
     /// # Errors
