Save the unused requests of a limited target for two seconds instead of one

Runs of items come in bursts, one step each four seconds: with one second's worth, an engine that had named a limit stood partly unused between them.

--- a/crates/fleet/src/target_limits.rs
+++ b/crates/fleet/src/target_limits.rs
@@ -24,6 +24,9 @@
 
 /// Fraction of a rate that is reserved for the nodes that take turns.
 const TURNS_FRACTION: f64 = 0.2;
+/// Time for which unused requests are saved. Runs of items come in bursts; targets judge their load
+/// over some seconds.
+const SAVED_TIME: Duration = Duration::from_secs(2);
 /// Minimum rate that is divided, for a target that takes no requests at all.
 const MIN_REQUESTS_PER_S: f64 = 0.05;
 
@@ -266,7 +269,7 @@
         let compute_share = || self.share(target, purpose, configuration, requests_per_s);
         let allowance = limit.allowances.entry(purpose).or_insert_with(|| {
             let share = compute_share();
-            let bucket = TokenBucket::new_empty(share.rate(), now);
+            let bucket = TokenBucket::with_depth(share.rate(), SAVED_TIME, now);
             Allowance { share, basis, bucket, used_turn: None }
         });
         if allowance.basis != basis {
--- a/crates/limit/src/token_bucket.rs
+++ b/crates/limit/src/token_bucket.rs
@@ -2,12 +2,14 @@
 
 use std::time::{Duration, Instant};
 
-/// Token bucket that holds at most the tokens of one second, but always room for one token.
+/// Token bucket that holds at most the tokens of a given time, but always room for one token.
 #[derive(Debug, Clone)]
 pub struct TokenBucket {
     /// Rate at which the bucket gains tokens.
     tokens_per_s: f64,
-    /// Available tokens. Invariant: at most the tokens of one second, or one if that is more; negative
+    /// Time whose tokens the bucket holds, in seconds.
+    depth_s: f64,
+    /// Available tokens. Invariant: at most the tokens of `depth_s`, or one if that is more; negative
     /// only after [`try_take_with_debt`](Self::try_take_with_debt).
     tokens: f64,
     /// Time at which `tokens` was computed.
@@ -20,22 +22,28 @@
 const MAX_RETRY_WAIT: Duration = Duration::from_secs(10);
 
 impl TokenBucket {
-    /// Returns a full bucket that gains `tokens_per_s` tokens per second.
+    /// Returns a full bucket that gains `tokens_per_s` tokens per second and holds those of one
+    /// second.
     pub fn new(tokens_per_s: f64, now: Instant) -> Self {
-        let tokens_per_s = tokens_per_s.max(0.001);
-        Self { tokens_per_s, tokens: tokens_per_s.max(1.0), updated_at: now, next_retry_at: now }
+        Self::with_depth(tokens_per_s, Duration::from_secs(1), now)
     }
 
-    /// Returns a bucket without tokens that gains `tokens_per_s` tokens per second.
-    pub fn new_empty(tokens_per_s: f64, now: Instant) -> Self {
-        Self { tokens: 0.0, ..Self::new(tokens_per_s, now) }
+    /// Returns a full bucket that gains `tokens_per_s` tokens per second and holds those of `depth`.
+    pub fn with_depth(tokens_per_s: f64, depth: Duration, now: Instant) -> Self {
+        let (tokens_per_s, depth_s) = (tokens_per_s.max(0.001), depth.as_secs_f64());
+        let tokens = (tokens_per_s * depth_s).max(1.0);
+        Self { tokens_per_s, depth_s, tokens, updated_at: now, next_retry_at: now }
     }
 
     /// Changes the rate at which the bucket gains tokens; keeps the tokens that fit.
     pub fn set_rate(&mut self, tokens_per_s: f64, now: Instant) {
         self.refill(now);
         self.tokens_per_s = tokens_per_s.max(0.001);
-        self.tokens = self.tokens.min(self.tokens_per_s.max(1.0));
+        self.tokens = self.tokens.min(self.max_tokens());
+    }
+
+    fn max_tokens(&self) -> f64 {
+        (self.tokens_per_s * self.depth_s).max(1.0)
     }
 
     /// Returns the number of tokens that can be taken now.
@@ -47,7 +55,12 @@
     /// Returns the time until a token can be taken; zero if one is available.
     pub fn time_until_available(&mut self, now: Instant) -> Duration {
         self.refill(now);
-        Duration::from_secs_f64((1.0 - self.tokens).max(0.0) / self.tokens_per_s)
+        if self.tokens >= 1.0 {
+            return Duration::ZERO;
+        }
+        // A wait that rounds to zero would read as an available token.
+        Duration::from_secs_f64((1.0 - self.tokens) / self.tokens_per_s)
+            .max(Duration::from_nanos(1))
     }
 
     /// Takes a token.
@@ -86,7 +99,7 @@
     fn refill(&mut self, now: Instant) {
         let gained_tokens =
             now.saturating_duration_since(self.updated_at).as_secs_f64() * self.tokens_per_s;
-        self.tokens = (self.tokens + gained_tokens).min(self.tokens_per_s.max(1.0));
+        self.tokens = (self.tokens + gained_tokens).min(self.max_tokens());
         self.updated_at = now;
     }
 }
