decknode: answer requests that are taken while the node stops, or refuse them truthfully

Cause: a stopping node takes requests for 0.55 of the grace time and on until its jobs are handed over, whatever time they need, and ends 0.7 s before the end of the grace time with all that is open. Class of fault: work is accepted without a look at the time that is left to finish it.

Evidence: planned_stop.rs failed before (GraceS 5, silent targets, requests with a deadline of 3 s): a request that came 1.7 s after SIGTERM ended after 4.3 s with "connection closed before message completed". It passes now.

Change: once the node stops, a request that may not be repeated is refused (503, not run, Retry-After 0.1 s) unless all of its time fits before the last moment for answers, 1 s before the end of the grace time; one that may be repeated unless twice its route's target latency fits. What is taken has its deadline there, so a target that did not get it in time is reported as such. Whatever is still open at that moment, also reads of batch jobs and requests from before the stop, is answered with 504.

A stream whose head has been sent still ends with the process.

--- a/bins/decknode/src/frontend.rs
+++ b/bins/decknode/src/frontend.rs
@@ -7,7 +7,10 @@
 };
 
 use deck_batch::BatchService;
-use deck_core::error::{CallError, ErrorKind};
+use deck_core::{
+    CancellationToken,
+    error::{CallError, ErrorKind},
+};
 use deck_fleet::{Configuration, FleetView, PlatformProtocol, Route, RouteKind};
 use deck_forward::{ForwardRequest, Forwarder, error_response, response_from_reply};
 use deck_net::{Body, NetError, server::read_body};
@@ -21,6 +24,62 @@
 /// Timeout of a request whose route sets none.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// `Retry-After` in refusals while the node stops; callers retry at other nodes.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Time before the last moment for answers at which targets are given up, so that the answer states
+/// whether the request may have run.
+const STOPPING_ANSWER_MARGIN: Duration = Duration::from_millis(50);
+/// Minimum time left to a request that may be repeated, as a multiple of the target latency of its
+/// route.
+const STOPPING_LATENCY_RATIO: u32 = 2;
+
+/// Last moment at which a stopping node answers its open requests; clones share it.
+#[derive(Clone, Default)]
+pub struct StopDeadline {
+    /// `None` until the node stops.
+    answer_by: Rc<Cell<Option<Instant>>>,
+    /// Cancelled at `answer_by`.
+    is_reached: CancellationToken,
+}
+
+impl StopDeadline {
+    /// Sets the deadline of a node that stops.
+    pub fn set(&self, answer_by: Instant) {
+        self.answer_by.set(Some(answer_by));
+        let is_reached = self.is_reached.clone();
+        monoio::spawn(async move {
+            monoio::time::sleep(answer_by.saturating_duration_since(Instant::now())).await;
+            is_reached.cancel();
+        });
+    }
+
+    /// Returns the deadline of a request, which ends before the node does.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the node stops too soon: a request that may not be repeated has to be
+    /// able to use all of its time, others some multiples of the usual time.
+    fn limit_deadline(
+        &self,
+        route: &Route,
+        deadline: Instant,
+        now: Instant,
+    ) -> Result<Instant, CallError> {
+        let Some(answer_by) = self.answer_by.get() else { return Ok(deadline) };
+        let last_moment = answer_by.checked_sub(STOPPING_ANSWER_MARGIN).unwrap_or(answer_by);
+        let own_time = deadline.saturating_duration_since(now);
+        let needed_time = match route.allows_retry() {
+            true => own_time.min(route.target_latency * STOPPING_LATENCY_RATIO),
+            false => own_time,
+        };
+        if last_moment.saturating_duration_since(now) < needed_time {
+            let error = CallError::new(ErrorKind::Draining, "the node stops");
+            return Err(error.with_retry_after(STOPPING_RETRY_AFTER));
+        }
+        Ok(deadline.min(last_moment))
+    }
+}
+
 /// HTTP handler for callers; clones share its state.
 #[derive(Clone)]
 pub struct Frontend {
@@ -35,13 +94,30 @@
     /// Set while the process stops: responses ask callers to close the connection and reconnect
     /// elsewhere.
     pub draining: Rc<Cell<bool>>,
+    /// Last moment for answers while the process stops.
+    pub stop: StopDeadline,
     /// Records the number, status and duration of requests.
     pub metrics: NodeMetrics,
 }
 
 impl Frontend {
-    /// Serves one request and records its metrics.
+    /// Serves one request and records its metrics. A request that is still open when the process has
+    /// to stop is answered with an error.
     pub async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
+        let head = self.protocol.decode_request_metadata(request.headers());
+        let served = self.stop.is_reached.run_until_cancelled(self.serve_to_end(request)).await;
+        served.unwrap_or_else(|| {
+            let request_id = head.request_id.unwrap_or_default();
+            log::warn!(target: "front", "not answered before the node stops request={request_id}");
+            let error = CallError::new(ErrorKind::DeadlineExceeded, "the node stops");
+            let mut response =
+                error_response(&error.with_retry_after(STOPPING_RETRY_AFTER), &request_id);
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            response
+        })
+    }
+
+    async fn serve_to_end(&self, request: Request<Incoming>) -> Response<Body> {
         let (arrived_at, uri) = (Instant::now(), request.uri());
         let batch_call = self.protocol.parse_batch_call(request.method(), uri.path(), uri.query());
         let (purpose, mut response) = match batch_call {
@@ -114,6 +190,10 @@
         }
         let timeout = if route.timeout.is_zero() { DEFAULT_REQUEST_TIMEOUT } else { route.timeout };
         let deadline = arrived_at + head.deadline.map_or(timeout, |deadline| deadline.min(timeout));
+        let deadline = match self.stop.limit_deadline(&route, deadline, Instant::now()) {
+            Ok(deadline) => deadline,
+            Err(error) => return refuse(error),
+        };
         let call = ForwardRequest {
             request_id: request_id.clone(),
             method: method.clone(),
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -48,7 +48,7 @@
 use hyper::body::Incoming;
 
 use crate::{
-    frontend::Frontend,
+    frontend::{Frontend, StopDeadline},
     leadership, loop_delay,
     metrics::{GaugeState, NodeMetrics},
     node_registry, stream_origins,
@@ -83,6 +83,9 @@
 /// which requests to a leaving target have to stop. The rest covers that read and the way of the
 /// last request.
 const MAX_TARGETS_AGE_FRACTION: f64 = 2.0 / 3.0;
+/// Time before the end of the grace time at which all open requests are answered. Longer than
+/// `SHUTDOWN_MARGIN` by the time that the answers need to be written.
+const ANSWER_MARGIN: Duration = Duration::from_millis(1000);
 /// Interval at which the settings file is read again.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 /// Minimum idle timeout of server connections; deployments usually configure a shorter one.
@@ -247,12 +250,14 @@
         monoio::spawn(leadership::run_candidate(leadership_context.clone(), stop_signal.clone()));
 
     let draining = Rc::new(Cell::new(false));
+    let stop_deadline = StopDeadline::default();
     let frontend = Frontend {
         view: view.clone(),
         forwarder,
         batch: batch.clone(),
         protocol: protocol.clone(),
         draining: draining.clone(),
+        stop: stop_deadline.clone(),
         metrics: metrics.clone(),
     };
     let metrics =
@@ -296,6 +301,7 @@
     let grace_time = bounds.borrow().stop_grace;
     log::info!(target: "node", "stopping grace_ms={}", grace_time.as_millis());
     draining.set(true);
+    stop_deadline.set(stop_requested_at + grace_time.saturating_sub(ANSWER_MARGIN));
     batch.set_draining();
     let shutdown = async {
         candidate_task.await;
