--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -715,6 +715,8 @@
         // The time on the way is not known, so the page counts as encoded as early as possible.
         let encoded_at = sent_at + Duration::from_millis(page.held_ms);
         let targets_at = encoded_at.checked_sub(page.targets_age())?;
+        // Another source may have more recent targets than the page: a node switches between watchers
+        // and reads the object API itself meanwhile.
         let extends_last_page = position.is_some_and(|position| {
             position.epoch == page.epoch && self.is_unchanged_since(&position)
         });
--- a/crates/fleet/src/target_limits.rs
+++ b/crates/fleet/src/target_limits.rs
@@ -20,7 +20,10 @@
 };
 use deck_limit::TokenBucket;
 
-use crate::{Configuration, RouteKind, Target, config::ConfigurationVersion, config::ModelName};
+use crate::{
+    Configuration, RouteKind, Target,
+    config::{ConfigurationVersion, ModelName},
+};
 
 /// Fraction of a rate that is reserved for the nodes that take turns.
 const TURNS_FRACTION: f64 = 0.2;
@@ -102,7 +105,7 @@
 #[derive(Debug)]
 struct Allowance {
     share: Share,
-    /// What `share` was computed from.
+    /// State from which `share` was computed.
     basis: ShareBasis,
     bucket: TokenBucket,
     /// Number of the turn in which this node last sent a request.
@@ -125,8 +128,8 @@
 /// Rates named by targets, with the requests that this node may still send.
 #[derive(Debug)]
 pub struct TargetLimits {
-    /// Difference between the two clocks, by which the turns of all nodes agree. Later steps of the
-    /// time of day have no effect.
+    /// Steady time and time of day of the same moment. All nodes compute their turns from the time of
+    /// day; its later steps have no effect.
     clocks: (Instant, SystemTime),
     limits: RefCell<HashMap<TargetId, NamedLimit>>,
     senders: RefCell<Senders>,
