Decode request heads once, and keep one state for a stopping node

- An answer given because the node stops passed by the request metrics and set its own Connection header; it now goes the way of all answers.
- Each request's head was decoded twice; the second time only for the id of that answer.
- The node kept a flag for stopping beside the deadline that says the same.
- The feed had the version of the configuration in force written out in five places, twice for one comparison, and a list of targets was applied by two copies of the same lines.

--- a/bins/decknode/src/frontend.rs
+++ b/bins/decknode/src/frontend.rs
@@ -11,9 +11,10 @@
     CancellationToken,
     error::{CallError, ErrorKind},
 };
-use deck_fleet::{Configuration, FleetView, PlatformProtocol, Route, RouteKind};
+use deck_fleet::{Configuration, FleetView, PlatformProtocol, RequestMetadata, Route, RouteKind};
 use deck_forward::{ForwardRequest, Forwarder, error_response, response_from_reply};
 use deck_net::{Body, NetError, server::read_body};
+use futures_util::future::Either;
 use http::{HeaderValue, Method, Request, Response, header};
 use hyper::body::Incoming;
 
@@ -53,6 +54,11 @@
         });
     }
 
+    /// Returns whether the node stops.
+    pub fn is_stopping(&self) -> bool {
+        self.answer_by.get().is_some()
+    }
+
     /// Returns the deadline of a request, which ends before the node does.
     ///
     /// # Errors
@@ -93,8 +99,6 @@
     pub protocol: Rc<dyn PlatformProtocol>,
     /// Set while the process stops: responses ask callers to close the connection and reconnect
     /// elsewhere.
-    pub draining: Rc<Cell<bool>>,
-    /// Last moment for answers while the process stops.
     pub stop: StopDeadline,
     /// Records the number, status and duration of requests.
     pub metrics: NodeMetrics,
@@ -104,26 +108,14 @@
     /// Serves one request and records its metrics. A request that is still open when the process has
     /// to stop is answered with an error.
     pub async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
-        let head = self.protocol.decode_request_metadata(request.headers());
-        let served = self.stop.is_reached.run_until_cancelled(self.serve_to_end(request)).await;
-        served.unwrap_or_else(|| {
-            let request_id = head.request_id.unwrap_or_default();
-            log::warn!(target: "front", "not answered before the node stops request={request_id}");
-            let error = CallError::new(ErrorKind::DeadlineExceeded, "the node stops");
-            let mut response =
-                error_response(&error.with_retry_after(STOPPING_RETRY_AFTER), &request_id);
-            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-            response
-        })
-    }
-
-    async fn serve_to_end(&self, request: Request<Incoming>) -> Response<Body> {
         let (arrived_at, uri) = (Instant::now(), request.uri());
         let batch_call = self.protocol.parse_batch_call(request.method(), uri.path(), uri.query());
-        let (purpose, mut response) = match batch_call {
+        let head = self.protocol.decode_request_metadata(request.headers());
+        let request_id = head.request_id.clone().unwrap_or_default();
+        let (purpose, served) = match batch_call {
             Some(call) => {
-                let head = self.protocol.decode_request_metadata(request.headers());
-                (RequestPurpose::Batch, self.batch.call(call, &head).await)
+                let served = async move { self.batch.call(call, &head).await };
+                (RequestPurpose::Batch, Either::Left(served))
             }
             None => {
                 let configuration = self.view.configuration();
@@ -131,9 +123,17 @@
                     .as_ref()
                     .and_then(|configuration| find_route(configuration, &request));
                 let purpose = route_purpose(route.as_deref());
-                (purpose, self.submit_or_forward(request, arrived_at, configuration, route).await)
+                let served =
+                    self.submit_or_forward(request, head, arrived_at, configuration, route);
+                (purpose, Either::Right(served))
             }
         };
+        let served = self.stop.is_reached.run_until_cancelled(served).await;
+        let mut response = served.unwrap_or_else(|| {
+            log::warn!(target: "front", "not answered before the node stops request={request_id}");
+            let error = CallError::new(ErrorKind::DeadlineExceeded, "the node stops");
+            error_response(&error.with_retry_after(STOPPING_RETRY_AFTER), &request_id)
+        });
         let error = response.extensions().get::<ErrorKind>().copied();
         self.metrics.record_request(
             &purpose,
@@ -141,7 +141,7 @@
             error,
             arrived_at.elapsed(),
         );
-        if self.draining.get() {
+        if self.stop.is_stopping() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -151,11 +151,11 @@
     async fn submit_or_forward(
         &self,
         request: Request<Incoming>,
+        head: RequestMetadata,
         arrived_at: Instant,
         configuration: Option<Rc<Configuration>>,
         route: Option<Rc<Route>>,
     ) -> Response<Body> {
-        let head = self.protocol.decode_request_metadata(request.headers());
         let (method, uri) = (request.method().clone(), request.uri().clone());
         let request_id = head.request_id.clone().unwrap_or_default();
         let refuse = |error: CallError| {
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -249,14 +249,12 @@
     let candidate_task =
         monoio::spawn(leadership::run_candidate(leadership_context.clone(), stop_signal.clone()));
 
-    let draining = Rc::new(Cell::new(false));
     let stop_deadline = StopDeadline::default();
     let frontend = Frontend {
         view: view.clone(),
         forwarder,
         batch: batch.clone(),
         protocol: protocol.clone(),
-        draining: draining.clone(),
         stop: stop_deadline.clone(),
         metrics: metrics.clone(),
     };
@@ -266,7 +264,7 @@
         &settings,
         view.clone(),
         protocol,
-        draining.clone(),
+        stop_deadline.clone(),
         metrics.clone(),
         background_cancel.clone(),
     )?;
@@ -300,7 +298,6 @@
     let stop_requested_at = Instant::now();
     let grace_time = bounds.borrow().stop_grace;
     log::info!(target: "node", "stopping grace_ms={}", grace_time.as_millis());
-    draining.set(true);
     stop_deadline.set(stop_requested_at + grace_time.saturating_sub(ANSWER_MARGIN));
     batch.set_draining();
     let shutdown = async {
@@ -404,7 +401,7 @@
     settings: &NodeSettings,
     view: FleetView,
     protocol: Rc<dyn PlatformProtocol>,
-    draining: Rc<Cell<bool>>,
+    stop: StopDeadline,
     metrics: MetricsSource,
     cancel: CancellationToken,
 ) -> std::io::Result<()> {
@@ -417,7 +414,7 @@
             let response = text_response(200, &metrics.render());
             return std::future::ready(response);
         }
-        let status = match (is_ready_check, view.is_complete() && !draining.get()) {
+        let status = match (is_ready_check, view.is_complete() && !stop.is_stopping()) {
             (false, _) => StatusCode::NOT_FOUND,
             (true, true) => StatusCode::OK,
             (true, false) => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -601,13 +601,11 @@
             match self.fetch_page(node, position.as_ref(), content).await {
                 Ok(page) => {
                     let (age, targets_age) = (page.age(), page.targets_age());
-                    let newer_configuration = page.configuration_version.filter(|version| {
-                        *version > inner.follower.view.configuration().map_or(0, |c| c.version)
-                    });
+                    let configuration_version = page.configuration_version;
                     last_position = self
                         .apply_page(page, sent_at, position, content)
                         .map(|position| (node, position));
-                    if newer_configuration.is_some() {
+                    if configuration_version > Some(self.configuration_version()) {
                         self.start_configuration_fetch(node, cancel);
                     }
                     if age <= inner.options.max_data_age {
@@ -662,9 +660,11 @@
         content: TargetContent,
     ) -> Result<FeedPage, NetError> {
         let inner = &self.inner;
-        let version = inner.follower.view.configuration().map_or(0, |c| c.version);
         // A configuration that is on its way must not end each wait for changes at once.
-        let version = if inner.is_fetching_configuration.get() { u64::MAX } else { version };
+        let version = match inner.is_fetching_configuration.get() {
+            true => u64::MAX,
+            false => self.configuration_version(),
+        };
         let wait = inner.options.poll_timeout;
         let mut path = format!(
             "{FEED_PATH}?configuration={version}&{SEPARATE_CONFIGURATION}=1&wait_ms={}",
@@ -697,6 +697,11 @@
         cbor::decode(&page)
     }
 
+    /// Returns the version of the configuration in force; 0 before the first one.
+    fn configuration_version(&self) -> ConfigurationVersion {
+        self.inner.follower.view.configuration().map_or(0, |configuration| configuration.version)
+    }
+
     /// Returns whether no other source has updated the targets since the page with this position.
     fn is_unchanged_since(&self, position: &FeedPosition) -> bool {
         self.inner.follower.view.targets_up_to_date_at() == position.targets_up_to_date_at
@@ -733,9 +738,7 @@
         if let Some(configuration) = &page.configuration {
             follower.apply_configuration(configuration);
         }
-        let own_version = follower.view.configuration().map_or(0, |c| c.version);
-        let has_configuration =
-            page.configuration_version.is_none_or(|version| version <= own_version);
+        let has_configuration = page.configuration_version <= Some(self.configuration_version());
         if let Some(at) = encoded_at.checked_sub(Duration::from_millis(page.age_ms))
             && has_targets
             && has_configuration
@@ -842,7 +845,7 @@
         };
         let view = &inner.follower.view;
         let has_changes = || {
-            let version = view.configuration().map_or(0, |configuration| configuration.version);
+            let version = self.configuration_version();
             reader_version("changes") != Some(view.last_target_change(content))
                 || version > parameter("configuration").unwrap_or(0)
                 || reader_version("crashes") != Some(inner.crashes.version())
@@ -862,7 +865,7 @@
         let (Some(age), Some(targets_age)) = (self.age(), self.targets_age()) else {
             return empty_response(StatusCode::SERVICE_UNAVAILABLE);
         };
-        let version = view.configuration().map_or(0, |configuration| configuration.version);
+        let version = self.configuration_version();
         let is_newer = version > parameter("configuration").unwrap_or(0);
         let is_on_page = is_newer && parameter(SEPARATE_CONFIGURATION).is_none();
         let configuration =
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -190,10 +190,7 @@
             }
         });
         let apply = |change: ObjectChange| match change {
-            ObjectChange::Listed(objects) => {
-                let targets = objects.iter().filter_map(|object| self.decode_target(object));
-                self.view.set_targets(targets.collect(), Instant::now());
-            }
+            ObjectChange::Listed(objects) => self.apply_target_list(&objects, Instant::now()),
             ObjectChange::Put(object) => match self.decode_target(&object) {
                 Some(target) => self.view.set_target(target),
                 None => self.view.remove_target(&object.name, Instant::now()),
@@ -219,8 +216,7 @@
         if was_unreachable {
             self.view.set_object_api_recovered(now);
         }
-        let targets = objects.iter().filter_map(|object| self.decode_target(object));
-        self.view.set_targets(targets.collect(), now);
+        self.apply_target_list(&objects, now);
         self.view.remove_expired_missing(now);
         self.view.set_targets_up_to_date_at(started_at);
         Ok(())
@@ -370,6 +366,12 @@
         }
     }
 
+    /// Replaces all targets by those of a complete list.
+    fn apply_target_list(&self, objects: &[Object], now: Instant) {
+        let targets = objects.iter().filter_map(|object| self.decode_target(object));
+        self.view.set_targets(targets.collect(), now);
+    }
+
     fn decode_target(&self, object: &Object) -> Option<crate::Target> {
         match self.protocol.decode_target(&object.name, &object.value) {
             Ok(target) => Some(target),
