--- a/review/tools/body_memory.rs
+++ b/review/tools/body_memory.rs
@@ -1,4 +1,4 @@
-//! Case 3: a few requests with bodies within `MaxBodyBytes` at the same time take more memory than
+//! Case 4: a few requests with bodies within `MaxBodyBytes` at the same time take more memory than
 //! `MemoryMb` allows, so that the platform kills the processes.
 
 mod common;
--- a/review/tools/crash_forgotten.rs
+++ b/review/tools/crash_forgotten.rs
@@ -1,4 +1,4 @@
-//! Case 4: a request that crashes servers runs again on further servers after each machine was
+//! Case 5: a request that crashes servers runs again on further servers after each machine was
 //! stopped and started in turn.
 
 mod common;
