--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves
-# out the disruption.
+# out the SIGTERM.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review/gone_nodes ] || { echo "run review/build.sh first"; exit 2; }
-REPOSITORY=$PWD exec target/review/gone_nodes review/3/record.txt
+[ -x target/review/stop_streams ] || { echo "run review/build.sh first"; exit 2; }
+REPOSITORY=$PWD exec target/review/stop_streams review/3/record.txt
--- a/review/tools/gone_nodes.rs
+++ b/review/tools/gone_nodes.rs
@@ -1,4 +1,4 @@
-//! Case 3: after machines were replaced for good, streams that clients take up again at another machine
+//! Case 4: after machines were replaced for good, streams that clients take up again at another machine
 //! are refused.
 
 mod common;
--- a/review/tools/stop_streams.rs
+++ b/review/tools/stop_streams.rs
@@ -1,4 +1,4 @@
-//! Case 2: a node that is stopped as planned takes streams on open connections and cuts them when it
+//! Case 3: a node that is stopped as planned takes streams on open connections and cuts them when it
 //! exits.
 
 mod common;
