--- a/review/tools/gone_nodes.rs
+++ b/review/tools/gone_nodes.rs
@@ -13,7 +13,7 @@
 };
 
 /// How often the three machines of the deployment are replaced by new ones at other addresses.
-const GENERATIONS: usize = 20;
+const GENERATIONS: usize = 30;
 const ZONES: [&str; 3] = ["a", "b", "c"];
 /// Streams that clients take up again, and as many new ones at the same time.
 const STREAMS: usize = 36;
