--- a/review/tools/gone_nodes.rs
+++ b/review/tools/gone_nodes.rs
@@ -12,8 +12,10 @@
     time::{Duration, Instant},
 };
 
-/// How often the three machines of the deployment are replaced by new ones at other addresses.
+/// How often each of the three machines is replaced by a new one at another address.
 const GENERATIONS: usize = 30;
+/// Time between two replacements; the whole script may take 120 s.
+const REPLACEMENT_GAP_MS: u64 = 800;
 const ZONES: [&str; 3] = ["a", "b", "c"];
 /// Streams that clients take up again, and as many new ones at the same time.
 const STREAMS: usize = 36;
@@ -53,28 +55,25 @@
         call(platform, "GET", "/v1/objects/config", &[], b"", Duration::from_secs(1)).is_some()
     });
     let generations = if with_trouble() { GENERATIONS } else { 0 };
-    let mut nodes: Vec<Node> = Vec::new();
-    for generation in 0..=generations {
-        let mut new_nodes: Vec<Node> = ZONES
-            .iter()
-            .map(|zone| {
-                let name = format!("edge-{zone}-{}", generation + 1);
-                Node::configure(&folder.0, &name, zone, platform, TSEHAY_BOUNDS)
-            })
-            .collect();
-        for node in &mut new_nodes {
-            node.start();
-        }
-        wait_until("new machines are ready", Duration::from_secs(15), || {
-            new_nodes.iter().all(Node::is_ready)
-        });
-        if generation > 0 {
-            // The earlier machines are gone for good.
-            for node in &nodes {
-                node.process.as_ref().expect("process").signal(SIGKILL);
-            }
+    let configure = |zone: &str, generation: usize| {
+        let name = format!("edge-{zone}-{}", generation + 1);
+        Node::configure(&folder.0, &name, zone, platform, TSEHAY_BOUNDS)
+    };
+    let mut nodes: Vec<Node> = ZONES.iter().map(|zone| configure(zone, 0)).collect();
+    for node in &mut nodes {
+        node.start();
+    }
+    wait_until("machines are ready", Duration::from_secs(15), || nodes.iter().all(Node::is_ready));
+    // One machine at a time: the new one comes first, then the earlier one is gone for good.
+    for generation in 1..=generations {
+        for (node, zone) in nodes.iter_mut().zip(ZONES) {
+            let mut new_node = configure(zone, generation);
+            new_node.start();
+            wait_until("new machine is ready", Duration::from_secs(15), || new_node.is_ready());
+            node.process.as_ref().expect("process").signal(SIGKILL);
+            *node = new_node;
+            sleep_ms(REPLACEMENT_GAP_MS);
         }
-        nodes = new_nodes;
     }
     record.line(&format!("{} machines were replaced, three serve now", generations * ZONES.len()));
     // The machines have been up for much longer than ContactMs, and have listed the others twice.
