decknode: take streams while the node stops only if they can end before its exit

Cause: StopDeadline took a resumable stream as a request that may be repeated, so twice the target latency had to be left. The shortened deadline bounds the head of an answer only; the events go on in a task that ends with the process.

Change: only requests of idempotent routes need less than their own time. A stream needs all of it, which its target gets as its deadline too, so a stream that is taken ends before the last moment for answers. Others are refused as not run, with a time to retry, and no target sees them.

--- a/bins/decknode/src/frontend.rs
+++ b/bins/decknode/src/frontend.rs
@@ -30,8 +30,7 @@
 /// Time before the last moment for answers at which targets are given up, so that the answer states
 /// whether the request may have run.
 const STOPPING_ANSWER_MARGIN: Duration = Duration::from_millis(50);
-/// Minimum time left to a request that may be repeated, as a multiple of the target latency of its
-/// route.
+/// Minimum time left to an idempotent request, as a multiple of the target latency of its route.
 const STOPPING_LATENCY_RATIO: u32 = 2;
 
 /// Last moment at which a stopping node answers its open requests; clones share it.
@@ -63,8 +62,10 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if the node stops too soon: a request that may not be repeated has to be
-    /// able to use all of its time, others some multiples of the usual time.
+    /// Returns a refusal if the node stops too soon. An idempotent request needs some multiples of the
+    /// usual time, as it can be answered with an error that lets the caller repeat it. All others have
+    /// to be able to use all of their time: a request that may not be repeated, and a stream, whose
+    /// events go on after the head of the answer.
     fn limit_deadline(
         &self,
         route: &Route,
@@ -74,9 +75,9 @@
         let Some(answer_by) = self.answer_by.get() else { return Ok(deadline) };
         let last_moment = answer_by.checked_sub(STOPPING_ANSWER_MARGIN).unwrap_or(answer_by);
         let own_time = deadline.saturating_duration_since(now);
-        let needed_time = match route.allows_retry() {
-            true => own_time.min(route.target_latency * STOPPING_LATENCY_RATIO),
-            false => own_time,
+        let needed_time = match route.kind {
+            RouteKind::Idempotent => own_time.min(route.target_latency * STOPPING_LATENCY_RATIO),
+            RouteKind::NonIdempotent | RouteKind::Streaming | RouteKind::Rollout => own_time,
         };
         if last_moment.saturating_duration_since(now) < needed_time {
             let error = CallError::new(ErrorKind::Draining, "the node stops");
--- a/bins/decknode/tests/planned_stop.rs
+++ b/bins/decknode/tests/planned_stop.rs
@@ -72,3 +72,42 @@
         assert!(!executed.iter().any(|record| record.to_string().contains(&last.0)), "{}", last.0);
     });
 }
+
+/// Guards against streams that a stopping node takes although they may last longer than the rest of
+/// the grace time: resumable ones were cut when the node exited.
+#[test]
+fn streams_taken_while_a_node_stops_are_complete() {
+    run(async {
+        // 30 events, so a stream lasts 3.3 s.
+        let options = ["--stream-versions", "v1,v1", "--event-ms", "110"];
+        let fleet = Fleet::start_with_options(1, &options);
+        fleet.wait_until_ready().await;
+        // The node knows the software versions of the targets by then.
+        monoio::time::sleep(Duration::from_secs(3)).await;
+        fleet.nodes[0].process.as_ref().expect("process").terminate();
+        let address = fleet.nodes[0].caller_address;
+        let requests = [100_u64, 700, 1300, 1700, 2100, 2500].map(async |ms| {
+            monoio::time::sleep(Duration::from_millis(ms)).await;
+            let id = format!("stream-{ms}");
+            let headers = [("Request-Id", id.as_str()), ("Deadline-Ms", "3600")];
+            let answer = fleet.call(address, Method::POST, "/stream/x", &headers, Vec::new()).await;
+            (id, answer)
+        });
+        let answers = join_all(requests).await;
+        let executed = fleet.stand_in_records().await;
+        for (id, answer) in answers {
+            let (status, body) = answer.unwrap_or_else(|error| panic!("{id}: {error}"));
+            let has_run = executed.iter().any(|record| record.to_string().contains(&id));
+            match status {
+                StatusCode::OK => {
+                    let body = String::from_utf8(body).expect("text");
+                    assert!(body.contains("id: 30\n"), "{id}: {body}");
+                }
+                status => {
+                    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{id}");
+                    assert!(!has_run, "{id}: refused, but it has run");
+                }
+            }
+        }
+    });
+}
