Decode organisations, keys, scaling bounds and duties

The new deployments name organisations whose keys callers need, targets that can be ordered, and an API for duties of one node at a time; nothing decoded them. This commit adds the types and the decoders alone: no part uses them yet, and without these fields nothing changes.

--- a/bins/decknode/src/frontend.rs
+++ b/bins/decknode/src/frontend.rs
@@ -196,6 +196,7 @@
             Err(error) => return refuse(error),
         };
         let call = ForwardRequest {
+            organisation: None,
             request_id: request_id.clone(),
             method: method.clone(),
             uri,
--- a/bins/decknode/tests/metrics.rs
+++ b/bins/decknode/tests/metrics.rs
@@ -30,7 +30,7 @@
 fn view_with_engines(engines: &EngineRegistry, versions: &[u64]) -> FleetView {
     let view = FleetView::new(Router::new(RouterOptions::default()));
     let engine = EngineConfig { slots: 4, models: vec!["m".to_owned()], tokens_per_event: 1 };
-    let service = ServiceConfig { name: "e".to_owned(), engine: Some(engine) };
+    let service = ServiceConfig { name: "e".to_owned(), engine: Some(engine), scaling: None };
     view.set_configuration(Configuration::new(4, vec![], vec![service], CallerLimits::default()));
     let target = |index: usize| Target {
         id: format!("e{index}"),
--- a/crates/batch/src/item_run.rs
+++ b/crates/batch/src/item_run.rs
@@ -248,6 +248,7 @@
         time_left: None,
         last_event,
         priority: item_state.is_speculative.then_some(SPECULATIVE_PRIORITY),
+        organisation: None,
     };
     runner.deps.protocol.set_dispatch_headers(&mut headers, &dispatch);
     let mut request = Request::new(Body::full(body));
--- a/crates/batch/src/reward.rs
+++ b/crates/batch/src/reward.rs
@@ -94,6 +94,7 @@
     let timeout = if route.timeout.is_zero() { DEFAULT_REWARD_TIMEOUT } else { route.timeout };
     let deadline = Instant::now() + timeout;
     let call = ForwardRequest {
+        organisation: None,
         request_id: reward.id.clone(),
         method: Method::POST,
         uri,
--- a/crates/batch/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -43,6 +43,9 @@
             job_end_effect: Duration::from_secs(3),
             drain: Duration::from_secs(3),
             fencing_checked: true,
+            key_withdrawal: None,
+            usage_window: None,
+            usage_delay: Duration::from_secs(10),
         })),
         view: view.clone(),
         engines: EngineRegistry::default(),
@@ -108,7 +111,7 @@
 /// Returns a configuration whose only route runs jobs of the model `m` on the service `s`.
 pub fn rollout_configuration(single_version: bool) -> Configuration {
     let engine = EngineConfig { slots: 8, tokens_per_event: 1, models: vec!["m".to_owned()] };
-    let service = ServiceConfig { name: "s".to_owned(), engine: Some(engine) };
+    let service = ServiceConfig { name: "s".to_owned(), engine: Some(engine), scaling: None };
     let route = Route {
         name: "r".to_owned(),
         host: "h".to_owned(),
@@ -123,6 +126,7 @@
         result_deadline: Duration::from_secs(60),
         item_deadline: Duration::from_secs(60),
         single_version,
+        is_public: false,
     };
     Configuration::new(1, vec![route], vec![service], CallerLimits::default())
 }
@@ -203,6 +207,7 @@
         priority: 1,
     };
     BatchJob {
+        organisation: None,
         id: id.to_owned(),
         host: "h".to_owned(),
         path: "/j/job".to_owned(),
--- a/crates/batch/tests/ended_jobs.rs
+++ b/crates/batch/tests/ended_jobs.rs
@@ -102,13 +102,14 @@
         result_deadline: Duration::from_secs(60),
         item_deadline: Duration::from_secs(60),
         single_version: false,
+        is_public: false,
     }
 }
 
 /// Gives the node a configuration with a route for jobs and one for reward calls.
 fn configure(node: &Node) {
     let engine = EngineConfig { slots: 8, tokens_per_event: 1, models: vec!["m".to_owned()] };
-    let service = ServiceConfig { name: "s".to_owned(), engine: Some(engine) };
+    let service = ServiceConfig { name: "s".to_owned(), engine: Some(engine), scaling: None };
     let routes = vec![
         route("jobs", "/j/", RouteKind::Rollout),
         route("rewards", "/score/", RouteKind::Idempotent),
--- a/crates/batch/tests/outdated_copies.rs
+++ b/crates/batch/tests/outdated_copies.rs
@@ -202,6 +202,7 @@
         result_deadline: Duration::from_millis(7500),
         item_deadline: Duration::from_secs(60),
         single_version: false,
+        is_public: false,
     }
 }
 
--- a/crates/batch/tests/reward.rs
+++ b/crates/batch/tests/reward.rs
@@ -122,8 +122,9 @@
         result_deadline: Duration::ZERO,
         item_deadline: Duration::ZERO,
         single_version: false,
+        is_public: false,
     };
-    let service = ServiceConfig { name: "s".to_owned(), engine: None };
+    let service = ServiceConfig { name: "s".to_owned(), engine: None, scaling: None };
     Configuration::new(1, vec![route], vec![service], CallerLimits::default())
 }
 
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
-use deck_core::id::PoolName;
+use deck_core::id::{DataCentreId, PoolName};
+
+use crate::Organisations;
 
 /// Version of the configuration; increases with each change.
 pub type ConfigurationVersion = u64;
@@ -20,6 +22,8 @@
     pub services: HashMap<PoolName, ServiceConfig>,
     /// Limits on requests and connections of callers.
     pub limits: CallerLimits,
+    /// Organisations whose keys callers need; `None` if callers need no key.
+    pub organisations: Option<Rc<Organisations>>,
 }
 
 /// Kind of requests on a route, which determines whether and how they may be retried.
@@ -66,6 +70,8 @@
     pub item_deadline: Duration,
     /// Whether all events of a result must come from the same weight version.
     pub single_version: bool,
+    /// Whether callers need no key, also where the configuration has organisations.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -99,6 +105,24 @@
     pub name: PoolName,
     /// Engine settings, if the targets of the service are model engines.
     pub engine: Option<EngineConfig>,
+    /// Bounds and prices of the targets that can be ordered; `None` if their number is fixed.
+    pub scaling: Option<ScalingConfig>,
+}
+
+/// Bounds and prices of the targets of a service that can be ordered.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ScalingConfig {
+    /// Minimum number of targets in each data centre.
+    pub min_targets: u32,
+    /// Maximum number of targets in each data centre.
+    pub max_targets: u32,
+    /// Time from an order until a new target serves.
+    pub boot_time: Duration,
+    /// Price of a target that may be reclaimed, as a fraction of that of other targets; `None` if
+    /// there are none.
+    pub spot_price_ratio: Option<f64>,
+    /// Relative price of a target per second in each data centre.
+    pub data_centre_prices: HashMap<DataCentreId, f64>,
 }
 
 /// Settings of the model engines of a service.
@@ -152,7 +176,12 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let services = services.into_iter().map(|entry| (entry.name.clone(), entry)).collect();
-        Self { version, routes: routes_by_host, services, limits }
+        Self { version, routes: routes_by_host, services, limits, organisations: None }
+    }
+
+    /// Returns the configuration with organisations whose keys callers need.
+    pub fn with_organisations(self, organisations: Option<Organisations>) -> Self {
+        Self { organisations: organisations.map(Rc::new), ..self }
     }
 
     /// Returns all routes.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod follow;
 pub mod node;
 pub mod observer;
+pub mod organisations;
 mod packed;
 pub mod protocol;
 pub mod software;
@@ -32,7 +33,9 @@
 pub mod target_limits;
 pub mod view;
 
-pub use config::{CallerLimits, Configuration, EngineConfig, Route, RouteKind, ServiceConfig};
+pub use config::{
+    CallerLimits, Configuration, EngineConfig, Route, RouteKind, ScalingConfig, ServiceConfig,
+};
 pub use crash_registry::{CrashRegistry, NodeCrashes};
 pub use demand::{DemandMeter, ModelDemand};
 pub use engines::{
@@ -40,11 +43,12 @@
 };
 pub use feed::{FleetFeed, FleetFeedOptions, Leader, ModelRunner, RunnerTable};
 pub use follow::{ObjectFollower, ObjectFollowerOptions, ObjectKinds};
-pub use node::{Bounds, NodeSettings};
+pub use node::{Bounds, Duty, DutyApiSettings, NodeSettings};
 pub use observer::{
     AttemptOutcome, ChunkFinder, ItemRunOutcome, JobEvent, Observer, ResumptionOutcome,
     ResumptionScope,
 };
+pub use organisations::{ApiKey, Organisation, Organisations};
 pub use protocol::{
     BatchCall, BatchJob, BatchLimits, DispatchMetadata, Item, ItemOutcome, ItemResult,
     PlatformProtocol, RequestMetadata, ResponseMetadata, ResultPage, RewardCall, TargetReport,
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -25,6 +25,12 @@
     pub object_api: SocketAddr,
     /// CPU of the VM, as a fraction of a core.
     pub cpu_cores: f64,
+    /// Memory of the VM in bytes; `None` if the settings do not state it.
+    pub memory_bytes: Option<u64>,
+    /// Maximum number of open file descriptors; `None` if the settings do not state it.
+    pub max_descriptors: Option<usize>,
+    /// API for the duties that one node at a time has; `None` if there is none.
+    pub duty_api: Option<DutyApiSettings>,
     /// Maximum size of an object in the object API, in bytes.
     pub max_object_bytes: usize,
     /// Data directory; set only on VMs with a disk.
@@ -50,4 +56,33 @@
     pub drain: Duration,
     /// Whether targets reject orders with an outdated fencing number.
     pub fencing_checked: bool,
+    /// Time after the acknowledgement of a configuration that withdraws a key after which no request
+    /// with the key may run, whatever this node knows; `None` if only nodes that reach the object
+    /// API have to refuse it, as with other changes.
+    pub key_withdrawal: Option<Duration>,
+    /// Length of the windows in which the use of the organisations is reported; `None` if it is not
+    /// reported.
+    pub usage_window: Option<Duration>,
+    /// Time after the end of a window by which its use has to be reported.
+    pub usage_delay: Duration,
+}
+
+/// API of the platform for duties that one node at a time has.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DutyApiSettings {
+    /// Address of the API.
+    pub address: SocketAddr,
+    /// Duties that the system has.
+    pub duties: Vec<Duty>,
+    /// Maximum number of calls a second from all nodes.
+    pub calls_per_s: f64,
+}
+
+/// Duty that one node at a time has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Duty {
+    /// Reports how many requests of each organisation began to run.
+    UsageReport,
+    /// Orders the number of targets of services.
+    Scaling,
 }
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -6,13 +6,13 @@
 use bytes::Bytes;
 use deck_core::{
     hash::hash64,
-    id::{FencingNumber, RequestId, TargetId, WeightVersion},
+    id::{FencingNumber, OrganisationId, RequestId, TargetId, WeightVersion},
 };
 use http::{HeaderMap, Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::{Configuration, Target, config::ModelName};
+use crate::{ApiKey, Configuration, Target, config::ModelName};
 
 /// Metadata from the headers of a caller's request.
 #[derive(Debug, Clone, Default)]
@@ -27,6 +27,8 @@
     pub resumes: Option<RequestId>,
     /// Time for which a read of batch results may wait for the first result.
     pub read_wait: Option<Duration>,
+    /// Key of the caller's organisation.
+    pub key: Option<ApiKey>,
 }
 
 /// Metadata that the node adds to a request for a target.
@@ -42,6 +44,8 @@
     pub last_event: Option<u64>,
     /// Priority at the target; 0 is the most urgent.
     pub priority: Option<u8>,
+    /// Organisation of the caller, where the configuration has organisations.
+    pub organisation: Option<&'a str>,
 }
 
 /// Metadata from the head of a target's response.
@@ -101,6 +105,9 @@
     pub host: String,
     /// Path to which the job was submitted.
     pub path: String,
+    /// Organisation that submitted the job, where the configuration has organisations.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<OrganisationId>,
     /// Training step that the job belongs to.
     pub step: u64,
     /// Model that generates the texts of the items.
@@ -352,6 +359,9 @@
     /// Builds the headers of the request for an item or its reward call.
     fn build_item_headers(&self, host: &str, headers: &[(String, String)]) -> HeaderMap;
 
+    /// Removes the caller's key and any organisation that the caller names.
+    fn remove_credentials(&self, headers: &mut HeaderMap);
+
     /// Sets the headers of a request to a target from the dispatch metadata.
     fn set_dispatch_headers(&self, headers: &mut HeaderMap, dispatch: &DispatchMetadata<'_>);
 
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -67,6 +67,8 @@
         RequestMetadata::default()
     }
 
+    fn remove_credentials(&self, _headers: &mut HeaderMap) {}
+
     fn parse_batch_call(
         &self,
         _method: &Method,
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -33,7 +33,7 @@
 fn configuration(models: &[&str]) -> Configuration {
     let models = models.iter().map(|model| (*model).to_owned()).collect();
     let engine = EngineConfig { slots: 8, tokens_per_event: 1, models };
-    let service = ServiceConfig { name: "s".to_owned(), engine: Some(engine) };
+    let service = ServiceConfig { name: "s".to_owned(), engine: Some(engine), scaling: None };
     Configuration::new(1, Vec::new(), vec![service], CallerLimits::default())
 }
 
--- a/crates/fleet/tests/view.rs
+++ b/crates/fleet/tests/view.rs
@@ -47,11 +47,12 @@
         result_deadline: Duration::ZERO,
         item_deadline: Duration::ZERO,
         single_version: false,
+        is_public: false,
     }
 }
 
 fn configuration(version: u64, routes: Vec<Route>) -> Configuration {
-    let service = ServiceConfig { name: "s".to_owned(), engine: None };
+    let service = ServiceConfig { name: "s".to_owned(), engine: None, scaling: None };
     Configuration::new(version, routes, vec![service], CallerLimits::default())
 }
 
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::Bytes;
-use deck_core::id::{SoftwareVersion, TargetId};
+use deck_core::id::{OrganisationId, SoftwareVersion, TargetId};
 use deck_fleet::{AttemptOutcome, DispatchMetadata, FleetView, Observer, PlatformProtocol, Target};
 use deck_limit::crash::{Fingerprint, TargetKey};
 use deck_net::{Body, Client, ClientResponse, CollectedBody, NetError};
@@ -57,6 +57,8 @@
     pub last_event: Option<u64>,
     /// Priority that is sent to the target; 0 is the most urgent. `None` sends none.
     pub priority: Option<u8>,
+    /// Organisation of the caller, for the target.
+    pub organisation: Option<OrganisationId>,
     /// Time at which the caller stops waiting; each attempt is aborted then.
     pub deadline: Instant,
     /// Whether the response body is always streamed to the caller instead of being buffered.
@@ -152,6 +154,7 @@
             time_left: Some(time_left),
             last_event: self.last_event,
             priority: self.priority,
+            organisation: self.organisation.as_deref(),
         };
         self.protocol.set_dispatch_headers(&mut headers, &dispatch);
         *request.headers_mut() = headers;
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use deck_core::{
     error::{CallError, ErrorKind},
-    id::{RequestId, TargetId},
+    id::{OrganisationId, RequestId, TargetId},
     priority::Priority,
 };
 use deck_fleet::{
@@ -74,6 +74,8 @@
     pub headers: HeaderMap,
     /// Complete body; kept until the end of the request, because each attempt sends it again.
     pub body: Bytes,
+    /// Organisation of the caller, for the target.
+    pub organisation: Option<OrganisationId>,
     /// Route that the request matched.
     pub route: Rc<Route>,
     /// Time at which the caller stops waiting.
@@ -309,6 +311,7 @@
             request_id: call.request_id,
             last_event: call.last_event,
             priority: None,
+            organisation: call.organisation,
             deadline: call.deadline,
             always_stream,
             required_version,
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -43,7 +43,7 @@
 /// Returns a view that knows `targets` and the service `s`.
 pub fn fleet_view(targets: Vec<Target>) -> FleetView {
     let fleet_view = FleetView::new(Router::new(RouterOptions::default()));
-    let service = ServiceConfig { name: "s".to_owned(), engine: None };
+    let service = ServiceConfig { name: "s".to_owned(), engine: None, scaling: None };
     fleet_view.set_configuration(Configuration::new(
         1,
         vec![],
@@ -92,12 +92,14 @@
         result_deadline: Duration::ZERO,
         item_deadline: Duration::ZERO,
         single_version: false,
+        is_public: false,
     }
 }
 
 /// Returns a request whose deadline is `time_to_deadline` from now.
 pub fn call(route: Route, body: &'static str, time_to_deadline: Duration) -> ForwardRequest {
     ForwardRequest {
+        organisation: None,
         request_id: "r-1".to_owned(),
         method: Method::POST,
         uri: "/x".parse().expect("uri"),
--- a/crates/swap/tests/orders.rs
+++ b/crates/swap/tests/orders.rs
@@ -25,7 +25,7 @@
         let cancel = CancellationToken::new();
         let view = FleetView::new(Router::new(RouterOptions::default()));
         let engine = EngineConfig { slots: 8, tokens_per_event: 1, models: vec!["m".to_owned()] };
-        let service = ServiceConfig { name: "s".to_owned(), engine: Some(engine) };
+        let service = ServiceConfig { name: "s".to_owned(), engine: Some(engine), scaling: None };
         let limits = CallerLimits::default();
         view.set_configuration(Configuration::new(1, vec![], vec![service], limits));
         let weight_updater = WeightUpdater::new(
--- a/crates/swap/tests/runners.rs
+++ b/crates/swap/tests/runners.rs
@@ -68,7 +68,8 @@
     let view = FleetView::new(Router::new(RouterOptions::default()));
     let models = vec!["m0".to_owned(), "m1".to_owned()];
     let engine_config = EngineConfig { slots: 6, tokens_per_event: 1, models };
-    let service = ServiceConfig { name: "s".to_owned(), engine: Some(engine_config) };
+    let service =
+        ServiceConfig { name: "s".to_owned(), engine: Some(engine_config), scaling: None };
     view.set_configuration(Configuration::new(1, vec![], vec![service], CallerLimits::default()));
     view.set_targets((0..4).map(engine).collect(), Instant::now());
     let store = MemoryObjects::default().store();
