--- a/bins/decknode/tests/planned_stop.rs
+++ b/bins/decknode/tests/planned_stop.rs
@@ -111,3 +111,31 @@
         }
     });
 }
+
+/// Guards against a stop that is cut short by a second SIGTERM or by a reload of the settings: both
+/// come while a stream that began before the stop is still open.
+#[test]
+fn second_stop_signal_and_reload_interrupt_no_stream() {
+    run(async {
+        let options = ["--stream-versions", "v1,v1", "--event-ms", "110"];
+        let fleet = Fleet::start_with_options(1, &options);
+        fleet.wait_until_ready().await;
+        monoio::time::sleep(Duration::from_secs(3)).await;
+        let node = &fleet.nodes[0];
+        let process = node.process.as_ref().expect("process");
+        let headers = [("Request-Id", "stream"), ("Deadline-Ms", "3600")];
+        let stream =
+            fleet.call(node.caller_address, Method::POST, "/stream/x", &headers, Vec::new());
+        let signals = async {
+            monoio::time::sleep(Duration::from_millis(200)).await;
+            process.terminate();
+            monoio::time::sleep(Duration::from_millis(300)).await;
+            process.terminate();
+            process.request_reload();
+        };
+        let (answer, ()) = futures_util::future::join(stream, signals).await;
+        let (status, body) = answer.expect("an answer");
+        let body = String::from_utf8(body).expect("text");
+        assert!(status == StatusCode::OK && body.contains("id: 30\n"), "{status} {body}");
+    });
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -134,6 +134,11 @@
         self.signal(Signal::SIGTERM);
     }
 
+    /// Requests a reload of the settings (SIGHUP).
+    pub fn request_reload(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     /// Suspends the process (SIGSTOP).
     pub fn suspend(&self) {
         self.signal(Signal::SIGSTOP);
