Restore at start the crash reports of the earlier process of a node

Cause: a node that starts had lost the crashes that it had seen itself, ignored reports under its own name, and its first report replaced the earlier one at the others. Reports of others reached it with their next change or after ten seconds, while it serves at once.

Change: nodes return all reports that they know (GET on the path of crash reports). A node that starts asks before it publishes anything; reports under its own name become its own crashes again.

Still open: a fleet whose nodes all restart at the same time starts without reports.

--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -25,12 +25,13 @@
     stream_origins::{STREAM_ORIGIN_LOOKUP_PATH, STREAM_ORIGINS_PATH},
 };
 use deck_forward::{
-    CrashGuard, ForwardOptions, Forwarder, StreamOrigins, crashes::receive_crashes,
+    CrashGuard, ForwardOptions, Forwarder, StreamOrigins,
+    crashes::{encode_reports, receive_crashes},
 };
 use deck_limit::CrashOptions;
 use deck_net::{
     Body, Client, ClientOptions, NetError, ServerOptions, TcpKeepaliveOptions, bind,
-    http::{Request, Response, StatusCode},
+    http::{Method, Request, Response, StatusCode},
     runtime::{sighup_flag, stop_token},
     server::{empty_response, read_body, text_response},
 };
@@ -490,6 +491,7 @@
         let path = request.uri().path().to_owned();
         match path.as_str() {
             FEED_PATH => self.feed.serve(request.uri().query().unwrap_or_default()).await,
+            CRASHES_PATH if request.method() == Method::GET => send_crash_reports(&self.feed),
             CRASHES_PATH => receive_crash_report(&self.feed, request).await,
             STREAM_ORIGINS_PATH | STREAM_ORIGIN_LOOKUP_PATH => {
                 let answer = stream_origins::serve(&self.origins, request).await;
@@ -546,6 +548,14 @@
     Ok(())
 }
 
+/// Sends all known crash reports to a node that has just started.
+fn send_crash_reports(feed: &FleetFeed) -> Response<Body> {
+    match encode_reports(feed.crashes()) {
+        Ok(reports) => Response::new(Body::full(reports)),
+        Err(error) => text_response(500, &error.to_string()),
+    }
+}
+
 /// Stores the report of another node on the requests that crashed its targets.
 async fn receive_crash_report(feed: &FleetFeed, request: Request<Incoming>) -> Response<Body> {
     let message = read_body(request.into_body(), MAX_CRASHES_BYTES).await;
--- a/crates/fleet/src/crash_registry.rs
+++ b/crates/fleet/src/crash_registry.rs
@@ -14,11 +14,15 @@
 use deck_limit::crash::FingerprintCrashes;
 use serde::{Deserialize, Serialize};
 
-/// HTTP path at which a node receives the crash reports of other nodes.
+/// HTTP path at which a node receives the crash reports of other nodes (POST) and returns all that it
+/// knows (GET).
 pub const CRASHES_PATH: &str = "/peer/crashes";
 /// Maximum size of a message with the crash reports of one node.
 pub const MAX_CRASHES_BYTES: usize = 64 * 1024;
 
+/// Maximum size of a message with the crash reports of all nodes.
+pub const MAX_ALL_CRASHES_BYTES: usize = 4 * 1024 * 1024;
+
 /// Crashes observed by one node.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -74,6 +78,14 @@
         }
     }
 
+    /// Adds the report of a node that has sent none itself.
+    pub fn set_if_absent(&self, report: NodeCrashes, now: Instant) {
+        let is_absent = !self.inner.crashes_by_vm.borrow().contains_key(&report.vm);
+        if is_absent {
+            self.set(report, now);
+        }
+    }
+
     /// Replaces the reports of all nodes.
     pub fn replace(&self, reports: Vec<NodeCrashes>, now: Instant) {
         let reports = reports.into_iter().filter(|report| !report.crashes.is_empty());
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -15,7 +15,7 @@
 };
 use deck_fleet::{
     CrashRegistry, FleetFeed, NodeCrashes,
-    crash_registry::{CRASHES_PATH, MAX_CRASHES_BYTES},
+    crash_registry::{CRASHES_PATH, MAX_ALL_CRASHES_BYTES, MAX_CRASHES_BYTES},
 };
 use deck_limit::{
     CrashOptions,
@@ -33,6 +33,11 @@
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which unchanged crashes are published again, for nodes that have started meanwhile.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(10);
+/// Time for which a node that has just started asks the others for crash reports. Longer than other
+/// nodes take to become known; a node without others gives up then.
+const MAX_RESTORE_TIME: Duration = Duration::from_secs(3);
+/// Interval at which a node that has just started asks again.
+const RESTORE_RETRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Timeout of one message to one node.
 const PUBLISH_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -133,13 +138,48 @@
         imported_registry_version.set(Some(registry.version()));
     }
 
-    /// Publishes the target crashes observed by this node to the other nodes until `cancel` is cancelled.
+    /// Gets the crash reports that the other nodes know; returns whether any node answered. Those of
+    /// this VM come from an earlier process and become crashes that this process publishes.
+    async fn restore(&self, feed: &FleetFeed, client: &Client) -> bool {
+        let nodes = feed.broadcast_nodes();
+        let answers = join_all(nodes.iter().map(|node| request_reports(client, *node))).await;
+        let answers: Vec<_> = answers.into_iter().filter_map(Result::ok).collect();
+        let (is_answered, now) = (!answers.is_empty(), Instant::now());
+        let reports = answers.into_iter().flatten();
+        let (own, others): (Vec<_>, Vec<_>) =
+            reports.partition(|report| report.vm == self.shared.vm);
+        for report in others {
+            self.shared.registry.set_if_absent(report, now);
+        }
+        // The nodes may have received different reports of the earlier process. The longest one
+        // misses none of its crashes.
+        if let Some(longest) = own.into_iter().max_by_key(|report| report.crashes.len()) {
+            let crashes = longest.crashes;
+            log::info!(target: "forward", "crashes of an earlier process restored count={}", crashes.len());
+            self.shared.tracker.borrow_mut().restore_local_crashes(crashes, now);
+        }
+        is_answered
+    }
+
+    /// Publishes the target crashes observed by this node to the other nodes until `cancel` is
+    /// cancelled. Gets the reports that the others know first, because the first report of this process
+    /// replaces that of an earlier one.
     pub async fn run_publisher(self, feed: FleetFeed, client: Client, cancel: CancellationToken) {
+        let restore_until = Instant::now() + MAX_RESTORE_TIME;
+        let mut is_restored = false;
         let mut published_version = 0;
         let mut unreachable_nodes = Vec::new();
         loop {
-            let max_wait =
-                if unreachable_nodes.is_empty() { REFRESH_INTERVAL } else { RETRY_INTERVAL };
+            if !is_restored {
+                let restored = cancel.run_until_cancelled(self.restore(&feed, &client)).await;
+                let Some(restored) = restored else { return };
+                is_restored = restored || Instant::now() >= restore_until;
+            }
+            let max_wait = match (is_restored, unreachable_nodes.is_empty()) {
+                (false, _) => RESTORE_RETRY_INTERVAL,
+                (true, true) => REFRESH_INTERVAL,
+                (true, false) => RETRY_INTERVAL,
+            };
             let change_or_timeout =
                 monoio::time::timeout(max_wait, self.shared.local_crashes_changed.notified());
             match cancel.run_until_cancelled(change_or_timeout).await {
@@ -155,9 +195,12 @@
             if crashes.is_empty() && !has_changes && unreachable_nodes.is_empty() {
                 continue;
             }
-            published_version = version;
             let local_crashes = NodeCrashes { vm: self.shared.vm.clone(), crashes };
             self.shared.registry.set(local_crashes.clone(), Instant::now());
+            if !is_restored {
+                continue;
+            }
+            published_version = version;
             let mut recipients = feed.broadcast_nodes();
             if !has_changes && !unreachable_nodes.is_empty() {
                 // Nodes that are no longer recipients are not retried.
@@ -208,6 +251,23 @@
     client.call(node, request, PUBLISH_TIMEOUT, MAX_CRASHES_BYTES).await?.into_ok_body().map(drop)
 }
 
+/// Asks one node for the crash reports of all nodes.
+async fn request_reports(client: &Client, node: SocketAddr) -> Result<Vec<NodeCrashes>, NetError> {
+    let request = Request::builder().method(Method::GET).uri(CRASHES_PATH).body(Body::empty());
+    let request = request.map_err(|error| NetError::Decode(error.to_string()))?;
+    let answer = client.call(node, request, PUBLISH_TIMEOUT, MAX_ALL_CRASHES_BYTES).await?;
+    cbor::decode(&answer.into_ok_body()?)
+}
+
+/// Encodes the crash reports of all nodes for a node that has just started.
+///
+/// # Errors
+///
+/// Returns an error if they cannot be encoded.
+pub fn encode_reports(registry: &CrashRegistry) -> Result<Bytes, NetError> {
+    cbor::encode(&registry.reports(Instant::now()))
+}
+
 /// Decodes the message in which another node publishes the target crashes that it observed, and stores
 /// them in the shared crash registry.
 ///
--- a/crates/forward/tests/crashes.rs
+++ b/crates/forward/tests/crashes.rs
@@ -12,12 +12,15 @@
     CrashRegistry, FleetFeed, FleetFeedOptions, FleetView, NodeCrashes, ObjectFollower,
     ObjectFollowerOptions, ObjectKinds, Route, RouteKind, Target,
 };
-use deck_forward::{CrashGuard, ForwardRequest, Forwarder, crashes::receive_crashes};
+use deck_forward::{
+    CrashGuard, ForwardRequest, Forwarder,
+    crashes::{encode_reports, receive_crashes},
+};
 use deck_limit::{
     CrashOptions,
     crash::{CrashCounts, FingerprintCrashes},
 };
-use deck_net::{Client, bind};
+use deck_net::{Body, Client, bind, cbor, server::read_body};
 use deck_platform::PlatformWire;
 use deck_route::{Router, RouterOptions};
 use deck_testkit::memory::MemoryObjects;
@@ -267,3 +270,54 @@
     registry.set(NodeCrashes { vm: "b".to_owned(), crashes }, Instant::now());
     assert!(guard.check_allowed(7).is_err());
 }
+
+/// Guards against a node that forgets at its restart which requests crashed targets, and that erases
+/// what its earlier process had published with its first report.
+#[test]
+fn crashes_of_an_earlier_process_are_restored() {
+    let test = async {
+        let (objects, cancel) = (MemoryObjects::default(), CancellationToken::new());
+        let counts = CrashCounts { ambiguous: 1, sole_suspect: 2 };
+        let crashes = vec![FingerprintCrashes { fingerprint: 7, counts }];
+        let known = CrashRegistry::default();
+        known.set(NodeCrashes { vm: "a".to_owned(), crashes: crashes.clone() }, Instant::now());
+        let other_counts = CrashCounts { ambiguous: 0, sole_suspect: 3 };
+        let other = vec![FingerprintCrashes { fingerprint: 8, counts: other_counts }];
+        known.set(NodeCrashes { vm: "b".to_owned(), crashes: other }, Instant::now());
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+        let other_node = listener.local_addr().expect("address");
+        let (received, received_in_service) = (Rc::new(RefCell::new(Vec::new())), known.clone());
+        let reports = received.clone();
+        let serve = deck_net::serve(listener, Default::default(), cancel.clone(), move |request| {
+            let (known, reports) = (received_in_service.clone(), reports.clone());
+            async move {
+                if *request.method() == http::Method::GET {
+                    return http::Response::new(Body::full(
+                        encode_reports(&known).expect("encoded"),
+                    ));
+                }
+                let message = read_body(request.into_body(), 65536).await.expect("body");
+                reports.borrow_mut().push(cbor::decode::<NodeCrashes>(&message).expect("report"));
+                http::Response::new(Body::empty())
+            }
+        });
+        monoio::spawn(serve);
+        let feed = feed_without_peers(&objects);
+        feed.set_ranked_nodes(vec![other_node]);
+        let guard = crash_guard("a", feed.crashes());
+        let publisher = guard.clone().run_publisher(feed, Client::default(), cancel.clone());
+        monoio::spawn(publisher);
+        deck_testkit::eventually("the crashes are restored", || {
+            std::future::ready(guard.check_allowed(7).is_err() && guard.check_allowed(8).is_err())
+        })
+        .await;
+        deck_testkit::eventually("the report names the crashes of the earlier process", || {
+            let is_reported = received.borrow().iter().any(|report| report.crashes == crashes);
+            std::future::ready(is_reported)
+        })
+        .await;
+        assert!(received.borrow().iter().all(|report| !report.crashes.is_empty()));
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
--- a/crates/limit/src/crash.rs
+++ b/crates/limit/src/crash.rs
@@ -219,6 +219,25 @@
         self.version += 1;
     }
 
+    /// Adds crashes that an earlier process on this VM observed.
+    pub fn restore_local_crashes(
+        &mut self,
+        crashes: impl IntoIterator<Item = FingerprintCrashes>,
+        now: Instant,
+    ) {
+        for crash in crashes {
+            self.evict_if_full(now);
+            let entry = self
+                .local_crashes
+                .entry(crash.fingerprint)
+                .or_insert(LocalCrashes { counts: CrashCounts::default(), last_crash_at: now });
+            let counts = &mut entry.counts;
+            counts.ambiguous = counts.ambiguous.saturating_add(crash.counts.ambiguous);
+            counts.sole_suspect = counts.sole_suspect.saturating_add(crash.counts.sole_suspect);
+            self.version += 1;
+        }
+    }
+
     /// Records that a call with the fingerprint completed, and clears the crashes that this VM has
     /// counted for it. Returns whether there were any.
     pub fn record_success(&mut self, fingerprint: Fingerprint) -> bool {
