Attribute streams to the process that writes them, also when its start is learned of later

Cause: the version of a stream was taken from the target's entry at the time of the request. An entry that came later showed that the target had started before the request, and nobody compared: neither the node that went on with the stream nor the record for other nodes.

Change: FleetView::answering_version tells from the start in the present entry and the time of sending which process answers. A stream compares with each chunk and before it goes on; it corrects the required version and the record, or forgets the record if either process may have written it.

Open: a target that crashes before its new entry is seen by any node.

--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -5,7 +5,7 @@
     collections::{HashMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -13,6 +13,7 @@
     boot_clock::BootInstant,
     error::{CallError, ErrorKind},
     id::RequestId,
+    wall_clock::unix_time_ms,
 };
 use deck_fleet::{
     BatchCall, BatchJob, BatchLimits, FleetFeed, JobEvent, Leader, RequestMetadata, ResultPage,
@@ -602,8 +603,7 @@
         single_version: route.single_version,
         priority: route.priority,
     };
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-    job.submitted_at_ms = now.as_millis() as u64;
+    job.submitted_at_ms = unix_time_ms();
 }
 
 /// Returns whether an id may be used as part of an object name.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod object;
 pub mod priority;
 pub mod timer;
+pub mod wall_clock;
 
 /// Token that cancels a task and all tasks that hold a clone or a child of the token.
 pub use tokio_util::sync::CancellationToken;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -10,7 +10,7 @@
 };
 
 use deck_core::{
-    id::{PoolName, TargetId, WeightVersion},
+    id::{PoolName, SoftwareVersion, TargetId, WeightVersion},
     object::{self, FencingCheck, PoolType, TargetPool},
 };
 use deck_route::Router;
@@ -32,6 +32,9 @@
 /// other nodes or stale reads are only seconds old.
 const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 
+/// Difference between the clocks of two VMs up to which the order of their events is not known.
+const CLOCK_MARGIN_MS: u64 = 250;
+
 /// Deployment state known to a node; clones share it.
 #[derive(Clone)]
 pub struct FleetView {
@@ -163,6 +166,25 @@
         self.inner.targets.borrow().get(id).cloned()
     }
 
+    /// Returns the software version of the process that answers a request, given the target's entry
+    /// when the request was sent and the time of sending in milliseconds since the Unix epoch. An entry
+    /// that came later may show that the target had started again before. `None` if either process may
+    /// have received the request.
+    pub fn answering_version(
+        &self,
+        entry: &Target,
+        sent_at_ms: u64,
+    ) -> Option<Option<SoftwareVersion>> {
+        let current = self.target(&entry.id).filter(|current| !current.is_same_process(entry));
+        match current {
+            Some(later) if later.started_at_ms + CLOCK_MARGIN_MS <= sent_at_ms => {
+                Some(later.software_version.clone())
+            }
+            Some(later) if later.started_at_ms < sent_at_ms + CLOCK_MARGIN_MS => None,
+            _ => Some(entry.software_version.clone()),
+        }
+    }
+
     /// Returns the targets of a service.
     pub fn targets_of(&self, service: &str) -> TargetList {
         if let Some(list) = self.inner.targets_by_service.borrow().get(service) {
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -7,7 +7,10 @@
 };
 
 use bytes::Bytes;
-use deck_core::id::{OrganisationId, SoftwareVersion, TargetId};
+use deck_core::{
+    id::{OrganisationId, SoftwareVersion, TargetId},
+    wall_clock::unix_time_ms,
+};
 use deck_fleet::{AttemptOutcome, DispatchMetadata, FleetView, Observer, PlatformProtocol, Target};
 use deck_limit::crash::{Fingerprint, TargetKey};
 use deck_net::{Body, Client, ClientResponse, CollectedBody, NetError};
@@ -92,6 +95,7 @@
         let target_entry = self.fleet_view.target(&target);
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         let request = self.request(&target, time_left);
+        let sent_at_ms = unix_time_ms();
         let mut reporter = AttemptReporter {
             observer: &*self.observer,
             started_at: Instant::now(),
@@ -106,6 +110,7 @@
             in_flight.record_first_byte(Instant::now());
             reporter.time_to_first_byte = Some(reporter.started_at.elapsed());
             let sent_at = reporter.started_at;
+            let sent_at = (sent_at, sent_at_ms);
             self.receive(&target, target_entry, response, sent_at, &mut running_call).await
         };
         let result = match monoio::time::timeout(time_left, receive_reply).await {
@@ -161,14 +166,15 @@
         request
     }
 
-    /// Validates a response and receives its body. If the body is streamed, the reply takes
+    /// Validates the response to a request that was sent at the given time, by the steady clock and in
+    /// milliseconds since the Unix epoch, and receives its body. If the body is streamed, the reply takes
     /// `running_call`, so that crash tracking lasts until the end of the body.
     async fn receive(
         &self,
         target: &TargetId,
         target_entry: Option<Rc<Target>>,
         response: ClientResponse,
-        sent_at: Instant,
+        (sent_at, sent_at_ms): (Instant, u64),
         running_call: &mut Option<RunningCall>,
     ) -> Result<Reply, AttemptError> {
         let (status, headers) = (response.status, response.headers.clone());
@@ -235,7 +241,16 @@
         };
         let status_500_count = u32::from(status == StatusCode::INTERNAL_SERVER_ERROR);
         let target = target.clone();
-        Ok(Reply { target, target_entry, status, headers, metadata, body, status_500_count })
+        Ok(Reply {
+            target,
+            target_entry,
+            sent_at_ms,
+            status,
+            headers,
+            metadata,
+            body,
+            status_500_count,
+        })
     }
 }
 
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -13,7 +13,7 @@
 };
 use deck_fleet::{
     FleetView, Observer, PlatformProtocol, RequestPurpose, ResumptionOutcome, ResumptionScope,
-    Route, RouteKind, StreamOrigin, Target, TargetState,
+    Route, RouteKind, Target, TargetState,
 };
 use deck_limit::{BudgetOptions, HedgeBudget, RetryBudget, crash::fingerprint};
 use deck_net::Client;
@@ -26,7 +26,7 @@
     attempt::{AttemptContext, RequiredVersion, running_version},
     headers::strip_hop_by_hop,
     resume::{Destination, OriginKey, failed_outcome},
-    stream::StreamResumption,
+    stream::{StreamResumption, StreamWriter},
 };
 
 /// Options of a [`Forwarder`].
@@ -262,21 +262,25 @@
         let can_resume = is_resumable(route) && reply.status.is_success();
         let entry = reply.target_entry.as_ref().filter(|_| can_resume);
         let software_version = entry.and_then(|entry| running_version(&self.fleet_view, entry));
-        let body = match (reply.body, software_version) {
-            (ReplyBody::Streaming(streaming), Some(software_version)) => {
-                if let Some(key) = origin_key {
-                    let software_version = software_version.clone();
-                    let origin = StreamOrigin { service: service.clone(), software_version };
-                    self.origins.record(key.record(origin));
-                }
+        let body = match (reply.body, reply.target_entry.clone(), software_version) {
+            (ReplyBody::Streaming(streaming), Some(entry), Some(software_version)) => {
+                let is_continuation = context.required_version != RequiredVersion::Any;
                 let required_version = RequiredVersion::Exactly(software_version);
                 let context = Rc::new(AttemptContext { required_version, ..(*context).clone() });
-                let (forwarder, max_runs) = (self.clone(), route.max_attempts);
-                let resumption =
-                    StreamResumption { forwarder, context, service, max_runs, progress };
+                let writer = StreamWriter { entry, sent_at_ms: reply.sent_at_ms, is_continuation };
+                let resumption = StreamResumption {
+                    forwarder: self.clone(),
+                    context,
+                    service,
+                    origin_key,
+                    writer,
+                    max_runs: route.max_attempts,
+                    progress,
+                };
+                resumption.record_origin();
                 ReplyBody::EventStream(streaming, Box::new(resumption))
             }
-            (body, _) => body,
+            (body, _, _) => body,
         };
         Reply { body, ..reply }
     }
--- a/crates/forward/src/reply.rs
+++ b/crates/forward/src/reply.rs
@@ -22,6 +22,8 @@
     /// Entry of the target when the request was sent to it; `None` if the entry was removed just
     /// then.
     pub(crate) target_entry: Option<Rc<Target>>,
+    /// When the request was sent, in milliseconds since the Unix epoch.
+    pub(crate) sent_at_ms: u64,
     /// HTTP status as received from the target.
     pub status: StatusCode,
     /// Headers as received, hop-by-hop headers included.
--- a/crates/forward/src/resume.rs
+++ b/crates/forward/src/resume.rs
@@ -84,6 +84,7 @@
 }
 
 /// Name under which the origin of a stream is recorded.
+#[derive(Debug, Clone)]
 pub(crate) struct OriginKey {
     /// Id that the caller names when it resumes the stream.
     request_id: RequestId,
@@ -104,8 +105,13 @@
     }
 
     /// Returns the record of a stream that began at `origin`.
-    pub fn record(self, origin: StreamOrigin) -> OriginRecord {
-        OriginRecord { request_id: self.request_id, origin, lifetime: self.lifetime }
+    pub fn record(&self, origin: StreamOrigin) -> OriginRecord {
+        OriginRecord { request_id: self.request_id.clone(), origin, lifetime: self.lifetime }
+    }
+
+    /// Returns a record that replaces an earlier one at all nodes and is expired at once.
+    pub fn expired_record(&self, origin: StreamOrigin) -> OriginRecord {
+        OriginRecord { lifetime: Duration::ZERO, ..self.record(origin) }
     }
 }
 
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -6,8 +6,8 @@
 };
 
 use bytes::Bytes;
-use deck_core::error::CallError;
-use deck_fleet::{ResumptionOutcome, ResumptionScope};
+use deck_core::error::{CallError, ErrorKind};
+use deck_fleet::{ResumptionOutcome, ResumptionScope, StreamOrigin, Target};
 use deck_net::{
     NetError,
     body::BodySender,
@@ -16,10 +16,10 @@
 
 use crate::{
     AttemptError, ReplyBody, StreamingBody,
-    attempt::AttemptContext,
+    attempt::{AttemptContext, RequiredVersion},
     forwarder::{Forwarder, RequestProgress},
     reply::run_until_stopped,
-    resume::failed_outcome,
+    resume::{OriginKey, failed_outcome},
 };
 
 /// Time without a complete event after which a stream counts as broken. Callers disconnect after a
@@ -29,20 +29,86 @@
 /// State needed to resume a stream at another target.
 pub struct StreamResumption {
     pub(crate) forwarder: Forwarder,
-    /// Data of the attempts. Invariant: it requires the software version of the target that began
-    /// the stream.
+    /// Data of the attempts. Invariant: it requires the software version that writes the stream, as far
+    /// as it is known.
     pub(crate) context: Rc<AttemptContext>,
     /// Service whose targets can resume the stream.
     pub(crate) service: String,
+    /// Name under which other nodes find the origin of the stream; `None` if callers cannot resume it,
+    /// or if its version is no longer known.
+    pub(crate) origin_key: Option<OriginKey>,
+    /// Target whose events are being forwarded.
+    pub(crate) writer: StreamWriter,
     /// Maximum number of targets that may run the request.
     pub(crate) max_runs: u32,
     /// Invariant: the tried targets include the one whose stream is being forwarded.
     pub(crate) progress: RequestProgress,
 }
 
+/// Target that writes the events of a stream.
+pub(crate) struct StreamWriter {
+    /// Entry of the target when the request was sent to it.
+    pub(crate) entry: Rc<Target>,
+    /// When the request was sent, in milliseconds since the Unix epoch.
+    pub(crate) sent_at_ms: u64,
+    /// Whether the target continues a stream that another one began.
+    pub(crate) is_continuation: bool,
+}
+
 impl StreamResumption {
+    /// Records for other nodes which software version writes the stream.
+    pub(crate) fn record_origin(&self) {
+        if let Some(key) = &self.origin_key {
+            self.forwarder.origins.record(key.record(self.origin()));
+        }
+    }
+
+    fn origin(&self) -> StreamOrigin {
+        let software_version = match &self.context.required_version {
+            RequiredVersion::Exactly(version) => version.clone(),
+            RequiredVersion::Any => None,
+        };
+        StreamOrigin { service: self.service.clone(), software_version }
+    }
+
+    /// Compares the writer with its current entry, which may show that the target had started again
+    /// before the request was sent. Corrects the required version and its record then; returns whether
+    /// the version is known. A continuation of another version is not corrected, as the stream holds
+    /// events of both.
+    fn update_version(&mut self) -> bool {
+        let StreamWriter { entry, sent_at_ms, is_continuation } = &self.writer;
+        let version = self.forwarder.fleet_view.answering_version(entry, *sent_at_ms);
+        let required_version = version.map(RequiredVersion::Exactly);
+        if required_version.as_ref() == Some(&self.context.required_version) {
+            return true;
+        }
+        let id = &self.context.request_id;
+        match required_version.filter(|_| !is_continuation) {
+            Some(required_version) => {
+                log::info!(target: "forward", "stream is of another version request={id} target={} version={required_version}", entry.id);
+                self.context =
+                    Rc::new(AttemptContext { required_version, ..(*self.context).clone() });
+                self.record_origin();
+                true
+            }
+            None => {
+                if let Some(key) = self.origin_key.take() {
+                    log::info!(target: "forward", "version of stream unknown request={id} target={}", entry.id);
+                    self.forwarder.origins.record(key.expired_record(self.origin()));
+                }
+                false
+            }
+        }
+    }
+
     /// Requests the events after `last_event` from further targets until one starts a stream.
     async fn resume_after(&mut self, last_event: Option<u64>) -> Option<StreamingBody> {
+        if !self.update_version() {
+            let message = "the target has started again about when the stream began";
+            let error = CallError::new(ErrorKind::SoftwareVersionUnknown, message);
+            self.log_not_resumed(last_event, Some(error));
+            return None;
+        }
         let context = AttemptContext { last_event, ..(*self.context).clone() };
         loop {
             let pick_result =
@@ -65,6 +131,10 @@
                         let id = &context.request_id;
                         log::info!(target: "forward", "stream goes on request={id} target={target} event={last_event:?} version={}", context.required_version);
                         self.observe(ResumptionOutcome::Resumed);
+                        if let Some(entry) = reply.target_entry {
+                            let sent_at_ms = reply.sent_at_ms;
+                            self.writer = StreamWriter { entry, sent_at_ms, is_continuation: true };
+                        }
                         return Some(*body);
                     }
                 }
@@ -112,6 +182,7 @@
         match next.unwrap_or_else(|_| Err(stall_error())) {
             Ok(Some(_)) if splitter.is_too_large() => body.record_broken(),
             Ok(Some(chunk)) => {
+                resumption.update_version();
                 let mut complete_blocks = Vec::with_capacity(chunk.len());
                 let mut has_event = false;
                 for block in splitter.push(&chunk) {
