Bound the whole lookup of a stream's origin

What callers saw: the resumption of a stream of an unknown software version was refused only after about a second while nodes that keep records were silent, since each of three rounds waited 300 ms for them.

Change: the rounds of a lookup share a bound of 400 ms.

--- a/crates/forward/src/origins.rs
+++ b/crates/forward/src/origins.rs
@@ -36,6 +36,9 @@
 /// Time for which a node that did not accept records gets no further ones. Nodes that are gone stay
 /// listed for a while.
 const UNREACHABLE_TIME: Duration = Duration::from_secs(2);
+/// Longest time of a lookup over all its rounds. Nodes that answer do so within milliseconds; waiting
+/// for silent ones in each round would hold back a refusal for about a second.
+const MAX_LOOKUP_TIME: Duration = Duration::from_millis(400);
 /// Delays before the rounds of a lookup. Records are normally sent within `SEND_DELAY`; on a busy
 /// node or over slow links they take longer than the caller's next attempt.
 const LOOKUP_DELAYS: [Duration; 3] =
@@ -134,6 +137,7 @@
         };
         let Some(peers) = &self.peers else { return own_record() };
         let ranked_nodes = peers.ranked(request_id);
+        let deadline = deadline.min(Instant::now() + MAX_LOOKUP_TIME);
         for (round, delay) in LOOKUP_DELAYS.into_iter().enumerate() {
             if round > 0 {
                 monoio::time::sleep(delay).await;
