decknode: run requests only with an organisation's key, and keep jobs apart

Deployments whose configuration has organisations got every request run, without a key and with the key and any organisation name that the caller sent passed on to the target; batch jobs could be read and ended by anyone.

The node that receives a request now decides before it reads the body: on a route that is not public, and for each call on a batch job, a known key is needed; otherwise 401 (new kind `unauthenticated`, not run). The key and any organisation that the caller names are removed, also from the headers of items, and the organisation of the key is named to the target. Before a node has a configuration it refuses calls on batch jobs with 503, as it does with other requests, since it does not know whether they need a key.

Batch jobs are stored under an id that begins with a hash of the organisation, so that another organisation finds nothing, on any node, and may use the same id. The organisation's priority replaces that of the route. Records of earlier releases decode, and those of deployments without organisations are unchanged.

The age of the configuration is not bounded yet: a node that is out of touch still takes a withdrawn key.

--- a/bins/deckctl/src/explain/analysis.rs
+++ b/bins/deckctl/src/explain/analysis.rs
@@ -4,7 +4,7 @@
 
 use time::{Duration, OffsetDateTime};
 
-use crate::explain::line::LogLine;
+use crate::explain::line::{LogLine, names_job};
 
 /// Minimum time that items waited for an engine for the wait to be reported as a cause.
 const MIN_REPORTED_WAIT: Duration = Duration::milliseconds(1000);
@@ -31,7 +31,7 @@
     let (first, last) = (id_lines.first()?, id_lines.last()?);
     // Lines about an item also name its job. For other ids, the id itself is taken as the job.
     let job = id_lines.iter().find_map(|line| line.field("job")).unwrap_or(id);
-    let is_job = job == id;
+    let is_job = names_job(job, id);
     let is_job_line =
         |line: &&LogLine| line.field("job") == Some(job) && line.field("item").is_none();
     let nodes: BTreeSet<&str> = id_lines.iter().map(|line| line.node.as_str()).collect();
--- a/bins/deckctl/src/explain/line.rs
+++ b/bins/deckctl/src/explain/line.rs
@@ -64,11 +64,20 @@
 
     /// Returns whether a field for a request, call, item or job id has the value `id`.
     pub fn refers_to(&self, id: &str) -> bool {
-        const ID_KEYS: [&str; 4] = ["request", "item", "job", "call"];
-        self.fields.iter().any(|(key, value)| ID_KEYS.contains(&key.as_str()) && value == id)
+        const ID_KEYS: [&str; 3] = ["request", "item", "call"];
+        self.fields.iter().any(|(key, value)| match key.as_str() {
+            "job" => names_job(value, id),
+            key => ID_KEYS.contains(&key) && value == id,
+        })
     }
 }
 
+/// Returns whether the id of a job in a line is `id`, or that of an organisation's job that callers
+/// know as `id`.
+pub fn names_job(job: &str, id: &str) -> bool {
+    job == id || job.split_once('~').is_some_and(|(_, caller_id)| caller_id == id)
+}
+
 /// Splits off the RFC 3339 timestamp at the start of a line.
 fn split_timestamp(line: &str) -> Option<(OffsetDateTime, &str)> {
     let (time, rest) = line.split_once(' ')?;
--- a/bins/decknode/src/frontend.rs
+++ b/bins/decknode/src/frontend.rs
@@ -11,17 +11,20 @@
     CancellationToken,
     error::{CallError, ErrorKind},
 };
-use deck_fleet::{Configuration, FleetView, PlatformProtocol, RequestMetadata, Route, RouteKind};
+use deck_fleet::{
+    BatchCall, Configuration, FleetView, PlatformProtocol, RequestMetadata, Route, RouteKind,
+};
 use deck_forward::{ForwardRequest, Forwarder, error_response, response_from_reply};
 use deck_net::{Body, NetError, server::read_body};
 use futures_util::future::Either;
 use http::{HeaderValue, Method, Request, Response, header};
 use hyper::body::Incoming;
 
-use crate::metrics::{NodeMetrics, RequestPurpose};
+use crate::{
+    authentication::{self, Access},
+    metrics::{NodeMetrics, RequestPurpose},
+};
 
-/// `Retry-After` in refusals before the node has received its configuration.
-const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Timeout of a request whose route sets none.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -115,7 +118,8 @@
         let request_id = head.request_id.clone().unwrap_or_default();
         let (purpose, served) = match batch_call {
             Some(call) => {
-                let served = async move { self.batch.call(call, &head).await };
+                let host = request_host(&request).map(str::to_owned);
+                let served = async move { self.call_batch_job(call, host.as_deref(), &head).await };
                 (RequestPurpose::Batch, Either::Left(served))
             }
             None => {
@@ -148,6 +152,31 @@
         response
     }
 
+    /// Serves a call on an existing batch job.
+    async fn call_batch_job(
+        &self,
+        call: BatchCall,
+        host: Option<&str>,
+        head: &RequestMetadata,
+    ) -> Response<Body> {
+        let configuration = self.view.configuration();
+        let access = Access::BatchCall { host };
+        match authentication::authenticate(configuration.as_deref(), access, head.key.as_ref()) {
+            Ok(organisation) => {
+                let name = authentication::name_of(organisation.as_ref());
+                self.batch.call(call, name.as_deref(), head).await
+            }
+            Err(error) => self.refuse(&error, head.request_id.as_deref().unwrap_or_default()),
+        }
+    }
+
+    /// Answers a request with an error without running it.
+    fn refuse(&self, error: &CallError, request_id: &str) -> Response<Body> {
+        let knowledge = self.view.version_and_age();
+        log::warn!(target: "front", "refused request={request_id} {knowledge} error={error}");
+        error_response(error, request_id)
+    }
+
     /// Submits a batch job, or forwards a plain request or stream to a target.
     async fn submit_or_forward(
         &self,
@@ -159,23 +188,27 @@
     ) -> Response<Body> {
         let (method, uri) = (request.method().clone(), request.uri().clone());
         let request_id = head.request_id.clone().unwrap_or_default();
-        let refuse = |error: CallError| {
-            let knowledge = self.view.version_and_age();
-            log::warn!(target: "front", "refused request={request_id} {knowledge} error={error}");
-            error_response(&error, &request_id)
-        };
+        let refuse = |error: CallError| self.refuse(&error, &request_id);
         let Some(configuration) = configuration.filter(|_| self.view.is_complete()) else {
-            let error = CallError::new(ErrorKind::NotReady, "no configuration yet");
-            return refuse(error.with_retry_after(NOT_READY_RETRY_AFTER));
+            return refuse(authentication::not_ready());
         };
         let Some(route) = route else {
             return refuse(CallError::new(ErrorKind::UnknownPool, "no route for host and path"));
         };
+        let access = Access::Route(&route);
+        let organisation =
+            match authentication::authenticate(Some(&configuration), access, head.key.as_ref()) {
+                Ok(organisation) => authentication::name_of(organisation.as_ref()),
+                Err(error) => return refuse(error),
+            };
         if request_id.is_empty() {
             return refuse(CallError::new(ErrorKind::BadRequest, "the request has no id"));
         }
         let host = request_host(&request).unwrap_or_default().to_owned();
-        let (parts, body) = request.into_parts();
+        let (mut parts, body) = request.into_parts();
+        if configuration.organisations.is_some() {
+            self.protocol.remove_credentials(&mut parts.headers);
+        }
         let body = match read_body(body, configuration.limits.max_body_bytes).await {
             Ok(body) => body,
             Err(NetError::BodyTooLarge(limit)) => {
@@ -187,7 +220,7 @@
             }
         };
         if route.kind == RouteKind::Rollout && method == Method::POST {
-            return self.batch.submit(&host, uri.path(), &route, &head, body).await;
+            return self.batch.submit(&host, uri.path(), &route, organisation, &head, body).await;
         }
         let timeout = if route.timeout.is_zero() { DEFAULT_REQUEST_TIMEOUT } else { route.timeout };
         let deadline = arrived_at + head.deadline.map_or(timeout, |deadline| deadline.min(timeout));
@@ -196,7 +229,7 @@
             Err(error) => return refuse(error),
         };
         let call = ForwardRequest {
-            organisation: None,
+            organisation,
             request_id: request_id.clone(),
             method: method.clone(),
             uri,
--- a/bins/decknode/src/lib.rs
+++ b/bins/decknode/src/lib.rs
@@ -1,6 +1,7 @@
 //! Modules of the `decknode` binary: caller requests, leadership, the node registry, metrics and
 //! the process lifecycle.
 
+pub mod authentication;
 mod frontend;
 mod leadership;
 pub mod loop_delay;
--- a/bins/deckstandin/src/platform.rs
+++ b/bins/deckstandin/src/platform.rs
@@ -473,7 +473,9 @@
 
     /// Answers a plain request or a reward call.
     async fn serve_plain(&self, call: &Call, id: &str) -> Response<Body> {
-        self.state.record(json!({"call": id, "server": self.id, "path": call.path}));
+        self.state.record(json!({"call": id, "server": self.id, "path": call.path,
+                                 "organisation": call.header("tenant"),
+                                 "has_key": call.header("authorization").is_some()}));
         let is_reward = call.path.starts_with("/score/");
         let fails = is_reward
             && self.state.faults.update(|faults| {
@@ -492,8 +494,9 @@
         let version = self.model_version.get().unwrap_or(0);
         let after: u64 =
             call.header("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
-        self.state
-            .record(json!({"run": id, "engine": self.id, "after": after, "version": version}));
+        self.state.record(json!({"run": id, "engine": self.id, "after": after, "version": version,
+                                 "organisation": call.header("tenant"),
+                                 "has_key": call.header("authorization").is_some()}));
         if self.busy.get() {
             return not_executed();
         }
--- a/crates/batch/src/checkpoint.rs
+++ b/crates/batch/src/checkpoint.rs
@@ -254,7 +254,7 @@
         }
         let job = request.uri().path().strip_prefix(CHECKPOINTS_PATH).map(str::to_owned);
         // The id is used as a file name.
-        let Some(job) = job.filter(|job| crate::service::is_valid_id(job) && !job.starts_with('.'))
+        let Some(job) = job.filter(|job| crate::scope::is_stored_id(job) && !job.starts_with('.'))
         else {
             return response_with(StatusCode::NOT_FOUND, Bytes::new());
         };
--- a/crates/batch/src/end.rs
+++ b/crates/batch/src/end.rs
@@ -20,6 +20,7 @@
     BatchService, JobRecord,
     job::Job,
     ownership,
+    scope::caller_id,
     service::{JobLookup, state_unavailable},
 };
 
@@ -71,7 +72,7 @@
         }
         // Status 503 would promise that the end is never carried out.
         let message = "the end of the job is not stored yet";
-        error_response(&CallError::new(ErrorKind::DeadlineExceeded, message), id)
+        error_response(&CallError::new(ErrorKind::DeadlineExceeded, message), caller_id(id))
     }
 
     /// Tries to end a job until it is ended or turns out not to exist.
--- a/crates/batch/src/item_run.rs
+++ b/crates/batch/src/item_run.rs
@@ -241,6 +241,9 @@
     let body = runner.deps.protocol.decode_item_body(&item.body)?;
     let record = job.record.borrow();
     let mut headers = runner.deps.protocol.build_item_headers(&record.host, &item.headers);
+    if record.organisation.is_some() || runner.deps.view.has_organisations() {
+        runner.deps.protocol.remove_credentials(&mut headers);
+    }
     let last_event = Some(item_state.progress.borrow().last_event).filter(|last| *last > 0);
     let dispatch = DispatchMetadata {
         request_id: &item.id,
@@ -248,7 +251,7 @@
         time_left: None,
         last_event,
         priority: item_state.is_speculative.then_some(SPECULATIVE_PRIORITY),
-        organisation: None,
+        organisation: record.organisation.as_deref(),
     };
     runner.deps.protocol.set_dispatch_headers(&mut headers, &dispatch);
     let mut request = Request::new(Body::full(body));
--- a/crates/batch/src/job_store.rs
+++ b/crates/batch/src/job_store.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use deck_core::id::{RequestId, Revision, VmId, WeightVersion};
+use deck_core::id::{OrganisationId, RequestId, Revision, VmId, WeightVersion};
 use deck_fleet::{BatchJob, BatchLimits, Item, ItemResult};
 use deck_plat::{Object, Precondition, Store, StoreError};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -40,6 +40,10 @@
     pub host: String,
     /// Path of the submission, used to find its route.
     pub path: String,
+    /// Organisation that submitted the job; `None` where the configuration has no organisations, and
+    /// in records of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<OrganisationId>,
     /// Name of the model that runs the items.
     pub model: String,
     /// Oldest weight version that may generate text for the job.
@@ -111,6 +115,7 @@
             item_count: job.items.len(),
             host: job.host.clone(),
             path: job.path.clone(),
+            organisation: job.organisation.clone(),
             model: job.model.clone(),
             min_version: job.min_version,
             group_count: job.group_count,
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -33,6 +33,7 @@
 mod publish;
 mod reward;
 pub mod runner;
+mod scope;
 pub mod service;
 mod silent_jobs;
 pub mod speculation;
--- a/crates/batch/src/peer_calls.rs
+++ b/crates/batch/src/peer_calls.rs
@@ -20,9 +20,10 @@
     BatchService,
     job::Job,
     peer_client::{
-        JOBS_PATH, PING_PATH, STATUS_NOT_RUNNER, STATUS_READ_OBJECT_API, STATUS_RUNS_ELSEWHERE,
-        SUBMITTED_PATH_HEADER,
+        JOBS_PATH, ORGANISATION_HEADER, PING_PATH, STATUS_NOT_RUNNER, STATUS_READ_OBJECT_API,
+        STATUS_RUNS_ELSEWHERE, SUBMITTED_PATH_HEADER,
     },
+    scope::caller_id,
     service::{JobLocation, accepted},
 };
 
@@ -96,8 +97,15 @@
     async fn serve_submit(&self, id: &str, request: Request<Incoming>) -> Response<Body> {
         if self.inner.draining.get() {
             let error = CallError::new(ErrorKind::Draining, "this node is stopping");
-            return error_response(&error, id);
+            return error_response(&error, caller_id(id));
         }
+        let organisation = match request.headers().get(ORGANISATION_HEADER) {
+            Some(name) => match std::str::from_utf8(name.as_bytes()) {
+                Ok(name) => Some(name.to_owned()),
+                Err(_) => return empty_response(STATUS_NOT_RUNNER),
+            },
+            None => None,
+        };
         let header_value = |name: &str| {
             let value = request.headers().get(name)?.to_str().ok()?;
             Some(value.to_owned())
@@ -121,9 +129,9 @@
                 return empty_response(StatusCode::SERVICE_UNAVAILABLE);
             }
         };
-        match self.accept(id, &host, &path, &route, &body).await {
+        match self.accept(id, &host, &path, &route, organisation, &body).await {
             Ok(()) => accepted(),
-            Err(error) => error_response(&error, id),
+            Err(error) => error_response(&error, caller_id(id)),
         }
     }
 }
--- a/crates/batch/src/peer_client.rs
+++ b/crates/batch/src/peer_client.rs
@@ -10,6 +10,8 @@
 pub const JOBS_PATH: &str = "/peer/jobs/";
 /// Header that carries the path under which the caller submitted the job.
 pub const SUBMITTED_PATH_HEADER: &str = "x-submitted-path";
+/// Header that carries the organisation of the caller that submitted the job.
+pub const ORGANISATION_HEADER: &str = "x-organisation";
 /// Response status of a node that does not run the requested job.
 pub const STATUS_NOT_RUNNER: StatusCode = StatusCode::GONE;
 /// Response status of a node that refuses to serve a settled job because of its rate limit. The
@@ -55,12 +57,15 @@
         id: &str,
         host: &str,
         path: &str,
+        organisation: Option<&str>,
         body: Bytes,
     ) -> Result<BufferedResponse, NetError> {
         let mut request = build_peer_request(Method::POST, format!("{JOBS_PATH}{id}"), body)?;
-        for (name, value) in [(header::HOST.as_str(), host), (SUBMITTED_PATH_HEADER, path)] {
-            let value =
-                HeaderValue::from_str(value).map_err(|e| NetError::Decode(e.to_string()))?;
+        let organisation = organisation.map(|name| (ORGANISATION_HEADER, name));
+        let headers = [(header::HOST.as_str(), host), (SUBMITTED_PATH_HEADER, path)];
+        for (name, value) in headers.into_iter().chain(organisation) {
+            let value = HeaderValue::from_bytes(value.as_bytes())
+                .map_err(|e| NetError::Decode(e.to_string()))?;
             request.headers_mut().insert(
                 http::HeaderName::from_bytes(name.as_bytes())
                     .map_err(|error| NetError::Decode(error.to_string()))?,
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -12,7 +12,7 @@
 use deck_core::{
     boot_clock::BootInstant,
     error::{CallError, ErrorKind},
-    id::RequestId,
+    id::{OrganisationId, RequestId},
 };
 use deck_fleet::{
     BatchCall, BatchJob, BatchLimits, FleetFeed, JobEvent, Leader, RequestMetadata, ResultPage,
@@ -32,6 +32,7 @@
     },
     publish,
     runner::RunnerDependencies,
+    scope::{caller_id, is_stored_id, stored_id},
 };
 
 /// Time and size limits of a [`BatchService`].
@@ -138,15 +139,19 @@
 
     /// Submits a job to the node that should run it, or accepts it on this node if no other node
     /// does. Responds with 202 once the job is stored.
+    ///
+    /// `organisation` is that of the caller. Only calls of the same organisation find the job.
     pub async fn submit(
         &self,
         host: &str,
         path: &str,
         route: &Route,
+        organisation: Option<OrganisationId>,
         metadata: &RequestMetadata,
         body: Bytes,
     ) -> Response<Body> {
-        let Some(id) = metadata.request_id.clone().filter(|id| is_valid_id(id)) else {
+        let chosen_id = metadata.request_id.as_deref().unwrap_or_default();
+        let Some(id) = stored_id(chosen_id, organisation.as_deref()) else {
             let error = CallError::new(ErrorKind::BadRequest, "the job has no valid id");
             return error_response(&error, "");
         };
@@ -155,7 +160,12 @@
             if node == self.deps().address {
                 break;
             }
-            match self.inner.peers.submit(node, &id, host, path, body.clone()).await {
+            match self
+                .inner
+                .peers
+                .submit(node, &id, host, path, organisation.as_deref(), body.clone())
+                .await
+            {
                 Ok(answer) if answer.status == StatusCode::ACCEPTED => {
                     self.inner.last_known_runners.borrow_mut().insert(id, node);
                     return accepted();
@@ -175,13 +185,13 @@
                 }
             }
         }
-        match self.accept(&id, host, path, route, &body).await {
+        match self.accept(&id, host, path, route, organisation, &body).await {
             Ok(()) => accepted(),
             Err(error) if maybe_accepted && error.kind == ErrorKind::StoreUnavailable => {
                 let error = CallError::new(ErrorKind::DeadlineExceeded, error.message);
-                error_response(&error, &id)
+                error_response(&error, chosen_id)
             }
-            Err(error) => error_response(&error, &id),
+            Err(error) => error_response(&error, chosen_id),
         }
     }
 
@@ -224,6 +234,7 @@
         host: &str,
         path: &str,
         route: &Route,
+        organisation: Option<OrganisationId>,
         body: &[u8],
     ) -> Result<(), CallError> {
         if self.inner.runner.job(id).is_some() {
@@ -231,8 +242,13 @@
         }
         let decoded = self.deps().protocol.decode_batch_job(id.to_owned(), host, path, body);
         let mut job = decoded.map_err(|error| CallError::new(ErrorKind::BadRequest, error))?;
-        set_limits(&mut job, route);
         let deps = self.deps();
+        let own_priority = organisation.as_deref().and_then(|name| {
+            let configuration = deps.view.configuration()?;
+            configuration.organisations.as_ref()?.iter().find(|it| it.name == name)?.priority
+        });
+        job.organisation = organisation;
+        set_limits(&mut job, route, own_priority);
         // The announcement lets the leader find the job even if this node crashes right after
         // accepting it.
         let announcement = deps.checkpoints.announce(id);
@@ -242,7 +258,9 @@
         match outcome {
             StoreJobOutcome::Stored(record, revision) => {
                 deps.observer.on_job_event(JobEvent::Accepted);
-                log::info!(target: "batch", "job accepted job={id} items={} step={} model={} min_version={}", job.items.len(), job.step, job.model, job.min_version);
+                let owner = job.organisation.as_ref().map(|name| format!(" organisation={name:?}"));
+                let owner = owner.unwrap_or_default();
+                log::info!(target: "batch", "job accepted job={id}{owner} items={} step={} model={} min_version={}", job.items.len(), job.step, job.model, job.min_version);
                 self.inner.runner.start_job(id, record, revision, written_at, job.items);
                 Ok(())
             }
@@ -277,15 +295,27 @@
     }
 
     /// Handles a caller's request to read or end a job, or to read the body of an item.
-    pub async fn call(&self, call: BatchCall, metadata: &RequestMetadata) -> Response<Body> {
+    ///
+    /// `organisation` is that of the caller. A job of another organisation is answered like one that
+    /// does not exist.
+    pub async fn call(
+        &self,
+        call: BatchCall,
+        organisation: Option<&str>,
+        metadata: &RequestMetadata,
+    ) -> Response<Body> {
         let started = Instant::now();
-        let (job, response) = match &call {
-            BatchCall::Read { job, from } => {
+        let (BatchCall::Read { job, .. }
+        | BatchCall::ItemBody { job, .. }
+        | BatchCall::End { job }) = &call;
+        let Some(job) = stored_id(job, organisation) else { return unknown_job(job) };
+        let response = match &call {
+            BatchCall::Read { from, .. } => {
                 let wait = metadata.read_wait.unwrap_or(Duration::ZERO);
-                (job, self.read(job, *from, wait.min(self.inner.options.max_read_wait)).await)
+                self.read(&job, *from, wait.min(self.inner.options.max_read_wait)).await
             }
-            BatchCall::ItemBody { job, item } => (job, self.item_body(job, item).await),
-            BatchCall::End { job } => (job, self.end(job).await),
+            BatchCall::ItemBody { item, .. } => self.item_body(&job, item).await,
+            BatchCall::End { .. } => self.end(&job).await,
         };
         let (status, ms) = (response.status(), started.elapsed().as_millis());
         let level = if status.is_success() { log::Level::Info } else { log::Level::Warn };
@@ -351,7 +381,7 @@
     where
         T: Future<Output = Result<BufferedResponse, NetError>>,
     {
-        if !is_valid_id(id) {
+        if !is_stored_id(id) {
             return JobLookup::Response(unknown_job(id));
         }
         if let Some(job) = self.local_job(id) {
@@ -593,26 +623,20 @@
 /// that running jobs need.
 const SETTLED_PAGE_BYTES_PER_S: f64 = 1024.0 * 1024.0;
 
-/// Sets the limits of the route and the submission time on a decoded job.
-fn set_limits(job: &mut BatchJob, route: &Route) {
+/// Sets the limits of the route and the submission time on a decoded job. `own_priority` is that of
+/// its organisation.
+fn set_limits(job: &mut BatchJob, route: &Route, own_priority: Option<u8>) {
     job.limits = BatchLimits {
         results_due_ms: route.result_deadline.as_millis() as u64,
         give_up_ms: route.item_deadline.as_millis() as u64,
         attempts: route.max_attempts,
         single_version: route.single_version,
-        priority: route.priority,
+        priority: own_priority.unwrap_or(route.priority),
     };
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
     job.submitted_at_ms = now.as_millis() as u64;
 }
 
-/// Returns whether an id may be used as part of an object name.
-pub(crate) fn is_valid_id(id: &str) -> bool {
-    const MAX_BYTES: usize = 128;
-    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
-    !id.is_empty() && id.len() <= MAX_BYTES && id.bytes().all(allowed)
-}
-
 /// Response to a submission that is stored.
 pub(crate) fn accepted() -> Response<Body> {
     empty_response(StatusCode::ACCEPTED)
@@ -620,14 +644,14 @@
 
 /// Response to a request for a job that does not exist.
 fn unknown_job(id: &str) -> Response<Body> {
-    error_response(&CallError::new(ErrorKind::UnknownJob, "no such job"), id)
+    error_response(&CallError::new(ErrorKind::UnknownJob, "no such job"), caller_id(id))
 }
 
 /// Retryable response if the state of a job cannot be determined.
 pub(crate) fn state_unavailable(id: &str) -> Response<Body> {
     let message = "the state of the job cannot be read now";
     let error = CallError::new(ErrorKind::StoreUnavailable, message);
-    error_response(&error.with_retry_after(Duration::from_millis(300)), id)
+    error_response(&error.with_retry_after(Duration::from_millis(300)), caller_id(id))
 }
 
 /// Builds a JSON response from an encoded body.
--- a/crates/batch/src/text_reuse.rs
+++ b/crates/batch/src/text_reuse.rs
@@ -9,6 +9,7 @@
 use deck_fleet::{ItemOutcome, ItemResult};
 
 use crate::{
+    JobRecord,
     job::{ItemPhase, ItemState, Job, Progress},
     runner::Runner,
 };
@@ -28,9 +29,13 @@
         for earlier_job in
             jobs.values().filter(|earlier_job| earlier_job.id != job.id).filter(is_finished)
         {
-            if earlier_job.record.borrow().model != job.record.borrow().model {
+            let (earlier_record, record) = (earlier_job.record.borrow(), job.record.borrow());
+            let owner_and_model =
+                |record: &JobRecord| (record.organisation.clone(), record.model.clone());
+            if owner_and_model(&earlier_record) != owner_and_model(&record) {
                 continue;
             }
+            drop((earlier_record, record));
             let repeated_before = repeated;
             let matching_item = |id: &RequestId| {
                 let item_state = new_items.get(id)?;
--- a/crates/batch/tests/ended_jobs.rs
+++ b/crates/batch/tests/ended_jobs.rs
@@ -159,7 +159,7 @@
 
 async fn end(node: &Node) -> StatusCode {
     let call = BatchCall::End { job: "job".to_owned() };
-    node.service.call(call, &RequestMetadata::default()).await.status()
+    node.service.call(call, None, &RequestMetadata::default()).await.status()
 }
 
 async fn is_end_stored(node: &Node) -> bool {
@@ -210,7 +210,7 @@
         };
         node.job_store.store_chunk("job", 0, &[Rc::new(result)]).await.expect("stored");
         let read = BatchCall::Read { job: "job".to_owned(), from: 0 };
-        let response = node.service.call(read, &RequestMetadata::default()).await;
+        let response = node.service.call(read, None, &RequestMetadata::default()).await;
         assert_eq!(response.status(), StatusCode::OK);
         assert!(job.is_complete());
         let completed_at = Instant::now();
@@ -435,7 +435,7 @@
             let body = br#"{"Step":0,"Model":"m","MinVersion":1,"GroupCount":0,"Items":[{"Id":"a","Path":"/p","Headers":{},"Body":"","Tokens":100}]}"#;
             let id = RequestMetadata { request_id: Some("job".to_owned()), ..Default::default() };
             let route = route("jobs", "/j/", RouteKind::Rollout);
-            service.submit("h", "/j/job", &route, &id, body.as_slice().into()).await.status()
+            service.submit("h", "/j/job", &route, None, &id, body.as_slice().into()).await.status()
         });
         monoio::time::sleep(Duration::from_millis(100)).await;
         end(&node).await;
--- a/crates/batch/tests/outdated_copies.rs
+++ b/crates/batch/tests/outdated_copies.rs
@@ -74,7 +74,7 @@
 /// `None` if the node answers that it cannot tell.
 async fn read_without_wait(node: &Node) -> Option<usize> {
     let call = BatchCall::Read { job: "job".to_owned(), from: 0 };
-    let response = node.service.call(call, &RequestMetadata::default()).await;
+    let response = node.service.call(call, None, &RequestMetadata::default()).await;
     if response.status() == StatusCode::SERVICE_UNAVAILABLE {
         return None;
     }
@@ -212,7 +212,10 @@
     let body = json!({ "Model": "m", "MinVersion": 1, "Items": items }).to_string();
     let metadata =
         RequestMetadata { request_id: Some("job".to_owned()), ..RequestMetadata::default() };
-    node.service.submit("h", "/j/job", &rollout_route(), &metadata, body.into()).await.status()
+    node.service
+        .submit("h", "/j/job", &rollout_route(), None, &metadata, body.into())
+        .await
+        .status()
 }
 
 /// Pattern: the answer to a submission is lost, the job runs and stores results, its node restarts
--- a/crates/batch/tests/service.rs
+++ b/crates/batch/tests/service.rs
@@ -62,7 +62,7 @@
     let mut results = Vec::new();
     while results.len() < ITEM_COUNT {
         let call = BatchCall::Read { job: "job".to_owned(), from: results.len() };
-        let response = service.call(call, &RequestMetadata::default()).await;
+        let response = service.call(call, None, &RequestMetadata::default()).await;
         assert_eq!(response.status(), StatusCode::OK, "after {}", results.len());
         let body = response.into_body().collect().await.expect("body").to_bytes();
         let page: Value = serde_json::from_slice(&body).expect("json");
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -60,6 +60,8 @@
 error_kinds! {
     /// The request is malformed.
     BadRequest => 400, "bad_request", NotRun, false;
+    /// The request has no key, or one that no organisation has.
+    Unauthenticated => 401, "unauthenticated", NotRun, false;
     /// The request names no organisation or an unknown one.
     UnknownOrganisation => 403, "unknown_organisation", NotRun, false;
     /// No pool serves the requested path or model.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -158,6 +158,11 @@
         self.inner.configuration.borrow().clone()
     }
 
+    /// Returns whether the configuration in force has organisations, whose keys callers need.
+    pub fn has_organisations(&self) -> bool {
+        self.configuration().is_some_and(|configuration| configuration.organisations.is_some())
+    }
+
     /// Returns the target with the given id.
     pub fn target(&self, id: &str) -> Option<Rc<Target>> {
         self.inner.targets.borrow().get(id).cloned()
