fleet: move the transfer of the configuration out of the feed

How a watcher sends its configuration and how a polling node fetches it move from feed.rs (958 lines) into a module of their own with their own state; the feed keeps polls, pages and the choice of a source. No change of behaviour.

The tests of deck-fleet pass.

--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -36,13 +36,14 @@
 use crate::{
     CrashRegistry, NodeCrashes, ObjectFollower, Senders, TargetContent,
     config::{ConfigurationVersion, ModelName},
+    config_transfer::{CONFIGURATION_ONLY, ConfigurationTransfer},
     packed::PackedChanges,
 };
 
 /// HTTP path at which watchers serve the feed.
 pub const FEED_PATH: &str = "/peer/feed";
 /// Maximum size of a feed page.
-const MAX_PAGE_BYTES: usize = 16 * 1024 * 1024;
+pub(crate) const MAX_PAGE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Node that holds the leader lease: it sends weight load orders, chooses runners, and runs the
 /// jobs of models without a runner.
@@ -225,13 +226,6 @@
     targets_up_to_date_at: Option<Instant>,
 }
 
-/// Raw configuration as it is sent to other nodes.
-#[derive(Debug, Clone)]
-struct EncodedConfiguration {
-    version: ConfigurationVersion,
-    bytes: Bytes,
-}
-
 /// Distributes deployment state between nodes, as a watcher or as a reader; clones share their
 /// state.
 #[derive(Clone)]
@@ -257,10 +251,7 @@
     crashes: CrashRegistry,
     /// Whether this node currently follows the object API itself.
     is_following_object_api: watch::Sender<bool>,
-    /// Last configuration that was encoded for other nodes.
-    encoded_configuration: RefCell<Option<EncodedConfiguration>>,
-    /// Whether this node is fetching a configuration from a watcher.
-    is_fetching_configuration: Cell<bool>,
+    configurations: ConfigurationTransfer,
 }
 
 impl FleetFeed {
@@ -273,6 +264,8 @@
         follower: ObjectFollower,
         options: FleetFeedOptions,
     ) -> Self {
+        let configurations =
+            ConfigurationTransfer::new(client.clone(), follower.clone(), options.poll_timeout);
         let inner = FeedState {
             own_address,
             epoch,
@@ -286,8 +279,7 @@
             runners: RefCell::default(),
             crashes: CrashRegistry::default(),
             is_following_object_api: watch::channel(false).0,
-            encoded_configuration: RefCell::default(),
-            is_fetching_configuration: Cell::new(false),
+            configurations,
         };
         Self { inner: Rc::new(inner) }
     }
@@ -605,8 +597,8 @@
                     last_position = self
                         .apply_page(page, sent_at, position, content)
                         .map(|position| (node, position));
-                    if configuration_version > Some(self.configuration_version()) {
-                        self.start_configuration_fetch(node, cancel);
+                    if configuration_version > Some(inner.configurations.version()) {
+                        inner.configurations.start_fetch(node, cancel);
                     }
                     if age <= inner.options.max_data_age {
                         failed = 0;
@@ -660,11 +652,7 @@
         content: TargetContent,
     ) -> Result<FeedPage, NetError> {
         let inner = &self.inner;
-        // A configuration that is on its way must not end each wait for changes at once.
-        let version = match inner.is_fetching_configuration.get() {
-            true => u64::MAX,
-            false => self.configuration_version(),
-        };
+        let version = inner.configurations.polled_version();
         let wait = inner.options.poll_timeout;
         let mut path = format!(
             "{FEED_PATH}?configuration={version}&{SEPARATE_CONFIGURATION}=1&wait_ms={}",
@@ -697,11 +685,6 @@
         cbor::decode(&page)
     }
 
-    /// Returns the version of the configuration in force; 0 before the first one.
-    fn configuration_version(&self) -> ConfigurationVersion {
-        self.inner.follower.view.configuration().map_or(0, |configuration| configuration.version)
-    }
-
     /// Returns whether no other source has updated the targets since the page with this position.
     fn is_unchanged_since(&self, position: &FeedPosition) -> bool {
         self.inner.follower.view.targets_up_to_date_at() == position.targets_up_to_date_at
@@ -738,7 +721,8 @@
         if let Some(configuration) = &page.configuration {
             follower.apply_configuration(configuration);
         }
-        let has_configuration = page.configuration_version <= Some(self.configuration_version());
+        let has_configuration =
+            page.configuration_version <= Some(self.inner.configurations.version());
         if let Some(at) = encoded_at.checked_sub(Duration::from_millis(page.age_ms))
             && has_targets
             && has_configuration
@@ -766,53 +750,6 @@
         })
     }
 
-    /// Fetches the configuration of a watcher while polling goes on, unless a fetch is under way.
-    fn start_configuration_fetch(&self, node: SocketAddr, cancel: &CancellationToken) {
-        if self.inner.is_fetching_configuration.replace(true) {
-            return;
-        }
-        let (feed, cancel) = (self.clone(), cancel.clone());
-        monoio::spawn(async move {
-            match cancel.run_until_cancelled(feed.fetch_configuration(node)).await {
-                Some(Ok(configuration)) => feed.inner.follower.apply_configuration(&configuration),
-                Some(Err(error)) => {
-                    log::info!(target: "fleet", "configuration not received node={node} error={error}");
-                }
-                None => {}
-            }
-            feed.inner.is_fetching_configuration.set(false);
-        });
-    }
-
-    async fn fetch_configuration(&self, node: SocketAddr) -> Result<Value, NetError> {
-        let timeout = self.inner.options.poll_timeout;
-        let request = Request::builder()
-            .uri(format!("{FEED_PATH}?{CONFIGURATION_ONLY}=1"))
-            .body(Body::empty())
-            .map_err(|error| NetError::Decode(error.to_string()))?;
-        let limits = ChunkedCallLimits {
-            head_timeout: timeout * 2,
-            chunk_timeout: timeout,
-            max_body_bytes: MAX_PAGE_BYTES,
-        };
-        let client = &self.inner.client;
-        let body = client.call_with_chunk_timeout(node, request, limits).await?.into_ok_body()?;
-        cbor::decode(&body)
-    }
-
-    /// Returns the encoded configuration of this node; each version is encoded once.
-    fn encoded_configuration(&self) -> Option<Bytes> {
-        let follower = &self.inner.follower;
-        let version = follower.view.configuration()?.version;
-        let mut cache = self.inner.encoded_configuration.borrow_mut();
-        if let Some(encoded) = cache.as_ref().filter(|encoded| encoded.version == version) {
-            return Some(encoded.bytes.clone());
-        }
-        let bytes = encode_cbor(follower.freshness.configuration.borrow().as_ref()?)?;
-        *cache = Some(EncodedConfiguration { version, bytes: bytes.clone() });
-        Some(bytes)
-    }
-
     /// Handles a poll from another node, given the query string of the request.
     ///
     /// Waits for changes for up to the requested time. Responds with an error status if this node
@@ -832,10 +769,7 @@
             };
         }
         if parameter(CONFIGURATION_ONLY).is_some() {
-            return match self.encoded_configuration() {
-                Some(bytes) => Response::new(Body::full(bytes)),
-                None => empty_response(StatusCode::SERVICE_UNAVAILABLE),
-            };
+            return inner.configurations.serve();
         }
         let same_epoch = parameter("epoch") == Some(inner.epoch);
         let reader_version = |name| parameter(name).filter(|_| same_epoch);
@@ -845,7 +779,7 @@
         };
         let view = &inner.follower.view;
         let has_changes = || {
-            let version = self.configuration_version();
+            let version = inner.configurations.version();
             reader_version("changes") != Some(view.last_target_change(content))
                 || version > parameter("configuration").unwrap_or(0)
                 || reader_version("crashes") != Some(inner.crashes.version())
@@ -865,7 +799,7 @@
         let (Some(age), Some(targets_age)) = (self.age(), self.targets_age()) else {
             return empty_response(StatusCode::SERVICE_UNAVAILABLE);
         };
-        let version = self.configuration_version();
+        let version = inner.configurations.version();
         let is_newer = version > parameter("configuration").unwrap_or(0);
         let is_on_page = is_newer && parameter(SEPARATE_CONFIGURATION).is_none();
         let configuration =
@@ -934,8 +868,6 @@
 const AGE_ONLY: &str = "age_only";
 /// Query parameter that requests only the age of a watcher's targets.
 const TARGETS_AGE_ONLY: &str = "targets_age_only";
-/// Query parameter that requests only the raw configuration.
-const CONFIGURATION_ONLY: &str = "configuration_only";
 /// Query parameter of nodes that fetch the configuration separately, so that pages do not carry it.
 const SEPARATE_CONFIGURATION: &str = "separate_configuration";
 
@@ -946,7 +878,7 @@
     }
 }
 
-fn encode_cbor<T: Serialize>(value: &T) -> Option<Bytes> {
+pub(crate) fn encode_cbor<T: Serialize>(value: &T) -> Option<Bytes> {
     let mut bytes = Vec::new();
     match ciborium::into_writer(value, &mut bytes) {
         Ok(()) => Some(Bytes::from(bytes)),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod change_log;
 pub mod config;
+mod config_transfer;
 pub mod crash_registry;
 pub mod demand;
 pub mod engines;
