Bound the age of the configuration from which keys are accepted

A node that was frozen, cut off or turned away by the object API went on with the keys of its last configuration, however old, so that withdrawn keys could run long after the acknowledgement of their withdrawal.

Where the settings bound the withdrawal of keys, a node accepts a key only from a configuration that a linearizable read has confirmed as the newest one within the bound, by the boot clock; otherwise it answers 503 `configuration_outdated`, not run. Without the bound, or without organisations, nothing is read and nothing is refused.

--- a/bins/decknode/src/frontend.rs
+++ b/bins/decknode/src/frontend.rs
@@ -10,6 +10,7 @@
 use deck_core::{
     CancellationToken,
     error::{CallError, ErrorKind},
+    id::OrganisationId,
 };
 use deck_fleet::{
     BatchCall, Configuration, FleetView, PlatformProtocol, RequestMetadata, Route, RouteKind,
@@ -106,6 +107,9 @@
     pub stop: StopDeadline,
     /// Records the number, status and duration of requests.
     pub metrics: NodeMetrics,
+    /// Time after the acknowledgement of its withdrawal after which no key may be accepted; `None` if
+    /// the configuration in force counts whatever its age.
+    pub key_withdrawal: Option<Duration>,
 }
 
 impl Frontend {
@@ -161,15 +165,25 @@
     ) -> Response<Body> {
         let configuration = self.view.configuration();
         let access = Access::BatchCall { host };
-        match authentication::authenticate(configuration.as_deref(), access, head.key.as_ref()) {
-            Ok(organisation) => {
-                let name = authentication::name_of(organisation.as_ref());
-                self.batch.call(call, name.as_deref(), head).await
-            }
+        match self.authenticate(configuration.as_deref(), access, head) {
+            Ok(organisation) => self.batch.call(call, organisation.as_deref(), head).await,
             Err(error) => self.refuse(&error, head.request_id.as_deref().unwrap_or_default()),
         }
     }
 
+    /// Returns the name of the caller's organisation; `None` if the caller needs none.
+    fn authenticate(
+        &self,
+        configuration: Option<&Configuration>,
+        access: Access<'_>,
+        head: &RequestMetadata,
+    ) -> Result<Option<OrganisationId>, CallError> {
+        let is_current = self.key_withdrawal.is_none_or(|bound| self.view.allows_keys(bound));
+        let key = head.key.as_ref();
+        let organisation = authentication::authenticate(configuration, is_current, access, key)?;
+        Ok(organisation.map(|organisation| organisation.name.clone()))
+    }
+
     /// Answers a request with an error without running it.
     fn refuse(&self, error: &CallError, request_id: &str) -> Response<Body> {
         let knowledge = self.view.version_and_age();
@@ -196,11 +210,10 @@
             return refuse(CallError::new(ErrorKind::UnknownPool, "no route for host and path"));
         };
         let access = Access::Route(&route);
-        let organisation =
-            match authentication::authenticate(Some(&configuration), access, head.key.as_ref()) {
-                Ok(organisation) => authentication::name_of(organisation.as_ref()),
-                Err(error) => return refuse(error),
-            };
+        let organisation = match self.authenticate(Some(&configuration), access, &head) {
+            Ok(organisation) => organisation,
+            Err(error) => return refuse(error),
+        };
         if request_id.is_empty() {
             return refuse(CallError::new(ErrorKind::BadRequest, "the request has no id"));
         }
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -148,6 +148,7 @@
         follower.clone(),
         FleetFeedOptions {
             max_targets_age: settings.bounds.drain.mul_f64(MAX_TARGETS_AGE_FRACTION),
+            key_withdrawal: settings.bounds.key_withdrawal,
             ..FleetFeedOptions::default()
         },
     );
@@ -257,6 +258,7 @@
         protocol: protocol.clone(),
         stop: stop_deadline.clone(),
         metrics: metrics.clone(),
+        key_withdrawal: settings.bounds.key_withdrawal,
     };
     let metrics =
         MetricsSource { metrics, view: view.clone(), engines: engines.clone(), runner, is_leader };
--- a/bins/decknode/tests/authentication.rs
+++ b/bins/decknode/tests/authentication.rs
@@ -1,12 +1,12 @@
 //! Decisions for which organisation a request runs.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use deck_core::error::ErrorKind;
 use deck_fleet::{
     ApiKey, CallerLimits, Configuration, Organisation, Organisations, Route, RouteKind,
 };
-use decknode::authentication::{Access, authenticate, name_of};
+use decknode::authentication::{Access, authenticate};
 use test_case::test_case;
 
 fn route(host: &str, kind: RouteKind, is_public: bool) -> Route {
@@ -66,9 +66,12 @@
     let route = configuration.route(host, "/").expect("route").clone();
     let key = key.map(ApiKey::new);
     for access in [Access::Route(&route), Access::BatchCall { host: Some(host) }] {
-        let decided = authenticate(Some(&configuration), access, key.as_ref());
-        let decided = decided.map(|organisation| name_of(organisation.as_ref()));
-        let decided = decided.as_ref().map(Option::as_deref).map_err(|error| error.kind);
+        let decided = authenticate(Some(&configuration), true, access, key.as_ref());
+        let name = |organisation: &Option<Rc<Organisation>>| {
+            organisation.as_ref().map(|organisation| organisation.name.clone())
+        };
+        let decided = decided.as_ref().map(name).map_err(|error| error.kind);
+        let expected = expected.map(|name| name.map(str::to_owned));
         assert_eq!(decided, expected, "{access:?}");
     }
 }
@@ -78,7 +81,7 @@
 fn public_plain_route_opens_no_batch_jobs() {
     let configuration = configuration(Some(organisations()));
     for host in [Some("plain"), Some("unknown"), None] {
-        let decided = authenticate(Some(&configuration), Access::BatchCall { host }, None);
+        let decided = authenticate(Some(&configuration), true, Access::BatchCall { host }, None);
         assert_eq!(decided.map_err(|error| error.kind), Err(ErrorKind::Unauthenticated));
     }
 }
@@ -90,18 +93,39 @@
     let without = configuration(None);
     let access = Access::BatchCall { host: Some("closed") };
     for key in [None, Some(ApiKey::new("any"))] {
-        assert_eq!(authenticate(Some(&without), access, key.as_ref()), Ok(None));
-        let unknown = authenticate(None, access, key.as_ref()).expect_err("refusal");
+        assert_eq!(authenticate(Some(&without), false, access, key.as_ref()), Ok(None));
+        let unknown = authenticate(None, true, access, key.as_ref()).expect_err("refusal");
         assert_eq!(unknown.kind, ErrorKind::NotReady);
     }
 }
 
+/// Guards against a configuration of unknown age that decides about a key, against 401 for a key that a
+/// newer configuration may have, and against a refusal of requests that need no key.
+#[test_case("closed", Some("a1"), Err(ErrorKind::ConfigurationOutdated); "known key")]
+#[test_case("closed", Some("unknown"), Err(ErrorKind::ConfigurationOutdated); "unknown key")]
+#[test_case("closed", None, Err(ErrorKind::Unauthenticated); "no key")]
+#[test_case("public", Some("a1"), Ok(()); "public route with a key")]
+#[test_case("public", None, Ok(()); "public route without a key")]
+fn outdated_configuration_decides_about_no_key(
+    host: &str,
+    key: Option<&str>,
+    expected: Result<(), ErrorKind>,
+) {
+    let configuration = configuration(Some(organisations()));
+    let access = Access::BatchCall { host: Some(host) };
+    let key = key.map(ApiKey::new);
+    let decided = authenticate(Some(&configuration), false, access, key.as_ref());
+    let decided = decided.map(|organisation| assert_eq!(organisation, None));
+    assert_eq!(decided.map_err(|error| error.kind), expected);
+}
+
 /// Guards against a key in the message of a refusal.
 #[test]
 fn refusal_does_not_contain_the_key() {
     let configuration = configuration(Some(organisations()));
     let access = Access::BatchCall { host: Some("closed") };
     let key = ApiKey::new("secret");
-    let refused = authenticate(Some(&configuration), access, Some(&key)).expect_err("refusal");
+    let refused =
+        authenticate(Some(&configuration), true, access, Some(&key)).expect_err("refusal");
     assert!(!format!("{refused:?} {refused} {key:?}").contains("secret"), "{refused}");
 }
--- a/bins/decknode/tests/organisations.rs
+++ b/bins/decknode/tests/organisations.rs
@@ -3,11 +3,11 @@
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use deck_net::http::{Method, StatusCode};
-use deck_testkit::eventually;
+use deck_testkit::{eventually, proxy::Direction};
 use serde_json::{Value, json};
 
 mod common;
@@ -154,3 +154,71 @@
         }
     });
 }
+
+/// Guards against a node that accepts a key later than the bound after the acknowledgement of its
+/// withdrawal although it is cut off, frozen or restarted, and against one that refuses keys earlier
+/// than it has to.
+#[test]
+fn withdrawn_key_runs_nowhere_after_the_bound() {
+    const BOUND: Duration = Duration::from_secs(3);
+    run(async {
+        let mut fleet = Fleet::start_with_proxies(1).await;
+        fleet.change_setting(0, "GraceS = 5", "GraceS = 5\nStrictRevoke = true\nRevokeMs = 3000");
+        fleet.nodes[0].process.take().expect("process").kill();
+        fleet.start_node(0);
+        fleet.wait_until_ready().await;
+        let node = fleet.nodes[0].caller_address;
+        configure(&fleet, 2, organisations(&KEYS[..2])).await;
+        for key in &KEYS[..2] {
+            eventually("the key is accepted", async || {
+                let early = send_plain(&fleet, node, "early", None).await;
+                let accepted = send_plain(&fleet, node, "accepted", Some(key)).await;
+                early == StatusCode::UNAUTHORIZED && accepted == StatusCode::OK
+            })
+            .await;
+        }
+        let set_cut = |is_cut: bool| {
+            for proxy in fleet.nodes.iter().filter_map(|node| node.object_api_proxy.as_ref()) {
+                proxy.set_blocked(Direction::FromTarget, is_cut);
+            }
+        };
+        // The confirmations go on after the configuration was received.
+        monoio::time::sleep(BOUND + Duration::from_millis(500)).await;
+        assert_eq!(send_plain(&fleet, node, "in-touch", Some(KEYS[1])).await, StatusCode::OK);
+        set_cut(true);
+        configure(&fleet, 3, organisations(&KEYS[..1])).await;
+        let withdrawn_at = Instant::now();
+        monoio::time::sleep(BOUND / 2).await;
+        assert_eq!(send_plain(&fleet, node, "cut-off", Some(KEYS[0])).await, StatusCode::OK);
+        monoio::time::sleep((withdrawn_at + BOUND).saturating_duration_since(Instant::now())).await;
+        let refused = StatusCode::SERVICE_UNAVAILABLE;
+        assert_eq!(send_plain(&fleet, node, "late", Some(KEYS[1])).await, refused);
+        let process = fleet.nodes[0].process.as_ref().expect("process");
+        process.suspend();
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        process.resume();
+        assert_eq!(send_plain(&fleet, node, "late-thawed", Some(KEYS[1])).await, refused);
+        fleet.nodes[0].process.take().expect("process").kill();
+        fleet.start_node(0);
+        eventually("the node answers again", async || {
+            let headers =
+                [("Request-Id", "late-restarted"), ("Authorization", "Bearer key-first-2")];
+            let answer = fleet.call(node, Method::POST, "/plain/x", &headers, vec![]).await;
+            answer.is_ok_and(|(status, _)| status == refused)
+        })
+        .await;
+        for proxy in fleet.nodes.iter().filter_map(|node| node.object_api_proxy.as_ref()) {
+            proxy.clear_faults();
+        }
+        eventually("the other key is accepted again", async || {
+            send_plain(&fleet, node, "after", Some(KEYS[0])).await == StatusCode::OK
+        })
+        .await;
+        let status = send_plain(&fleet, node, "late-after", Some(KEYS[1])).await;
+        assert_eq!(status, StatusCode::UNAUTHORIZED);
+        for record in fleet.stand_in_records().await {
+            let id = record["call"].as_str().unwrap_or_default();
+            assert!(!id.starts_with("late"), "{record}");
+        }
+    });
+}
--- a/crates/core/src/boot_clock.rs
+++ b/crates/core/src/boot_clock.rs
@@ -1,6 +1,6 @@
 //! Clock that also counts the time for which the VM is suspended.
 
-use std::time::Duration;
+use std::{ops::Add, time::Duration};
 
 use nix::time::{ClockId, clock_gettime};
 
@@ -21,6 +21,24 @@
 
     /// Returns the time since this point.
     pub fn elapsed(self) -> Duration {
-        Self::now().0.saturating_sub(self.0)
+        Self::now().since(self)
+    }
+
+    /// Returns the time from `earlier` to this point; zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// Returns the point `time` before this one; `None` if the system had not started by then.
+    pub fn checked_sub(self, time: Duration) -> Option<Self> {
+        self.0.checked_sub(time).map(Self)
+    }
+}
+
+impl Add<Duration> for BootInstant {
+    type Output = Self;
+
+    fn add(self, time: Duration) -> Self {
+        Self(self.0 + time)
     }
 }
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -111,6 +111,8 @@
     Draining => 503, "draining", NotRun, true;
     /// The VM has no valid configuration yet.
     NotReady => 503, "not_ready", NotRun, true;
+    /// The VM cannot tell whether its configuration is current, so that it cannot accept a key.
+    ConfigurationOutdated => 503, "configuration_outdated", NotRun, true;
     /// Every attempt was refused by a target before executing the request.
     TargetRefused => 503, "target_refused", NotRun, true;
     /// The deadline passed, or would have passed, before the request was sent to a target.
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -20,6 +20,7 @@
 use bytes::Bytes;
 use deck_core::{
     CancellationToken,
+    boot_clock::BootInstant,
     hash::hash64,
     id::{FencingNumber, VmId},
 };
@@ -34,7 +35,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    CrashRegistry, NodeCrashes, ObjectFollower, Senders, TargetContent,
+    ConfirmationRole, CrashRegistry, NodeCrashes, ObjectFollower, Senders, TargetContent,
     config::{ConfigurationVersion, ModelName},
     config_transfer::{CONFIGURATION_ONLY, ConfigurationTransfer},
     packed::PackedChanges,
@@ -114,6 +115,9 @@
     /// Time that a watcher needs after an outage until its data is up to date again; longer than
     /// the longest wait between two of its retries.
     pub watcher_recovery_delay: Duration,
+    /// Time after the acknowledgement of a configuration that withdraws a key after which no node may
+    /// accept the key; `None` if nodes need not know how current their configuration is.
+    pub key_withdrawal: Option<Duration>,
 }
 
 impl Default for FleetFeedOptions {
@@ -131,6 +135,7 @@
             fallback_duration: Duration::from_secs(5),
             source_check_interval: Duration::from_millis(400),
             watcher_recovery_delay: Duration::from_millis(800),
+            key_withdrawal: None,
         }
     }
 }
@@ -156,6 +161,10 @@
     /// Version of the watcher's configuration, for nodes that fetch it separately.
     #[serde(default)]
     configuration_version: Option<ConfigurationVersion>,
+    /// Time in milliseconds since that configuration was last confirmed as the newest one; absent if
+    /// the watcher need not know.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    configuration_age_ms: Option<u64>,
     /// Target changes since the polling node's last page.
     targets: Option<PackedChanges>,
     /// Leader, if known.
@@ -431,6 +440,12 @@
         if cancel.run_until_cancelled(nodes_known).await.is_none() {
             return;
         }
+        if let Some(bound) = self.inner.options.key_withdrawal {
+            let (feed, cancel) = (self.clone(), cancel.clone());
+            monoio::spawn(async move {
+                cancel.run_until_cancelled(feed.keep_configuration_confirmed(bound)).await;
+            });
+        }
         while !cancel.is_cancelled() {
             let Some(watchers) = self.watchers().filter(|_| !self.is_watcher()) else {
                 self.follow_object_api(&cancel, None).await;
@@ -455,6 +470,43 @@
         }
     }
 
+    /// Confirms the configuration in force with reads of the object API: on a watcher regularly, so that
+    /// the nodes that poll it know its age, and on other nodes if the watchers do not confirm it.
+    ///
+    /// Does nothing if the configuration has no organisations, whose keys the age is for.
+    async fn keep_configuration_confirmed(&self, bound: Duration) -> Infallible {
+        let view = &self.inner.follower.view;
+        let mut changes = view.subscribe();
+        let mut last_attempt = BootInstant::now();
+        loop {
+            let role = match self.is_watcher() {
+                true => ConfirmationRole::Watcher,
+                false => ConfirmationRole::Reader,
+            };
+            let max_age = role.max_age(bound);
+            let wait = match (view.has_organisations(), view.configuration_confirmed_at()) {
+                (false, _) => max_age,
+                (true, Some(at)) => max_age.saturating_sub(at.elapsed()),
+                (true, None) if role == ConfirmationRole::Watcher => Duration::ZERO,
+                (true, None) => max_age.saturating_sub(last_attempt.elapsed()),
+            };
+            if !wait.is_zero() {
+                // The role and the configuration may change meanwhile.
+                let step = wait.min(ConfirmationRole::Watcher.max_age(bound));
+                match view.has_organisations() {
+                    true => monoio::time::sleep(step).await,
+                    false => drop(monoio::time::timeout(step, changes.changed()).await),
+                }
+                continue;
+            }
+            last_attempt = BootInstant::now();
+            if let Err(error) = self.inner.follower.confirm_configuration().await {
+                log::info!(target: "fleet", "configuration not confirmed error={error}");
+                monoio::time::sleep(role.retry_delay(bound)).await;
+            }
+        }
+    }
+
     /// Reads the targets from the object API whenever they are older than `max_targets_age`,
     /// because the watchers are slow, behind or silent.
     async fn keep_targets_recent(&self) -> Infallible {
@@ -589,11 +641,12 @@
             let position = last_position
                 .filter(|(sent_by, position)| *sent_by == node && self.is_unchanged_since(position))
                 .map(|(_, position)| position);
-            let sent_at = Instant::now();
+            let (sent_at, boot_sent_at) = (Instant::now(), BootInstant::now());
             match self.fetch_page(node, position.as_ref(), content).await {
                 Ok(page) => {
                     let (age, targets_age) = (page.age(), page.targets_age());
                     let configuration_version = page.configuration_version;
+                    self.apply_configuration_age(&page, boot_sent_at);
                     last_position = self
                         .apply_page(page, sent_at, position, content)
                         .map(|position| (node, position));
@@ -690,6 +743,19 @@
         self.inner.follower.view.targets_up_to_date_at() == position.targets_up_to_date_at
     }
 
+    /// Records from a page that was requested at `sent_at` until when the configuration of the watcher
+    /// was the newest one. It need not be in force here yet.
+    fn apply_configuration_age(&self, page: &FeedPage, sent_at: BootInstant) {
+        // The time on the way is not known, so the page counts as encoded as early as possible.
+        let encoded_at = sent_at + Duration::from_millis(page.held_ms);
+        if let (Some(version), Some(age_ms)) =
+            (page.configuration_version, page.configuration_age_ms)
+            && let Some(at) = encoded_at.checked_sub(Duration::from_millis(age_ms))
+        {
+            self.inner.follower.view.confirm_configuration(version, at);
+        }
+    }
+
     /// Applies a page that was requested at `sent_at` with `position`. Returns the new position, or
     /// `None` if this node has more recent targets than the page.
     fn apply_page(
@@ -800,6 +866,12 @@
             return empty_response(StatusCode::SERVICE_UNAVAILABLE);
         };
         let version = inner.configurations.version();
+        // Rounded up, as readers subtract it.
+        let configuration_age_ms = inner
+            .options
+            .key_withdrawal
+            .and_then(|_| view.configuration_confirmed_at())
+            .map(|at| at.elapsed().as_millis() as u64 + 1);
         let is_newer = version > parameter("configuration").unwrap_or(0);
         let is_on_page = is_newer && parameter(SEPARATE_CONFIGURATION).is_none();
         let configuration =
@@ -822,6 +894,7 @@
             held_ms,
             configuration,
             configuration_version: Some(version),
+            configuration_age_ms,
             targets,
             leader: self.leader(),
             runners: self.runners(),
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -8,11 +8,11 @@
     time::{Duration, Instant},
 };
 
-use deck_core::{CancellationToken, id::Revision};
+use deck_core::{CancellationToken, boot_clock::BootInstant, id::Revision};
 use deck_plat::{Backoff, Object, Store, StoreError, WatchEvent};
 use serde_json::Value;
 
-use crate::{FleetView, PlatformProtocol};
+use crate::{FleetView, PlatformProtocol, config::ConfigurationVersion};
 
 /// Names of the object kinds that a node follows.
 #[derive(Debug, Clone, Copy)]
@@ -86,6 +86,9 @@
     up_to_date_at: RefCell<HashMap<&'static str, Instant>>,
     /// Raw configuration with the highest version, to be sent to other nodes.
     pub(crate) configuration: RefCell<Option<Value>>,
+    /// Name of the object that holds the configuration, and its revision and the version in it when it
+    /// was last applied.
+    applied_object: RefCell<Option<(String, Revision, ConfigurationVersion)>>,
 }
 
 impl Freshness {
@@ -147,23 +150,68 @@
         self.watch_timeout.set(timeout.unwrap_or(self.options.watch_timeout));
     }
 
-    /// Decodes a raw configuration and puts it in force, unless the current one is as recent.
-    pub(crate) fn apply_configuration(&self, value: &Value) {
+    /// Decodes a raw configuration and puts it in force, unless the current one is as recent. Returns
+    /// its version; `None` if it cannot be decoded.
+    pub(crate) fn apply_configuration(&self, value: &Value) -> Option<ConfigurationVersion> {
         match self.protocol.decode_configuration(value) {
             Ok(configuration) => {
+                let version = configuration.version;
                 let is_newer =
                     self.view.configuration().is_none_or(|c| c.version < configuration.version);
                 if is_newer {
                     self.freshness.configuration.replace(Some(value.clone()));
                 }
                 self.view.set_configuration(configuration);
+                Some(version)
             }
             Err(error) => {
-                log::error!(target: "fleet", "configuration could not be decoded error={error}")
+                log::error!(target: "fleet", "configuration could not be decoded error={error}");
+                None
             }
         }
     }
 
+    /// Puts the configuration in an object in force, unless the current one is as recent. Returns its
+    /// version; `None` if it cannot be decoded.
+    fn apply_configuration_object(&self, object: &Object) -> Option<ConfigurationVersion> {
+        let version = self.apply_configuration(&object.value)?;
+        let applied = (object.name.clone(), object.revision, version);
+        self.freshness.applied_object.replace(Some(applied));
+        Some(version)
+    }
+
+    /// Reads the configuration, and records that it was the newest one when the read began.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the object API does not answer.
+    pub(crate) async fn confirm_configuration(&self) -> Result<(), StoreError> {
+        let started_at = BootInstant::now();
+        let applied = self.freshness.applied_object.borrow().clone();
+        let version = match applied {
+            Some((name, revision, version)) => {
+                match self.store.get(self.kinds.configuration, &name).await? {
+                    Some(object) if object.revision == revision => Some(version),
+                    Some(object) => self.apply_configuration_object(&object),
+                    None => {
+                        self.freshness.applied_object.replace(None);
+                        None
+                    }
+                }
+            }
+            // A node that has its configuration from another one does not know the object.
+            None => {
+                let (_, objects) = self.store.list(self.kinds.configuration).await?;
+                let versions = objects.iter().map(|it| self.apply_configuration_object(it));
+                versions.collect::<Option<Vec<_>>>().and_then(|it| it.into_iter().max())
+            }
+        };
+        if let Some(version) = version {
+            self.view.confirm_configuration(version, started_at);
+        }
+        Ok(())
+    }
+
     /// Follows the configuration until `cancel` is cancelled.
     pub async fn follow_configuration(&self, cancel: CancellationToken) {
         let apply = |change: ObjectChange| {
@@ -173,7 +221,7 @@
                 ObjectChange::Deleted(_) => Vec::new(),
             };
             for object in objects {
-                self.apply_configuration(&object.value);
+                self.apply_configuration_object(&object);
             }
         };
         self.follow(self.kinds.configuration, apply, cancel).await;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod config;
 mod config_transfer;
 pub mod crash_registry;
+pub mod currency;
 pub mod demand;
 pub mod engines;
 pub mod feed;
@@ -38,6 +39,7 @@
     CallerLimits, Configuration, EngineConfig, Route, RouteKind, ScalingConfig, ServiceConfig,
 };
 pub use crash_registry::{CrashRegistry, NodeCrashes};
+pub use currency::{ConfigurationCurrency, ConfirmationRole};
 pub use demand::{DemandMeter, ModelDemand};
 pub use engines::{
     EngineEstimate, EngineLoad, EngineRegistry, EngineState, EngineUpdate, RunGuard,
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -10,6 +10,7 @@
 };
 
 use deck_core::{
+    boot_clock::BootInstant,
     id::{PoolName, TargetId, WeightVersion},
     object::{self, FencingCheck, PoolType, TargetPool},
 };
@@ -17,8 +18,10 @@
 use tokio::sync::watch;
 
 use crate::{
-    Configuration, KnownVersions, Target, TargetLimits, TargetState, change_log::TargetChangeLog,
-    config::ModelName, software::SoftwareHistory,
+    Configuration, ConfigurationCurrency, KnownVersions, Target, TargetLimits, TargetState,
+    change_log::TargetChangeLog,
+    config::{ConfigurationVersion, ModelName},
+    software::SoftwareHistory,
 };
 
 /// Time after the recovery of the object API within which live targets register again if their
@@ -62,6 +65,8 @@
     up_to_date_at: Cell<Option<Instant>>,
     /// When the targets were last known to be up to date. Invariant: never decreases.
     targets_up_to_date_at: Cell<Option<Instant>>,
+    /// Confirmations of the configuration.
+    currency: RefCell<ConfigurationCurrency>,
     /// Software versions that the targets have had.
     software: RefCell<SoftwareHistory>,
     /// Whether a complete target list has been received.
@@ -143,6 +148,7 @@
             missing_since_outage: RefCell::default(),
             up_to_date_at: Cell::new(None),
             targets_up_to_date_at: Cell::new(None),
+            currency: RefCell::default(),
             software: RefCell::default(),
             targets_listed: Cell::new(false),
             object_api_recovered_at: Cell::new(None),
@@ -163,6 +169,23 @@
         self.configuration().is_some_and(|configuration| configuration.organisations.is_some())
     }
 
+    /// Records that all versions of the configuration acknowledged before `at` are at most `version`.
+    pub fn confirm_configuration(&self, version: ConfigurationVersion, at: BootInstant) {
+        self.inner.currency.borrow_mut().confirm(version, at);
+    }
+
+    /// Returns the time before which no configuration was acknowledged that is newer than the one in
+    /// force; `None` if nothing is known.
+    pub fn configuration_confirmed_at(&self) -> Option<BootInstant> {
+        self.inner.currency.borrow().confirmed_at()
+    }
+
+    /// Returns whether a request that is received now may rely on the keys of the configuration, if no
+    /// key may be accepted later than `bound` after its withdrawal was acknowledged.
+    pub fn allows_keys(&self, bound: Duration) -> bool {
+        self.inner.currency.borrow().allows_keys(bound, BootInstant::now())
+    }
+
     /// Returns the target with the given id.
     pub fn target(&self, id: &str) -> Option<Rc<Target>> {
         self.inner.targets.borrow().get(id).cloned()
@@ -329,6 +352,7 @@
         let version = configuration.version;
         log::info!(target: "fleet", "configuration in force version={version} previous={current:?}");
         self.inner.configuration.replace(Some(Rc::new(configuration)));
+        self.inner.currency.borrow_mut().set_in_force(version);
         self.update_pools(None);
         self.notify();
     }
