--- a/bins/decknode/src/frontend.rs
+++ b/bins/decknode/src/frontend.rs
@@ -10,18 +10,22 @@
 use deck_core::{
     CancellationToken,
     error::{CallError, ErrorKind},
+    id::OrganisationId,
+};
+use deck_fleet::{
+    BatchCall, Configuration, FleetView, PlatformProtocol, RequestMetadata, Route, RouteKind,
 };
-use deck_fleet::{Configuration, FleetView, PlatformProtocol, RequestMetadata, Route, RouteKind};
 use deck_forward::{ForwardRequest, Forwarder, error_response, response_from_reply};
 use deck_net::{Body, NetError, server::read_body};
 use futures_util::future::Either;
 use http::{HeaderValue, Method, Request, Response, header};
 use hyper::body::Incoming;
 
-use crate::metrics::{NodeMetrics, RequestPurpose};
+use crate::{
+    authentication::{self, Access},
+    metrics::{NodeMetrics, RequestPurpose},
+};
 
-/// `Retry-After` in refusals before the node has received its configuration.
-const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Timeout of a request whose route sets none.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -103,6 +107,9 @@
     pub stop: StopDeadline,
     /// Records the number, status and duration of requests.
     pub metrics: NodeMetrics,
+    /// Time after the acknowledgement of its withdrawal after which no key may be accepted; `None` if
+    /// the configuration in force counts whatever its age.
+    pub key_withdrawal: Option<Duration>,
 }
 
 impl Frontend {
@@ -115,7 +122,8 @@
         let request_id = head.request_id.clone().unwrap_or_default();
         let (purpose, served) = match batch_call {
             Some(call) => {
-                let served = async move { self.batch.call(call, &head).await };
+                let host = request_host(&request).map(str::to_owned);
+                let served = async move { self.call_batch_job(call, host.as_deref(), &head).await };
                 (RequestPurpose::Batch, Either::Left(served))
             }
             None => {
@@ -148,6 +156,41 @@
         response
     }
 
+    /// Serves a call on an existing batch job.
+    async fn call_batch_job(
+        &self,
+        call: BatchCall,
+        host: Option<&str>,
+        head: &RequestMetadata,
+    ) -> Response<Body> {
+        let configuration = self.view.configuration();
+        let access = Access::BatchCall { host };
+        match self.authenticate(configuration.as_deref(), access, head) {
+            Ok(organisation) => self.batch.call(call, organisation.as_deref(), head).await,
+            Err(error) => self.refuse(&error, head.request_id.as_deref().unwrap_or_default()),
+        }
+    }
+
+    /// Returns the name of the caller's organisation; `None` if the caller needs none.
+    fn authenticate(
+        &self,
+        configuration: Option<&Configuration>,
+        access: Access<'_>,
+        head: &RequestMetadata,
+    ) -> Result<Option<OrganisationId>, CallError> {
+        let is_current = self.key_withdrawal.is_none_or(|bound| self.view.allows_keys(bound));
+        let key = head.key.as_ref();
+        let organisation = authentication::authenticate(configuration, is_current, access, key)?;
+        Ok(organisation.map(|organisation| organisation.name.clone()))
+    }
+
+    /// Answers a request with an error without running it.
+    fn refuse(&self, error: &CallError, request_id: &str) -> Response<Body> {
+        let knowledge = self.view.version_and_age();
+        log::warn!(target: "front", "refused request={request_id} {knowledge} error={error}");
+        error_response(error, request_id)
+    }
+
     /// Submits a batch job, or forwards a plain request or stream to a target.
     async fn submit_or_forward(
         &self,
@@ -159,23 +202,26 @@
     ) -> Response<Body> {
         let (method, uri) = (request.method().clone(), request.uri().clone());
         let request_id = head.request_id.clone().unwrap_or_default();
-        let refuse = |error: CallError| {
-            let knowledge = self.view.version_and_age();
-            log::warn!(target: "front", "refused request={request_id} {knowledge} error={error}");
-            error_response(&error, &request_id)
-        };
+        let refuse = |error: CallError| self.refuse(&error, &request_id);
         let Some(configuration) = configuration.filter(|_| self.view.is_complete()) else {
-            let error = CallError::new(ErrorKind::NotReady, "no configuration yet");
-            return refuse(error.with_retry_after(NOT_READY_RETRY_AFTER));
+            return refuse(authentication::not_ready());
         };
         let Some(route) = route else {
             return refuse(CallError::new(ErrorKind::UnknownPool, "no route for host and path"));
         };
+        let access = Access::Route(&route);
+        let organisation = match self.authenticate(Some(&configuration), access, &head) {
+            Ok(organisation) => organisation,
+            Err(error) => return refuse(error),
+        };
         if request_id.is_empty() {
             return refuse(CallError::new(ErrorKind::BadRequest, "the request has no id"));
         }
         let host = request_host(&request).unwrap_or_default().to_owned();
-        let (parts, body) = request.into_parts();
+        let (mut parts, body) = request.into_parts();
+        if configuration.organisations.is_some() {
+            self.protocol.remove_credentials(&mut parts.headers);
+        }
         let body = match read_body(body, configuration.limits.max_body_bytes).await {
             Ok(body) => body,
             Err(NetError::BodyTooLarge(limit)) => {
@@ -187,7 +233,7 @@
             }
         };
         if route.kind == RouteKind::Rollout && method == Method::POST {
-            return self.batch.submit(&host, uri.path(), &route, &head, body).await;
+            return self.batch.submit(&host, uri.path(), &route, organisation, &head, body).await;
         }
         let timeout = if route.timeout.is_zero() { DEFAULT_REQUEST_TIMEOUT } else { route.timeout };
         let deadline = arrived_at + head.deadline.map_or(timeout, |deadline| deadline.min(timeout));
@@ -196,7 +242,7 @@
             Err(error) => return refuse(error),
         };
         let call = ForwardRequest {
-            organisation: None,
+            organisation,
             request_id: request_id.clone(),
             method: method.clone(),
             uri,
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -20,6 +20,7 @@
 use bytes::Bytes;
 use deck_core::{
     CancellationToken,
+    boot_clock::BootInstant,
     hash::hash64,
     id::{FencingNumber, VmId},
 };
@@ -34,15 +35,16 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    CrashRegistry, NodeCrashes, ObjectFollower, Senders, TargetContent,
+    ConfirmationRole, CrashRegistry, NodeCrashes, ObjectFollower, Senders, TargetContent,
     config::{ConfigurationVersion, ModelName},
+    config_transfer::{CONFIGURATION_ONLY, ConfigurationTransfer},
     packed::PackedChanges,
 };
 
 /// HTTP path at which watchers serve the feed.
 pub const FEED_PATH: &str = "/peer/feed";
 /// Maximum size of a feed page.
-const MAX_PAGE_BYTES: usize = 16 * 1024 * 1024;
+pub(crate) const MAX_PAGE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Node that holds the leader lease: it sends weight load orders, chooses runners, and runs the
 /// jobs of models without a runner.
@@ -113,6 +115,9 @@
     /// Time that a watcher needs after an outage until its data is up to date again; longer than
     /// the longest wait between two of its retries.
     pub watcher_recovery_delay: Duration,
+    /// Time after the acknowledgement of a configuration that withdraws a key after which no node may
+    /// accept the key; `None` if nodes need not know how current their configuration is.
+    pub key_withdrawal: Option<Duration>,
 }
 
 impl Default for FleetFeedOptions {
@@ -130,6 +135,7 @@
             fallback_duration: Duration::from_secs(5),
             source_check_interval: Duration::from_millis(400),
             watcher_recovery_delay: Duration::from_millis(800),
+            key_withdrawal: None,
         }
     }
 }
@@ -155,6 +161,10 @@
     /// Version of the watcher's configuration, for nodes that fetch it separately.
     #[serde(default)]
     configuration_version: Option<ConfigurationVersion>,
+    /// Time in milliseconds since that configuration was last confirmed as the newest one; absent if
+    /// the watcher need not know.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    configuration_age_ms: Option<u64>,
     /// Target changes since the polling node's last page.
     targets: Option<PackedChanges>,
     /// Leader, if known.
@@ -225,13 +235,6 @@
     targets_up_to_date_at: Option<Instant>,
 }
 
-/// Raw configuration as it is sent to other nodes.
-#[derive(Debug, Clone)]
-struct EncodedConfiguration {
-    version: ConfigurationVersion,
-    bytes: Bytes,
-}
-
 /// Distributes deployment state between nodes, as a watcher or as a reader; clones share their
 /// state.
 #[derive(Clone)]
@@ -257,10 +260,7 @@
     crashes: CrashRegistry,
     /// Whether this node currently follows the object API itself.
     is_following_object_api: watch::Sender<bool>,
-    /// Last configuration that was encoded for other nodes.
-    encoded_configuration: RefCell<Option<EncodedConfiguration>>,
-    /// Whether this node is fetching a configuration from a watcher.
-    is_fetching_configuration: Cell<bool>,
+    configurations: ConfigurationTransfer,
 }
 
 impl FleetFeed {
@@ -273,6 +273,8 @@
         follower: ObjectFollower,
         options: FleetFeedOptions,
     ) -> Self {
+        let configurations =
+            ConfigurationTransfer::new(client.clone(), follower.clone(), options.poll_timeout);
         let inner = FeedState {
             own_address,
             epoch,
@@ -286,8 +288,7 @@
             runners: RefCell::default(),
             crashes: CrashRegistry::default(),
             is_following_object_api: watch::channel(false).0,
-            encoded_configuration: RefCell::default(),
-            is_fetching_configuration: Cell::new(false),
+            configurations,
         };
         Self { inner: Rc::new(inner) }
     }
@@ -439,6 +440,12 @@
         if cancel.run_until_cancelled(nodes_known).await.is_none() {
             return;
         }
+        if let Some(bound) = self.inner.options.key_withdrawal {
+            let (feed, cancel) = (self.clone(), cancel.clone());
+            monoio::spawn(async move {
+                cancel.run_until_cancelled(feed.keep_configuration_confirmed(bound)).await;
+            });
+        }
         while !cancel.is_cancelled() {
             let Some(watchers) = self.watchers().filter(|_| !self.is_watcher()) else {
                 self.follow_object_api(&cancel, None).await;
@@ -463,6 +470,43 @@
         }
     }
 
+    /// Confirms the configuration in force with reads of the object API: on a watcher regularly, so that
+    /// the nodes that poll it know its age, and on other nodes if the watchers do not confirm it.
+    ///
+    /// Does nothing if the configuration has no organisations, whose keys the age is for.
+    async fn keep_configuration_confirmed(&self, bound: Duration) -> Infallible {
+        let view = &self.inner.follower.view;
+        let mut changes = view.subscribe();
+        let mut last_attempt = BootInstant::now();
+        loop {
+            let role = match self.is_watcher() {
+                true => ConfirmationRole::Watcher,
+                false => ConfirmationRole::Reader,
+            };
+            let max_age = role.max_age(bound);
+            let wait = match (view.has_organisations(), view.configuration_confirmed_at()) {
+                (false, _) => max_age,
+                (true, Some(at)) => max_age.saturating_sub(at.elapsed()),
+                (true, None) if role == ConfirmationRole::Watcher => Duration::ZERO,
+                (true, None) => max_age.saturating_sub(last_attempt.elapsed()),
+            };
+            if !wait.is_zero() {
+                // The role and the configuration may change meanwhile.
+                let step = wait.min(ConfirmationRole::Watcher.max_age(bound));
+                match view.has_organisations() {
+                    true => monoio::time::sleep(step).await,
+                    false => drop(monoio::time::timeout(step, changes.changed()).await),
+                }
+                continue;
+            }
+            last_attempt = BootInstant::now();
+            if let Err(error) = self.inner.follower.confirm_configuration().await {
+                log::info!(target: "fleet", "configuration not confirmed error={error}");
+                monoio::time::sleep(role.retry_delay(bound)).await;
+            }
+        }
+    }
+
     /// Reads the targets from the object API whenever they are older than `max_targets_age`,
     /// because the watchers are slow, behind or silent.
     async fn keep_targets_recent(&self) -> Infallible {
@@ -597,16 +641,17 @@
             let position = last_position
                 .filter(|(sent_by, position)| *sent_by == node && self.is_unchanged_since(position))
                 .map(|(_, position)| position);
-            let sent_at = Instant::now();
+            let (sent_at, boot_sent_at) = (Instant::now(), BootInstant::now());
             match self.fetch_page(node, position.as_ref(), content).await {
                 Ok(page) => {
                     let (age, targets_age) = (page.age(), page.targets_age());
                     let configuration_version = page.configuration_version;
+                    self.apply_configuration_age(&page, boot_sent_at);
                     last_position = self
                         .apply_page(page, sent_at, position, content)
                         .map(|position| (node, position));
-                    if configuration_version > Some(self.configuration_version()) {
-                        self.start_configuration_fetch(node, cancel);
+                    if configuration_version > Some(inner.configurations.version()) {
+                        inner.configurations.start_fetch(node, cancel);
                     }
                     if age <= inner.options.max_data_age {
                         failed = 0;
@@ -660,11 +705,7 @@
         content: TargetContent,
     ) -> Result<FeedPage, NetError> {
         let inner = &self.inner;
-        // A configuration that is on its way must not end each wait for changes at once.
-        let version = match inner.is_fetching_configuration.get() {
-            true => u64::MAX,
-            false => self.configuration_version(),
-        };
+        let version = inner.configurations.polled_version();
         let wait = inner.options.poll_timeout;
         let mut path = format!(
             "{FEED_PATH}?configuration={version}&{SEPARATE_CONFIGURATION}=1&wait_ms={}",
@@ -697,16 +738,24 @@
         cbor::decode(&page)
     }
 
-    /// Returns the version of the configuration in force; 0 before the first one.
-    fn configuration_version(&self) -> ConfigurationVersion {
-        self.inner.follower.view.configuration().map_or(0, |configuration| configuration.version)
-    }
-
     /// Returns whether no other source has updated the targets since the page with this position.
     fn is_unchanged_since(&self, position: &FeedPosition) -> bool {
         self.inner.follower.view.targets_up_to_date_at() == position.targets_up_to_date_at
     }
 
+    /// Records from a page that was requested at `sent_at` until when the configuration of the watcher
+    /// was the newest one. It need not be in force here yet.
+    fn apply_configuration_age(&self, page: &FeedPage, sent_at: BootInstant) {
+        // The time on the way is not known, so the page counts as encoded as early as possible.
+        let encoded_at = sent_at + Duration::from_millis(page.held_ms);
+        if let (Some(version), Some(age_ms)) =
+            (page.configuration_version, page.configuration_age_ms)
+            && let Some(at) = encoded_at.checked_sub(Duration::from_millis(age_ms))
+        {
+            self.inner.follower.view.confirm_configuration(version, at);
+        }
+    }
+
     /// Applies a page that was requested at `sent_at` with `position`. Returns the new position, or
     /// `None` if this node has more recent targets than the page.
     fn apply_page(
@@ -738,7 +787,8 @@
         if let Some(configuration) = &page.configuration {
             follower.apply_configuration(configuration);
         }
-        let has_configuration = page.configuration_version <= Some(self.configuration_version());
+        let has_configuration =
+            page.configuration_version <= Some(self.inner.configurations.version());
         if let Some(at) = encoded_at.checked_sub(Duration::from_millis(page.age_ms))
             && has_targets
             && has_configuration
@@ -766,53 +816,6 @@
         })
     }
 
-    /// Fetches the configuration of a watcher while polling goes on, unless a fetch is under way.
-    fn start_configuration_fetch(&self, node: SocketAddr, cancel: &CancellationToken) {
-        if self.inner.is_fetching_configuration.replace(true) {
-            return;
-        }
-        let (feed, cancel) = (self.clone(), cancel.clone());
-        monoio::spawn(async move {
-            match cancel.run_until_cancelled(feed.fetch_configuration(node)).await {
-                Some(Ok(configuration)) => feed.inner.follower.apply_configuration(&configuration),
-                Some(Err(error)) => {
-                    log::info!(target: "fleet", "configuration not received node={node} error={error}");
-                }
-                None => {}
-            }
-            feed.inner.is_fetching_configuration.set(false);
-        });
-    }
-
-    async fn fetch_configuration(&self, node: SocketAddr) -> Result<Value, NetError> {
-        let timeout = self.inner.options.poll_timeout;
-        let request = Request::builder()
-            .uri(format!("{FEED_PATH}?{CONFIGURATION_ONLY}=1"))
-            .body(Body::empty())
-            .map_err(|error| NetError::Decode(error.to_string()))?;
-        let limits = ChunkedCallLimits {
-            head_timeout: timeout * 2,
-            chunk_timeout: timeout,
-            max_body_bytes: MAX_PAGE_BYTES,
-        };
-        let client = &self.inner.client;
-        let body = client.call_with_chunk_timeout(node, request, limits).await?.into_ok_body()?;
-        cbor::decode(&body)
-    }
-
-    /// Returns the encoded configuration of this node; each version is encoded once.
-    fn encoded_configuration(&self) -> Option<Bytes> {
-        let follower = &self.inner.follower;
-        let version = follower.view.configuration()?.version;
-        let mut cache = self.inner.encoded_configuration.borrow_mut();
-        if let Some(encoded) = cache.as_ref().filter(|encoded| encoded.version == version) {
-            return Some(encoded.bytes.clone());
-        }
-        let bytes = encode_cbor(follower.freshness.configuration.borrow().as_ref()?)?;
-        *cache = Some(EncodedConfiguration { version, bytes: bytes.clone() });
-        Some(bytes)
-    }
-
     /// Handles a poll from another node, given the query string of the request.
     ///
     /// Waits for changes for up to the requested time. Responds with an error status if this node
@@ -832,10 +835,7 @@
             };
         }
         if parameter(CONFIGURATION_ONLY).is_some() {
-            return match self.encoded_configuration() {
-                Some(bytes) => Response::new(Body::full(bytes)),
-                None => empty_response(StatusCode::SERVICE_UNAVAILABLE),
-            };
+            return inner.configurations.serve();
         }
         let same_epoch = parameter("epoch") == Some(inner.epoch);
         let reader_version = |name| parameter(name).filter(|_| same_epoch);
@@ -845,7 +845,7 @@
         };
         let view = &inner.follower.view;
         let has_changes = || {
-            let version = self.configuration_version();
+            let version = inner.configurations.version();
             reader_version("changes") != Some(view.last_target_change(content))
                 || version > parameter("configuration").unwrap_or(0)
                 || reader_version("crashes") != Some(inner.crashes.version())
@@ -865,7 +865,13 @@
         let (Some(age), Some(targets_age)) = (self.age(), self.targets_age()) else {
             return empty_response(StatusCode::SERVICE_UNAVAILABLE);
         };
-        let version = self.configuration_version();
+        let version = inner.configurations.version();
+        // Rounded up, as readers subtract it.
+        let configuration_age_ms = inner
+            .options
+            .key_withdrawal
+            .and_then(|_| view.configuration_confirmed_at())
+            .map(|at| at.elapsed().as_millis() as u64 + 1);
         let is_newer = version > parameter("configuration").unwrap_or(0);
         let is_on_page = is_newer && parameter(SEPARATE_CONFIGURATION).is_none();
         let configuration =
@@ -888,6 +894,7 @@
             held_ms,
             configuration,
             configuration_version: Some(version),
+            configuration_age_ms,
             targets,
             leader: self.leader(),
             runners: self.runners(),
@@ -934,8 +941,6 @@
 const AGE_ONLY: &str = "age_only";
 /// Query parameter that requests only the age of a watcher's targets.
 const TARGETS_AGE_ONLY: &str = "targets_age_only";
-/// Query parameter that requests only the raw configuration.
-const CONFIGURATION_ONLY: &str = "configuration_only";
 /// Query parameter of nodes that fetch the configuration separately, so that pages do not carry it.
 const SEPARATE_CONFIGURATION: &str = "separate_configuration";
 
@@ -946,7 +951,7 @@
     }
 }
 
-fn encode_cbor<T: Serialize>(value: &T) -> Option<Bytes> {
+pub(crate) fn encode_cbor<T: Serialize>(value: &T) -> Option<Bytes> {
     let mut bytes = Vec::new();
     match ciborium::into_writer(value, &mut bytes) {
         Ok(()) => Some(Bytes::from(bytes)),
