--- /dev/null
+++ b/crates/duty/src/usage/exchange.rs
@@ -0,0 +1,181 @@
+//! Exchange of counts between nodes: copies against the loss of a node, and answers to the holder.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use deck_core::{CancellationToken, hash::rendezvous_score};
+use deck_net::{Body, Client, NetError, cbor};
+use http::{Method, Request};
+use serde::{Deserialize, Serialize};
+
+use crate::usage::{NodeAnswer, SourceCounts, UsageMeter, WindowNumber};
+
+/// Path of the messages between nodes.
+pub const USAGE_PATH: &str = "/peer/usage";
+/// Maximum size of a message or of its answer.
+pub const MAX_USAGE_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
+/// Number of other nodes that have a copy of a node's counts.
+const COPY_COUNT: usize = 2;
+/// Number of nodes that are tried for the copies if some do not answer.
+const MAX_COPY_ATTEMPTS: usize = 2 * COPY_COUNT;
+/// Time for which counts are collected for one message. A node that crashes loses at most these.
+const COPY_DELAY: Duration = Duration::from_millis(250);
+/// Delay before copies are sent again if too few nodes have accepted them.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Timeout of a message.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Message to another node: counts to keep, a question, or both.
+#[derive(Debug, Default)]
+#[derive(Serialize, Deserialize)]
+struct UsageMessage {
+    /// Counts that the receiver keeps.
+    counts: Vec<SourceCounts>,
+    /// If set, the receiver answers with all counts that it has of this window and later ones.
+    question: Option<WindowNumber>,
+}
+
+/// Answer to a message.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct UsageAnswer {
+    /// First window that the node may still add requests to.
+    first_open: WindowNumber,
+    /// Counts that were asked for.
+    counts: Vec<SourceCounts>,
+}
+
+/// Exchanges the counts of a node's meter with the other nodes; clones share their state.
+#[derive(Clone)]
+pub struct UsageExchange {
+    meter: UsageMeter,
+    own_address: SocketAddr,
+    /// Returns the addresses of all nodes.
+    nodes: Rc<dyn Fn() -> Vec<SocketAddr>>,
+    client: Client,
+}
+
+impl UsageExchange {
+    /// Returns the exchange of the node at `own_address` with the nodes that `nodes` returns.
+    pub fn new(
+        meter: UsageMeter,
+        own_address: SocketAddr,
+        nodes: Rc<dyn Fn() -> Vec<SocketAddr>>,
+        client: Client,
+    ) -> Self {
+        Self { meter, own_address, nodes, client }
+    }
+
+    /// Returns the meter of this node.
+    pub fn meter(&self) -> &UsageMeter {
+        &self.meter
+    }
+
+    /// Returns the addresses of all nodes that may have counts, this one included.
+    pub fn nodes(&self) -> Vec<SocketAddr> {
+        let mut nodes = (self.nodes)();
+        if !nodes.contains(&self.own_address) {
+            nodes.push(self.own_address);
+        }
+        nodes
+    }
+
+    /// Answers a message of another node.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the message cannot be decoded.
+    pub fn serve(&self, message: &[u8]) -> Result<Bytes, NetError> {
+        let message: UsageMessage = cbor::decode(message)?;
+        self.meter.merge(&message.counts);
+        // Read before the counts, so that no request is missing in windows before it.
+        let first_open = self.meter.first_open_window();
+        let counts = message.question.map_or_else(Vec::new, |from| self.meter.entries(from, false));
+        cbor::encode(&UsageAnswer { first_open, counts })
+    }
+
+    /// Sends copies of this node's new counts to other nodes until `cancel` is cancelled.
+    pub async fn run_copies(self, cancel: CancellationToken) {
+        while cancel.run_until_cancelled(self.meter.unshared()).await.is_some() {
+            if cancel.run_until_cancelled(monoio::time::sleep(COPY_DELAY)).await.is_none() {
+                return;
+            }
+            let Some(from) = self.meter.take_unshared() else { continue };
+            if !self.copy(self.meter.entries(from, true)).await {
+                self.meter.set_unshared(from);
+                cancel.run_until_cancelled(monoio::time::sleep(RETRY_DELAY)).await;
+            }
+        }
+    }
+
+    /// Sends all counts of this node, also those that it keeps for others, to other nodes before the
+    /// process exits.
+    pub async fn hand_over(&self) {
+        let counts = self.meter.entries(0, false);
+        if counts.is_empty() {
+            return;
+        }
+        let source_count = counts.len();
+        let is_handed_over = self.copy(counts).await;
+        log::info!(target: "usage", "counts handed over entries={source_count} accepted={is_handed_over}");
+    }
+
+    /// Sends counts to [`COPY_COUNT`] other nodes. Returns whether at least one has accepted them, or
+    /// there is no other node.
+    async fn copy(&self, counts: Vec<SourceCounts>) -> bool {
+        let mut nodes = self.nodes();
+        nodes.retain(|node| *node != self.own_address);
+        if nodes.is_empty() {
+            return true;
+        }
+        let own_name = self.own_address.to_string();
+        nodes.sort_by_cached_key(|node| {
+            std::cmp::Reverse(rendezvous_score(&own_name, &node.to_string()))
+        });
+        let message = UsageMessage { counts, question: None };
+        let mut accepted_count = 0;
+        for node in nodes.into_iter().take(MAX_COPY_ATTEMPTS) {
+            match self.call(node, &message).await {
+                Ok(_) => accepted_count += 1,
+                Err(error) => {
+                    log::info!(target: "usage", "copy of counts not accepted node={node} error={error}");
+                }
+            }
+            if accepted_count == COPY_COUNT {
+                break;
+            }
+        }
+        accepted_count > 0
+    }
+
+    /// Asks a node for its counts of the window `from` and later ones, and takes them over.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the node does not answer.
+    pub(crate) async fn ask(
+        &self,
+        node: SocketAddr,
+        from: WindowNumber,
+    ) -> Result<NodeAnswer, NetError> {
+        if node == self.own_address {
+            return Ok(NodeAnswer { node, first_open: self.meter.first_open_window() });
+        }
+        let message = UsageMessage { counts: Vec::new(), question: Some(from) };
+        let answer = self.call(node, &message).await?;
+        self.meter.merge(&answer.counts);
+        Ok(NodeAnswer { node, first_open: answer.first_open })
+    }
+
+    async fn call(
+        &self,
+        node: SocketAddr,
+        message: &UsageMessage,
+    ) -> Result<UsageAnswer, NetError> {
+        let request = Request::builder().method(Method::POST).uri(USAGE_PATH);
+        let request = request.body(Body::full(cbor::encode(message)?));
+        let request = request.map_err(|error| NetError::Decode(error.to_string()))?;
+        let response = self.client.call(node, request, CALL_TIMEOUT, MAX_USAGE_MESSAGE_BYTES);
+        cbor::decode(&response.await?.into_ok_body()?)
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -52,7 +52,7 @@
 pub use protocol::{
     BatchCall, BatchJob, BatchLimits, DispatchMetadata, Item, ItemOutcome, ItemResult,
     PlatformProtocol, RequestMetadata, ResponseMetadata, ResultPage, RewardCall, TargetReport,
-    WeightLoadOrder, WeightLoadReply,
+    UsageReply, UsageReport, WeightLoadOrder, WeightLoadReply,
 };
 pub use software::KnownVersions;
 pub use stream_origins::{OriginRecord, StreamOrigin, StreamOriginStore};
--- a/crates/fleet/src/observer.rs
+++ b/crates/fleet/src/observer.rs
@@ -39,6 +39,13 @@
     /// results were stored before their deadline.
     fn on_group_end(&self, _on_time: bool) {}
 
+    /// A report of use was sent to the platform, with the given reply.
+    fn on_usage_report(&self, _reply: &'static str) {}
+
+    /// The counts of a window of the reports of use are final; `complete` is `false` if nodes were
+    /// missing.
+    fn on_usage_window_closed(&self, _complete: bool) {}
+
     /// A load order was sent to a target; `reply` is `None` if the target did not respond.
     fn on_order_reply(&self, _reply: Option<&'static str>) {}
 
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -1,7 +1,7 @@
 //! Platform-independent types for requests, batch jobs and load orders, and the
 //! [`PlatformProtocol`] trait that translates them to the formats of a platform.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use bytes::Bytes;
 use deck_core::{
@@ -293,6 +293,32 @@
     pub accepted_orders: u64,
 }
 
+/// Report of how many requests of each organisation began to run in a window of time.
+#[derive(Debug, Clone, Copy)]
+pub struct UsageReport<'a> {
+    /// VM of the node that sends the report.
+    pub holder: &'a str,
+    /// Fencing number of its lease.
+    pub fencing: FencingNumber,
+    /// Number of the window.
+    pub window: u64,
+    /// Number of requests of each organisation.
+    pub counts: &'a BTreeMap<OrganisationId, u64>,
+}
+
+/// Answer of the platform to a report of use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UsageReply {
+    /// The report is accepted.
+    Accepted,
+    /// A higher fencing number was seen.
+    StaleFencing,
+    /// The report is not valid.
+    Invalid,
+    /// The platform did not take the report; it may later.
+    Retry,
+}
+
 /// Translation between the platform-independent types and the names and formats of a platform.
 pub trait PlatformProtocol {
     /// Decodes the configuration.
@@ -378,6 +404,12 @@
     /// Decodes the reply to a load order.
     fn decode_weight_load_reply(&self, status: StatusCode) -> WeightLoadReply;
 
+    /// Encodes a report of use as a request to the platform.
+    fn usage_report_request(&self, report: &UsageReport<'_>) -> Request<Bytes>;
+
+    /// Decodes the answer to a report of use.
+    fn decode_usage_reply(&self, status: StatusCode) -> UsageReply;
+
     /// Encodes the request for an engine's report.
     fn target_report_request(&self, target: &TargetId) -> Request<Bytes>;
 
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -4,8 +4,8 @@
 use deck_core::id::{RequestId, TargetId, WeightVersion};
 use deck_fleet::{
     BatchCall, BatchJob, CallerLimits, Configuration, DispatchMetadata, PlatformProtocol,
-    RequestMetadata, ResponseMetadata, ResultPage, Target, TargetReport, TargetState,
-    WeightLoadOrder, WeightLoadReply, config::ModelName,
+    RequestMetadata, ResponseMetadata, ResultPage, Target, TargetReport, TargetState, UsageReply,
+    UsageReport, WeightLoadOrder, WeightLoadReply, config::ModelName,
 };
 use deck_plat::Precondition;
 use deck_testkit::memory::MemoryObjects;
@@ -126,6 +126,14 @@
         WeightLoadReply::Accepted
     }
 
+    fn usage_report_request(&self, _report: &UsageReport<'_>) -> Request<Bytes> {
+        Request::new(Bytes::new())
+    }
+
+    fn decode_usage_reply(&self, _status: StatusCode) -> UsageReply {
+        UsageReply::Accepted
+    }
+
     fn target_report_request(&self, _target: &TargetId) -> Request<Bytes> {
         Request::new(Bytes::new())
     }
