decknode: report the use of the organisations

The platform got no reports of use. Where the settings name the duty and the length of the windows, nodes now count the attempts of callers that targets began to run, and the holder of the leader's lease collects, stores and sends the counts of each window. Elsewhere nothing changes: no meter, no task, no message.

--- a/bins/decknode/src/leadership.rs
+++ b/bins/decknode/src/leadership.rs
@@ -11,6 +11,7 @@
 
 use deck_batch::BatchService;
 use deck_core::{CancellationToken, object::LEASE_KIND};
+use deck_duty::usage::UsageHolder;
 use deck_fleet::{Bounds, FleetFeed, Leader, ObjectFollower};
 use deck_plat::{
     AcquireResult, HeldLease, LeaseCandidate, LeaseEnd, LeaseOptions, Store, lease::parse_record,
@@ -54,6 +55,8 @@
     /// Batch jobs of the fleet. The leader moves jobs away from unresponsive runners and deletes the
     /// objects of old jobs.
     pub batch: BatchService,
+    /// Reports the use of the organisations; `None` if it is not reported.
+    pub usage: Option<UsageHolder>,
     /// Set while this node holds the lease; read by the metrics.
     pub is_leader: Rc<Cell<bool>>,
 }
@@ -154,6 +157,10 @@
     let runners = RunnerManager::new(context.runners.clone(), lease_token.fencing());
     let runners_cancel = tasks_cancel.clone();
     monoio::spawn(async move { runners.run(runners_cancel).await });
+    if let Some(usage) = context.usage.clone() {
+        let (usage_token, usage_cancel) = (lease_token.clone(), tasks_cancel.clone());
+        monoio::spawn(async move { usage.run(usage_token, orders_start, usage_cancel).await });
+    }
     let (weight_updater, orders_cancel) = (context.weight_updater.clone(), tasks_cancel.clone());
     monoio::spawn(
         async move { weight_updater.run(lease_token, orders_start, orders_cancel).await },
--- a/bins/decknode/src/metrics.rs
+++ b/bins/decknode/src/metrics.rs
@@ -52,6 +52,10 @@
         "Groups whose results are all stored, in time or late, and groups open when their job was ended.";
     ORDERS = "decknode_orders_total", "counter", "orders", "reply",
         "Orders to change weights, by the answer of the target.";
+    USAGE_REPORTS = "decknode_usage_reports_total", "counter", "reports", "reply",
+        "Reports of the use of the organisations that this node sent to the platform, by the reply.";
+    USAGE_WINDOWS = "decknode_usage_windows_total", "counter", "windows", "complete",
+        "Windows whose use this node has closed; `complete` is false if the counts of a node were missing.";
     LOAD_TIME = "decknode_load_seconds", "histogram", "seconds", "",
         "Time from an order to its target's report that it has the version.";
     ENGINES = "decknode_engines", "gauge", "targets", "model, versions_behind",
@@ -110,6 +114,8 @@
     chunks_found: Counter<u64>,
     groups: Counter<u64>,
     orders: Counter<u64>,
+    usage_reports: Counter<u64>,
+    usage_windows: Counter<u64>,
     load_time: Histogram<f64>,
     engines: Gauge<u64>,
     newest_version: Gauge<u64>,
@@ -195,6 +201,8 @@
             chunks_found: CHUNKS_FOUND.counter(meter),
             groups: GROUPS.counter(meter),
             orders: ORDERS.counter(meter),
+            usage_reports: USAGE_REPORTS.counter(meter),
+            usage_windows: USAGE_WINDOWS.counter(meter),
             load_time: LOAD_TIME.latency_histogram(meter),
             engines: ENGINES.gauge(meter),
             newest_version: NEWEST_VERSION.gauge(meter),
@@ -370,6 +378,14 @@
         self.instruments.orders.add(1, &[KeyValue::new("reply", reply.unwrap_or("none"))]);
     }
 
+    fn on_usage_report(&self, reply: &'static str) {
+        self.instruments.usage_reports.add(1, &[KeyValue::new("reply", reply)]);
+    }
+
+    fn on_usage_window_closed(&self, complete: bool) {
+        self.instruments.usage_windows.add(1, &[KeyValue::new("complete", complete)]);
+    }
+
     fn on_weights_loaded(&self, time: Duration) {
         self.instruments.load_time.record(time.as_secs_f64(), &[]);
     }
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -17,9 +17,13 @@
     peer_client::BatchPeerClient, runner::RunnerDependencies,
 };
 use deck_core::{CancellationToken, id::new_incarnation};
+use deck_duty::usage::{
+    MAX_USAGE_MESSAGE_BYTES, ReporterOptions, USAGE_PATH, UsageExchange, UsageHolder,
+    UsageHolderDependencies, UsageMeter, new_source, wall_now,
+};
 use deck_fleet::{
-    Bounds, EngineRegistry, FleetFeed, FleetFeedOptions, FleetView, NodeSettings, ObjectFollower,
-    ObjectFollowerOptions, Observer, PlatformProtocol,
+    Bounds, Duty, EngineRegistry, FleetFeed, FleetFeedOptions, FleetView, NodeSettings,
+    ObjectFollower, ObjectFollowerOptions, Observer, PlatformProtocol,
     crash_registry::{CRASHES_PATH, MAX_CRASHES_BYTES},
     feed::FEED_PATH,
     stream_origins::{STREAM_ORIGIN_LOOKUP_PATH, STREAM_ORIGINS_PATH},
@@ -79,6 +83,8 @@
 /// Part of the grace time that is reserved: shutdown stops waiting for open requests this long before
 /// the end of the grace time.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
+/// Timeout of the handover of the counts of use, which takes place in the margin at the end.
+const USAGE_HANDOVER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Age of the targets from which they are read from the object API, as a fraction of the time in
 /// which requests to a leaving target have to stop. The rest covers that read and the way of the
 /// last request.
@@ -192,8 +198,25 @@
         background_cancel.clone(),
     );
     let forwarder = forwarder.with_stream_origins(origins.clone());
+    let usage = usage_exchange(&settings, &feed, &client);
+    let usage_meter = usage.as_ref().map(|(exchange, ..)| exchange.meter().clone());
+    let forwarder = forwarder.with_usage_meter(usage_meter);
     let engines = EngineRegistry::default();
     let bounds = Rc::new(RefCell::new(settings.bounds.clone()));
+    let usage_holder = usage.clone().map(|(exchange, platform, options)| {
+        monoio::spawn(exchange.clone().run_copies(background_cancel.clone()));
+        UsageHolder::new(UsageHolderDependencies {
+            vm: settings.vm.clone(),
+            store: store.clone(),
+            exchange,
+            client: client.clone(),
+            protocol: protocol.clone(),
+            observer: metrics_observer.clone(),
+            platform,
+            options,
+        })
+    });
+    let usage = usage.map(|(exchange, ..)| exchange);
     let job_store = JobStore::new(store.clone(), settings.max_object_bytes);
     let runner_dependencies = RunnerDependencies {
         vm: settings.vm.clone(),
@@ -244,6 +267,7 @@
         follower,
         bounds: bounds.clone(),
         batch: batch.clone(),
+        usage: usage_holder,
         is_leader: is_leader.clone(),
     };
     let candidate_task =
@@ -282,6 +306,7 @@
         engines,
         object_api,
         origins,
+        usage: usage.clone(),
     };
     serve_peers(&settings, peer_service, background_cancel.clone())?;
     let frontend_cancel = CancellationToken::new();
@@ -322,6 +347,12 @@
     if monoio::time::timeout(shutdown_timeout, shutdown).await.is_err() {
         log::warn!(target: "node", "requests still open at the end of the grace time");
     }
+    if let Some(usage) = usage {
+        let hand_over = monoio::time::timeout(USAGE_HANDOVER_TIMEOUT, usage.hand_over());
+        if hand_over.await.is_err() {
+            log::warn!(target: "usage", "handover of counts timed out");
+        }
+    }
     background_cancel.cancel();
     log::info!(target: "node", "stop");
     Ok(())
@@ -351,6 +382,26 @@
     Ok(())
 }
 
+/// Returns the counts of the use of the organisations, shared with the other nodes, and where and when
+/// they are reported; `None` if use is not reported.
+fn usage_exchange(
+    settings: &NodeSettings,
+    feed: &FleetFeed,
+    client: &Client,
+) -> Option<(UsageExchange, SocketAddr, ReporterOptions)> {
+    let duty_api = settings.duty_api.as_ref()?;
+    let window = settings.bounds.usage_window?;
+    if !duty_api.duties.contains(&Duty::UsageReport) {
+        return None;
+    }
+    let options = ReporterOptions::new(window, settings.bounds.usage_delay, duty_api.calls_per_s);
+    let meter = UsageMeter::new(new_source(), move || Some(window), wall_now);
+    let feed = feed.clone();
+    let nodes = Rc::new(move || feed.ranked_nodes());
+    let exchange = UsageExchange::new(meter, settings.peer_address, nodes, client.clone());
+    Some((exchange, duty_api.address, options))
+}
+
 /// Returns the HTTP client for calls to targets, to other nodes and to the object API.
 fn http_client() -> Client {
     Client::new(ClientOptions {
@@ -483,6 +534,8 @@
     object_api: Rc<dyn ObjectApi>,
     /// Which software version began each stream.
     origins: StreamOrigins,
+    /// Counts of the use of the organisations; `None` if it is not reported.
+    usage: Option<UsageExchange>,
 }
 
 impl PeerService {
@@ -498,6 +551,7 @@
             LEADER_UPDATE_PATH => self.serve_runner_message(request).await,
             RUNNER_TABLE_PATH => self.receive_runner_table(request).await,
             relay::RELAY_PATH => serve_relayed_call(&*self.object_api, request).await,
+            USAGE_PATH => self.serve_usage(request).await,
             _ => self.batch.serve_peer(request).await,
         }
     }
@@ -515,6 +569,16 @@
         }
     }
 
+    /// Exchanges counts of use with another node.
+    async fn serve_usage(&self, request: Request<Incoming>) -> Response<Body> {
+        let Some(usage) = &self.usage else { return empty_response(StatusCode::NOT_FOUND) };
+        let message = read_body(request.into_body(), MAX_USAGE_MESSAGE_BYTES).await;
+        match message.and_then(|message| usage.serve(&message)) {
+            Ok(answer) => Response::new(Body::full(answer)),
+            Err(error) => unreadable_request("counts of use", &error),
+        }
+    }
+
     /// Stores the leader's table of which node runs the jobs of each model.
     async fn receive_runner_table(&self, request: Request<Incoming>) -> Response<Body> {
         let message = read_body(request.into_body(), MAX_MESSAGE_BYTES).await;
--- a/bins/decknode/tests/metrics.rs
+++ b/bins/decknode/tests/metrics.rs
@@ -72,6 +72,8 @@
     metrics.on_group_end(false);
     metrics.on_order_reply(None);
     metrics.on_weights_loaded(one_second);
+    metrics.on_usage_report("accepted");
+    metrics.on_usage_window_closed(true);
     metrics.record_loop_delay(one_second);
     metrics.record_store_call(CallRecord {
         operation: Operation::List,
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use deck_core::id::{OrganisationId, SoftwareVersion, TargetId};
+use deck_duty::usage::{AttemptEnd, CountedAttempt, UsageMeter};
 use deck_fleet::{AttemptOutcome, DispatchMetadata, FleetView, Observer, PlatformProtocol, Target};
 use deck_limit::crash::{Fingerprint, TargetKey};
 use deck_net::{Body, Client, ClientResponse, CollectedBody, NetError};
@@ -59,6 +60,8 @@
     pub priority: Option<u8>,
     /// Organisation of the caller, for the target.
     pub organisation: Option<OrganisationId>,
+    /// Counts the runs of the organisation; `None` if they are not reported.
+    pub usage: Option<UsageMeter>,
     /// Time at which the caller stops waiting; each attempt is aborted then.
     pub deadline: Instant,
     /// Whether the response body is always streamed to the caller instead of being buffered.
@@ -98,6 +101,7 @@
             time_to_first_byte: None,
             outcome: AttemptOutcome::Cancelled,
         };
+        let mut counted_attempt = self.start_count();
         let key = TargetKey { pool: self.service.clone(), target: target.clone() };
         let running_call = self.crash_guard.start_call(&self.request_id, self.fingerprint, key);
         let mut running_call = Some(running_call);
@@ -127,7 +131,15 @@
             Outcome::Crashed => AttemptOutcome::Broken,
             Outcome::Ok => AttemptOutcome::Answered,
         };
-        drop(reporter);
+        if let Some(attempt) = &mut counted_attempt {
+            let first_byte = reporter.time_to_first_byte;
+            attempt.set_end(match &result {
+                Ok(_) => AttemptEnd::Answered(first_byte.unwrap_or_default()),
+                Err(AttemptError::Broken(_)) => AttemptEnd::Broken,
+                Err(AttemptError::NotRun(_) | AttemptError::Unknown(_)) => AttemptEnd::NotRun,
+            });
+        }
+        drop((reporter, counted_attempt));
         if let Err(error) = &result {
             if let (AttemptError::Broken(_), Some(running_call)) = (error, running_call) {
                 running_call.detect_crash(self.client.clone(), address);
@@ -142,6 +154,11 @@
         (target, result)
     }
 
+    /// Starts to count an attempt whose runs are reported.
+    fn start_count(&self) -> Option<CountedAttempt> {
+        self.usage.as_ref().zip(self.organisation.as_ref()).and_then(|(usage, id)| usage.start(id))
+    }
+
     /// Builds the HTTP request to a target, with the headers of the dispatch protocol.
     fn request(&self, target: &TargetId, time_left: Duration) -> Request<Body> {
         let mut request = Request::new(Body::full(self.body.clone()));
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -11,6 +11,7 @@
     id::{OrganisationId, RequestId, TargetId},
     priority::Priority,
 };
+use deck_duty::usage::UsageMeter;
 use deck_fleet::{
     FleetView, Observer, PlatformProtocol, RequestPurpose, ResumptionOutcome, ResumptionScope,
     Route, RouteKind, StreamOrigin, Target, TargetState,
@@ -103,6 +104,8 @@
     pub(crate) origins: StreamOrigins,
     options: ForwardOptions,
     hedge_budget: HedgeBudget,
+    /// Counts the runs of each organisation; `None` if its use is not reported.
+    usage: Option<UsageMeter>,
 }
 
 /// Stands for the organisation in the keys of the hedge budget, which is common to all callers.
@@ -137,7 +140,22 @@
         let retry_budget = RetryBudget::new(options.hedge_budget);
         let hedge_budget = HedgeBudget::new(options.hedge_budget, retry_budget);
         let origins = StreamOrigins::default();
-        Self { fleet_view, client, protocol, crash_guard, observer, origins, options, hedge_budget }
+        Self {
+            fleet_view,
+            client,
+            protocol,
+            crash_guard,
+            observer,
+            origins,
+            options,
+            hedge_budget,
+            usage: None,
+        }
+    }
+
+    /// Counts the runs of the requests of callers.
+    pub fn with_usage_meter(self, usage: Option<UsageMeter>) -> Self {
+        Self { usage, ..self }
     }
 
     /// Shares the origins of streams with other nodes, so that callers can resume streams there.
@@ -312,6 +330,7 @@
             last_event: call.last_event,
             priority: None,
             organisation: call.organisation,
+            usage: self.usage.clone().filter(|_| !call.is_owed),
             deadline: call.deadline,
             always_stream,
             required_version,
