deck-plat: a lease runs out also while its holder is suspended

A holder of a lease whose VM was suspended regarded its lease as valid for up to two thirds of its duration after it went on, as the steady clock does not count the suspension: it could send an order or a report although another node held the lease by then. The validity is now measured on the boot clock.

--- a/crates/plat/src/lease.rs
+++ b/crates/plat/src/lease.rs
@@ -15,6 +15,7 @@
 
 use deck_core::{
     CancellationToken,
+    boot_clock::BootInstant,
     id::{FencingNumber, Revision, VmId},
     object::{Envelope, LEASE_KIND, LeaseRecord},
 };
@@ -87,8 +88,8 @@
     /// Record of the previous holder and when it was first seen; `None` if the lease is new.
     previous_lease: Option<(LeaseRecord, Instant)>,
     /// Start of the last successful write. The lease does not expire before its duration has passed
-    /// since then.
-    last_write_start: Rc<Cell<Instant>>,
+    /// since then, also while this VM is suspended.
+    last_write_start: Rc<Cell<BootInstant>>,
     /// Duration for which other candidates wait without a renewal. Invariant: at most the shortest
     /// duration that they may have read.
     published_duration: Rc<Cell<Duration>>,
@@ -100,7 +101,7 @@
 pub struct LeaseToken {
     fencing: FencingNumber,
     published_duration: Rc<Cell<Duration>>,
-    last_write_start: Rc<Cell<Instant>>,
+    last_write_start: Rc<Cell<BootInstant>>,
     /// Cancelled when the lease is lost, released or invalidated.
     invalidated: CancellationToken,
 }
@@ -114,7 +115,8 @@
     /// Returns whether the holder may act under the lease; check it right before each action.
     ///
     /// The lease is valid for two thirds of its duration from the start of the last successful
-    /// renewal. The last third covers the time between this check and the effect of the action.
+    /// renewal, the time counted for which the VM is suspended. The last third covers the time between
+    /// this check and the effect of the action.
     pub fn is_valid(&self) -> bool {
         !self.invalidated.is_cancelled()
             && self.last_write_start.get().elapsed() < self.published_duration.get() * 2 / 3
@@ -216,7 +218,7 @@
             renewal: 0,
             nonce: deck_core::id::random_id(),
         };
-        let write_started = Instant::now();
+        let write_started = BootInstant::now();
         let first_seen = self.last_observation.as_ref().map(|observation| observation.first_seen);
         match self.write_record(condition, &record).await {
             Ok(revision) => AcquireResult::Held(HeldLease {
@@ -421,7 +423,7 @@
         record.duration_ms = duration.as_millis() as u64;
         // The write may take effect even if its response is lost.
         self.published_duration.set(self.published_duration.get().min(duration));
-        let write_started = Instant::now();
+        let write_started = BootInstant::now();
         let condition = Precondition::Revision(self.revision);
         self.revision = self.candidate.write_record(condition, &record).await?;
         self.record = record;
