--- a/bins/decknode/src/leadership.rs
+++ b/bins/decknode/src/leadership.rs
@@ -1,5 +1,5 @@
 //! Leader election by a lease, and the tasks of the leader: it assigns models to runner nodes,
-//! orders targets to load weight versions, moves jobs away from unresponsive runners, deletes old
+//! orders targets to load weight versions, orders the number of targets, moves jobs away from unresponsive runners, deletes old
 //! jobs and completes VM retirements.
 
 use std::{
@@ -17,7 +17,10 @@
 };
 use deck_swap::{RunnerManager, RunnerManagerDependencies, WeightUpdater};
 
-use crate::vm_retirement;
+use crate::{
+    scaling::{self, TargetScaler},
+    vm_retirement,
+};
 
 /// Name of the leader's lease in the object API.
 const LEADER_LEASE_NAME: &str = "leader";
@@ -54,6 +57,8 @@
     /// Batch jobs of the fleet. The leader moves jobs away from unresponsive runners and deletes the
     /// objects of old jobs.
     pub batch: BatchService,
+    /// Orders targets of the services whose number can be chosen.
+    pub target_scaler: TargetScaler,
     /// Set while this node holds the lease; read by the metrics.
     pub is_leader: Rc<Cell<bool>>,
 }
@@ -154,6 +159,12 @@
     let runners = RunnerManager::new(context.runners.clone(), lease_token.fencing());
     let runners_cancel = tasks_cancel.clone();
     monoio::spawn(async move { runners.run(runners_cancel).await });
+    let (target_scaler, scaling_cancel) = (context.target_scaler.clone(), tasks_cancel.clone());
+    let (scaling_token, scaling_options) =
+        (lease_token.clone(), scaling::planner_options(fencing_checked, lease));
+    monoio::spawn(async move {
+        target_scaler.run(scaling_token, orders_start, scaling_options, scaling_cancel).await
+    });
     let (weight_updater, orders_cancel) = (context.weight_updater.clone(), tasks_cancel.clone());
     monoio::spawn(
         async move { weight_updater.run(lease_token, orders_start, orders_cancel).await },
--- a/bins/decknode/src/lib.rs
+++ b/bins/decknode/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod metrics;
 mod node_registry;
 pub mod process;
+pub mod scaling;
 mod stream_origins;
 mod vm_retirement;
--- a/bins/decknode/src/metrics.rs
+++ b/bins/decknode/src/metrics.rs
@@ -52,6 +52,8 @@
         "Groups whose results are all stored, in time or late, and groups open when their job was ended.";
     ORDERS = "decknode_orders_total", "counter", "orders", "reply",
         "Orders to change weights, by the answer of the target.";
+    SCALING_ORDERS = "decknode_scaling_orders_total", "counter", "orders", "reason, outcome",
+        "Orders of a number of targets, by their reason and outcome.";
     LOAD_TIME = "decknode_load_seconds", "histogram", "seconds", "",
         "Time from an order to its target's report that it has the version.";
     ENGINES = "decknode_engines", "gauge", "targets", "model, versions_behind",
@@ -110,6 +112,7 @@
     chunks_found: Counter<u64>,
     groups: Counter<u64>,
     orders: Counter<u64>,
+    scaling_orders: Counter<u64>,
     load_time: Histogram<f64>,
     engines: Gauge<u64>,
     newest_version: Gauge<u64>,
@@ -195,6 +198,7 @@
             chunks_found: CHUNKS_FOUND.counter(meter),
             groups: GROUPS.counter(meter),
             orders: ORDERS.counter(meter),
+            scaling_orders: SCALING_ORDERS.counter(meter),
             load_time: LOAD_TIME.latency_histogram(meter),
             engines: ENGINES.gauge(meter),
             newest_version: NEWEST_VERSION.gauge(meter),
@@ -260,6 +264,12 @@
         route.to_owned()
     }
 
+    /// Counts an order of a number of targets.
+    pub fn record_scaling_order(&self, reason: &'static str, outcome: &'static str) {
+        let labels = [KeyValue::new("reason", reason), KeyValue::new("outcome", outcome)];
+        self.instruments.scaling_orders.add(1, &labels);
+    }
+
     /// Updates the gauges from `state` and returns all metrics in the Prometheus text format.
     pub fn render(&self, state: &GaugeState<'_>) -> String {
         let view = state.view;
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -51,7 +51,9 @@
     frontend::{Frontend, StopDeadline},
     leadership, loop_delay,
     metrics::{GaugeState, NodeMetrics},
-    node_registry, stream_origins,
+    node_registry,
+    scaling::TargetScaler,
+    stream_origins,
 };
 
 /// Timeout of one call on the object API, which normally answers in a few milliseconds.
@@ -224,7 +226,7 @@
         metrics_observer,
         WeightUpdaterOptions::default(),
     );
-    let batch_jobs = batch.clone();
+    let (batch_jobs, duty_client) = (batch.clone(), client.clone());
     let runners = RunnerManagerDependencies {
         view: view.clone(),
         engines: engines.clone(),
@@ -233,6 +235,16 @@
         client,
         on_runner_jobs: Rc::new(move |node, jobs| batch_jobs.record_runner(node, jobs)),
     };
+    let target_scaler = TargetScaler {
+        vm: settings.vm.clone(),
+        duty_api: settings.duty_api.clone(),
+        view: view.clone(),
+        engines: engines.clone(),
+        store: store.clone(),
+        client: duty_client,
+        protocol: protocol.clone(),
+        metrics: metrics.clone(),
+    };
     let is_leader = Rc::new(Cell::new(false));
     let leadership_context = leadership::LeadershipContext {
         vm: settings.vm.clone(),
@@ -244,6 +256,7 @@
         follower,
         bounds: bounds.clone(),
         batch: batch.clone(),
+        target_scaler,
         is_leader: is_leader.clone(),
     };
     let candidate_task =
--- a/bins/decknode/tests/metrics.rs
+++ b/bins/decknode/tests/metrics.rs
@@ -42,6 +42,7 @@
         slots: 4,
         models: Vec::new(),
         started_at_ms: 0,
+        lifetime: Default::default(),
     };
     let targets: Vec<Target> = (0..versions.len()).map(target).collect();
     for (target, version) in targets.iter().zip(versions) {
--- a/crates/batch/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -143,6 +143,7 @@
         slots: 8,
         models: vec![("m".to_owned(), 1)],
         started_at_ms: 1,
+        lifetime: Default::default(),
     }
 }
 
--- a/crates/fleet/src/engines.rs
+++ b/crates/fleet/src/engines.rs
@@ -82,6 +82,9 @@
     pub active_runs: u32,
     /// Time per event of the fastest recent run, in milliseconds.
     pub best_event_ms: Option<f64>,
+    /// Mean interval between events of the runs, in milliseconds; `None` without recent events.
+    #[serde(default)]
+    pub recent_event_ms: Option<f64>,
 }
 
 /// State of an engine that the leader sends to the runner of a model, ahead of the target list.
@@ -206,6 +209,15 @@
     pub fn long_term_event_interval_ms(&self) -> Option<f64> {
         self.event_intervals.map(|event_intervals| event_intervals.long_mean_ms)
     }
+
+    /// Returns the long-term mean interval between events in milliseconds; `None` if the last event
+    /// is too long ago.
+    fn recent_event_ms(&self, now: Instant) -> Option<f64> {
+        let is_recent = |intervals: &EventIntervals| {
+            now.saturating_duration_since(intervals.updated_at) < LONG_MEAN_WINDOW
+        };
+        self.event_intervals.filter(is_recent).map(|intervals| intervals.long_mean_ms)
+    }
 }
 
 impl EngineRegistry {
@@ -273,6 +285,7 @@
             target: target.clone(),
             active_runs: state.active_runs,
             best_event_ms: state.best_event_ms(now),
+            recent_event_ms: state.recent_event_ms(now),
         };
         in_use.map(load).collect()
     }
@@ -291,9 +304,10 @@
 
     /// Returns the total load of an engine from this node and all other known nodes.
     pub fn total_load(&self, target: &Target, now: Instant) -> EngineLoad {
-        let own_load =
-            self.with_state(target, |state| (state.active_runs, state.best_event_ms(now)));
-        let (mut active_runs, mut best_event_ms) = own_load;
+        let own_load = self.with_state(target, |state| {
+            (state.active_runs, state.best_event_ms(now), state.recent_event_ms(now))
+        });
+        let (mut active_runs, mut best_event_ms, mut recent_event_ms) = own_load;
         for loads in self.remote_loads.borrow().values() {
             let Some(load) = loads.get(&target.id) else { continue };
             active_runs += load.active_runs;
@@ -301,8 +315,12 @@
                 (Some(a), Some(b)) => Some(a.min(b)),
                 (a, b) => a.or(b),
             };
+            recent_event_ms = match (recent_event_ms, load.recent_event_ms) {
+                (Some(a), Some(b)) => Some(a.min(b)),
+                (a, b) => a.or(b),
+            };
         }
-        EngineLoad { target: target.id.clone(), active_runs, best_event_ms }
+        EngineLoad { target: target.id.clone(), active_runs, best_event_ms, recent_event_ms }
     }
 
     /// Returns the engine state that the runner of a model needs and that the target list does not
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -51,11 +51,11 @@
 pub use organisations::{ApiKey, Organisation, Organisations};
 pub use protocol::{
     BatchCall, BatchJob, BatchLimits, DispatchMetadata, Item, ItemOutcome, ItemResult,
-    PlatformProtocol, RequestMetadata, ResponseMetadata, ResultPage, RewardCall, TargetReport,
-    WeightLoadOrder, WeightLoadReply,
+    PlatformProtocol, RequestMetadata, ResponseMetadata, ResultPage, RewardCall, ScalingOrder,
+    ScalingReply, TargetReport, WeightLoadOrder, WeightLoadReply,
 };
 pub use software::KnownVersions;
 pub use stream_origins::{OriginRecord, StreamOrigin, StreamOriginStore};
-pub use target::{Target, TargetState};
+pub use target::{Target, TargetLifetime, TargetState};
 pub use target_limits::{RequestPurpose, Senders, TargetLimits};
 pub use view::{FleetView, TargetChanges, TargetContent, TargetList};
--- a/crates/fleet/src/packed.rs
+++ b/crates/fleet/src/packed.rs
@@ -6,7 +6,7 @@
 use deck_core::id::{TargetId, WeightVersion};
 use serde::{Deserialize, Serialize};
 
-use crate::{Target, TargetChanges, TargetState};
+use crate::{Target, TargetChanges, TargetLifetime, TargetState};
 
 /// Target changes in which each service, data centre or model name is stored only once.
 #[derive(Debug, Default)]
@@ -25,6 +25,9 @@
     /// of the rows, whose length is fixed for nodes of earlier releases.
     #[serde(rename = "software", default, skip_serializing_if = "Vec::is_empty")]
     software_versions: Vec<(usize, usize)>,
+    /// Lifetimes of the rows whose targets may be reclaimed or leave at a known time.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    lifetimes: Vec<(usize, TargetLifetime)>,
 }
 
 /// One target: id, service, address, data centre, whether it is draining, slots, start time, and
@@ -67,7 +70,10 @@
             Some((row, names.index(target.software_version.as_deref()?)))
         });
         let software_versions = software_versions.collect();
-        Self { is_complete, names: names.list, rows, removed, software_versions }
+        let lifetimes = targets.iter().map(|target| target.lifetime).enumerate();
+        let lifetimes =
+            lifetimes.filter(|(_, lifetime)| *lifetime != TargetLifetime::default()).collect();
+        Self { is_complete, names: names.list, rows, removed, software_versions, lifetimes }
     }
 
     /// Returns whether the list of targets is complete.
@@ -79,6 +85,7 @@
     pub(crate) fn unpack(self) -> TargetChanges {
         let name = |index: usize| self.names.get(index).cloned();
         let software_versions: HashMap<usize, usize> = self.software_versions.into_iter().collect();
+        let lifetimes: HashMap<usize, TargetLifetime> = self.lifetimes.into_iter().collect();
         let target = |(index, row): (usize, PackedTarget)| {
             let PackedTarget(
                 id,
@@ -104,6 +111,7 @@
                 slots,
                 models: models.collect::<Option<_>>()?,
                 started_at_ms,
+                lifetime: lifetimes.get(&index).copied().unwrap_or_default(),
             })
         };
         let targets = self.rows.into_iter().enumerate().filter_map(target).collect();
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use deck_core::{
     hash::hash64,
-    id::{FencingNumber, OrganisationId, RequestId, TargetId, WeightVersion},
+    id::{
+        DataCentreId, FencingNumber, OrganisationId, PoolName, RequestId, TargetId, WeightVersion,
+    },
 };
 use http::{HeaderMap, Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -282,6 +284,36 @@
     }
 }
 
+/// Order of the number of targets of a service in a data centre.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ScalingOrder {
+    /// Service of the targets.
+    pub service: PoolName,
+    /// Data centre of the targets.
+    pub data_centre: DataCentreId,
+    /// Number of targets of this kind.
+    pub count: u32,
+    /// Whether the order is for targets that may be reclaimed; the others are counted separately.
+    pub is_spot: bool,
+    /// VM of the leader that sends the order.
+    pub holder: String,
+    /// Fencing number of the leader's lease.
+    pub fencing: FencingNumber,
+}
+
+/// Reply to the order of a number of targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ScalingReply {
+    /// The order is carried out.
+    Accepted,
+    /// There are no such targets now, or a higher fencing number was seen.
+    Refused,
+    /// Too many calls were made; the order has no effect.
+    Busy,
+    /// The order may or may not take effect; contains the HTTP status.
+    Unknown(u16),
+}
+
 /// State reported by an engine.
 #[derive(Debug, Clone, PartialEq)]
 pub struct TargetReport {
@@ -388,6 +420,12 @@
     /// Names the field that is missing or has the wrong type.
     fn decode_target_report(&self, body: &[u8]) -> Result<TargetReport, String>;
 
+    /// Encodes an order of a number of targets as a request to the API for duties.
+    fn scaling_request(&self, order: &ScalingOrder) -> Request<Bytes>;
+
+    /// Decodes the reply to an order of a number of targets.
+    fn decode_scaling_reply(&self, status: StatusCode) -> ScalingReply;
+
     /// Returns whether a request is a readiness check of the platform.
     fn is_readiness_request(&self, method: &Method, path: &str) -> bool;
 }
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -19,6 +19,18 @@
     Draining,
 }
 
+/// How long a target stays.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TargetLifetime {
+    /// Whether the target may be reclaimed, together with all others of its kind in its data centre.
+    #[serde(default)]
+    pub is_spot: bool,
+    /// Time until the target leaves, when it announced that, in milliseconds; `None` if unknown.
+    #[serde(default)]
+    pub leaves_ms: Option<u64>,
+}
+
 /// Instance of a service that requests can be sent to.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -44,6 +56,9 @@
     /// Start time in milliseconds since the Unix epoch. A different value under the same id means
     /// that the target has restarted and lost its state.
     pub started_at_ms: u64,
+    /// How long the target stays.
+    #[serde(default)]
+    pub lifetime: TargetLifetime,
 }
 
 impl Target {
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -4,8 +4,8 @@
 use deck_core::id::{RequestId, TargetId, WeightVersion};
 use deck_fleet::{
     BatchCall, BatchJob, CallerLimits, Configuration, DispatchMetadata, PlatformProtocol,
-    RequestMetadata, ResponseMetadata, ResultPage, Target, TargetReport, TargetState,
-    WeightLoadOrder, WeightLoadReply, config::ModelName,
+    RequestMetadata, ResponseMetadata, ResultPage, ScalingOrder, ScalingReply, Target, TargetReport,
+    TargetState, WeightLoadOrder, WeightLoadReply, config::ModelName,
 };
 use deck_plat::Precondition;
 use deck_testkit::memory::MemoryObjects;
@@ -45,6 +45,7 @@
             slots: 4,
             models: vec![("m".to_owned(), version), ("n".to_owned(), 1)],
             started_at_ms: 7,
+            lifetime: Default::default(),
         })
     }
 
@@ -134,6 +135,14 @@
         Err("not used".to_owned())
     }
 
+    fn scaling_request(&self, _order: &ScalingOrder) -> Request<Bytes> {
+        Request::new(Bytes::new())
+    }
+
+    fn decode_scaling_reply(&self, status: StatusCode) -> ScalingReply {
+        ScalingReply::Unknown(status.as_u16())
+    }
+
     fn is_readiness_request(&self, _method: &Method, _path: &str) -> bool {
         false
     }
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -27,6 +27,7 @@
         slots: 8,
         models: Vec::new(),
         started_at_ms,
+        lifetime: Default::default(),
     }
 }
 
--- a/crates/fleet/tests/software.rs
+++ b/crates/fleet/tests/software.rs
@@ -22,6 +22,7 @@
         slots: 8,
         models: Vec::new(),
         started_at_ms: 1,
+        lifetime: Default::default(),
     }
 }
 
--- a/crates/fleet/tests/view.rs
+++ b/crates/fleet/tests/view.rs
@@ -29,6 +29,7 @@
         slots: 8,
         models: vec![("m".to_owned(), 1)],
         started_at_ms: 1,
+        lifetime: Default::default(),
     }
 }
 
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -32,6 +32,7 @@
         slots: 8,
         models: Vec::new(),
         started_at_ms: 0,
+        lifetime: Default::default(),
     }
 }
 
--- /dev/null
+++ b/crates/scale/src/ledger.rs
@@ -0,0 +1,346 @@
+//! What has been ordered in each data centre, and what is known of each order's effect.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use deck_core::id::DataCentreId;
+use serde::{Deserialize, Serialize};
+
+/// Whether targets may be reclaimed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SpotKind {
+    /// Cheaper targets, which may be reclaimed.
+    Spot,
+    /// Targets that stay.
+    Regular,
+}
+
+/// Targets that are ordered together.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Subject {
+    /// Data centre of the targets.
+    pub data_centre: DataCentreId,
+    /// Kind of the targets.
+    pub kind: SpotKind,
+}
+
+/// Outcome of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The order is carried out.
+    Accepted,
+    /// There are no such targets now, or a newer leader exists; the order has no effect.
+    Refused,
+    /// Too many calls; the order has no effect.
+    Busy,
+    /// It is unknown whether and when the order takes effect.
+    Unanswered,
+}
+
+impl Outcome {
+    /// Returns the label value used in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Refused => "refused",
+            Self::Busy => "busy",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
+/// Numbers of targets of one service in one data centre, as stored for the next leader.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RecordedCounts {
+    /// Regular targets that were present before the first order.
+    pub present: u32,
+    /// Regular targets ordered, or present.
+    pub regular: u32,
+    /// Spot targets ordered, or present.
+    pub spot: u32,
+}
+
+/// State of a service that the next leader needs.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ServiceRecord {
+    /// Numbers for each data centre.
+    pub data_centres: BTreeMap<DataCentreId, RecordedCounts>,
+}
+
+/// Time beyond the boot time after which an ordered target should be in the list of targets.
+const APPEARANCE_MARGIN: Duration = Duration::from_secs(4);
+/// Time for which targets have to be missing before they count as gone; entries of live targets may be
+/// absent for a few seconds after an outage of the object API.
+const MISSING_TIME: Duration = Duration::from_secs(5);
+/// Time after which a call without an answer is no longer expected to be executed.
+const LATE_EXECUTION: Duration = Duration::from_secs(15);
+/// First wait after a refusal.
+const REFUSAL_BACKOFF: Duration = Duration::from_secs(4);
+/// First wait after a call without an answer.
+const RETRY_BACKOFF: Duration = Duration::from_secs(1);
+/// Maximum number of times that a wait doubles.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// Order state of one subject.
+#[derive(Debug, Clone, Default)]
+struct SubjectState {
+    /// Number ordered, or present without an order.
+    ordered: u32,
+    /// Live targets that are ready.
+    live: u32,
+    /// Until when ordered targets may still appear.
+    appear_until: Option<Instant>,
+    /// Until when targets that have been given up may still be live.
+    leave_until: Option<Instant>,
+    /// Since when fewer targets are live than were ordered.
+    short_since: Option<Instant>,
+    /// No order before this time.
+    backoff_until: Option<Instant>,
+    /// Consecutive refusals and orders without effect.
+    refusals: u32,
+    /// The last call without an answer.
+    unanswered: Option<UnansweredCall>,
+}
+
+/// Call that may be executed late.
+#[derive(Debug, Clone, Copy)]
+struct UnansweredCall {
+    /// Number that the call orders.
+    count: u32,
+    sent_at: Instant,
+    /// When the present number is sent again.
+    retry_at: Instant,
+    retries: u32,
+    /// Whether a later call was accepted.
+    is_superseded: bool,
+}
+
+/// Orders of one service.
+#[derive(Debug, Clone, Default)]
+pub struct Ledger {
+    subjects: BTreeMap<Subject, SubjectState>,
+    /// Regular targets that were present before the first order, by data centre.
+    present: BTreeMap<DataCentreId, u32>,
+    has_ordered: bool,
+}
+
+impl Ledger {
+    /// Restores the orders of earlier leaders. Their last orders may have been sent just before `now`.
+    pub fn restore(record: &ServiceRecord, boot_time: Duration, now: Instant) -> Self {
+        let mut ledger = Self { has_ordered: true, ..Self::default() };
+        for (data_centre, counts) in &record.data_centres {
+            ledger.present.insert(data_centre.clone(), counts.present);
+            for (kind, ordered) in
+                [(SpotKind::Regular, counts.regular), (SpotKind::Spot, counts.spot)]
+            {
+                let subject = Subject { data_centre: data_centre.clone(), kind };
+                let appear_until = Some(now + boot_time + APPEARANCE_MARGIN);
+                let state = SubjectState { ordered, appear_until, ..SubjectState::default() };
+                ledger.subjects.insert(subject, state);
+            }
+        }
+        ledger
+    }
+
+    /// Returns what the next leader needs.
+    pub fn record(&self) -> ServiceRecord {
+        let counts = |data_centre: &DataCentreId| RecordedCounts {
+            present: self.present.get(data_centre).copied().unwrap_or(0),
+            regular: self.ordered(data_centre, SpotKind::Regular),
+            spot: self.ordered(data_centre, SpotKind::Spot),
+        };
+        let names = self.subjects.keys().map(|subject| &subject.data_centre);
+        ServiceRecord { data_centres: names.map(|name| (name.clone(), counts(name))).collect() }
+    }
+
+    /// Takes the numbers of ready targets into account.
+    pub fn observe(&mut self, live: &BTreeMap<Subject, u32>, now: Instant) {
+        for subject in live.keys() {
+            self.subjects.entry(subject.clone()).or_default();
+        }
+        for (subject, state) in &mut self.subjects {
+            state.live = live.get(subject).copied().unwrap_or(0);
+            if state.live >= state.ordered {
+                if state.leave_until.is_none_or(|until| until <= now) {
+                    state.ordered = state.live;
+                }
+                state.refusals = 0;
+                (state.short_since, state.appear_until) = (None, None);
+            } else if state.short_since.is_none() {
+                state.short_since = Some(now);
+            }
+            if state.live < state.ordered && state.appear_until.is_some_and(|until| until <= now) {
+                // The ordered targets are not there, or have been reclaimed or lost.
+                state.appear_until = None;
+                state.refuse(REFUSAL_BACKOFF, now);
+            }
+            let is_missing = state.short_since.is_some_and(|since| now >= since + MISSING_TIME);
+            if subject.kind == SpotKind::Spot && is_missing && !state.expects(now) {
+                // Reclaimed targets do not come back by themselves. A regular number is not lowered:
+                // a lost target may still count for the platform.
+                state.ordered = state.live;
+                state.short_since = None;
+            }
+            if subject.kind == SpotKind::Regular && !self.has_ordered {
+                let present = self.present.entry(subject.data_centre.clone()).or_default();
+                *present = (*present).max(state.live);
+            }
+        }
+    }
+
+    /// Returns the number of regular targets that were present before the first order.
+    pub fn present(&self, data_centre: &DataCentreId) -> u32 {
+        self.present.get(data_centre).copied().unwrap_or(0)
+    }
+
+    /// Returns the number of regular targets that were present before the first order in all data
+    /// centres.
+    pub fn total_present(&self) -> u32 {
+        self.present.values().sum()
+    }
+
+    /// Returns the data centres in which the service has, or had, targets.
+    pub fn data_centres(&self) -> Vec<DataCentreId> {
+        let mut names: Vec<_> = self.subjects.keys().map(|s| s.data_centre.clone()).collect();
+        names.dedup();
+        names
+    }
+
+    /// Returns the number of targets that were ordered last, or are present.
+    pub fn ordered(&self, data_centre: &DataCentreId, kind: SpotKind) -> u32 {
+        let subject = Subject { data_centre: data_centre.clone(), kind };
+        self.subjects.get(&subject).map_or(0, |state| state.ordered)
+    }
+
+    /// Returns the number of ordered targets that should still appear.
+    pub fn expected(&self, data_centre: &DataCentreId, kind: SpotKind, now: Instant) -> u32 {
+        let subject = Subject { data_centre: data_centre.clone(), kind };
+        let missing = |state: &SubjectState| state.ordered.saturating_sub(state.live);
+        self.subjects.get(&subject).filter(|state| state.expects(now)).map_or(0, missing)
+    }
+
+    /// Returns the number of spot targets that are live or should still appear, in all data centres.
+    pub fn total_spot(&self, now: Instant) -> u32 {
+        let spot = self.subjects.iter().filter(|(subject, _)| subject.kind == SpotKind::Spot);
+        let held = |state: &SubjectState| match state.expects(now) {
+            true => state.live.max(state.ordered),
+            false => state.live,
+        };
+        spot.map(|(_, state)| held(state)).sum()
+    }
+
+    /// Returns whether a new number may be ordered now.
+    pub fn is_available(&self, data_centre: &DataCentreId, kind: SpotKind, now: Instant) -> bool {
+        let subject = Subject { data_centre: data_centre.clone(), kind };
+        let Some(state) = self.subjects.get(&subject) else { return true };
+        // Fewer spot targets than ordered, which are neither booting nor known to be gone: the live
+        // number is not certain enough to order a new one.
+        let is_uncertain =
+            kind == SpotKind::Spot && state.live < state.ordered && !state.expects(now);
+        !is_uncertain && state.backoff_until.is_none_or(|until| until <= now)
+    }
+
+    /// Returns a number to send again, because an earlier call of the subject had no answer.
+    pub fn repetition(&self, now: Instant) -> Option<(Subject, u32)> {
+        let due = self.subjects.iter().find(|(_, state)| {
+            state.unanswered.is_some_and(|call| call.retry_at <= now)
+        });
+        due.map(|(subject, state)| (subject.clone(), state.ordered))
+    }
+
+    /// Returns whether the last call of any subject had no answer, which delays new orders.
+    pub fn is_waiting_for_api(&self, now: Instant) -> bool {
+        let is_open = |call: UnansweredCall| !call.is_superseded && call.retry_at > now;
+        self.subjects.values().filter_map(|state| state.unanswered).any(is_open)
+    }
+
+    /// Records that a number is about to be ordered; call it before [`Ledger::record`] is stored.
+    /// Returns the previous number.
+    pub fn begin(&mut self, subject: &Subject, count: u32) -> u32 {
+        self.has_ordered = true;
+        let state = self.subjects.entry(subject.clone()).or_default();
+        std::mem::replace(&mut state.ordered, count)
+    }
+
+    /// Takes back [`Ledger::begin`] for an order that has not been sent.
+    pub fn cancel(&mut self, subject: &Subject, previous: u32) {
+        self.subjects.entry(subject.clone()).or_default().ordered = previous;
+    }
+
+    /// Records the outcome of the order that [`Ledger::begin`] announced. `min_backoff` is the
+    /// shortest wait after a refusal.
+    pub fn end(
+        &mut self,
+        subject: &Subject,
+        previous: u32,
+        outcome: Outcome,
+        boot_time: Duration,
+        min_backoff: Duration,
+        now: Instant,
+    ) {
+        let state = self.subjects.entry(subject.clone()).or_default();
+        let count = state.ordered;
+        match outcome {
+            Outcome::Accepted => {
+                state.expect_effect(boot_time, now);
+                // A call without an answer may still be executed after this one.
+                state.unanswered = state.unanswered.filter(|call| call.count != count).and_then(
+                    |call| {
+                        let last_execution = call.sent_at + LATE_EXECUTION;
+                        let superseded =
+                            UnansweredCall { retry_at: last_execution, is_superseded: true, ..call };
+                        (last_execution > now).then_some(superseded)
+                    },
+                );
+            }
+            Outcome::Refused => {
+                state.ordered = previous.max(state.live);
+                state.unanswered = None;
+                state.refuse(REFUSAL_BACKOFF.max(min_backoff), now);
+            }
+            Outcome::Busy => {
+                state.ordered = previous;
+                state.backoff_until = Some(now + RETRY_BACKOFF);
+            }
+            Outcome::Unanswered => {
+                state.expect_effect(boot_time, now);
+                let retries = state.unanswered.map_or(0, |call| call.retries + 1);
+                let retry_at = now + RETRY_BACKOFF * (1 << retries.min(MAX_DOUBLINGS));
+                let call = UnansweredCall {
+                    count,
+                    sent_at: now,
+                    retry_at,
+                    retries,
+                    is_superseded: false,
+                };
+                state.unanswered = Some(call);
+            }
+        }
+    }
+}
+
+impl SubjectState {
+    /// Returns whether ordered targets may still appear.
+    fn expects(&self, now: Instant) -> bool {
+        self.appear_until.is_some_and(|until| until > now)
+    }
+
+    /// Waits for the effect of an order that was sent now.
+    fn expect_effect(&mut self, boot_time: Duration, now: Instant) {
+        let until = Some(now + boot_time + APPEARANCE_MARGIN);
+        match self.ordered.cmp(&self.live) {
+            std::cmp::Ordering::Greater => self.appear_until = until,
+            std::cmp::Ordering::Less => self.leave_until = until,
+            std::cmp::Ordering::Equal => {}
+        }
+    }
+
+    fn refuse(&mut self, backoff: Duration, now: Instant) {
+        self.backoff_until = Some(now + backoff * (1 << self.refusals.min(MAX_DOUBLINGS)));
+        self.refusals += 1;
+    }
+}
--- a/crates/swap/tests/runners.rs
+++ b/crates/swap/tests/runners.rs
@@ -59,6 +59,7 @@
         slots: 300,
         models: vec![("m0".to_owned(), 1), ("m1".to_owned(), 1)],
         started_at_ms: 1,
+        lifetime: Default::default(),
     }
 }
 
@@ -295,6 +296,7 @@
         target: "e0".to_owned(),
         active_runs,
         best_event_ms,
+        recent_event_ms: None,
     };
     engines.set_remote_loads(node(1), vec![engine_load(3, Some(40.0))]);
     engines.set_remote_loads(node(1), vec![engine_load(2, Some(50.0))]);
