--- a/bins/decknode/tests/metrics.rs
+++ b/bins/decknode/tests/metrics.rs
@@ -60,6 +60,7 @@
     let metrics = NodeMetrics::new();
     let one_second = Duration::from_secs(1);
     let route = RequestPurpose::Route { kind: RouteKind::Streaming, name: "r".to_owned() };
+    metrics.record_scaling_order("demand", "accepted");
     metrics.record_request(&route, 503, Some(deck_core::error::ErrorKind::NoTarget), one_second);
     metrics.on_attempt_end(AttemptOutcome::Broken, Some(one_second));
     metrics.on_stream_resumption(ResumptionScope::Caller, ResumptionOutcome::VersionGone);
