--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -235,6 +235,7 @@
         client,
         on_runner_jobs: Rc::new(move |node, jobs| batch_jobs.record_runner(node, jobs)),
     };
+    let loads = weight_updater.clone();
     let target_scaler = TargetScaler {
         vm: settings.vm.clone(),
         duty_api: settings.duty_api.clone(),
@@ -244,6 +245,9 @@
         client: duty_client,
         protocol: protocol.clone(),
         metrics: metrics.clone(),
+        on_initial_targets: Rc::new(move |service, count| {
+            loads.set_initial_targets(service, count);
+        }),
     };
     let is_leader = Rc::new(Cell::new(false));
     let leadership_context = leadership::LeadershipContext {
--- a/bins/decknode/src/scaling.rs
+++ b/bins/decknode/src/scaling.rs
@@ -55,6 +55,8 @@
     pub protocol: Rc<dyn PlatformProtocol>,
     /// Counts the orders.
     pub metrics: NodeMetrics,
+    /// Callback for the number of targets that a service had before more were ordered.
+    pub on_initial_targets: Rc<dyn Fn(PoolName, usize)>,
 }
 
 /// A service whose targets this leader orders.
@@ -91,6 +93,10 @@
                 let now = Instant::now();
                 let snapshot = self.snapshot(&config, now);
                 let order = service.planner.next_order(&snapshot, now);
+                let initial = service.planner.total_present() as usize;
+                if initial > 0 {
+                    (self.on_initial_targets)(config.name.clone(), initial);
+                }
                 if let Some(order) = order.filter(|_| now >= start && token.is_valid()) {
                     self.place(&api, &config, service, &order, &token).await;
                     pause = call_interval;
@@ -235,8 +241,8 @@
             Some((_, revision)) => Precondition::Revision(*revision),
             None => Precondition::Absent,
         };
-        let value = serde_json::to_value(&record)
-            .map_err(|error| StoreError::Decode(error.to_string()))?;
+        let value =
+            serde_json::to_value(&record).map_err(|error| StoreError::Decode(error.to_string()))?;
         match self.store.put(SCALING_OBJECT_KIND, name, condition, &value).await {
             Ok(revision) => {
                 service.stored = Some((record, revision));
--- a/bins/decknode/tests/scaling.rs
+++ b/bins/decknode/tests/scaling.rs
@@ -57,17 +57,20 @@
     view
 }
 
+/// Body of a call, and the value of the object with the ordered numbers when the call arrived.
+type Call = (Value, Option<Value>);
+
 /// An API for duties that records the calls, with what was stored when each arrived.
 struct DutyApi {
     scaler: TargetScaler,
     objects: MemoryObjects,
-    calls: Rc<RefCell<Vec<(Value, Option<Value>)>>>,
+    calls: Rc<RefCell<Vec<Call>>>,
 }
 
 impl DutyApi {
     fn start(duties: Vec<Duty>, cancel: &CancellationToken) -> Self {
         let objects = MemoryObjects::default();
-        let calls: Rc<RefCell<Vec<(Value, Option<Value>)>>> = Rc::default();
+        let calls: Rc<RefCell<Vec<Call>>> = Rc::default();
         let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
         let address = listener.local_addr().expect("address");
         let (received, store) = (calls.clone(), objects.store());
@@ -92,6 +95,7 @@
             client: Client::default(),
             protocol: Rc::new(PlatformWire),
             metrics: NodeMetrics::new(),
+            on_initial_targets: Rc::new(|_, _| {}),
         };
         Self { scaler, objects, calls }
     }
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -4,8 +4,8 @@
 use deck_core::id::{RequestId, TargetId, WeightVersion};
 use deck_fleet::{
     BatchCall, BatchJob, CallerLimits, Configuration, DispatchMetadata, PlatformProtocol,
-    RequestMetadata, ResponseMetadata, ResultPage, ScalingOrder, ScalingReply, Target, TargetReport,
-    TargetState, WeightLoadOrder, WeightLoadReply, config::ModelName,
+    RequestMetadata, ResponseMetadata, ResultPage, ScalingOrder, ScalingReply, Target,
+    TargetReport, TargetState, WeightLoadOrder, WeightLoadReply, config::ModelName,
 };
 use deck_plat::Precondition;
 use deck_testkit::memory::MemoryObjects;
--- a/crates/scale/src/ledger.rs
+++ b/crates/scale/src/ledger.rs
@@ -246,9 +246,10 @@
 
     /// Returns a number to send again, because an earlier call of the subject had no answer.
     pub fn repetition(&self, now: Instant) -> Option<(Subject, u32)> {
-        let due = self.subjects.iter().find(|(_, state)| {
-            state.unanswered.is_some_and(|call| call.retry_at <= now)
-        });
+        let due = self
+            .subjects
+            .iter()
+            .find(|(_, state)| state.unanswered.is_some_and(|call| call.retry_at <= now));
         due.map(|(subject, state)| (subject.clone(), state.ordered))
     }
 
@@ -288,14 +289,16 @@
             Outcome::Accepted => {
                 state.expect_effect(boot_time, now);
                 // A call without an answer may still be executed after this one.
-                state.unanswered = state.unanswered.filter(|call| call.count != count).and_then(
-                    |call| {
+                state.unanswered =
+                    state.unanswered.filter(|call| call.count != count).and_then(|call| {
                         let last_execution = call.sent_at + LATE_EXECUTION;
-                        let superseded =
-                            UnansweredCall { retry_at: last_execution, is_superseded: true, ..call };
+                        let superseded = UnansweredCall {
+                            retry_at: last_execution,
+                            is_superseded: true,
+                            ..call
+                        };
                         (last_execution > now).then_some(superseded)
-                    },
-                );
+                    });
             }
             Outcome::Refused => {
                 state.ordered = previous.max(state.live);
@@ -310,13 +313,8 @@
                 state.expect_effect(boot_time, now);
                 let retries = state.unanswered.map_or(0, |call| call.retries + 1);
                 let retry_at = now + RETRY_BACKOFF * (1 << retries.min(MAX_DOUBLINGS));
-                let call = UnansweredCall {
-                    count,
-                    sent_at: now,
-                    retry_at,
-                    retries,
-                    is_superseded: false,
-                };
+                let call =
+                    UnansweredCall { count, sent_at: now, retry_at, retries, is_superseded: false };
                 state.unanswered = Some(call);
             }
         }
--- a/crates/scale/src/planner.rs
+++ b/crates/scale/src/planner.rs
@@ -149,6 +149,11 @@
         self.ledger.record()
     }
 
+    /// Returns the number of regular targets that were present before the first order.
+    pub fn total_present(&self) -> u32 {
+        self.ledger.total_present()
+    }
+
     /// Records that an order is about to be sent.
     pub fn begin(&mut self, order: &PlannedOrder) {
         self.ledger.begin(&order.subject, order.count);
@@ -208,7 +213,8 @@
 
     /// Takes the live targets into account and returns what they are worth.
     fn update(&mut self, service: &ServiceSnapshot, now: Instant) -> Worth {
-        let elapsed = self.updated_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let elapsed =
+            self.updated_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         self.updated_at = Some(now);
         let mut live: BTreeMap<Subject, u32> = BTreeMap::new();
         let ready: Vec<_> = service.targets.iter().filter(|t| t.is_ready).cloned().collect();
@@ -289,11 +295,8 @@
             let spot =
                 self.ledger.total_spot(now) + added_spot.map(|(_, added)| added).sum::<u32>();
             let has_spot = service.scaling.spot_price_ratio.is_some() && spot < max_spot;
-            let kinds: &[SpotKind] = if has_spot {
-                &[SpotKind::Spot, SpotKind::Regular]
-            } else {
-                &[SpotKind::Regular]
-            };
+            let kinds: &[SpotKind] =
+                if has_spot { &[SpotKind::Spot, SpotKind::Regular] } else { &[SpotKind::Regular] };
             let mut candidates = Vec::new();
             for data_centre in &names {
                 if both(data_centre) >= service.scaling.max_targets {
--- a/crates/scale/tests/planner.rs
+++ b/crates/scale/tests/planner.rs
@@ -40,12 +40,8 @@
             data_centre_prices: prices.map(|(name, price)| (name.to_owned(), price)).into(),
         };
         let targets = ["a", "b", "c"].into_iter().flat_map(|name| vec![target(name, false); 4]);
-        let service = ServiceSnapshot {
-            scaling,
-            slots: 6,
-            demands: Vec::new(),
-            targets: targets.collect(),
-        };
+        let service =
+            ServiceSnapshot { scaling, slots: 6, demands: Vec::new(), targets: targets.collect() };
         let now = Instant::now();
         Self { planner: planner(None, now), service, now, sent: Vec::new() }
     }
--- a/crates/swap/src/plan.rs
+++ b/crates/swap/src/plan.rs
@@ -27,6 +27,16 @@
     }
 }
 
+impl PlanOptions {
+    /// Returns the options for `count` engines, of which no more may load at once than of the
+    /// `initial` ones that there were before others were added.
+    pub fn for_added_targets(&self, initial: Option<usize>, count: usize) -> Self {
+        let ratio = initial.unwrap_or(count) as f64 / count.max(1) as f64;
+        let max_loading_fraction = self.max_loading_fraction * ratio.min(1.0);
+        Self { max_loading_fraction, ..self.clone() }
+    }
+}
+
 /// Planner input: weight versions and load of one engine.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineSnapshot {
--- a/crates/swap/src/weight_updater.rs
+++ b/crates/swap/src/weight_updater.rs
@@ -86,6 +86,8 @@
     engine_quotas: RefCell<HashMap<PoolName, Vec<usize>>>,
     /// Model that each engine is assigned to, from the last planning round.
     assigned_models: RefCell<HashMap<TargetId, ModelName>>,
+    /// Number of targets of each service before more were ordered.
+    initial_targets: RefCell<HashMap<PoolName, usize>>,
 }
 
 impl WeightUpdater {
@@ -111,6 +113,7 @@
             accepted_orders: RefCell::default(),
             engine_quotas: RefCell::default(),
             assigned_models: RefCell::default(),
+            initial_targets: RefCell::default(),
         };
         Self { inner: Rc::new(inner) }
     }
@@ -192,8 +195,10 @@
                     assigned_models.insert(snapshot.target.clone(), models[*model].name.clone());
                 }
             }
+            let initial = self.inner.initial_targets.borrow().get(&service.name).copied();
+            let plan_options = self.inner.options.plan.for_added_targets(initial, snapshots.len());
             for planned_load in
-                plan_loads_for_assignment(&snapshots, &models, &assigned, &self.inner.options.plan)
+                plan_loads_for_assignment(&snapshots, &models, &assigned, &plan_options)
             {
                 if let Some(target) = targets.iter().find(|target| target.id == planned_load.target)
                 {
@@ -205,6 +210,12 @@
         self.inner.assigned_models.replace(assigned_models);
     }
 
+    /// Sets the number of targets that a service had before more were ordered. The source of the
+    /// weights does not grow with added targets: more loads at once would slow each other down.
+    pub fn set_initial_targets(&self, service: PoolName, count: usize) {
+        self.inner.initial_targets.borrow_mut().insert(service, count);
+    }
+
     /// Returns the planner input for a model.
     fn model_snapshot(&self, name: &str) -> ModelSnapshot {
         ModelSnapshot {
--- a/crates/swap/tests/plan.rs
+++ b/crates/swap/tests/plan.rs
@@ -161,6 +161,16 @@
     assert_eq!(max_concurrent_loads(38, &PlanOptions::default()), 8);
 }
 
+/// Guards against loads that slow each other down after targets were ordered: the source of the
+/// weights does not grow with them.
+#[test]
+fn added_targets_do_not_raise_the_number_of_concurrent_loads() {
+    let options = PlanOptions::default();
+    let loads =
+        |initial, count| max_concurrent_loads(count, &options.for_added_targets(initial, count));
+    assert_eq!([loads(None, 60), loads(Some(38), 60), loads(Some(38), 30)], [12, 8, 6]);
+}
+
 /// A step waits for its longest texts, and a third of the engines is about a third slower. Those
 /// engines must go to the model with short texts.
 #[test]
