--- a/crates/scale/src/planner.rs
+++ b/crates/scale/src/planner.rs
@@ -295,8 +295,14 @@
             let spot =
                 self.ledger.total_spot(now) + added_spot.map(|(_, added)| added).sum::<u32>();
             let has_spot = service.scaling.spot_price_ratio.is_some() && spot < max_spot;
-            let kinds: &[SpotKind] =
-                if has_spot { &[SpotKind::Spot, SpotKind::Regular] } else { &[SpotKind::Regular] };
+            // The spare for a reclaim consists of spot targets only.
+            let is_spare = worth.total > needed - 1.0;
+            let kinds: &[SpotKind] = match (has_spot, is_spare) {
+                (true, true) => &[SpotKind::Spot],
+                (true, false) => &[SpotKind::Spot, SpotKind::Regular],
+                (false, true) => break,
+                (false, false) => &[SpotKind::Regular],
+            };
             let mut candidates = Vec::new();
             for data_centre in &names {
                 if both(data_centre) >= service.scaling.max_targets {
