--- a/crates/scale/src/ledger.rs
+++ b/crates/scale/src/ledger.rs
@@ -76,6 +76,8 @@
 /// Time for which targets have to be missing before they count as gone; entries of live targets may be
 /// absent for a few seconds after an outage of the object API.
 const MISSING_TIME: Duration = Duration::from_secs(5);
+/// Time for which regular targets have to be missing before they count as gone.
+const LOST_TIME: Duration = Duration::from_secs(60);
 /// Time after which a call without an answer is no longer expected to be executed.
 const LATE_EXECUTION: Duration = Duration::from_secs(15);
 /// First wait after a refusal.
@@ -178,11 +180,17 @@
                 state.appear_until = None;
                 state.refuse(REFUSAL_BACKOFF, now);
             }
-            let is_missing = state.short_since.is_some_and(|since| now >= since + MISSING_TIME);
-            if subject.kind == SpotKind::Spot && is_missing && !state.expects(now) {
-                // Reclaimed targets do not come back by themselves. A regular number is not lowered:
-                // a lost target may still count for the platform.
-                state.ordered = state.live;
+            let is_missing = |time| state.short_since.is_some_and(|since| now >= since + time);
+            // Reclaimed targets do not come back by themselves. A lost regular target may, and may still
+            // count for the platform, so that a lower order would take away another one.
+            let (missing_time, lowest) = match subject.kind {
+                SpotKind::Spot => (MISSING_TIME, 0),
+                SpotKind::Regular => {
+                    (LOST_TIME, self.present.get(&subject.data_centre).copied().unwrap_or(0))
+                }
+            };
+            if is_missing(missing_time) && !state.expects(now) {
+                state.ordered = state.live.max(lowest.min(state.ordered));
                 state.short_since = None;
             }
             if subject.kind == SpotKind::Regular && !self.has_ordered {
--- a/crates/scale/tests/planner.rs
+++ b/crates/scale/tests/planner.rs
@@ -240,6 +240,27 @@
     assert!(setup.total_ordered() >= 15);
 }
 
+/// Losses over a long time: the ordered numbers would grow to the maximum, although few targets are
+/// left, and nothing more could be ordered.
+#[test]
+fn lost_targets_do_not_use_up_the_maximum() {
+    let mut setup = Setup::start();
+    setup.service.scaling.spot_price_ratio = None;
+    setup.pass(Duration::from_secs(1), accept);
+    for _ in 0..40 {
+        setup.service.targets.remove(0);
+        setup.pass(Duration::from_secs(5), accept);
+        while let Some(order) = setup.sent.pop() {
+            let added = order.count.saturating_sub(order.previous);
+            let added = (0..added).map(|_| target(&order.subject.data_centre, false));
+            setup.service.targets.extend(added);
+        }
+        setup.pass(Duration::from_secs(70), accept);
+    }
+    assert!(setup.service.targets.len() >= 11, "{}", setup.service.targets.len());
+    assert!(setup.total_ordered() < 24, "{}", setup.total_ordered());
+}
+
 /// All slow: orders would go on without an end, although new targets may be as slow.
 #[test]
 fn growth_is_bounded_when_all_engines_are_slow() {
