--- a/bins/decknode/src/metrics.rs
+++ b/bins/decknode/src/metrics.rs
@@ -56,6 +56,8 @@
         "Reports of the use of the organisations that this node sent to the platform, by the reply.";
     USAGE_WINDOWS = "decknode_usage_windows_total", "counter", "windows", "complete",
         "Windows whose use this node has closed; `complete` is false if the counts of a node were missing.";
+    SCALING_ORDERS = "decknode_scaling_orders_total", "counter", "orders", "reason, outcome",
+        "Orders of a number of targets, by their reason and outcome.";
     LOAD_TIME = "decknode_load_seconds", "histogram", "seconds", "",
         "Time from an order to its target's report that it has the version.";
     ENGINES = "decknode_engines", "gauge", "targets", "model, versions_behind",
@@ -116,6 +118,7 @@
     orders: Counter<u64>,
     usage_reports: Counter<u64>,
     usage_windows: Counter<u64>,
+    scaling_orders: Counter<u64>,
     load_time: Histogram<f64>,
     engines: Gauge<u64>,
     newest_version: Gauge<u64>,
@@ -203,6 +206,7 @@
             orders: ORDERS.counter(meter),
             usage_reports: USAGE_REPORTS.counter(meter),
             usage_windows: USAGE_WINDOWS.counter(meter),
+            scaling_orders: SCALING_ORDERS.counter(meter),
             load_time: LOAD_TIME.latency_histogram(meter),
             engines: ENGINES.gauge(meter),
             newest_version: NEWEST_VERSION.gauge(meter),
@@ -268,6 +272,12 @@
         route.to_owned()
     }
 
+    /// Counts an order of a number of targets.
+    pub fn record_scaling_order(&self, reason: &'static str, outcome: &'static str) {
+        let labels = [KeyValue::new("reason", reason), KeyValue::new("outcome", outcome)];
+        self.instruments.scaling_orders.add(1, &labels);
+    }
+
     /// Updates the gauges from `state` and returns all metrics in the Prometheus text format.
     pub fn render(&self, state: &GaugeState<'_>) -> String {
         let view = state.view;
--- a/bins/decknode/tests/metrics.rs
+++ b/bins/decknode/tests/metrics.rs
@@ -42,6 +42,7 @@
         slots: 4,
         models: Vec::new(),
         started_at_ms: 0,
+        lifetime: Default::default(),
     };
     let targets: Vec<Target> = (0..versions.len()).map(target).collect();
     for (target, version) in targets.iter().zip(versions) {
@@ -59,6 +60,7 @@
     let metrics = NodeMetrics::new();
     let one_second = Duration::from_secs(1);
     let route = RequestPurpose::Route { kind: RouteKind::Streaming, name: "r".to_owned() };
+    metrics.record_scaling_order("demand", "accepted");
     metrics.record_request(&route, 503, Some(deck_core::error::ErrorKind::NoTarget), one_second);
     metrics.on_attempt_end(AttemptOutcome::Broken, Some(one_second));
     metrics.on_stream_resumption(ResumptionScope::Caller, ResumptionOutcome::VersionGone);
