Attribute texts to the process that wrote them, also when its start is learned of later

Cause: as for streams: a run kept the version of the entry that was known when it was sent, and compared processes only when the head of the answer arrived.

Change: at its end, a run compares with the present entry (FleetView::answering_version). A text that began with the run gets the version of the later process; a text with events of another or of an unknown version is discarded and generated again.

--- a/crates/batch/src/item_run.rs
+++ b/crates/batch/src/item_run.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use deck_core::{CancellationToken, id::WeightVersion};
+use deck_core::{CancellationToken, id::WeightVersion, wall_clock::unix_time_ms};
 use deck_fleet::{DispatchMetadata, ItemRunOutcome, ResponseMetadata, RunGuard, Target};
 use deck_net::{Body, ClientResponse, sse::may_be_event_stream};
 use http::{Method, Request, StatusCode};
@@ -74,6 +74,7 @@
     item_state.response_received.set(false);
     let migration_token = CancellationToken::new();
     item_state.migration_token.replace(migration_token.clone());
+    let sent_at_ms = unix_time_ms();
     let generation =
         migration_token.run_until_cancelled(generate_text(&runner, &job, &item_state, &target));
     let stop_token =
@@ -88,6 +89,7 @@
         }
     };
     drop(run_guard);
+    let outcome = attribute_text(&runner, &item_state, &target, sent_at_ms, start_event, outcome);
     let elapsed = started.elapsed();
     observer.on_item_run_end(outcome.as_observed_outcome(), elapsed);
     let ms = elapsed.as_millis();
@@ -141,6 +143,37 @@
     runner.wake.notify_one();
 }
 
+/// Attributes the events of a run to the software version of the process that wrote them. A later
+/// entry of the target may show that it had started again before the run was sent; a text with events
+/// of another or of an unknown version is discarded, and its run counts as broken.
+fn attribute_text(
+    runner: &RunnerState,
+    item_state: &ItemState,
+    target: &Target,
+    sent_at_ms: u64,
+    start_event: u64,
+    outcome: RunOutcome,
+) -> RunOutcome {
+    let mut progress = item_state.progress.borrow_mut();
+    if progress.last_event == start_event {
+        return outcome;
+    }
+    let id = &item_state.item.id;
+    match runner.deps.view.answering_version(target, sent_at_ms) {
+        Some(version) if version == target.software_version => outcome,
+        Some(version) if start_event == 0 => {
+            log::info!(target: "batch", "text is of another version item={id} target={} version={}", target.id, software_label(version.as_deref()));
+            progress.software_version = version;
+            outcome
+        }
+        _ => {
+            log::info!(target: "batch", "text discarded item={id} events={} version={} reason=restarted", progress.last_event, software_label(progress.software_version.as_deref()));
+            *progress = Progress::default();
+            RunOutcome::Broken("the engine had started again".to_owned())
+        }
+    }
+}
+
 /// Discards the text of an item that is about to run on `target`, unless the target's software version
 /// may continue it.
 pub(crate) fn discard_text_of_other_software(
--- a/crates/batch/tests/software_versions.rs
+++ b/crates/batch/tests/software_versions.rs
@@ -462,3 +462,26 @@
         assert!(text == whole_text("v1") || text == whole_text("v2"), "{text}");
     });
 }
+
+/// Pattern: the entry of the engine is older than its last start, and a new one arrives while the text
+/// is on its way. Guards against a text of two software versions: the new process had started long
+/// before the run was sent.
+#[test_case(AtPause::Break; "run breaks off")]
+#[test_case(AtPause::Complete; "run is complete")]
+fn text_of_an_engine_whose_earlier_restart_is_learned_of_later_is_not_joined(end: AtPause) {
+    run_async(async move {
+        let first = Engine::start("first", "v2", AtPause::Wait, PAUSE_AFTER);
+        let listed = Target { software_version: Some("v1".to_owned()), ..first.target.clone() };
+        let same = Engine::start("same", "v1", AtPause::Complete, PAUSE_AFTER);
+        let node = TestRunner::start(&MemoryObjects::default());
+        node.view.set_targets(vec![listed.clone()], Instant::now());
+        let (job, ..) = node.start_job("job", common::item("i")).await;
+        eventually("the text has begun", async || last_event(&job) == PAUSE_AFTER).await;
+        // A Unix time in milliseconds, far before the run.
+        let restarted = Target { started_at_ms: 1_000, ..first.target.clone() };
+        node.view.set_targets(vec![restarted, same.target.clone()], Instant::now());
+        first.set_at_pause(end);
+        let text = result_text(&job).await;
+        assert!(text == whole_text("v1") || text == whole_text("v2"), "{text}");
+    });
+}
