Show the age of the confirmed configuration, and refuse names that no header carries

Operators could not see how old the list of keys of a node is: the new gauge decknode_configuration_confirmed_age_seconds shows it. A configuration with an organisation's name that no header can carry is refused as a whole, as requests of that organisation would reach targets without its name.

--- a/bins/decknode/src/metrics.rs
+++ b/bins/decknode/src/metrics.rs
@@ -68,6 +68,8 @@
         "Version of the configuration in force.";
     KNOWLEDGE_AGE = "decknode_knowledge_age_seconds", "gauge", "seconds", "",
         "Age of what the node knows of configuration and targets.";
+    CONFIRMATION_AGE = "decknode_configuration_confirmed_age_seconds", "gauge", "seconds", "",
+        "Time since the configuration in force was last confirmed as the newest one; absent where keys need no confirmation.";
     TARGETS = "decknode_targets", "gauge", "targets", "",
         "Targets that the node knows.";
     LOOP_DELAY = "decknode_loop_delay_seconds", "histogram", "seconds", "",
@@ -118,6 +120,7 @@
     store_call_time: Histogram<f64>,
     configuration_version: Gauge<u64>,
     view_age: Gauge<f64>,
+    confirmation_age: Gauge<f64>,
     targets: Gauge<u64>,
     loop_delay: Histogram<f64>,
     resident_memory: Gauge<u64>,
@@ -203,6 +206,7 @@
             store_call_time: STORE_CALL_TIME.latency_histogram(meter),
             configuration_version: CONFIGURATION_VERSION.gauge(meter),
             view_age: KNOWLEDGE_AGE.seconds_gauge(meter),
+            confirmation_age: CONFIRMATION_AGE.seconds_gauge(meter),
             targets: TARGETS.gauge(meter),
             loop_delay: LOOP_DELAY.latency_histogram(meter),
             resident_memory: RESIDENT_MEMORY.gauge(meter),
@@ -269,6 +273,9 @@
         if let Some(age) = view.age(Instant::now()) {
             instruments.view_age.record(age.as_secs_f64(), &[]);
         }
+        if let Some(at) = view.configuration_confirmed_at() {
+            instruments.confirmation_age.record(at.elapsed().as_secs_f64(), &[]);
+        }
         instruments.targets.record(view.targets().len() as u64, &[]);
         instruments.open_jobs.record(state.open_jobs as u64, &[]);
         instruments.leads.record(u64::from(state.is_leader), &[]);
--- a/bins/decknode/tests/metrics.rs
+++ b/bins/decknode/tests/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use deck_core::CancellationToken;
+use deck_core::{CancellationToken, boot_clock::BootInstant};
 use deck_fleet::{
     AttemptOutcome, CallerLimits, ChunkFinder, Configuration, EngineRegistry, FleetView,
     ItemOutcome, ItemRunOutcome, JobEvent, Observer, ResumptionOutcome, ResumptionScope, RouteKind,
@@ -81,6 +81,7 @@
     });
     let engines = EngineRegistry::default();
     let view = view_with_engines(&engines, &[9, 9, 8, 2]);
+    view.confirm_configuration(4, BootInstant::now());
     let state = GaugeState { view: &view, engines: &engines, open_jobs: 2, is_leader: true };
     let text = metrics.render(&state);
     for row in METRICS {
--- a/crates/fleet/src/organisations.rs
+++ b/crates/fleet/src/organisations.rs
@@ -59,7 +59,7 @@
     ///
     /// # Errors
     ///
-    /// Names the entry of a duplicate name, an empty key or a key that two organisations have.
+    /// Names the entry of an unusable or duplicate name, an empty key or a key that two organisations have.
     pub fn new(entries: Vec<(Organisation, Vec<ApiKey>)>) -> Result<Self, String> {
         let mut organisations = Self::default();
         let mut names = HashSet::new();
@@ -68,6 +68,10 @@
             if name.is_empty() {
                 return Err("an organisation has no name".to_owned());
             }
+            // Targets receive the name in a header.
+            if name.chars().any(char::is_control) || name.trim() != name {
+                return Err(format!("no header can carry the name {name:?} of an organisation"));
+            }
             if !names.insert(name.clone()) {
                 return Err(format!("two organisations are named {name:?}"));
             }
