Reports of use: keep the counts when all nodes lose power, and when a clock jumps

Change: copies of a node's counts go to the holder of the lease and to one other node, and the holder stores the counts of open windows in the object with the reports, at most once in 0.8 s and only if they have changed. The time of the windows does not follow steps of the VM's clock that last less than a minute.

--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -19,7 +19,7 @@
 use deck_core::{CancellationToken, id::new_incarnation};
 use deck_duty::usage::{
     MAX_USAGE_MESSAGE_BYTES, ReporterOptions, USAGE_PATH, UsageExchange, UsageHolder,
-    UsageHolderDependencies, UsageMeter, new_source, wall_now,
+    UsageHolderDependencies, UsageMeter, new_source, process_clock,
 };
 use deck_fleet::{
     Bounds, Duty, EngineRegistry, FleetFeed, FleetFeedOptions, FleetView, NodeSettings,
@@ -397,10 +397,12 @@
         return None;
     }
     let options = ReporterOptions::new(window, settings.bounds.usage_delay, duty_api.calls_per_s);
-    let meter = UsageMeter::new(new_source(), move || Some(window), wall_now);
+    let meter = UsageMeter::new(new_source(), move || Some(window), process_clock());
     let feed = feed.clone();
+    let leader_feed = feed.clone();
     let nodes = Rc::new(move || feed.ranked_nodes());
-    let exchange = UsageExchange::new(meter, settings.peer_address, nodes, client.clone());
+    let leader = Rc::new(move || leader_feed.leader().map(|leader| leader.address));
+    let exchange = UsageExchange::new(meter, settings.peer_address, nodes, leader, client.clone());
     Some((exchange, duty_api.address, options))
 }
 
--- a/bins/decknode/tests/common/mod.rs
+++ b/bins/decknode/tests/common/mod.rs
@@ -141,6 +141,11 @@
         Self::start_with_options(entry_nodes, &[])
     }
 
+    /// Like [`Fleet::start`], without the processes of the nodes.
+    pub fn configured(entry_nodes: usize) -> Self {
+        Self::new(entry_nodes, false, &[])
+    }
+
     /// Like [`Fleet::start`], with options for the stand-in.
     pub fn start_with_options(entry_nodes: usize, options: &[&str]) -> Self {
         let mut fleet = Self::new(entry_nodes, false, options);
@@ -176,7 +181,7 @@
     }
 
     /// Starts the processes of all nodes.
-    fn start_nodes(&mut self) {
+    pub fn start_nodes(&mut self) {
         for index in 0..self.nodes.len() {
             self.start_node(index);
         }
--- a/bins/deckstandin/src/platform.rs
+++ b/bins/deckstandin/src/platform.rs
@@ -95,7 +95,9 @@
     history: RefCell<Vec<(u64, String, bool, Value)>>,
     /// Notified of each write.
     changed: Notify,
-    /// Requests and orders that the servers received, in order.
+    /// Highest fencing number of a report of use.
+    usage_fence: Cell<u64>,
+    /// Requests and orders that the servers received, and reports of use, in order.
     records: RefCell<Vec<Value>>,
     /// Addresses with which servers are listed instead of their own, by server id.
     advertised_addresses: RefCell<BTreeMap<String, String>>,
@@ -134,6 +136,7 @@
         revision: Cell::new(1),
         history: RefCell::default(),
         changed: Notify::new(),
+        usage_fence: Cell::new(0),
         records: RefCell::default(),
         advertised_addresses: RefCell::default(),
         options: options.clone(),
@@ -257,6 +260,22 @@
         })
     }
 
+    /// Takes a report of use, unless a higher fencing number was seen.
+    fn receive_usage(&self, call: &Call) -> Response<Body> {
+        let report: Value = match call.json() {
+            Ok(report) => report,
+            Err(response) => return response,
+        };
+        let fence = call.header("fencing-token").and_then(|fence| fence.parse().ok()).unwrap_or(0);
+        if fence < self.usage_fence.get() {
+            return json_response(409, &Value::Null);
+        }
+        self.usage_fence.set(fence);
+        self.record(json!({"usage": report["WindowId"], "counts": report["InstanceCounts"],
+                           "fence": fence, "holder": call.header("duty-holder")}));
+        json_response(200, &Value::Null)
+    }
+
     fn record(&self, record: Value) {
         self.records.borrow_mut().push(record);
     }
@@ -411,6 +430,7 @@
         ("PUT", ["v1", "objects", kind, name] | ["v1", "objects", kind, name, "status"]) => {
             state.write_or_delay(call, kind, Some(name)).await
         }
+        ("POST", ["usage"]) => state.receive_usage(&call),
         _ => not_found(&call),
     }
 }
--- a/crates/duty/src/usage/exchange.rs
+++ b/crates/duty/src/usage/exchange.rs
@@ -52,18 +52,22 @@
     own_address: SocketAddr,
     /// Returns the addresses of all nodes.
     nodes: Rc<dyn Fn() -> Vec<SocketAddr>>,
+    /// Returns the address of the node that holds the lease, if it is known.
+    leader: Rc<dyn Fn() -> Option<SocketAddr>>,
     client: Client,
 }
 
 impl UsageExchange {
-    /// Returns the exchange of the node at `own_address` with the nodes that `nodes` returns.
+    /// Returns the exchange of the node at `own_address` with the nodes that `nodes` returns, of which
+    /// the one that `leader` returns holds the lease.
     pub fn new(
         meter: UsageMeter,
         own_address: SocketAddr,
         nodes: Rc<dyn Fn() -> Vec<SocketAddr>>,
+        leader: Rc<dyn Fn() -> Option<SocketAddr>>,
         client: Client,
     ) -> Self {
-        Self { meter, own_address, nodes, client }
+        Self { meter, own_address, nodes, leader, client }
     }
 
     /// Returns the meter of this node.
@@ -128,9 +132,11 @@
         if nodes.is_empty() {
             return true;
         }
-        let own_name = self.own_address.to_string();
+        // The holder of the lease stores what it has; the others are the same ones each time.
+        let (own_name, leader) = (self.own_address.to_string(), (self.leader)());
         nodes.sort_by_cached_key(|node| {
-            std::cmp::Reverse(rendezvous_score(&own_name, &node.to_string()))
+            let score = rendezvous_score(&own_name, &node.to_string());
+            std::cmp::Reverse((leader == Some(*node), score))
         });
         let message = UsageMessage { counts, question: None };
         let mut accepted_count = 0;
--- a/crates/duty/src/usage/holder.rs
+++ b/crates/duty/src/usage/holder.rs
@@ -13,8 +13,8 @@
 use futures_util::{StreamExt, stream};
 
 use crate::usage::{
-    ReporterOptions, SendOutcome, Step, StoredReports, UsageExchange, UsageReporter, WindowNumber,
-    reporter::WindowCounts, wall_now,
+    ReporterOptions, SendOutcome, Situation, Step, StoredReports, UsageExchange, UsageReporter,
+    WallTime, WindowNumber, reporter::WindowCounts,
 };
 
 /// Kind and name of the object with the stored reports.
@@ -86,11 +86,17 @@
                 continue;
             }
             let nodes = self.deps.exchange.nodes();
-            let may_send = Instant::now() >= start;
-            match reporter.next_step(wall_now(), &nodes, may_send) {
+            let meter = self.deps.exchange.meter();
+            let situation = Situation {
+                now: self.now(),
+                nodes: &nodes,
+                may_send: Instant::now() >= start,
+                ledger_version: meter.ledger_version(),
+            };
+            match reporter.next_step(&situation) {
                 Step::Load => self.load(&mut reporter).await,
                 Step::Ask { from, nodes: asked } => {
-                    let started = wall_now();
+                    let started = self.now();
                     let answers = stream::iter(asked)
                         .map(|node| async move { (node, self.deps.exchange.ask(node, from).await) })
                         .buffer_unordered(MAX_CONCURRENT_QUESTIONS);
@@ -113,14 +119,20 @@
                         }
                         self.deps.observer.on_usage_window_closed(missing.is_empty());
                     }
-                    let meter = self.deps.exchange.meter();
                     let counts = windows.into_iter().map(|window| (window, meter.totals(window)));
-                    let (reports, revision) = reporter.reports_with(counts);
+                    let known_counts = meter.entries(0, false);
+                    let (reports, revision) =
+                        reporter.reports_with(counts, known_counts, &situation);
+                    self.store(&mut reporter, reports, revision).await;
+                }
+                Step::Copy => {
+                    let known_counts = meter.entries(0, false);
+                    let (reports, revision) = reporter.reports_with([], known_counts, &situation);
                     self.store(&mut reporter, reports, revision).await;
                 }
                 Step::Send(window) => {
                     let counts = reporter.stored_counts(window).cloned().unwrap_or_default();
-                    let started = wall_now();
+                    let started = self.now();
                     let outcome = self.send(token, window, &counts).await;
                     reporter.on_sent(window, outcome, started);
                 }
@@ -133,20 +145,26 @@
         }
     }
 
+    fn now(&self) -> WallTime {
+        self.deps.exchange.meter().now()
+    }
+
     /// Reads the stored reports.
     async fn load(&self, reporter: &mut UsageReporter) {
         match self.deps.store.get(REPORTS_KIND, REPORTS_NAME).await {
             Ok(None) => reporter.on_known(None, StoredReports::default()),
             Ok(Some(object)) => {
-                let reports = serde_json::from_value(object.value).unwrap_or_else(|error| {
-                    log::error!(target: "usage", "stored reports not readable, replaced error={error}");
-                    StoredReports::default()
-                });
+                let reports: StoredReports =
+                    serde_json::from_value(object.value).unwrap_or_else(|error| {
+                        log::error!(target: "usage", "stored reports not readable, replaced error={error}");
+                        StoredReports::default()
+                    });
+                self.deps.exchange.meter().merge(&reports.open);
                 reporter.on_known(Some(object.revision), reports);
             }
             Err(error) => {
                 log::info!(target: "usage", "reading the stored reports failed error={error}");
-                reporter.on_store_error(wall_now());
+                reporter.on_store_error(self.now());
             }
         }
     }
@@ -167,7 +185,7 @@
             Ok(revision) => reporter.on_known(Some(revision), reports),
             Err(error) => {
                 log::info!(target: "usage", "storing reports failed error={error}");
-                reporter.on_store_error(wall_now());
+                reporter.on_store_error(self.now());
             }
         }
     }
--- a/crates/duty/src/usage/ledger.rs
+++ b/crates/duty/src/usage/ledger.rs
@@ -50,13 +50,16 @@
         self.raise(window, source, organisation, current + 1);
     }
 
-    /// Takes over counts of another process, unless greater ones are known.
-    pub fn merge(&mut self, entries: &[SourceCounts]) {
+    /// Takes over counts of other processes, unless greater ones are known. Returns whether any count
+    /// was new.
+    pub fn merge(&mut self, entries: &[SourceCounts]) -> bool {
+        let mut is_changed = false;
         for entry in entries {
             for (organisation, count) in &entry.counts {
-                self.raise(entry.window, entry.source, organisation, *count);
+                is_changed |= self.raise(entry.window, entry.source, organisation, *count);
             }
         }
+        is_changed
     }
 
     fn count_of(&self, window: WindowNumber, source: SourceId, organisation: &str) -> u64 {
@@ -64,26 +67,33 @@
         counts.and_then(|counts| counts.get(organisation)).copied().unwrap_or(0)
     }
 
-    fn raise(&mut self, window: WindowNumber, source: SourceId, organisation: &str, count: u64) {
+    /// Sets a count unless a greater one is known. Returns whether it was set.
+    fn raise(
+        &mut self,
+        window: WindowNumber,
+        source: SourceId,
+        organisation: &str,
+        count: u64,
+    ) -> bool {
         let newest = self.windows.keys().next_back().copied().unwrap_or(window).max(window);
         let oldest_kept = newest.saturating_sub(MAX_WINDOWS as u64 - 1);
         if window < oldest_kept {
-            return;
+            return false;
         }
         self.windows = self.windows.split_off(&oldest_kept);
         let sources = self.windows.entry(window).or_default();
-        let known = sources.get(&source).is_some_and(|counts| counts.contains_key(organisation));
-        if !known && sources.values().map(BTreeMap::len).sum::<usize>() >= MAX_COUNTS_PER_WINDOW {
-            self.dropped_count += 1;
-            return;
+        let known = sources.get_mut(&source).and_then(|counts| counts.get_mut(organisation));
+        if let Some(known) = known {
+            let is_greater = count > *known;
+            *known = (*known).max(count);
+            return is_greater;
         }
-        let counts = sources.entry(source).or_default();
-        match counts.get_mut(organisation) {
-            Some(current) => *current = (*current).max(count),
-            None => {
-                counts.insert(organisation.to_owned(), count);
-            }
+        if sources.values().map(BTreeMap::len).sum::<usize>() >= MAX_COUNTS_PER_WINDOW {
+            self.dropped_count += 1;
+            return false;
         }
+        sources.entry(source).or_default().insert(organisation.to_owned(), count);
+        true
     }
 
     /// Returns the number of requests of each organisation in a window.
--- a/crates/duty/src/usage/meter.rs
+++ b/crates/duty/src/usage/meter.rs
@@ -43,6 +43,8 @@
     open_attempts: RefCell<BTreeMap<WindowNumber, u64>>,
     /// Number of counted requests.
     counted: Cell<u64>,
+    /// Grows with each change of the ledger.
+    ledger_version: Cell<u64>,
     /// First window with a count that no other node has yet; `None` if there is none.
     first_unshared: Cell<Option<WindowNumber>>,
     /// Notified when a request was counted.
@@ -63,6 +65,7 @@
             ledger: RefCell::default(),
             open_attempts: RefCell::default(),
             counted: Cell::new(0),
+            ledger_version: Cell::new(0),
             first_unshared: Cell::new(None),
             changed: Notify::new(),
         };
@@ -84,6 +87,11 @@
         Some(CountedAttempt { meter, organisation, sent_at, length, end: AttemptEnd::NotRun })
     }
 
+    /// Returns the current time.
+    pub fn now(&self) -> WallTime {
+        (self.inner.clock)()
+    }
+
     /// Returns the process that counts.
     pub fn source(&self) -> SourceId {
         self.inner.source
@@ -104,7 +112,14 @@
 
     /// Takes over counts of other processes.
     pub fn merge(&self, entries: &[SourceCounts]) {
-        self.inner.ledger.borrow_mut().merge(entries);
+        if self.inner.ledger.borrow_mut().merge(entries) {
+            self.inner.ledger_version.set(self.inner.ledger_version.get() + 1);
+        }
+    }
+
+    /// Returns a number that grows with each change of the counts.
+    pub fn ledger_version(&self) -> u64 {
+        self.inner.ledger_version.get()
     }
 
     /// Returns the counts of the window `from` and later ones; only this process's own if `own_only`.
@@ -135,6 +150,7 @@
         ledger.add(window, self.inner.source, &attempt.organisation);
         drop(ledger);
         self.inner.counted.set(self.inner.counted.get() + 1);
+        self.inner.ledger_version.set(self.inner.ledger_version.get() + 1);
         self.set_unshared(window);
     }
 
--- a/crates/duty/src/usage/mod.rs
+++ b/crates/duty/src/usage/mod.rs
@@ -4,30 +4,29 @@
 //! of those of a few others. The holder of the leader's lease collects the counts of a window, stores
 //! their sums and sends them; [`UsageReporter`] decides what it does next.
 
+mod clock;
 mod exchange;
 mod holder;
 mod ledger;
 mod meter;
 mod reporter;
 
+pub use clock::{SteadyClock, process_clock};
 pub use exchange::{MAX_USAGE_MESSAGE_BYTES, USAGE_PATH, UsageExchange};
 pub use holder::{UsageHolder, UsageHolderDependencies};
 pub use ledger::{SourceCounts, SourceId, UsageLedger, new_source};
 pub use meter::{AttemptEnd, CountedAttempt, UsageMeter};
-pub use reporter::{NodeAnswer, ReporterOptions, SendOutcome, Step, StoredReports, UsageReporter};
+pub use reporter::{
+    NodeAnswer, ReporterOptions, SendOutcome, Situation, Step, StoredReports, UsageReporter,
+};
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 /// Time since the start of 1970 on the node's clock.
 pub type WallTime = Duration;
 /// Number of a window: window k begins k times its length after the start of 1970.
 pub type WindowNumber = u64;
 
-/// Returns the time on the node's clock.
-pub fn wall_now() -> WallTime {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO)
-}
-
 /// Returns the window of length `length` that contains `at`.
 pub fn window_at(at: WallTime, length: Duration) -> WindowNumber {
     let number = at.as_micros() / length.as_micros().max(1);
--- a/crates/duty/src/usage/reporter.rs
+++ b/crates/duty/src/usage/reporter.rs
@@ -9,7 +9,13 @@
 use deck_core::id::{OrganisationId, Revision};
 use serde::{Deserialize, Serialize};
 
-use crate::usage::{WallTime, WindowNumber, ledger::MAX_WINDOWS, window_at, window_end};
+use crate::usage::{
+    SourceCounts, WallTime, WindowNumber, ledger::MAX_WINDOWS, window_at, window_end,
+};
+
+/// Maximum number of counts of open windows that are stored, about 100 KB. With more of them, only the
+/// other nodes have copies.
+const MAX_COPIED_COUNTS: usize = 3_000;
 
 /// Number of requests of each organisation in a window.
 pub type WindowCounts = BTreeMap<OrganisationId, u64>;
@@ -33,6 +39,8 @@
     pub retry_delay: Duration,
     /// Minimum time between the starts of two calls on the platform.
     pub call_interval: Duration,
+    /// Minimum time between two writes that store the counts of windows that are not closed yet.
+    pub copy_interval: Duration,
 }
 
 impl ReporterOptions {
@@ -49,6 +57,7 @@
             ask_interval: Duration::from_millis(800).min(delay / 8),
             retry_delay: min_interval.max(Duration::from_millis(400)),
             call_interval: min_interval.max(Duration::from_millis(100)),
+            copy_interval: Duration::from_millis(800).min(window / 4),
         }
     }
 }
@@ -61,6 +70,9 @@
     pub sent: Option<WindowNumber>,
     /// Counts by window. Invariant: once stored, the counts of a window never change.
     pub windows: BTreeMap<WindowNumber, WindowCounts>,
+    /// Counts of later windows as far as they were known, against the loss of many nodes at once.
+    #[serde(default)]
+    pub open: Vec<SourceCounts>,
 }
 
 impl StoredReports {
@@ -92,6 +104,19 @@
     Unknown,
 }
 
+/// What the next step depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct Situation<'a> {
+    /// Time on the node's clock.
+    pub now: WallTime,
+    /// All nodes that may have counts, this one included.
+    pub nodes: &'a [SocketAddr],
+    /// `false` while calls of the previous holder may still arrive at the platform.
+    pub may_send: bool,
+    /// Number that grows with each change of the counts that this node knows.
+    pub ledger_version: u64,
+}
+
 /// What the holder does next.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Step {
@@ -108,6 +133,8 @@
     Close(Vec<WindowNumber>),
     /// Send the stored report of a window.
     Send(WindowNumber),
+    /// Store the counts of windows that are not closed yet, by a conditional write.
+    Copy,
     /// Do nothing for this time.
     Wait(Duration),
     /// Make no further call under this lease.
@@ -124,7 +151,8 @@
 
 /// State of the holder of the lease. It begins anew with each lease.
 ///
-/// Load: one write and one call a window, and one small message to each node; if nodes, the object
+/// Load: one call a window, one write a second while there are new counts and one a window otherwise,
+/// and one small message a window to each node; if nodes, the object
 /// API or the platform do not answer, retries at fixed intervals until the window is too old.
 #[derive(Debug)]
 pub struct UsageReporter {
@@ -139,6 +167,9 @@
     last_round: Option<WallTime>,
     next_ask: WallTime,
     next_store_call: WallTime,
+    next_copy: WallTime,
+    /// Version of the ledger when its counts were last stored.
+    copied_version: u64,
     next_send: WallTime,
     fence_refused: bool,
 }
@@ -154,14 +185,16 @@
             last_round: None,
             next_ask: Duration::ZERO,
             next_store_call: Duration::ZERO,
+            next_copy: Duration::ZERO,
+            copied_version: 0,
             next_send: Duration::ZERO,
             fence_refused: false,
         }
     }
 
-    /// Returns the next step, given all nodes that may have counts, this one included. `may_send` is
-    /// `false` while calls of the previous holder may still arrive at the platform.
-    pub fn next_step(&self, now: WallTime, nodes: &[SocketAddr], may_send: bool) -> Step {
+    /// Returns the next step.
+    pub fn next_step(&self, situation: &Situation<'_>) -> Step {
+        let Situation { now, nodes, may_send, ledger_version } = *situation;
         if self.fence_refused {
             return Step::Stop;
         }
@@ -192,6 +225,12 @@
                 return Step::Ask { from: first, nodes };
             }
         }
+        if ledger_version != self.copied_version
+            && self.next_copy <= now
+            && self.next_store_call <= now
+        {
+            return Step::Copy;
+        }
         Step::Wait(self.options.call_interval)
     }
 
@@ -241,11 +280,16 @@
     }
 
     /// Returns the stored reports with the counts of further windows, and the revision that they
-    /// replace.
+    /// replace. `known_counts` are all counts that this node knows; those of windows that stay open
+    /// are stored too, unless they are too many.
     pub fn reports_with(
-        &self,
+        &mut self,
         counts: impl IntoIterator<Item = (WindowNumber, WindowCounts)>,
+        known_counts: Vec<SourceCounts>,
+        situation: &Situation<'_>,
     ) -> (StoredReports, Option<Revision>) {
+        self.copied_version = situation.ledger_version;
+        self.next_copy = situation.now + self.options.copy_interval;
         let KnownReports { revision, mut reports } = self.known.clone().unwrap_or_default();
         let (sent, last_closed) = (self.sent.max(reports.sent), reports.last_closed());
         reports.sent = sent;
@@ -255,6 +299,12 @@
         while reports.windows.len() > MAX_WINDOWS {
             reports.windows.pop_first();
         }
+        let last_closed = reports.last_closed();
+        reports.open = known_counts;
+        reports.open.retain(|entry| Some(entry.window) > last_closed);
+        if reports.open.iter().map(|entry| entry.counts.len()).sum::<usize>() > MAX_COPIED_COUNTS {
+            reports.open.clear();
+        }
         (reports, revision)
     }
 
@@ -271,6 +321,7 @@
     /// A read or write of the stored reports has failed, or its outcome is not known.
     pub fn on_store_error(&mut self, now: WallTime) {
         self.known = None;
+        self.copied_version = 0;
         self.next_store_call = now + self.options.retry_delay;
     }
 
--- a/crates/duty/tests/meter.rs
+++ b/crates/duty/tests/meter.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
 
-use deck_duty::usage::{AttemptEnd, SourceCounts, UsageLedger, UsageMeter};
+use deck_duty::usage::{AttemptEnd, SourceCounts, SteadyClock, UsageLedger, UsageMeter};
 
 const WINDOW: Duration = Duration::from_secs(5);
 
@@ -68,3 +68,21 @@
     assert_eq!(ledger.totals(99).len(), 50_000);
     assert!(ledger.dropped_count() > 0);
 }
+
+/// A clock that jumps for a while moves requests into other windows, or one that was set is never
+/// followed.
+#[test]
+fn steps_of_the_clock_are_followed_only_if_they_last() {
+    let seconds = Duration::from_secs;
+    let clock = SteadyClock::new(seconds(1000));
+    let drifted = seconds(1001) + Duration::from_millis(20);
+    assert_eq!(clock.now(drifted, seconds(1)), drifted);
+    for since_start in 2..12 {
+        let stepped = drifted + seconds(since_start - 1 + 3);
+        assert_eq!(clock.now(stepped, seconds(since_start)), stepped - seconds(3));
+    }
+    assert_eq!(clock.now(seconds(1012), seconds(12)), seconds(1012));
+    assert_eq!(clock.now(seconds(998), seconds(13)), seconds(1013));
+    assert_eq!(clock.now(seconds(1058), seconds(73)), seconds(1058));
+    assert_eq!(clock.now(seconds(1059), seconds(74)), seconds(1059));
+}
--- a/crates/duty/tests/reporter.rs
+++ b/crates/duty/tests/reporter.rs
@@ -9,8 +9,8 @@
 };
 
 use deck_duty::usage::{
-    AttemptEnd, NodeAnswer, ReporterOptions, SendOutcome, Step, StoredReports, UsageMeter,
-    UsageReporter, WindowNumber,
+    AttemptEnd, NodeAnswer, ReporterOptions, SendOutcome, Situation, SourceCounts, Step,
+    StoredReports, UsageMeter, UsageReporter, WindowNumber,
 };
 
 const WINDOW: Duration = Duration::from_secs(5);
@@ -38,9 +38,14 @@
     BTreeMap::from([("o".to_owned(), total)])
 }
 
+/// Returns the next step at `now` if no count has changed.
+fn next_step(reporter: &UsageReporter, now: Duration, may_send: bool) -> Step {
+    reporter.next_step(&Situation { now, nodes: &nodes(), may_send, ledger_version: 0 })
+}
+
 fn loaded_reporter() -> UsageReporter {
     let mut reporter = UsageReporter::new(options());
-    assert_eq!(reporter.next_step(after_end(0.0), &nodes(), true), Step::Load);
+    assert_eq!(next_step(&reporter, after_end(0.0), true), Step::Load);
     reporter.on_known(Some(1), earlier_reports());
     reporter
 }
@@ -53,9 +58,20 @@
     reporter.on_round_end(at, &nodes());
 }
 
+/// Returns the stored reports with the first window closed with `total` requests.
+fn closed(
+    reporter: &mut UsageReporter,
+    total: u64,
+    known: Vec<SourceCounts>,
+) -> (StoredReports, Option<u64>) {
+    let now = after_end(1.0);
+    let situation = Situation { now, nodes: &nodes(), may_send: true, ledger_version: 7 };
+    reporter.reports_with([(FIRST_WINDOW, counts(total))], known, &situation)
+}
+
 /// Closes the first window with `total` requests.
 fn close(reporter: &mut UsageReporter, total: u64) {
-    let (reports, revision) = reporter.reports_with([(FIRST_WINDOW, counts(total))]);
+    let (reports, revision) = closed(reporter, total, Vec::new());
     reporter.on_known(revision.map(|revision| revision + 1), reports);
 }
 
@@ -64,13 +80,13 @@
 fn waits_for_missing_node_until_shortly_before_report_is_due() {
     let mut reporter = loaded_reporter();
     let ask = Step::Ask { from: FIRST_WINDOW, nodes: nodes() };
-    assert_eq!(reporter.next_step(after_end(0.5), &nodes(), true), ask);
+    assert_eq!(next_step(&reporter, after_end(0.5), true), ask);
     end_round(&mut reporter, after_end(0.5), &nodes()[..2]);
     let ask_again = Step::Ask { from: FIRST_WINDOW, nodes: nodes()[2..].to_vec() };
-    assert_eq!(reporter.next_step(after_end(1.5), &nodes(), true), ask_again);
+    assert_eq!(next_step(&reporter, after_end(1.5), true), ask_again);
     end_round(&mut reporter, after_end(6.0), &[]);
-    assert!(matches!(reporter.next_step(after_end(6.1), &nodes(), true), Step::Wait(_)));
-    let step = reporter.next_step(after_end(6.6), &nodes(), true);
+    assert!(matches!(next_step(&reporter, after_end(6.1), true), Step::Wait(_)));
+    let step = next_step(&reporter, after_end(6.6), true);
     assert_eq!(step, Step::Close(vec![FIRST_WINDOW]));
     assert_eq!(reporter.incomplete_nodes(FIRST_WINDOW, &nodes()), nodes()[2..]);
 }
@@ -81,24 +97,44 @@
     let mut reporter = loaded_reporter();
     end_round(&mut reporter, after_end(0.5), &nodes());
     let close_step = Step::Close(vec![FIRST_WINDOW]);
-    assert_eq!(reporter.next_step(after_end(0.6), &nodes(), true), close_step);
+    assert_eq!(next_step(&reporter, after_end(0.6), true), close_step);
     reporter.on_store_error(after_end(0.6));
-    assert!(matches!(reporter.next_step(after_end(0.7), &nodes(), true), Step::Wait(_)));
-    assert_eq!(reporter.next_step(after_end(1.1), &nodes(), true), Step::Load);
+    assert!(matches!(next_step(&reporter, after_end(0.7), true), Step::Wait(_)));
+    assert_eq!(next_step(&reporter, after_end(1.1), true), Step::Load);
     // The write took effect although its response was lost.
     let windows = BTreeMap::from([(FIRST_WINDOW, counts(3))]);
     reporter.on_known(Some(2), StoredReports { windows, ..earlier_reports() });
-    assert!(!matches!(reporter.next_step(after_end(1.1), &nodes(), false), Step::Send(_)));
+    assert!(!matches!(next_step(&reporter, after_end(1.1), false), Step::Send(_)));
     for outcome in [SendOutcome::Unknown, SendOutcome::Accepted] {
-        assert_eq!(reporter.next_step(after_end(3.0), &nodes(), true), Step::Send(FIRST_WINDOW));
+        assert_eq!(next_step(&reporter, after_end(3.0), true), Step::Send(FIRST_WINDOW));
         assert_eq!(reporter.stored_counts(FIRST_WINDOW), Some(&counts(3)));
         reporter.on_sent(FIRST_WINDOW, outcome, after_end(2.0));
     }
-    assert!(matches!(reporter.next_step(after_end(3.0), &nodes(), true), Step::Wait(_)));
-    let (reports, _) = reporter.reports_with([(FIRST_WINDOW, counts(9))]);
+    assert!(matches!(next_step(&reporter, after_end(3.0), true), Step::Wait(_)));
+    let (reports, _) = closed(&mut reporter, 9, Vec::new());
     assert_eq!(reports, StoredReports { sent: Some(FIRST_WINDOW), ..StoredReports::default() });
 }
 
+/// All counts of the current windows are lost with all nodes, or are stored without an end.
+#[test]
+fn stores_new_counts_of_open_windows_at_bounded_intervals() {
+    let mut reporter = loaded_reporter();
+    end_round(&mut reporter, after_end(0.5), &nodes());
+    let known = |window| SourceCounts { window, source: 1, counts: counts(2) };
+    let (reports, revision) =
+        closed(&mut reporter, 2, vec![known(FIRST_WINDOW), known(FIRST_WINDOW + 1)]);
+    assert_eq!(reports.open, [known(FIRST_WINDOW + 1)]);
+    reporter.on_known(revision, reports);
+    reporter.on_sent(FIRST_WINDOW, SendOutcome::Accepted, after_end(1.0));
+    let step = |seconds, ledger_version| {
+        let now = after_end(seconds);
+        reporter.next_step(&Situation { now, nodes: &nodes(), may_send: true, ledger_version })
+    };
+    assert!(matches!(step(1.5, 8), Step::Wait(_)));
+    assert!(matches!(step(2.0, 7), Step::Wait(_)));
+    assert_eq!(step(2.0, 8), Step::Copy);
+}
+
 /// A node that the platform has refused calls again with the same fencing number.
 #[test]
 fn stops_after_later_holder_was_seen() {
@@ -107,7 +143,7 @@
     close(&mut reporter, 1);
     reporter.on_sent(FIRST_WINDOW, SendOutcome::FenceRefused, after_end(1.0));
     for seconds in [1.0, 20.0] {
-        assert_eq!(reporter.next_step(after_end(seconds), &nodes(), true), Step::Stop);
+        assert_eq!(next_step(&reporter, after_end(seconds), true), Step::Stop);
     }
 }
 
@@ -116,17 +152,14 @@
 fn reports_windows_that_nobody_reported_while_counts_are_kept() {
     let reporter = loaded_reporter();
     let now = after_end(14.0);
-    assert!(matches!(
-        reporter.next_step(now, &nodes(), true),
-        Step::Ask { from: FIRST_WINDOW, .. }
-    ));
+    assert!(matches!(next_step(&reporter, now, true), Step::Ask { from: FIRST_WINDOW, .. }));
     let mut reporter = loaded_reporter();
     end_round(&mut reporter, now, &[]);
-    let step = reporter.next_step(now, &nodes(), true);
+    let step = next_step(&reporter, now, true);
     assert_eq!(step, Step::Close(vec![FIRST_WINDOW, FIRST_WINDOW + 1]));
     let long_after = after_end(500.0);
     end_round(&mut reporter, long_after, &[]);
-    let Step::Close(windows) = reporter.next_step(long_after, &nodes(), true) else {
+    let Step::Close(windows) = next_step(&reporter, long_after, true) else {
         panic!("nothing is closed");
     };
     assert_eq!((windows.len(), windows[0]), (5, FIRST_WINDOW + 94));
@@ -190,24 +223,30 @@
     random: &mut Random,
     trouble: u64,
 ) {
-    match reporter.next_step(now, &nodes(), true) {
+    let (nodes, meter) = (nodes(), &meters[holder]);
+    let ledger_version = meter.ledger_version();
+    let situation = Situation { now, nodes: &nodes, may_send: true, ledger_version };
+    match reporter.next_step(&situation) {
         Step::Load if random.chance(trouble) => reporter.on_store_error(now),
         Step::Load => {
             let revision = (services.revision > 0).then_some(services.revision);
+            meter.merge(&services.stored.open);
             reporter.on_known(revision, services.stored.clone());
         }
         Step::Ask { from, nodes: asked } => {
             for node in asked.iter().filter(|_| !random.chance(trouble)) {
-                let meter = &meters[usize::from(node.port()) - 1];
-                let first_open = meter.first_open_window();
-                meters[holder].merge(&meter.entries(from, false));
+                let asked = &meters[usize::from(node.port()) - 1];
+                let first_open = asked.first_open_window();
+                meter.merge(&asked.entries(from, false));
                 reporter.on_answer(NodeAnswer { node: *node, first_open });
             }
-            reporter.on_round_end(now, &nodes());
+            reporter.on_round_end(now, &nodes);
         }
-        Step::Close(windows) => {
-            let counts = windows.into_iter().map(|window| (window, meters[holder].totals(window)));
-            let (reports, revision) = reporter.reports_with(counts);
+        step @ (Step::Close(_) | Step::Copy) => {
+            let windows = if let Step::Close(windows) = step { windows } else { Vec::new() };
+            let counts = windows.into_iter().map(|window| (window, meter.totals(window)));
+            let known = meter.entries(0, false);
+            let (reports, revision) = reporter.reports_with(counts, known, &situation);
             if random.chance(trouble) {
                 services.late_writes.push((reports, revision));
                 return reporter.on_store_error(now);
