decknode: tests with crowds of clients that misbehave

Clients that the operator does not control can end a node: bodies are read whole without a bound on their sum, decoding multiplies them, and connections take all descriptors. The tests play small crowds against one node with 64 MB and 500 descriptors.

--- a/bins/decknode/tests/common/mod.rs
+++ b/bins/decknode/tests/common/mod.rs
@@ -271,6 +271,13 @@
         }
     }
 
+    /// Returns the address of a node for other nodes, from its settings file.
+    pub fn peer_address(&self, index: usize) -> SocketAddr {
+        let settings = std::fs::read_to_string(&self.nodes[index].settings_file).expect("settings");
+        let line = settings.lines().find_map(|line| line.strip_prefix("Control = \""));
+        line.and_then(|line| line.strip_suffix('"')?.parse().ok()).expect("address")
+    }
+
     /// Replaces text in the settings file of a node, which may be running.
     pub fn change_setting(&self, index: usize, old: &str, new: &str) {
         let file = &self.nodes[index].settings_file;
--- /dev/null
+++ b/bins/decknode/tests/misbehaving_clients.rs
@@ -0,0 +1,344 @@
+//! Crowds of clients that misbehave, against one node with low limits: the process lives, its memory
+//! and descriptors stay within the settings, and ordinary callers are served while the crowd is open.
+
+use std::{
+    io::{ErrorKind, Read, Write},
+    net::{SocketAddr, TcpStream},
+    sync::{Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use deck_net::http::{Method, StatusCode};
+use deck_testkit::eventually;
+use nix::sys::resource::{Resource, getrlimit, setrlimit};
+
+mod common;
+
+use common::{Fleet, HOST, run};
+
+/// Memory of the node's VM.
+const MEMORY_MB: u64 = 64;
+/// Limit of the node's open descriptors.
+const MAX_DESCRIPTORS: u64 = 500;
+/// Body of a size that the configuration allows; the limit is 1 MiB.
+const BODY_BYTES: usize = 1_000_000;
+/// Number of clients that send bodies.
+const BODY_CLIENTS: usize = 120;
+/// Number of clients that hold connections; more than the node may have descriptors.
+const CONNECTION_CLIENTS: usize = 700;
+/// Descriptors that this process needs for its crowds.
+const MIN_OWN_DESCRIPTORS: u64 = 1500;
+/// Time without progress of any client after which a crowd has sent what it can.
+const STANDSTILL: Duration = Duration::from_millis(500);
+/// Maximum time for which a crowd sends.
+const MAX_SENDING_TIME: Duration = Duration::from_secs(10);
+
+/// Holds the tests apart: a crowd takes memory and time of the whole machine.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// Place at which a crowd arrives.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    address: SocketAddr,
+    method: &'static str,
+    path: &'static str,
+}
+
+/// Client of a crowd, whose connection stays open until it is dropped.
+struct CrowdClient {
+    /// `None` after the node has closed the connection.
+    stream: Option<TcpStream>,
+    /// Bytes to send, and how many of them have been sent.
+    bytes: Vec<u8>,
+    sent_bytes: usize,
+}
+
+/// Starts one node with low limits, and its platform.
+async fn start_node() -> Fleet {
+    let mut fleet = Fleet::start(1);
+    fleet.nodes[0].process.take().expect("process").kill();
+    let limits = format!("[Limits]\nMemoryMb = {MEMORY_MB}\nMaxFds = {MAX_DESCRIPTORS}\n");
+    fleet.change_setting(0, "[Platform]", &format!("{limits}[Platform]"));
+    // The node inherits the limit of this process.
+    let (soft_limit, hard_limit) = getrlimit(Resource::RLIMIT_NOFILE).expect("limit");
+    setrlimit(Resource::RLIMIT_NOFILE, MAX_DESCRIPTORS, hard_limit).expect("limit");
+    fleet.start_node(0);
+    setrlimit(Resource::RLIMIT_NOFILE, soft_limit.max(MIN_OWN_DESCRIPTORS), hard_limit)
+        .expect("limit");
+    fleet.wait_until_ready().await;
+    assert_serves(&fleet, "before any crowd").await;
+    fleet
+}
+
+fn node_id(fleet: &Fleet) -> u32 {
+    fleet.nodes[0].process.as_ref().expect("process").id()
+}
+
+/// Returns the places of a node: a route, a path without a route, calls of batch jobs, readiness,
+/// metrics, and the address for other nodes.
+fn places(fleet: &Fleet) -> Vec<Place> {
+    let (callers, ready) = (fleet.nodes[0].caller_address, fleet.nodes[0].readiness_address);
+    let peers = fleet.peer_address(0);
+    let place = |address, method, path| Place { address, method, path };
+    vec![
+        place(callers, "POST", "/plain/x"),
+        place(callers, "POST", "/nowhere"),
+        place(callers, "POST", "/jobs/crowd"),
+        place(callers, "GET", "/v1/lots/crowd"),
+        place(callers, "GET", "/v1/readyz"),
+        place(ready, "GET", "/v1/readyz"),
+        place(ready, "GET", "/metrics"),
+        place(peers, "POST", "/peer/nowhere"),
+        place(peers, "POST", deck_fleet::crash_registry::CRASHES_PATH),
+        place(peers, "POST", deck_plat::relay::RELAY_PATH),
+    ]
+}
+
+/// Returns a request head without the empty line at its end.
+fn head(place: Place, headers: &str) -> String {
+    let id = deck_core::id::random_id();
+    let Place { method, path, .. } = place;
+    format!("{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\n{headers}")
+}
+
+/// Returns a request with `Content-Length` without the last `missing_bytes` of its body.
+fn request(place: Place, body: &[u8], missing_bytes: usize) -> Vec<u8> {
+    let head = head(place, &format!("Content-Length: {}\r\n\r\n", body.len()));
+    [head.as_bytes(), &body[..body.len() - missing_bytes]].concat()
+}
+
+/// Returns a request in chunks without the end of its body.
+fn chunked_request(place: Place, body_bytes: usize, headers: &str) -> Vec<u8> {
+    let mut request =
+        head(place, &format!("Transfer-Encoding: chunked\r\n{headers}\r\n")).into_bytes();
+    let chunk = format!("3e8\r\n{}\r\n", "x".repeat(1000));
+    for _ in 0..body_bytes / 1000 {
+        request.extend_from_slice(chunk.as_bytes());
+    }
+    request
+}
+
+/// Connects the clients of a crowd.
+fn connect(place: Place, count: usize, bytes: impl Fn(usize) -> Vec<u8>) -> Vec<CrowdClient> {
+    let client = |index| {
+        let stream = TcpStream::connect_timeout(&place.address, Duration::from_secs(3)).ok();
+        let stream = stream.filter(|stream| stream.set_nonblocking(true).is_ok());
+        CrowdClient { stream, bytes: bytes(index), sent_bytes: 0 }
+    };
+    (0..count).map(client).collect()
+}
+
+/// Sends the bytes of all clients in turn, at most `piece_bytes` at a time with `pause` after each
+/// turn, until no client makes progress.
+fn send_all(clients: &mut [CrowdClient], piece_bytes: usize, pause: Duration) {
+    let (started_at, mut progress_at) = (Instant::now(), Instant::now());
+    while progress_at.elapsed() < STANDSTILL && started_at.elapsed() < MAX_SENDING_TIME {
+        for client in clients.iter_mut() {
+            let Some(stream) = &mut client.stream else { continue };
+            let rest = &client.bytes[client.sent_bytes..];
+            match stream.write(&rest[..rest.len().min(piece_bytes)]) {
+                Ok(0) => {}
+                Ok(count) => {
+                    client.sent_bytes += count;
+                    progress_at = Instant::now();
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => client.stream = None,
+            }
+        }
+        std::thread::sleep(pause.max(Duration::from_micros(100)));
+    }
+}
+
+/// Returns a value in kB from the status of the node's process.
+fn memory_kb(fleet: &Fleet, field: &str) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", node_id(fleet)));
+    let status = status.expect("status of the node");
+    let line = status.lines().find(|line| line.starts_with(field)).expect("field");
+    line.split_whitespace().nth(1).and_then(|value| value.parse().ok()).expect("value")
+}
+
+/// Checks that the node lives within its limits.
+fn assert_within_limits(fleet: &mut Fleet, crowd: &str) {
+    let status = fleet.nodes[0].process.as_mut().expect("process").try_wait();
+    assert_eq!(status, None, "the node ended: {crowd}");
+    let directory = format!("/proc/{}/fd", node_id(fleet));
+    let descriptors = std::fs::read_dir(directory).expect("descriptors").count() as u64;
+    let peak_kb = memory_kb(fleet, "VmHWM");
+    println!("{crowd}: peak {peak_kb} kB, {descriptors} descriptors");
+    assert!(peak_kb < MEMORY_MB * 1024, "{crowd}: peak {peak_kb} kB");
+    // With fewer free descriptors, the node cannot make its own calls.
+    assert!(descriptors < MAX_DESCRIPTORS, "{crowd}: {descriptors} descriptors");
+}
+
+/// Checks that the node answers an ordinary request and says that it is ready.
+async fn assert_serves(fleet: &Fleet, crowd: &str) {
+    let node = &fleet.nodes[0];
+    eventually(&format!("an ordinary request is answered: {crowd}"), async || {
+        let id = deck_core::id::random_id();
+        let headers = [("Request-Id", id.as_str())];
+        let (address, body) = (node.caller_address, b"body".to_vec());
+        let answer = fleet.call(address, Method::POST, "/plain/x", &headers, body).await;
+        matches!(answer, Ok((StatusCode::OK, _)))
+    })
+    .await;
+    eventually(&format!("the node is ready: {crowd}"), async || {
+        let (address, path) = (node.readiness_address, "/v1/readyz");
+        let answer = fleet.call(address, Method::GET, path, &[], Vec::new()).await;
+        matches!(answer, Ok((StatusCode::OK, _)))
+    })
+    .await;
+}
+
+/// Runs a crowd at each place; `bytes` returns what each client sends.
+fn run_crowd(
+    count: usize,
+    piece_bytes: usize,
+    pause: Duration,
+    bytes: impl Fn(Place, usize) -> Vec<u8>,
+) {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    run(async {
+        let mut fleet = start_node().await;
+        for place in places(&fleet) {
+            let crowd = format!("{place:?}");
+            let mut clients = connect(place, count, |index| bytes(place, index));
+            send_all(&mut clients, piece_bytes, pause);
+            assert_within_limits(&mut fleet, &crowd);
+            assert_serves(&fleet, &crowd).await;
+            assert_within_limits(&mut fleet, &crowd);
+            drop(clients);
+        }
+        assert_serves(&fleet, "after the crowds").await;
+    });
+}
+
+/// Guards against bodies of legal size, each one byte short of its end, that together exceed the
+/// memory.
+#[test]
+fn bodies_that_stop_short_of_their_end_stay_within_memory() {
+    let body = vec![b'x'; BODY_BYTES];
+    run_crowd(BODY_CLIENTS, usize::MAX, Duration::ZERO, |place, _| request(place, &body, 1));
+}
+
+/// Guards against unfinished bodies that arrive in small pieces, where each piece costs memory.
+#[test]
+fn bodies_in_small_pieces_stay_within_memory() {
+    let body = vec![b'x'; BODY_BYTES];
+    run_crowd(BODY_CLIENTS, 2000, Duration::ZERO, |place, _| request(place, &body, 1));
+}
+
+/// Guards against unfinished bodies in chunks, whose length is not known.
+#[test]
+fn bodies_in_chunks_stay_within_memory() {
+    run_crowd(BODY_CLIENTS, usize::MAX, Duration::ZERO, |place, _| {
+        chunked_request(place, BODY_BYTES, "")
+    });
+}
+
+/// Guards against complete bodies of legal size that arrive at the same time.
+#[test]
+fn complete_bodies_at_once_stay_within_memory() {
+    let body = vec![b'x'; BODY_BYTES];
+    run_crowd(BODY_CLIENTS, usize::MAX, Duration::ZERO, |place, _| request(place, &body, 0));
+}
+
+/// Guards against bodies above the limit: with a length, with a length to be confirmed, in chunks.
+#[test]
+fn bodies_above_the_limit_stay_within_memory() {
+    let body = vec![b'x'; 3 * BODY_BYTES];
+    run_crowd(BODY_CLIENTS, usize::MAX, Duration::ZERO, |place, index| match index % 3 {
+        0 => request(place, &body, 1),
+        1 => {
+            let head = head(place, "Expect: 100-continue\r\nContent-Length: 100000000\r\n\r\n");
+            [head.as_bytes(), &body].concat()
+        }
+        _ => chunked_request(place, 3 * BODY_BYTES, ""),
+    });
+}
+
+/// Guards against heads of legal size with very many fields.
+#[test]
+fn heads_of_many_short_fields_stay_within_memory() {
+    let fields: String = (0..2000).map(|index| format!("{index:x}:\r\n")).collect();
+    run_crowd(BODY_CLIENTS, usize::MAX, Duration::ZERO, |place, index| {
+        // Half of the heads lack their end.
+        let end = if index % 2 == 0 { "Content-Length: 0\r\n\r\n" } else { "" };
+        head(place, &format!("{fields}{end}")).into_bytes()
+    });
+}
+
+/// Guards against bodies of legal size that take far more memory when they are decoded.
+#[test]
+fn bodies_of_many_short_fields_stay_within_memory() {
+    let count = BODY_BYTES / 8 - 100;
+    let objects = format!("{{\"Items\":[{}0]}}", "{\"a\":0},".repeat(count));
+    let lists = format!("{{\"Items\":[{}0]}}", "[[[0]]],".repeat(count));
+    run_crowd(8, usize::MAX, Duration::ZERO, |place, index| {
+        request(place, if index % 2 == 0 { &objects } else { &lists }.as_bytes(), 0)
+    });
+}
+
+/// Guards against requests sent ahead on one connection whose answers are not read.
+#[test]
+fn requests_sent_ahead_stay_within_memory() {
+    run_crowd(30, usize::MAX, Duration::ZERO, |place, _| {
+        let one = request(Place { method: "GET", ..place }, b"", 0);
+        one.repeat(500_000 / one.len())
+    });
+}
+
+/// Guards against connections without a whole request head that take all descriptors.
+#[test]
+fn half_heads_leave_descriptors_for_callers() {
+    run_crowd(CONNECTION_CLIENTS, usize::MAX, Duration::ZERO, |place, index| {
+        if index % 3 == 0 { Vec::new() } else { head(place, "").into_bytes() }
+    });
+}
+
+/// Guards against connections with half a body that take all descriptors.
+#[test]
+fn half_bodies_leave_descriptors_for_callers() {
+    run_crowd(CONNECTION_CLIENTS, usize::MAX, Duration::ZERO, |place, _| {
+        request(place, &[b'x'; 100], 50)
+    });
+}
+
+/// Guards against connections that send a byte now and then and never finish a request.
+#[test]
+fn slow_senders_leave_descriptors_for_callers() {
+    run_crowd(CONNECTION_CLIENTS, 1, Duration::from_millis(50), |place, index| {
+        let rest = if index % 2 == 0 { head(place, "") } else { String::new() };
+        let request = request(place, &[b'x'; 4000], 0);
+        if rest.is_empty() { request } else { rest.into_bytes() }
+    });
+}
+
+/// Guards against answers of which a byte is read now and then, or nothing.
+#[test]
+fn slow_readers_leave_descriptors_for_callers() {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    run(async {
+        let mut fleet = start_node().await;
+        for place in places(&fleet) {
+            let crowd = format!("{place:?}");
+            let mut clients = connect(place, CONNECTION_CLIENTS, |_| {
+                let place = Place { method: "GET", ..place };
+                request(place, b"", 0).repeat(20)
+            });
+            send_all(&mut clients, usize::MAX, Duration::ZERO);
+            for _ in 0..20 {
+                for client in clients.iter_mut().step_by(2) {
+                    if let Some(stream) = &mut client.stream {
+                        let _ = stream.read(&mut [0; 1]);
+                    }
+                }
+                std::thread::sleep(Duration::from_millis(50));
+            }
+            assert_within_limits(&mut fleet, &crowd);
+            assert_serves(&fleet, &crowd).await;
+            assert_within_limits(&mut fleet, &crowd);
+        }
+        assert_serves(&fleet, "after the crowds").await;
+    });
+}
