Keep nodes within their memory and descriptors when clients misbehave

Callers that the operator does not control could end a node: bodies of legal size were held without a bound on their sum, decoding a job of short fields took a hundred times its size, and connections without a request took all descriptors, so that ordinary callers got no answer.

All servers of a node share one account of memory, and each has its part of the descriptors. The ledger, tested without a network, closes those with the least progress first and refuses what does not fit (503, 408 or 413, not run). Heads, bodies and unread answers have times. The idle connections of the node's own calls give way to those of callers.

--- a/bins/deckentry/src/settings.rs
+++ b/bins/deckentry/src/settings.rs
@@ -220,6 +220,7 @@
         max_head_bytes: limits.integer("max_head_bytes", 16 * 1024, 8192, 1024 * 1024)?,
         head_timeout: limits.millis("head_timeout_ms", Duration::from_secs(10), 10)?,
         write_timeout: limits.millis("write_timeout_ms", Duration::from_secs(60), 10)?,
+        ..ServerOptions::default()
     })
 }
 
--- a/bins/decknode/src/frontend.rs
+++ b/bins/decknode/src/frontend.rs
@@ -13,7 +13,7 @@
 };
 use deck_fleet::{Configuration, FleetView, PlatformProtocol, RequestMetadata, Route, RouteKind};
 use deck_forward::{ForwardRequest, Forwarder, error_response, response_from_reply};
-use deck_net::{Body, NetError, server::read_body};
+use deck_net::{Body, NetError, account::hold_decoded_json, server::read_body};
 use futures_util::future::Either;
 use http::{HeaderValue, Method, Request, Response, header};
 use hyper::body::Incoming;
@@ -178,15 +178,12 @@
         let (parts, body) = request.into_parts();
         let body = match read_body(body, configuration.limits.max_body_bytes).await {
             Ok(body) => body,
-            Err(NetError::BodyTooLarge(limit)) => {
-                let message = format!("the body is larger than {limit} bytes");
-                return refuse(CallError::new(ErrorKind::BodyTooLarge, message));
-            }
-            Err(error) => {
-                return refuse(CallError::new(ErrorKind::BadRequest, error.to_string()));
-            }
+            Err(error) => return refuse(body_refusal(&error)),
         };
         if route.kind == RouteKind::Rollout && method == Method::POST {
+            if let Err(error) = hold_decoded_json(&body) {
+                return refuse(body_refusal(&error));
+            }
             return self.batch.submit(&host, uri.path(), &route, &head, body).await;
         }
         let timeout = if route.timeout.is_zero() { DEFAULT_REQUEST_TIMEOUT } else { route.timeout };
@@ -216,6 +213,17 @@
     }
 }
 
+/// Returns the refusal of a request whose body was not received or cannot be decoded.
+fn body_refusal(error: &NetError) -> CallError {
+    let kind = match error {
+        NetError::BodyTooLarge(_) | NetError::DecodedTooLarge(_) => ErrorKind::BodyTooLarge,
+        NetError::OutOfMemory => ErrorKind::Overloaded,
+        NetError::BodyTimeout => ErrorKind::RequestTimeout,
+        _ => ErrorKind::BadRequest,
+    };
+    CallError::new(kind, error.to_string())
+}
+
 /// Returns the purpose of a request that is not a call on a batch job.
 fn route_purpose(route: Option<&Route>) -> RequestPurpose {
     route.map_or(RequestPurpose::NoRoute, |route| RequestPurpose::Route {
--- a/bins/decknode/src/lib.rs
+++ b/bins/decknode/src/lib.rs
@@ -1,6 +1,7 @@
 //! Modules of the `decknode` binary: caller requests, leadership, the node registry, metrics and
 //! the process lifecycle.
 
+mod client_limits;
 mod frontend;
 mod leadership;
 pub mod loop_delay;
--- a/bins/decknode/src/metrics.rs
+++ b/bins/decknode/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of the node. A test compares the rows below with `docs/metrics.md`.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::{Duration, Instant},
@@ -12,6 +12,7 @@
     AttemptOutcome, ChunkFinder, EngineRegistry, FleetView, ItemOutcome, ItemRunOutcome, JobEvent,
     Observer, ResumptionOutcome, ResumptionScope, RouteKind, config::ModelName,
 };
+use deck_net::{Account, AccountTotals};
 use deck_obs::{define_metrics, metrics::Metrics, process::resident_bytes};
 use deck_plat::metered::CallRecord;
 use opentelemetry::{
@@ -74,6 +75,10 @@
         "How late a timer of the event loop fires; long delays mean too much work or a VM that did not run.";
     RESIDENT_MEMORY = "decknode_resident_bytes", "gauge", "bytes", "",
         "Resident memory of the process.";
+    CLIENT_CLOSURES = "decknode_client_closures_total", "counter", "clients", "reason",
+        "Connections closed, or requests refused (`refused_body`), to keep within memory, descriptors or time.";
+    CLIENT_HELD = "decknode_client_held_bytes", "gauge", "bytes", "",
+        "Requests being received or handled, and answers that their clients have not read.";
 }
 
 /// Maximum number of routes with their own label value, which bounds the number of time series.
@@ -121,6 +126,10 @@
     targets: Gauge<u64>,
     loop_delay: Histogram<f64>,
     resident_memory: Gauge<u64>,
+    client_closures: Counter<u64>,
+    client_held: Gauge<u64>,
+    /// Totals that `client_closures` contains.
+    recorded_client_totals: Cell<AccountTotals>,
     /// Names of the routes that have their own label value.
     routes: RefCell<BTreeSet<String>>,
 }
@@ -206,6 +215,9 @@
             targets: TARGETS.gauge(meter),
             loop_delay: LOOP_DELAY.latency_histogram(meter),
             resident_memory: RESIDENT_MEMORY.gauge(meter),
+            client_closures: CLIENT_CLOSURES.counter(meter),
+            client_held: CLIENT_HELD.gauge(meter),
+            recorded_client_totals: Cell::default(),
             routes: RefCell::default(),
         };
         Self { metrics, instruments: Rc::new(instruments) }
@@ -228,6 +240,21 @@
         self.instruments.loop_delay.record(delay.as_secs_f64(), &[]);
     }
 
+    /// Records what the servers hold for their clients and whom they have closed or refused.
+    pub fn record_clients(&self, account: &Account) {
+        let totals = account.totals();
+        let recorded = self.instruments.recorded_client_totals.replace(totals);
+        let closures = &self.instruments.client_closures;
+        let add = |reason: &'static str, total: u64, recorded: u64| {
+            closures.add(total - recorded, &[KeyValue::new("reason", reason)]);
+        };
+        add("memory", totals.closed_for_memory, recorded.closed_for_memory);
+        add("descriptors", totals.closed_for_descriptors, recorded.closed_for_descriptors);
+        add("timeout", totals.closed_for_timeout, recorded.closed_for_timeout);
+        add("refused_body", totals.refused_bodies, recorded.refused_bodies);
+        self.instruments.client_held.record(account.held_bytes() as u64, &[]);
+    }
+
     /// Records a response to a caller; `error` is set if this node itself generated an error.
     pub fn record_request(
         &self,
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -29,7 +29,7 @@
 };
 use deck_limit::CrashOptions;
 use deck_net::{
-    Body, Client, ClientOptions, NetError, ServerOptions, TcpKeepaliveOptions, bind,
+    Account, Body, Client, ClientOptions, NetError, ServerOptions, TcpKeepaliveOptions, bind,
     http::{Request, Response, StatusCode},
     runtime::{sighup_flag, stop_token},
     server::{empty_response, read_body, text_response},
@@ -48,6 +48,7 @@
 use hyper::body::Incoming;
 
 use crate::{
+    client_limits::ClientLimits,
     frontend::{Frontend, StopDeadline},
     leadership, loop_delay,
     metrics::{GaugeState, NodeMetrics},
@@ -88,8 +89,6 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(1000);
 /// Interval at which the settings file is read again.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
-/// Minimum idle timeout of server connections; deployments usually configure a shorter one.
-const MIN_IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 
 /// Runs the node until it receives a stop signal.
 ///
@@ -110,6 +109,9 @@
     }
     let protocol: Rc<dyn PlatformProtocol> = Rc::new(PlatformWire);
     let client = http_client();
+    let client_limits = ClientLimits::new(settings.memory_bytes, settings.max_descriptors);
+    let (idle_client, idle_cancel) = (client.clone(), background_cancel.clone());
+    monoio::spawn(client_limits.clone().limit_idle_connections(idle_client, idle_cancel));
     let metrics = NodeMetrics::new();
     monoio::spawn(loop_delay::measure_loop_delay(metrics.clone(), background_cancel.clone()));
     let direct_api =
@@ -258,20 +260,28 @@
         stop: stop_deadline.clone(),
         metrics: metrics.clone(),
     };
-    let metrics =
-        MetricsSource { metrics, view: view.clone(), engines: engines.clone(), runner, is_leader };
+    let metrics = MetricsSource {
+        metrics,
+        view: view.clone(),
+        engines: engines.clone(),
+        runner,
+        is_leader,
+        account: client_limits.account().clone(),
+    };
     serve_readiness(
         &settings,
         view.clone(),
         protocol,
         stop_deadline.clone(),
         metrics.clone(),
+        client_limits.readiness_options(),
         background_cancel.clone(),
     )?;
     if let Some(port) = metrics_port {
         serve_metrics(
             SocketAddr::new(settings.peer_address.ip(), port),
             metrics,
+            client_limits.metrics_options(),
             background_cancel.clone(),
         );
     }
@@ -283,9 +293,9 @@
         object_api,
         origins,
     };
-    serve_peers(&settings, peer_service, background_cancel.clone())?;
+    serve_peers(&settings, peer_service, client_limits.peer_options(), background_cancel.clone())?;
     let frontend_cancel = CancellationToken::new();
-    let frontend_task = serve_callers(&settings, frontend, frontend_cancel.clone())?;
+    let frontend_task = serve_callers(&settings, frontend, client_limits, frontend_cancel.clone())?;
     monoio::spawn(watch_settings(
         settings_file,
         settings.clone(),
@@ -335,7 +345,8 @@
 ) -> std::io::Result<()> {
     let checkpoints = Rc::new(CheckpointStore::open(settings.data_dir.as_deref()));
     let listener = bind(settings.peer_address)?;
-    let options = ServerOptions { head_timeout: MIN_IDLE_TIMEOUT, ..ServerOptions::default() };
+    let options =
+        ClientLimits::new(settings.memory_bytes, settings.max_descriptors).checkpoint_options();
     let api = PlatformObjectApi::new(http_client(), settings.object_api, OBJECT_API_TIMEOUT);
     let (store, node_settings, cancel) =
         (Store::with_api(Rc::new(api)), settings.clone(), stop.clone());
@@ -366,13 +377,14 @@
 fn serve_callers(
     settings: &NodeSettings,
     frontend: Frontend,
+    client_limits: ClientLimits,
     cancel: CancellationToken,
 ) -> std::io::Result<monoio::task::JoinHandle<()>> {
     let Some(address) = settings.caller_address else {
         return Ok(monoio::spawn(async move { cancel.cancelled().await }));
     };
     let view = frontend.view.clone();
-    let options = move || caller_options(&view);
+    let options = move || client_limits.caller_options(view.configuration().as_deref());
     let server =
         deck_net::serve_with_dynamic_options(bind(address)?, options, cancel, move |request| {
             let frontend = frontend.clone();
@@ -381,21 +393,6 @@
     Ok(monoio::spawn(server))
 }
 
-/// Returns the limits of a caller's connection from the configuration in force.
-fn caller_options(view: &FleetView) -> ServerOptions {
-    let options = ServerOptions { head_timeout: MIN_IDLE_TIMEOUT, ..ServerOptions::default() };
-    match view.configuration() {
-        Some(configuration) => {
-            let limits = &configuration.limits;
-            // One timeout covers the idle time and the request head that follows. The minimum
-            // allows for longer limits that come into force while the connection is open.
-            let head_timeout = (limits.idle_timeout + limits.head_timeout).max(MIN_IDLE_TIMEOUT);
-            ServerOptions { max_head_bytes: limits.max_head_bytes, head_timeout, ..options }
-        }
-        None => options,
-    }
-}
-
 /// Starts the server for readiness checks, which also serves the metrics.
 fn serve_readiness(
     settings: &NodeSettings,
@@ -403,11 +400,11 @@
     protocol: Rc<dyn PlatformProtocol>,
     stop: StopDeadline,
     metrics: MetricsSource,
+    options: ServerOptions,
     cancel: CancellationToken,
 ) -> std::io::Result<()> {
     let Some(address) = settings.ready_address else { return Ok(()) };
     let listener = bind(address)?;
-    let options = ServerOptions { head_timeout: MIN_IDLE_TIMEOUT, ..ServerOptions::default() };
     monoio::spawn(deck_net::serve(listener, options, cancel, move |request| {
         let is_ready_check = protocol.is_readiness_request(request.method(), request.uri().path());
         if request.uri().path() == METRICS_PATH {
@@ -433,11 +430,14 @@
     runner: Runner,
     /// Whether the node holds the leader's lease.
     is_leader: Rc<Cell<bool>>,
+    /// What the servers hold for their clients.
+    account: Account,
 }
 
 impl MetricsSource {
     /// Returns the metrics page.
     fn render(&self) -> String {
+        self.metrics.record_clients(&self.account);
         self.metrics.render(&GaugeState {
             view: &self.view,
             engines: &self.engines,
@@ -449,7 +449,12 @@
 
 /// Starts a metrics server at `address`. A failure to bind it is only logged, as the node can serve
 /// callers without it.
-fn serve_metrics(address: SocketAddr, metrics: MetricsSource, cancel: CancellationToken) {
+fn serve_metrics(
+    address: SocketAddr,
+    metrics: MetricsSource,
+    options: ServerOptions,
+    cancel: CancellationToken,
+) {
     let listener = match bind(address) {
         Ok(listener) => listener,
         Err(error) => {
@@ -457,7 +462,7 @@
             return;
         }
     };
-    monoio::spawn(deck_net::serve(listener, ServerOptions::default(), cancel, move |request| {
+    monoio::spawn(deck_net::serve(listener, options, cancel, move |request| {
         let is_metrics_request = request.uri().path() == METRICS_PATH;
         let response = if is_metrics_request {
             text_response(200, &metrics.render())
@@ -535,10 +540,10 @@
 fn serve_peers(
     settings: &NodeSettings,
     peer_service: PeerService,
+    options: ServerOptions,
     cancel: CancellationToken,
 ) -> std::io::Result<()> {
     let listener = bind(settings.peer_address)?;
-    let options = ServerOptions { head_timeout: MIN_IDLE_TIMEOUT, ..ServerOptions::default() };
     monoio::spawn(deck_net::serve(listener, options, cancel, move |request| {
         let peer_service = peer_service.clone();
         async move { peer_service.serve(request).await }
--- a/crates/batch/src/peer_calls.rs
+++ b/crates/batch/src/peer_calls.rs
@@ -11,6 +11,7 @@
 use deck_forward::error_response;
 use deck_net::{
     Body,
+    account::hold_decoded_json,
     server::{empty_response, numeric_query_parameter, read_body, text_response},
 };
 use http::{Method, Request, Response, StatusCode, header};
@@ -114,7 +115,9 @@
             // caller.
             return empty_response(STATUS_NOT_RUNNER);
         };
-        let body = match read_body(request.into_body(), self.inner.options.max_body_bytes).await {
+        let body = read_body(request.into_body(), self.inner.options.max_body_bytes).await;
+        let body = body.and_then(|body| hold_decoded_json(&body).map(|()| body));
+        let body = match body {
             Ok(body) => body,
             Err(error) => {
                 log::info!(target: "batch", "submission not received job={id} error={error}");
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -356,6 +356,12 @@
         Ok((status, value))
     }
 
+    /// Closes the connections that have been idle for longest until at most `max_idle` are left for
+    /// all addresses together.
+    pub fn limit_idle_connections(&self, max_idle: usize) {
+        self.pool.limit_idle(max_idle);
+    }
+
     /// Returns whether a server still accepts connections after one of its connections has failed.
     /// A connection that is opened to check this goes to the pool.
     pub async fn accepts_connections(&self, address: SocketAddr) -> bool {
@@ -543,6 +549,24 @@
             });
         }
     }
+
+    /// Closes the connections that have been idle for longest until at most `max_idle` are left.
+    fn limit_idle(&self, max_idle: usize) {
+        let mut idle = self.idle.borrow_mut();
+        let count: usize = idle.values().map(Vec::len).sum();
+        let excess = count.saturating_sub(max_idle);
+        if excess == 0 {
+            return;
+        }
+        let mut idle_since: Vec<Instant> =
+            idle.values().flatten().map(|entry| entry.idle_since).collect();
+        let (_, newest_closed, _) = idle_since.select_nth_unstable(excess - 1);
+        let newest_closed = *newest_closed;
+        for connections in idle.values_mut() {
+            connections.retain(|entry| entry.idle_since > newest_closed);
+        }
+        idle.retain(|_, connections| !connections.is_empty());
+    }
 }
 
 impl ClientResponse {
--- a/crates/net/src/error.rs
+++ b/crates/net/src/error.rs
@@ -29,6 +29,19 @@
         BodyTooLarge(limit_bytes: usize) {
             display("body is larger than {limit_bytes} bytes")
         }
+        /// No memory is left for a request body; the request has not run.
+        OutOfMemory {
+            display("no memory is left for request bodies")
+        }
+        /// A request body takes more memory than there is when it is decoded; the request has not
+        /// run.
+        DecodedTooLarge(bytes: usize) {
+            display("the decoded body takes {bytes} bytes of memory")
+        }
+        /// A request body was not received in time; the request has not run.
+        BodyTimeout {
+            display("body not received in time")
+        }
         /// A body is truncated or could not be read.
         Body(message: String) {
             display("body not received: {message}")
--- a/crates/net/src/framing.rs
+++ b/crates/net/src/framing.rs
@@ -20,7 +20,7 @@
     rt::{Read, ReadBuf, ReadBufCursor, Write},
 };
 
-use crate::{Body, server::json_response};
+use crate::{Body, account::TrackedConnection, server::json_response};
 
 /// Maximum number of stored bytes of each line. `Transfer-Encoding`, and `Content-Length` with its
 /// value, fit.
@@ -208,9 +208,10 @@
         &self,
         stream: S,
         write_timeout: Duration,
+        connection: Rc<TrackedConnection>,
     ) -> FramingInspectedStream<S> {
         let inspector = self.inspector.clone();
-        FramingInspectedStream { stream, inspector, write_timeout, stall_timer: None }
+        FramingInspectedStream { stream, inspector, connection, write_timeout, stall_timer: None }
     }
 
     /// Wraps the service of the connection to refuse a request with ambiguous framing.
@@ -249,6 +250,7 @@
 pub(crate) struct FramingInspectedStream<S> {
     stream: S,
     inspector: Rc<RefCell<FramingInspector>>,
+    connection: Rc<TrackedConnection>,
     write_timeout: Duration,
     /// Timer of `write_timeout`; set while a write is pending.
     stall_timer: Option<Pin<Box<monoio::time::Sleep>>>,
@@ -256,11 +258,14 @@
 
 impl<S> FramingInspectedStream<S> {
     /// Returns the result of a write, or an error if writes have been pending for `write_timeout`.
-    fn check_write_timeout<T>(
+    fn check_write_timeout(
         &mut self,
         cx: &mut Context<'_>,
-        written: Poll<std::io::Result<T>>,
-    ) -> Poll<std::io::Result<T>> {
+        written: Poll<std::io::Result<usize>>,
+    ) -> Poll<std::io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.connection.record_written(bytes);
+        }
         if written.is_ready() {
             self.stall_timer = None;
             return written;
@@ -287,6 +292,7 @@
         match Pin::new(&mut self.stream).poll_read(cx, received.unfilled()) {
             Poll::Ready(Ok(())) => {
                 self.inspector.borrow_mut().inspect(received.filled());
+                self.connection.record_received(received.filled().len());
                 buf.put_slice(received.filled());
                 Poll::Ready(Ok(()))
             }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -5,14 +5,19 @@
     future::Future,
     net::SocketAddr,
     rc::Rc,
+    task::Poll,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use deck_core::CancellationToken;
 use http::{Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use http_body_util::BodyExt;
+use hyper::{
+    body::{Body as _, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use monoio::{
     io::{AsyncWriteRentExt, IntoPollIo},
     net::{ListenerOpts, TcpListener, TcpStream},
@@ -20,7 +25,13 @@
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 use tokio::sync::Notify;
 
-use crate::{Body, NetError, body::BodyAborted, framing::FramingInspection};
+use crate::{
+    Account, Body, NetError,
+    account::{TrackedBody, TrackedConnection},
+    body::BodyAborted,
+    framing::FramingInspection,
+    ledger::{ClientTimeouts, Phase, ServerId},
+};
 
 /// Time without a new connection after which a draining server closes its listener.
 const DRAIN_ACCEPT_IDLE_TIMEOUT: Duration = Duration::from_millis(20);
@@ -31,18 +42,32 @@
 /// Maximum total time during which a draining server accepts connections.
 const DRAIN_ACCEPT_TOTAL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Interval at which connections are checked for clients that exceed a time limit.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time in which a request whose connection is closed while its body is received is answered.
+const CLOSING_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Minimum number of bytes by which the buffer of a body grows.
+const MIN_BODY_GROWTH_BYTES: usize = 16 * 1024;
+
 /// Limits of a server.
 #[derive(Debug, Clone)]
 pub struct ServerOptions {
     /// Maximum size of a request head; larger ones are answered with 431. Values below 8 KiB count
     /// as 8 KiB.
     pub max_head_bytes: usize,
-    /// Maximum number of open connections; further ones are answered with 503 and closed.
+    /// Maximum number of open connections. For a further one, the connection with the least progress
+    /// is closed; if all are in use, the new one is answered with 503 and closed.
     pub max_connections: usize,
     /// Maximum time to receive a request head; then the connection is closed.
     pub head_timeout: Duration,
     /// Time without progress in writing a response after which the connection is closed.
     pub write_timeout: Duration,
+    /// Time limits of clients that make little progress.
+    pub client_timeouts: ClientTimeouts,
+    /// Account of what is held for the clients, which several servers may share.
+    pub account: Account,
 }
 
 impl Default for ServerOptions {
@@ -52,6 +77,8 @@
             max_connections: 10_000,
             head_timeout: Duration::from_secs(10),
             write_timeout: Duration::from_secs(60),
+            client_timeouts: ClientTimeouts::default(),
+            account: Account::default(),
         }
     }
 }
@@ -92,30 +119,53 @@
     drain: CancellationToken,
     handler: H,
 ) where
-    O: Fn() -> ServerOptions,
+    O: Fn() -> ServerOptions + 'static,
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     let handler = Rc::new(handler);
+    let options = Rc::new(options);
     let connections = Rc::new(OpenConnections::default());
+    let account = options().account;
+    let server = account.register_server();
+    let serving = CancellationToken::new();
+    let _stop_checks = serving.clone().drop_guard();
+    monoio::spawn(close_expired_connections(
+        account.clone(),
+        server,
+        options.clone(),
+        connections.clone(),
+        serving,
+    ));
+    // Returns whether the server is full, so that this or another connection is closed.
     let start_connection = |stream: TcpStream| {
         let _ = stream.set_nodelay(true);
         let options = options();
-        if connections.count.get() >= options.max_connections {
+        let is_full = connections.count.get() >= options.max_connections;
+        if is_full && !account.close_least_progress(server) {
             monoio::spawn(refuse_connection(stream));
-            return;
+            return true;
         }
         let guard = connections.clone().register();
+        let connection = account.open(server);
         let handler = handler.clone();
         let drain = drain.clone();
         monoio::spawn(async move {
-            serve_connection(stream, &options, drain, handler).await;
+            connection
+                .clone()
+                .scope(serve_connection(stream, &options, drain, handler, connection))
+                .await;
             drop(guard);
         });
+        is_full
     };
     while let Some(accepted) = drain.run_until_cancelled(listener.accept()).await {
         match accepted {
-            Ok((stream, _)) => start_connection(stream),
+            Ok((stream, _)) => {
+                if start_connection(stream) {
+                    yield_to_closing_tasks().await;
+                }
+            }
             Err(error) => {
                 // For example, no file descriptors are left; retrying without a pause would
                 // busy-loop.
@@ -139,31 +189,67 @@
     connections.wait_until_closed().await;
 }
 
+/// Closes the connections whose clients exceed a time limit until `cancel` is cancelled.
+async fn close_expired_connections<O: Fn() -> ServerOptions>(
+    account: Account,
+    server: ServerId,
+    options: Rc<O>,
+    connections: Rc<OpenConnections>,
+    cancel: CancellationToken,
+) {
+    while cancel.run_until_cancelled(monoio::time::sleep(EXPIRY_INTERVAL)).await.is_some() {
+        if connections.count.get() > 0 {
+            account.close_expired(server, &options().client_timeouts);
+        }
+    }
+}
+
+/// Lets the tasks that close connections run, so that their descriptors become free before the next
+/// connection is accepted.
+async fn yield_to_closing_tasks() {
+    let mut has_yielded = false;
+    std::future::poll_fn(|cx| {
+        if std::mem::replace(&mut has_yielded, true) {
+            return Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
 async fn serve_connection<H, F>(
     stream: TcpStream,
     options: &ServerOptions,
     drain: CancellationToken,
     handler: Rc<H>,
+    tracked: Rc<TrackedConnection>,
 ) where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     let Ok(stream) = stream.into_poll_io() else { return };
     let framing_inspection = FramingInspection::default();
-    let stream =
-        framing_inspection.inspect_request_framing(MonoioIo::new(stream), options.write_timeout);
+    let stream = framing_inspection.inspect_request_framing(
+        MonoioIo::new(stream),
+        options.write_timeout,
+        tracked.clone(),
+    );
     let handler = framing_inspection.refuse_ambiguous_requests(handler);
     let has_received_request = Rc::new(Cell::new(false));
     let has_received_request_in_service = has_received_request.clone();
+    let tracked_in_service = tracked.clone();
     let service = service_fn(move |request| {
         has_received_request_in_service.set(true);
+        tracked_in_service.start_request();
+        let tracked = tracked_in_service.clone();
         let response = handler(request);
         async move {
             let response = response.await;
             // hyper closes the connection without a response if the service returns an error.
             match response.extensions().get::<CloseWithoutResponse>() {
                 Some(_) => Err(BodyAborted),
-                None => Ok(response),
+                None => Ok(response.map(|body| TrackedBody::new(body, tracked))),
             }
         }
     });
@@ -173,27 +259,39 @@
         .max_buf_size(options.max_head_bytes.max(8192))
         .serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
-    let result_before_drain = drain.run_until_cancelled(connection.as_mut()).await;
-    let result = match result_before_drain {
-        Some(result) => result,
-        None => {
-            // On a graceful shutdown, hyper closes a connection without a request at once. A
-            // request in transit would get no response, and the client could not tell whether it
-            // ran.
-            let first_request_timeout = if has_received_request.get() {
-                Duration::ZERO
-            } else {
-                DRAIN_FIRST_REQUEST_TIMEOUT
-            };
-            match monoio::time::timeout(first_request_timeout, connection.as_mut()).await {
-                Ok(result) => result,
-                Err(_) => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
+    let served = async {
+        let result_before_drain = drain.run_until_cancelled(connection.as_mut()).await;
+        match result_before_drain {
+            Some(result) => result,
+            None => {
+                // On a graceful shutdown, hyper closes a connection without a request at once. A
+                // request in transit would get no response, and the client could not tell whether
+                // it ran.
+                let first_request_timeout = if has_received_request.get() {
+                    Duration::ZERO
+                } else {
+                    DRAIN_FIRST_REQUEST_TIMEOUT
+                };
+                match monoio::time::timeout(first_request_timeout, connection.as_mut()).await {
+                    Ok(result) => result,
+                    Err(_) => {
+                        connection.as_mut().graceful_shutdown();
+                        connection.await
+                    }
                 }
             }
         }
     };
+    let mut served = std::pin::pin!(served);
+    let result = match tracked.closing.run_until_cancelled(served.as_mut()).await {
+        Some(result) => result,
+        None if tracked.is_receiving_body() => {
+            // The request is answered with the reason for which its body is not received.
+            let answered = monoio::time::timeout(CLOSING_ANSWER_TIMEOUT, served).await;
+            answered.unwrap_or(Ok(()))
+        }
+        None => return,
+    };
     if let Err(error) = result {
         log::debug!(target: "net", "connection closed error={error}");
     }
@@ -237,18 +335,63 @@
     }
 }
 
-/// Receives the whole body of a request, of at most `limit_bytes`.
+/// Receives the whole body of a request, of at most `limit_bytes`. Inside a server, the body is held
+/// in the account of its connection until the request has been answered.
 ///
 /// # Errors
 ///
-/// Returns [`NetError::BodyTooLarge`] above the limit and [`NetError::Body`] if the body is
+/// Returns [`NetError::BodyTooLarge`] above the limit, [`NetError::OutOfMemory`] if no memory is left
+/// for the body, [`NetError::BodyTimeout`] if it arrives too slowly, and [`NetError::Body`] if it is
 /// truncated.
 pub async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, NetError> {
-    match Limited::new(body, limit_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(NetError::BodyTooLarge(limit_bytes)),
-        Err(error) => Err(NetError::Body(error.to_string())),
+    let Some(connection) = TrackedConnection::current() else {
+        return receive_body(body, limit_bytes, None).await;
+    };
+    connection.set_phase(Phase::Body);
+    let receive = receive_body(body, limit_bytes, Some(&connection));
+    let received = connection.closing.run_until_cancelled(receive).await;
+    connection.set_phase(Phase::Running);
+    let received = received.unwrap_or_else(|| Err(connection.closed_error()));
+    if received.is_err() {
+        connection.release_request();
+    }
+    received
+}
+
+async fn receive_body(
+    mut body: Incoming,
+    limit_bytes: usize,
+    connection: Option<&TrackedConnection>,
+) -> Result<Bytes, NetError> {
+    let expected_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if expected_bytes > limit_bytes {
+        return Err(NetError::BodyTooLarge(limit_bytes));
+    }
+    let mut received = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| NetError::Body(error.to_string()))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if data.len() > limit_bytes - received.len() {
+            return Err(NetError::BodyTooLarge(limit_bytes));
+        }
+        if let Some(connection) = connection {
+            connection.hold_body(data.len())?;
+        }
+        if received.is_empty() && data.len() == expected_bytes && body.is_end_stream() {
+            return Ok(data);
+        }
+        // The body is copied out of the read buffer, of which each part would hold the whole. The
+        // length that a client states is not allocated before the bytes arrive.
+        if received.capacity() - received.len() < data.len() {
+            let growth_bytes = received.len().max(MIN_BODY_GROWTH_BYTES);
+            let is_length_known = expected_bytes > received.len();
+            let missing_bytes =
+                if is_length_known { expected_bytes - received.len() } else { usize::MAX };
+            received.reserve_exact(growth_bytes.min(missing_bytes).max(data.len()));
+        }
+        received.extend_from_slice(&data);
     }
+    Ok(received.into())
 }
 
 /// Response extension that makes the server close the connection instead of responding.
