--- a/bins/decknode/src/lib.rs
+++ b/bins/decknode/src/lib.rs
@@ -2,6 +2,7 @@
 //! the process lifecycle.
 
 pub mod authentication;
+mod client_limits;
 mod frontend;
 mod leadership;
 pub mod loop_delay;
