Receive bodies in segments, and let clients read refusals

Of 120 clients with complete bodies none read its refusal, as the connection was closed while they sent.

--- a/bins/decknode/tests/metrics.rs
+++ b/bins/decknode/tests/metrics.rs
@@ -8,6 +8,7 @@
     ItemOutcome, ItemRunOutcome, JobEvent, Observer, ResumptionOutcome, ResumptionScope, RouteKind,
     ServiceConfig, Target, TargetState, config::EngineConfig,
 };
+use deck_net::Account;
 use deck_obs::reference::documented_rows;
 use deck_plat::metered::{CallRecord, Operation, Outcome};
 use deck_route::{Router, RouterOptions};
@@ -79,6 +80,7 @@
         outcome: Outcome::ResponseLost,
         duration: one_second,
     });
+    metrics.record_clients(&Account::default());
     let engines = EngineRegistry::default();
     let view = view_with_engines(&engines, &[9, 9, 8, 2]);
     let state = GaugeState { view: &view, engines: &engines, open_jobs: 2, is_leader: true };
--- a/bins/decknode/tests/misbehaving_clients.rs
+++ b/bins/decknode/tests/misbehaving_clients.rs
@@ -11,6 +11,7 @@
 use deck_net::http::{Method, StatusCode};
 use deck_testkit::eventually;
 use nix::sys::resource::{Resource, getrlimit, setrlimit};
+use serde_json::{Value, json};
 
 mod common;
 
@@ -55,9 +56,13 @@
 
 /// Starts one node with low limits, and its platform.
 async fn start_node() -> Fleet {
+    start_node_with_memory(MEMORY_MB).await
+}
+
+async fn start_node_with_memory(memory_mb: u64) -> Fleet {
     let mut fleet = Fleet::start(1);
     fleet.nodes[0].process.take().expect("process").kill();
-    let limits = format!("[Limits]\nMemoryMb = {MEMORY_MB}\nMaxFds = {MAX_DESCRIPTORS}\n");
+    let limits = format!("[Limits]\nMemoryMb = {memory_mb}\nMaxFds = {MAX_DESCRIPTORS}\n");
     fleet.change_setting(0, "[Platform]", &format!("{limits}[Platform]"));
     // The node inherits the limit of this process.
     let (soft_limit, hard_limit) = getrlimit(Resource::RLIMIT_NOFILE).expect("limit");
@@ -96,7 +101,10 @@
 
 /// Returns a request head without the empty line at its end.
 fn head(place: Place, headers: &str) -> String {
-    let id = deck_core::id::random_id();
+    head_with_id(place, &deck_core::id::random_id(), headers)
+}
+
+fn head_with_id(place: Place, id: &str, headers: &str) -> String {
     let Place { method, path, .. } = place;
     format!("{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\n{headers}")
 }
@@ -243,6 +251,78 @@
     run_crowd(BODY_CLIENTS, usize::MAX, Duration::ZERO, |place, _| request(place, &body, 0));
 }
 
+/// Guards against refusals that say that a request has not run although a target has it.
+#[test]
+fn refused_bodies_do_not_reach_targets() {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    run(async {
+        let fleet = start_node().await;
+        let place = places(&fleet)[0];
+        let body = vec![b'x'; BODY_BYTES];
+        let ids: Vec<String> = (0..BODY_CLIENTS).map(|_| deck_core::id::random_id()).collect();
+        let mut clients = connect(place, BODY_CLIENTS, |index| {
+            let headers = format!("Content-Length: {BODY_BYTES}\r\n\r\n");
+            let head = head_with_id(place, &ids[index], &headers);
+            [head.as_bytes(), &body].concat()
+        });
+        send_all(&mut clients, usize::MAX, Duration::ZERO);
+        let mut refused_ids = Vec::new();
+        for (client, id) in clients.iter_mut().zip(&ids) {
+            let Some(stream) = &mut client.stream else { continue };
+            let mut answer = vec![0; 4096];
+            let count = stream.read(&mut answer).unwrap_or(0);
+            let answer = String::from_utf8_lossy(&answer[..count]);
+            if answer.starts_with("HTTP/1.1 503") || answer.starts_with("HTTP/1.1 408") {
+                refused_ids.push(id.clone());
+            }
+        }
+        println!("{} of {BODY_CLIENTS} read a refusal", refused_ids.len());
+        assert_serves(&fleet, "after refusals").await;
+        let records = fleet.stand_in_records().await;
+        let calls: Vec<&str> =
+            records.iter().filter_map(|record| record["call"].as_str()).collect();
+        assert!(!calls.is_empty(), "the targets record no calls");
+        for id in &refused_ids {
+            assert!(!calls.contains(&id.as_str()), "refused request {id} has run");
+        }
+    });
+}
+
+/// Guards against limits that refuse a single body of the largest legal size on the smallest VMs.
+#[test]
+fn largest_body_is_served_in_calm() {
+    const SMALLEST_MEMORY_MB: u64 = 120;
+    const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    run(async {
+        let fleet = start_node_with_memory(SMALLEST_MEMORY_MB).await;
+        let path = "/v1/objects/config/main";
+        let object = fleet.call(fleet.object_api, Method::GET, path, &[], Vec::new()).await;
+        let mut object: Value = serde_json::from_slice(&object.expect("object").1).expect("json");
+        object["Spec"]["Limits"]["MaxBodyBytes"] = MAX_BODY_BYTES.into();
+        object["Spec"]["Version"] = 2.into();
+        let changed = json!({"Metadata": {"Name": "main"}, "Spec": object["Spec"]}).to_string();
+        let answer =
+            fleet.call(fleet.object_api, Method::PUT, path, &[], changed.into_bytes()).await;
+        assert_eq!(answer.expect("answer").0, StatusCode::OK);
+        let address = fleet.nodes[0].caller_address;
+        let send = async || {
+            let id = deck_core::id::random_id();
+            let headers = [("Request-Id", id.as_str())];
+            let body = vec![b'x'; MAX_BODY_BYTES];
+            let answer = fleet.call(address, Method::POST, "/plain/x", &headers, body).await;
+            matches!(answer, Ok((StatusCode::OK, _)))
+        };
+        eventually("the largest body is served", send).await;
+        for _ in 0..3 {
+            assert!(send().await, "a further body is refused");
+        }
+        let peak_kb = memory_kb(&fleet, "VmHWM");
+        println!("largest body: peak {peak_kb} kB");
+        assert!(peak_kb < SMALLEST_MEMORY_MB * 1024, "peak {peak_kb} kB");
+    });
+}
+
 /// Guards against bodies above the limit: with a length, with a length to be confirmed, in chunks.
 #[test]
 fn bodies_above_the_limit_stay_within_memory() {
--- a/crates/net/src/account.rs
+++ b/crates/net/src/account.rs
@@ -113,6 +113,7 @@
             close_reason: Cell::new(None),
             unwritten_bytes: Cell::new(0),
             is_answer_complete: Cell::new(true),
+            is_discarding: Cell::new(false),
         });
         let weak = Rc::downgrade(&connection);
         self.inner.connections.borrow_mut().insert(connection.id, weak);
@@ -181,6 +182,17 @@
     unwritten_bytes: Cell<usize>,
     /// Whether the whole body of the answer has been passed on to be written.
     is_answer_complete: Cell<bool>,
+    /// Whether the rest of a refused body is received, which is not held.
+    is_discarding: Cell<bool>,
+}
+
+/// Guard of [`TrackedConnection::start_discarding`].
+pub(crate) struct Discarding(Rc<TrackedConnection>);
+
+impl Drop for Discarding {
+    fn drop(&mut self) {
+        self.0.is_discarding.set(false);
+    }
 }
 
 impl Drop for TrackedConnection {
@@ -212,10 +224,17 @@
         self.is_answer_complete.set(false);
     }
 
+    /// Starts to receive the rest of a refused body, until the guard is dropped.
+    pub(crate) fn start_discarding(self: &Rc<Self>) -> Discarding {
+        self.is_discarding.set(true);
+        Discarding(self.clone())
+    }
+
     /// Records bytes read from the client. Those of bodies are held by [`Self::hold_body`].
     pub(crate) fn record_received(&self, bytes: usize) {
         let phase = self.ledger().phase(self.id);
-        if bytes > 0 && matches!(phase, Some(Phase::Idle | Phase::Head)) {
+        let is_head = !self.is_discarding.get();
+        if bytes > 0 && is_head && matches!(phase, Some(Phase::Idle | Phase::Head)) {
             if phase == Some(Phase::Idle) {
                 self.set_phase(Phase::Head);
             }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod account;
 pub mod admin;
 pub mod body;
+mod body_buffer;
 pub mod cbor;
 pub mod client;
 pub mod error;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -27,8 +27,9 @@
 
 use crate::{
     Account, Body, NetError,
-    account::{TrackedBody, TrackedConnection},
+    account::{Discarding, TrackedBody, TrackedConnection},
     body::BodyAborted,
+    body_buffer::BodyBuffer,
     framing::FramingInspection,
     ledger::{ClientTimeouts, Phase, ServerId},
 };
@@ -48,8 +49,8 @@
 /// Time in which a request whose connection is closed while its body is received is answered.
 const CLOSING_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Minimum number of bytes by which the buffer of a body grows.
-const MIN_BODY_GROWTH_BYTES: usize = 16 * 1024;
+/// Maximum time for which the rest of a refused body is received.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Limits of a server.
 #[derive(Debug, Clone)]
@@ -343,23 +344,42 @@
 /// Returns [`NetError::BodyTooLarge`] above the limit, [`NetError::OutOfMemory`] if no memory is left
 /// for the body, [`NetError::BodyTimeout`] if it arrives too slowly, and [`NetError::Body`] if it is
 /// truncated.
-pub async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, NetError> {
+pub async fn read_body(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, NetError> {
     let Some(connection) = TrackedConnection::current() else {
-        return receive_body(body, limit_bytes, None).await;
+        return receive_body(&mut body, limit_bytes, None).await;
     };
     connection.set_phase(Phase::Body);
-    let receive = receive_body(body, limit_bytes, Some(&connection));
+    let receive = receive_body(&mut body, limit_bytes, Some(&connection));
     let received = connection.closing.run_until_cancelled(receive).await;
+    let is_closing = received.is_none();
     connection.set_phase(Phase::Running);
     let received = received.unwrap_or_else(|| Err(connection.closed_error()));
     if received.is_err() {
         connection.release_request();
     }
+    if matches!(received, Err(NetError::OutOfMemory)) && !is_closing {
+        monoio::spawn(discard_body(body, limit_bytes, connection.start_discarding()));
+    }
     received
 }
 
+/// Receives the rest of a refused body without holding it, so that the client reads the refusal
+/// instead of losing its connection while it sends.
+async fn discard_body(mut body: Incoming, limit_bytes: usize, _discarding: Discarding) {
+    let discard = async {
+        let mut discarded_bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            discarded_bytes += frame.data_ref().map_or(0, Bytes::len);
+            if discarded_bytes > limit_bytes {
+                return;
+            }
+        }
+    };
+    let _ = monoio::time::timeout(DISCARD_TIMEOUT, discard).await;
+}
+
 async fn receive_body(
-    mut body: Incoming,
+    body: &mut Incoming,
     limit_bytes: usize,
     connection: Option<&TrackedConnection>,
 ) -> Result<Bytes, NetError> {
@@ -367,7 +387,7 @@
     if expected_bytes > limit_bytes {
         return Err(NetError::BodyTooLarge(limit_bytes));
     }
-    let mut received = Vec::new();
+    let mut received = BodyBuffer::new(expected_bytes);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| NetError::Body(error.to_string()))?;
         let Ok(data) = frame.into_data() else { continue };
@@ -377,21 +397,13 @@
         if let Some(connection) = connection {
             connection.hold_body(data.len())?;
         }
-        if received.is_empty() && data.len() == expected_bytes && body.is_end_stream() {
+        if received.len() == 0 && data.len() == expected_bytes && body.is_end_stream() {
             return Ok(data);
         }
-        // The body is copied out of the read buffer, of which each part would hold the whole. The
-        // length that a client states is not allocated before the bytes arrive.
-        if received.capacity() - received.len() < data.len() {
-            let growth_bytes = received.len().max(MIN_BODY_GROWTH_BYTES);
-            let is_length_known = expected_bytes > received.len();
-            let missing_bytes =
-                if is_length_known { expected_bytes - received.len() } else { usize::MAX };
-            received.reserve_exact(growth_bytes.min(missing_bytes).max(data.len()));
-        }
-        received.extend_from_slice(&data);
+        // The body is copied out of the read buffer, of which each part would hold the whole.
+        received.push(&data);
     }
-    Ok(received.into())
+    Ok(received.into_bytes())
 }
 
 /// Response extension that makes the server close the connection instead of responding.
