fleet: tests of the age of the configuration between nodes

A watcher's confirmation reaches a polling node without a call of its own; a node whose watcher states no age confirms its configuration itself, and refuses keys while the object API is away; without organisations nothing is read.

--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -3,9 +3,9 @@
 use bytes::Bytes;
 use deck_core::id::{RequestId, TargetId, WeightVersion};
 use deck_fleet::{
-    BatchCall, BatchJob, CallerLimits, Configuration, DispatchMetadata, PlatformProtocol,
-    RequestMetadata, ResponseMetadata, ResultPage, Target, TargetReport, TargetState,
-    WeightLoadOrder, WeightLoadReply, config::ModelName,
+    BatchCall, BatchJob, CallerLimits, Configuration, DispatchMetadata, Organisations,
+    PlatformProtocol, RequestMetadata, ResponseMetadata, ResultPage, Target, TargetReport,
+    TargetState, WeightLoadOrder, WeightLoadReply, config::ModelName,
 };
 use deck_plat::Precondition;
 use deck_testkit::memory::MemoryObjects;
@@ -23,6 +23,13 @@
     store.put(kind, name, condition, &value).await.expect("write");
 }
 
+/// Creates a configuration that has organisations, without keys.
+pub async fn write_configuration_with_organisations(objects: &MemoryObjects, version: u64) {
+    let value = json!({ "version": version, "organisations": [] });
+    let store = objects.store();
+    store.put("config", "main", Precondition::Absent, &value).await.expect("write");
+}
+
 /// Protocol for objects written by [`write`]: decodes configurations and targets from a version.
 #[derive(Debug, Default)]
 pub struct VersionOnlyProtocol;
@@ -30,7 +37,10 @@
 impl PlatformProtocol for VersionOnlyProtocol {
     fn decode_configuration(&self, value: &Value) -> Result<Configuration, String> {
         let version = value["version"].as_u64().ok_or("version is missing")?;
-        Ok(Configuration::new(version, Vec::new(), Vec::new(), CallerLimits::default()))
+        let organisations = value["organisations"].is_array().then(Organisations::default);
+        let limits = CallerLimits::default();
+        let configuration = Configuration::new(version, Vec::new(), Vec::new(), limits);
+        Ok(configuration.with_organisations(organisations))
     }
 
     fn decode_target(&self, id: &str, value: &Value) -> Result<Target, String> {
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -513,3 +513,81 @@
     };
     deck_net::runtime::run(test).expect("runtime");
 }
+
+/// Returns options with a bound on the withdrawal of keys.
+fn bounded_options(bound: Duration) -> FleetFeedOptions {
+    FleetFeedOptions { key_withdrawal: Some(bound), ..options() }
+}
+
+/// Guards against nodes that refuse keys, or that each read the configuration, although a watcher
+/// confirms it.
+#[test]
+fn node_learns_from_a_watcher_that_its_configuration_is_current() {
+    const BOUND: Duration = Duration::from_secs(10);
+    let test = async {
+        let cancel = CancellationToken::new();
+        let (watcher_objects, node_objects) = (MemoryObjects::default(), MemoryObjects::default());
+        common::write_configuration_with_organisations(&watcher_objects, 1).await;
+        let watcher = start_node_with(&watcher_objects, &cancel, bounded_options(BOUND));
+        let node = start_node_with(&node_objects, &cancel, bounded_options(BOUND));
+        for member in [&watcher, &node] {
+            member.feed.set_ranked_nodes(vec![watcher.address, node.address]);
+            spawn_feed_task(member, &cancel);
+        }
+        eventually("keys are accepted", async || node.view.allows_keys(BOUND)).await;
+        let first = node.view.configuration_confirmed_at();
+        eventually("the configuration is confirmed again", async || {
+            node.view.configuration_confirmed_at() > first
+        })
+        .await;
+        assert!(
+            node.view.configuration_confirmed_at() <= watcher.view.configuration_confirmed_at()
+        );
+        assert_eq!(node_objects.call_count(), 0);
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// Guards against a node that refuses keys since its watcher, one of an earlier release, states no age,
+/// although the node reaches the object API.
+#[test]
+fn node_confirms_its_configuration_itself_if_its_watcher_does_not() {
+    const BOUND: Duration = Duration::from_secs(1);
+    let test = async {
+        let cancel = CancellationToken::new();
+        let objects = MemoryObjects::default();
+        common::write_configuration_with_organisations(&objects, 1).await;
+        let watcher = start_node(&objects, &cancel);
+        let node = start_node_with(&objects, &cancel, bounded_options(BOUND));
+        for member in [&watcher, &node] {
+            member.feed.set_ranked_nodes(vec![watcher.address, node.address]);
+            spawn_feed_task(member, &cancel);
+        }
+        eventually("keys are accepted", async || node.view.allows_keys(BOUND)).await;
+        objects.set_fault(Some(Fault::Unavailable), None);
+        eventually("keys are refused", async || !node.view.allows_keys(BOUND)).await;
+        objects.set_fault(None, None);
+        eventually("keys are accepted again", async || node.view.allows_keys(BOUND)).await;
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// Guards against reads for the age of a configuration whose keys need none: one without organisations.
+#[test]
+fn configuration_without_organisations_is_not_confirmed() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let objects = MemoryObjects::default();
+        common::write(&objects, KINDS.configuration, "main", 1).await;
+        let watcher =
+            start_node_with(&objects, &cancel, bounded_options(Duration::from_millis(300)));
+        spawn_feed_task(&watcher, &cancel);
+        wait_for_configuration(&watcher, 1).await;
+        monoio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(watcher.view.configuration_confirmed_at(), None);
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
