--- a/bins/deckctl/tests/explain.rs
+++ b/bins/deckctl/tests/explain.rs
@@ -52,6 +52,23 @@
     }
 }
 
+/// Guards against a job of an organisation that operators do not find by the id that its caller knows.
+#[test]
+fn job_of_an_organisation_is_found_by_the_id_of_its_caller() {
+    let log = log_file(
+        "2026-12-04T05:00:01Z [INFO] batch: job accepted job=0123456789abcdef~j \
+         organisation=\"a\" items=1 step=0 model=m min_version=2\n\
+         2026-12-04T05:00:02Z [INFO] batch: job taken over job=0123456789abcdef~j from=edge-0\n",
+    );
+    for id in ["j", "0123456789abcdef~j"] {
+        let (code, text) = explain(id, &[&log]);
+        assert_eq!(code, Some(0), "{text}");
+        assert!(text.contains("took the job over, as edge-0 was silent."), "{text}");
+    }
+    assert_eq!(explain("0123456789abcdef", &[&log]).0, Some(3));
+    std::fs::remove_file(log).expect("temporary file is removed");
+}
+
 /// Guards against attributing an item's text to another job that contains the same item. The lines
 /// have the prefix of a log collector: elapsed seconds and the node name.
 #[test]
