Pause between reads that confirm nothing, and store no keys of items

A read that reached the object API but found no valid configuration was repeated without a pause, so that a node could flood the object API; it now waits as after a failed read. Headers of items that contain a key or name an organisation are removed before the job is stored, and not only before an item is sent.

The tests of deck-batch, deck-fleet's feed and decknode's organisations pass.

--- a/bins/decknode/tests/organisations.rs
+++ b/bins/decknode/tests/organisations.rs
@@ -148,6 +148,10 @@
                 assert_eq!(record["organisation"], "first", "{record}");
             }
         }
+        let kinds =
+            fleet.call(fleet.object_api, Method::GET, "/v1/objects/batchitems", &[], vec![]);
+        let stored_items = String::from_utf8(kinds.await.expect("items").1).expect("text");
+        assert!(stored_items.contains("m0") && !stored_items.contains(KEYS[1]), "{stored_items}");
         for log in fleet.write_logs() {
             let log = std::fs::read_to_string(log).expect("log");
             assert!(KEYS.iter().all(|key| !log.contains(key)), "a key is in the logs: {log}");
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -15,14 +15,14 @@
     id::{OrganisationId, RequestId},
 };
 use deck_fleet::{
-    BatchCall, BatchJob, BatchLimits, FleetFeed, JobEvent, Leader, RequestMetadata, ResultPage,
-    Route,
+    BatchCall, BatchJob, BatchLimits, FleetFeed, JobEvent, Leader, PlatformProtocol,
+    RequestMetadata, ResultPage, Route,
 };
 use deck_forward::error_response;
 use deck_limit::TokenBucket;
 use deck_net::{Body, BufferedResponse, NetError, server::empty_response};
 use deck_plat::StoreError;
-use http::{HeaderValue, Response, StatusCode, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
 
 use crate::{
     JobRecord, Runner, StoreJobOutcome,
@@ -247,6 +247,9 @@
             let configuration = deps.view.configuration()?;
             configuration.organisations.as_ref()?.iter().find(|it| it.name == name)?.priority
         });
+        if deps.view.has_organisations() {
+            remove_credentials(&mut job, &*deps.protocol);
+        }
         job.organisation = organisation;
         set_limits(&mut job, route, own_priority);
         // The announcement lets the leader find the job even if this node crashes right after
@@ -637,6 +640,19 @@
     job.submitted_at_ms = now.as_millis() as u64;
 }
 
+/// Removes the headers of items that contain keys or name an organisation, which are not stored.
+fn remove_credentials(job: &mut BatchJob, protocol: &dyn PlatformProtocol) {
+    let is_credential = |name: &str| {
+        let Ok(name) = HeaderName::from_bytes(name.as_bytes()) else { return false };
+        let mut headers = HeaderMap::from_iter([(name, HeaderValue::from_static(""))]);
+        protocol.remove_credentials(&mut headers);
+        headers.is_empty()
+    };
+    for item in &mut job.items {
+        item.headers.retain(|(name, _)| !is_credential(name));
+    }
+}
+
 /// Response to a submission that is stored.
 pub(crate) fn accepted() -> Response<Body> {
     empty_response(StatusCode::ACCEPTED)
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -500,10 +500,14 @@
                 continue;
             }
             last_attempt = BootInstant::now();
-            if let Err(error) = self.inner.follower.confirm_configuration().await {
-                log::info!(target: "fleet", "configuration not confirmed error={error}");
-                monoio::time::sleep(role.retry_delay(bound)).await;
+            let read = self.inner.follower.confirm_configuration().await;
+            if view.configuration_confirmed_at() >= Some(last_attempt) {
+                continue;
             }
+            let reason =
+                read.err().map_or("no valid configuration".to_owned(), |it| it.to_string());
+            log::info!(target: "fleet", "configuration not confirmed error={reason}");
+            monoio::time::sleep(role.retry_delay(bound)).await;
         }
     }
 
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -591,3 +591,32 @@
     };
     deck_net::runtime::run(test).expect("runtime");
 }
+
+/// Guards against reads without a pause while the object API has no valid configuration any more.
+#[test]
+fn configuration_that_cannot_be_confirmed_is_read_with_pauses() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let objects = MemoryObjects::default();
+        common::write_configuration_with_organisations(&objects, 1).await;
+        let bound = Duration::from_millis(600);
+        let watcher = start_node_with(&objects, &cancel, bounded_options(bound));
+        spawn_feed_task(&watcher, &cancel);
+        eventually("keys are accepted", async || watcher.view.allows_keys(bound)).await;
+        let calls_per_second = async || {
+            let calls_before = objects.call_count();
+            monoio::time::sleep(Duration::from_secs(1)).await;
+            objects.call_count() - calls_before
+        };
+        let usual_calls = calls_per_second().await;
+        let store = objects.store();
+        let object = store.get(KINDS.configuration, "main").await.expect("read").expect("object");
+        store.delete(KINDS.configuration, "main", object.revision).await.expect("deleted");
+        eventually("keys are refused", async || !watcher.view.allows_keys(bound)).await;
+        let calls = calls_per_second().await;
+        // One read in each sixth of the bound before, and one in each twelfth after.
+        assert!(calls <= usual_calls + 20, "{calls} calls, {usual_calls} before");
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
