decknode: reports of use wait after a lease that was handed on

Where the platform does not check fences, a report of a holder that stopped with a call without an answer could be executed after the first call of the next holder, which breaks the order of the fences (found by reading, not seen). After a lease that was released or reclaimed, the next holder now waits for the duration of the lease and the transit time of an order, as it does after a lease that ran out.

--- a/bins/decknode/src/leadership.rs
+++ b/bins/decknode/src/leadership.rs
@@ -159,7 +159,16 @@
     monoio::spawn(async move { runners.run(runners_cancel).await });
     if let Some(usage) = context.usage.clone() {
         let (usage_token, usage_cancel) = (lease_token.clone(), tasks_cancel.clone());
-        monoio::spawn(async move { usage.run(usage_token, orders_start, usage_cancel).await });
+        // A report of an earlier holder, or of an earlier process of this one, may be executed after
+        // the lease was released or reclaimed, if its answer was lost.
+        let has_earlier_holder = lease_token.fencing() > 1;
+        let is_handed_on = held.previous_valid_until().is_none() || !was_other_node;
+        let reports_start = if !fencing_checked && has_earlier_holder && is_handed_on {
+            orders_start.max(Instant::now() + lease + MAX_ORDER_TRANSIT_TIME)
+        } else {
+            orders_start
+        };
+        monoio::spawn(async move { usage.run(usage_token, reports_start, usage_cancel).await });
     }
     let (weight_updater, orders_cancel) = (context.weight_updater.clone(), tasks_cancel.clone());
     monoio::spawn(
