Reports of use: bound the copies that the holder of the lease gets

In a large fleet under high load each node would send 4 copies of its counts a second to the holder of the lease: 1,200 a second at 300 nodes. Nodes now collect counts for longer there, so that it gets 250 a second at most. Counts that are left out for lack of room are stated in the log.

Not run at 300 machines.

--- a/crates/duty/src/usage/exchange.rs
+++ b/crates/duty/src/usage/exchange.rs
@@ -18,8 +18,11 @@
 const COPY_COUNT: usize = 2;
 /// Number of nodes that are tried for the copies if some do not answer.
 const MAX_COPY_ATTEMPTS: usize = 2 * COPY_COUNT;
-/// Time for which counts are collected for one message. A node that crashes loses at most these.
-const COPY_DELAY: Duration = Duration::from_millis(250);
+/// Minimum time for which counts are collected for one message. A node that crashes loses at most these.
+const MIN_COPY_DELAY: Duration = Duration::from_millis(250);
+/// Copies that all nodes together send to the holder of the lease in a second, at most. In a large
+/// fleet under high load they would fill its CPU; there, nodes collect counts for longer.
+const MAX_COPIES_PER_S: f64 = 250.0;
 /// Delay before copies are sent again if too few nodes have accepted them.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Timeout of a message.
@@ -101,7 +104,8 @@
     /// Sends copies of this node's new counts to other nodes until `cancel` is cancelled.
     pub async fn run_copies(self, cancel: CancellationToken) {
         while cancel.run_until_cancelled(self.meter.unshared()).await.is_some() {
-            if cancel.run_until_cancelled(monoio::time::sleep(COPY_DELAY)).await.is_none() {
+            let delay = copy_delay((self.nodes)().len());
+            if cancel.run_until_cancelled(monoio::time::sleep(delay)).await.is_none() {
                 return;
             }
             let Some(from) = self.meter.take_unshared() else { continue };
@@ -185,3 +189,8 @@
         cbor::decode(&response.await?.into_ok_body()?)
     }
 }
+
+/// Returns the time for which a node collects counts for one message.
+fn copy_delay(node_count: usize) -> Duration {
+    MIN_COPY_DELAY.max(Duration::from_secs_f64(node_count as f64 / MAX_COPIES_PER_S))
+}
--- a/crates/duty/src/usage/holder.rs
+++ b/crates/duty/src/usage/holder.rs
@@ -119,6 +119,10 @@
                         }
                         self.deps.observer.on_usage_window_closed(missing.is_empty());
                     }
+                    let dropped_count = meter.dropped_count();
+                    if dropped_count > 0 {
+                        log::warn!(target: "usage", "counts left out for lack of room count={dropped_count}");
+                    }
                     let counts = windows.into_iter().map(|window| (window, meter.totals(window)));
                     let known_counts = meter.entries(0, false);
                     let (reports, revision) =
--- a/crates/duty/src/usage/ledger.rs
+++ b/crates/duty/src/usage/ledger.rs
@@ -1,6 +1,6 @@
 //! Counts by window, process that counted, and organisation.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use deck_core::id::OrganisationId;
 use serde::{Deserialize, Serialize};
@@ -119,11 +119,6 @@
             .collect()
     }
 
-    /// Returns the processes whose counts are known.
-    pub fn sources(&self) -> BTreeSet<SourceId> {
-        self.windows.values().flat_map(|sources| sources.keys().copied()).collect()
-    }
-
     /// Returns the number of requests that were not counted for lack of room.
     pub fn dropped_count(&self) -> u64 {
         self.dropped_count
--- a/crates/duty/src/usage/meter.rs
+++ b/crates/duty/src/usage/meter.rs
@@ -127,6 +127,11 @@
         self.inner.ledger.borrow().entries(from, own_only.then_some(self.inner.source))
     }
 
+    /// Returns the number of requests that were not counted for lack of room.
+    pub fn dropped_count(&self) -> u64 {
+        self.inner.ledger.borrow().dropped_count()
+    }
+
     /// Returns the number of requests of each organisation in a window, over all known processes.
     pub fn totals(&self, window: WindowNumber) -> BTreeMap<OrganisationId, u64> {
         self.inner.ledger.borrow().totals(window)
