Scaling: order for lasting losses and for the required events a second

Ordering enough targets for one job of every model at once made steps later: more engines share the same number of weight loads. Losses that are shorter than the boot time are not replaced.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -19,9 +19,6 @@
     pub mean_text_events: Option<f64>,
     /// Number of events per second that the jobs require; `None` if unknown.
     pub events_per_s: Option<f64>,
-    /// Mean number of items of a job; `None` before the first job.
-    #[serde(default)]
-    pub job_items: Option<f64>,
     /// Oldest weight version that the newest job accepts; `None` before the first job.
     #[serde(rename = "oldest_allowed")]
     pub min_version: Option<WeightVersion>,
@@ -77,7 +74,6 @@
         ModelDemand {
             mean_text_events: self.mean_text_events,
             events_per_s: self.mean_job_interval_ms.and_then(events_per_s),
-            job_items: self.mean_job_items,
             min_version: self.newest_job.map(|newest_job| newest_job.min_version),
         }
     }
--- a/crates/scale/src/need.rs
+++ b/crates/scale/src/need.rs
@@ -70,9 +70,7 @@
 
 /// Returns the number of targets of usual speed that the demand needs; 0 if it is unknown.
 pub fn targets_for_demand(demands: &[ModelDemand], slots: u32, usual_event_ms: Option<f64>) -> f64 {
-    let slots = f64::from(slots.max(1));
-    let job_items: f64 = demands.iter().filter_map(|demand| demand.job_items).sum();
     let events_per_s: f64 = demands.iter().filter_map(|demand| demand.events_per_s).sum();
     let busy_slots = usual_event_ms.map_or(0.0, |event_ms| events_per_s * event_ms / 1000.0);
-    (job_items / slots).max(busy_slots / (slots * MAX_UTILISATION))
+    busy_slots / (f64::from(slots.max(1)) * MAX_UTILISATION)
 }
--- a/crates/scale/src/planner.rs
+++ b/crates/scale/src/planner.rs
@@ -15,7 +15,9 @@
 /// Limits of the decision.
 #[derive(Debug, Clone)]
 pub struct PlannerOptions {
-    /// Time for which targets have to be missing before more are ordered.
+    /// Time for which targets have to be missing before more are ordered, if the demand has grown. If
+    /// targets are lost or slow, they have to be missing for the boot time: what has lasted for less
+    /// may be over before a new target serves.
     pub rise_time: Duration,
     /// Time for which targets have to be superfluous before fewer are ordered.
     pub ebb_time: Duration,
@@ -195,11 +197,14 @@
         if let Some((subject, count)) = self.minimum_order(service, now) {
             return Some(order(subject, count, Reason::Minimum, &self.ledger));
         }
-        if is_over(self.missing_since, self.options.rise_time, now)
+        let is_demand = needed > f64::from(self.ledger.total_present());
+        let (reason, rise_time) = match is_demand {
+            true => (Reason::Demand, self.options.rise_time),
+            false => (Reason::Replacement, self.options.rise_time.max(service.scaling.boot_time)),
+        };
+        if is_over(self.missing_since, rise_time, now)
             && let Some((subject, count)) = self.rise_order(service, &worth, needed, now)
         {
-            let is_demand = needed > f64::from(self.ledger.total_present());
-            let reason = if is_demand { Reason::Demand } else { Reason::Replacement };
             return Some(order(subject, count, reason, &self.ledger));
         }
         let may_give_up = is_over(self.superfluous_since, self.options.ebb_time, now)
--- a/crates/scale/tests/planner.rs
+++ b/crates/scale/tests/planner.rs
@@ -71,9 +71,10 @@
         }
     }
 
-    fn demand_items(&mut self, items: f64) {
-        let job_items = Some(items);
-        self.service.demands = vec![ModelDemand { job_items, ..ModelDemand::default() }];
+    /// Sets a demand for which `targets` targets of usual speed suffice, at 70% use.
+    fn demand(&mut self, targets: f64) {
+        let events_per_s = Some(targets * 0.999 * 6.0 * 0.7 / 0.05);
+        self.service.demands = vec![ModelDemand { events_per_s, ..ModelDemand::default() }];
     }
 
     fn ordered(&self, data_centre: &str) -> (u32, u32) {
@@ -97,17 +98,17 @@
 fn present_targets_suffice_without_a_measurement() {
     let mut setup = Setup::start();
     setup.pass(Duration::from_secs(30), accept);
-    setup.demand_items(72.0);
+    setup.demand(12.0);
     setup.pass(Duration::from_secs(300), accept);
     assert_eq!(setup.sent, []);
 }
 
-/// Rise: the items of a job would wait for slots, or a reclaimed data centre would leave too few.
+/// Rise: items would wait for slots all the time, or a reclaimed data centre would leave too few.
 #[test]
 fn rise_orders_spot_targets_in_all_data_centres() {
     let mut setup = Setup::start();
     setup.pass(Duration::from_secs(1), accept);
-    setup.demand_items(15.0 * 6.0);
+    setup.demand(15.0);
     setup.pass(Duration::from_secs(5), accept);
     assert!(setup.sent.iter().all(|order| order.reason == Reason::Demand), "{:?}", setup.sent);
     let spot = ["a", "b", "c"].map(|name| setup.ordered(name).1);
@@ -125,10 +126,10 @@
 fn ebb_gives_up_added_targets_only_after_a_long_time() {
     let mut setup = Setup::start();
     setup.pass(Duration::from_secs(1), accept);
-    setup.demand_items(16.0 * 6.0);
+    setup.demand(16.0);
     setup.pass(Duration::from_secs(5), accept);
     setup.boot();
-    setup.demand_items(10.0);
+    setup.demand(2.0);
     let calls = setup.sent.len();
     setup.pass(Duration::from_secs(59), accept);
     assert_eq!(setup.sent.len(), calls);
@@ -147,7 +148,7 @@
 fn reclaimed_targets_are_replaced_elsewhere() {
     let mut setup = Setup::start();
     setup.pass(Duration::from_secs(1), accept);
-    setup.demand_items(15.0 * 6.0);
+    setup.demand(15.0);
     setup.pass(Duration::from_secs(5), accept);
     setup.boot();
     setup.pass(Duration::from_secs(1), accept);
@@ -168,7 +169,7 @@
 fn refused_orders_go_to_other_data_centres_and_kinds() {
     let mut setup = Setup::start();
     setup.pass(Duration::from_secs(1), accept);
-    setup.demand_items(14.0 * 6.0);
+    setup.demand(14.0);
     let dry = Subject { data_centre: "a".to_owned(), kind: SpotKind::Spot };
     let answer = |order: &PlannedOrder| match order.subject == dry {
         true => Outcome::Refused,
@@ -181,7 +182,7 @@
 
     let mut setup = Setup::start();
     setup.pass(Duration::from_secs(1), accept);
-    setup.demand_items(14.0 * 6.0);
+    setup.demand(14.0);
     let answer = |order: &PlannedOrder| match order.subject.kind {
         SpotKind::Spot => Outcome::Refused,
         SpotKind::Regular => Outcome::Accepted,
@@ -197,7 +198,7 @@
 fn calls_without_an_answer_are_repeated_with_a_growing_pause() {
     let mut setup = Setup::start();
     setup.pass(Duration::from_secs(1), accept);
-    setup.demand_items(14.0 * 6.0);
+    setup.demand(14.0);
     setup.pass(Duration::from_secs(20), |_| Outcome::Unanswered);
     assert!((3..=8).contains(&setup.sent.len()), "{} calls", setup.sent.len());
     setup.pass(Duration::from_secs(20), accept);
@@ -206,14 +207,14 @@
     // The number grows after a call without an answer; the new number is sent again later.
     let mut setup = Setup::start();
     setup.pass(Duration::from_secs(1), accept);
-    setup.demand_items(13.0 * 6.0);
+    setup.demand(13.0);
     let mut answered = false;
     setup.pass(Duration::from_secs(2), |_| match std::mem::replace(&mut answered, true) {
         false => Outcome::Unanswered,
         true => Outcome::Accepted,
     });
     let first = setup.sent[0].clone();
-    setup.demand_items(20.0 * 6.0);
+    setup.demand(20.0);
     setup.pass(Duration::from_secs(3), accept);
     setup.boot();
     setup.pass(Duration::from_secs(20), accept);
@@ -232,7 +233,9 @@
         target.event_ms = Some(200.0);
     }
     setup.service.targets.pop();
-    setup.pass(Duration::from_secs(5), accept);
+    setup.pass(Duration::from_secs(4), accept);
+    assert_eq!(setup.sent, [], "a short loss is over before a new target serves");
+    setup.pass(Duration::from_secs(4), accept);
     assert!(setup.sent.iter().all(|order| order.reason == Reason::Replacement));
     // 8 + 3 x 0.25 remain of 12, and one data centre may be reclaimed.
     let spot: u32 = ["a", "b", "c"].iter().map(|name| setup.ordered(name).1).sum();
@@ -285,7 +288,7 @@
     let mut setup = Setup::start();
     setup.service.scaling.max_targets = 5;
     setup.pass(Duration::from_secs(1), accept);
-    setup.demand_items(1000.0);
+    setup.demand(1000.0);
     setup.pass(Duration::from_secs(60), accept);
     assert!(["a", "b", "c"].iter().all(|name| {
         let (regular, spot) = setup.ordered(name);
@@ -305,7 +308,7 @@
 fn a_new_leader_continues_from_the_recorded_numbers() {
     let mut setup = Setup::start();
     setup.pass(Duration::from_secs(1), accept);
-    setup.demand_items(15.0 * 6.0);
+    setup.demand(15.0);
     setup.pass(Duration::from_secs(5), accept);
     let record = setup.planner.record();
     setup.planner = planner(Some(&record), setup.now);
