Learn the slowdown of engines by occupancy and share speeds with new runners

Callers' long texts were placed by the speed of an engine at its present load alone, with one percent for each run, and a new runner knew nothing of engines that its predecessor had found to be slow or fast. An engine that slows down long before its slots are full was filled like any other.

Reports of runners name the speed of engines that differ; the leader passes them to new runners. Engines that show no difference are treated as before.

--- a/bins/decknode/src/metrics.rs
+++ b/bins/decknode/src/metrics.rs
@@ -42,6 +42,8 @@
         "Runs of items that have ended.";
     RUN_TIME = "decknode_run_seconds", "histogram", "seconds", "end",
         "Time of these runs.";
+    EVENT_TIME = "decknode_event_time_seconds", "histogram", "seconds", "value",
+        "Time per event of a run of an item: expected when its engine was chosen, measured, and the difference (error).";
     ITEMS = "decknode_items_total", "counter", "items", "outcome",
         "Items whose results this node has stored.";
     RESULTS = "decknode_results_stored_total", "counter", "results", "",
@@ -105,6 +107,7 @@
     first_event_time: Histogram<f64>,
     item_runs: Counter<u64>,
     run_time: Histogram<f64>,
+    event_time: Histogram<f64>,
     items: Counter<u64>,
     results: Counter<u64>,
     chunks_found: Counter<u64>,
@@ -190,6 +193,7 @@
             first_event_time: FIRST_EVENT.latency_histogram(meter),
             item_runs: RUNS.counter(meter),
             run_time: RUN_TIME.latency_histogram(meter),
+            event_time: EVENT_TIME.latency_histogram(meter),
             items: ITEMS.counter(meter),
             results: RESULTS.counter(meter),
             chunks_found: CHUNKS_FOUND.counter(meter),
@@ -346,6 +350,18 @@
         self.instruments.run_time.record(time.as_secs_f64(), &attributes);
     }
 
+    fn on_event_time(&self, expected: Duration, measured: Duration) {
+        let values = [
+            ("expected", expected),
+            ("measured", measured),
+            ("error", expected.abs_diff(measured)),
+        ];
+        for (value, time) in values {
+            let attributes = [KeyValue::new("value", value)];
+            self.instruments.event_time.record(time.as_secs_f64(), &attributes);
+        }
+    }
+
     fn on_item_result(&self, outcome: ItemOutcome) {
         let outcome = match outcome {
             ItemOutcome::Completed => "completed",
--- a/bins/decknode/tests/metrics.rs
+++ b/bins/decknode/tests/metrics.rs
@@ -66,6 +66,7 @@
     metrics.on_first_run(one_second);
     metrics.on_first_event(one_second);
     metrics.on_item_run_end(ItemRunOutcome::Moved, one_second);
+    metrics.on_event_time(Duration::from_millis(40), Duration::from_millis(60));
     metrics.on_item_result(ItemOutcome::Failed);
     metrics.on_results_stored(7);
     metrics.on_chunk_found(ChunkFinder::Read);
@@ -91,6 +92,7 @@
         "decknode_requests_total{purpose=\"streaming\",reason=\"no_target\",route=\"r\",status=\"503\"} 1",
         "decknode_attempts_total{outcome=\"broken\"} 1",
         "decknode_stream_resumptions_total{outcome=\"version_gone\",scope=\"caller\"} 1",
+        "decknode_event_time_seconds_sum{value=\"error\"} 0.02",
         "decknode_results_stored_total 7",
         "decknode_chunks_found_total{found_by=\"read\"} 1",
         "decknode_groups_total{on_time=\"false\"} 1",
--- a/crates/batch/src/dispatch.rs
+++ b/crates/batch/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use deck_core::id::{SoftwareVersion, TargetId, WeightVersion};
+use deck_route::Slowdown;
 
 /// An item that waits for an engine.
 #[derive(Debug, Clone)]
@@ -49,15 +50,41 @@
     pub active_runs: u32,
     /// Maximum number of concurrent runs; 0 while the engine starts none.
     pub slots: u32,
-    /// Expected time between two events in milliseconds.
+    /// Expected time between two events in milliseconds, before the engine's slowdown is applied.
     pub event_gap_ms: f64,
+    /// Slowdown by the number of runs; `None` while the engine has not shown that it is sensitive to
+    /// it.
+    pub slowdown: Option<Slowdown>,
     /// Whether the engine is assigned to another model. The runner of that model does not see the
     /// runs that this node starts on the engine.
     pub assigned_to_other_model: bool,
 }
 
-/// Relative increase of an engine's cost for each run that is active on it. Small because engines
-/// process their runs in one batch.
+impl EngineCandidate {
+    /// Returns the expected time between two events of a further run in milliseconds.
+    pub fn next_event_gap_ms(&self) -> f64 {
+        let factor = |slowdown: &Slowdown| slowdown.factor(self.active_runs + 1);
+        self.event_gap_ms * self.slowdown.as_ref().map_or(1.0, factor)
+    }
+
+    /// Returns whether the engine runs as many texts as it takes well.
+    fn is_at_knee(&self) -> bool {
+        let knee = self.slowdown.as_ref().and_then(Slowdown::knee);
+        knee.is_some_and(|knee| self.active_runs >= knee)
+    }
+
+    /// Returns the factor by which the runs on the engine raise the cost of a further one. For an
+    /// engine that is sensitive to its occupancy, this includes the delay of these runs.
+    fn load_factor(&self) -> f64 {
+        match &self.slowdown {
+            Some(slowdown) => slowdown.added_time(self.active_runs),
+            None => 1.0 + SLOWDOWN_PER_RUN * f64::from(self.active_runs),
+        }
+    }
+}
+
+/// Relative increase of the cost of an engine that is not sensitive to its occupancy, for each run
+/// that is active on it. Small because engines process their runs in one batch.
 const SLOWDOWN_PER_RUN: f64 = 0.01;
 /// Relative cost that is saved on the engine whose prefix cache is likely to hold the item's
 /// prompt.
@@ -179,11 +206,10 @@
     has_cached_prompt: bool,
 ) -> f64 {
     let relative_gap = candidate.event_gap_ms / median_gap_ms;
-    let load_factor = 1.0 + SLOWDOWN_PER_RUN * f64::from(candidate.active_runs);
     let version_cost = COST_PER_VERSION_BEHIND * (newest - candidate.version) as f64;
     let cache_bonus = if has_cached_prompt { CACHED_PROMPT_BONUS } else { 0.0 };
     let other_model_cost = if candidate.assigned_to_other_model { OTHER_MODEL_COST } else { 0.0 };
-    relative_gap * load_factor + version_cost + other_model_cost - cache_bonus
+    relative_gap * candidate.load_factor() + version_cost + other_model_cost - cache_bonus
 }
 
 /// Returns the median time between two events in milliseconds.
@@ -237,9 +263,11 @@
                 && candidate.version >= item.min_version
                 && candidate.software_version == item.software_version
                 && candidate.active_runs < candidate.slots
+                && !candidate.is_at_knee()
         })
-        .min_by(|a, b| a.event_gap_ms.total_cmp(&b.event_gap_ms))?;
-    let gain_s = time_on_current - time_at(fastest.event_gap_ms) - MIGRATION_TIME.as_secs_f64();
+        .min_by(|a, b| a.next_event_gap_ms().total_cmp(&b.next_event_gap_ms()))?;
+    let gain_s =
+        time_on_current - time_at(fastest.next_event_gap_ms()) - MIGRATION_TIME.as_secs_f64();
     (gain_s >= MIN_MIGRATION_GAIN.as_secs_f64()
         && gain_s >= time_on_current * MIN_MIGRATION_GAIN_RATIO)
         .then_some(fastest)
--- a/crates/batch/src/item_run.rs
+++ b/crates/batch/src/item_run.rs
@@ -50,12 +50,17 @@
     }
 }
 
-/// Runs a waiting item on `target` and sets the item's next phase from the outcome.
+/// Minimum number of events of a run whose time per event is compared with the expected one.
+const MIN_COMPARED_EVENTS: u64 = 8;
+
+/// Runs a waiting item on `target`, where an event is expected to take `expected_event_ms`, and sets
+/// the item's next phase from the outcome.
 pub(crate) async fn run_item(
     runner: Rc<RunnerState>,
     job: Rc<Job>,
     item_state: Rc<ItemState>,
     target: Rc<Target>,
+    expected_event_ms: f64,
     run_guard: RunGuard,
 ) {
     let started = Instant::now();
@@ -98,9 +103,14 @@
         elapsed,
         Instant::now(),
     );
+    let events = end_event.saturating_sub(start_event);
+    if events >= MIN_COMPARED_EVENTS {
+        let expected = Duration::from_secs_f64(expected_event_ms.clamp(0.0, 1e6) / 1000.0);
+        observer.on_event_time(expected, elapsed.div_f64(events as f64));
+    }
     match outcome {
         RunOutcome::Complete => {
-            log::info!(target: "batch", "run complete item={id} target={} event={end_event} ms={ms}", target.id);
+            log::info!(target: "batch", "run complete item={id} target={} event={end_event} ms={ms} events={events} expected_event_ms={expected_event_ms:.1}", target.id);
             if !item_state.is_speculative {
                 runner.deps.engines.record_text_length(&job.record.borrow().model, end_event);
             }
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -417,6 +417,7 @@
                 continue;
             };
             let chosen_engine = &mut candidates[index];
+            let expected_event_ms = chosen_engine.next_event_gap_ms();
             // Counted here because the run's own task starts later than the next item is placed.
             chosen_engine.active_runs += 1;
             let Some(target) = targets.iter().find(|target| target.id == chosen_engine.target)
@@ -441,6 +442,7 @@
                 job.clone(),
                 item_state.clone(),
                 target.clone(),
+                expected_event_ms,
                 guard,
             ));
         }
@@ -538,6 +540,7 @@
                     event_gap_ms: estimate
                         .expected_event_interval_ms(median_gap_ms, now)
                         .unwrap_or(median_gap_ms),
+                    slowdown: estimate.slowdown,
                     assigned_to_other_model: engines.is_assigned_to_other_model(&target.id, model),
                 })
             })
@@ -583,7 +586,8 @@
             for item_state in running_items {
                 let Some(item) = self.running_item(item_state, &job_engines, now) else { continue };
                 if let Some(chosen) = choose_migration(&item, &job_engines.candidates) {
-                    let gain_ms = item.remaining_events * (item.event_gap_ms - chosen.event_gap_ms);
+                    let gain_ms =
+                        item.remaining_events * (item.event_gap_ms - chosen.next_event_gap_ms());
                     if best_migration
                         .as_ref()
                         .is_none_or(|(best_gain_ms, ..)| gain_ms > *best_gain_ms)
--- a/crates/batch/tests/dispatch.rs
+++ b/crates/batch/tests/dispatch.rs
@@ -6,6 +6,7 @@
     EngineCandidate, RunningItem, WaitingItem, WaitingText, can_continue_text, choose_engine,
     choose_migration, remaining_events, sort_by_urgency,
 };
+use deck_route::Slowdown;
 
 fn waiting(item_index: usize, due_in_ms: u64, expected_ms: u64) -> WaitingItem {
     WaitingItem {
@@ -28,6 +29,7 @@
         active_runs,
         slots: 8,
         event_gap_ms: gap_ms,
+        slowdown: None,
         assigned_to_other_model: false,
     }
 }
@@ -71,6 +73,52 @@
     assert_eq!(chosen_engine.target, "fast");
 }
 
+/// Returns an engine that takes `knee` of its eight runs well: beyond them, each run slows all.
+fn saturating_engine(name: &str, gap_ms: f64, active_runs: u32, knee: u32) -> EngineCandidate {
+    let factors: Vec<f64> =
+        (1..=16).map(|runs| (f64::from(runs) / f64::from(knee)).max(1.0)).collect();
+    let slowdown = Slowdown::from_report(&factors, Some(knee));
+    EngineCandidate { slowdown, ..engine(name, gap_ms, active_runs) }
+}
+
+/// Pattern: an engine is the fastest for a few runs and slows down long before it is full. Guards
+/// against placing a text beyond what it takes well while a slower engine has room, and against
+/// leaving the faster engine idle.
+#[test]
+fn engine_at_its_knee_is_left_alone_while_another_has_room() {
+    let item = waiting(0, 7500, 6400);
+    let chosen = |saturating_runs, slow_runs| {
+        let engines =
+            [saturating_engine("s", 33.0, saturating_runs, 3), engine("slow", 60.0, slow_runs)];
+        choose_candidate(&item, &engines, None).map(|engine| engine.target.clone())
+    };
+    assert_eq!(chosen(2, 0).as_deref(), Some("s"));
+    assert_eq!(chosen(3, 0).as_deref(), Some("slow"));
+    assert_eq!(chosen(3, 7).as_deref(), Some("slow"));
+    assert_eq!(chosen(3, 8).as_deref(), Some("s"));
+    assert_eq!(chosen(8, 8), None);
+    let long_text = running_item(120.0, 60.0);
+    assert!(choose_migration(&long_text, &[saturating_engine("s", 33.0, 3, 3)]).is_none());
+    assert!(choose_migration(&long_text, &[saturating_engine("s", 33.0, 2, 3)]).is_some());
+}
+
+/// Pattern: all engines turn slow at once, and all are at their knee. Guards against limits that fall
+/// together until items wait although slots are free, and against another choice than before.
+#[test]
+fn engines_that_are_all_slow_are_used_to_their_last_slot() {
+    for slower in [1.0, 3.0, 20.0] {
+        let mut engines =
+            [33.0, 40.0, 60.0].map(|gap_ms| saturating_engine("e", gap_ms * slower, 0, 1));
+        let mut order = Vec::new();
+        while let Some(index) = choose_engine(&waiting(0, 7500, 900), &engines, None) {
+            engines[index].active_runs += 1;
+            order.push(index);
+        }
+        assert_eq!(order.len(), 3 * 8);
+        assert_eq!(order[..3], [0, 1, 2]);
+    }
+}
+
 /// Guards against text of a weight version that the step does not accept.
 #[test]
 fn engine_with_an_older_version_is_never_chosen() {
--- a/crates/fleet/src/engines.rs
+++ b/crates/fleet/src/engines.rs
@@ -10,6 +10,7 @@
 };
 
 use deck_core::id::{TargetId, WeightVersion};
+use deck_route::{CapacityEstimator, Slowdown};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
@@ -44,6 +45,12 @@
 /// Fraction by which the recorded time per event of an engine's fastest run grows each second, so
 /// that old measurements lose their effect.
 const BEST_RUN_DECAY_PER_S: f64 = 0.01;
+/// Relative difference from the median time per event from which an engine's speed is reported to
+/// other nodes. Smaller ones are mostly noise.
+const MIN_SPEED_DIFFERENCE: f64 = 0.2;
+/// Age from which the speed that another node reported is ignored.
+const MAX_REPORTED_SPEED_AGE: Duration = Duration::from_secs(15);
+
 /// Time for which an update from the leader remains valid; spans several of its messages.
 const LEADER_UPDATE_LIFETIME: Duration = Duration::from_millis(1500);
 
@@ -57,6 +64,8 @@
     remote_demands: Rc<RefCell<HashMap<ModelName, ModelDemand>>>,
     /// Engine loads caused by the runs of other nodes, by node address.
     remote_loads: Rc<RefCell<HashMap<SocketAddr, HashMap<TargetId, EngineLoad>>>>,
+    /// Speed of each engine as another node last reported it.
+    reported_speeds: Rc<RefCell<HashMap<TargetId, ReportedSpeed>>>,
     /// Engines assigned to each model, for models with a recent update from the leader.
     assignments: Rc<RefCell<HashMap<ModelName, Assignment>>>,
     /// Notifies subscribers when an engine has a new weight version, or starts or ends loading
@@ -82,6 +91,49 @@
     pub active_runs: u32,
     /// Time per event of the fastest recent run, in milliseconds.
     pub best_event_ms: Option<f64>,
+    /// Speed that the node measured, of an engine that differs from the others.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub speed: Option<EngineSpeed>,
+}
+
+/// Speed of an engine, as the nodes that run texts on it report it to the leader and the leader to
+/// a new runner.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct EngineSpeed {
+    /// Start time of the engine process that was measured.
+    pub started_at_ms: u64,
+    /// Long-term mean interval between events in milliseconds, without the slowdown below.
+    pub event_ms: f64,
+    /// Time since the last event.
+    pub age_ms: u64,
+    /// Slowdown by occupancy; empty if the engine is not sensitive to it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub slowdowns: Vec<f64>,
+    /// Concurrency that the engine takes well, if known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub knee: Option<u32>,
+}
+
+impl EngineSpeed {
+    fn is_recent(&self) -> bool {
+        Duration::from_millis(self.age_ms) <= MAX_REPORTED_SPEED_AGE
+    }
+}
+
+/// Speed of an engine that another node measured.
+#[derive(Debug)]
+struct ReportedSpeed {
+    speed: EngineSpeed,
+    received_at: Instant,
+}
+
+impl ReportedSpeed {
+    /// Returns the speed with its age at `now`.
+    fn at(&self, now: Instant) -> EngineSpeed {
+        let held = now.saturating_duration_since(self.received_at).as_millis() as u64;
+        EngineSpeed { age_ms: self.speed.age_ms.saturating_add(held), ..self.speed.clone() }
+    }
 }
 
 /// State of an engine that the leader sends to the runner of a model, ahead of the target list.
@@ -100,6 +152,9 @@
     /// Whether the engine is assigned to the model.
     #[serde(rename = "assigned")]
     pub is_assigned: bool,
+    /// Speed of an engine that is new to the runner, as other nodes reported it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub speed: Option<EngineSpeed>,
 }
 
 /// State of one engine.
@@ -117,8 +172,12 @@
     backoff_until: Option<Instant>,
     /// Number of failures since the last event.
     consecutive_failures: u32,
-    /// Mean intervals between consecutive events of a run.
+    /// Mean intervals between consecutive events of a run, without the slowdown of its occupancy.
     event_intervals: Option<EventIntervals>,
+    /// Slowdown of the engine by the number of this node's runs on it; `None` before the first event.
+    capacity: Option<Box<CapacityEstimator>>,
+    /// Slowdown that another node measured, and when; used until this node has measured its own.
+    reported_slowdown: Option<(Slowdown, Instant)>,
     /// Fastest recent run.
     best_run: Option<BestRun>,
 }
@@ -163,11 +222,14 @@
     /// Number of this node's runs in progress on the engine.
     pub active_runs: u32,
     event_intervals: Option<EventIntervals>,
+    /// Slowdown by the number of this node's runs; `None` while the engine has not shown that it is
+    /// sensitive to it.
+    pub slowdown: Option<Slowdown>,
 }
 
 impl EngineEstimate {
-    /// Returns the expected interval between events in milliseconds, or `None` without
-    /// measurements.
+    /// Returns the expected interval between events in milliseconds, before the engine's slowdown is
+    /// applied, or `None` without measurements.
     ///
     /// `typical_ms` is the typical interval across engines, towards which the estimate of an idle
     /// engine decays.
@@ -182,13 +244,64 @@
 }
 
 impl EngineState {
-    /// Returns the expected interval between events in milliseconds, or `None` without
-    /// measurements.
+    /// Returns the expected interval between the events of a run in progress in milliseconds, or
+    /// `None` without measurements.
     ///
     /// `typical_ms` is the typical interval across engines, towards which the estimate of an idle
     /// engine decays.
     pub fn expected_event_interval_ms(&self, typical_ms: f64, now: Instant) -> Option<f64> {
-        self.event_intervals.map(|event_intervals| event_intervals.expected_ms(typical_ms, now))
+        let intervals = self.event_intervals?;
+        Some(intervals.expected_ms(typical_ms, now) * self.slowdown_factor(now))
+    }
+
+    /// Returns the slowdown by the number of this node's runs; `None` while the engine has not shown
+    /// that it is sensitive to it.
+    pub fn slowdown(&self, now: Instant) -> Option<Slowdown> {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < MAX_REPORTED_SPEED_AGE;
+        let reported = self.reported_slowdown.filter(|(_, at)| is_recent(*at));
+        self.own_slowdown(now).or(reported.map(|(slowdown, _)| slowdown))
+    }
+
+    /// Returns the slowdown that this node has measured.
+    fn own_slowdown(&self, now: Instant) -> Option<Slowdown> {
+        self.capacity.as_ref()?.slowdown(now)
+    }
+
+    /// Returns the slowdown at the present number of runs.
+    fn slowdown_factor(&self, now: Instant) -> f64 {
+        self.slowdown(now).map_or(1.0, |slowdown| slowdown.factor(self.active_runs))
+    }
+
+    /// Returns the speed to report to other nodes.
+    fn speed(&self, now: Instant) -> Option<EngineSpeed> {
+        let intervals = self.event_intervals?;
+        let slowdown = self.own_slowdown(now);
+        Some(EngineSpeed {
+            started_at_ms: self.started_at_ms,
+            event_ms: intervals.long_mean_ms,
+            age_ms: now.saturating_duration_since(intervals.updated_at).as_millis() as u64,
+            slowdowns: slowdown.map_or_else(Vec::new, |slowdown| slowdown.factors().to_vec()),
+            knee: slowdown.and_then(|slowdown| slowdown.knee()),
+        })
+    }
+
+    /// Adopts a speed that another node measured, unless this node has measured the engine later.
+    fn adopt_speed(&mut self, speed: &EngineSpeed, now: Instant) {
+        let age = Duration::from_millis(speed.age_ms);
+        let is_valid = speed.event_ms.is_finite() && speed.event_ms > 0.0;
+        let Some(measured_at) = now.checked_sub(age).filter(|_| is_valid) else { return };
+        if age > MAX_REPORTED_SPEED_AGE
+            || self.event_intervals.is_some_and(|intervals| intervals.updated_at >= measured_at)
+        {
+            return;
+        }
+        self.event_intervals = Some(EventIntervals {
+            short_mean_ms: speed.event_ms,
+            long_mean_ms: speed.event_ms,
+            updated_at: measured_at,
+        });
+        self.reported_slowdown = Slowdown::from_report(&speed.slowdowns, speed.knee)
+            .map(|slowdown| (slowdown, measured_at));
     }
 
     fn is_usable(&self, model: &str, now: Instant) -> bool {
@@ -266,19 +379,34 @@
 
     /// Returns the engine loads caused by the runs of this node.
     pub fn own_loads(&self, now: Instant) -> Vec<EngineLoad> {
+        let mut speeds = self.own_speeds(now);
         let states = self.states.borrow();
         let in_use =
             states.iter().filter(|(_, state)| state.active_runs > 0 || state.best_run.is_some());
-        let load = |(target, state): (&TargetId, &EngineState)| EngineLoad {
+        let mut load = |(target, state): (&TargetId, &EngineState)| EngineLoad {
             target: target.clone(),
             active_runs: state.active_runs,
             best_event_ms: state.best_event_ms(now),
+            speed: speeds.remove(target),
         };
-        in_use.map(load).collect()
-    }
-
-    /// Replaces the engine loads caused by another node; an empty list removes the node.
-    pub fn set_remote_loads(&self, node: SocketAddr, loads: Vec<EngineLoad>) {
+        in_use.map(&mut load).collect()
+    }
+
+    /// Replaces the engine loads caused by another node; an empty list removes the node, and keeps the
+    /// speeds that it has measured.
+    pub fn set_remote_loads(&self, node: SocketAddr, loads: Vec<EngineLoad>, received_at: Instant) {
+        let mut reported_speeds = self.reported_speeds.borrow_mut();
+        for load in &loads {
+            let Some(speed) = load.speed.clone() else { continue };
+            let is_newer = reported_speeds
+                .get(&load.target)
+                .is_none_or(|known| known.at(received_at).age_ms >= speed.age_ms);
+            if is_newer {
+                let reported = ReportedSpeed { speed, received_at };
+                reported_speeds.insert(load.target.clone(), reported);
+            }
+        }
+        drop(reported_speeds);
         let loads: HashMap<_, _> =
             loads.into_iter().map(|load| (load.target.clone(), load)).collect();
         let mut remote_loads = self.remote_loads.borrow_mut();
@@ -302,7 +430,49 @@
                 (a, b) => a.or(b),
             };
         }
-        EngineLoad { target: target.id.clone(), active_runs, best_event_ms }
+        EngineLoad { target: target.id.clone(), active_runs, best_event_ms, speed: None }
+    }
+
+    /// Returns the speeds that this node has measured lately, of engines that differ from the others
+    /// or are sensitive to their occupancy.
+    fn own_speeds(&self, now: Instant) -> HashMap<TargetId, EngineSpeed> {
+        let states = self.states.borrow();
+        let speed = |(id, state): (&TargetId, &EngineState)| Some((id.clone(), state.speed(now)?));
+        let mut speeds: HashMap<_, _> = states.iter().filter_map(speed).collect();
+        speeds.retain(|_, speed| speed.is_recent());
+        let mut event_times_ms: Vec<f64> = speeds.values().map(|speed| speed.event_ms).collect();
+        event_times_ms.sort_by(f64::total_cmp);
+        let median_ms = event_times_ms.get(event_times_ms.len() / 2).copied().unwrap_or(1.0);
+        speeds.retain(|_, speed| {
+            let ratio = speed.event_ms / median_ms.max(1e-3);
+            (ratio - 1.0).abs() >= MIN_SPEED_DIFFERENCE || !speed.slowdowns.is_empty()
+        });
+        speeds
+    }
+
+    /// Adds to the updates of a runner the speeds of the assigned engines for which `is_new` returns
+    /// true, from the reports of other nodes and the measurements of this one.
+    pub fn add_speeds(
+        &self,
+        updates: &mut [EngineUpdate],
+        is_new: impl Fn(&str) -> bool,
+        now: Instant,
+    ) {
+        let is_new = |update: &&mut EngineUpdate| update.is_assigned && is_new(&update.target);
+        let mut updates = updates.iter_mut().filter(is_new).peekable();
+        if updates.peek().is_none() {
+            return;
+        }
+        let mut own_speeds = self.own_speeds(now);
+        let reported_speeds = self.reported_speeds.borrow();
+        for update in updates {
+            let reported = reported_speeds.get(&update.target).map(|reported| reported.at(now));
+            let speeds = reported.into_iter().chain(own_speeds.remove(&update.target));
+            let started_at_ms = update.started_at_ms;
+            update.speed = speeds
+                .filter(|speed| speed.started_at_ms == started_at_ms && speed.is_recent())
+                .min_by_key(|speed| speed.age_ms);
+        }
     }
 
     /// Returns the engine state that the runner of a model needs and that the target list does not
@@ -323,6 +493,7 @@
             version,
             is_loading,
             is_assigned,
+            speed: None,
         })
     }
 
@@ -350,6 +521,9 @@
             if update.is_loading {
                 self.set_loading_model(&target, Some(model.to_owned()));
             }
+            if let Some(speed) = &update.speed {
+                self.with_state(&target, |state| state.adopt_speed(speed, now));
+            }
         }
     }
 
@@ -431,6 +605,7 @@
             is_usable: state.is_usable(model, now),
             active_runs: state.active_runs,
             event_intervals: state.event_intervals,
+            slowdown: state.slowdown(now),
         })
     }
 
@@ -445,6 +620,11 @@
     pub fn record_event_interval(&self, target: &Target, interval: Duration, now: Instant) {
         self.with_state(target, |state| {
             let interval_ms = interval.as_secs_f64() * 1000.0;
+            let capacity = state.capacity.get_or_insert_default();
+            if let Some((old, new)) = capacity.record(state.active_runs, interval_ms, now) {
+                log_knee(target, old, new);
+            }
+            let interval_ms = interval_ms / state.slowdown_factor(now);
             let means = state.event_intervals.get_or_insert(EventIntervals {
                 short_mean_ms: interval_ms,
                 long_mean_ms: interval_ms,
@@ -493,6 +673,7 @@
     pub fn retain_known(&self, view: &FleetView) {
         let mut states = self.states.borrow_mut();
         states.retain(|id, state| state.active_runs > 0 || view.target(id).is_some());
+        self.reported_speeds.borrow_mut().retain(|id, _| view.target(id).is_some());
     }
 
     /// Calls `action` with the state of a target; the state is reset if the target has restarted.
@@ -508,6 +689,16 @@
     }
 }
 
+/// Logs a change of the concurrency that an engine takes well, unless it is a change by one.
+fn log_knee(target: &Target, old: Option<u32>, new: Option<u32>) {
+    let is_small = matches!((old, new), (Some(old), Some(new)) if old.abs_diff(new) < 2);
+    if is_small {
+        return;
+    }
+    let label = |knee: Option<u32>| knee.map_or_else(|| "all".to_owned(), |runs| runs.to_string());
+    log::info!(target: "fleet", "capacity changed target={} runs={} previous={}", target.id, label(new), label(old));
+}
+
 impl BestRun {
     fn event_ms_at(&self, now: Instant) -> f64 {
         let age_s = now.saturating_duration_since(self.observed_at).as_secs_f64();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -39,7 +39,7 @@
 pub use crash_registry::{CrashRegistry, NodeCrashes};
 pub use demand::{DemandMeter, ModelDemand};
 pub use engines::{
-    EngineEstimate, EngineLoad, EngineRegistry, EngineState, EngineUpdate, RunGuard,
+    EngineEstimate, EngineLoad, EngineRegistry, EngineSpeed, EngineState, EngineUpdate, RunGuard,
 };
 pub use feed::{FleetFeed, FleetFeedOptions, Leader, ModelRunner, RunnerTable};
 pub use follow::{ObjectFollower, ObjectFollowerOptions, ObjectKinds};
--- a/crates/fleet/src/observer.rs
+++ b/crates/fleet/src/observer.rs
@@ -25,6 +25,10 @@
     /// A run of an item has ended, `time` after its start.
     fn on_item_run_end(&self, _outcome: ItemRunOutcome, _time: Duration) {}
 
+    /// A run of an item has ended whose events took `measured` each; `expected` was predicted when its
+    /// engine was chosen.
+    fn on_event_time(&self, _expected: Duration, _measured: Duration) {}
+
     /// An item of a job on this node has a result.
     fn on_item_result(&self, _outcome: ItemOutcome) {}
 
--- a/crates/fleet/tests/view.rs
+++ b/crates/fleet/tests/view.rs
@@ -7,8 +7,8 @@
 };
 
 use deck_fleet::{
-    CallerLimits, Configuration, EngineRegistry, FleetView, Route, RouteKind, ServiceConfig,
-    Target, TargetChanges, TargetContent, TargetState,
+    CallerLimits, Configuration, EngineLoad, EngineRegistry, EngineUpdate, FleetView, Route,
+    RouteKind, ServiceConfig, Target, TargetChanges, TargetContent, TargetState,
 };
 use deck_route::{Router, RouterOptions};
 
@@ -162,6 +162,84 @@
     assert!(interval(last_recorded_at + Duration::from_secs(20)) < 45.0);
 }
 
+/// Records five seconds of events of engine `id`, one each 40 ms, and returns the time of the last.
+fn record_events(engines: &EngineRegistry, id: &str, event_ms: u64, now: Instant) -> Instant {
+    let at = |step: u64| now + Duration::from_millis(40 * step);
+    for step in 0..125 {
+        engines.record_event_interval(&target(id), Duration::from_millis(event_ms), at(step));
+    }
+    at(124)
+}
+
+/// Returns the updates that the leader sends to a new runner after `loads` were reported.
+fn updates_for_new_runner(
+    leader: &EngineRegistry,
+    loads: Vec<EngineLoad>,
+    received_at: Instant,
+    now: Instant,
+) -> Vec<EngineUpdate> {
+    let node = SocketAddr::from(([127, 0, 0, 1], 9000));
+    leader.set_remote_loads(node, loads, received_at);
+    leader.set_remote_loads(node, Vec::new(), received_at);
+    let update = |id| leader.engine_update(&target(id), "m", true).expect("an update");
+    let mut updates = ["a", "b", "c", "d"].map(update).to_vec();
+    leader.add_speeds(&mut updates, |_| true, now);
+    updates
+}
+
+/// A runner that takes over must not place the longest texts on engines that its predecessor, which
+/// is gone, knew to be slow.
+#[test]
+fn new_runner_learns_the_speeds_of_its_predecessor() {
+    let [old_runner, leader, new_runner] = [(); 3].map(|()| EngineRegistry::default());
+    let mut now = Instant::now();
+    for (id, event_ms) in [("a", 33), ("b", 33), ("c", 72), ("d", 33)] {
+        now = record_events(&old_runner, id, event_ms, Instant::now());
+        drop(old_runner.start_run(&target(id)));
+        old_runner.record_run(&target(id), 10, Duration::from_millis(330), now);
+    }
+    let updates = updates_for_new_runner(&leader, old_runner.own_loads(now), now, now);
+    let with_speed = updates.iter().filter(|update| update.speed.is_some());
+    assert!(with_speed.clone().map(|update| &*update.target).eq(["c"]), "{updates:?}");
+    let view = view();
+    view.set_targets(["a", "b", "c", "d"].map(target).to_vec(), now);
+    new_runner.apply_updates(&view, "m", &updates, now);
+    let interval = |id| new_runner.state(&target(id)).expected_event_interval_ms(40.0, now);
+    assert_eq!(interval("a"), None);
+    assert!(interval("c").is_some_and(|ms| ms > 60.0), "{:?}", interval("c"));
+    // What the runner has measured itself since is not replaced by the report.
+    let later = record_events(&new_runner, "c", 33, now + Duration::from_secs(1));
+    new_runner.apply_updates(&view, "m", &updates, later);
+    assert!(new_runner.state(&target("c")).expected_event_interval_ms(40.0, later) < Some(40.0));
+}
+
+/// Reports that are lost, old, of a process that has restarted, or absent as engines do not differ
+/// must leave a new runner with the assumptions of an unknown engine.
+#[test]
+fn old_speeds_are_not_adopted() {
+    let [old_runner, leader, new_runner] = [(); 3].map(|()| EngineRegistry::default());
+    let mut now = Instant::now();
+    for (id, event_ms) in [("a", 33), ("b", 37), ("c", 30), ("d", 72)] {
+        now = record_events(&old_runner, id, event_ms, Instant::now());
+        old_runner.record_run(&target(id), 10, Duration::from_millis(330), now);
+    }
+    let loads = old_runner.own_loads(now);
+    assert!(loads.iter().all(|load| load.speed.is_some() == (load.target == "d")), "{loads:?}");
+    let later = now + Duration::from_secs(16);
+    let updates = updates_for_new_runner(&leader, loads.clone(), now, later);
+    assert!(updates.iter().all(|update| update.speed.is_none()), "{updates:?}");
+    let mut updates = updates_for_new_runner(&leader, loads, now, now);
+    updates[3].speed.as_mut().expect("a speed").event_ms = f64::NAN;
+    let view = view();
+    view.set_targets(["a", "b", "c", "d"].map(target).to_vec(), now);
+    new_runner.apply_updates(&view, "m", &updates, now);
+    assert_eq!(new_runner.state(&target("d")).expected_event_interval_ms(40.0, now), None);
+    let restarted = Target { started_at_ms: 2, ..target("d") };
+    let mut update = [leader.engine_update(&restarted, "m", true).expect("an update")];
+    leader.add_speeds(&mut update, |_| true, now);
+    assert_eq!(update[0].speed, None);
+}
+
 /// Runs must not be counted on an engine after they have ended.
 #[test]
 fn run_is_counted_until_its_guard_is_dropped() {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,8 +1,9 @@
-//! Routing of calls to targets: subsetting, load accounting, outlier ejection and prediction of
-//! generation lengths.
+//! Routing of calls to targets: subsetting, load accounting, outlier ejection, learned capacity of
+//! targets and prediction of generation lengths.
 //!
 //! Callers pass the current time to every decision; the crate reads no clock and spawns no task.
 
+pub mod capacity;
 mod choose;
 mod error;
 mod guard;
@@ -15,6 +16,7 @@
 pub mod subset;
 mod target;
 
+pub use capacity::{CapacityEstimator, Slowdown};
 pub use error::PickError;
 pub use guard::InFlightGuard;
 pub use health::HealthState;
--- a/crates/swap/src/runners.rs
+++ b/crates/swap/src/runners.rs
@@ -205,8 +205,16 @@
             let updates = self.deps.weight_updater.engine_updates(model);
             let is_due = sent_at.is_none_or(|at| at.elapsed() >= MAX_UPDATE_INTERVAL);
             if confirmed_runner.is_none() || is_due || updates != sent_updates {
-                let message =
-                    LeaderUpdate { model: model.to_owned(), engines: updates.clone(), known_jobs };
+                let mut engines = updates.clone();
+                // A runner measures the engines that it has had for a while itself.
+                let is_new = |target: &str| {
+                    confirmed_runner.is_none()
+                        || !sent_updates
+                            .iter()
+                            .any(|sent: &EngineUpdate| sent.target == target && sent.is_assigned)
+                };
+                self.deps.engines.add_speeds(&mut engines, is_new, Instant::now());
+                let message = LeaderUpdate { model: model.to_owned(), engines, known_jobs };
                 sent_at = Some(Instant::now());
                 match self.exchange(node, &message).await {
                     Ok(reply) if !reply.draining => {
@@ -231,7 +239,7 @@
                         missed += 1;
                         log::info!(target: "swap", "runner does not answer model={model} node={node} missed={missed} error={error}");
                         if confirmed_runner.is_none() || missed >= MAX_MISSED_REPLIES {
-                            self.deps.engines.set_remote_loads(node, Vec::new());
+                            self.deps.engines.set_remote_loads(node, Vec::new(), Instant::now());
                             self.drop_runner(model, node);
                             (missed, known_jobs) = (0, 0);
                         }
@@ -316,7 +324,7 @@
 
     /// Records the loads, demand and jobs reported by a runner.
     fn apply_reply(&self, node: SocketAddr, model: &str, reply: RunnerReply) {
-        self.deps.engines.set_remote_loads(node, reply.loads);
+        self.deps.engines.set_remote_loads(node, reply.loads, Instant::now());
         self.deps.engines.set_remote_demand(model.to_owned(), reply.demand);
         if let Some(jobs) = reply.jobs {
             (self.deps.on_runner_jobs)(node, jobs);
--- a/crates/swap/tests/runners.rs
+++ b/crates/swap/tests/runners.rs
@@ -295,12 +295,13 @@
         target: "e0".to_owned(),
         active_runs,
         best_event_ms,
+        speed: None,
     };
-    engines.set_remote_loads(node(1), vec![engine_load(3, Some(40.0))]);
-    engines.set_remote_loads(node(1), vec![engine_load(2, Some(50.0))]);
-    engines.set_remote_loads(node(2), vec![engine_load(1, None)]);
+    engines.set_remote_loads(node(1), vec![engine_load(3, Some(40.0))], now);
+    engines.set_remote_loads(node(1), vec![engine_load(2, Some(50.0))], now);
+    engines.set_remote_loads(node(2), vec![engine_load(1, None)], now);
     let total = engines.total_load(&engine(0), now);
     assert_eq!((total.active_runs, total.best_event_ms), (4, Some(50.0)));
-    engines.set_remote_loads(node(1), Vec::new());
+    engines.set_remote_loads(node(1), Vec::new(), now);
     assert_eq!(engines.total_load(&engine(0), now).active_runs, 2);
 }
