Migrate up to eight slow runs at once

After a restart of all nodes or an outage, the texts of a step began on engines of unknown speed. The speeds were known a moment later, but one run migrated each 150 ms, so long texts stayed on engines of half the speed until their groups were late. The runs that save the most time now migrate together, each counted in the slots of its new engine.

Nothing migrates where engines are alike.

--- a/crates/batch/src/dispatch.rs
+++ b/crates/batch/src/dispatch.rs
@@ -273,6 +273,42 @@
         .then_some(fastest)
 }
 
+/// Returns the migrations that save the most time, at most `max_count`, in descending order of the time
+/// saved: the item's index, the engine to migrate it to, and the time saved in milliseconds.
+///
+/// Each item comes with the index of its candidates in `candidates_by_job`. Migrations are counted in
+/// `active_runs` of all candidates, so that they do not all go to the same slot.
+pub fn choose_migrations(
+    items: &[(usize, RunningItem)],
+    candidates_by_job: &mut [Vec<EngineCandidate>],
+    max_count: usize,
+) -> Vec<(usize, TargetId, f64)> {
+    let gain_ms = |item: &RunningItem, candidate: &EngineCandidate| {
+        item.remaining_events * (item.event_gap_ms - candidate.next_event_gap_ms())
+    };
+    let mut gains_ms: Vec<(usize, f64)> = Vec::new();
+    for (index, (job_index, item)) in items.iter().enumerate() {
+        if let Some(chosen) = choose_migration(item, &candidates_by_job[*job_index]) {
+            gains_ms.push((index, gain_ms(item, chosen)));
+        }
+    }
+    gains_ms.sort_by(|a, b| b.1.total_cmp(&a.1));
+    let mut migrations = Vec::new();
+    for (index, _) in gains_ms {
+        if migrations.len() == max_count {
+            break;
+        }
+        let (job_index, item) = &items[index];
+        let Some(chosen) = choose_migration(item, &candidates_by_job[*job_index]) else { continue };
+        let (target, gain_ms) = (chosen.target.clone(), gain_ms(item, chosen));
+        for candidate in candidates_by_job.iter_mut().flatten() {
+            candidate.active_runs += u32::from(candidate.target == target);
+        }
+        migrations.push((index, target, gain_ms));
+    }
+    migrations
+}
+
 /// Minimum fraction of the remaining time that a migration has to save. Smaller differences between
 /// engines are mostly short load peaks.
 const MIN_MIGRATION_GAIN_RATIO: f64 = 0.2;
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -28,7 +28,7 @@
     checkpoint::SentProgress,
     dispatch::{
         EngineCandidate, RunningItem, WaitingItem, WaitingText, can_continue_text, choose_engine,
-        choose_migration, remaining_events, sort_by_urgency,
+        choose_migrations, remaining_events, sort_by_urgency,
     },
     item_run,
     job::{ItemPhase, ItemState, Job},
@@ -351,7 +351,7 @@
         let migration_checked_at = self.migration_checked_at.get();
         if now.saturating_duration_since(migration_checked_at) >= self.options.migration_interval {
             self.migration_checked_at.set(now);
-            self.migrate_slowest_item(now);
+            self.migrate_slow_items(now);
         }
         let mut queued_items: Vec<(Rc<Job>, Rc<ItemState>)> = Vec::new();
         let mut dispatch_queue = Vec::new();
@@ -556,20 +556,19 @@
         })
     }
 
-    /// Migrates the run that saves the most time on another engine, and updates the speculative
+    /// Migrates the runs that save the most time on another engine, and updates the speculative
     /// copies of each job.
-    ///
-    /// Moves at most one run per call, so that the next call sees the slot that this move has
-    /// taken.
-    fn migrate_slowest_item(&self, now: Instant) {
-        let mut best_migration: Option<(f64, Rc<ItemState>, String)> = None;
+    fn migrate_slow_items(&self, now: Instant) {
+        let mut item_states: Vec<Rc<ItemState>> = Vec::new();
+        let mut running_items: Vec<(usize, RunningItem)> = Vec::new();
+        let mut candidates_by_job = Vec::new();
         for job in self.jobs.borrow().values().filter(|job| self.may_dispatch(job)) {
             let items = job.items.borrow();
-            let mut running_items = items
+            let mut running = items
                 .iter()
                 .filter(|item_state| item_state.phase.get() == ItemPhase::Running)
                 .peekable();
-            if running_items.peek().is_none() {
+            if running.peek().is_none() {
                 continue;
             }
             let Some(service) = self.service_for_job(job) else { continue };
@@ -583,27 +582,23 @@
             let median_gap_ms = median_event_gap_ms(estimates.iter().map(|(_, estimate)| estimate));
             let job_engines = JobEngines { service, min_version, candidates, median_gap_ms };
             self.update_speculative_items(job, &job_engines, now);
-            for item_state in running_items {
+            for item_state in running {
                 let Some(item) = self.running_item(item_state, &job_engines, now) else { continue };
-                if let Some(chosen) = choose_migration(&item, &job_engines.candidates) {
-                    let gain_ms =
-                        item.remaining_events * (item.event_gap_ms - chosen.next_event_gap_ms());
-                    if best_migration
-                        .as_ref()
-                        .is_none_or(|(best_gain_ms, ..)| gain_ms > *best_gain_ms)
-                    {
-                        best_migration = Some((gain_ms, item_state.clone(), chosen.target.clone()));
-                    }
-                }
+                running_items.push((candidates_by_job.len(), item));
+                item_states.push(item_state.clone());
             }
+            candidates_by_job.push(job_engines.candidates);
         }
-        if let Some((gain_ms, item_state, to)) = best_migration {
+        let migrations =
+            choose_migrations(&running_items, &mut candidates_by_job, MAX_MIGRATIONS_PER_ROUND);
+        for (index, to, gain_ms) in migrations {
+            let item_state = &item_states[index];
             log::info!(target: "batch", "migrating item item={} to={to} expected_gain_ms={gain_ms:.0}", item_state.item.id);
             item_state.migration_token.borrow().cancel();
         }
     }
 
-    /// Returns the input of [`choose_migration`] for a running item; `None` if the run has just
+    /// Returns the input of [`choose_migrations`] for a running item; `None` if the run has just
     /// started, is being migrated already, or its engine is switching weights.
     pub fn running_item(
         &self,
@@ -654,5 +649,8 @@
     gaps_ms.get(gaps_ms.len() / 2).copied().unwrap_or(DEFAULT_EVENT_GAP_MS)
 }
 
+/// Maximum number of runs that migrate at once. After a restart, the longest texts start on engines of
+/// unknown speed; the due time leaves no time to move them one by one.
+const MAX_MIGRATIONS_PER_ROUND: usize = 8;
 /// Estimated time between two events in milliseconds before any engine has been measured.
 const DEFAULT_EVENT_GAP_MS: f64 = 45.0;
--- a/crates/batch/tests/dispatch.rs
+++ b/crates/batch/tests/dispatch.rs
@@ -4,7 +4,7 @@
 
 use deck_batch::dispatch::{
     EngineCandidate, RunningItem, WaitingItem, WaitingText, can_continue_text, choose_engine,
-    choose_migration, remaining_events, sort_by_urgency,
+    choose_migration, choose_migrations, remaining_events, sort_by_urgency,
 };
 use deck_route::Slowdown;
 
@@ -189,6 +189,25 @@
     assert!(choose_migration(&running_item(40.0, 100.0), &engines).is_none());
 }
 
+/// Pattern: after a restart, the texts of two jobs start on engines of unknown speed. Guards against
+/// long texts that are moved one by one until their step is late, and against more moves than the
+/// fast engines have slots.
+#[test]
+fn longest_texts_migrate_together() {
+    let engines = vec![engine("here", 52.0, 8), engine("fast", 24.0, 6)];
+    let mut candidates = vec![engines.clone(), engines];
+    let items: Vec<(usize, RunningItem)> =
+        (0..6).map(|index| (index % 2, running_item(52.0, 40.0 + 10.0 * index as f64))).collect();
+    let migrations = choose_migrations(&items, &mut candidates, 8);
+    assert!(migrations.iter().map(|(index, ..)| *index).eq([5, 4]), "{migrations:?}");
+    assert!(migrations.iter().all(|(_, target, gain_ms)| target == "fast" && *gain_ms > 2000.0));
+    assert!(candidates.iter().all(|candidates| candidates[1].active_runs == 8));
+    let mut free = vec![vec![engine("fast", 24.0, 0)], vec![engine("fast", 24.0, 0)]];
+    assert_eq!(choose_migrations(&items, &mut free, 3).len(), 3);
+    let mut equal = vec![vec![engine("e", 50.0, 0)], vec![engine("e", 50.0, 0)]];
+    assert!(choose_migrations(&items, &mut equal, 8).is_empty());
+}
+
 /// Guards against migration to an engine without a free slot or with an older version.
 #[test]
 fn text_does_not_migrate_to_an_unusable_engine() {
