--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -42,7 +42,7 @@
 pub use currency::{ConfigurationCurrency, ConfirmationRole};
 pub use demand::{DemandMeter, ModelDemand};
 pub use engines::{
-    EngineEstimate, EngineLoad, EngineRegistry, EngineState, EngineUpdate, RunGuard,
+    EngineEstimate, EngineLoad, EngineRegistry, EngineSpeed, EngineState, EngineUpdate, RunGuard,
 };
 pub use feed::{FleetFeed, FleetFeedOptions, Leader, ModelRunner, RunnerTable};
 pub use follow::{ObjectFollower, ObjectFollowerOptions, ObjectKinds};
