Reports of use do not wait for nodes that are gone

Cause: a machine that was replaced for good stays registered, so that each window was closed only at 65% of the delay. The object API went away at that time, for the rest of the delay.

Change: a node that has not answered for the length of the delay is asked once a window, and windows do not wait for it.

--- a/crates/duty/src/usage/holder.rs
+++ b/crates/duty/src/usage/holder.rs
@@ -106,6 +106,7 @@
                             Ok(answer) => reporter.on_answer(answer),
                             Err(error) => {
                                 log::info!(target: "usage", "counts unknown node={node} error={error}");
+                                reporter.on_silence(node, started);
                             }
                         }
                     }
--- a/crates/duty/src/usage/reporter.rs
+++ b/crates/duty/src/usage/reporter.rs
@@ -163,6 +163,8 @@
     sent: Option<WindowNumber>,
     /// First open window of each node, as last answered.
     first_open: BTreeMap<SocketAddr, WindowNumber>,
+    /// Nodes that did not answer when they were last asked, with the time since which they have not.
+    silent_since: BTreeMap<SocketAddr, WallTime>,
     /// Start of the last round of questions that has ended.
     last_round: Option<WallTime>,
     next_ask: WallTime,
@@ -182,6 +184,7 @@
             known: None,
             sent: None,
             first_open: BTreeMap::new(),
+            silent_since: BTreeMap::new(),
             last_round: None,
             next_ask: Duration::ZERO,
             next_store_call: Duration::ZERO,
@@ -219,8 +222,13 @@
             && self.next_ask <= now
             && window_end(last, self.options.window) + self.options.ask_delay <= now
         {
-            let incomplete = nodes.iter().filter(|node| !self.is_complete(node, last));
-            let nodes: Vec<_> = incomplete.copied().collect();
+            // Nodes that are gone are asked once a window.
+            let is_first_round =
+                self.last_round.is_none_or(|round| round < window_end(last, self.options.window));
+            let is_asked = |node: &&SocketAddr| {
+                !self.is_complete(node, last) && (is_first_round || !self.is_gone(node, now))
+            };
+            let nodes: Vec<_> = nodes.iter().filter(is_asked).copied().collect();
             if !nodes.is_empty() {
                 return Step::Ask { from: first, nodes };
             }
@@ -266,7 +274,8 @@
         if self.last_round.is_none_or(|round| round < end) {
             return false;
         }
-        let all_complete = !nodes.is_empty() && nodes.iter().all(|n| self.is_complete(n, window));
+        let is_done = |node| self.is_complete(node, window) || self.is_gone(node, now);
+        let all_complete = !nodes.is_empty() && nodes.iter().all(is_done);
         all_complete || now >= end + self.options.delay.mul_f64(self.options.close_fraction)
     }
 
@@ -274,6 +283,12 @@
         self.first_open.get(node).is_some_and(|first_open| *first_open > window)
     }
 
+    /// Returns whether a node has not answered for so long that windows do not wait for it. Nodes stay
+    /// registered after their VMs were taken away.
+    fn is_gone(&self, node: &SocketAddr, now: WallTime) -> bool {
+        self.silent_since.get(node).is_some_and(|since| now >= *since + self.options.delay)
+    }
+
     /// Returns the nodes whose counts of a window may be incomplete.
     pub fn incomplete_nodes(&self, window: WindowNumber, nodes: &[SocketAddr]) -> Vec<SocketAddr> {
         nodes.iter().filter(|node| !self.is_complete(node, window)).copied().collect()
@@ -328,6 +343,12 @@
     /// A node has answered; its counts are taken over already.
     pub fn on_answer(&mut self, answer: NodeAnswer) {
         self.first_open.insert(answer.node, answer.first_open);
+        self.silent_since.remove(&answer.node);
+    }
+
+    /// A node did not answer a question of `at`.
+    pub fn on_silence(&mut self, node: SocketAddr, at: WallTime) {
+        self.silent_since.entry(node).or_insert(at);
     }
 
     /// All answers to the questions that began at `started` have arrived or are given up.
@@ -336,6 +357,7 @@
         self.next_ask = started + self.options.ask_interval;
         let nodes: BTreeSet<_> = nodes.iter().collect();
         self.first_open.retain(|node, _| nodes.contains(node));
+        self.silent_since.retain(|node, _| nodes.contains(node));
     }
 
     /// A call with the report of `window` that was made at `now` has ended.
--- a/crates/duty/tests/reporter.rs
+++ b/crates/duty/tests/reporter.rs
@@ -26,7 +26,7 @@
 
 /// Returns the time `seconds` after the end of the first window.
 fn after_end(seconds: f64) -> Duration {
-    WINDOW * (FIRST_WINDOW as u32 + 1) + Duration::from_secs_f64(seconds)
+    WINDOW * FIRST_WINDOW as u32 + Duration::from_secs_f64(WINDOW.as_secs_f64() + seconds)
 }
 
 /// Returns stored reports in which all windows before the first one are sent.
@@ -91,6 +91,21 @@
     assert_eq!(reporter.incomplete_nodes(FIRST_WINDOW, &nodes()), nodes()[2..]);
 }
 
+/// Each window waits almost until its report is due for a node that was taken away for good and stays
+/// registered, so that an outage of the object API at that time makes reports late.
+#[test]
+fn does_not_wait_for_node_that_is_gone() {
+    let mut reporter = loaded_reporter();
+    let gone = nodes()[2];
+    reporter.on_silence(gone, after_end(-5.0 + 0.5));
+    reporter.on_silence(gone, after_end(0.5));
+    end_round(&mut reporter, after_end(0.5), &nodes()[..2]);
+    assert!(!matches!(next_step(&reporter, after_end(0.6), true), Step::Close(_)));
+    assert_eq!(next_step(&reporter, after_end(5.6), true), Step::Close(vec![FIRST_WINDOW]));
+    reporter.on_answer(NodeAnswer { node: gone, first_open: FIRST_WINDOW });
+    assert!(!matches!(next_step(&reporter, after_end(5.6), true), Step::Close(_)));
+}
+
 /// Counts that are sent before they are stored differ from those of the next holder.
 #[test]
 fn sends_only_stored_counts_and_repeats_them_until_accepted() {
@@ -234,11 +249,15 @@
             reporter.on_known(revision, services.stored.clone());
         }
         Step::Ask { from, nodes: asked } => {
-            for node in asked.iter().filter(|_| !random.chance(trouble)) {
+            for node in asked {
+                if random.chance(trouble) {
+                    reporter.on_silence(node, now);
+                    continue;
+                }
                 let asked = &meters[usize::from(node.port()) - 1];
                 let first_open = asked.first_open_window();
                 meter.merge(&asked.entries(from, false));
-                reporter.on_answer(NodeAnswer { node: *node, first_open });
+                reporter.on_answer(NodeAnswer { node, first_open });
             }
             reporter.on_round_end(now, &nodes);
         }
