Scaling: a number is sent again if an older call may have undone it

A call without an answer was forgotten once its repetition was accepted, although the first call may still be executed after a later order. The test of late execution passed without the repetition; it now fails without it.

--- a/crates/scale/src/ledger.rs
+++ b/crates/scale/src/ledger.rs
@@ -108,19 +108,36 @@
     unanswered: Option<UnansweredCall>,
 }
 
-/// Call that may be executed late.
+/// Calls without an answer, which may be executed late.
 #[derive(Debug, Clone, Copy)]
 struct UnansweredCall {
-    /// Number that the call orders.
-    count: u32,
+    /// Lowest number that such a call orders.
+    lowest: u32,
+    /// Highest number that such a call orders.
+    highest: u32,
+    /// When the last of them was sent.
     sent_at: Instant,
     /// When the present number is sent again.
     retry_at: Instant,
     retries: u32,
-    /// Whether a later call was accepted.
+    /// Whether a later call had an answer. The present number is then sent again only if it differs.
     is_superseded: bool,
 }
 
+impl UnansweredCall {
+    /// Returns the state after a later call had an answer; `None` if the calls are no longer expected
+    /// to be executed.
+    fn superseded(self, now: Instant) -> Option<Self> {
+        let retry_at = self.sent_at + LATE_EXECUTION;
+        (retry_at > now).then_some(Self { retry_at, is_superseded: true, ..self })
+    }
+
+    /// Returns whether the execution of such a call may have undone an order of `ordered` targets.
+    fn may_undo(&self, ordered: u32) -> bool {
+        (self.lowest, self.highest) != (ordered, ordered)
+    }
+}
+
 /// Orders of one service.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
@@ -193,6 +210,12 @@
                 state.ordered = state.live.max(lowest.min(state.ordered));
                 state.short_since = None;
             }
+            let is_settled = |call: &UnansweredCall| {
+                call.is_superseded && call.retry_at <= now && !call.may_undo(state.ordered)
+            };
+            if state.unanswered.as_ref().is_some_and(is_settled) {
+                state.unanswered = None;
+            }
             if subject.kind == SpotKind::Regular && !self.has_ordered {
                 let present = self.present.entry(subject.data_centre.clone()).or_default();
                 *present = (*present).max(state.live);
@@ -254,10 +277,9 @@
 
     /// Returns a number to send again, because an earlier call of the subject had no answer.
     pub fn repetition(&self, now: Instant) -> Option<(Subject, u32)> {
-        let due = self
-            .subjects
-            .iter()
-            .find(|(_, state)| state.unanswered.is_some_and(|call| call.retry_at <= now));
+        let is_due = |call: UnansweredCall| call.retry_at <= now;
+        let mut subjects = self.subjects.iter();
+        let due = subjects.find(|(_, state)| state.unanswered.is_some_and(is_due));
         due.map(|(subject, state)| (subject.clone(), state.ordered))
     }
 
@@ -297,32 +319,33 @@
             Outcome::Accepted => {
                 state.expect_effect(boot_time, now);
                 // A call without an answer may still be executed after this one.
-                state.unanswered =
-                    state.unanswered.filter(|call| call.count != count).and_then(|call| {
-                        let last_execution = call.sent_at + LATE_EXECUTION;
-                        let superseded = UnansweredCall {
-                            retry_at: last_execution,
-                            is_superseded: true,
-                            ..call
-                        };
-                        (last_execution > now).then_some(superseded)
-                    });
+                state.unanswered = state.unanswered.and_then(|call| call.superseded(now));
             }
             Outcome::Refused => {
                 state.ordered = previous.max(state.live);
-                state.unanswered = None;
+                state.unanswered = state.unanswered.and_then(|call| call.superseded(now));
                 state.refuse(REFUSAL_BACKOFF.max(min_backoff), now);
             }
             Outcome::Busy => {
                 state.ordered = previous;
                 state.backoff_until = Some(now + RETRY_BACKOFF);
+                if let Some(call) = &mut state.unanswered {
+                    call.retry_at = call.retry_at.max(now + RETRY_BACKOFF);
+                }
             }
             Outcome::Unanswered => {
                 state.expect_effect(boot_time, now);
                 let retries = state.unanswered.map_or(0, |call| call.retries + 1);
                 let retry_at = now + RETRY_BACKOFF * (1 << retries.min(MAX_DOUBLINGS));
-                let call =
-                    UnansweredCall { count, sent_at: now, retry_at, retries, is_superseded: false };
+                let earlier = state.unanswered;
+                let call = UnansweredCall {
+                    lowest: earlier.map_or(count, |call| call.lowest.min(count)),
+                    highest: earlier.map_or(count, |call| call.highest.max(count)),
+                    sent_at: now,
+                    retry_at,
+                    retries,
+                    is_superseded: false,
+                };
                 state.unanswered = Some(call);
             }
         }
