--- a/bins/decknode/src/scaling.rs
+++ b/bins/decknode/src/scaling.rs
@@ -156,11 +156,15 @@
     /// Returns the inputs of the decision.
     fn snapshot(&self, config: &ServiceConfig, now: Instant) -> ServiceSnapshot {
         let targets = self.view.targets_of(&config.name);
-        let target = |target: &Rc<deck_fleet::Target>| TargetSnapshot {
-            data_centre: target.data_centre.clone(),
-            is_ready: target.state == TargetState::Ready && target.lifetime.leaves_ms.is_none(),
-            is_spot: target.lifetime.is_spot,
-            event_ms: self.engines.total_load(target, now).recent_event_ms,
+        let target = |target: &Rc<deck_fleet::Target>| {
+            let load = self.engines.total_load(target, now);
+            TargetSnapshot {
+                data_centre: target.data_centre.clone(),
+                is_ready: target.state == TargetState::Ready && target.lifetime.leaves_ms.is_none(),
+                is_spot: target.lifetime.is_spot,
+                event_ms: load.recent_event_ms,
+                active_runs: load.active_runs,
+            }
         };
         let models = config.engine.iter().flat_map(|engine| &engine.models);
         ServiceSnapshot {
--- a/crates/scale/src/ledger.rs
+++ b/crates/scale/src/ledger.rs
@@ -96,6 +96,8 @@
     live: u32,
     /// Until when ordered targets may still appear.
     appear_until: Option<Instant>,
+    /// Number of targets that may still appear, of those that are missing; the others are lost.
+    expected: u32,
     /// Until when targets that have been given up may still be live.
     leave_until: Option<Instant>,
     /// Since when fewer targets are live than were ordered.
@@ -158,7 +160,12 @@
             {
                 let subject = Subject { data_centre: data_centre.clone(), kind };
                 let appear_until = Some(now + boot_time + APPEARANCE_MARGIN);
-                let state = SubjectState { ordered, appear_until, ..SubjectState::default() };
+                let state = SubjectState {
+                    ordered,
+                    appear_until,
+                    expected: ordered,
+                    ..SubjectState::default()
+                };
                 ledger.subjects.insert(subject, state);
             }
         }
@@ -250,7 +257,8 @@
     /// Returns the number of ordered targets that should still appear.
     pub fn expected(&self, data_centre: &DataCentreId, kind: SpotKind, now: Instant) -> u32 {
         let subject = Subject { data_centre: data_centre.clone(), kind };
-        let missing = |state: &SubjectState| state.ordered.saturating_sub(state.live);
+        let missing =
+            |state: &SubjectState| state.ordered.saturating_sub(state.live).min(state.expected);
         self.subjects.get(&subject).filter(|state| state.expects(now)).map_or(0, missing)
     }
 
@@ -317,7 +325,7 @@
         let count = state.ordered;
         match outcome {
             Outcome::Accepted => {
-                state.expect_effect(boot_time, now);
+                state.expect_effect(previous, boot_time, now);
                 // A call without an answer may still be executed after this one.
                 state.unanswered = state.unanswered.and_then(|call| call.superseded(now));
             }
@@ -334,7 +342,7 @@
                 }
             }
             Outcome::Unanswered => {
-                state.expect_effect(boot_time, now);
+                state.expect_effect(previous, boot_time, now);
                 let retries = state.unanswered.map_or(0, |call| call.retries + 1);
                 let retry_at = now + RETRY_BACKOFF * (1 << retries.min(MAX_DOUBLINGS));
                 let earlier = state.unanswered;
@@ -359,10 +367,14 @@
     }
 
     /// Waits for the effect of an order that was sent now.
-    fn expect_effect(&mut self, boot_time: Duration, now: Instant) {
+    fn expect_effect(&mut self, previous: u32, boot_time: Duration, now: Instant) {
         let until = Some(now + boot_time + APPEARANCE_MARGIN);
         match self.ordered.cmp(&self.live) {
-            std::cmp::Ordering::Greater => self.appear_until = until,
+            std::cmp::Ordering::Greater => {
+                let earlier = if self.expects(now) { self.expected } else { 0 };
+                self.expected = earlier + self.ordered.saturating_sub(previous);
+                self.appear_until = until;
+            }
             std::cmp::Ordering::Less => self.leave_until = until,
             std::cmp::Ordering::Equal => {}
         }
--- a/crates/scale/src/need.rs
+++ b/crates/scale/src/need.rs
@@ -1,5 +1,7 @@
 //! How many targets a service needs, and how many usual ones its live targets are worth.
 
+use std::time::Duration;
+
 use deck_core::id::DataCentreId;
 use deck_fleet::{ModelDemand, ScalingConfig};
 
@@ -14,6 +16,8 @@
     pub is_spot: bool,
     /// Recent mean interval between two events of a run; `None` if unknown.
     pub event_ms: Option<f64>,
+    /// Number of runs in progress.
+    pub active_runs: u32,
 }
 
 /// State of a service at the time of a decision.
@@ -37,6 +41,30 @@
 /// Fraction of the slots that the required event rate may fill; jobs arrive in bursts.
 const MAX_UTILISATION: f64 = 0.7;
 
+/// Time constant of the mean number of busy slots; spans the pauses between the jobs of a model.
+const BUSY_WINDOW: Duration = Duration::from_secs(5);
+
+/// Mean number of slots with runs.
+#[derive(Debug, Clone, Default)]
+pub struct BusySlots {
+    mean: Option<f64>,
+}
+
+impl BusySlots {
+    /// Takes the present runs into account, `elapsed_s` after the last ones.
+    pub fn update(&mut self, targets: &[TargetSnapshot], elapsed_s: f64) {
+        let busy: u32 = targets.iter().map(|target| target.active_runs).sum();
+        let weight = 1.0 - (-elapsed_s / BUSY_WINDOW.as_secs_f64()).exp();
+        let previous = self.mean.unwrap_or(f64::from(busy));
+        self.mean = Some(previous + (f64::from(busy) - previous) * weight);
+    }
+
+    /// Returns the number of targets that are needed to keep the use of the slots below its maximum.
+    pub fn needed_targets(&self, slots: u32) -> f64 {
+        self.mean.unwrap_or(0.0) / (f64::from(slots.max(1)) * MAX_UTILISATION)
+    }
+}
+
 /// Learns the usual interval between events from the median of all targets.
 #[derive(Debug, Clone, Default)]
 pub struct UsualSpeed {
--- a/crates/scale/src/planner.rs
+++ b/crates/scale/src/planner.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Ledger, Outcome, ServiceRecord, ServiceSnapshot, SpotKind, Subject,
-    need::{UsualSpeed, targets_for_demand},
+    need::{BusySlots, UsualSpeed, targets_for_demand},
 };
 
 /// Limits of the decision.
@@ -98,6 +98,7 @@
     options: PlannerOptions,
     ledger: Ledger,
     usual: UsualSpeed,
+    busy: BusySlots,
     updated_at: Option<Instant>,
     missing_since: Option<Instant>,
     superfluous_since: Option<Instant>,
@@ -138,6 +139,7 @@
             options,
             ledger: ledger.unwrap_or_default(),
             usual: UsualSpeed::default(),
+            busy: BusySlots::default(),
             updated_at: None,
             missing_since: None,
             superfluous_since: None,
@@ -224,6 +226,7 @@
         let mut live: BTreeMap<Subject, u32> = BTreeMap::new();
         let ready: Vec<_> = service.targets.iter().filter(|t| t.is_ready).cloned().collect();
         self.usual.update(&ready, elapsed.as_secs_f64());
+        self.busy.update(&service.targets, elapsed.as_secs_f64());
         let mut worth = Worth { total: 0.0, spot: BTreeMap::new() };
         for target in &ready {
             let kind = if target.is_spot { SpotKind::Spot } else { SpotKind::Regular };
@@ -244,8 +247,10 @@
     /// Returns the number of targets of usual speed that the service needs.
     fn needed(&self, service: &ServiceSnapshot) -> f64 {
         let present = f64::from(self.ledger.total_present());
-        let demand =
-            targets_for_demand(&service.demands, service.slots, self.usual.event_ms()).ceil();
+        let required = targets_for_demand(&service.demands, service.slots, self.usual.event_ms());
+        // The required rate is an estimate from the last jobs; it is far too high for a while when a
+        // restarted runner loads several jobs at once. The slots show whether the work is there.
+        let demand = required.min(self.busy.needed_targets(service.slots)).ceil();
         demand.max(present).min(present * self.options.max_growth)
     }
 
