--- a/crates/scale/src/ledger.rs
+++ b/crates/scale/src/ledger.rs
@@ -96,6 +96,8 @@
     live: u32,
     /// Until when ordered targets may still appear.
     appear_until: Option<Instant>,
+    /// Number of targets that may still appear, of those that are missing; the others are lost.
+    expected: u32,
     /// Until when targets that have been given up may still be live.
     leave_until: Option<Instant>,
     /// Since when fewer targets are live than were ordered.
@@ -108,19 +110,36 @@
     unanswered: Option<UnansweredCall>,
 }
 
-/// Call that may be executed late.
+/// Calls without an answer, which may be executed late.
 #[derive(Debug, Clone, Copy)]
 struct UnansweredCall {
-    /// Number that the call orders.
-    count: u32,
+    /// Lowest number that such a call orders.
+    lowest: u32,
+    /// Highest number that such a call orders.
+    highest: u32,
+    /// When the last of them was sent.
     sent_at: Instant,
     /// When the present number is sent again.
     retry_at: Instant,
     retries: u32,
-    /// Whether a later call was accepted.
+    /// Whether a later call had an answer. The present number is then sent again only if it differs.
     is_superseded: bool,
 }
 
+impl UnansweredCall {
+    /// Returns the state after a later call had an answer; `None` if the calls are no longer expected
+    /// to be executed.
+    fn superseded(self, now: Instant) -> Option<Self> {
+        let retry_at = self.sent_at + LATE_EXECUTION;
+        (retry_at > now).then_some(Self { retry_at, is_superseded: true, ..self })
+    }
+
+    /// Returns whether the execution of such a call may have undone an order of `ordered` targets.
+    fn may_undo(&self, ordered: u32) -> bool {
+        (self.lowest, self.highest) != (ordered, ordered)
+    }
+}
+
 /// Orders of one service.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
@@ -141,7 +160,12 @@
             {
                 let subject = Subject { data_centre: data_centre.clone(), kind };
                 let appear_until = Some(now + boot_time + APPEARANCE_MARGIN);
-                let state = SubjectState { ordered, appear_until, ..SubjectState::default() };
+                let state = SubjectState {
+                    ordered,
+                    appear_until,
+                    expected: ordered,
+                    ..SubjectState::default()
+                };
                 ledger.subjects.insert(subject, state);
             }
         }
@@ -193,6 +217,12 @@
                 state.ordered = state.live.max(lowest.min(state.ordered));
                 state.short_since = None;
             }
+            let is_settled = |call: &UnansweredCall| {
+                call.is_superseded && call.retry_at <= now && !call.may_undo(state.ordered)
+            };
+            if state.unanswered.as_ref().is_some_and(is_settled) {
+                state.unanswered = None;
+            }
             if subject.kind == SpotKind::Regular && !self.has_ordered {
                 let present = self.present.entry(subject.data_centre.clone()).or_default();
                 *present = (*present).max(state.live);
@@ -227,7 +257,8 @@
     /// Returns the number of ordered targets that should still appear.
     pub fn expected(&self, data_centre: &DataCentreId, kind: SpotKind, now: Instant) -> u32 {
         let subject = Subject { data_centre: data_centre.clone(), kind };
-        let missing = |state: &SubjectState| state.ordered.saturating_sub(state.live);
+        let missing =
+            |state: &SubjectState| state.ordered.saturating_sub(state.live).min(state.expected);
         self.subjects.get(&subject).filter(|state| state.expects(now)).map_or(0, missing)
     }
 
@@ -254,10 +285,9 @@
 
     /// Returns a number to send again, because an earlier call of the subject had no answer.
     pub fn repetition(&self, now: Instant) -> Option<(Subject, u32)> {
-        let due = self
-            .subjects
-            .iter()
-            .find(|(_, state)| state.unanswered.is_some_and(|call| call.retry_at <= now));
+        let is_due = |call: UnansweredCall| call.retry_at <= now;
+        let mut subjects = self.subjects.iter();
+        let due = subjects.find(|(_, state)| state.unanswered.is_some_and(is_due));
         due.map(|(subject, state)| (subject.clone(), state.ordered))
     }
 
@@ -295,34 +325,35 @@
         let count = state.ordered;
         match outcome {
             Outcome::Accepted => {
-                state.expect_effect(boot_time, now);
+                state.expect_effect(previous, boot_time, now);
                 // A call without an answer may still be executed after this one.
-                state.unanswered =
-                    state.unanswered.filter(|call| call.count != count).and_then(|call| {
-                        let last_execution = call.sent_at + LATE_EXECUTION;
-                        let superseded = UnansweredCall {
-                            retry_at: last_execution,
-                            is_superseded: true,
-                            ..call
-                        };
-                        (last_execution > now).then_some(superseded)
-                    });
+                state.unanswered = state.unanswered.and_then(|call| call.superseded(now));
             }
             Outcome::Refused => {
                 state.ordered = previous.max(state.live);
-                state.unanswered = None;
+                state.unanswered = state.unanswered.and_then(|call| call.superseded(now));
                 state.refuse(REFUSAL_BACKOFF.max(min_backoff), now);
             }
             Outcome::Busy => {
                 state.ordered = previous;
                 state.backoff_until = Some(now + RETRY_BACKOFF);
+                if let Some(call) = &mut state.unanswered {
+                    call.retry_at = call.retry_at.max(now + RETRY_BACKOFF);
+                }
             }
             Outcome::Unanswered => {
-                state.expect_effect(boot_time, now);
+                state.expect_effect(previous, boot_time, now);
                 let retries = state.unanswered.map_or(0, |call| call.retries + 1);
                 let retry_at = now + RETRY_BACKOFF * (1 << retries.min(MAX_DOUBLINGS));
-                let call =
-                    UnansweredCall { count, sent_at: now, retry_at, retries, is_superseded: false };
+                let earlier = state.unanswered;
+                let call = UnansweredCall {
+                    lowest: earlier.map_or(count, |call| call.lowest.min(count)),
+                    highest: earlier.map_or(count, |call| call.highest.max(count)),
+                    sent_at: now,
+                    retry_at,
+                    retries,
+                    is_superseded: false,
+                };
                 state.unanswered = Some(call);
             }
         }
@@ -336,10 +367,14 @@
     }
 
     /// Waits for the effect of an order that was sent now.
-    fn expect_effect(&mut self, boot_time: Duration, now: Instant) {
+    fn expect_effect(&mut self, previous: u32, boot_time: Duration, now: Instant) {
         let until = Some(now + boot_time + APPEARANCE_MARGIN);
         match self.ordered.cmp(&self.live) {
-            std::cmp::Ordering::Greater => self.appear_until = until,
+            std::cmp::Ordering::Greater => {
+                let earlier = if self.expects(now) { self.expected } else { 0 };
+                self.expected = earlier + self.ordered.saturating_sub(previous);
+                self.appear_until = until;
+            }
             std::cmp::Ordering::Less => self.leave_until = until,
             std::cmp::Ordering::Equal => {}
         }
