Refuse connections above the maximum as before, except on nodes

The hostile test of deckentry expects 503 above max_connections and failed, as each server closed its connection with the least progress instead. Only the servers of decknode ask for that now; the test passes again, unchanged.

--- a/bins/decknode/src/client_limits.rs
+++ b/bins/decknode/src/client_limits.rs
@@ -113,6 +113,7 @@
         let options = ServerOptions {
             head_timeout: MIN_IDLE_TIMEOUT,
             account: self.account.clone(),
+            replaces_least_progress: true,
             ..ServerOptions::default()
         };
         let max_connections = self.connections.map_or(options.max_connections, |connections| {
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -58,9 +58,11 @@
     /// Maximum size of a request head; larger ones are answered with 431. Values below 8 KiB count
     /// as 8 KiB.
     pub max_head_bytes: usize,
-    /// Maximum number of open connections. For a further one, the connection with the least progress
-    /// is closed; if all are in use, the new one is answered with 503 and closed.
+    /// Maximum number of open connections; further ones are answered with 503 and closed.
     pub max_connections: usize,
+    /// Whether the connection with the least progress is closed in favour of a further one, which is
+    /// then refused only if all connections wait for their handlers.
+    pub replaces_least_progress: bool,
     /// Maximum time to receive a request head; then the connection is closed.
     pub head_timeout: Duration,
     /// Time without progress in writing a response after which the connection is closed.
@@ -76,6 +78,7 @@
         Self {
             max_head_bytes: 64 * 1024,
             max_connections: 10_000,
+            replaces_least_progress: false,
             head_timeout: Duration::from_secs(10),
             write_timeout: Duration::from_secs(60),
             client_timeouts: ClientTimeouts::default(),
@@ -143,7 +146,8 @@
         let _ = stream.set_nodelay(true);
         let options = options();
         let is_full = connections.count.get() >= options.max_connections;
-        if is_full && !account.close_least_progress(server) {
+        let can_replace = options.replaces_least_progress;
+        if is_full && !(can_replace && account.close_least_progress(server)) {
             monoio::spawn(refuse_connection(stream));
             return true;
         }
