--- a/crates/fleet/src/engines.rs
+++ b/crates/fleet/src/engines.rs
@@ -31,10 +31,6 @@
 /// Decay time constant of the long-term mean of an engine without events, which may have recovered
 /// since.
 const LONG_MEAN_DECAY_TIME: Duration = Duration::from_secs(5);
-/// Decay time constant of the long-term mean of an engine without events that was faster than the
-/// others by [`MIN_SPEED_DIFFERENCE`]. Longer, because it is faster most of the time, and if it no
-/// longer is, its next run shows that.
-const FAST_MEAN_DECAY_TIME: Duration = Duration::from_secs(30);
 /// Weight of the short-term mean in the expected interval between events.
 const SHORT_MEAN_WEIGHT: f64 = 0.4;
 /// Time for which an engine gets no work after it refused a run or its connection broke. Doubles
@@ -50,7 +46,7 @@
 /// that old measurements lose their effect.
 const BEST_RUN_DECAY_PER_S: f64 = 0.01;
 /// Relative difference from the median time per event from which an engine's speed is reported to
-/// other nodes and remembered for longer. Smaller ones are mostly noise.
+/// other nodes. Smaller ones are mostly noise.
 const MIN_SPEED_DIFFERENCE: f64 = 0.2;
 /// Age from which the speed that another node reported is ignored.
 const MAX_REPORTED_SPEED_AGE: Duration = Duration::from_secs(15);
@@ -211,9 +207,7 @@
             return self.short_mean_ms * SHORT_MEAN_WEIGHT
                 + self.long_mean_ms * (1.0 - SHORT_MEAN_WEIGHT);
         }
-        let is_fast = self.long_mean_ms <= typical_ms * (1.0 - MIN_SPEED_DIFFERENCE);
-        let decay_time = if is_fast { FAST_MEAN_DECAY_TIME } else { LONG_MEAN_DECAY_TIME };
-        let weight = (-idle.as_secs_f64() / decay_time.as_secs_f64()).exp();
+        let weight = (-idle.as_secs_f64() / LONG_MEAN_DECAY_TIME.as_secs_f64()).exp();
         typical_ms + (self.long_mean_ms - typical_ms) * weight
     }
 }
