Use the memory of a stalled client only after its task has released it

Beside load, bodies in chunks took 77 MB of 64 MB once. By reading: when the node gets the processor back after more than a second, all bodies count as stalled, and the bytes of those chosen to be closed counted as free at once, although their tasks had not run.

A request now waits until the chosen connections have released their bytes.

--- a/crates/net/src/account.rs
+++ b/crates/net/src/account.rs
@@ -20,9 +20,9 @@
     body::BodyAborted,
     json_size::decoded_json_bytes,
     ledger::{
-        ClientTimeouts, CloseReason, ConnectionId, Ledger, LedgerLimits, OutOfMemory, Phase,
-        ServerId,
+        ClientTimeouts, CloseReason, ConnectionId, HoldError, Ledger, LedgerLimits, Phase, ServerId,
     },
+    server::yield_to_closing_tasks,
 };
 
 thread_local! {
@@ -262,29 +262,39 @@
     /// # Errors
     ///
     /// Returns an error if no memory is left for it.
-    pub(crate) fn hold_body(&self, bytes: usize) -> Result<(), NetError> {
-        let now = Instant::now();
-        self.ledger().record_moved(self.id, bytes, now);
-        let victims = self.ledger().hold(self.id, bytes, now);
-        match victims {
-            Ok(victims) => {
-                self.account.close_all(&victims, CloseReason::Memory);
-                Ok(())
-            }
-            Err(OutOfMemory) => {
-                self.account.count(|totals| totals.refused_bodies += 1);
-                Err(NetError::OutOfMemory)
+    pub(crate) async fn hold_body(&self, bytes: usize) -> Result<(), NetError> {
+        self.ledger().record_moved(self.id, bytes, Instant::now());
+        loop {
+            match self.try_hold(bytes) {
+                Ok(()) => return Ok(()),
+                // The tasks of the connections that are closing run before this one goes on.
+                Err(HoldError::Wait(_)) => yield_to_closing_tasks().await,
+                Err(HoldError::OutOfMemory) => {
+                    self.account.count(|totals| totals.refused_bodies += 1);
+                    return Err(NetError::OutOfMemory);
+                }
             }
         }
     }
 
+    fn try_hold(&self, bytes: usize) -> Result<(), HoldError> {
+        let held = self.ledger().hold(self.id, bytes, Instant::now());
+        if let Err(HoldError::Wait(victims)) = &held {
+            self.account.close_all(victims, CloseReason::Memory);
+        }
+        held
+    }
+
     /// Holds the memory that the request takes in decoded form.
     fn hold_decoded(&self, bytes: usize) -> Result<(), NetError> {
         if bytes > self.ledger().max_request_bytes() {
             self.account.count(|totals| totals.refused_bodies += 1);
             return Err(NetError::DecodedTooLarge(bytes));
         }
-        self.hold_body(bytes)
+        self.try_hold(bytes).map_err(|_| {
+            self.account.count(|totals| totals.refused_bodies += 1);
+            NetError::OutOfMemory
+        })
     }
 
     /// Releases what is held for the request, which is not kept.
--- a/crates/net/src/ledger.rs
+++ b/crates/net/src/ledger.rs
@@ -84,9 +84,15 @@
     Timeout,
 }
 
-/// Refusal to hold more bytes for a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct OutOfMemory;
+/// Reason for which further bytes cannot be held for a connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HoldError {
+    /// The memory is used up by connections that make progress.
+    OutOfMemory,
+    /// The memory is free once the connections that are closing are closed; these are the ones that
+    /// were chosen just now.
+    Wait(Vec<ConnectionId>),
+}
 
 #[derive(Debug)]
 struct Connection {
@@ -99,7 +105,7 @@
     held_bytes: usize,
     /// Whether a request of the connection has been answered.
     has_been_answered: bool,
-    /// Whether the connection was chosen to be closed. Its bytes are not part of the ledger's sum.
+    /// Whether the connection was chosen to be closed.
     is_closing: bool,
 }
 
@@ -109,14 +115,16 @@
     limits: LedgerLimits,
     connections: HashMap<ConnectionId, Connection>,
     next_id: ConnectionId,
-    /// Invariant: sum of `held_bytes` of all connections that are not closing.
+    /// Invariant: sum of `held_bytes` of all connections.
     held_bytes: usize,
+    /// Invariant: sum of `held_bytes` of the connections that are closing.
+    closing_bytes: usize,
 }
 
 impl Ledger {
     /// Creates a ledger without connections.
     pub fn new(limits: LedgerLimits) -> Self {
-        Self { limits, connections: HashMap::new(), next_id: 0, held_bytes: 0 }
+        Self { limits, connections: HashMap::new(), next_id: 0, held_bytes: 0, closing_bytes: 0 }
     }
 
     /// Returns the number of bytes held for all connections.
@@ -148,7 +156,7 @@
 
     /// Removes a connection and what is held for it.
     pub fn close(&mut self, id: ConnectionId) {
-        self.mark_closing(id);
+        self.release(id, usize::MAX);
         self.connections.remove(&id);
     }
 
@@ -165,10 +173,7 @@
         connection.moved_bytes = 0;
         if phase == Phase::Idle {
             connection.has_been_answered = true;
-            let held_bytes = std::mem::take(&mut connection.held_bytes);
-            if !connection.is_closing {
-                self.held_bytes -= held_bytes;
-            }
+            self.release(id, usize::MAX);
         }
     }
 
@@ -182,28 +187,29 @@
         }
     }
 
-    /// Holds further bytes for a connection; returns the connections to close for it.
+    /// Holds further bytes for a connection.
     ///
     /// # Errors
     ///
-    /// Returns an error if the memory is used up by connections that make progress.
-    pub fn hold(
-        &mut self,
-        id: ConnectionId,
-        bytes: usize,
-        now: Instant,
-    ) -> Result<Vec<ConnectionId>, OutOfMemory> {
-        let Some(connection) = self.connections.get(&id) else { return Err(OutOfMemory) };
+    /// Returns an error if the bytes do not fit, and whether to wait for connections to be closed.
+    pub fn hold(&mut self, id: ConnectionId, bytes: usize, now: Instant) -> Result<(), HoldError> {
+        let Some(connection) = self.connections.get(&id) else {
+            return Err(HoldError::OutOfMemory);
+        };
         if connection.is_closing {
-            return Err(OutOfMemory);
+            return Err(HoldError::OutOfMemory);
         }
         let is_small = connection.held_bytes.saturating_add(bytes) <= SMALL_REQUEST_BYTES;
         let max_held_bytes =
             if is_small { self.limits.capacity_bytes } else { self.max_request_bytes() };
-        let victims = self.stalled_holders(id, bytes, max_held_bytes, now).ok_or(OutOfMemory)?;
+        let victims =
+            self.stalled_holders(id, bytes, max_held_bytes, now).ok_or(HoldError::OutOfMemory)?;
         victims.iter().for_each(|&victim| self.mark_closing(victim));
+        if self.held_bytes.saturating_add(bytes) > max_held_bytes {
+            return Err(HoldError::Wait(victims));
+        }
         self.add_held(id, bytes);
-        Ok(victims)
+        Ok(())
     }
 
     /// Holds bytes that are in memory already, also above the capacity; returns the connections to
@@ -214,11 +220,12 @@
         bytes: usize,
         now: Instant,
     ) -> Vec<ConnectionId> {
-        let victims = self.hold(id, bytes, now);
-        if victims.is_err() {
-            self.add_held(id, bytes);
+        let Err(error) = self.hold(id, bytes, now) else { return Vec::new() };
+        self.add_held(id, bytes);
+        match error {
+            HoldError::Wait(victims) => victims,
+            HoldError::OutOfMemory => Vec::new(),
         }
-        victims.unwrap_or_default()
     }
 
     /// Holds `bytes` fewer for a connection.
@@ -226,8 +233,9 @@
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let released_bytes = bytes.min(connection.held_bytes);
         connection.held_bytes -= released_bytes;
-        if !connection.is_closing {
-            self.held_bytes -= released_bytes;
+        self.held_bytes -= released_bytes;
+        if connection.is_closing {
+            self.closing_bytes -= released_bytes;
         }
     }
 
@@ -293,7 +301,7 @@
         max_held_bytes: usize,
         now: Instant,
     ) -> Option<Vec<ConnectionId>> {
-        let needed_bytes = self.held_bytes.saturating_add(bytes);
+        let needed_bytes = (self.held_bytes - self.closing_bytes).saturating_add(bytes);
         let mut missing_bytes = needed_bytes.saturating_sub(max_held_bytes);
         if missing_bytes == 0 {
             return Some(Vec::new());
@@ -322,8 +330,9 @@
     fn add_held(&mut self, id: ConnectionId, bytes: usize) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.held_bytes += bytes;
-        if !connection.is_closing {
-            self.held_bytes += bytes;
+        self.held_bytes += bytes;
+        if connection.is_closing {
+            self.closing_bytes += bytes;
         }
     }
 
@@ -331,7 +340,7 @@
         let Some(connection) = self.connections.get_mut(&id) else { return };
         if !connection.is_closing {
             connection.is_closing = true;
-            self.held_bytes -= connection.held_bytes;
+            self.closing_bytes += connection.held_bytes;
         }
     }
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -211,7 +211,7 @@
 
 /// Lets the tasks that close connections run, so that their descriptors become free before the next
 /// connection is accepted.
-async fn yield_to_closing_tasks() {
+pub(crate) async fn yield_to_closing_tasks() {
     let mut has_yielded = false;
     std::future::poll_fn(|cx| {
         if std::mem::replace(&mut has_yielded, true) {
@@ -399,7 +399,7 @@
             return Err(NetError::BodyTooLarge(limit_bytes));
         }
         if let Some(connection) = connection {
-            connection.hold_body(data.len())?;
+            connection.hold_body(data.len()).await?;
         }
         if received.len() == 0 && data.len() == expected_bytes && body.is_end_stream() {
             return Ok(data);
--- a/crates/net/tests/ledger.rs
+++ b/crates/net/tests/ledger.rs
@@ -5,7 +5,7 @@
 use deck_net::{
     ClientTimeouts, LedgerLimits,
     json_size::decoded_json_bytes,
-    ledger::{Ledger, OutOfMemory, Phase},
+    ledger::{HoldError, Ledger, Phase},
 };
 
 const MIB: usize = 1024 * 1024;
@@ -20,7 +20,7 @@
 fn open_body(ledger: &mut Ledger, bytes: usize, now: Instant) -> u64 {
     let id = ledger.open(SERVER, now);
     ledger.set_phase(id, Phase::Body, now);
-    assert_eq!(ledger.hold(id, bytes, now), Ok(vec![]));
+    assert_eq!(ledger.hold(id, bytes, now), Ok(()));
     id
 }
 
@@ -33,10 +33,11 @@
     let later = now + Duration::from_secs(2);
     let new = ledger.open(SERVER, later);
     ledger.set_phase(new, Phase::Body, later);
-    assert_eq!(ledger.hold(new, 3 * MIB, later), Ok(vec![large]));
-    assert_eq!(ledger.held_bytes(), 5 * MIB);
-    // The bytes of a connection that is closing are not subtracted again.
+    assert_eq!(ledger.hold(new, 3 * MIB, later), Err(HoldError::Wait(vec![large])));
+    // The memory is used again only after the connection has been closed.
+    assert_eq!(ledger.hold(new, 3 * MIB, later), Err(HoldError::Wait(vec![])));
     ledger.close(large);
+    assert_eq!(ledger.hold(new, 3 * MIB, later), Ok(()));
     assert_eq!(ledger.held_bytes(), 5 * MIB);
     ledger.close(small);
     assert_eq!(ledger.held_bytes(), 3 * MIB);
@@ -51,8 +52,8 @@
     let later = now + Duration::from_secs(2);
     ledger.record_moved(first, 8192, later);
     let new = ledger.open(SERVER, later);
-    assert_eq!(ledger.hold(new, 2 * MIB, later), Err(OutOfMemory));
-    assert_eq!(ledger.hold(new, 1000, later), Ok(vec![]));
+    assert_eq!(ledger.hold(new, 2 * MIB, later), Err(HoldError::OutOfMemory));
+    assert_eq!(ledger.hold(new, 1000, later), Ok(()));
 }
 
 /// Guards against requests that lose their memory while a target may run them.
@@ -63,7 +64,7 @@
     ledger.set_phase(running, Phase::Running, now);
     let later = now + Duration::from_secs(100);
     let new = ledger.open(SERVER, later);
-    assert_eq!(ledger.hold(new, 2 * MIB, later), Err(OutOfMemory));
+    assert_eq!(ledger.hold(new, 2 * MIB, later), Err(HoldError::OutOfMemory));
     ledger.set_phase(new, Phase::Running, later);
     assert_eq!(ledger.choose_least_progress(SERVER, later), None);
 }
