fleet: an extreme start time of a target does not overflow

An entry in the object API may come from another writer. With a start time near the largest number, the comparison of the start with the time of a request overflowed: a panic in debug builds, and in release builds a process that counted as started long before. Found by reading the change again.

The addition saturates. The new test failed before with the largest start time (panic at the comparison); its other three cases, which show how answers are attributed, passed.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -205,7 +205,7 @@
     ) -> Option<Option<SoftwareVersion>> {
         let current = self.target(&entry.id).filter(|current| !current.is_same_process(entry));
         match current {
-            Some(later) if later.started_at_ms + CLOCK_MARGIN_MS <= sent_at_ms => {
+            Some(later) if later.started_at_ms.saturating_add(CLOCK_MARGIN_MS) <= sent_at_ms => {
                 Some(later.software_version.clone())
             }
             Some(later) if later.started_at_ms < sent_at_ms + CLOCK_MARGIN_MS => None,
--- a/crates/fleet/tests/software.rs
+++ b/crates/fleet/tests/software.rs
@@ -149,3 +149,21 @@
     view.set_targets_watched_at(back_at);
     assert_eq!(view.software_versions(&["s"], PERIOD, back_at), KnownVersions::Unknown);
 }
+
+/// Guards against an entry whose start time, written by anybody, overflows the comparison with the
+/// time of a request, and against a start within the difference of the clocks that counts as known.
+#[test_case(1_000, Some("v2"); "started long before")]
+#[test_case(99_900, None; "started about then")]
+#[test_case(200_000, Some("v1"); "started later")]
+#[test_case(u64::MAX, Some("v1"); "largest start time")]
+fn answer_is_attributed_by_the_start_of_the_process(
+    started_at_ms: u64,
+    expected: Option<&'static str>,
+) {
+    const SENT_AT_MS: u64 = 100_000;
+    let view = FleetView::new(Router::new(RouterOptions::default()));
+    let entry = target("a", "s", "v1");
+    view.set_target(Target { started_at_ms, ..target("a", "s", "v2") });
+    let version = view.answering_version(&entry, SENT_AT_MS);
+    assert_eq!(version, expected.map(|version| Some(version.to_owned())));
+}
