Read the time of day through one function

The change added deck_core::wall_clock::unix_time_ms while new_incarnation and the age of batch jobs computed the same; both call it now. No change of behaviour. Clippy of the workspace and the tests of deck-core, deck-batch, deck-fleet and deck-forward pass.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     collections::{BTreeSet, HashMap, HashSet},
     rc::Rc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 use deck_core::{
@@ -12,6 +12,7 @@
     boot_clock::BootInstant,
     hash::hash64,
     id::{RequestId, Revision, SoftwareVersion, TargetId, WeightVersion},
+    wall_clock::unix_time_ms,
 };
 use deck_fleet::{Item, ItemOutcome, ItemResult};
 use serde::{Deserialize, Serialize};
@@ -380,6 +381,5 @@
 /// Returns the time since `unix_ms`, in milliseconds since the Unix epoch. Zero if that is in the
 /// future, because another node with a different clock may have recorded it.
 fn age_of(unix_ms: u64) -> Duration {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-    now.saturating_sub(Duration::from_millis(unix_ms))
+    Duration::from_millis(unix_time_ms().saturating_sub(unix_ms))
 }
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -2,6 +2,8 @@
 
 use rand::RngExt;
 
+use crate::wall_clock::unix_time_ms;
+
 /// Name of a VM that runs the daemons, unique in the deployment.
 pub type VmId = String;
 /// Name of a data centre, for example `sofia-a`.
@@ -37,8 +39,5 @@
 
 /// Returns an incarnation for a process that starts now: the milliseconds since the Unix epoch.
 pub fn new_incarnation() -> Incarnation {
-    let since_epoch = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .unwrap_or(std::time::Duration::ZERO);
-    since_epoch.as_millis() as Incarnation
+    unix_time_ms()
 }
