Soak: faults of links end when due while a job waits to be accepted

The soak blocked the links of all nodes to the object API, which ends at the start of a later step, and waited for a node to accept a job within the step. With all links blocked no node can accept, so the test failed after 60 s without a fault of the program.

Cause: `Fleet::submit` did not return to the step loop that ends faults. Now each refused attempt ends the faults that are due; the bound of 60 s stays.

--- a/bins/decknode/tests/common/mod.rs
+++ b/bins/decknode/tests/common/mod.rs
@@ -84,6 +84,45 @@
     pub read_at: Vec<Instant>,
 }
 
+/// A job that has not been accepted yet.
+pub struct NewJob {
+    pub id: String,
+    /// Ids of the items.
+    items: Vec<String>,
+    /// Oldest weight version that may generate a result.
+    min_version: u64,
+    /// Body of the submission.
+    body: Vec<u8>,
+}
+
+impl NewJob {
+    /// Returns a job of `groups` groups.
+    pub fn new(step: u64, groups: usize, min_version: u64) -> Self {
+        let id = deck_core::id::random_id();
+        let item_ids = (0..groups * GROUP_SIZE).map(|index| format!("{id}i{index}"));
+        let items: Vec<String> = item_ids.collect();
+        let encoded_items: Vec<Value> = items
+            .iter()
+            .enumerate()
+            .map(|(index, item)| {
+                json!({"Id": item, "Path": "/jobs/run", "Headers": {"Model": "m0"},
+                       "Body": "q83v", "Tokens": 100, "Group": format!("g{}", index / GROUP_SIZE),
+                       "Scorer": {"Id": format!("{item}s"), "Host": HOST, "Path": "/score/x",
+                                  "Body": "3q2+"}})
+            })
+            .collect();
+        let body = json!({"Step": step, "Model": "m0", "MinVersion": min_version,
+                          "GroupCount": groups, "Items": encoded_items});
+        Self { id, items, min_version, body: body.to_string().into_bytes() }
+    }
+
+    /// Returns the job after its submission was accepted.
+    pub fn into_submitted(self) -> SubmittedJob {
+        let Self { id, items, min_version, body: _ } = self;
+        SubmittedJob { id, items, min_version, results: Vec::new(), read_at: Vec::new() }
+    }
+}
+
 impl SubmittedJob {
     /// Returns how many results were read at least `SETTLE_TIME` ago.
     pub fn settled_count(&self) -> usize {
@@ -375,36 +414,33 @@
 
     /// Submits a job of `groups` groups to one node after the other until one accepts it.
     pub async fn submit(&self, step: u64, groups: usize, min_version: u64) -> SubmittedJob {
-        let id = deck_core::id::random_id();
-        let item_ids = (0..groups * GROUP_SIZE).map(|index| format!("{id}i{index}"));
-        let items: Vec<String> = item_ids.collect();
-        let encoded_items: Vec<Value> = items
-            .iter()
-            .enumerate()
-            .map(|(index, item)| {
-                json!({"Id": item, "Path": "/jobs/run", "Headers": {"Model": "m0"},
-                       "Body": "q83v", "Tokens": 100, "Group": format!("g{}", index / GROUP_SIZE),
-                       "Scorer": {"Id": format!("{item}s"), "Host": HOST, "Path": "/score/x",
-                                  "Body": "3q2+"}})
-            })
-            .collect();
-        let body = json!({"Step": step, "Model": "m0", "MinVersion": min_version,
-                          "GroupCount": groups, "Items": encoded_items});
-        let body = body.to_string().into_bytes();
+        let job = NewJob::new(step, groups, min_version);
         let deadline = Instant::now() + EVENT_WAIT_TIMEOUT;
-        let addresses: Vec<SocketAddr> =
-            self.entry_nodes().map(|node| node.caller_address).collect();
-        for address in addresses.iter().cycle() {
-            let headers = [("Request-Id", id.as_str()), ("Content-Type", "application/json")];
-            let path = format!("/jobs/{id}");
-            let response = self.call(*address, Method::POST, &path, &headers, body.clone()).await;
-            if matches!(response, Ok((StatusCode::ACCEPTED, _))) {
+        for address in self.caller_addresses().iter().cycle() {
+            if self.try_submit(*address, &job).await {
                 break;
             }
-            assert!(Instant::now() < deadline, "job {id} was not accepted: {response:?}");
-            monoio::time::sleep(Duration::from_millis(100)).await;
+            assert!(Instant::now() < deadline, "job {} was not accepted", job.id);
         }
-        SubmittedJob { id, items, min_version, results: Vec::new(), read_at: Vec::new() }
+        job.into_submitted()
+    }
+
+    /// Returns the addresses for callers of all nodes.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.entry_nodes().map(|node| node.caller_address).collect()
+    }
+
+    /// Submits a job to one node; returns whether the node has accepted it. Waits for a while if not.
+    pub async fn try_submit(&self, address: SocketAddr, job: &NewJob) -> bool {
+        let headers = [("Request-Id", job.id.as_str()), ("Content-Type", "application/json")];
+        let path = format!("/jobs/{}", job.id);
+        let response = self.call(address, Method::POST, &path, &headers, job.body.clone()).await;
+        if matches!(response, Ok((StatusCode::ACCEPTED, _))) {
+            return true;
+        }
+        println!("job {} was not accepted at {address}: {response:?}", job.id);
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        false
     }
 
     /// Reads the results of a job from a position at one node; `None` if the node gives no answer.
--- a/bins/decknode/tests/soak.rs
+++ b/bins/decknode/tests/soak.rs
@@ -15,14 +15,17 @@
 };
 
 use deck_net::http::{Method, StatusCode};
-use deck_testkit::proxy::{Direction, Proxy};
+use deck_testkit::{
+    EVENT_WAIT_TIMEOUT,
+    proxy::{Direction, Proxy},
+};
 use futures_util::future::{join, join_all};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::json;
 
 mod common;
 
-use common::{Fleet, SubmittedJob, run};
+use common::{Fleet, NewJob, SubmittedJob, run};
 
 /// Seeds of the CI run with process faults. A seed that has ever failed stays here, with its cause.
 ///
@@ -236,11 +239,16 @@
         self.proxy_faults_end_at = None;
     }
 
-    /// Ends the faults that are due at `now`.
+    /// Ends the faults that are due at `now`, and in half of the cases an outage of the object API.
     async fn end_due_faults(&mut self, now: Instant) {
         if self.draw(2) == 0 {
             self.fleet.set_faults(json!({"store_down": false})).await;
         }
+        self.end_timed_faults(now).await;
+    }
+
+    /// Ends the faults whose duration is over at `now`.
+    async fn end_timed_faults(&mut self, now: Instant) {
         if self.proxy_faults_end_at.is_some_and(|at| at <= now) {
             self.end_proxy_faults();
         }
@@ -345,10 +353,24 @@
             self.fleet.set_faults(json!({"store_down": false})).await;
             self.version += 1;
             self.fleet.publish_version(self.version).await;
-            let job = self.fleet.submit(self.step, 2, self.version - 1).await;
-            self.step += 1;
-            self.jobs.push(job);
+            self.submit_job().await;
+        }
+    }
+
+    /// Submits a job to one node after the other until one accepts it. Faults end meanwhile when they
+    /// are due: with the calls of all nodes on the object API blocked, no node could accept it.
+    async fn submit_job(&mut self) {
+        let job = NewJob::new(self.step, 2, self.version - 1);
+        let deadline = Instant::now() + EVENT_WAIT_TIMEOUT;
+        for address in self.fleet.caller_addresses().iter().cycle() {
+            if self.fleet.try_submit(*address, &job).await {
+                break;
+            }
+            assert!(Instant::now() < deadline, "job {} was not accepted", job.id);
+            self.end_timed_faults(Instant::now()).await;
         }
+        self.step += 1;
+        self.jobs.push(job.into_submitted());
     }
 
     /// Ends all faults and checks the guarantees of the system.
