Soak: an item may be given up after as many failed reward calls as its route allows

The item is then listed as errored, which is allowed, and the check did not know it.

An errored result now passes only if the stand-in's records show at least that many failures of the item's own reward call; all other checks stay.

--- a/bins/decknode/tests/common/mod.rs
+++ b/bins/decknode/tests/common/mod.rs
@@ -19,7 +19,7 @@
     http::{Method, Request, StatusCode},
 };
 use deck_testkit::{EVENT_WAIT_TIMEOUT, Process, eventually, proxy::Proxy};
-use deckstandin::platform_text::whole_text;
+use deckstandin::{PLAIN_ATTEMPTS, platform_text::whole_text};
 use serde_json::{Value, json};
 
 /// Host of all routes in the stand-in's configuration.
@@ -466,12 +466,28 @@
         let Some(page) = self.read(address, job, from).await else { return };
         assert_eq!(page["Total"], job.items.len());
         for result in page["Results"].as_array().expect("results") {
-            assert_valid_result(job, result);
+            match result["State"].as_str() {
+                Some("errored") => self.assert_given_up_rightly(job, result).await,
+                _ => assert_valid_result(job, result),
+            }
             job.results.push(result.clone());
             job.read_at.push(Instant::now());
         }
     }
 
+    /// Checks a result without a text: it is allowed only after as many failures of the item's reward
+    /// call as its route allows attempts.
+    async fn assert_given_up_rightly(&self, job: &SubmittedJob, result: &Value) {
+        assert_new_position(job, result);
+        let reward_call = format!("{}s", result["Id"].as_str().expect("id"));
+        let records = self.stand_in_records().await;
+        let is_failure = |record: &&Value| {
+            record["call"] == *reward_call && record["failed"].as_bool() == Some(true)
+        };
+        let failures = records.iter().filter(is_failure).count();
+        assert!(failures >= PLAIN_ATTEMPTS, "{result}: its reward call failed {failures} times");
+    }
+
     /// Waits up to `max_wait` until another item of a job is scored.
     pub async fn wait_for_score(&self, job: &SubmittedJob, max_wait: Duration) {
         let started = Instant::now();
@@ -540,11 +556,7 @@
 /// Checks one result: its item has no other result, its text is whole, its weight versions are
 /// allowed and its score comes from its own reward call.
 fn assert_valid_result(job: &SubmittedJob, result: &Value) {
-    let id = result["Id"].as_str().expect("id");
-    assert!(job.items.iter().any(|item| item == id), "{id} is not of job {}", job.id);
-    let earlier_items: HashSet<&str> =
-        job.results.iter().filter_map(|r| r["Id"].as_str()).collect();
-    assert!(!earlier_items.contains(id), "{id} is at two positions");
+    let id = assert_new_position(job, result);
     assert_eq!(result["State"], "completed", "{result}");
     assert_eq!(result["Text"], whole_text(id));
     assert_eq!(result["Score"], format!("stamp-{id}s"));
@@ -553,6 +565,16 @@
     assert!(oldest_version >= job.min_version, "{result}");
 }
 
+/// Checks that a result belongs to an item of the job that has no other result; returns the item's id.
+fn assert_new_position<'a>(job: &SubmittedJob, result: &'a Value) -> &'a str {
+    let id = result["Id"].as_str().expect("id");
+    assert!(job.items.iter().any(|item| item == id), "{id} is not of job {}", job.id);
+    let earlier_items: HashSet<&str> =
+        job.results.iter().filter_map(|r| r["Id"].as_str()).collect();
+    assert!(!earlier_items.contains(id), "{id} is at two positions");
+    id
+}
+
 /// Runs a test on an event loop.
 pub fn run<F: Future<Output = ()>>(test: F) {
     deck_net::runtime::run(test).expect("runtime");
--- a/bins/deckstandin/src/platform.rs
+++ b/bins/deckstandin/src/platform.rs
@@ -25,7 +25,10 @@
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
-use deckstandin::platform_text::{event_count, event_data};
+use deckstandin::{
+    PLAIN_ATTEMPTS,
+    platform_text::{event_count, event_data},
+};
 
 use crate::common::{
     Call, FaultCell, StandinError, abort_after_flush, not_found, print_listen_address, serve_on,
@@ -160,7 +163,7 @@
     let app_route = |name: &str, prefix: &str, route_type: &str| {
         json!({"Name": name, "Host": "h.example", "PathPrefix": prefix, "RouteType": route_type,
                "TimeoutMs": 3000, "TargetLatencyMs": 500, "Priority": 2, "Service": "app",
-               "Attempts": 2})
+               "Attempts": PLAIN_ATTEMPTS})
     };
     json!({
         "Version": 1,
@@ -493,9 +496,6 @@
 
     /// Answers a plain request or a reward call.
     async fn serve_plain(&self, call: &Call, id: &str) -> Response<Body> {
-        self.state.record(json!({"call": id, "server": self.id, "path": call.path,
-                                 "organisation": call.header("tenant"),
-                                 "has_key": call.header("authorization").is_some()}));
         let is_reward = call.path.starts_with("/score/");
         let fails = is_reward
             && self.state.faults.update(|faults| {
@@ -503,6 +503,10 @@
                 faults.failed_rewards = faults.failed_rewards.saturating_sub(1);
                 fails
             });
+        self.state.record(json!({"call": id, "server": self.id, "path": call.path,
+                                 "failed": fails,
+                                 "organisation": call.header("tenant"),
+                                 "has_key": call.header("authorization").is_some()}));
         let status = if fails { 500 } else { 200 };
         let mut response = json_response(status, &json!({ "echo": id }));
         add_correlation_headers(&mut response, id);
