Test of limits: the other target is slower, so that the limited one is preferred

other_targets_take_what_exceeds_the_limit_of_a_target failed in 8 of 576 runs, 16 at a time, with "the limited target is not used". Both targets responded in less than a millisecond, and the router took the other one for all of the counted time because its average latency was lower by 0.02% of itself: jitter decided whether the limited target was used at all.

The other target now takes 5 ms after the limit was named, so that the router prefers the limited one and the limit alone keeps requests from it, which the test is about.

--- a/crates/forward/tests/limits.rs
+++ b/crates/forward/tests/limits.rs
@@ -18,10 +18,14 @@
 const EFFECT_TIME: Duration = Duration::from_secs(3);
 /// Time until a target names a limit.
 const WARM_UP_TIME: Duration = Duration::from_secs(1);
+/// Latency of the targets without a limit after one has named its limit. The router prefers the
+/// limited target by it, so that jitter of less than a millisecond does not decide whether that target
+/// is used.
+const OTHER_TARGET_LATENCY: Duration = Duration::from_millis(5);
 /// Period in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 
-/// Service whose targets respond at once.
+/// Service whose targets respond at once until one of them names a limit, and that one also after it.
 struct Targets {
     addresses: Vec<SocketAddr>,
     started_at: Instant,
@@ -65,7 +69,13 @@
                 if let Some(limit) = limit.get().filter(|_| limited.get() == Some(index)) {
                     headers.insert("server-limit", limit.to_string().parse().expect("number"));
                 }
-                std::future::ready(response)
+                let is_other = limited.get().is_some_and(|limited| limited != index);
+                async move {
+                    if is_other {
+                        monoio::time::sleep(OTHER_TARGET_LATENCY).await;
+                    }
+                    response
+                }
             };
             let options = ServerOptions::default();
             monoio::spawn(deck_net::serve(listener, options, cancel.clone(), respond));
