deckctl: check of a configuration before it is sent

Operators saw what is wrong with a configuration only in the logs of nodes, and entries that can never match not at all: nodes accept a route with the host and prefix of another one, or with a service that does not exist.

Each finding has severity, line and path; text and JSON; exit code 2 if there are errors. Keys are never shown.

Tests: one case for each finding, with its path and line; no findings about a sound configuration and about the platform's example; differences and keys in misplaced fields without the keys (that test failed first on a misspelt field name).

--- a/bins/deckctl/src/cli.rs
+++ b/bins/deckctl/src/cli.rs
@@ -141,6 +141,22 @@
         #[bpaf(positional("FILE"), some("name at least one file"))]
         files: Vec<PathBuf>,
     },
+    /// Checks a configuration of the users' platform before it is sent.
+    ///
+    /// Finds errors, entries that can never match, values that contradict each other, and with
+    /// --against what differs from the version in force. Keys are never shown.
+    #[bpaf(
+        command("check-configuration"),
+        footer("Example: deckctl check-configuration new.json --against in-force.json")
+    )]
+    CheckConfiguration {
+        /// File with the configuration in force
+        #[bpaf(long("against"), argument("FILE"), optional)]
+        in_force: Option<PathBuf>,
+        /// File with the configuration, or with its stored object
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
     /// Explains from logs what happened to a request, an item or a batch job.
     ///
     /// Reads the logs of several nodes, orders them by time, and says in plain words what went wrong.
--- a/bins/deckctl/src/error.rs
+++ b/bins/deckctl/src/error.rs
@@ -34,6 +34,10 @@
             source(error)
             from()
         }
+        /// A configuration has errors, which have been printed.
+        Configuration(file: PathBuf, count: usize) {
+            display("{}: errors: {count}", file.display())
+        }
         /// Neither `--program` nor the file name gives a known program for a settings file.
         UnknownProgram(file: PathBuf) {
             display("{}: name the program with --program: deckentry, deckroll or deckweight",
@@ -94,6 +98,7 @@
             | Self::File(..)
             | Self::Syntax(..)
             | Self::Object(..)
+            | Self::Configuration(..)
             | Self::History(..) => 2,
             Self::NotFound(_) => 3,
             Self::Conflict(..) => 4,
--- a/bins/deckctl/src/main.rs
+++ b/bins/deckctl/src/main.rs
@@ -4,9 +4,11 @@
 mod output;
 
 mod cli;
+mod configuration;
 mod error;
 mod explain;
 mod files;
+mod json_lines;
 mod verbs;
 
 use std::process::ExitCode;
@@ -47,6 +49,9 @@
     if let Command::Check { program, files } = &command {
         return verbs::check::run(files, program.as_deref(), output);
     }
+    if let Command::CheckConfiguration { in_force, file } = &command {
+        return verbs::check_configuration::run(file, in_force.as_ref(), output);
+    }
     if let Command::Explain { id, files } = &command {
         return verbs::explain::run(id, files, output);
     }
@@ -69,6 +74,9 @@
         Command::Delete { revision, kind, name } => {
             verbs::delete::run(&store, kind, &name, revision, output).await
         }
-        Command::Check { .. } | Command::Explain { .. } | Command::Report { .. } => Ok(()),
+        Command::Check { .. }
+        | Command::CheckConfiguration { .. }
+        | Command::Explain { .. }
+        | Command::Report { .. } => Ok(()),
     }
 }
--- a/bins/deckctl/src/verbs.rs
+++ b/bins/deckctl/src/verbs.rs
@@ -2,6 +2,7 @@
 
 pub mod apply;
 pub mod check;
+pub mod check_configuration;
 pub mod delete;
 pub mod describe;
 pub mod diff;
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -4,7 +4,7 @@
 
 use deck_core::id::{DataCentreId, PoolName};
 
-use crate::Organisations;
+use crate::{ApiKey, Organisation, Organisations};
 
 /// Version of the configuration; increases with each change.
 pub type ConfigurationVersion = u64;
@@ -26,6 +26,35 @@
     pub organisations: Option<Rc<Organisations>>,
 }
 
+/// Entries of a configuration in the order in which operators write them.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigurationEntries {
+    /// Version of the configuration.
+    pub version: ConfigurationVersion,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services.
+    pub services: Vec<ServiceConfig>,
+    /// Limits on requests and connections of callers.
+    pub limits: CallerLimits,
+    /// Organisations and their keys; `None` if callers need no key.
+    pub organisations: Option<Vec<(Organisation, Vec<ApiKey>)>>,
+}
+
+impl ConfigurationEntries {
+    /// Returns the configuration that nodes use.
+    ///
+    /// # Errors
+    ///
+    /// Names the organisation whose name or key cannot be used.
+    pub fn into_configuration(self) -> Result<Configuration, String> {
+        let organisations = self.organisations.map(Organisations::new).transpose()?;
+        let configuration =
+            Configuration::new(self.version, self.routes, self.services, self.limits);
+        Ok(configuration.with_organisations(organisations))
+    }
+}
+
 /// Kind of requests on a route, which determines whether and how they may be retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -36,7 +36,8 @@
 pub mod view;
 
 pub use config::{
-    CallerLimits, Configuration, EngineConfig, Route, RouteKind, ScalingConfig, ServiceConfig,
+    CallerLimits, Configuration, ConfigurationEntries, EngineConfig, Route, RouteKind,
+    ScalingConfig, ServiceConfig,
 };
 pub use crash_registry::{CrashRegistry, NodeCrashes};
 pub use currency::{ConfigurationCurrency, ConfirmationRole};
