net: busy connections take turns, and timers fire meanwhile

Callers saw: 200 clients that send bodies in chunks of one byte (0.6 MB each, legal) held up a node of a release build completely: an ordinary request sent behind them was answered after 7.0 s, when all bodies had been received, and no timeout was kept meanwhile. On a VM with a tenth of a core that is a minute.

Cause: the runtime puts a task that was woken while it ran (by hyper between its rounds, or by our own yields) at the front of the queue, and fires timers only when the queue is empty. So one connection was read as long as it had data, and the yields in the accept loop, in the account of memory and in the reads of responses let nobody else run.

Ruled out: memory (22 to 39 MB), the account's search for connections to close (not reached), epoll (polled in each round).

Change: tasks of connections, on the server's and the client's side, run as FairTask, which puts a task that has woken itself behind the others, and pauses such tasks for 1 ms at least each 5 ms so that timers fire. The yields use the same.

--- a/crates/net/src/account.rs
+++ b/crates/net/src/account.rs
@@ -22,7 +22,7 @@
     ledger::{
         ClientTimeouts, CloseReason, ConnectionId, HoldError, Ledger, LedgerLimits, Phase, ServerId,
     },
-    server::yield_to_closing_tasks,
+    turns::yield_turn,
 };
 
 thread_local! {
@@ -268,7 +268,7 @@
             match self.try_hold(bytes) {
                 Ok(()) => return Ok(()),
                 // The tasks of the connections that are closing run before this one goes on.
-                Err(HoldError::Wait(_)) => yield_to_closing_tasks().await,
+                Err(HoldError::Wait(_)) => yield_turn().await,
                 Err(HoldError::OutOfMemory) => {
                     self.account.count(|totals| totals.refused_bodies += 1);
                     return Err(NetError::OutOfMemory);
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -25,6 +25,7 @@
 use crate::{
     Body, NetError,
     read_limit::{HeadBudget, LimitedIo},
+    turns::FairTask,
 };
 
 /// Minimum idle time of a connection before it is reused. A faulty server may send two responses to
@@ -404,11 +405,11 @@
         let (sender, connection) = http1::handshake(io)
             .await
             .map_err(|error| NetError::NotSent(address, error.to_string()))?;
-        monoio::spawn(async move {
+        monoio::spawn(FairTask::new(async move {
             if let Err(error) = connection.await {
                 log::debug!(target: "net", "connection closed address={address} error={error}");
             }
-        });
+        }));
         Ok(Connection { sender, head_budget, activity })
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod runtime;
 pub mod server;
 pub mod sse;
+pub mod turns;
 
 pub use account::{Account, AccountTotals};
 pub use body::Body;
--- a/crates/net/src/read_limit.rs
+++ b/crates/net/src/read_limit.rs
@@ -12,7 +12,7 @@
 
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 
-use crate::client::Activity;
+use crate::{client::Activity, turns::wake_after_others};
 
 /// Maximum number of bytes received until the head of a response is complete: informational (1xx)
 /// responses, the head, and the part of the body that arrives with it.
@@ -85,7 +85,7 @@
     ) -> Poll<io::Result<()>> {
         if self.consecutive_reads >= MAX_CONSECUTIVE_READS {
             self.consecutive_reads = 0;
-            cx.waker().wake_by_ref();
+            wake_after_others(cx.waker());
             return Poll::Pending;
         }
         let mut bytes = [const { MaybeUninit::uninit() }; MAX_READ_BYTES];
--- a/crates/net/src/runtime.rs
+++ b/crates/net/src/runtime.rs
@@ -9,6 +9,8 @@
 use monoio::{LegacyDriver, RuntimeBuilder, io::AsyncReadRent, net::UnixStream};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
+use crate::turns::run_with_turns;
+
 /// Runs `main` to completion on a new runtime in the current thread.
 ///
 /// All runtimes of the daemons are built here, so that none of them uses io_uring, the default
@@ -19,7 +21,7 @@
 /// Returns an error if the runtime cannot be built.
 pub fn run<F: Future>(main: F) -> std::io::Result<F::Output> {
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
-    Ok(runtime.block_on(main))
+    Ok(runtime.block_on(run_with_turns(main)))
 }
 
 /// Installs a handler for SIGHUP and returns the flag that it sets; the caller clears the flag.
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -5,7 +5,6 @@
     future::Future,
     net::SocketAddr,
     rc::Rc,
-    task::Poll,
     time::{Duration, Instant},
 };
 
@@ -32,6 +31,7 @@
     body_buffer::BodyBuffer,
     framing::FramingInspection,
     ledger::{ClientTimeouts, Phase, ServerId},
+    turns::{FairTask, yield_turn},
 };
 
 /// Time without a new connection after which a draining server closes its listener.
@@ -155,20 +155,21 @@
         let connection = account.open(server);
         let handler = handler.clone();
         let drain = drain.clone();
-        monoio::spawn(async move {
+        monoio::spawn(FairTask::new(async move {
             connection
                 .clone()
                 .scope(serve_connection(stream, &options, drain, handler, connection))
                 .await;
             drop(guard);
-        });
+        }));
         is_full
     };
     while let Some(accepted) = drain.run_until_cancelled(listener.accept()).await {
         match accepted {
             Ok((stream, _)) => {
                 if start_connection(stream) {
-                    yield_to_closing_tasks().await;
+                    // Their descriptors become free before the next connection is accepted.
+                    yield_turn().await;
                 }
             }
             Err(error) => {
@@ -209,20 +210,6 @@
     }
 }
 
-/// Lets the tasks that close connections run, so that their descriptors become free before the next
-/// connection is accepted.
-pub(crate) async fn yield_to_closing_tasks() {
-    let mut has_yielded = false;
-    std::future::poll_fn(|cx| {
-        if std::mem::replace(&mut has_yielded, true) {
-            return Poll::Ready(());
-        }
-        cx.waker().wake_by_ref();
-        Poll::Pending
-    })
-    .await;
-}
-
 async fn serve_connection<H, F>(
     stream: TcpStream,
     options: &ServerOptions,
@@ -362,7 +349,8 @@
         connection.release_request();
     }
     if matches!(received, Err(NetError::OutOfMemory)) && !is_closing {
-        monoio::spawn(discard_body(body, limit_bytes, connection.start_discarding()));
+        let discarding = connection.start_discarding();
+        monoio::spawn(FairTask::new(discard_body(body, limit_bytes, discarding)));
     }
     received
 }
