Counts of use survive a loss of power of all nodes to within a twentieth

Causes: a node collected its counts for 250 ms even if it had had none for seconds, and the holder stored new ones at most each 0.8 s, together a fifth of a window of 5 s. By reading: a new holder did not know counts of the current window that nodes had before its lease; a copy that the holder did not accept was not repeated if another node did; and a report without an answer was repeated 0.4 s after the start of a call that takes 0.8 s, so that no other step had its turn while the platform was silent. Ruled out: requests in flight; windows without a loss of power have the exact count.

Change: the first copy leaves after 20 ms, and the interval between copies only limits their rate. The holder stores at most once in a fiftieth of a window and 4,000 counts a second, asks all nodes at the start of its lease, and counts the wait after a call without an answer from its end. Copies that it did not accept are sent again. Windows are closed, stored and sent as before.

The test of the interval between writes uses the new interval, as strict, and has the limit for many counts besides.

--- a/bins/decknode/tests/usage.rs
+++ b/bins/decknode/tests/usage.rs
@@ -14,6 +14,8 @@
 const KEYS: [(&str, &str); 2] = [("first", "key-first"), ("second", "key-second")];
 /// Time in which copies of counts reach other nodes, with a margin.
 const COPY_TIME: Duration = Duration::from_millis(1500);
+/// Time in which counts are stored in the object API, with a margin for a busy machine.
+const STORE_TIME: Duration = Duration::from_millis(450);
 
 /// Starts a fleet that reports its use in windows of five seconds.
 async fn start_reporting_fleet(entry_nodes: usize) -> Fleet {
@@ -135,3 +137,23 @@
         assert!(begun(&fleet).await["first"] >= 60);
     });
 }
+
+/// Requests that targets began to run shortly before all nodes are killed are missing in the reports.
+#[test]
+fn use_is_reported_although_all_nodes_are_killed_at_once() {
+    run(async {
+        let mut fleet = start_reporting_fleet(4).await;
+        eventually("a node reports", async || !reports(&fleet).await.is_empty()).await;
+        for name in ["first", "second"] {
+            send_requests(&fleet, name, 20).await;
+            monoio::time::sleep(STORE_TIME).await;
+            for node in &mut fleet.nodes {
+                node.process = None;
+            }
+            fleet.start_nodes();
+            fleet.wait_until_ready().await;
+        }
+        eventually("all use is reported", async || reported(&fleet).await == begun(&fleet).await)
+            .await;
+    });
+}
--- a/crates/duty/src/usage/exchange.rs
+++ b/crates/duty/src/usage/exchange.rs
@@ -1,10 +1,15 @@
 //! Exchange of counts between nodes: copies against the loss of a node, and answers to the holder.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use deck_core::{CancellationToken, hash::rendezvous_score};
 use deck_net::{Body, Client, NetError, cbor};
+use futures_util::future::join_all;
 use http::{Method, Request};
 use serde::{Deserialize, Serialize};
 
@@ -18,8 +23,10 @@
 const COPY_COUNT: usize = 2;
 /// Number of nodes that are tried for the copies if some do not answer.
 const MAX_COPY_ATTEMPTS: usize = 2 * COPY_COUNT;
-/// Minimum time for which counts are collected for one message. A node that crashes loses at most these.
-const MIN_COPY_DELAY: Duration = Duration::from_millis(250);
+/// Minimum time for which counts are collected for one message.
+const MIN_COPY_DELAY: Duration = Duration::from_millis(20);
+/// Minimum time between two messages with copies. A node that crashes loses at most the counts of it.
+const MIN_COPY_INTERVAL: Duration = Duration::from_millis(50);
 /// Copies that all nodes together send to the holder of the lease in a second, at most. In a large
 /// fleet under high load they would fill its CPU; there, nodes collect counts for longer.
 const MAX_COPIES_PER_S: f64 = 250.0;
@@ -103,13 +110,16 @@
 
     /// Sends copies of this node's new counts to other nodes until `cancel` is cancelled.
     pub async fn run_copies(self, cancel: CancellationToken) {
+        let mut last_copy: Option<Instant> = None;
         while cancel.run_until_cancelled(self.meter.unshared()).await.is_some() {
-            let delay = copy_delay((self.nodes)().len());
+            let since_last = last_copy.map(|last| last.elapsed());
+            let delay = copy_delay((self.nodes)().len(), since_last);
             if cancel.run_until_cancelled(monoio::time::sleep(delay)).await.is_none() {
                 return;
             }
             let Some(from) = self.meter.take_unshared() else { continue };
-            if !self.copy(self.meter.entries(from, true)).await {
+            last_copy = Some(Instant::now());
+            if !self.copy(self.meter.entries(from, true)).await.is_shared() {
                 self.meter.set_unshared(from);
                 cancel.run_until_cancelled(monoio::time::sleep(RETRY_DELAY)).await;
             }
@@ -124,17 +134,16 @@
             return;
         }
         let source_count = counts.len();
-        let is_handed_over = self.copy(counts).await;
+        let is_handed_over = self.copy(counts).await.is_held_elsewhere;
         log::info!(target: "usage", "counts handed over entries={source_count} accepted={is_handed_over}");
     }
 
-    /// Sends counts to [`COPY_COUNT`] other nodes. Returns whether at least one has accepted them, or
-    /// there is no other node.
-    async fn copy(&self, counts: Vec<SourceCounts>) -> bool {
+    /// Sends counts to [`COPY_COUNT`] other nodes.
+    async fn copy(&self, counts: Vec<SourceCounts>) -> CopyOutcome {
         let mut nodes = self.nodes();
         nodes.retain(|node| *node != self.own_address);
         if nodes.is_empty() {
-            return true;
+            return CopyOutcome { is_held_elsewhere: true, is_leader_missed: false };
         }
         // The holder of the lease stores what it has; the others are the same ones each time.
         let (own_name, leader) = (self.own_address.to_string(), (self.leader)());
@@ -143,19 +152,26 @@
             std::cmp::Reverse((leader == Some(*node), score))
         });
         let message = UsageMessage { counts, question: None };
-        let mut accepted_count = 0;
-        for node in nodes.into_iter().take(MAX_COPY_ATTEMPTS) {
-            match self.call(node, &message).await {
-                Ok(_) => accepted_count += 1,
-                Err(error) => {
-                    log::info!(target: "usage", "copy of counts not accepted node={node} error={error}");
-                }
-            }
-            if accepted_count == COPY_COUNT {
+        let (first, others) = nodes.split_at(nodes.len().min(COPY_COUNT));
+        let accepted = join_all(first.iter().map(|node| self.offer(*node, &message))).await;
+        let is_leader_missed = leader == Some(first[0]) && !accepted[0];
+        let mut accepted_count = accepted.into_iter().filter(|is_accepted| *is_accepted).count();
+        for node in others.iter().take(MAX_COPY_ATTEMPTS - COPY_COUNT) {
+            if accepted_count >= COPY_COUNT {
                 break;
             }
+            accepted_count += usize::from(self.offer(*node, &message).await);
         }
-        accepted_count > 0
+        CopyOutcome { is_held_elsewhere: accepted_count > 0, is_leader_missed }
+    }
+
+    /// Sends a message with copies to a node. Returns whether it has accepted them.
+    async fn offer(&self, node: SocketAddr, message: &UsageMessage) -> bool {
+        let result = self.call(node, message).await;
+        if let Err(error) = &result {
+            log::info!(target: "usage", "copy of counts not accepted node={node} error={error}");
+        }
+        result.is_ok()
     }
 
     /// Asks a node for its counts of the window `from` and later ones, and takes them over.
@@ -190,7 +206,30 @@
     }
 }
 
-/// Returns the time for which a node collects counts for one message.
-fn copy_delay(node_count: usize) -> Duration {
-    MIN_COPY_DELAY.max(Duration::from_secs_f64(node_count as f64 / MAX_COPIES_PER_S))
+/// Outcome of sending copies of counts.
+#[derive(Debug, Clone, Copy)]
+struct CopyOutcome {
+    /// Whether another node has the counts, or there is no other node.
+    is_held_elsewhere: bool,
+    /// Whether the holder of the lease, which stores what it has, did not accept them.
+    is_leader_missed: bool,
+}
+
+impl CopyOutcome {
+    /// Returns whether the counts need not be sent again.
+    fn is_shared(self) -> bool {
+        self.is_held_elsewhere && !self.is_leader_missed
+    }
+}
+
+/// Returns the time for which a node collects counts for one message, given the time since its last
+/// one.
+///
+/// Load: a fleet in which each node counts a request now and then. The counts are copied at once;
+/// only nodes with many requests wait for the end of the interval.
+pub fn copy_delay(node_count: usize, since_last: Option<Duration>) -> Duration {
+    let interval = Duration::from_secs_f64(node_count as f64 / MAX_COPIES_PER_S);
+    let interval = interval.max(MIN_COPY_INTERVAL);
+    let rest = since_last.map_or(Duration::ZERO, |since_last| interval.saturating_sub(since_last));
+    rest.max(MIN_COPY_DELAY)
 }
--- a/crates/duty/src/usage/holder.rs
+++ b/crates/duty/src/usage/holder.rs
@@ -26,7 +26,7 @@
 /// Maximum size of an answer of the platform.
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
 /// Number of nodes that are asked at the same time.
-const MAX_CONCURRENT_QUESTIONS: usize = 16;
+const MAX_CONCURRENT_QUESTIONS: usize = 64;
 /// Interval at which a holder whose lease is not valid checks it again.
 const INVALID_LEASE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -139,7 +139,7 @@
                     let counts = reporter.stored_counts(window).cloned().unwrap_or_default();
                     let started = self.now();
                     let outcome = self.send(token, window, &counts).await;
-                    reporter.on_sent(window, outcome, started);
+                    reporter.on_sent(window, outcome, started..self.now());
                 }
                 Step::Wait(time) => monoio::time::sleep(time).await,
                 Step::Stop => {
--- a/crates/duty/src/usage/mod.rs
+++ b/crates/duty/src/usage/mod.rs
@@ -12,7 +12,7 @@
 mod reporter;
 
 pub use clock::{SteadyClock, process_clock};
-pub use exchange::{MAX_USAGE_MESSAGE_BYTES, USAGE_PATH, UsageExchange};
+pub use exchange::{MAX_USAGE_MESSAGE_BYTES, USAGE_PATH, UsageExchange, copy_delay};
 pub use holder::{UsageHolder, UsageHolderDependencies};
 pub use ledger::{SourceCounts, SourceId, UsageLedger, new_source};
 pub use meter::{AttemptEnd, CountedAttempt, UsageMeter};
--- a/crates/duty/src/usage/reporter.rs
+++ b/crates/duty/src/usage/reporter.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    ops::Range,
     time::Duration,
 };
 
@@ -16,6 +17,9 @@
 /// Maximum number of counts of open windows that are stored, about 100 KB. With more of them, only the
 /// other nodes have copies.
 const MAX_COPIED_COUNTS: usize = 3_000;
+/// Maximum number of counts of open windows that are stored in a second; with many counts they are
+/// stored at longer intervals.
+const MAX_COPIED_COUNTS_PER_S: f64 = 4_000.0;
 
 /// Number of requests of each organisation in a window.
 pub type WindowCounts = BTreeMap<OrganisationId, u64>;
@@ -57,7 +61,10 @@
             ask_interval: Duration::from_millis(800).min(delay / 8),
             retry_delay: min_interval.max(Duration::from_millis(400)),
             call_interval: min_interval.max(Duration::from_millis(100)),
-            copy_interval: Duration::from_millis(800).min(window / 4),
+            // A loss of power of all nodes loses the requests of this time, which have to stay well
+            // below a twentieth of the window.
+            copy_interval: (window / 50)
+                .clamp(Duration::from_millis(100), Duration::from_millis(800)),
         }
     }
 }
@@ -151,9 +158,10 @@
 
 /// State of the holder of the lease. It begins anew with each lease.
 ///
-/// Load: one call a window, one write a second while there are new counts and one a window otherwise,
-/// and one small message a window to each node; if nodes, the object
-/// API or the platform do not answer, retries at fixed intervals until the window is too old.
+/// Load: one call a window, 50 writes a window while there are new counts (at most ten and at least 1.25
+/// a second) and one otherwise, and one small message to each node at the start and for each window; if
+/// nodes, the object API or the platform do not answer, retries at fixed intervals until the window is
+/// too old.
 #[derive(Debug)]
 pub struct UsageReporter {
     options: ReporterOptions,
@@ -204,6 +212,11 @@
         let Some(known) = &self.known else {
             return self.at(now, self.next_store_call, Step::Load);
         };
+        let ended = self.ended_windows(known, now);
+        if self.last_round.is_none() {
+            // Counts that the previous holder did not store would be lost with all nodes.
+            return Step::Ask { from: ended.start, nodes: nodes.to_vec() };
+        }
         let sent = self.sent.max(known.reports.sent);
         let unsent = known.reports.windows.keys().find(|window| sent < Some(**window));
         if let Some(window) = unsent
@@ -212,7 +225,6 @@
         {
             return Step::Send(*window);
         }
-        let ended = self.ended_windows(known, now);
         let closable: Vec<_> =
             ended.clone().take_while(|window| self.is_closable(*window, now, nodes)).collect();
         if !closable.is_empty() && self.next_store_call <= now {
@@ -233,13 +245,14 @@
                 return Step::Ask { from: first, nodes };
             }
         }
-        if ledger_version != self.copied_version
-            && self.next_copy <= now
-            && self.next_store_call <= now
-        {
-            return Step::Copy;
+        let idle_wait = self.options.call_interval.min(self.options.copy_interval / 4);
+        if ledger_version == self.copied_version {
+            return Step::Wait(idle_wait);
+        }
+        match self.next_copy.max(self.next_store_call).saturating_sub(now) {
+            Duration::ZERO => Step::Copy,
+            wait => Step::Wait(wait.min(idle_wait)),
         }
-        Step::Wait(self.options.call_interval)
     }
 
     /// Returns `step` if it is due, and else a wait until then.
@@ -253,11 +266,7 @@
 
     /// Returns the windows that have ended and are not closed, except those whose counts the nodes no
     /// longer have.
-    fn ended_windows(
-        &self,
-        known: &KnownReports,
-        now: WallTime,
-    ) -> impl DoubleEndedIterator<Item = WindowNumber> + Clone {
+    fn ended_windows(&self, known: &KnownReports, now: WallTime) -> Range<WindowNumber> {
         let current = window_at(now, self.options.window);
         let oldest_kept = current.saturating_sub(MAX_WINDOWS as u64 - 1);
         let first = match known.reports.last_closed() {
@@ -317,8 +326,12 @@
         let last_closed = reports.last_closed();
         reports.open = known_counts;
         reports.open.retain(|entry| Some(entry.window) > last_closed);
-        if reports.open.iter().map(|entry| entry.counts.len()).sum::<usize>() > MAX_COPIED_COUNTS {
+        let count = reports.open.iter().map(|entry| entry.counts.len()).sum::<usize>();
+        if count > MAX_COPIED_COUNTS {
             reports.open.clear();
+        } else {
+            let min_interval = Duration::from_secs_f64(count as f64 / MAX_COPIED_COUNTS_PER_S);
+            self.next_copy = situation.now + self.options.copy_interval.max(min_interval);
         }
         (reports, revision)
     }
@@ -360,15 +373,16 @@
         self.silent_since.retain(|node, _| nodes.contains(node));
     }
 
-    /// A call with the report of `window` that was made at `now` has ended.
-    pub fn on_sent(&mut self, window: WindowNumber, outcome: SendOutcome, now: WallTime) {
+    /// A call with the report of `window` has ended.
+    pub fn on_sent(&mut self, window: WindowNumber, outcome: SendOutcome, call: Range<WallTime>) {
         match outcome {
             SendOutcome::Accepted | SendOutcome::Rejected => {
                 self.sent = self.sent.max(Some(window));
-                self.next_send = now + self.options.call_interval;
+                self.next_send = call.start + self.options.call_interval;
             }
             SendOutcome::FenceRefused => self.fence_refused = true,
-            SendOutcome::Unknown => self.next_send = now + self.options.retry_delay,
+            // From the end of the call: other steps have their turn while the platform is silent.
+            SendOutcome::Unknown => self.next_send = call.end + self.options.retry_delay,
         }
     }
 }
--- a/crates/duty/tests/meter.rs
+++ b/crates/duty/tests/meter.rs
@@ -2,7 +2,9 @@
 
 use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
 
-use deck_duty::usage::{AttemptEnd, SourceCounts, SteadyClock, UsageLedger, UsageMeter};
+use deck_duty::usage::{
+    AttemptEnd, SourceCounts, SteadyClock, UsageLedger, UsageMeter, copy_delay,
+};
 
 const WINDOW: Duration = Duration::from_secs(5);
 
@@ -86,3 +88,18 @@
     assert_eq!(clock.now(seconds(1058), seconds(73)), seconds(1058));
     assert_eq!(clock.now(seconds(1059), seconds(74)), seconds(1059));
 }
+
+/// A node with a request now and then keeps its count to itself for long, or many nodes with many
+/// requests fill the CPU of the holder of the lease.
+#[test]
+fn copies_are_sent_at_once_unless_there_are_many() {
+    let millis = Duration::from_millis;
+    for idle in [None, Some(millis(5_000))] {
+        assert_eq!(copy_delay(62, idle), millis(20));
+    }
+    assert_eq!(copy_delay(62, Some(millis(100))), millis(148));
+    for node_count in [1, 12, 62, 400] {
+        let interval = copy_delay(node_count, Some(Duration::ZERO));
+        assert!(node_count as f64 / interval.as_secs_f64() <= 251.0, "{node_count} nodes");
+    }
+}
--- a/crates/duty/tests/reporter.rs
+++ b/crates/duty/tests/reporter.rs
@@ -123,7 +123,7 @@
     for outcome in [SendOutcome::Unknown, SendOutcome::Accepted] {
         assert_eq!(next_step(&reporter, after_end(3.0), true), Step::Send(FIRST_WINDOW));
         assert_eq!(reporter.stored_counts(FIRST_WINDOW), Some(&counts(3)));
-        reporter.on_sent(FIRST_WINDOW, outcome, after_end(2.0));
+        reporter.on_sent(FIRST_WINDOW, outcome, after_end(2.0)..after_end(2.1));
     }
     assert!(matches!(next_step(&reporter, after_end(3.0), true), Step::Wait(_)));
     let (reports, _) = closed(&mut reporter, 9, Vec::new());
@@ -140,14 +140,47 @@
         closed(&mut reporter, 2, vec![known(FIRST_WINDOW), known(FIRST_WINDOW + 1)]);
     assert_eq!(reports.open, [known(FIRST_WINDOW + 1)]);
     reporter.on_known(revision, reports);
-    reporter.on_sent(FIRST_WINDOW, SendOutcome::Accepted, after_end(1.0));
-    let step = |seconds, ledger_version| {
+    reporter.on_sent(FIRST_WINDOW, SendOutcome::Accepted, after_end(1.0)..after_end(1.0));
+    let step = |reporter: &UsageReporter, seconds, ledger_version| {
         let now = after_end(seconds);
         reporter.next_step(&Situation { now, nodes: &nodes(), may_send: true, ledger_version })
     };
-    assert!(matches!(step(1.5, 8), Step::Wait(_)));
-    assert!(matches!(step(2.0, 7), Step::Wait(_)));
-    assert_eq!(step(2.0, 8), Step::Copy);
+    assert!(matches!(step(&reporter, 1.05, 8), Step::Wait(_)));
+    assert!(matches!(step(&reporter, 1.1, 7), Step::Wait(_)));
+    assert_eq!(step(&reporter, 1.1, 8), Step::Copy);
+    // As many counts as may be stored are stored less often.
+    let many = |source| SourceCounts { source, ..known(FIRST_WINDOW + 1) };
+    let situation =
+        Situation { now: after_end(2.0), nodes: &nodes(), may_send: true, ledger_version: 8 };
+    reporter.reports_with([], (0..3000).map(many).collect(), &situation);
+    assert!(matches!(step(&reporter, 2.7, 9), Step::Wait(_)));
+    assert_eq!(step(&reporter, 2.75, 9), Step::Copy);
+}
+
+/// Counts of the current window that nodes had before the lease are lost with all nodes, as they are
+/// not stored before the end of the window.
+#[test]
+fn asks_all_nodes_at_the_start_of_a_lease() {
+    let mut reporter = loaded_reporter();
+    let ask = Step::Ask { from: FIRST_WINDOW, nodes: nodes() };
+    assert_eq!(next_step(&reporter, after_end(-3.0), true), ask);
+    end_round(&mut reporter, after_end(-3.0), &[]);
+    assert!(matches!(next_step(&reporter, after_end(-1.0), true), Step::Wait(_)));
+    assert_eq!(next_step(&reporter, after_end(0.5), true), ask);
+}
+
+/// The platform takes a report and does not answer; nothing but this report is tried any more, so that
+/// later windows are not closed and their counts are not stored.
+#[test]
+fn silent_platform_does_not_hold_up_other_steps() {
+    let mut reporter = loaded_reporter();
+    end_round(&mut reporter, after_end(0.5), &nodes());
+    close(&mut reporter, 3);
+    assert_eq!(next_step(&reporter, after_end(1.0), true), Step::Send(FIRST_WINDOW));
+    reporter.on_sent(FIRST_WINDOW, SendOutcome::Unknown, after_end(1.0)..after_end(1.8));
+    let now = after_end(1.8);
+    let situation = Situation { now, nodes: &nodes(), may_send: true, ledger_version: 8 };
+    assert_eq!(reporter.next_step(&situation), Step::Copy);
 }
 
 /// A node that the platform has refused calls again with the same fencing number.
@@ -156,7 +189,7 @@
     let mut reporter = loaded_reporter();
     end_round(&mut reporter, after_end(0.5), &nodes());
     close(&mut reporter, 1);
-    reporter.on_sent(FIRST_WINDOW, SendOutcome::FenceRefused, after_end(1.0));
+    reporter.on_sent(FIRST_WINDOW, SendOutcome::FenceRefused, after_end(1.0)..after_end(1.0));
     for seconds in [1.0, 20.0] {
         assert_eq!(next_step(&reporter, after_end(seconds), true), Step::Stop);
     }
@@ -281,10 +314,10 @@
             let counts = reporter.stored_counts(window).cloned().unwrap_or_default();
             if random.chance(trouble) {
                 services.late_reports.push((window, counts));
-                return reporter.on_sent(window, SendOutcome::Unknown, now);
+                return reporter.on_sent(window, SendOutcome::Unknown, now..now);
             }
             services.report(window, counts);
-            reporter.on_sent(window, SendOutcome::Accepted, now);
+            reporter.on_sent(window, SendOutcome::Accepted, now..now);
         }
         Step::Wait(_) | Step::Stop => {}
     }
