--- a/crates/duty/src/usage/ledger.rs
+++ b/crates/duty/src/usage/ledger.rs
@@ -36,7 +36,7 @@
 ///
 /// A count only grows and has one writer, so that merging takes the greater one: messages may be
 /// repeated, reordered and passed on by others.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct UsageLedger {
     windows: BTreeMap<WindowNumber, BTreeMap<SourceId, BTreeMap<OrganisationId, u64>>>,
     /// Number of requests that were not counted because a window had too many counts.
--- a/crates/duty/src/usage/reporter.rs
+++ b/crates/duty/src/usage/reporter.rs
@@ -162,7 +162,7 @@
 /// a second) and one otherwise, and one small message to each node at the start and for each window; if
 /// nodes, the object API or the platform do not answer, retries at fixed intervals until the window is
 /// too old.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct UsageReporter {
     options: ReporterOptions,
     /// `None` until the stored reports have been read, and after a write whose outcome is not known.
