fleet: nodes that are gone do not count as members

Callers that resumed a stream were refused with 503 in a fleet whose three nodes had been replaced 30 times each: entries of nodes that are gone stay registered, so the fleet took itself for a large one, and the nodes that keep the records of streams, by rendezvous hashing over all entries, were mostly gone.

Ruled out: a lookup that gives up too early. The record is not at any of the six nodes that are asked, as none of them exists.

A node probes the others (the watchers all of them, the rest only while no watcher serves it) and leaves out those that have been silent while another one answered. The holder of the leader's lease removes the entry of a node that has been absent for 10 min, on the entry's revision, one a minute at most; a node whose entry is missing registers again, and then none is removed for an hour. The decisions are in deck_fleet::membership, without a network. VMs with a disk that are gone no longer count among those for checkpoints.

--- a/bins/decknode/src/node_registry.rs
+++ b/bins/decknode/src/node_registry.rs
@@ -1,11 +1,22 @@
 //! Registration of this node in the object API and discovery of the other nodes of the deployment.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    cell::Cell,
+    io::ErrorKind,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use deck_batch::CheckpointClient;
+use deck_batch::{CheckpointClient, peer_client::PING_PATH};
 use deck_core::{CancellationToken, hash::rendezvous_score};
-use deck_fleet::{FleetFeed, NodeSettings};
-use deck_plat::{Precondition, RelayPeers, Store, StoreError};
+use deck_fleet::{
+    FleetFeed, ListedNode, Membership, MembershipOptions, NodeRegistration, NodeSettings,
+    ProbeOutcome, ProbeScope,
+};
+use deck_net::{Body, Client, NetError, http::Request};
+use deck_plat::{Object, Precondition, RelayPeers, Store, StoreError};
+use futures_util::future::join_all;
 use serde_json::{Value, json};
 
 /// Object kind under which nodes register.
@@ -19,93 +30,227 @@
 const SECOND_LIST_DELAY: Duration = Duration::from_secs(2);
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(1500);
+/// Interval between rounds of probes.
+const PROBE_ROUND_INTERVAL: Duration = Duration::from_millis(500);
+/// Timeout of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Maximum size of the response to a probe.
+const MAX_PROBE_BYTES: usize = 1024;
+/// Interval at which a node that does not list the others checks its own registration. Shorter than
+/// the silence after which a registration is removed.
+const REGISTRATION_CHECK_INTERVAL: Duration = Duration::from_secs(300);
+
+/// Dependencies of the registration and of the refresh of the node list.
+pub struct NodeRegistryDependencies {
+    /// Client of the object API.
+    pub store: Store,
+    /// Settings of this node.
+    pub settings: NodeSettings,
+    /// Sends probes to the other nodes.
+    pub client: Client,
+    /// Nodes through which this node can make calls; they are kept up to date.
+    pub relay_nodes: RelayPeers,
+    /// Feed whose nodes are kept up to date.
+    pub feed: FleetFeed,
+    /// Client whose nodes are kept up to date.
+    pub checkpoints: CheckpointClient,
+    /// Whether this node holds the leader lease, whose holder removes registrations.
+    pub is_leader: Rc<Cell<bool>>,
+}
 
 /// Registers this node, then refreshes the node list until `cancel` is cancelled. Watchers (the
-/// nodes that follow the object API themselves) read the list there; other nodes receive it from a
-/// watcher.
+/// nodes that follow the object API themselves) read the list there and probe the nodes in it; other
+/// nodes receive the living nodes from a watcher, and probe only if no watcher serves them.
 pub async fn register_and_refresh_nodes(
-    store: Store,
-    settings: NodeSettings,
-    relay_nodes: RelayPeers,
-    feed: FleetFeed,
-    checkpoints: CheckpointClient,
+    dependencies: NodeRegistryDependencies,
     cancel: CancellationToken,
 ) {
-    let sleep = |wait| cancel.run_until_cancelled(monoio::time::sleep(wait));
-    if !register_with_retries(&store, &settings, &cancel).await {
+    let NodeRegistryDependencies { store, settings, feed, .. } = &dependencies;
+    if !register_with_retries(store, settings, &cancel).await {
         return;
     }
     // When a single node restarts, the other nodes are already registered.
     let first_list_delay =
         if settings.is_first_fleet_start { FLEET_REGISTRATION_TIME } else { Duration::ZERO };
-    let mut initial_waits = [first_list_delay, SECOND_LIST_DELAY].into_iter();
+    let mut next_delays = [SECOND_LIST_DELAY].into_iter();
+    let mut next_refresh_at = Instant::now() + first_list_delay;
     let mut has_listed_nodes = false;
-    let mut retry_delay = None;
+    let mut was_missing = false;
+    let mut membership = Membership::new(settings.peer_address, MembershipOptions::default());
     loop {
-        let wait =
-            retry_delay.take().unwrap_or_else(|| initial_waits.next().unwrap_or(LIST_INTERVAL));
-        if sleep(wait).await.is_none() {
-            return;
+        let now = Instant::now();
+        if now >= next_refresh_at {
+            let delay = if has_listed_nodes && !feed.is_watcher() {
+                membership.set_nodes(dependencies.received_nodes(), now);
+                dependencies.apply_received_nodes();
+                // The watcher may have listed the nodes just before this one registered.
+                let is_missing = !feed.ranked_nodes().contains(&settings.peer_address);
+                if is_missing && was_missing {
+                    dependencies.restore_registration().await;
+                }
+                was_missing = is_missing;
+                None
+            } else if dependencies.list_nodes(&mut membership).await {
+                has_listed_nodes = true;
+                None
+            } else {
+                Some(RETRY_DELAY)
+            };
+            let delay = delay.or_else(|| next_delays.next()).unwrap_or(LIST_INTERVAL);
+            next_refresh_at = Instant::now() + delay;
         }
-        if has_listed_nodes && !feed.is_watcher() {
-            relay_nodes.set(feed.ranked_nodes());
-            checkpoints.set_nodes(feed.disk_nodes());
-            continue;
+        if has_listed_nodes {
+            dependencies.probe_nodes(&mut membership).await;
         }
-        match store.list(NODE_OBJECT_KIND).await {
-            Ok((_, objects)) => {
-                let registrations =
-                    objects.iter().filter_map(|object| NodeRegistration::parse(&object.value));
-                let (disk_nodes, registrations): (Vec<_>, Vec<_>) =
-                    registrations.partition(|node| node.has_disk);
-                let disk_nodes: Vec<_> = disk_nodes.into_iter().map(|node| node.address).collect();
-                checkpoints.set_nodes(disk_nodes.clone());
-                feed.set_disk_nodes(disk_nodes);
-                let watcher_order = rank_as_watchers(registrations);
-                relay_nodes.set(watcher_order.clone());
-                feed.set_ranked_nodes(watcher_order);
-                has_listed_nodes = true;
-            }
+        let until_refresh = next_refresh_at.saturating_duration_since(Instant::now());
+        let wait = monoio::time::sleep(until_refresh.min(PROBE_ROUND_INTERVAL));
+        if cancel.run_until_cancelled(wait).await.is_none() {
+            return;
+        }
+    }
+}
+
+impl NodeRegistryDependencies {
+    /// Lists the nodes in the object API; on the leader, then removes a registration if its node is
+    /// gone. Returns whether the list was read.
+    async fn list_nodes(&self, membership: &mut Membership) -> bool {
+        let objects = match self.store.list(NODE_OBJECT_KIND).await {
+            Ok((_, objects)) => objects,
             Err(error) => {
                 log::info!(target: "node", "listing nodes failed error={error}");
-                retry_delay = Some(RETRY_DELAY);
+                return false;
             }
         };
+        let is_registered = objects.iter().any(|object| object.name == self.settings.vm);
+        let now = Instant::now();
+        membership.set_nodes(rank_as_watchers(&objects), now);
+        self.apply(membership);
+        if !is_registered {
+            self.restore_registration().await;
+        }
+        if self.is_leader.get()
+            && let Some(registration) = membership.removable(now)
+        {
+            self.remove(registration, membership).await;
+        }
+        true
     }
-}
 
-/// Registration of a node, as stored in the object API.
-#[derive(Debug, Clone, PartialEq)]
-struct NodeRegistration {
-    /// Address for other nodes.
-    address: SocketAddr,
-    /// Number of CPU cores that the VM has, which may be a fraction.
-    cpu_cores: f64,
-    /// Whether the node stores checkpoints for the other nodes.
-    has_disk: bool,
-}
+    /// Removes the registration of a node that is gone, unless it has changed.
+    async fn remove(&self, registration: NodeRegistration, membership: &mut Membership) {
+        let (vm, revision) = (registration.vm.clone(), registration.revision);
+        membership.set_removed(registration, Instant::now());
+        match self.store.delete(NODE_OBJECT_KIND, &vm, revision).await {
+            Ok(()) => {
+                log::info!(target: "node", "removed the registration of a node that is gone vm={vm}")
+            }
+            Err(error) => {
+                log::info!(target: "node", "removing a registration failed vm={vm} error={error}");
+            }
+        }
+    }
 
-impl NodeRegistration {
-    fn parse(value: &Value) -> Option<Self> {
-        let address = value.get("address")?.as_str()?.parse().ok()?;
-        let cpu_cores = value.get("cpu_share").and_then(Value::as_f64).unwrap_or(0.0);
-        let has_disk = value.get("has_disk").and_then(Value::as_bool).unwrap_or(false);
-        Some(Self { address, cpu_cores, has_disk })
+    /// Registers this node again: its registration may have been removed while the node was frozen or
+    /// cut off.
+    async fn restore_registration(&self) {
+        log::info!(target: "node", "this node is not listed; registering again");
+        if let Err(error) = register(&self.store, &self.settings).await {
+            log::info!(target: "node", "registration failed error={error}");
+        }
+    }
+
+    /// Returns the nodes that this node has received from a watcher, or listed itself before.
+    fn received_nodes(&self) -> Vec<ListedNode> {
+        let listed = |has_disk| move |address| ListedNode { address, has_disk, registration: None };
+        let nodes = self.feed.ranked_nodes().into_iter().map(listed(false));
+        nodes.chain(self.feed.disk_nodes().into_iter().map(listed(true))).collect()
+    }
+
+    fn apply_received_nodes(&self) {
+        self.relay_nodes.set(self.feed.ranked_nodes());
+        self.checkpoints.set_nodes(self.feed.disk_nodes());
+    }
+
+    /// Passes on which nodes are present.
+    fn apply(&self, membership: &Membership) {
+        self.feed.set_recently_lost_nodes(membership.recently_lost_nodes(Instant::now()));
+        self.feed.set_disk_nodes(membership.disk_nodes());
+        self.feed.set_ranked_nodes(membership.entry_nodes());
+        self.apply_received_nodes();
+    }
+
+    /// Probes the nodes that are due.
+    async fn probe_nodes(&self, membership: &mut Membership) {
+        let scope = match self.feed.is_watcher() {
+            true => ProbeScope::All,
+            false if self.feed.is_served_by_watchers() => return,
+            false => ProbeScope::Watchers,
+        };
+        let nodes = membership.start_round(scope, Instant::now());
+        let probes = nodes.into_iter().map(|node| async move { (node, self.probe(node).await) });
+        let outcomes = join_all(probes).await;
+        if membership.end_round(&outcomes, Instant::now()) {
+            log::info!(target: "node", "living nodes entry={} disk={}", membership.entry_nodes().len(), membership.disk_nodes().len());
+            self.apply(membership);
+        }
+    }
+
+    async fn probe(&self, node: SocketAddr) -> ProbeOutcome {
+        let request = Request::builder().uri(PING_PATH).body(Body::empty());
+        let Ok(request) = request else { return ProbeOutcome::Silent };
+        match self.client.call(node, request, PROBE_TIMEOUT, MAX_PROBE_BYTES).await {
+            Ok(_) => ProbeOutcome::Answered,
+            Err(NetError::Connect(_, error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                ProbeOutcome::Refused
+            }
+            Err(_) => ProbeOutcome::Silent,
+        }
     }
 }
 
-/// Returns the node addresses, the preferred watchers first. Nodes with more CPU cores come first,
+/// Returns the registered nodes, the preferred watchers first. Nodes with more CPU cores come first,
 /// because the leader is one of the watchers. Nodes with equally many cores are ordered by a hash
 /// that is the same on all nodes.
-fn rank_as_watchers(mut nodes: Vec<NodeRegistration>) -> Vec<SocketAddr> {
-    let hash = |node: &NodeRegistration| rendezvous_score("watcher", &node.address.to_string());
-    nodes.sort_by(|a, b| b.cpu_cores.total_cmp(&a.cpu_cores).then(hash(b).cmp(&hash(a))));
-    nodes.into_iter().map(|node| node.address).collect()
+fn rank_as_watchers(objects: &[Object]) -> Vec<ListedNode> {
+    let mut nodes: Vec<_> = objects
+        .iter()
+        .filter_map(|object| {
+            let address = object.value.get("address")?.as_str()?.parse().ok()?;
+            let cpu_cores = object.value.get("cpu_share").and_then(Value::as_f64).unwrap_or(0.0);
+            let has_disk = object.value.get("has_disk").and_then(Value::as_bool).unwrap_or(false);
+            let registration =
+                NodeRegistration { vm: object.name.clone(), revision: object.revision };
+            Some((cpu_cores, ListedNode { address, has_disk, registration: Some(registration) }))
+        })
+        .collect();
+    let hash = |node: &ListedNode| rendezvous_score("watcher", &node.address.to_string());
+    nodes.sort_by(|a, b| b.0.total_cmp(&a.0).then(hash(&b.1).cmp(&hash(&a.1))));
+    nodes.into_iter().map(|(_, node)| node).collect()
+}
+
+/// Registers this node, and again whenever its registration is missing, until `cancel` is cancelled.
+/// For nodes that need not know the others.
+pub async fn keep_registered(store: Store, settings: NodeSettings, cancel: CancellationToken) {
+    while register_with_retries(&store, &settings, &cancel).await {
+        loop {
+            let wait = monoio::time::sleep(REGISTRATION_CHECK_INTERVAL);
+            if cancel.run_until_cancelled(wait).await.is_none() {
+                return;
+            }
+            match store.get_stale(NODE_OBJECT_KIND, &settings.vm).await {
+                Ok(None) => break,
+                Ok(Some(_)) => {}
+                Err(error) => {
+                    log::info!(target: "node", "reading the registration failed error={error}");
+                }
+            }
+        }
+    }
 }
 
 /// Retries the registration of this node until it succeeds. Returns `false` if `cancel` is
 /// cancelled first.
-pub async fn register_with_retries(
+async fn register_with_retries(
     store: &Store,
     settings: &NodeSettings,
     cancel: &CancellationToken,
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -171,16 +171,17 @@
     };
     monoio::spawn(async move { feed_task.run(discovery_timeout, feed_cancel).await });
     let checkpoints = CheckpointClient::new(client.clone());
-    let (registry_store, node_settings) = (store.clone(), settings.clone());
-    let registry_checkpoints = checkpoints.clone();
-    monoio::spawn(node_registry::register_and_refresh_nodes(
-        registry_store,
-        node_settings,
+    let is_leader = Rc::new(Cell::new(false));
+    let registry = node_registry::NodeRegistryDependencies {
+        store: store.clone(),
+        settings: settings.clone(),
+        client: client.clone(),
         relay_nodes,
-        feed.clone(),
-        registry_checkpoints,
-        background_cancel.clone(),
-    ));
+        feed: feed.clone(),
+        checkpoints: checkpoints.clone(),
+        is_leader: is_leader.clone(),
+    };
+    monoio::spawn(node_registry::register_and_refresh_nodes(registry, background_cancel.clone()));
 
     let crashes =
         CrashGuard::new(settings.vm.clone(), feed.crashes().clone(), CrashOptions::default());
@@ -276,7 +277,6 @@
             loads.set_initial_targets(service, count);
         }),
     };
-    let is_leader = Rc::new(Cell::new(false));
     let leadership_context = leadership::LeadershipContext {
         vm: settings.vm.clone(),
         address: settings.peer_address,
@@ -399,11 +399,8 @@
     let options =
         ClientLimits::new(settings.memory_bytes, settings.max_descriptors).checkpoint_options();
     let api = PlatformObjectApi::new(http_client(), settings.object_api, OBJECT_API_TIMEOUT);
-    let (store, node_settings, cancel) =
-        (Store::with_api(Rc::new(api)), settings.clone(), stop.clone());
-    monoio::spawn(async move {
-        node_registry::register_with_retries(&store, &node_settings, &cancel).await
-    });
+    let store = Store::with_api(Rc::new(api));
+    monoio::spawn(node_registry::keep_registered(store, settings.clone(), stop.clone()));
     let serve = deck_net::serve(listener, options, stop, move |request| {
         let checkpoints = checkpoints.clone();
         async move { checkpoints.serve(request).await }
@@ -429,7 +426,7 @@
     let meter = UsageMeter::new(new_source(), move || Some(window), process_clock());
     let feed = feed.clone();
     let leader_feed = feed.clone();
-    let nodes = Rc::new(move || feed.ranked_nodes());
+    let nodes = Rc::new(move || feed.nodes_with_state());
     let leader = Rc::new(move || leader_feed.leader().map(|leader| leader.address));
     let exchange = UsageExchange::new(meter, settings.peer_address, nodes, leader, client.clone());
     Some((exchange, duty_api.address, options))
--- a/bins/decknode/tests/common/mod.rs
+++ b/bins/decknode/tests/common/mod.rs
@@ -146,6 +146,11 @@
         Self::new(entry_nodes, false, &[])
     }
 
+    /// Like [`Fleet::configured`], with options for the stand-in.
+    pub fn configured_with_options(entry_nodes: usize, options: &[&str]) -> Self {
+        Self::new(entry_nodes, false, options)
+    }
+
     /// Like [`Fleet::start`], with options for the stand-in.
     pub fn start_with_options(entry_nodes: usize, options: &[&str]) -> Self {
         let mut fleet = Self::new(entry_nodes, false, options);
--- a/bins/decknode/tests/stream_resumption.rs
+++ b/bins/decknode/tests/stream_resumption.rs
@@ -195,6 +195,35 @@
     });
 }
 
+/// Guards against a small fleet that takes itself for a large one because nodes that are gone stay
+/// registered: the record of a stream would be kept by nodes that are gone.
+#[test]
+fn stream_goes_on_beside_registrations_of_nodes_that_are_gone() {
+    run(async {
+        let mut fleet = Fleet::configured_with_options(3, &TWO_VERSIONS);
+        for index in 1..=90 {
+            let value = serde_json::json!({"address": format!("127.0.0.2:{index}"), "cpu_share": 64.0, "has_disk": false});
+            let name = format!("gone-{index}");
+            let body = serde_json::json!({"Metadata": {"Name": name}, "Spec": value}).to_string();
+            let created = fleet
+                .call(fleet.object_api, Method::POST, "/v1/objects/nodes", &[], body.into_bytes())
+                .await;
+            assert!(created.expect("stand-in").0.is_success());
+        }
+        fleet.start_nodes();
+        fleet.wait_until_ready().await;
+        // Longer than a node needs to see that nodes which never answered are gone.
+        monoio::time::sleep(Duration::from_secs(8)).await;
+        let nodes: Vec<SocketAddr> = fleet.entry_nodes().map(|node| node.caller_address).collect();
+        let streams = begin_streams(&fleet, "g", nodes[0], 12).await;
+        for (index, mut stream) in streams.into_iter().enumerate() {
+            let node = nodes[1 + index % 2];
+            stream.attempt(&fleet, node, EVENT_COUNT + 1).await.expect("a stream");
+            stream.assert_whole_and_of_one_version();
+        }
+    });
+}
+
 /// Guards against streams that go on at another software version once their own shrinks and
 /// vanishes, and against a refusal while one of its targets is left. The final refusal comes at
 /// once, promises that nothing was run and gives no time for a retry.
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -251,6 +251,8 @@
     follower: ObjectFollower,
     options: FleetFeedOptions,
     members: RefCell<Members>,
+    /// Entry nodes that are not in `members` any more and may still have state.
+    recently_lost_nodes: RefCell<Vec<SocketAddr>>,
     /// Version of `members`.
     member_version: Cell<u64>,
     /// Notified when the nodes of the fleet become known.
@@ -282,6 +284,7 @@
             follower,
             options,
             members: RefCell::default(),
+            recently_lost_nodes: RefCell::default(),
             member_version: Cell::new(0),
             nodes_known: Notify::new(),
             leader: watch::channel(None).0,
@@ -304,6 +307,20 @@
         self.inner.members.borrow().ranked.clone()
     }
 
+    /// Sets the entry nodes that this node has lost sight of not long ago.
+    pub fn set_recently_lost_nodes(&self, nodes: Vec<SocketAddr>) {
+        self.inner.recently_lost_nodes.replace(nodes);
+    }
+
+    /// Returns the entry nodes of the fleet, also those that this node has lost sight of not long ago
+    /// and that may still have state.
+    pub fn nodes_with_state(&self) -> Vec<SocketAddr> {
+        let mut nodes = self.ranked_nodes();
+        let lost = self.inner.recently_lost_nodes.borrow();
+        nodes.extend(lost.iter().filter(|node| !self.inner.members.borrow().ranked.contains(node)));
+        nodes
+    }
+
     /// Sets the addresses of the nodes on VMs with a disk.
     pub fn set_disk_nodes(&self, disks: Vec<SocketAddr>) {
         self.inner.members.borrow_mut().disks = disks;
@@ -414,6 +431,13 @@
         *self.inner.is_following_object_api.borrow()
     }
 
+    /// Returns whether watchers keep the targets of this node up to date.
+    pub fn is_served_by_watchers(&self) -> bool {
+        let max_age = self.inner.options.max_data_age * 2;
+        let age = self.inner.follower.view.targets_age(Instant::now());
+        !self.is_watching_object_api() && age.is_some_and(|age| age <= max_age)
+    }
+
     /// Waits until this node follows the object API itself.
     pub async fn wait_until_watching_object_api(&self) {
         let mut receiver = self.inner.is_following_object_api.subscribe();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod engines;
 pub mod feed;
 pub mod follow;
+pub mod membership;
 pub mod node;
 pub mod observer;
 pub mod organisations;
@@ -46,6 +47,9 @@
 };
 pub use feed::{FleetFeed, FleetFeedOptions, Leader, ModelRunner, RunnerTable};
 pub use follow::{ObjectFollower, ObjectFollowerOptions, ObjectKinds};
+pub use membership::{
+    ListedNode, Membership, MembershipOptions, NodeRegistration, ProbeOutcome, ProbeScope,
+};
 pub use node::{Bounds, Duty, DutyApiSettings, NodeSettings};
 pub use observer::{
     AttemptOutcome, ChunkFinder, ItemRunOutcome, JobEvent, Observer, ResumptionOutcome,
