fleet: a node whose lists fail polls the watchers again at once

A node that finds all watchers behind (at the start of a fleet they have no data yet) and gets an answer to one cheap call follows the object API itself for 5 s. If its lists fail then, for instance because many nodes list at the same time and are turned away, it had no source for these 5 s, although the watchers had current data again.

--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -632,6 +632,7 @@
         monoio::spawn(async move { follower.follow_configuration(token).await });
         let (follower, token) = (inner.follower.clone(), stop.clone());
         monoio::spawn(async move { follower.follow_targets(token).await });
+        let started_at = Instant::now();
         loop {
             let tick = monoio::time::sleep(inner.options.poll_timeout);
             if cancel.run_until_cancelled(tick).await.is_none() {
@@ -639,7 +640,14 @@
             }
             let should_stop = until.map_or(!self.is_watcher(), |until| Instant::now() >= until);
             let should_serve_readers = self.watchers().is_some() && until.is_none();
-            if should_stop || should_serve_readers != serves_readers {
+            // The watchers may be back before the object API answers this node.
+            let has_failed = until.is_some()
+                && started_at.elapsed() >= inner.options.max_data_age
+                && !inner.follower.is_up_to_date_since(started_at);
+            if has_failed {
+                log::info!(target: "fleet", "object API does not answer; polling the watchers again");
+            }
+            if should_stop || has_failed || should_serve_readers != serves_readers {
                 break;
             }
         }
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -143,6 +143,14 @@
         }
     }
 
+    /// Returns whether both configuration and targets were read from the object API after `start`.
+    pub(crate) fn is_up_to_date_since(&self, start: Instant) -> bool {
+        let kinds = [self.kinds.configuration, self.kinds.targets];
+        let now = Instant::now();
+        let age = self.freshness.age(&kinds, now);
+        age.is_some_and(|age| age <= now.saturating_duration_since(start))
+    }
+
     /// Sets the time after which a watch returns if there are no changes, or resets it to the
     /// default. A watcher with readers needs a short one, to confirm often that its data is up to
     /// date.
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -514,6 +514,31 @@
     deck_net::runtime::run(test).expect("runtime");
 }
 
+/// A node that turns to the object API while its watchers are behind, and finds that its calls fail
+/// there, must turn back to the watchers. Until then it keeps an outdated configuration (CONFIG,
+/// DENIED).
+#[test]
+fn node_returns_to_the_watchers_if_the_object_api_fails_after_all() {
+    const MAX_TIME: Duration = Duration::from_secs(4);
+    let test = async {
+        let cancel = CancellationToken::new();
+        let (objects, node_objects) = (MemoryObjects::default(), MemoryObjects::default());
+        let (node, _proxy) = start_node_behind_proxy(&objects, &node_objects, &cancel).await;
+        // The object API answers the node's probe, but not its list of the targets.
+        node_objects.set_fault_for_kind(KINDS.targets, Fault::Unavailable, u32::MAX);
+        objects.set_fault(Some(Fault::Unavailable), None);
+        eventually("the node follows the object API", async || node.feed.is_watching_object_api())
+            .await;
+        objects.set_fault(None, None);
+        common::write(&objects, KINDS.configuration, "main", 2).await;
+        let written_at = Instant::now();
+        wait_for_configuration(&node, 2).await;
+        assert!(written_at.elapsed() < MAX_TIME, "{:?}", written_at.elapsed());
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
 /// Returns options with a bound on the withdrawal of keys.
 fn bounded_options(bound: Duration) -> FleetFeedOptions {
     FleetFeedOptions { key_withdrawal: Some(bound), ..options() }
