fleet: fetch the configuration from another watcher if one does not send it

A watcher may serve pages in time and not the configuration, which is larger: pages of the same watcher then said each time that it has a newer one, and each fetch went to the same watcher and failed. A node kept its outdated configuration for as long as that lasted, as its watcher did not count as behind.

A fetch asks the other watchers in turn, also if a watcher sends one that is not newer.

configuration_is_fetched_from_another_watcher_if_one_does_not_send_it failed before (not within 60 s) and passes.

--- a/crates/fleet/src/config_transfer.rs
+++ b/crates/fleet/src/config_transfer.rs
@@ -72,24 +72,43 @@
         }
     }
 
-    /// Fetches the configuration of a watcher while polling goes on, unless a fetch is under way.
-    pub(crate) fn start_fetch(&self, node: SocketAddr, cancel: &CancellationToken) {
+    /// Fetches the configuration of a watcher while polling goes on, unless a fetch is under way. If the
+    /// watcher at `index` does not send a newer one, the others are asked in turn.
+    pub(crate) fn start_fetch(
+        &self,
+        watchers: &[SocketAddr],
+        index: usize,
+        cancel: &CancellationToken,
+    ) {
         if self.inner.is_fetching.replace(true) {
             return;
         }
+        let mut sources = watchers.to_vec();
+        sources.rotate_left(index % watchers.len().max(1));
         let (transfer, cancel) = (self.clone(), cancel.clone());
         monoio::spawn(async move {
-            match cancel.run_until_cancelled(transfer.fetch(node)).await {
-                Some(Ok(configuration)) => {
-                    transfer.inner.follower.apply_configuration(&configuration);
+            cancel.run_until_cancelled(transfer.fetch_from_any(&sources)).await;
+            transfer.inner.is_fetching.set(false);
+        });
+    }
+
+    /// Fetches the configuration from the nodes in turn until one has sent a newer one than that in
+    /// force.
+    async fn fetch_from_any(&self, nodes: &[SocketAddr]) {
+        let known_version = self.version();
+        for node in nodes {
+            match self.fetch(*node).await {
+                Ok(configuration) => {
+                    self.inner.follower.apply_configuration(&configuration);
                 }
-                Some(Err(error)) => {
+                Err(error) => {
                     log::info!(target: "fleet", "configuration not received node={node} error={error}");
                 }
-                None => {}
             }
-            transfer.inner.is_fetching.set(false);
-        });
+            if self.version() > known_version {
+                return;
+            }
+        }
     }
 
     async fn fetch(&self, node: SocketAddr) -> Result<Value, NetError> {
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -687,7 +687,7 @@
                         .apply_page(page, sent_at, position, content)
                         .map(|position| (node, position));
                     if configuration_version > Some(inner.configurations.version()) {
-                        inner.configurations.start_fetch(node, cancel);
+                        inner.configurations.start_fetch(watchers, next_index, cancel);
                     }
                     if age <= inner.options.max_data_age {
                         failed = 0;
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -514,6 +514,57 @@
     deck_net::runtime::run(test).expect("runtime");
 }
 
+/// Starts a node at a second address of `watcher` that serves pages and leaves requests for the
+/// configuration without an answer.
+fn start_without_transfers(watcher: &Node, cancel: &CancellationToken) -> SocketAddr {
+    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+    let address = listener.local_addr().expect("address");
+    let served = watcher.feed.clone();
+    let serve =
+        deck_net::serve(listener, ServerOptions::default(), cancel.clone(), move |request| {
+            let feed = served.clone();
+            async move {
+                let query = request.uri().query().unwrap_or_default();
+                if query.contains("configuration_only") {
+                    monoio::time::sleep(Duration::from_secs(60)).await;
+                }
+                feed.serve(query).await
+            }
+        });
+    monoio::spawn(serve);
+    address
+}
+
+/// A watcher under load may serve pages in time and not the configuration. A node that asks only this
+/// watcher keeps an outdated configuration (CONFIG, DENIED).
+#[test]
+fn configuration_is_fetched_from_another_watcher_if_one_does_not_send_it() {
+    const MAX_TIME: Duration = Duration::from_secs(4);
+    let test = async {
+        let cancel = CancellationToken::new();
+        let (objects, node_objects) = (MemoryObjects::default(), MemoryObjects::default());
+        common::write(&objects, KINDS.configuration, "main", 1).await;
+        common::write(&objects, KINDS.targets, "t", 1).await;
+        node_objects.set_fault(Some(Fault::Unavailable), None);
+        let options = || FleetFeedOptions { watcher_count: 2, ..options() };
+        let [first, second] = [(); 2].map(|()| start_node_with(&objects, &cancel, options()));
+        let node = start_node_with(&node_objects, &cancel, options());
+        let first_address = start_without_transfers(&first, &cancel);
+        for watcher in [&first, &second] {
+            watcher.feed.set_ranked_nodes(vec![first.address, second.address, node.address]);
+            spawn_feed_task(watcher, &cancel);
+        }
+        // With this address of the node, the second watcher is polled.
+        node.feed.set_ranked_nodes(vec![second.address, first_address, node.address]);
+        spawn_feed_task(&node, &cancel);
+        let started_at = Instant::now();
+        wait_for_configuration(&node, 1).await;
+        assert!(started_at.elapsed() < MAX_TIME, "{:?}", started_at.elapsed());
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
 /// A node that turns to the object API while its watchers are behind, and finds that its calls fail
 /// there, must turn back to the watchers. Until then it keeps an outdated configuration (CONFIG,
 /// DENIED).
