--- a/crates/batch/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -72,6 +72,8 @@
     pub job_store: JobStore,
     /// Configuration and targets of the node; empty at first.
     pub view: FleetView,
+    /// VMs that keep the checkpoints of the node; none at first.
+    pub checkpoints: CheckpointClient,
     cancel: CancellationToken,
 }
 
@@ -97,6 +99,7 @@
     let job_store = JobStore::new(objects.store(), 1 << 20);
     let deps = RunnerDependencies { observer, ..runner_deps(vm, address, &job_store) };
     let (view, client, protocol) = (deps.view.clone(), deps.client.clone(), deps.protocol.clone());
+    let checkpoints = deps.checkpoints.clone();
     let runner = Runner::start(deps, RunnerOptions::default(), cancel.clone());
     let options = ObjectFollowerOptions::default();
     let follower =
@@ -105,7 +108,7 @@
     let feed = FleetFeed::new(address, incarnation, client.clone(), follower, feed_options);
     let peers = BatchPeerClient::new(client);
     let service = BatchService::new(runner.clone(), peers, feed, BatchOptions::default());
-    Node { runner, service, job_store, view, cancel }
+    Node { runner, service, job_store, view, checkpoints, cancel }
 }
 
 /// Returns a configuration whose only route runs jobs of the model `m` on the service `s`.
