batch: ask the VMs with checkpoints at the same time

What was seen: a job that is taken over reads its checkpoint from two VMs, one after the other. If the first one does not answer, no text of the job goes on for the timeout of 0.4 s, and a late answer is lost.

Ruled out: going on with the answer of the first VM alone. The VM that holds the newest text is not known after one of them was lost.

Change: both are asked at the same time, and the longer texts are kept as before.

checkpoint_vms_are_asked_at_the_same_time failed before: only the text of the second VM was restored.

--- a/crates/batch/src/checkpoint.rs
+++ b/crates/batch/src/checkpoint.rs
@@ -457,8 +457,13 @@
         while self.nodes.borrow().is_empty() && Instant::now() < deadline {
             monoio::time::sleep(NODE_LIST_TIMEOUT / 10).await;
         }
-        for node in self.nodes_for_job(job) {
-            match self.call(node, Method::GET, checkpoint_path(job), Bytes::new()).await {
+        let nodes = self.nodes_for_job(job);
+        let requests = nodes
+            .iter()
+            .map(|node| self.call(*node, Method::GET, checkpoint_path(job), Bytes::new()));
+        let responses = join_all(requests).await;
+        for (node, response) in nodes.iter().zip(responses) {
+            match response {
                 Ok(bytes) => match ciborium::from_reader::<JobCheckpoint, _>(&*bytes) {
                     Ok(loaded) => keep_longest_texts(&mut merged, loaded),
                     Err(error) => {
