limit: accounts that divide a service among organisations while it is short of room

Cause: nothing kept one organisation from taking all room of a service.

Ruled out: parts of what the service took at a node. Parts by the calls in progress at a node were not tried, as a node of a large fleet has one or two. Plain max-min fairness leaves nothing to a large organisation where small ones need nearly all room.

Change: Shares counts per service and organisation what targets took and what was refused. A refusal by all targets makes the service short of room for 500 ms. Meanwhile an organisation is held to its part if another one lacks some of its own; half of the estimated room is divided by demand, the rest by max-min fairness. Refusals lower the estimate, time raises it.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -12,6 +12,7 @@
 mod options;
 mod pool;
 pub mod queue;
+pub mod shares;
 mod token_bucket;
 
 pub use admission::{
@@ -21,4 +22,5 @@
 pub use crash::CrashOptions;
 pub use demand::DemandReport;
 pub use options::{AdmissionOptions, BudgetOptions};
+pub use shares::{ShareExceeded, ShareOptions, Shares};
 pub use token_bucket::TokenBucket;
