forward: requests are held to the share of their organisation while a service is short of room

Cause: with more requests than a service takes, each organisation was served in proportion to what it sent, so a large one took nearly all room.

Change: where the configuration has organisations, a request is charged to its organisation before the first attempt. If all targets refuse it with 429 or 503 as not run, the charge is returned and the service is short of room. Refusals of leaving targets and failed connections do not count.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -28,6 +28,8 @@
 pub enum AttemptError {
     /// The target certainly did not run the request.
     NotRun(String),
+    /// The target refused the request because it has no room for it.
+    Full(String),
     /// The request was sent, but there was no valid reply: the target may have run it.
     Unknown(String),
     /// The connection broke after the request was sent: the target may have run it and crashed.
@@ -124,7 +126,7 @@
         let outcome = match &result {
             Ok(reply) if reply.status.is_server_error() => Outcome::Failed,
             Ok(_) => Outcome::Ok,
-            Err(AttemptError::NotRun(_)) => Outcome::Refused,
+            Err(AttemptError::NotRun(_) | AttemptError::Full(_)) => Outcome::Refused,
             Err(_) if Instant::now() >= self.deadline => Outcome::TimedOut,
             Err(AttemptError::Unknown(_) | AttemptError::Broken(_)) => Outcome::Crashed,
         };
@@ -141,7 +143,9 @@
             attempt.set_end(match &result {
                 Ok(_) => AttemptEnd::Answered(first_byte.unwrap_or_default()),
                 Err(AttemptError::Broken(_)) => AttemptEnd::Broken,
-                Err(AttemptError::NotRun(_) | AttemptError::Unknown(_)) => AttemptEnd::NotRun,
+                Err(AttemptError::NotRun(_) | AttemptError::Full(_) | AttemptError::Unknown(_)) => {
+                    AttemptEnd::NotRun
+                }
             });
         }
         drop((reporter, counted_attempt));
@@ -151,7 +155,7 @@
             }
             let id = &self.request_id;
             let level = match error {
-                AttemptError::NotRun(_) => log::Level::Info,
+                AttemptError::NotRun(_) | AttemptError::Full(_) => log::Level::Info,
                 AttemptError::Unknown(_) | AttemptError::Broken(_) => log::Level::Warn,
             };
             log::log!(target: "forward", level, "attempt failed request={id} target={target} {error:?}");
@@ -208,7 +212,12 @@
         }
         if metadata.not_run {
             response.discard().await;
-            return Err(AttemptError::NotRun(format!("refused with status {status}")));
+            let message = format!("refused with status {status}");
+            let is_full_status =
+                [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS].contains(&status);
+            let is_full = is_full_status && metadata.is_from_target && !metadata.leaving;
+            let error = if is_full { AttemptError::Full } else { AttemptError::NotRun };
+            return Err(error(message));
         }
         if metadata.signature.is_none() {
             return Err(AttemptError::Unknown(format!("status {status} without a signature")));
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -16,7 +16,7 @@
     FleetView, Observer, PlatformProtocol, RequestPurpose, ResumptionOutcome, ResumptionScope,
     Route, RouteKind, Target, TargetState,
 };
-use deck_limit::{BudgetOptions, HedgeBudget, RetryBudget, crash::fingerprint};
+use deck_limit::{BudgetOptions, HedgeBudget, RetryBudget, Shares, crash::fingerprint};
 use deck_net::Client;
 use deck_route::{Pick, PickRequest};
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
@@ -106,6 +106,8 @@
     hedge_budget: HedgeBudget,
     /// Counts the runs of each organisation; `None` if its use is not reported.
     usage: Option<UsageMeter>,
+    /// Use of the services by the organisations.
+    shares: Shares,
 }
 
 /// Stands for the organisation in the keys of the hedge budget, which is common to all callers.
@@ -116,6 +118,8 @@
 pub(crate) struct RequestProgress {
     /// Targets that were tried, the current one included, and must not be chosen again.
     pub(crate) tried_targets: Vec<TargetId>,
+    /// Number of them that refused the request because they had no room.
+    pub(crate) full_targets: usize,
     /// Number of attempts that ran the request or may have run it.
     pub(crate) possible_runs: u32,
     /// Error of the last attempt that may have run the request but produced no valid reply.
@@ -150,9 +154,15 @@
             options,
             hedge_budget,
             usage: None,
+            shares: Shares::default(),
         }
     }
 
+    /// Returns the use of the services by the organisations.
+    pub fn shares(&self) -> &Shares {
+        &self.shares
+    }
+
     /// Counts the runs of the requests of callers.
     pub fn with_usage_meter(self, usage: Option<UsageMeter>) -> Self {
         Self { usage, ..self }
@@ -204,12 +214,15 @@
         let Destination { service, required_version } = destination;
         let always_stream = route.kind == RouteKind::Streaming;
         let may_retry = route.allows_retry();
+        let share = self.charge_share(&call, &service);
+        let share = share.map_err(|error| NotServed { error, tried_count: 0 })?;
         self.hedge_budget.record_call(&service, HEDGE_BUDGET_KEY);
         let mut origin_key = OriginKey::of(&call).filter(|_| is_resumable(&route));
         let context = self.attempt_context(call, service.clone(), always_stream, required_version);
         let context = Rc::new(context);
         let mut progress = RequestProgress {
             tried_targets: Vec::new(),
+            full_targets: 0,
             possible_runs: 0,
             last_error: None,
             error_reply: None,
@@ -230,7 +243,17 @@
                         progress.tried_targets.push(pick.target.clone());
                         running_attempts.push(run_attempt(context.clone(), pick).boxed_local());
                     }
-                    Err(error) => return self.final_result(progress, &context, error),
+                    Err(error) => {
+                        let error = error.map(|error| match &share {
+                            Some(share) if progress.possible_runs == 0 => {
+                                let all_full =
+                                    progress.full_targets == progress.tried_targets.len();
+                                share.return_charge(error, all_full, &context.request_id)
+                            }
+                            _ => error,
+                        });
+                        return self.final_result(progress, &context, error);
+                    }
                 }
             }
             let attempts_in_flight = running_attempts.len() as u32;
@@ -255,6 +278,7 @@
                     progress.error_reply = Some(reply);
                 }
                 Err(AttemptError::NotRun(_)) => {}
+                Err(AttemptError::Full(_)) => progress.full_targets += 1,
                 Err(AttemptError::Unknown(message) | AttemptError::Broken(message)) => {
                     progress.possible_runs += 1;
                     progress.last_error = Some(message);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod origins;
 pub mod reply;
 mod resume;
+mod share;
 mod stream;
 
 pub use attempt::AttemptError;
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -141,7 +141,7 @@
                 Ok(_) | Err(AttemptError::Unknown(_) | AttemptError::Broken(_)) => {
                     self.progress.possible_runs += 1;
                 }
-                Err(AttemptError::NotRun(_)) => {}
+                Err(AttemptError::NotRun(_) | AttemptError::Full(_)) => {}
             }
         }
     }
