batch: items of an organisation beyond its part wait for those of others

Cause: items were ordered by slack alone, so the items of one organisation could hold the engines of a service while those of another one waited.

Change: where the configuration has organisations and items find no free slot, the items of an organisation that has taken its part come after those of organisations within theirs; the order by slack stays within both. Runs of items and requests of callers are charged to one account.

Test: a load without a network; the order is by slack while there is room, and changes with a shortage only.

--- a/crates/batch/src/dispatch.rs
+++ b/crates/batch/src/dispatch.rs
@@ -1,8 +1,12 @@
 //! Order of waiting items and choice of the engine for each.
 
-use std::time::Duration;
+use std::{
+    collections::{HashMap, HashSet},
+    time::{Duration, Instant},
+};
 
-use deck_core::id::{SoftwareVersion, TargetId, WeightVersion};
+use deck_core::id::{OrganisationId, PoolName, SoftwareVersion, TargetId, WeightVersion};
+use deck_limit::Shares;
 use deck_route::Slowdown;
 
 /// An item that waits for an engine.
@@ -124,6 +128,32 @@
     });
 }
 
+/// Moves the items of organisations that have taken their part of a service behind those of others
+/// that wait for it, and otherwise keeps the order. `owner_of` returns the service and organisation of
+/// an item; `None` if it is not charged.
+pub fn defer_beyond_part(
+    waiting: &mut [WaitingItem],
+    owner_of: impl Fn(&WaitingItem) -> Option<(PoolName, OrganisationId)>,
+    shares: &Shares,
+    now: Instant,
+) {
+    let mut demand: HashMap<PoolName, HashMap<OrganisationId, Duration>> = HashMap::new();
+    for item in waiting.iter() {
+        if let Some((service, organisation)) = owner_of(item) {
+            let by_organisation = demand.entry(service).or_default();
+            *by_organisation.entry(organisation).or_default() += item.expected_duration;
+        }
+    }
+    let beyond = demand.into_iter().flat_map(|(service, waiting)| {
+        let organisations = shares.organisations_beyond_part(&service, &waiting, now);
+        organisations.into_iter().map(move |organisation| (service.clone(), organisation))
+    });
+    let beyond: HashSet<_> = beyond.collect();
+    if !beyond.is_empty() {
+        waiting.sort_by_key(|item| owner_of(item).is_some_and(|owner| beyond.contains(&owner)));
+    }
+}
+
 /// Returns the slack of an item in seconds.
 fn slack(item: &WaitingItem) -> f64 {
     item.time_until_due.as_secs_f64() - item.expected_duration.as_secs_f64()
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -28,7 +28,7 @@
     checkpoint::SentProgress,
     dispatch::{
         EngineCandidate, RunningItem, WaitingItem, WaitingText, can_continue_text, choose_engine,
-        choose_migrations, remaining_events, sort_by_urgency,
+        choose_migrations, defer_beyond_part, remaining_events, sort_by_urgency,
     },
     item_run,
     job::{ItemPhase, ItemState, Job},
@@ -396,6 +396,22 @@
             return self.has_running_items();
         }
         sort_by_urgency(&mut dispatch_queue);
+        let (shares, configuration) =
+            (self.deps.forwarder.shares(), self.deps.view.configuration());
+        let has_organisations = configuration.is_some_and(|it| it.organisations.is_some());
+        let owner_of = |item: &WaitingItem| {
+            let job = &queued_items[item.item_index].0;
+            let organisation = job.record.borrow().organisation.clone().unwrap_or_default();
+            Some((self.service_for_job(job)?, organisation))
+        };
+        let is_contended = has_organisations
+            && queued_items.windows(2).any(|jobs| {
+                jobs[0].0.record.borrow().organisation != jobs[1].0.record.borrow().organisation
+            });
+        if is_contended {
+            defer_beyond_part(&mut dispatch_queue, owner_of, shares, now);
+        }
+        let mut short_services: HashSet<String> = HashSet::new();
         let mut waiting_count = dispatch_queue.len();
         let mut engines_by_service: HashMap<(String, String), (TargetList, Vec<EngineCandidate>)> =
             HashMap::new();
@@ -414,6 +430,9 @@
             let cached_engine = last_engine_by_prompt.get(&item.prompt_hash).cloned();
             drop(last_engine_by_prompt);
             let Some(index) = choose_engine(item, candidates, cached_engine.as_deref()) else {
+                if candidates.iter().all(|engine| engine.active_runs >= engine.slots) {
+                    short_services.extend(self.service_for_job(job));
+                }
                 continue;
             };
             let chosen_engine = &mut candidates[index];
@@ -432,6 +451,9 @@
             item_run::discard_text_of_other_software(item_state, target, discard_reason);
             item_state.set_phase(ItemPhase::Running);
             waiting_count -= 1;
+            if let Some((service, organisation)) = owner_of(item).filter(|_| has_organisations) {
+                shares.charge(&service, &organisation, item.expected_duration, now);
+            }
             if let Some(configuration) = self.deps.view.configuration() {
                 let (limits, purpose) = (self.deps.view.limits(), RequestPurpose::Item);
                 limits.count_request(target, purpose, &configuration, now);
@@ -446,6 +468,9 @@
                 guard,
             ));
         }
+        for service in short_services.iter().filter(|_| has_organisations) {
+            shares.record_shortage(service, now);
+        }
         waiting_count > 0
     }
 
--- a/crates/batch/tests/dispatch.rs
+++ b/crates/batch/tests/dispatch.rs
@@ -1,11 +1,12 @@
 //! Dispatch order and engine choice, one test per load pattern. Uses no network.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use deck_batch::dispatch::{
     EngineCandidate, RunningItem, WaitingItem, WaitingText, can_continue_text, choose_engine,
-    choose_migration, choose_migrations, remaining_events, sort_by_urgency,
+    choose_migration, choose_migrations, defer_beyond_part, remaining_events, sort_by_urgency,
 };
+use deck_limit::Shares;
 use deck_route::Slowdown;
 
 fn waiting(item_index: usize, due_in_ms: u64, expected_ms: u64) -> WaitingItem {
@@ -55,6 +56,35 @@
     assert_eq!(dispatch_order(items), [1, 2, 0]);
 }
 
+/// Pattern: one organisation's items have held the engines, those of another one are less urgent, and
+/// both wait for slots. Guards against an organisation whose items wait for those of another one, and
+/// against an order by organisations while there are free slots.
+#[test]
+fn items_of_an_organisation_beyond_its_part_wait_for_others() {
+    let (shares, now) = (Shares::default(), Instant::now());
+    let item_time = Duration::from_secs(2);
+    for _ in 0..10 {
+        shares.charge("s", "large", item_time, now);
+    }
+    let items = || vec![waiting(0, 3000, 2000), waiting(1, 4000, 2000), waiting(2, 9000, 2000)];
+    let organisations = ["large", "large", "small"];
+    let order = || {
+        let mut items = items();
+        sort_by_urgency(&mut items);
+        let owner_of =
+            |item: &WaitingItem| Some(("s".to_owned(), organisations[item.item_index].to_owned()));
+        defer_beyond_part(&mut items, owner_of, &shares, now);
+        items.iter().map(|item| item.item_index).collect::<Vec<_>>()
+    };
+    assert_eq!(order(), [0, 1, 2]);
+    shares.record_shortage("s", now);
+    assert_eq!(order(), [2, 0, 1]);
+    for _ in 0..10 {
+        shares.charge("s", "small", item_time, now);
+    }
+    assert_eq!(order(), [0, 1, 2]);
+}
+
 /// Pattern: two trainers, one with a step half done when the other submits a new one. Guards
 /// against starvation of the older step by the long texts of the new one.
 #[test]
