Items keep their order by slack unless an organisation gets less than half of its part

By reading: equal parts at every moment change the order by slack in each round in which engines are full, also where nobody is starved. The cause was not shown by a run.

--- a/crates/limit/src/shares.rs
+++ b/crates/limit/src/shares.rs
@@ -154,6 +154,9 @@
 const MAX_RAISE_TIME: Duration = Duration::from_secs(2);
 /// Time whose requests an organisation may send at once.
 const BURST_TIME: Duration = Duration::from_millis(100);
+/// Fraction of its part that an organisation gets before the items of others give way. Items have due
+/// times, and each change of their order by slack makes some of them late.
+const MIN_ITEM_PART_FRACTION: f64 = 0.5;
 /// Minimum fraction of its demand that an organisation must lack for others to give way.
 const MIN_UNMET_FRACTION: f64 = 0.02;
 
@@ -266,7 +269,8 @@
     }
 
     /// Returns the organisations whose items give way, because they have taken their part of a service
-    /// that is short of room. `waiting` has the expected durations of the items that wait.
+    /// that is short of room while another one that waits has taken less than half of its own.
+    /// `waiting` has the expected durations of the items that wait.
     pub fn organisations_beyond_part(
         &self,
         service: &str,
@@ -283,7 +287,9 @@
         let waiting_s = |name: &str| waiting.get(name).map_or(0.0, Duration::as_secs_f64);
         let room_s = accounts.taken_s(&self.options, now);
         let parts = accounts.parts(&self.options, room_s, waiting, now);
-        let others_lack = parts.iter().any(|(name, part)| waiting_s(name) > 0.0 && !part.is_used());
+        let others_lack = parts.iter().any(|(name, part)| {
+            waiting_s(name) > 0.0 && part.taken_s < MIN_ITEM_PART_FRACTION * part.part_s
+        });
         let beyond = parts.iter().filter(|(name, part)| waiting_s(name) > 0.0 && part.is_used());
         beyond.filter(|_| others_lack).map(|(name, _)| name.clone()).collect()
     }
