Engine loads of a node that reports no more expire

A leader counted the runs that a runner had last reported until another report replaced them. A runner that stops reports its runs with its last reply and is then asked no more, so its runs stayed; the same holds for a model that leaves the configuration, and for a former leader that leads again. Such runs occupied slots in the order of weight loads and counted as measured load in the number of targets.

Ruled out: removing the loads where a runner is dropped. A former leader drops none, and a node may still be asked for another model.

Loads older than 2.5 s are ignored; a runner is asked every 250 ms and is replaced after about 2 s without a reply. The new test failed before (3 runs three seconds after the last report, expected 0) and passes; the tests of deck-fleet and deck-swap pass.

--- a/crates/fleet/src/engines.rs
+++ b/crates/fleet/src/engines.rs
@@ -51,6 +51,10 @@
 /// Age from which the speed that another node reported is ignored.
 const MAX_REPORTED_SPEED_AGE: Duration = Duration::from_secs(15);
 
+/// Age from which the loads that another node reported are ignored. Longer than an unresponsive node
+/// remains the runner of a model.
+const MAX_REMOTE_LOAD_AGE: Duration = Duration::from_millis(2500);
+
 /// Time for which an update from the leader remains valid; spans several of its messages.
 const LEADER_UPDATE_LIFETIME: Duration = Duration::from_millis(1500);
 
@@ -63,7 +67,7 @@
     /// Demand last reported by runners on other nodes, by model.
     remote_demands: Rc<RefCell<HashMap<ModelName, ModelDemand>>>,
     /// Engine loads caused by the runs of other nodes, by node address.
-    remote_loads: Rc<RefCell<HashMap<SocketAddr, HashMap<TargetId, EngineLoad>>>>,
+    remote_loads: Rc<RefCell<HashMap<SocketAddr, RemoteLoads>>>,
     /// Speed of each engine as another node last reported it.
     reported_speeds: Rc<RefCell<HashMap<TargetId, ReportedSpeed>>>,
     /// Engines assigned to each model, for models with a recent update from the leader.
@@ -80,6 +84,19 @@
     received_at: Instant,
 }
 
+/// Engine loads caused by the runs of another node, as it last reported them.
+#[derive(Debug)]
+struct RemoteLoads {
+    by_target: HashMap<TargetId, EngineLoad>,
+    received_at: Instant,
+}
+
+impl RemoteLoads {
+    fn is_recent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.received_at) <= MAX_REMOTE_LOAD_AGE
+    }
+}
+
 /// Runs of one node, or of all known nodes together, on one engine.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -420,24 +437,25 @@
             }
         }
         drop(reported_speeds);
-        let loads: HashMap<_, _> =
+        let by_target: HashMap<_, _> =
             loads.into_iter().map(|load| (load.target.clone(), load)).collect();
         let mut remote_loads = self.remote_loads.borrow_mut();
-        if loads.is_empty() {
+        remote_loads.retain(|_, loads| loads.is_recent(received_at));
+        if by_target.is_empty() {
             remote_loads.remove(&node);
         } else {
-            remote_loads.insert(node, loads);
+            remote_loads.insert(node, RemoteLoads { by_target, received_at });
         }
     }
 
-    /// Returns the total load of an engine from this node and all other known nodes.
+    /// Returns the total load of an engine from this node and all other nodes with a recent report.
     pub fn total_load(&self, target: &Target, now: Instant) -> EngineLoad {
         let own_load = self.with_state(target, |state| {
             (state.active_runs, state.best_event_ms(now), state.recent_event_ms(now))
         });
         let (mut active_runs, mut best_event_ms, mut recent_event_ms) = own_load;
-        for loads in self.remote_loads.borrow().values() {
-            let Some(load) = loads.get(&target.id) else { continue };
+        for loads in self.remote_loads.borrow().values().filter(|loads| loads.is_recent(now)) {
+            let Some(load) = loads.by_target.get(&target.id) else { continue };
             active_runs += load.active_runs;
             best_event_ms = match (best_event_ms, load.best_event_ms) {
                 (Some(a), Some(b)) => Some(a.min(b)),
--- a/crates/swap/tests/runners.rs
+++ b/crates/swap/tests/runners.rs
@@ -307,3 +307,22 @@
     engines.set_remote_loads(node(1), Vec::new(), now);
     assert_eq!(engines.total_load(&engine(0), now).active_runs, 2);
 }
+
+/// A runner that stops reports its runs with its last reply, and a former leader that leads again has
+/// the reports of its earlier time. Runs that ended long ago must not occupy the engines.
+#[test]
+fn loads_of_a_node_that_reports_no_more_expire() {
+    let (engines, now) = (EngineRegistry::default(), Instant::now());
+    let load = EngineLoad {
+        target: "e0".to_owned(),
+        active_runs: 3,
+        best_event_ms: Some(40.0),
+        recent_event_ms: Some(50.0),
+        speed: None,
+    };
+    engines.set_remote_loads(SocketAddr::from(([127, 0, 0, 1], 1)), vec![load], now);
+    let total_after = |wait| engines.total_load(&engine(0), now + wait);
+    assert_eq!(total_after(Duration::from_secs(2)).active_runs, 3);
+    let later = total_after(Duration::from_secs(3));
+    assert_eq!((later.active_runs, later.best_event_ms, later.recent_event_ms), (0, None, None));
+}
