Crash reports of a node that is gone expire at nodes that nobody polls

A node dropped the expired reports of other nodes only when it answered a poll or a restarted node, or when another report changed. In a small fleet no node polls another, so the report of a node that was gone for good blocked a request for as long as the process lived, though the refusal names the retention as the time after which it may be sent again.

The age of the reports is now looked at with each check of a request.

--- a/crates/fleet/src/crash_registry.rs
+++ b/crates/fleet/src/crash_registry.rs
@@ -96,20 +96,25 @@
 
     /// Returns the reports of all nodes, after dropping expired ones.
     pub fn reports(&self, now: Instant) -> Vec<NodeCrashes> {
+        self.remove_expired(now);
+        let crashes_by_vm = self.inner.crashes_by_vm.borrow();
+        let reports = crashes_by_vm.iter();
+        let reports = reports
+            .map(|(vm, (_, crashes))| NodeCrashes { vm: vm.clone(), crashes: crashes.clone() });
+        reports.collect()
+    }
+
+    /// Drops the reports that have expired at `now`.
+    pub fn remove_expired(&self, now: Instant) {
         let mut crashes_by_vm = self.inner.crashes_by_vm.borrow_mut();
         let count_before = crashes_by_vm.len();
         crashes_by_vm
             .retain(|_, (at, _)| now.saturating_duration_since(*at) < self.inner.retention);
-        let reports = crashes_by_vm.iter();
-        let reports = reports
-            .map(|(vm, (_, crashes))| NodeCrashes { vm: vm.clone(), crashes: crashes.clone() });
-        let reports = reports.collect();
         let any_expired = crashes_by_vm.len() != count_before;
         drop(crashes_by_vm);
         if any_expired {
             self.increment_version();
         }
-        reports
     }
 
     fn increment_version(&self) {
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -126,13 +126,15 @@
     }
 
     /// Copies the target crashes observed by other nodes from the shared crash registry to the tracker if
-    /// the registry has changed.
+    /// the registry has changed or a report in it has expired.
     fn import_remote_crashes(&self) {
         let SharedState { vm, tracker, registry, imported_registry_version, .. } = &*self.shared;
+        let now = Instant::now();
+        registry.remove_expired(now);
         if imported_registry_version.get() == Some(registry.version()) {
             return;
         }
-        let reports = registry.reports(Instant::now());
+        let reports = registry.reports(now);
         let remote_reports = reports.into_iter().filter(|report| report.vm != *vm);
         tracker.borrow_mut().set_remote_crashes(remote_reports.flat_map(|report| report.crashes));
         imported_registry_version.set(Some(registry.version()));
--- a/crates/forward/tests/crashes.rs
+++ b/crates/forward/tests/crashes.rs
@@ -258,6 +258,21 @@
     assert!(registry.reports(now + retention * 2).is_empty());
 }
 
+/// Guards against a node that refuses a request for as long as it lives, because no message and no
+/// poll of another node makes it look at the age of the reports.
+#[test]
+fn expired_crashes_of_another_node_refuse_no_request() {
+    let retention = Duration::from_millis(100);
+    let registry = CrashRegistry::new(retention);
+    let guard = crash_guard("a", &registry);
+    let counts = CrashCounts { ambiguous: 0, sole_suspect: 3 };
+    let crashes = vec![FingerprintCrashes { fingerprint: 7, counts }];
+    registry.set(NodeCrashes { vm: "b".to_owned(), crashes }, Instant::now());
+    assert!(guard.check_allowed(7).is_err());
+    std::thread::sleep(retention * 2);
+    assert!(guard.check_allowed(7).is_ok());
+}
+
 /// Guards against a node that imports the shared crash registry only once and so admits a request that
 /// other nodes have since observed to crash targets.
 #[test]
