A draining server answers a request that is on its way on a kept connection

A server closed each kept connection without an open request at once when its drain began. A request that was in transit then, or that arrived after the last poll of the system and before the close, got a reset: its caller could not tell whether it had run.

A draining server now waits 300 ms for a further request of a kept connection, as it waits 1 s for a first one, and each answer during the drain says that the connection closes. Ruled out: closing only the sending side, as a client takes that as the end of the connection too. A caller that sends at the very end of the 300 ms may still meet the close; HTTP/1.1 has no way to avoid that without a request.

--- a/crates/net/src/account.rs
+++ b/crates/net/src/account.rs
@@ -218,6 +218,12 @@
         self.ledger().phase(self.id) == Some(Phase::Body)
     }
 
+    /// Returns whether the head of a request is complete and its answer is not.
+    pub(crate) fn is_in_request(&self) -> bool {
+        let phase = self.ledger().phase(self.id);
+        matches!(phase, Some(Phase::Body | Phase::Running | Phase::Answer))
+    }
+
     /// Starts a request: its head is complete.
     pub(crate) fn start_request(&self) {
         self.set_phase(Phase::Running);
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use deck_core::CancellationToken;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header};
 use http_body_util::BodyExt;
 use hyper::{
     body::{Body as _, Incoming},
@@ -40,6 +40,11 @@
 /// Time that a draining server waits for the first request of an open connection.
 const DRAIN_FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time that a draining server waits for a further request of a kept connection. Covers a request
+/// that is in transit when the drain starts; callers that send often learn from its answer that the
+/// connection closes.
+const DRAIN_FURTHER_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Maximum total time during which a draining server accepts connections.
 const DRAIN_ACCEPT_TOTAL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -243,14 +248,18 @@
     let handler = framing_inspection.refuse_ambiguous_requests(handler);
     let has_received_request = Rc::new(Cell::new(false));
     let has_received_request_in_service = has_received_request.clone();
-    let tracked_in_service = tracked.clone();
+    let (tracked_in_service, drain_in_service) = (tracked.clone(), drain.clone());
     let service = service_fn(move |request| {
         has_received_request_in_service.set(true);
         tracked_in_service.start_request();
-        let tracked = tracked_in_service.clone();
+        let (tracked, drain) = (tracked_in_service.clone(), drain_in_service.clone());
         let response = handler(request);
         async move {
-            let response = response.await;
+            let mut response = response.await;
+            if drain.is_cancelled() {
+                let headers = response.headers_mut();
+                headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
             // hyper closes the connection without a response if the service returns an error.
             match response.extensions().get::<CloseWithoutResponse>() {
                 Some(_) => Err(BodyAborted),
@@ -272,12 +281,12 @@
                 // On a graceful shutdown, hyper closes a connection without a request at once. A
                 // request in transit would get no response, and the client could not tell whether
                 // it ran.
-                let first_request_timeout = if has_received_request.get() {
-                    Duration::ZERO
-                } else {
-                    DRAIN_FIRST_REQUEST_TIMEOUT
+                let request_timeout = match (tracked.is_in_request(), has_received_request.get()) {
+                    (true, _) => Duration::ZERO,
+                    (false, true) => DRAIN_FURTHER_REQUEST_TIMEOUT,
+                    (false, false) => DRAIN_FIRST_REQUEST_TIMEOUT,
                 };
-                match monoio::time::timeout(first_request_timeout, connection.as_mut()).await {
+                match monoio::time::timeout(request_timeout, connection.as_mut()).await {
                     Ok(result) => result,
                     Err(_) => {
                         connection.as_mut().graceful_shutdown();
@@ -428,8 +437,8 @@
             let mut response = Response::new(Body::full(bytes));
             *response.status_mut() =
                 http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::OK);
-            let content_type = http::HeaderValue::from_static("application/json");
-            response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
+            let content_type = HeaderValue::from_static("application/json");
+            response.headers_mut().insert(header::CONTENT_TYPE, content_type);
             response
         }
         Err(error) => text_response(500, &error.to_string()),
@@ -440,8 +449,8 @@
 pub fn text_response(status: u16, text: &str) -> Response<Body> {
     let mut response = Response::new(Body::full(text.to_owned()));
     *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::OK);
-    let content_type = http::HeaderValue::from_static("text/plain; charset=utf-8");
-    response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
+    let content_type = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
     response
 }
 
--- a/crates/net/tests/http.rs
+++ b/crates/net/tests/http.rs
@@ -191,6 +191,41 @@
     .expect("runtime");
 }
 
+/// Guards against a request without a response that arrives on a kept connection just before the
+/// server begins to drain, and has not been read by then, or shortly after.
+#[test_case(Duration::ZERO; "before the drain")]
+#[test_case(Duration::from_millis(50); "after the drain began")]
+fn request_on_a_kept_connection_is_answered_when_drain_starts(delay: Duration) {
+    deck_net::runtime::run(async {
+        let drain = CancellationToken::new();
+        let (address, server) = start_server(&drain);
+        // Calls on this stream do not let the server run, so it reads no request before the drain.
+        let mut stream = std::net::TcpStream::connect(address).expect("connect");
+        let request = b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n";
+        let mut buffer = [0_u8; 1024];
+        stream.write_all(request).expect("write");
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        stream.set_nonblocking(true).expect("non-blocking");
+        let count = stream.read(&mut buffer).expect("first answer");
+        assert!(buffer[..count].starts_with(b"HTTP/1.1 200"));
+        if delay.is_zero() {
+            stream.write_all(request).expect("write");
+            drain.cancel();
+        } else {
+            drain.cancel();
+            monoio::time::sleep(delay).await;
+            stream.write_all(request).expect("write");
+        }
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        let count = stream.read(&mut buffer).expect("second answer");
+        let answer = String::from_utf8_lossy(&buffer[..count]).to_ascii_lowercase();
+        assert!(answer.starts_with("http/1.1 200"), "{answer:?}");
+        assert!(answer.contains("connection: close"), "{answer:?}");
+        server.await;
+    })
+    .expect("runtime");
+}
+
 #[test]
 fn admin_endpoints_answer() {
     deck_net::runtime::run(async {
