A runner refuses the updates of a former leader beside those of the present one

A leader that was suspended sends its updates for a moment after it wakes. A runner applied them whatever their age: the versions, loads in progress and assignments of engines went back to those of the former leader until the next update of the present one.

Updates carry the fencing number of the lease. Nodes of earlier releases send no number, which counts as 0.

--- a/crates/fleet/src/engines.rs
+++ b/crates/fleet/src/engines.rs
@@ -2,14 +2,14 @@
 //! failures, and the demand for each model.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use deck_core::id::{TargetId, WeightVersion};
+use deck_core::id::{FencingNumber, TargetId, WeightVersion};
 use deck_route::{CapacityEstimator, Slowdown, capacity::log_capacity};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -72,6 +72,8 @@
     reported_speeds: Rc<RefCell<HashMap<TargetId, ReportedSpeed>>>,
     /// Engines assigned to each model, for models with a recent update from the leader.
     assignments: Rc<RefCell<HashMap<ModelName, Assignment>>>,
+    /// Fencing number of the leader whose update was last accepted, and when.
+    last_leader: Rc<Cell<Option<(FencingNumber, Instant)>>>,
     /// Notifies subscribers when an engine has a new weight version, or starts or ends loading
     /// weights.
     changes: Rc<watch::Sender<u64>>,
@@ -539,6 +541,18 @@
         })
     }
 
+    /// Returns whether an update of the leader with this fencing number may be applied, and records it
+    /// if so. That of a former leader may not while the updates of a later one are valid.
+    pub fn accept_leader(&self, fencing: FencingNumber, now: Instant) -> bool {
+        let is_former = self.last_leader.get().is_some_and(|(known, at)| {
+            fencing < known && now.saturating_duration_since(at) <= LEADER_UPDATE_LIFETIME
+        });
+        if !is_former {
+            self.last_leader.set(Some((fencing, now)));
+        }
+        !is_former
+    }
+
     /// Applies an update from the leader with the state and assignment of the engines for a model.
     pub fn apply_updates(
         &self,
--- a/crates/swap/src/runners.rs
+++ b/crates/swap/src/runners.rs
@@ -68,6 +68,9 @@
 struct LeaderUpdate {
     /// Model that the node runs or is asked to run.
     model: ModelName,
+    /// Fencing number of the leader's lease; 0 from nodes of earlier releases.
+    #[serde(default)]
+    fencing: FencingNumber,
     /// State of the engines that the target list does not contain yet.
     #[serde(rename = "news")]
     engines: Vec<EngineUpdate>,
@@ -214,7 +217,9 @@
                             .any(|sent: &EngineUpdate| sent.target == target && sent.is_assigned)
                 };
                 self.deps.engines.add_speeds(&mut engines, is_new, Instant::now());
-                let message = LeaderUpdate { model: model.to_owned(), engines, known_jobs };
+                let fencing = self.table.borrow().fencing;
+                let message =
+                    LeaderUpdate { model: model.to_owned(), fencing, engines, known_jobs };
                 sent_at = Some(Instant::now());
                 match self.exchange(node, &message).await {
                     Ok(reply) if !reply.draining => {
@@ -391,7 +396,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the message cannot be decoded.
+/// Returns an error if the message cannot be decoded, or if a leader with a later lease has sent one
+/// lately.
 pub fn handle_leader_update(
     engines: &EngineRegistry,
     view: &FleetView,
@@ -401,6 +407,10 @@
 ) -> Result<Bytes, NetError> {
     let update: LeaderUpdate = decode(message)?;
     let now = Instant::now();
+    if !engines.accept_leader(update.fencing, now) {
+        let fencing = update.fencing;
+        return Err(NetError::Decode(format!("update of a former leader fencing={fencing}")));
+    }
     engines.apply_updates(view, &update.model, &update.engines, now);
     let reply = RunnerReply {
         loads: engines.own_loads(now),
--- a/crates/swap/tests/runners.rs
+++ b/crates/swap/tests/runners.rs
@@ -9,7 +9,7 @@
 
 use deck_core::CancellationToken;
 use deck_fleet::{
-    CallerLimits, Configuration, EngineConfig, EngineLoad, EngineRegistry, FleetFeed,
+    CallerLimits, Configuration, EngineConfig, EngineLoad, EngineRegistry, EngineUpdate, FleetFeed,
     FleetFeedOptions, FleetView, ObjectFollower, ObjectFollowerOptions, ObjectKinds, ServiceConfig,
     Target, TargetState,
 };
@@ -326,3 +326,36 @@
     let later = total_after(Duration::from_secs(3));
     assert_eq!((later.active_runs, later.best_event_ms, later.recent_event_ms), (0, None, None));
 }
+
+/// Message of a leader, as it is encoded.
+#[derive(serde::Serialize)]
+struct LeaderMessage {
+    model: &'static str,
+    fencing: u64,
+    news: Vec<EngineUpdate>,
+    known_jobs: usize,
+}
+
+/// A former leader that was suspended still sends its messages for a moment after it wakes. They must
+/// not replace what the present leader has told.
+#[test]
+fn update_of_a_former_leader_is_refused_beside_that_of_the_present_one() {
+    let (view, engines) =
+        (FleetView::new(Router::new(RouterOptions::default())), EngineRegistry::default());
+    view.set_targets(vec![engine(0)], Instant::now());
+    let update = |fencing: u64, version: u64| {
+        let leader = EngineRegistry::default();
+        leader.set_version(&engine(0), "m0", version);
+        let update = leader.engine_update(&engine(0), "m0", true).expect("engine update");
+        let message = LeaderMessage { model: "m0", fencing, news: vec![update], known_jobs: 0 };
+        let message = deck_net::cbor::encode(&message).expect("encoded");
+        handle_leader_update(&engines, &view, Vec::new(), false, &message)
+    };
+    assert!(update(8, 3).is_ok());
+    assert!(update(7, 2).is_err());
+    assert_eq!(engines.version(&engine(0), "m0"), Some(3));
+    assert!(update(8, 4).is_ok());
+    assert_eq!(engines.version(&engine(0), "m0"), Some(4));
+    // A fencing number that starts again blocks a runner for a moment only.
+    assert!(engines.accept_leader(1, Instant::now() + Duration::from_secs(2)));
+}
