Tests of a leader whose lease is outdated or not renewed

Two beliefs of a leader had no test: that an engine's refusal for its fencing number ends the lease on this node, and that no order is sent after two thirds of a lease without a renewal.

--- a/crates/swap/tests/orders.rs
+++ b/crates/swap/tests/orders.rs
@@ -1,49 +1,68 @@
 //! Planning of load orders on a leader that holds a lease in an in-memory object API.
 
 use std::{
+    cell::Cell,
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use deck_core::CancellationToken;
 use deck_fleet::{
-    CallerLimits, Configuration, EngineConfig, EngineRegistry, FleetView, ServiceConfig,
+    CallerLimits, Configuration, EngineConfig, EngineRegistry, FleetView, ServiceConfig, Target,
+    TargetState,
 };
-use deck_net::Client;
-use deck_plat::{AcquireResult, LeaseCandidate, LeaseOptions};
+use deck_net::{
+    Body, Client, bind,
+    http::{Method, Response},
+};
+use deck_plat::{AcquireResult, HeldLease, LeaseCandidate, LeaseOptions};
 use deck_platform::PlatformWire;
 use deck_route::{Router, RouterOptions};
 use deck_swap::{WeightUpdater, WeightUpdaterOptions};
 use deck_testkit::{eventually, memory::MemoryObjects};
 
+/// Returns the view of a deployment with one model, without targets.
+fn view() -> FleetView {
+    let view = FleetView::new(Router::new(RouterOptions::default()));
+    let engine = EngineConfig { slots: 8, tokens_per_event: 1, models: vec!["m".to_owned()] };
+    let service = ServiceConfig { name: "s".to_owned(), engine: Some(engine), scaling: None };
+    view.set_configuration(Configuration::new(1, vec![], vec![service], CallerLimits::default()));
+    view
+}
+
+fn weight_updater(view: &FleetView) -> WeightUpdater {
+    WeightUpdater::new(
+        "vm-1".to_owned(),
+        view.clone(),
+        EngineRegistry::default(),
+        Client::default(),
+        Rc::new(PlatformWire),
+        Rc::new(()),
+        WeightUpdaterOptions::default(),
+    )
+}
+
+async fn acquire_lease(duration: Duration) -> HeldLease {
+    let store = MemoryObjects::default().store();
+    let options = LeaseOptions { duration, ..LeaseOptions::default() };
+    let address = "127.0.0.1:1";
+    let candidate = LeaseCandidate::new(store, "leader", "vm-1".to_owned(), address, options);
+    match candidate.try_acquire().await {
+        AcquireResult::Held(held) => held,
+        _ => panic!("the lease is free"),
+    }
+}
+
 /// The leader of a large fleet runs no jobs and receives the targets from a watcher, which sends
 /// weight versions only to nodes that request them. A leader that does not request them would never send a load
 /// order.
 #[test]
 fn leader_without_jobs_requests_weight_versions() {
     let test = async {
-        let cancel = CancellationToken::new();
-        let view = FleetView::new(Router::new(RouterOptions::default()));
-        let engine = EngineConfig { slots: 8, tokens_per_event: 1, models: vec!["m".to_owned()] };
-        let service = ServiceConfig { name: "s".to_owned(), engine: Some(engine), scaling: None };
-        let limits = CallerLimits::default();
-        view.set_configuration(Configuration::new(1, vec![], vec![service], limits));
-        let weight_updater = WeightUpdater::new(
-            "vm-1".to_owned(),
-            view.clone(),
-            EngineRegistry::default(),
-            Client::default(),
-            Rc::new(PlatformWire),
-            Rc::new(()),
-            WeightUpdaterOptions::default(),
-        );
-        let store = MemoryObjects::default().store();
-        let options = LeaseOptions { duration: Duration::from_secs(60), ..LeaseOptions::default() };
-        let address = "127.0.0.1:1";
-        let candidate = LeaseCandidate::new(store, "leader", "vm-1".to_owned(), address, options);
-        let AcquireResult::Held(held) = candidate.try_acquire().await else {
-            panic!("the lease is free");
-        };
+        let (cancel, view) = (CancellationToken::new(), view());
+        let weight_updater = weight_updater(&view);
+        let held = acquire_lease(Duration::from_secs(60)).await;
         assert!(!view.needs_versions(Instant::now()));
         let (token, stop) = (held.token(), cancel.clone());
         monoio::spawn(async move { weight_updater.run(token, Instant::now(), stop).await });
@@ -52,3 +71,76 @@
     };
     deck_net::runtime::run(test).expect("runtime");
 }
+
+/// Starts an engine with an old version that has seen a later fencing number, and lists it in `view`.
+/// Returns the number of orders that it has refused.
+fn start_engine(view: &FleetView, cancel: &CancellationToken) -> Rc<Cell<usize>> {
+    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+    let address = listener.local_addr().expect("address");
+    let orders = Rc::new(Cell::new(0));
+    let received = orders.clone();
+    let serve = move |request: http::Request<hyper::body::Incoming>| {
+        let is_order = *request.method() == Method::POST;
+        received.set(received.get() + usize::from(is_order));
+        let (status, body) = match is_order {
+            true => (412, ""),
+            false => (200, r#"{"Models": [{"Name": "m", "Version": 1}], "Busy": false, "Seq": 0}"#),
+        };
+        let response = Response::builder().status(status).body(Body::full(body));
+        async move { response.expect("response") }
+    };
+    monoio::spawn(deck_net::serve(listener, Default::default(), cancel.clone(), serve));
+    let target = Target {
+        id: "e0".to_owned(),
+        service: "s".to_owned(),
+        address,
+        data_centre: "a".to_owned(),
+        state: TargetState::Ready,
+        slots: 8,
+        software_version: None,
+        models: vec![("m".to_owned(), 1)],
+        started_at_ms: 1,
+        lifetime: Default::default(),
+    };
+    view.set_targets(vec![target], Instant::now());
+    orders
+}
+
+/// A leader that was suspended believes in its lease when it wakes. Once an engine shows it a later
+/// fencing number, it must send no further order, which an engine that checks none would carry out.
+#[test]
+fn leader_sends_no_order_after_a_refusal_for_its_fencing_number() {
+    let test = async {
+        let (cancel, view) = (CancellationToken::new(), view());
+        let orders = start_engine(&view, &cancel);
+        view.set_published_version("m".to_owned(), 2);
+        let held = acquire_lease(Duration::from_secs(600)).await;
+        let (updater, token, stop) = (weight_updater(&view), held.token(), cancel.clone());
+        monoio::spawn(async move { updater.run(token, Instant::now(), stop).await });
+        eventually("the lease is given up", async || !held.token().is_valid()).await;
+        view.set_published_version("m".to_owned(), 3);
+        monoio::time::sleep(WeightUpdaterOptions::default().max_plan_interval * 2).await;
+        assert_eq!(orders.get(), 1);
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
+/// A leader whose renewals do not arrive must stop before another node may take the lease over.
+#[test]
+fn leader_sends_no_order_after_two_thirds_of_a_lease_without_renewal() {
+    let test = async {
+        let (cancel, view) = (CancellationToken::new(), view());
+        let orders = start_engine(&view, &cancel);
+        let duration = Duration::from_millis(600);
+        let held = acquire_lease(duration).await;
+        let (updater, token, stop) = (weight_updater(&view), held.token(), cancel.clone());
+        monoio::spawn(async move { updater.run(token, Instant::now(), stop).await });
+        monoio::time::sleep(duration * 2 / 3).await;
+        view.set_published_version("m".to_owned(), 2);
+        monoio::time::sleep(WeightUpdaterOptions::default().max_plan_interval * 2).await;
+        assert_eq!(orders.get(), 0);
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
