Requests that wait for memory do not keep the timers from firing

A request that needed the memory of connections that were closing yielded and tried again. The runtime fires no timers while a task is ready to run, and a connection that closes while its body is received may end only by its timeout of one second. Such a request now waits until something is released.

The new test lets three crowds of unfinished bodies come one after the other, the earlier ones stalled.

The crowds move into deck-testkit; sizes and bounds are as before.

--- a/bins/decknode/tests/common/mod.rs
+++ b/bins/decknode/tests/common/mod.rs
@@ -283,6 +283,14 @@
         line.and_then(|line| line.strip_suffix('"')?.parse().ok()).expect("address")
     }
 
+    /// Returns the address at which a node without callers serves other nodes.
+    pub fn internal_address(&self, index: usize) -> SocketAddr {
+        let settings = std::fs::read_to_string(&self.nodes[index].settings_file).expect("settings");
+        let line = settings.lines().find_map(|line| line.strip_prefix("InternalPorts = ["));
+        let port = line.and_then(|line| line.split(',').next()?.parse().ok()).expect("port");
+        SocketAddr::from(([127, 0, 0, 1], port))
+    }
+
     /// Replaces text in the settings file of a node, which may be running.
     pub fn change_setting(&self, index: usize, old: &str, new: &str) {
         let file = &self.nodes[index].settings_file;
--- a/bins/decknode/tests/misbehaving_clients.rs
+++ b/bins/decknode/tests/misbehaving_clients.rs
@@ -2,14 +2,17 @@
 //! and descriptors stay within the settings, and ordinary callers are served while the crowd is open.
 
 use std::{
-    io::{ErrorKind, Read, Write},
-    net::{SocketAddr, TcpStream},
+    io::Read,
+    net::SocketAddr,
     sync::{Mutex, PoisonError},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use deck_net::http::{Method, StatusCode};
-use deck_testkit::eventually;
+use deck_testkit::{
+    crowd::{connect, open_descriptors, peak_memory_kb, send_all},
+    eventually,
+};
 use nix::sys::resource::{Resource, getrlimit, setrlimit};
 use serde_json::{Value, json};
 
@@ -29,11 +32,6 @@
 const CONNECTION_CLIENTS: usize = 700;
 /// Descriptors that this process needs for its crowds.
 const MIN_OWN_DESCRIPTORS: u64 = 1500;
-/// Time without progress of any client after which a crowd has sent what it can.
-const STANDSTILL: Duration = Duration::from_millis(500);
-/// Maximum time for which a crowd sends.
-const MAX_SENDING_TIME: Duration = Duration::from_secs(10);
-
 /// Holds the tests apart: a crowd takes memory and time of the whole machine.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
@@ -45,15 +43,6 @@
     path: &'static str,
 }
 
-/// Client of a crowd, whose connection stays open until it is dropped.
-struct CrowdClient {
-    /// `None` after the node has closed the connection.
-    stream: Option<TcpStream>,
-    /// Bytes to send, and how many of them have been sent.
-    bytes: Vec<u8>,
-    sent_bytes: usize,
-}
-
 /// Starts one node with low limits, and its platform.
 async fn start_node() -> Fleet {
     start_node_with_memory(MEMORY_MB).await
@@ -126,53 +115,12 @@
     request
 }
 
-/// Connects the clients of a crowd.
-fn connect(place: Place, count: usize, bytes: impl Fn(usize) -> Vec<u8>) -> Vec<CrowdClient> {
-    let client = |index| {
-        let stream = TcpStream::connect_timeout(&place.address, Duration::from_secs(3)).ok();
-        let stream = stream.filter(|stream| stream.set_nonblocking(true).is_ok());
-        CrowdClient { stream, bytes: bytes(index), sent_bytes: 0 }
-    };
-    (0..count).map(client).collect()
-}
-
-/// Sends the bytes of all clients in turn, at most `piece_bytes` at a time with `pause` after each
-/// turn, until no client makes progress.
-fn send_all(clients: &mut [CrowdClient], piece_bytes: usize, pause: Duration) {
-    let (started_at, mut progress_at) = (Instant::now(), Instant::now());
-    while progress_at.elapsed() < STANDSTILL && started_at.elapsed() < MAX_SENDING_TIME {
-        for client in clients.iter_mut() {
-            let Some(stream) = &mut client.stream else { continue };
-            let rest = &client.bytes[client.sent_bytes..];
-            match stream.write(&rest[..rest.len().min(piece_bytes)]) {
-                Ok(0) => {}
-                Ok(count) => {
-                    client.sent_bytes += count;
-                    progress_at = Instant::now();
-                }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                Err(_) => client.stream = None,
-            }
-        }
-        std::thread::sleep(pause.max(Duration::from_micros(100)));
-    }
-}
-
-/// Returns a value in kB from the status of the node's process.
-fn memory_kb(fleet: &Fleet, field: &str) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", node_id(fleet)));
-    let status = status.expect("status of the node");
-    let line = status.lines().find(|line| line.starts_with(field)).expect("field");
-    line.split_whitespace().nth(1).and_then(|value| value.parse().ok()).expect("value")
-}
-
 /// Checks that the node lives within its limits.
 fn assert_within_limits(fleet: &mut Fleet, crowd: &str) {
     let status = fleet.nodes[0].process.as_mut().expect("process").try_wait();
     assert_eq!(status, None, "the node ended: {crowd}");
-    let directory = format!("/proc/{}/fd", node_id(fleet));
-    let descriptors = std::fs::read_dir(directory).expect("descriptors").count() as u64;
-    let peak_kb = memory_kb(fleet, "VmHWM");
+    let descriptors = open_descriptors(node_id(fleet));
+    let peak_kb = peak_memory_kb(node_id(fleet));
     println!("{crowd}: peak {peak_kb} kB, {descriptors} descriptors");
     assert!(peak_kb < MEMORY_MB * 1024, "{crowd}: peak {peak_kb} kB");
     // With fewer free descriptors, the node cannot make its own calls.
@@ -210,7 +158,7 @@
         let mut fleet = start_node().await;
         for place in places(&fleet) {
             let crowd = format!("{place:?}");
-            let mut clients = connect(place, count, |index| bytes(place, index));
+            let mut clients = connect(place.address, count, |index| bytes(place, index));
             send_all(&mut clients, piece_bytes, pause);
             assert_within_limits(&mut fleet, &crowd);
             assert_serves(&fleet, &crowd).await;
@@ -244,6 +192,27 @@
     });
 }
 
+/// Guards against a crowd that arrives after an earlier one has stalled: what is held for the earlier
+/// one is released before the memory is used again.
+#[test]
+fn crowd_after_a_stalled_one_stays_within_memory() {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    run(async {
+        let mut fleet = start_node().await;
+        let place = places(&fleet)[0];
+        let mut crowds = Vec::new();
+        for crowd in ["first crowd", "second crowd", "third crowd"] {
+            let request = |_| chunked_request(place, BODY_BYTES, "");
+            let mut clients = connect(place.address, BODY_CLIENTS, request);
+            send_all(&mut clients, usize::MAX, Duration::ZERO);
+            std::thread::sleep(Duration::from_secs(2));
+            assert_within_limits(&mut fleet, crowd);
+            crowds.push(clients);
+        }
+        assert_serves(&fleet, "after the crowds").await;
+    });
+}
+
 /// Guards against complete bodies of legal size that arrive at the same time.
 #[test]
 fn complete_bodies_at_once_stay_within_memory() {
@@ -260,7 +229,7 @@
         let place = places(&fleet)[0];
         let body = vec![b'x'; BODY_BYTES];
         let ids: Vec<String> = (0..BODY_CLIENTS).map(|_| deck_core::id::random_id()).collect();
-        let mut clients = connect(place, BODY_CLIENTS, |index| {
+        let mut clients = connect(place.address, BODY_CLIENTS, |index| {
             let headers = format!("Content-Length: {BODY_BYTES}\r\n\r\n");
             let head = head_with_id(place, &ids[index], &headers);
             [head.as_bytes(), &body].concat()
@@ -317,7 +286,7 @@
         for _ in 0..3 {
             assert!(send().await, "a further body is refused");
         }
-        let peak_kb = memory_kb(&fleet, "VmHWM");
+        let peak_kb = peak_memory_kb(node_id(&fleet));
         println!("largest body: peak {peak_kb} kB");
         assert!(peak_kb < SMALLEST_MEMORY_MB * 1024, "peak {peak_kb} kB");
     });
@@ -402,7 +371,7 @@
         let mut fleet = start_node().await;
         for place in places(&fleet) {
             let crowd = format!("{place:?}");
-            let mut clients = connect(place, CONNECTION_CLIENTS, |_| {
+            let mut clients = connect(place.address, CONNECTION_CLIENTS, |_| {
                 let place = Place { method: "GET", ..place };
                 request(place, b"", 0).repeat(20)
             });
@@ -422,3 +391,76 @@
         assert_serves(&fleet, "after the crowds").await;
     });
 }
+
+/// Runs a crowd at the paths of a node that only stores checkpoints for other nodes.
+fn run_crowd_at_storage(count: usize, bytes: impl Fn(Place, usize) -> Vec<u8>) {
+    const PATH: &str = "/peer/checkpoints/crowd";
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    run(async {
+        let mut fleet = Fleet::start(1);
+        // The crowd comes to the second node, whose settings have the lower limits.
+        fleet.nodes.swap(0, 1);
+        fleet.nodes[0].process.take().expect("process").kill();
+        let limits = format!("[Limits]\nMemoryMb = {MEMORY_MB}\nMaxFds = {MAX_DESCRIPTORS}\n");
+        fleet.change_setting(0, "[Platform]", &format!("{limits}[Platform]"));
+        let (soft_limit, hard_limit) = getrlimit(Resource::RLIMIT_NOFILE).expect("limit");
+        setrlimit(Resource::RLIMIT_NOFILE, MAX_DESCRIPTORS, hard_limit).expect("limit");
+        fleet.start_node(0);
+        setrlimit(Resource::RLIMIT_NOFILE, soft_limit.max(MIN_OWN_DESCRIPTORS), hard_limit)
+            .expect("limit");
+        let address = fleet.internal_address(0);
+        let assert_answers = async |fleet: &Fleet, crowd: &str| {
+            eventually(&format!("an ordinary request is answered: {crowd}"), async || {
+                let answer = fleet.call(address, Method::GET, PATH, &[], Vec::new()).await;
+                matches!(answer, Ok((StatusCode::OK, _)))
+            })
+            .await;
+        };
+        assert_answers(&fleet, "before any crowd").await;
+        for (method, path) in [("POST", PATH), ("POST", "/nowhere"), ("GET", PATH)] {
+            let place = Place { address, method, path };
+            let crowd = format!("{place:?}");
+            let mut clients = connect(address, count, |index| bytes(place, index));
+            send_all(&mut clients, usize::MAX, Duration::ZERO);
+            assert_within_limits(&mut fleet, &crowd);
+            assert_answers(&fleet, &crowd).await;
+            assert_within_limits(&mut fleet, &crowd);
+        }
+    });
+}
+
+/// Guards against unfinished bodies at a node that only stores checkpoints.
+#[test]
+fn bodies_that_stop_short_stay_within_memory_of_storage() {
+    let body = vec![b'x'; BODY_BYTES];
+    run_crowd_at_storage(BODY_CLIENTS, |place, _| request(place, &body, 1));
+}
+
+/// Guards against unfinished bodies in chunks, of legal size and above it, at a node that only stores
+/// checkpoints.
+#[test]
+fn bodies_in_chunks_stay_within_memory_of_storage() {
+    run_crowd_at_storage(BODY_CLIENTS, |place, index| {
+        chunked_request(place, if index % 2 == 0 { BODY_BYTES } else { 3 * BODY_BYTES }, "")
+    });
+}
+
+/// Guards against requests sent ahead at a node that only stores checkpoints.
+#[test]
+fn requests_sent_ahead_stay_within_memory_of_storage() {
+    run_crowd_at_storage(30, |place, _| {
+        let one = request(Place { method: "GET", ..place }, b"", 0);
+        one.repeat(500_000 / one.len())
+    });
+}
+
+/// Guards against connections without a whole request that take all descriptors of a node that only
+/// stores checkpoints.
+#[test]
+fn half_requests_leave_descriptors_of_storage() {
+    run_crowd_at_storage(CONNECTION_CLIENTS, |place, index| match index % 3 {
+        0 => Vec::new(),
+        1 => head(place, "").into_bytes(),
+        _ => request(place, &[b'x'; 100], 50),
+    });
+}
--- a/crates/net/src/account.rs
+++ b/crates/net/src/account.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use deck_core::CancellationToken;
 use http_body::{Frame, SizeHint};
+use tokio::sync::Notify;
 
 use crate::{
     Body, NetError,
@@ -22,7 +23,6 @@
     ledger::{
         ClientTimeouts, CloseReason, ConnectionId, HoldError, Ledger, LedgerLimits, Phase, ServerId,
     },
-    server::yield_to_closing_tasks,
 };
 
 thread_local! {
@@ -40,6 +40,8 @@
     ledger: RefCell<Ledger>,
     /// Invariant: holds the connections of `ledger`.
     connections: RefCell<HashMap<ConnectionId, Weak<TrackedConnection>>>,
+    /// Notified each time all that was held for a connection is released.
+    released: Notify,
     next_server: Cell<ServerId>,
     totals: Cell<AccountTotals>,
     /// Value of `totals` when it was last logged.
@@ -77,6 +79,7 @@
         let inner = AccountInner {
             ledger: RefCell::new(Ledger::new(limits)),
             connections: RefCell::default(),
+            released: Notify::new(),
             next_server: Cell::new(0),
             totals: Cell::default(),
             logged_totals: Cell::default(),
@@ -199,6 +202,7 @@
     fn drop(&mut self) {
         self.account.inner.ledger.borrow_mut().close(self.id);
         self.account.inner.connections.borrow_mut().remove(&self.id);
+        self.account.inner.released.notify_waiters();
     }
 }
 
@@ -265,10 +269,12 @@
     pub(crate) async fn hold_body(&self, bytes: usize) -> Result<(), NetError> {
         self.ledger().record_moved(self.id, bytes, Instant::now());
         loop {
+            let released = self.account.inner.released.notified();
             match self.try_hold(bytes) {
                 Ok(()) => return Ok(()),
-                // The tasks of the connections that are closing run before this one goes on.
-                Err(HoldError::Wait(_)) => yield_to_closing_tasks().await,
+                // The runtime fires no timers while a task is ready to run, so that a task that only
+                // yields would wait forever for a connection that closes by a timeout.
+                Err(HoldError::Wait(_)) => released.await,
                 Err(HoldError::OutOfMemory) => {
                     self.account.count(|totals| totals.refused_bodies += 1);
                     return Err(NetError::OutOfMemory);
@@ -300,6 +306,7 @@
     /// Releases what is held for the request, which is not kept.
     pub(crate) fn release_request(&self) {
         self.ledger().release(self.id, usize::MAX);
+        self.account.inner.released.notify_waiters();
     }
 
     /// Returns the error of a request whose connection is closed while its body is received.
@@ -312,6 +319,9 @@
 
     pub(crate) fn set_phase(&self, phase: Phase) {
         self.ledger().set_phase(self.id, phase, Instant::now());
+        if phase == Phase::Idle {
+            self.account.inner.released.notify_waiters();
+        }
     }
 
     fn ledger(&self) -> std::cell::RefMut<'_, Ledger> {
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -211,7 +211,7 @@
 
 /// Lets the tasks that close connections run, so that their descriptors become free before the next
 /// connection is accepted.
-pub(crate) async fn yield_to_closing_tasks() {
+pub async fn yield_to_closing_tasks() {
     let mut has_yielded = false;
     std::future::poll_fn(|cx| {
         if std::mem::replace(&mut has_yielded, true) {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -4,6 +4,7 @@
 //! Every program prints a line `listening <name> <ip:port>` on standard output for each listener,
 //! so that tests can let the system choose the ports.
 
+pub mod crowd;
 pub mod memory;
 pub mod proxy;
 pub mod raw;
