Results that grow in JSON are split truly, or listed as errored

The size of a result was estimated with a tenth for escaping. Texts of quotes, line feeds or control characters take up to six times their length, so that the object API refused the chunk as too large and the node wrote it again without end. The size is now counted with its escapes. A result that fits into no object by itself is listed as errored, without its text; others of its chunk are not affected. Log line "result too large".

--- a/crates/batch/src/job_store.rs
+++ b/crates/batch/src/job_store.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use deck_core::id::{OrganisationId, RequestId, Revision, VmId, WeightVersion};
-use deck_fleet::{BatchJob, BatchLimits, Item, ItemResult};
+use deck_fleet::{BatchJob, BatchLimits, Item, ItemOutcome, ItemResult};
 use deck_plat::{Object, Precondition, Store, StoreError};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
@@ -17,6 +17,8 @@
 /// Share of the maximum object size that items or results may use. The rest is reserved for the
 /// object's envelope.
 const MAX_FILL_PERCENT: usize = 80;
+/// Maximum size of what an object holds beside a single result.
+const MAX_ENVELOPE_BYTES: usize = 1024;
 /// Attempts of a write whose response is lost before its outcome is reported as unknown.
 const MAX_WRITE_ATTEMPTS: u32 = 3;
 
@@ -288,6 +290,20 @@
         results.iter().take_while(fits_in_chunk).count().max(1).min(results.len())
     }
 
+    /// Returns the result, or the result of an item that was given up if it does not fit into an
+    /// object.
+    pub fn storable_result(&self, result: &Rc<ItemResult>) -> Rc<ItemResult> {
+        if result.encoded_bytes() + MAX_ENVELOPE_BYTES <= self.max_object_bytes {
+            return result.clone();
+        }
+        Rc::new(ItemResult {
+            outcome: ItemOutcome::Failed,
+            text: String::new(),
+            score: None,
+            ..(**result).clone()
+        })
+    }
+
     /// Splits items into lists that fit into one object each.
     fn split_items(&self, items: &[Item]) -> Vec<Vec<Item>> {
         let max_bytes = self.max_object_bytes * MAX_FILL_PERCENT / 100;
--- a/crates/batch/src/publish.rs
+++ b/crates/batch/src/publish.rs
@@ -36,7 +36,8 @@
             return;
         }
         let result_batch: Vec<Rc<ItemResult>> = {
-            let unpublished_results = job.unpublished_results.borrow();
+            let mut unpublished_results = job.unpublished_results.borrow_mut();
+            give_up_unstorable_results(&runner, &job, &mut unpublished_results);
             unpublished_results[..runner.deps.job_store.max_chunk_len(&unpublished_results)]
                 .to_vec()
         };
@@ -68,6 +69,22 @@
     }
 }
 
+/// Replaces results that fit into no object, whose writes would be refused without end.
+fn give_up_unstorable_results(
+    runner: &RunnerState,
+    job: &Job,
+    unpublished_results: &mut [Rc<ItemResult>],
+) {
+    for result in unpublished_results {
+        let storable = runner.deps.job_store.storable_result(result);
+        if !Rc::ptr_eq(&storable, result) {
+            let (job, item, bytes) = (&job.id, &result.item, result.encoded_bytes());
+            log::warn!(target: "batch", "result too large job={job} item={item} bytes={bytes}");
+            *result = storable;
+        }
+    }
+}
+
 /// Waits for more results so that one write stores many. Ends early once the results complete the
 /// groups that the caller waits for.
 async fn wait_for_batch(runner: &RunnerState, job: &Job) {
--- a/crates/batch/tests/ledger.rs
+++ b/crates/batch/tests/ledger.rs
@@ -182,6 +182,38 @@
     assert_eq!(job_store.max_chunk_len(&[result("a", &"x".repeat(100_000))]), 1);
 }
 
+/// Guards against chunks that the object API refuses without end, as their texts grow when they are
+/// encoded: quotes, line feeds and other control characters.
+#[test]
+fn chunks_fit_when_their_texts_grow_in_json() {
+    let job_store = JobStore::new(MemoryObjects::default().store(), MAX_OBJECT_BYTES);
+    for character in ["x", "\"", "\n", "\u{1}", "\u{7f}", "\u{e4}"] {
+        let text = character.repeat(MAX_OBJECT_BYTES / 20);
+        let results: Vec<_> = (0..40).map(|index| result(&format!("i{index}"), &text)).collect();
+        let mut rest = &results[..];
+        while !rest.is_empty() {
+            let (chunk, others) = rest.split_at(job_store.max_chunk_len(rest));
+            let plain: Vec<_> = chunk.iter().map(|result| &**result).collect();
+            let bytes = serde_json::to_vec(&plain).expect("json").len();
+            assert!(bytes < MAX_OBJECT_BYTES, "{bytes} bytes of {character:?}");
+            rest = others;
+        }
+    }
+}
+
+/// Guards against a result that can never be stored and holds up its job: only the item whose own
+/// result does not fit is listed as errored.
+#[test]
+fn result_that_cannot_fit_is_listed_as_errored() {
+    let job_store = JobStore::new(MemoryObjects::default().store(), MAX_OBJECT_BYTES);
+    let large = result("large", &"\u{1}".repeat(MAX_OBJECT_BYTES / 4));
+    let listed = job_store.storable_result(&large);
+    assert_eq!(listed.outcome, ItemOutcome::Failed);
+    assert_eq!((listed.item.as_str(), listed.text.as_str()), ("large", ""));
+    let fitting = result("fitting", &"\u{1}".repeat(MAX_OBJECT_BYTES / 10));
+    assert_eq!(job_store.storable_result(&fitting), fitting);
+}
+
 /// Guards against accepting text of weight versions that are too old for a job.
 #[test]
 fn text_is_accepted_by_its_oldest_version() {
--- a/crates/fleet/src/protocol.rs
+++ b/crates/fleet/src/protocol.rs
@@ -221,14 +221,29 @@
 }
 
 impl ItemResult {
-    /// Estimates the size of the result in JSON, in bytes. Adds a tenth of the text length for
-    /// escaping, which is enough for usual texts.
+    /// Returns an upper bound of the size of the result in JSON, in bytes.
     pub fn encoded_bytes(&self) -> usize {
-        const OTHER_FIELDS_BYTES: usize = 256;
-        self.text.len() * 11 / 10 + OTHER_FIELDS_BYTES
+        const FIELD_NAMES_BYTES: usize = 96;
+        const MAX_VERSION_BYTES: usize = 21;
+        let score_bytes = self.score.as_deref().map_or(0, json_string_bytes);
+        FIELD_NAMES_BYTES
+            + json_string_bytes(&self.item)
+            + json_string_bytes(&self.text)
+            + self.versions.len() * MAX_VERSION_BYTES
+            + score_bytes
     }
 }
 
+/// Returns the size of a text as a JSON string, with its escapes and quotes.
+fn json_string_bytes(text: &str) -> usize {
+    let escaped_bytes = |byte: u8| match byte {
+        b'"' | b'\\' | b'\n' | b'\r' | b'\t' | 0x08 | 0x0c => 2,
+        0..=0x1f => 6,
+        _ => 1,
+    };
+    text.bytes().map(escaped_bytes).sum::<usize>() + 2
+}
+
 /// Page of the results of a batch job.
 #[derive(Debug, Clone, Copy)]
 pub struct ResultPage<'a> {
