Admin, trainer, weight, local and peer listeners bound their clients

Crowds at the admin address of deckentry, deckroll and deckweight were not bounded: bodies and heads were buffered without limit, and connections took all descriptors. The trainer and weight listeners allowed more connections than descriptors, and the listener for other entry VMs any number of connections without a handshake.

The admin endpoints are served like all others, with an account of 8 MiB, 32 connections and without reading bodies. Trainers and engines get half of the descriptors, the other daemons of the VM 32 connections; the one with the least progress gives way. Of more than 128 unfinished handshakes of entry VMs the oldest is closed. monoio-http is no longer used.

--- a/bins/deckroll/src/process.rs
+++ b/bins/deckroll/src/process.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use deck_core::CancellationToken;
-use deck_daemon::listen;
+use deck_daemon::{listen, max_client_connections};
 use deck_net::{Client, ClientOptions, ServerOptions, admin, runtime};
 use deck_obs::metrics::Metrics;
 use deck_peer::local::LocalStateClient;
@@ -14,6 +14,9 @@
 
 use deckroll::settings::Settings;
 
+/// Maximum number of connections of trainers.
+const MAX_TRAINER_CONNECTIONS: usize = 2000;
+
 /// Runs rollout jobs until a stop signal, then shuts down gracefully.
 ///
 /// # Errors
@@ -52,7 +55,11 @@
     let config = local_state.config();
     let job_manager = RolloutJobManager::new(dependencies, Rc::new(move || local_state.members()));
     let drain = CancellationToken::new();
-    let server_options = ServerOptions { max_connections: 2000, ..ServerOptions::default() };
+    let server_options = ServerOptions {
+        max_connections: max_client_connections(MAX_TRAINER_CONNECTIONS),
+        replaces_least_progress: true,
+        ..ServerOptions::default()
+    };
     let trainer_server = monoio::spawn(trainer_api::serve_trainers(
         trainer_listener,
         server_options,
--- a/bins/deckweight/src/process.rs
+++ b/bins/deckweight/src/process.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use deck_core::CancellationToken;
-use deck_daemon::listen;
+use deck_daemon::{listen, max_client_connections};
 use deck_net::{Client, ServerOptions, admin, runtime};
 use deck_obs::metrics::Metrics;
 use deck_peer::local::LocalStateClient;
@@ -16,6 +16,9 @@
 
 use deckweight::settings::{RelaySettings, Settings};
 
+/// Maximum number of connections of engines that fetch weights.
+const MAX_ENGINE_CONNECTIONS: usize = 10_000;
+
 /// Updates the weights of the pools that this VM owns until a stop signal, then releases the
 /// leases.
 pub async fn run(settings: Settings) -> std::io::Result<()> {
@@ -72,8 +75,12 @@
 ) -> std::io::Result<()> {
     let relay = WeightRelay::try_new(settings.options, client.clone())?;
     let listener = listen("weights", settings.address)?;
-    let server_options =
-        ServerOptions { head_timeout: Duration::from_secs(10), ..ServerOptions::default() };
+    let server_options = ServerOptions {
+        max_connections: max_client_connections(MAX_ENGINE_CONNECTIONS),
+        replaces_least_progress: true,
+        head_timeout: Duration::from_secs(10),
+        ..ServerOptions::default()
+    };
     let handler = move |request| {
         let relay = relay.clone();
         async move { relay.respond(request).await }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,9 +9,15 @@
 use bpaf::{OptionParser, Parser, construct, long};
 use deck_conf::ConfError;
 use monoio::net::TcpListener;
+use nix::sys::resource::{Resource, getrlimit};
 
 /// Exit code for invalid arguments or settings.
 const INVALID_SETTINGS_EXIT_CODE: u8 = 2;
+/// Descriptors that are not available for connections: files, listeners and pipes.
+const FILE_DESCRIPTORS: u64 = 50;
+/// Part of the remaining descriptors for the connections of clients. The rest is for the daemon's own
+/// calls and its other listeners.
+const CLIENT_FRACTION: f64 = 0.5;
 /// Width to which help and usage errors are wrapped.
 const HELP_WIDTH_COLUMNS: usize = 100;
 
@@ -118,3 +124,11 @@
     println!("listening {name} {}", listener.local_addr()?);
     Ok(listener)
 }
+
+/// Returns how many connections of clients the limit of open descriptors of this process allows; at
+/// most `limit`.
+pub fn max_client_connections(limit: usize) -> usize {
+    let Ok((descriptors, _)) = getrlimit(Resource::RLIMIT_NOFILE) else { return limit };
+    let available = descriptors.saturating_sub(FILE_DESCRIPTORS) as f64;
+    ((available * CLIENT_FRACTION) as usize).clamp(1, limit)
+}
--- a/crates/net/src/admin.rs
+++ b/crates/net/src/admin.rs
@@ -1,27 +1,23 @@
 //! Admin endpoints of a daemon: `/livez`, `/readyz` and `/metrics`.
-//!
-//! They are served by `monoio-http`, since requests have no body and responses are small and not
-//! streamed.
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use deck_core::CancellationToken;
 use deck_obs::metrics::Metrics;
-use monoio::{
-    io::{Splitable, sink::SinkExt, stream::Stream},
-    net::{TcpListener, TcpStream},
-};
-use monoio_http::{
-    common::{request::Request, response::Response},
-    h1::{
-        codec::{decoder::RequestDecoder, encoder::GenericEncoder},
-        payload::{FixedPayload, Payload},
-    },
-};
+use http::Response;
+use monoio::net::TcpListener;
+
+use crate::{Account, Body, LedgerLimits, ServerOptions, server::text_response};
 
 /// Time without a request after which an admin connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Maximum number of connections. The one with the least progress is closed for a further one.
+const MAX_CONNECTIONS: usize = 32;
+/// Maximum size of a request head.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Memory for request heads and unread answers, and the part of it for small ones.
+const CAPACITY_BYTES: usize = 8 * 1024 * 1024;
+const RESERVED_BYTES: usize = 1024 * 1024;
 
 /// Readiness of a daemon, as reported by `/readyz`; clones share it.
 #[derive(Debug, Clone)]
@@ -52,51 +48,36 @@
     }
 }
 
-/// Serves the admin endpoints until `cancel` is cancelled.
+/// Serves the admin endpoints until `cancel` is cancelled. Bodies of requests are not read.
 pub async fn serve(
     listener: TcpListener,
     metrics: Metrics,
     readiness: Readiness,
     cancel: CancellationToken,
 ) {
-    while let Some(accepted) = cancel.run_until_cancelled(listener.accept()).await {
-        let Ok((stream, _)) = accepted else {
-            monoio::time::sleep(Duration::from_millis(50)).await;
-            continue;
-        };
-        let (metrics, readiness, cancel) = (metrics.clone(), readiness.clone(), cancel.clone());
-        monoio::spawn(async move {
-            cancel.run_until_cancelled(serve_connection(stream, metrics, readiness)).await;
-        });
-    }
-}
-
-async fn serve_connection(stream: TcpStream, metrics: Metrics, readiness: Readiness) {
-    let (reader, writer) = stream.into_split();
-    let mut requests = RequestDecoder::new(reader);
-    let mut responses = GenericEncoder::new(writer);
-    while let Ok(Some(Ok(request))) = monoio::time::timeout(IDLE_TIMEOUT, requests.next()).await {
-        let response = respond(&request, &metrics, &readiness);
-        if responses.send_and_flush(response).await.is_err() {
-            return;
-        }
-    }
+    let limits = LedgerLimits { capacity_bytes: CAPACITY_BYTES, reserved_bytes: RESERVED_BYTES };
+    let options = ServerOptions {
+        max_head_bytes: MAX_HEAD_BYTES,
+        max_connections: MAX_CONNECTIONS,
+        replaces_least_progress: true,
+        head_timeout: IDLE_TIMEOUT,
+        account: Account::new(limits),
+        ..ServerOptions::default()
+    };
+    let serving = crate::serve(listener, options, cancel.clone(), move |request| {
+        std::future::ready(respond(request.uri().path(), &metrics, &readiness))
+    });
+    cancel.run_until_cancelled(serving).await;
 }
 
-fn respond(request: &Request, metrics: &Metrics, readiness: &Readiness) -> Response {
-    let (status, text) = match request.uri().path() {
-        "/livez" => (200, "ok\n".to_owned()),
+fn respond(path: &str, metrics: &Metrics, readiness: &Readiness) -> Response<Body> {
+    match path {
+        "/livez" => text_response(200, "ok\n"),
         "/readyz" => match readiness.not_ready_reason() {
-            None => (200, "ok\n".to_owned()),
-            Some(reason) => (503, format!("{reason}\n")),
+            None => text_response(200, "ok\n"),
+            Some(reason) => text_response(503, &format!("{reason}\n")),
         },
-        "/metrics" => (200, metrics.render()),
-        _ => (404, "not found\n".to_owned()),
-    };
-    let payload = Payload::Fixed(FixedPayload::new(Bytes::from(text)));
-    let mut response = Response::new(payload);
-    *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::OK);
-    let content_type = http::HeaderValue::from_static("text/plain; charset=utf-8");
-    response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
-    response
+        "/metrics" => text_response(200, &metrics.render()),
+        _ => text_response(404, "not found\n"),
+    }
 }
--- a/crates/peer/src/local.rs
+++ b/crates/peer/src/local.rs
@@ -25,6 +25,9 @@
 /// Initial and maximum backoff between attempts to reconnect to the local `deckentry`.
 const RECONNECT_BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 
+/// Maximum number of connections of the other daemons of this VM.
+const MAX_CONNECTIONS: usize = 32;
+
 /// Serves the local interface on `listener` until `shutdown` is cancelled.
 pub async fn serve_local_state(
     listener: TcpListener,
@@ -46,7 +49,12 @@
             response
         }
     };
-    deck_net::serve(listener, ServerOptions::default(), shutdown, handler).await;
+    let options = ServerOptions {
+        max_connections: MAX_CONNECTIONS,
+        replaces_least_progress: true,
+        ..ServerOptions::default()
+    };
+    deck_net::serve(listener, options, shutdown, handler).await;
 }
 
 /// Sends the current state and then every change, until the client disconnects.
--- a/crates/peer/src/membership.rs
+++ b/crates/peer/src/membership.rs
@@ -1,10 +1,15 @@
 //! Accepts connections, keeps links to the selected partners open, and contacts VMs that this VM is
 //! not connected to, so that it joins the deployment.
 
-use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
-use deck_core::id::VmId;
-use deck_net::Client;
+use deck_core::{CancellationToken, id::VmId};
+use deck_net::{Client, server::yield_to_closing_tasks};
 use deck_plat::vmlist;
 use monoio::net::{TcpListener, TcpStream};
 use rand::seq::IndexedRandom;
@@ -19,6 +24,8 @@
     wire::ConnectionPurpose,
 };
 
+/// Maximum number of incoming connections whose handshakes are not complete.
+const MAX_HANDSHAKES: usize = 128;
 /// Time between two checks whether links have to be opened or closed; a changed member causes an
 /// earlier check.
 const LINK_CHECK_PERIOD: Duration = Duration::from_secs(1);
@@ -35,12 +42,24 @@
 /// 330 members this costs about 16 KB of summaries.
 const ROUNDS_PER_RECONCILIATION: u64 = 60;
 
-/// Accepts incoming connections from other VMs.
+/// Accepts incoming connections from other VMs. Of more than `MAX_HANDSHAKES` connections whose
+/// handshakes are not complete, the oldest is closed.
 pub(crate) async fn accept(shared: Rc<SharedState>, listener: TcpListener) {
+    let mut handshakes: VecDeque<CancellationToken> = VecDeque::new();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                monoio::spawn(accept_connection(shared.clone(), stream));
+                handshakes.retain(|handshake| !handshake.is_cancelled());
+                let is_full = handshakes.len() >= MAX_HANDSHAKES;
+                if is_full && let Some(oldest) = handshakes.pop_front() {
+                    oldest.cancel();
+                }
+                let handshake = CancellationToken::new();
+                handshakes.push_back(handshake.clone());
+                monoio::spawn(accept_connection(shared.clone(), stream, handshake));
+                if is_full {
+                    yield_to_closing_tasks().await;
+                }
             }
             Err(error) => {
                 log::warn!(target: "peer", "accept failed error={error}");
@@ -51,8 +70,17 @@
 }
 
 /// Performs the handshakes on an incoming connection and serves it as a link or direct connection.
-async fn accept_connection(shared: Rc<SharedState>, stream: TcpStream) {
-    let accepted = shared.cancel.run_until_cancelled(connection::accept(&shared, stream)).await;
+/// `handshake` is cancelled to close the connection before its handshakes are complete, and at their
+/// end.
+async fn accept_connection(
+    shared: Rc<SharedState>,
+    stream: TcpStream,
+    handshake: CancellationToken,
+) {
+    let accepted = connection::accept(&shared, stream);
+    let accepted = handshake.run_until_cancelled(accepted);
+    let accepted = shared.cancel.run_until_cancelled(accepted).await.flatten();
+    handshake.cancel();
     let connection = match accepted {
         Some(Ok(connection)) => connection,
         Some(Err(error)) => {
