Lease: decisions apart from effects, and their exhaustive exploration

When a candidate may acquire a lease, what a renewal is, whether a conflict is with an own earlier renewal, and how long a lease is valid were spread over the calls on the object API, so that only tests with processes reached them. They are functions of lease_decision now, without clock and network; lease.rs calls them. No change of behaviour.

The test drives these functions through all orders of a few events for two VMs: passing time, polls, renewals, and up to two faults of: failed or stale read, write without an answer that is executed at once, later or never, restart under the same name, release. A holder that does nothing is frozen or cut off and may return at any time.

Invariants: at most one holder is valid; each acquisition has a higher fencing number; the previous holder is not valid after the time that the next one knows.

Not explored: orders to targets under a lease, and the wait before them where fences are not checked.

--- a/crates/plat/src/lease.rs
+++ b/crates/plat/src/lease.rs
@@ -20,7 +20,12 @@
     object::{Envelope, LEASE_KIND, LeaseRecord},
 };
 
-use crate::{Object, Precondition, Store, StoreError};
+use crate::{
+    Object, Precondition, Store, StoreError,
+    lease_decision::{
+        Acquisition, LeaseObserver, is_own_acquisition, is_valid_after, renewal_of, valid_time,
+    },
+};
 
 /// Returns how often the candidate with the given rank, 0 being the best, checks whether the lease
 /// can be acquired; `None` if it does not check at all.
@@ -66,18 +71,7 @@
     options: LeaseOptions,
     /// Returns the current duration, which replaces the fixed duration of the options.
     duration_source: Option<Rc<dyn Fn() -> Duration>>,
-    /// Last state of the lease that was read.
-    last_observation: Option<Observation>,
-    /// Time of the first successful read since the object API last failed.
-    api_available_since: Option<Instant>,
-}
-
-/// State of a lease as last read by a candidate.
-struct Observation {
-    revision: Revision,
-    record: LeaseRecord,
-    /// When this revision was read for the first time.
-    first_seen: Instant,
+    observer: LeaseObserver,
 }
 
 /// Lease that is held by this process.
@@ -114,12 +108,10 @@
 
     /// Returns whether the holder may act under the lease; check it right before each action.
     ///
-    /// The lease is valid for two thirds of its duration from the start of the last successful
-    /// renewal, the time counted for which the VM is suspended. The last third covers the time between
-    /// this check and the effect of the action.
+    /// See [`is_valid_after`].
     pub fn is_valid(&self) -> bool {
         !self.invalidated.is_cancelled()
-            && self.last_write_start.get().elapsed() < self.published_duration.get() * 2 / 3
+            && is_valid_after(self.last_write_start.get().elapsed(), self.published_duration.get())
     }
 
     /// Invalidates the lease on this VM, for example after a target has seen a higher fencing
@@ -163,16 +155,8 @@
         options: LeaseOptions,
     ) -> Self {
         let (name, address) = (name.into(), address.into());
-        Self {
-            store,
-            name,
-            holder,
-            address,
-            options,
-            duration_source: None,
-            last_observation: None,
-            api_available_since: None,
-        }
+        let observer = LeaseObserver::new(holder.clone(), options.reclaim_own);
+        Self { store, name, holder, address, options, duration_source: None, observer }
     }
 
     /// Reads the duration of the lease from a function; a change takes effect with the next write.
@@ -194,21 +178,16 @@
         let current = match self.store.get_stale(LEASE_KIND, &self.name).await {
             Ok(current) => current,
             Err(error) => {
-                self.api_available_since = None;
+                self.observer.on_read_failed();
                 return AcquireResult::Failed(self, error);
             }
         };
-        self.api_available_since.get_or_insert_with(Instant::now);
-        let (condition, fencing, previous_record) = match current {
-            None => (Precondition::Absent, 1, None),
-            Some(object) => match self.observe(object) {
-                (revision, record) if self.is_available(&record) => {
-                    let fencing = record.fencing.saturating_add(1);
-                    (Precondition::Revision(revision), fencing, Some(record))
-                }
-                (_, record) => return AcquireResult::HeldElsewhere(self, record),
-            },
-        };
+        let current = current.map(|object| (object.revision, self.decode(&object)));
+        let Acquisition { condition, fencing, previous } =
+            match self.observer.on_read(current, Instant::now()) {
+                Ok(acquisition) => acquisition,
+                Err(record) => return AcquireResult::HeldElsewhere(self, record),
+            };
         let duration = self.duration();
         let record = LeaseRecord {
             holder: self.holder.clone(),
@@ -219,13 +198,12 @@
             nonce: deck_core::id::random_id(),
         };
         let write_started = BootInstant::now();
-        let first_seen = self.last_observation.as_ref().map(|observation| observation.first_seen);
         match self.write_record(condition, &record).await {
             Ok(revision) => AcquireResult::Held(HeldLease {
                 candidate: self,
                 record,
                 revision,
-                previous_lease: previous_record.zip(first_seen),
+                previous_lease: previous,
                 last_write_start: Rc::new(Cell::new(write_started)),
                 published_duration: Rc::new(Cell::new(duration)),
                 invalidated: CancellationToken::new(),
@@ -234,24 +212,12 @@
         }
     }
 
-    /// Decodes a lease that was read, and records when its revision was read for the first time.
-    fn observe(&mut self, object: Object) -> (Revision, LeaseRecord) {
-        let record = parse_record(&object).unwrap_or_else(|error| {
+    /// Decodes a lease that was read.
+    fn decode(&self, object: &Object) -> LeaseRecord {
+        parse_record(object).unwrap_or_else(|error| {
             log::warn!(target: "lease", "undecodable lease={} revision={} error={error}", self.name, object.revision);
             self.record_of_unknown_holder(object.revision)
-        });
-        let is_same_revision = self
-            .last_observation
-            .as_ref()
-            .is_some_and(|observation| observation.revision == object.revision);
-        if !is_same_revision {
-            self.last_observation = Some(Observation {
-                revision: object.revision,
-                record: record.clone(),
-                first_seen: Instant::now(),
-            });
-        }
-        (object.revision, record)
+        })
     }
 
     /// Returns the record that stands for an undecodable one with this revision. Its holder may still
@@ -270,24 +236,6 @@
         }
     }
 
-    /// Returns whether the lease was released or has expired.
-    ///
-    /// During an outage of the object API no holder can renew its lease. If the outage alone
-    /// counted as missed renewals, all leases would change holders when it ends. A lease therefore
-    /// expires only after the API has been available for half of the duration, in which a live
-    /// holder retries several times.
-    fn is_available(&self, record: &LeaseRecord) -> bool {
-        let has_expired = |observation: &Observation| {
-            let duration = Duration::from_millis(observation.record.duration_ms);
-            let had_time_to_renew =
-                self.api_available_since.is_some_and(|since| since.elapsed() >= duration / 2);
-            had_time_to_renew && observation.first_seen.elapsed() >= duration
-        };
-        record.holder.is_empty()
-            || (self.options.reclaim_own && record.holder == self.holder)
-            || self.last_observation.as_ref().is_some_and(has_expired)
-    }
-
     /// Writes a record; if the response is lost, determines whether the write took effect.
     async fn write_record(
         &self,
@@ -321,7 +269,7 @@
     /// thirds of the duration from then on, see [`LeaseToken::is_valid`].
     pub fn previous_valid_until(&self) -> Option<Instant> {
         let (record, first_seen) = self.unreleased_previous_lease()?;
-        Some(*first_seen + Duration::from_millis(record.duration_ms) * 2 / 3)
+        Some(*first_seen + valid_time(Duration::from_millis(record.duration_ms)))
     }
 
     /// Returns the previous lease unless its holder released it, which leaves an empty holder.
@@ -408,7 +356,7 @@
         };
         // An undecodable record is another writer's.
         let Ok(record) = parse_record(&object) else { return Ok(false) };
-        let is_own = record.nonce == self.record.nonce && !record.holder.is_empty();
+        let is_own = is_own_acquisition(&record, &self.record);
         if is_own {
             self.revision = object.revision;
             self.record = record;
@@ -417,10 +365,8 @@
     }
 
     async fn write_renewal(&mut self) -> Result<(), StoreError> {
-        let mut record = self.record.clone();
-        record.renewal += 1;
         let duration = self.candidate.duration();
-        record.duration_ms = duration.as_millis() as u64;
+        let record = renewal_of(&self.record, duration);
         // The write may take effect even if its response is lost.
         self.published_duration.set(self.published_duration.get().min(duration));
         let write_started = BootInstant::now();
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod backoff;
 pub mod http_api;
 pub mod lease;
+pub mod lease_decision;
 pub mod metered;
 pub mod raw_json;
 pub mod relay;
