fleet: the refusal of a configuration is logged at most once in ten seconds

Cause: a configuration that cannot be decoded was logged each time it was read, with a bound on the withdrawal of keys several times a second by each watcher.

Change: the same error is logged again after 10 s at the earliest.

Test: a refused configuration leaves the one before in force on a watcher and its reader, and a later one replaces it. The interval of the log line has no test.

--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -89,9 +89,27 @@
     /// Name of the object that holds the configuration, and its revision and the version in it when it
     /// was last applied.
     applied_object: RefCell<Option<(String, Revision, ConfigurationVersion)>>,
+    /// Error of the last refused configuration, and when it was logged.
+    refusal: RefCell<Option<(String, Instant)>>,
 }
 
+/// Minimum time between two log lines about the same refusal of a configuration, which is read again
+/// several times a second.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 impl Freshness {
+    /// Returns whether the refusal of a configuration is to be logged.
+    fn should_log_refusal(&self, error: &str, now: Instant) -> bool {
+        let mut refusal = self.refusal.borrow_mut();
+        let is_logged = refusal.as_ref().is_some_and(|(logged, at)| {
+            logged == error && now.saturating_duration_since(*at) < REFUSAL_LOG_INTERVAL
+        });
+        if !is_logged {
+            *refusal = Some((error.to_owned(), now));
+        }
+        !is_logged
+    }
+
     /// Returns the age of the least recent of the kinds; `None` if one was never listed.
     pub(crate) fn age(&self, kinds: &[&'static str], now: Instant) -> Option<Duration> {
         let up_to_date_at = self.up_to_date_at.borrow();
@@ -165,7 +183,9 @@
                 Some(version)
             }
             Err(error) => {
-                log::error!(target: "fleet", "configuration could not be decoded error={error}");
+                if self.freshness.should_log_refusal(&error, Instant::now()) {
+                    log::error!(target: "fleet", "configuration could not be decoded error={error}");
+                }
                 None
             }
         }
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -121,6 +121,38 @@
     deck_net::runtime::run(test).expect("runtime");
 }
 
+/// A configuration that is refused must leave the one before in force on all nodes, and a later one
+/// must replace it.
+#[test]
+fn refused_configuration_leaves_the_one_before_in_force() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let objects = MemoryObjects::default();
+        common::write(&objects, KINDS.configuration, "main", 1).await;
+        let (watcher, node) = (start_node(&objects, &cancel), start_node(&objects, &cancel));
+        let ranked = vec![watcher.address, node.address];
+        for member in [&watcher, &node] {
+            member.feed.set_ranked_nodes(ranked.clone());
+            spawn_feed_task(member, &cancel);
+        }
+        wait_for_configuration(&node, 1).await;
+        let store = objects.store();
+        let object = store.get(KINDS.configuration, "main").await.expect("get").expect("object");
+        let condition = Precondition::Revision(object.revision);
+        let refused = json!({ "version": "2" });
+        store.put(KINDS.configuration, "main", condition, &refused).await.expect("write");
+        monoio::time::sleep(Duration::from_millis(500)).await;
+        for member in [&watcher, &node] {
+            let configuration = member.view.configuration().expect("configuration");
+            assert_eq!(configuration.version, 1);
+        }
+        common::write(&objects, KINDS.configuration, "main", 3).await;
+        wait_for_configuration(&node, 3).await;
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
 /// Crash reports must reach all nodes, and must disappear from them when the reporting node removes
 /// them.
 #[test]
