Test heads without an end with a crowd that can exceed the memory

The test of heads of many short fields passed before there was an account, and was not shown able to fail.

--- a/bins/decknode/tests/misbehaving_clients.rs
+++ b/bins/decknode/tests/misbehaving_clients.rs
@@ -317,6 +317,15 @@
     });
 }
 
+/// Guards against heads of very many short fields that never end.
+#[test]
+fn heads_without_an_end_stay_within_memory() {
+    let fields: String = (0..100_000).map(|index| format!("{index:x}:\r\n")).collect();
+    run_crowd(BODY_CLIENTS, usize::MAX, Duration::ZERO, |place, _| {
+        head(place, &fields).into_bytes()
+    });
+}
+
 /// Guards against bodies of legal size that take far more memory when they are decoded.
 #[test]
 fn bodies_of_many_short_fields_stay_within_memory() {
