--- a/crates/swap/tests/orders.rs
+++ b/crates/swap/tests/orders.rs
@@ -72,11 +72,28 @@
     deck_net::runtime::run(test).expect("runtime");
 }
 
+/// Lists an engine with an old version in `view`.
+fn list_engine(view: &FleetView, address: SocketAddr) {
+    let target = Target {
+        id: "e0".to_owned(),
+        service: "s".to_owned(),
+        address,
+        data_centre: "a".to_owned(),
+        state: TargetState::Ready,
+        slots: 8,
+        software_version: None,
+        models: vec![("m".to_owned(), 1)],
+        started_at_ms: 1,
+        lifetime: Default::default(),
+    };
+    view.set_targets(vec![target], Instant::now());
+}
+
 /// Starts an engine with an old version that has seen a later fencing number, and lists it in `view`.
 /// Returns the number of orders that it has refused.
 fn start_engine(view: &FleetView, cancel: &CancellationToken) -> Rc<Cell<usize>> {
     let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
-    let address = listener.local_addr().expect("address");
+    list_engine(view, listener.local_addr().expect("address"));
     let orders = Rc::new(Cell::new(0));
     let received = orders.clone();
     let serve = move |request: http::Request<hyper::body::Incoming>| {
@@ -90,19 +107,6 @@
         async move { response.expect("response") }
     };
     monoio::spawn(deck_net::serve(listener, Default::default(), cancel.clone(), serve));
-    let target = Target {
-        id: "e0".to_owned(),
-        service: "s".to_owned(),
-        address,
-        data_centre: "a".to_owned(),
-        state: TargetState::Ready,
-        slots: 8,
-        software_version: None,
-        models: vec![("m".to_owned(), 1)],
-        started_at_ms: 1,
-        lifetime: Default::default(),
-    };
-    view.set_targets(vec![target], Instant::now());
     orders
 }
 
@@ -144,3 +148,47 @@
     };
     deck_net::runtime::run(test).expect("runtime");
 }
+
+/// Another leader has ordered an engine to load weights since this one did. The count of orders that
+/// this leader remembers is refused, and it must read the present one instead of repeating its own.
+#[test]
+fn leader_reads_the_number_of_orders_again_after_a_refusal() {
+    let test = async {
+        let (cancel, view) = (CancellationToken::new(), view());
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+        list_engine(&view, listener.local_addr().expect("address"));
+        let accepted_orders = Rc::new(Cell::new(0_u64));
+        let engine_orders = accepted_orders.clone();
+        let serve = move |request: http::Request<hyper::body::Incoming>| {
+            let accepted_orders = engine_orders.clone();
+            async move {
+                let is_order = *request.method() == Method::POST;
+                let body = deck_net::server::read_body(request.into_body(), 1024).await;
+                let known = accepted_orders.get();
+                let report = format!(
+                    r#"{{"Models": [{{"Name": "m", "Version": 1}}], "Busy": false, "Seq": {known}}}"#
+                );
+                let body = String::from_utf8_lossy(&body.expect("body")).into_owned();
+                let status = match is_order {
+                    false => 200,
+                    true if body.contains(&format!(r#""Expect":{known}"#)) => 202,
+                    true => 409,
+                };
+                if status == 202 {
+                    accepted_orders.set(known + 1);
+                }
+                Response::builder().status(status).body(Body::full(report)).expect("response")
+            }
+        };
+        monoio::spawn(deck_net::serve(listener, Default::default(), cancel.clone(), serve));
+        view.set_published_version("m".to_owned(), 2);
+        let held = acquire_lease(Duration::from_secs(600)).await;
+        let (updater, token, stop) = (weight_updater(&view), held.token(), cancel.clone());
+        monoio::spawn(async move { updater.run(token, Instant::now(), stop).await });
+        eventually("an order is accepted", async || accepted_orders.get() == 1).await;
+        accepted_orders.set(7);
+        eventually("a later order is accepted", async || accepted_orders.get() == 8).await;
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
