fleet: fetch the versions of the engines as soon as they are needed

A node that runs no jobs polls its watcher for targets without weight versions. The watcher holds a poll for up to 0.5 s while nothing changes, and the node asked for the versions only in the next one.

Ruled out: polling with the versions always. Hundreds of nodes would get each change of a version, which only runners need.

Change: a poll without versions is given up when the node begins to need them, and the next one asks for them at once.

versions_are_fetched_at_once_when_they_are_needed failed before: the version was not known within 60 s of a poll that lasts 300 s.

--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -13,6 +13,7 @@
     cell::{Cell, RefCell},
     convert::Infallible,
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -646,7 +647,11 @@
                 .filter(|(sent_by, position)| *sent_by == node && self.is_unchanged_since(position))
                 .map(|(_, position)| position);
             let (sent_at, boot_sent_at) = (Instant::now(), BootInstant::now());
-            match self.fetch_page(node, position.as_ref(), content).await {
+            let Some(fetched) = self.fetch_required_page(node, position.as_ref(), content).await
+            else {
+                continue;
+            };
+            match fetched {
                 Ok(page) => {
                     let (age, targets_age) = (page.age(), page.targets_age());
                     let configuration_version = page.configuration_version;
@@ -680,6 +685,26 @@
         failure
     }
 
+    /// Fetches a page, or returns `None` once this node needs the weight versions and the page would be
+    /// without them. A watcher holds a poll until there is a change; a node that takes jobs over cannot
+    /// dispatch any item until it has the versions.
+    async fn fetch_required_page(
+        &self,
+        node: SocketAddr,
+        position: Option<&FeedPosition>,
+        content: TargetContent,
+    ) -> Option<Result<FeedPage, NetError>> {
+        let fetch = self.fetch_page(node, position, content);
+        if content == TargetContent::WithVersions {
+            return Some(fetch.await);
+        }
+        let versions_needed = self.inner.follower.view.versions_needed();
+        match select(pin!(fetch), pin!(versions_needed)).await {
+            Either::Left((fetched, _)) => Some(fetched),
+            Either::Right(_) => None,
+        }
+    }
+
     /// Returns the target content that this node needs.
     fn required_content(&self) -> TargetContent {
         let own_address = self.inner.own_address;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -15,7 +15,7 @@
     object::{self, FencingCheck, PoolType, TargetPool},
 };
 use deck_route::Router;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     Configuration, ConfigurationCurrency, KnownVersions, Target, TargetLimits, TargetState,
@@ -56,6 +56,8 @@
     routing_log: RefCell<TargetChangeLog>,
     /// When the weight versions of the engines were last needed.
     versions_requested_at: Cell<Option<Instant>>,
+    /// Notified when weight versions are needed that were not needed before.
+    versions_needed: Notify,
     /// Target processes that announced in a response that they are leaving.
     leaving: RefCell<HashMap<TargetId, LeavingProcess>>,
     /// Request rates that targets have named in their responses.
@@ -145,6 +147,7 @@
             target_log: RefCell::default(),
             routing_log: RefCell::default(),
             versions_requested_at: Cell::new(None),
+            versions_needed: Notify::new(),
             leaving: RefCell::default(),
             limits: TargetLimits::default(),
             published_versions: RefCell::default(),
@@ -266,7 +269,17 @@
 
     /// Records that this node needs the weight versions of the engines.
     pub fn request_versions(&self, now: Instant) {
+        let is_new = !self.needs_versions(now);
         self.inner.versions_requested_at.set(Some(now));
+        if is_new {
+            self.inner.versions_needed.notify_waiters();
+        }
+    }
+
+    /// Waits until weight versions are needed that were not needed before. Misses a request that was
+    /// made before the first poll of the future.
+    pub(crate) async fn versions_needed(&self) {
+        self.inner.versions_needed.notified().await;
     }
 
     /// Returns whether this node recently needed the weight versions of the engines.
--- a/crates/fleet/tests/feed.rs
+++ b/crates/fleet/tests/feed.rs
@@ -337,6 +337,38 @@
     deck_net::runtime::run(test).expect("runtime");
 }
 
+/// Pattern: a node that runs no jobs takes one over while its watcher holds a poll, as nothing changes.
+/// Guards against items that are dispatched only after that poll, as the versions of the engines are
+/// not known before.
+#[test]
+fn versions_are_fetched_at_once_when_they_are_needed() {
+    let test = async {
+        let cancel = CancellationToken::new();
+        let (watcher_objects, node_objects) = (MemoryObjects::default(), MemoryObjects::default());
+        common::write(&watcher_objects, KINDS.configuration, "main", 1).await;
+        common::write(&watcher_objects, KINDS.targets, "t", 1).await;
+        let poll_timeout = Duration::from_secs(300);
+        let start = |objects| {
+            start_node_with(objects, &cancel, FleetFeedOptions { poll_timeout, ..options() })
+        };
+        let (watcher, node) = (start(&watcher_objects), start(&node_objects));
+        for member in [&watcher, &node] {
+            member.feed.set_ranked_nodes(vec![watcher.address, node.address]);
+            spawn_feed_task(member, &cancel);
+        }
+        eventually("the target is known", async || node.view.target("t").is_some()).await;
+        // By then the watcher holds the next poll.
+        monoio::time::sleep(Duration::from_millis(500)).await;
+        eventually("the version is known", async || {
+            node.view.request_versions(Instant::now());
+            node.view.target("t").is_some_and(|target| target.version("m") == Some(1))
+        })
+        .await;
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
+
 /// After a restart of the fleet, hundreds of nodes fetch the list of thousands of targets at once
 /// and saturate their watcher's link. With a fixed timeout for the whole list, each transfer would
 /// be aborted and restarted, so that none ever completes. A stalled transfer must still fail.
