Red test: status of objects after a VM was paused

The test was written while the cause of the red test malformed_object_is_reported_and_never_in_force was looked for: a VM that counts as dead for longer than the values are kept loses its report at the others.

--- a/crates/peer/tests/membership.rs
+++ b/crates/peer/tests/membership.rs
@@ -196,3 +196,30 @@
         frozen.thread.join().expect("thread ends");
     });
 }
+
+/// Guards against a status that still states the VMs without a paused one long after it is live again.
+#[test]
+fn status_counts_a_vm_that_is_live_again() {
+    run(async {
+        let cluster = Cluster::default();
+        cluster.store.put(pool_kind(), "ranks", pool(1));
+        let nodes = cluster.start_data_centre("a", 3).await;
+        let endpoint = cluster.store.open_endpoint(&nodes[0].cancel);
+        let frozen =
+            start_freezable_node(nodes.iter().map(|node| node.address).collect(), endpoint.address);
+        let in_force = || {
+            let (_, value) = cluster.store.get("TargetPoolStatus", "ranks")?;
+            let count = |field: &str| value["spec"][field].as_u64();
+            Some((count("in_force_vms")?, count("live_vms")?))
+        };
+        eventually("all have it in force", async || in_force() == Some((4, 4))).await;
+        frozen.freeze_sender.send(Duration::from_secs(4)).expect("thread runs");
+        eventually("dead while it is frozen", async || in_force() == Some((3, 3))).await;
+        let all_nodes_report_live =
+            || nodes.iter().all(|node| node.state_of("frozen") == Some(MemberState::Live));
+        eventually("live again", async || all_nodes_report_live()).await;
+        eventually("all have it in force again", async || in_force() == Some((4, 4))).await;
+        frozen.stop_sender.send(()).expect("thread runs");
+        frozen.thread.join().expect("thread ends");
+    });
+}
