testkit: one exhaustive search for the explorations of states

The breadth-first search with its path to a broken invariant stood in the tests of the reporter of use and of the lease. It is now deck_testkit::exploration; the worlds implement its trait. Events, invariants, limits of states and assertions are as before; both explorations pass.

--- a/crates/duty/tests/exploration.rs
+++ b/crates/duty/tests/exploration.rs
@@ -6,17 +6,13 @@
 //! call. A call can fail, lose its answer or be executed late, and a question can get no answer.
 //! At most one takeover or restart happens, and two faults, of which it is one.
 
-use std::{
-    collections::{BTreeMap, HashSet, VecDeque},
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use deck_core::hash::hash64;
 use deck_duty::usage::{
     NodeAnswer, ReporterOptions, SendOutcome, Situation, SourceCounts, Step, StoredReports,
     UsageLedger, UsageReporter, WindowNumber,
 };
+use deck_testkit::exploration::{ExploredState, explore};
 
 const WINDOW: Duration = Duration::from_secs(20);
 const THE_WINDOW: WindowNumber = 100;
@@ -125,76 +121,6 @@
         reporter.next_step(&Situation { now, nodes: &nodes, may_send: true, ledger_version })
     }
 
-    /// Returns the events that may come next.
-    fn events(&self) -> Vec<Event> {
-        let mut events = Vec::new();
-        if self.instant + 1 < INSTANTS_MS.len() {
-            events.push(Event::Tick);
-        }
-        events.extend((0..2).filter(|node| self.is_open[*node]).map(Event::RequestEnds));
-        for holder in 0..self.holders.len() {
-            let ends: &[CallEnd] = match self.next_step(holder) {
-                Step::Wait(_) | Step::Stop => continue,
-                Step::Ask { .. } => &[CallEnd::Answered],
-                Step::Load | Step::Close(_) | Step::Copy | Step::Send(_) => {
-                    &[CallEnd::Answered, CallEnd::Unanswered]
-                }
-            };
-            let is_fault = |end: &&CallEnd| **end != CallEnd::Answered;
-            let ends = ends.iter().filter(|end| self.faults_left > 0 || !is_fault(end));
-            events.extend(ends.map(|end| Event::Step(holder, *end, true)));
-            if matches!(self.next_step(holder), Step::Ask { .. }) && self.faults_left > 0 {
-                events.push(Event::Step(holder, CallEnd::Answered, false));
-            }
-        }
-        if self.holders.iter().all(|it| it.fence < MAX_LEASES) && self.faults_left > 0 {
-            events.extend([Event::Takeover, Event::Restart]);
-        }
-        events.extend(self.late_write.is_some().then_some(Event::LateWrite));
-        events.extend(self.late_report.is_some().then_some(Event::LateReport));
-        events
-    }
-
-    /// Returns the state after an event.
-    fn after(&self, event: Event) -> Self {
-        let mut world = self.clone();
-        match event {
-            Event::Tick => world.instant += 1,
-            Event::RequestEnds(node) => {
-                world.is_open[node] = false;
-                let source = node as u64;
-                world.ledgers[node].add(THE_WINDOW, source, "o");
-            }
-            Event::Step(holder, end, is_other_heard) => {
-                if end != CallEnd::Answered || !is_other_heard {
-                    world.use_fault();
-                }
-                world.act(holder, end, is_other_heard);
-            }
-            Event::Takeover | Event::Restart => {
-                world.use_fault();
-                let Holder { node, fence, .. } = *world.holders.last().expect("a holder");
-                if matches!(event, Event::Restart) {
-                    world.holders.pop();
-                    world.ledgers[node] = UsageLedger::default();
-                    world.is_open[node] = false;
-                    world.holders.push(new_holder(node, fence + 1));
-                } else {
-                    world.holders.push(new_holder(1 - node, fence + 1));
-                }
-            }
-            Event::LateWrite => {
-                let (reports, condition) = world.late_write.take().expect("a write");
-                world.write(reports, condition);
-            }
-            Event::LateReport => {
-                let (fence, counts) = world.late_report.take().expect("a report");
-                world.report(fence, counts);
-            }
-        }
-        world
-    }
-
     fn use_fault(&mut self) {
         self.faults_left -= 1;
         self.has_fault = true;
@@ -299,36 +225,81 @@
     }
 }
 
-/// Visits all states, nearest first. Panics with the events that lead to a broken invariant. Returns
-/// the number of states, and how many of them have a report.
-fn explore(first: World) -> (usize, usize) {
-    let mut seen = HashSet::from([hash64(format!("{first:?}").as_bytes())]);
-    // Each visited state with the one that it came from and the event.
-    let mut origins: Vec<(usize, Option<Event>)> = vec![(0, None)];
-    let mut queue = VecDeque::from([(0, first)]);
-    let mut reported_count = 0;
-    while let Some((index, world)) = queue.pop_front() {
-        reported_count += usize::from(world.accepted.is_some());
-        for event in world.events() {
-            let next = world.after(event);
-            if !seen.insert(hash64(format!("{next:?}").as_bytes())) {
-                continue;
+impl ExploredState for World {
+    type Event = Event;
+    /// Returns the events that may come next.
+    fn events(&self) -> Vec<Event> {
+        let mut events = Vec::new();
+        if self.instant + 1 < INSTANTS_MS.len() {
+            events.push(Event::Tick);
+        }
+        events.extend((0..2).filter(|node| self.is_open[*node]).map(Event::RequestEnds));
+        for holder in 0..self.holders.len() {
+            let ends: &[CallEnd] = match self.next_step(holder) {
+                Step::Wait(_) | Step::Stop => continue,
+                Step::Ask { .. } => &[CallEnd::Answered],
+                Step::Load | Step::Close(_) | Step::Copy | Step::Send(_) => {
+                    &[CallEnd::Answered, CallEnd::Unanswered]
+                }
+            };
+            let is_fault = |end: &&CallEnd| **end != CallEnd::Answered;
+            let ends = ends.iter().filter(|end| self.faults_left > 0 || !is_fault(end));
+            events.extend(ends.map(|end| Event::Step(holder, *end, true)));
+            if matches!(self.next_step(holder), Step::Ask { .. }) && self.faults_left > 0 {
+                events.push(Event::Step(holder, CallEnd::Answered, false));
+            }
+        }
+        if self.holders.iter().all(|it| it.fence < MAX_LEASES) && self.faults_left > 0 {
+            events.extend([Event::Takeover, Event::Restart]);
+        }
+        events.extend(self.late_write.is_some().then_some(Event::LateWrite));
+        events.extend(self.late_report.is_some().then_some(Event::LateReport));
+        events
+    }
+
+    /// Returns the state after an event.
+    fn after(&self, event: Event) -> Self {
+        let mut world = self.clone();
+        match event {
+            Event::Tick => world.instant += 1,
+            Event::RequestEnds(node) => {
+                world.is_open[node] = false;
+                let source = node as u64;
+                world.ledgers[node].add(THE_WINDOW, source, "o");
             }
-            origins.push((index, Some(event)));
-            if let Some(invariant) = next.broken {
-                let mut path = Vec::new();
-                let mut at = origins.len() - 1;
-                while let (origin, Some(event)) = origins[at] {
-                    path.insert(0, event);
-                    at = origin;
+            Event::Step(holder, end, is_other_heard) => {
+                if end != CallEnd::Answered || !is_other_heard {
+                    world.use_fault();
+                }
+                world.act(holder, end, is_other_heard);
+            }
+            Event::Takeover | Event::Restart => {
+                world.use_fault();
+                let Holder { node, fence, .. } = *world.holders.last().expect("a holder");
+                if matches!(event, Event::Restart) {
+                    world.holders.pop();
+                    world.ledgers[node] = UsageLedger::default();
+                    world.is_open[node] = false;
+                    world.holders.push(new_holder(node, fence + 1));
+                } else {
+                    world.holders.push(new_holder(1 - node, fence + 1));
                 }
-                panic!("not true: {invariant}, after {path:#?}\n{next:#?}");
             }
-            assert!(origins.len() < MAX_STATES, "too many states");
-            queue.push_back((origins.len() - 1, next));
+            Event::LateWrite => {
+                let (reports, condition) = world.late_write.take().expect("a write");
+                world.write(reports, condition);
+            }
+            Event::LateReport => {
+                let (fence, counts) = world.late_report.take().expect("a report");
+                world.report(fence, counts);
+            }
         }
+        world
+    }
+
+    fn broken_invariant(&self) -> Option<&'static str> {
+        self.broken
     }
-    (origins.len(), reported_count)
 }
 
 /// Two counts are reported for a window, a request is counted twice or missing without a fault, or
@@ -336,7 +307,10 @@
 #[test]
 fn invariants_hold_in_every_order_of_few_events() {
     for is_fence_checked in [false, true] {
-        let (state_count, reported_count) = explore(World::new(is_fence_checked, 2));
+        let mut reported_count = 0;
+        let state_count = explore(World::new(is_fence_checked, 2), MAX_STATES, |world| {
+            reported_count += usize::from(world.accepted.is_some());
+        });
         assert!(reported_count > 10_000, "{state_count} states, {reported_count} with a report");
     }
 }
--- a/crates/plat/tests/lease_exploration.rs
+++ b/crates/plat/tests/lease_exploration.rs
@@ -5,16 +5,14 @@
 //! answer that is executed at once, later or never, a restart under the same name, or a release. A
 //! holder that does nothing for a while is frozen or cut off; it may go on at any time.
 
-use std::{
-    collections::{HashSet, VecDeque},
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
-use deck_core::{hash::hash64, object::LeaseRecord};
+use deck_core::object::LeaseRecord;
 use deck_plat::{
     Precondition,
     lease_decision::{LeaseObserver, is_own_acquisition, is_valid_after, renewal_of, valid_time},
 };
+use deck_testkit::exploration::{ExploredState, explore};
 
 const LEASE: Duration = Duration::from_secs(3);
 const LAST_SECOND: u64 = 5;
@@ -108,63 +106,6 @@
         self.stored.last().map(|record| (self.revision, record.clone()))
     }
 
-    /// Returns the events that may come next.
-    fn events(&self) -> Vec<Event> {
-        let mut events = Vec::new();
-        if self.second < LAST_SECOND {
-            events.push(Event::Second);
-        }
-        for vm in 0..2 {
-            let (mut normal, mut faults) = (Vec::new(), vec![Event::Restart(vm)]);
-            if let Some(held) = &self.vms[vm].held {
-                let is_renewed = held.last_write == self.second;
-                normal.extend((!is_renewed).then_some(Event::Renewal(vm, true)));
-                faults.extend([Event::Renewal(vm, false), Event::Release(vm)]);
-            } else {
-                normal.push(Event::Poll(vm, true));
-                faults.extend([Event::Poll(vm, false), Event::FailedRead(vm)]);
-                faults.extend((self.stored.len() > 1).then_some(Event::StaleRead(vm)));
-            }
-            events.extend(normal);
-            events.extend(faults.into_iter().filter(|_| self.faults_left > 0));
-        }
-        events.extend(self.late_write.is_some().then_some(Event::LateWrite));
-        events
-    }
-
-    /// Returns the state after an event.
-    fn after(&self, event: Event) -> Self {
-        let mut world = self.clone();
-        let is_normal = matches!(
-            event,
-            Event::Second | Event::Poll(_, true) | Event::Renewal(_, true) | Event::LateWrite
-        );
-        world.faults_left -= u32::from(!is_normal);
-        match event {
-            Event::Second => world.second += 1,
-            Event::Poll(vm, is_answered) => world.poll(vm, world.current(), is_answered),
-            Event::FailedRead(vm) => world.vms[vm].observer.on_read_failed(),
-            Event::StaleRead(vm) => {
-                let stale = world.stored[world.stored.len() - 2].clone();
-                world.poll(vm, Some((world.revision - 1, stale)), true);
-            }
-            Event::Renewal(vm, is_answered) => world.renew(vm, is_answered),
-            Event::Release(vm) => {
-                if let Some(held) = world.vms[vm].held.take() {
-                    let record = LeaseRecord { holder: String::new(), ..held.record };
-                    world.write(Precondition::Revision(held.revision), record);
-                }
-            }
-            Event::Restart(vm) => world.vms[vm] = new_vm(vm),
-            Event::LateWrite => {
-                let (condition, record) = world.late_write.take().expect("a write");
-                world.write(condition, record);
-            }
-        }
-        world.check();
-        world
-    }
-
     fn check(&mut self) {
         if self.is_valid(0) && self.is_valid(1) {
             self.broken = Some("at most one holder is valid");
@@ -252,42 +193,77 @@
     }
 }
 
-/// Visits all states, nearest first. Panics with the events that lead to a broken invariant. Returns
-/// the number of states, and how many of them have a second holder.
-fn explore(first: World) -> (usize, usize) {
-    let mut seen = HashSet::from([hash64(format!("{first:?}").as_bytes())]);
-    // Each visited state with the one that it came from and the event.
-    let mut origins: Vec<(usize, Option<Event>)> = vec![(0, None)];
-    let mut queue = VecDeque::from([(0, first)]);
-    let mut taken_over_count = 0;
-    while let Some((index, world)) = queue.pop_front() {
-        let is_taken_over = |vm: &Vm| vm.held.as_ref().is_some_and(|held| held.previous.is_some());
-        taken_over_count += usize::from(world.vms.iter().any(is_taken_over));
-        for event in world.events() {
-            let next = world.after(event);
-            if !seen.insert(hash64(format!("{next:?}").as_bytes())) {
-                continue;
+impl ExploredState for World {
+    type Event = Event;
+    /// Returns the events that may come next.
+    fn events(&self) -> Vec<Event> {
+        let mut events = Vec::new();
+        if self.second < LAST_SECOND {
+            events.push(Event::Second);
+        }
+        for vm in 0..2 {
+            let (mut normal, mut faults) = (Vec::new(), vec![Event::Restart(vm)]);
+            if let Some(held) = &self.vms[vm].held {
+                let is_renewed = held.last_write == self.second;
+                normal.extend((!is_renewed).then_some(Event::Renewal(vm, true)));
+                faults.extend([Event::Renewal(vm, false), Event::Release(vm)]);
+            } else {
+                normal.push(Event::Poll(vm, true));
+                faults.extend([Event::Poll(vm, false), Event::FailedRead(vm)]);
+                faults.extend((self.stored.len() > 1).then_some(Event::StaleRead(vm)));
             }
-            origins.push((index, Some(event)));
-            if let Some(invariant) = next.broken {
-                let mut path = Vec::new();
-                let mut at = origins.len() - 1;
-                while let (origin, Some(event)) = origins[at] {
-                    path.insert(0, event);
-                    at = origin;
+            events.extend(normal);
+            events.extend(faults.into_iter().filter(|_| self.faults_left > 0));
+        }
+        events.extend(self.late_write.is_some().then_some(Event::LateWrite));
+        events
+    }
+
+    /// Returns the state after an event.
+    fn after(&self, event: Event) -> Self {
+        let mut world = self.clone();
+        let is_normal = matches!(
+            event,
+            Event::Second | Event::Poll(_, true) | Event::Renewal(_, true) | Event::LateWrite
+        );
+        world.faults_left -= u32::from(!is_normal);
+        match event {
+            Event::Second => world.second += 1,
+            Event::Poll(vm, is_answered) => world.poll(vm, world.current(), is_answered),
+            Event::FailedRead(vm) => world.vms[vm].observer.on_read_failed(),
+            Event::StaleRead(vm) => {
+                let stale = world.stored[world.stored.len() - 2].clone();
+                world.poll(vm, Some((world.revision - 1, stale)), true);
+            }
+            Event::Renewal(vm, is_answered) => world.renew(vm, is_answered),
+            Event::Release(vm) => {
+                if let Some(held) = world.vms[vm].held.take() {
+                    let record = LeaseRecord { holder: String::new(), ..held.record };
+                    world.write(Precondition::Revision(held.revision), record);
                 }
-                panic!("not true: {invariant}, after {path:?}\n{next:#?}");
             }
-            assert!(origins.len() < MAX_STATES, "too many states");
-            queue.push_back((origins.len() - 1, next));
+            Event::Restart(vm) => world.vms[vm] = new_vm(vm),
+            Event::LateWrite => {
+                let (condition, record) = world.late_write.take().expect("a write");
+                world.write(condition, record);
+            }
         }
+        world.check();
+        world
+    }
+
+    fn broken_invariant(&self) -> Option<&'static str> {
+        self.broken
     }
-    (origins.len(), taken_over_count)
 }
 
 /// Two holders act at the same time, or a fencing number is used twice, in some order of the events.
 #[test]
 fn invariants_hold_in_every_order_of_few_events() {
-    let (state_count, taken_over_count) = explore(World::new());
+    let is_taken_over = |vm: &Vm| vm.held.as_ref().is_some_and(|held| held.previous.is_some());
+    let mut taken_over_count = 0;
+    let state_count = explore(World::new(), MAX_STATES, |world| {
+        taken_over_count += usize::from(world.vms.iter().any(is_taken_over));
+    });
     assert!(taken_over_count > 1_000, "{state_count} states, {taken_over_count} after a takeover");
 }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,6 +5,7 @@
 //! so that tests can let the system choose the ports.
 
 pub mod crowd;
+pub mod exploration;
 pub mod memory;
 pub mod proxy;
 pub mod raw;
