--- a/bins/decknode/tests/common/mod.rs
+++ b/bins/decknode/tests/common/mod.rs
@@ -18,7 +18,10 @@
     Body, Client, ClientOptions, NetError,
     http::{Method, Request, StatusCode},
 };
-use deck_testkit::{EVENT_WAIT_TIMEOUT, Process, eventually, proxy::Proxy};
+use deck_testkit::{
+    EVENT_WAIT_TIMEOUT, Process, eventually,
+    proxy::{LinkCut, Proxy},
+};
 use deckstandin::{PLAIN_ATTEMPTS, platform_text::whole_text};
 use serde_json::{Value, json};
 
@@ -69,6 +72,9 @@
     pub client: Client,
     /// Proxies in front of the targets, if the fleet has proxies.
     pub target_proxies: Vec<Proxy>,
+    /// Object API that lists the targets with the addresses of the proxies, if only some nodes use
+    /// these.
+    second_view: Option<SocketAddr>,
 }
 
 /// A submitted batch job, as seen by the trainer.
@@ -205,8 +211,45 @@
     /// Like [`Fleet::start_with_proxies`], with options for the stand-in.
     pub async fn start_with_platform_options(entry_nodes: usize, options: &[&str]) -> Self {
         let mut fleet = Self::new(entry_nodes, true, options);
+        let proxy_addresses = fleet.start_target_proxies().await;
+        let body = proxy_addresses.to_string().into_bytes();
+        let response =
+            fleet.call(fleet.object_api, Method::POST, "/admin/advertise", &[], body).await;
+        assert_eq!(response.expect("stand-in").0, StatusCode::OK);
+        fleet.start_nodes();
+        fleet
+    }
+
+    /// Returns a fleet without processes of its nodes. The first `cut_nodes` entry nodes reach the
+    /// targets through proxies, so that their links to the targets can be cut while all others work.
+    pub async fn configured_with_target_links(
+        entry_nodes: usize,
+        cut_nodes: usize,
+        options: &[&str],
+    ) -> Self {
+        let options = [options, &["--second-view"]].concat();
+        let mut fleet = Self::new(entry_nodes, false, &options);
+        let addresses = fleet.start_target_proxies().await.to_string().into_bytes();
+        let response =
+            fleet.call(fleet.object_api, Method::POST, "/admin/second-view", &[], addresses).await;
+        assert_eq!(response.expect("stand-in").0, StatusCode::OK);
+        let second_view = fleet.second_view.expect("a second view");
+        for index in 0..cut_nodes {
+            let address = |address: SocketAddr| format!("[Platform]\nAddress = \"{address}\"");
+            fleet.change_setting(index, &address(fleet.object_api), &address(second_view));
+        }
+        fleet
+    }
+
+    /// Cuts or restores the links to the targets that go through proxies.
+    pub fn set_target_links_cut(&self, cut: Option<LinkCut>) {
+        self.target_proxies.iter().for_each(|proxy| proxy.set_cut(cut));
+    }
+
+    /// Starts a proxy in front of each target; returns their addresses by target id.
+    async fn start_target_proxies(&mut self) -> Value {
         let servers =
-            fleet.call(fleet.object_api, Method::GET, "/v1/objects/servers", &[], Vec::new()).await;
+            self.call(self.object_api, Method::GET, "/v1/objects/servers", &[], Vec::new()).await;
         let servers: Value = serde_json::from_slice(&servers.expect("list").1).expect("json");
         let mut proxy_addresses = json!({});
         for entry in servers["Items"].as_array().expect("entries") {
@@ -214,14 +257,9 @@
             let proxy = Proxy::start(target_address.parse().expect("address"));
             let name = entry["Metadata"]["Name"].as_str().expect("name");
             proxy_addresses[name] = proxy.address.to_string().into();
-            fleet.target_proxies.push(proxy);
+            self.target_proxies.push(proxy);
         }
-        let body = proxy_addresses.to_string().into_bytes();
-        let response =
-            fleet.call(fleet.object_api, Method::POST, "/admin/advertise", &[], body).await;
-        assert_eq!(response.expect("stand-in").0, StatusCode::OK);
-        fleet.start_nodes();
-        fleet
+        proxy_addresses
     }
 
     /// Starts the processes of all nodes.
@@ -238,11 +276,20 @@
         let mut arguments = vec!["platform", "--listen", "127.0.0.1:0"];
         arguments.extend(platform_options);
         let mut platform = Process::start("platform", "deckstandin", &arguments, None);
+        let second_view =
+            platform_options.contains(&"--second-view").then(|| platform.address("second-view"));
         let object_api = platform.address("store");
         let client = Client::new(ClientOptions::default());
         let (nodes, target_proxies) = (Vec::new(), Vec::new());
-        let mut fleet =
-            Self { _platform: platform, object_api, nodes, dir, client, target_proxies };
+        let mut fleet = Self {
+            _platform: platform,
+            object_api,
+            nodes,
+            dir,
+            client,
+            target_proxies,
+            second_view,
+        };
         for index in 0..=entry_nodes {
             let node = fleet.configure_node(index, index < entry_nodes, with_proxies);
             fleet.nodes.push(node);
--- a/bins/deckstandin/src/platform.rs
+++ b/bins/deckstandin/src/platform.rs
@@ -56,6 +56,9 @@
     /// Time of a change of version in milliseconds.
     #[bpaf(argument("MS"), fallback(200))]
     pub load_ms: u64,
+    /// Whether there is a second listener of the object API, for nodes that reach the servers at other
+    /// addresses.
+    pub second_view: bool,
     /// Time after its submission at which an item may be given up, in seconds.
     #[bpaf(argument("S"), fallback(40))]
     pub max_wait_s: u64,
@@ -104,8 +107,13 @@
     records: RefCell<Vec<Value>>,
     /// Addresses with which servers are listed instead of their own, by server id.
     advertised_addresses: RefCell<BTreeMap<String, String>>,
+    /// Addresses with which servers are listed at the second listener, by server id.
+    second_view: RefCell<BTreeMap<String, String>>,
 }
 
+/// The object API as seen at its second listener.
+struct SecondView(Rc<State>);
+
 /// A model engine or a plain server, listed as an object of kind `servers`.
 struct Server {
     state: Rc<State>,
@@ -142,6 +150,7 @@
         usage_fence: Cell::new(0),
         records: RefCell::default(),
         advertised_addresses: RefCell::default(),
+        second_view: RefCell::default(),
         options: options.clone(),
     });
     state.put("config", "main", configuration(options.max_wait_s));
@@ -151,6 +160,13 @@
         start_server(&state, name, is_engine, stop.clone())?;
     }
     streams::start(&state, &options.stream_versions, &stop)?;
+    if options.second_view {
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = bind(address).map_err(|error| StandinError::Bind(address, error))?;
+        print_listen_address("second-view", listener.local_addr()?);
+        let view = Rc::new(SecondView(state.clone()));
+        monoio::spawn(serve_on(listener, view, handle_second_view, stop.clone()));
+    }
     let listener =
         bind(options.listen).map_err(|error| StandinError::Bind(options.listen, error))?;
     print_listen_address("store", listener.local_addr()?);
@@ -397,7 +413,39 @@
     }
 }
 
+async fn handle_second_view(view: Rc<SecondView>, call: Call) -> Response<Body> {
+    let addresses = view.0.second_view.borrow().clone();
+    handle_store_call(view.0.clone(), call, &addresses).await
+}
+
 async fn handle_store(state: Rc<State>, call: Call) -> Response<Body> {
+    handle_store_call(state, call, &BTreeMap::new()).await
+}
+
+/// Replaces the addresses of listed servers by those in `addresses`, by server id.
+fn replace_addresses(mut answer: Value, addresses: &BTreeMap<String, String>) -> Value {
+    let replace = |object: &mut Value| {
+        let name = object["Metadata"]["Name"].as_str().unwrap_or_default();
+        if let Some(address) = addresses.get(name) {
+            object["Spec"]["Address"] = address.clone().into();
+        }
+    };
+    for list in ["Items", "events"] {
+        for entry in answer.get_mut(list).and_then(Value::as_array_mut).into_iter().flatten() {
+            match entry.get_mut("Object") {
+                Some(object) => replace(object),
+                None => replace(entry),
+            }
+        }
+    }
+    answer
+}
+
+async fn handle_store_call(
+    state: Rc<State>,
+    call: Call,
+    addresses: &BTreeMap<String, String>,
+) -> Response<Body> {
     let segments = call.path_segments().into_iter().map(str::to_owned).collect::<Vec<_>>();
     let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
     if let ["admin", endpoint] = segments.as_slice() {
@@ -406,6 +454,13 @@
             "records" => json_response(200, &*state.records.borrow()),
             "remove" => state.remove_servers(&call),
             "advertise" => state.set_advertised_addresses(&call),
+            "second-view" => match call.json() {
+                Ok(addresses) => {
+                    state.second_view.replace(addresses);
+                    json_response(200, &Value::Null)
+                }
+                Err(response) => response,
+            },
             _ => not_found(&call),
         };
     }
@@ -414,12 +469,13 @@
     }
     match (call.method.as_str(), segments.as_slice()) {
         ("GET", ["v1", "objects", kind]) => match call.query_value("Watch") {
-            None => json_response(200, &state.list(kind)),
+            None => json_response(200, &replace_addresses(state.list(kind), addresses)),
             Some(from) => {
                 let wait = call.query_value("WaitMs").and_then(|wait| wait.parse().ok());
                 let wait = Duration::from_millis(wait.unwrap_or(0));
                 let from = from.parse().unwrap_or(0);
-                json_response(200, &state.watch(kind, from, wait).await)
+                let events = state.watch(kind, from, wait).await;
+                json_response(200, &replace_addresses(events, addresses))
             }
         },
         ("GET", ["v1", "objects", kind, name]) => {
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -1,9 +1,9 @@
-//! TCP proxy on loopback that can delay, block or close the connections through it.
+//! TCP proxy on loopback that can delay, block, close or refuse the connections through it.
 
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         mpsc,
     },
@@ -12,8 +12,9 @@
 
 use monoio::{
     io::{AsyncReadRent, AsyncWriteRentExt, Splitable},
-    net::{TcpListener, TcpStream},
+    net::{ListenerOpts, TcpListener, TcpStream},
 };
+use socket2::{Domain, Socket, Type};
 
 /// Interval at which the proxy and its connections check for changed faults.
 const FAULT_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -29,9 +30,21 @@
     FromTarget,
 }
 
+/// How a cut link treats connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkCut {
+    /// Open connections hang until the cut ends, new ones are not accepted.
+    Hang,
+    /// Open connections are closed, new ones are not accepted.
+    Close,
+    /// Open connections live on, new ones are refused.
+    Refuse,
+}
+
 /// Current faults of all connections through a proxy.
 #[derive(Default)]
 struct Faults {
+    cut: Mutex<Option<LinkCut>>,
     /// Whether data is held back instead of forwarded, indexed by [`Direction`].
     is_blocked: [AtomicBool; 2],
     /// Delay of each forwarded read.
@@ -70,8 +83,24 @@
         std::thread::spawn(move || {
             let accept_loop = async move {
                 let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-                sender.send(listener.local_addr().expect("address")).expect("the receiver waits");
+                let address = listener.local_addr().expect("address");
+                sender.send(address).expect("the receiver waits");
+                let mut listener = Some(listener);
                 while !thread_faults.is_stopped.load(Ordering::Relaxed) {
+                    let cut = thread_faults.cut();
+                    if cut.is_some() {
+                        listener = None;
+                        let _unresponsive =
+                            (cut != Some(LinkCut::Refuse)).then(|| unresponsive_listener(address));
+                        while thread_faults.cut() == cut && !thread_faults.is_stopped() {
+                            monoio::time::sleep(FAULT_POLL_INTERVAL).await;
+                        }
+                        continue;
+                    }
+                    let listener = listener.get_or_insert_with(|| {
+                        let options = ListenerOpts::new().reuse_port(false).reuse_addr(true);
+                        TcpListener::bind_with_config(address, &options).expect("the same port")
+                    });
                     if let Ok(Ok((stream, _))) =
                         monoio::time::timeout(FAULT_POLL_INTERVAL, listener.accept()).await
                     {
@@ -91,6 +120,17 @@
         self.faults.is_blocked[direction as usize].store(is_blocked, Ordering::Relaxed);
     }
 
+    /// Cuts the link, or restores it with `None`.
+    pub fn set_cut(&self, cut: Option<LinkCut>) {
+        let is_blocked = cut == Some(LinkCut::Hang);
+        self.set_blocked(Direction::ToTarget, is_blocked);
+        self.set_blocked(Direction::FromTarget, is_blocked);
+        *self.faults.cut.lock().unwrap_or_else(PoisonError::into_inner) = cut;
+        if cut == Some(LinkCut::Close) {
+            self.close_connections();
+        }
+    }
+
     /// Sets the delay of each forwarded read.
     pub fn set_delay(&self, delay: Duration) {
         self.faults.delay_ms.store(delay.as_millis() as u64, Ordering::Relaxed);
@@ -115,6 +155,43 @@
     }
 }
 
+impl Faults {
+    fn cut(&self) -> Option<LinkCut> {
+        *self.cut.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_stopped(&self) -> bool {
+        self.is_stopped.load(Ordering::Relaxed)
+    }
+}
+
+/// Sockets of an address at which new connections hang, as the queue of its listener is full.
+struct UnresponsiveListener {
+    _listener: Socket,
+    _queued: Vec<Socket>,
+}
+
+/// Number of connections that fill the queue of a listener with the smallest backlog.
+const QUEUED_CONNECTIONS: usize = 3;
+
+/// Starts a listener at `address` that accepts no connection.
+fn unresponsive_listener(address: SocketAddr) -> UnresponsiveListener {
+    let open = || Socket::new(Domain::for_address(address), Type::STREAM, None).expect("a socket");
+    let listener = open();
+    listener.set_reuse_address(true).expect("an option");
+    listener.bind(&address.into()).expect("the same port");
+    listener.listen(0).expect("a listener");
+    let connect = |_| {
+        let socket = open();
+        socket.set_nonblocking(true).expect("an option");
+        // The connections beyond the queue stay incomplete.
+        let _ = socket.connect(&address.into());
+        socket
+    };
+    let queued = (0..QUEUED_CONNECTIONS).map(connect).collect();
+    UnresponsiveListener { _listener: listener, _queued: queued }
+}
+
 /// Generations of the faults at the time when a connection was opened.
 #[derive(Debug, Clone, Copy)]
 struct Generations {
