A leader that is cut off from the targets resigns

While the leader's links to the engines were cut, no engine changed its weights (no order between 4.0 and 16.1 s of a cut of 12 s), although other nodes reached them: the leader kept the lease, because it reached the object API.

A leader now releases the lease once its links are cut while other nodes deliver answers of targets, and leaves it to others for 5 s. Targets that are down for all nodes cause no change. The two tests of bins/decknode/tests/cut_off.rs that failed pass.

--- a/bins/decknode/src/leadership.rs
+++ b/bins/decknode/src/leadership.rs
@@ -16,6 +16,7 @@
 use deck_plat::{
     AcquireResult, HeldLease, LeaseCandidate, LeaseEnd, LeaseOptions, Store, lease::parse_record,
 };
+use deck_reach::TargetClient;
 use deck_swap::{RunnerManager, RunnerManagerDependencies, WeightUpdater};
 
 use crate::{
@@ -35,6 +36,13 @@
 /// Maximum time that an order may be in transit: the timeout of its call plus a margin.
 const MAX_ORDER_TRANSIT_TIME: Duration = Duration::from_millis(1100);
 
+/// Minimum time for which a leader that is cut off from the targets keeps the lease. Longer than the
+/// lease, so that leaders which are all cut off do not take turns within its duration.
+const MIN_CUT_OFF_TENURE: Duration = Duration::from_secs(4);
+/// Time for which a node that has resigned leaves the lease to others. Each candidate reads the lease
+/// several times meanwhile.
+const ABSTENTION_TIME: Duration = Duration::from_secs(5);
+
 /// Dependencies of leader election and of the leader's tasks.
 #[derive(Clone)]
 pub struct LeadershipContext {
@@ -62,6 +70,8 @@
     pub usage: Option<UsageHolder>,
     /// Orders targets of the services whose number can be chosen.
     pub target_scaler: TargetScaler,
+    /// Client for requests to targets, which knows whether this node is cut off from them.
+    pub targets: TargetClient,
     /// Set while this node holds the lease; read by the metrics.
     pub is_leader: Rc<Cell<bool>>,
 }
@@ -69,13 +79,7 @@
 /// Competes for the lease and runs the leader's tasks while this node holds it, until `cancel` is
 /// cancelled.
 pub async fn run_candidate(context: LeadershipContext, cancel: CancellationToken) {
-    let duration = context.bounds.borrow().lease;
-    let options = LeaseOptions { duration, max_read_backs: 2, reclaim_own: true };
-    let address = context.address.to_string();
-    let (store, vm) = (context.store.clone(), context.vm.clone());
-    let bounds = context.bounds.clone();
-    let mut candidate = LeaseCandidate::new(store, LEADER_LEASE_NAME, vm, address, options)
-        .with_duration_source(Rc::new(move || bounds.borrow().lease));
+    let mut candidate = new_candidate(&context);
     while !cancel.is_cancelled() {
         // Watchers compete for the lease and report its holder to other nodes. A node that reaches
         // no watcher follows the object API itself and also competes.
@@ -87,7 +91,12 @@
         candidate = match candidate.try_acquire().await {
             AcquireResult::Held(held) => match lead_until_lost(&context, held, &cancel).await {
                 Some(candidate) => candidate,
-                None => return,
+                None if cancel.is_cancelled() => return,
+                None => {
+                    let observe = observe_leader(context.clone(), cancel.clone());
+                    let _ = monoio::time::timeout(ABSTENTION_TIME, observe).await;
+                    new_candidate(&context)
+                }
             },
             AcquireResult::HeldElsewhere(candidate, record) => {
                 let address = record.address.parse().ok();
@@ -105,8 +114,37 @@
     }
 }
 
+fn new_candidate(context: &LeadershipContext) -> LeaseCandidate {
+    let duration = context.bounds.borrow().lease;
+    let options = LeaseOptions { duration, max_read_backs: 2, reclaim_own: true };
+    let address = context.address.to_string();
+    let (store, vm) = (context.store.clone(), context.vm.clone());
+    let bounds = context.bounds.clone();
+    LeaseCandidate::new(store, LEADER_LEASE_NAME, vm, address, options)
+        .with_duration_source(Rc::new(move || bounds.borrow().lease))
+}
+
+/// Waits until this node, which has just become the leader, has to resign: its links to the targets are
+/// cut while other nodes reach them.
+async fn wait_until_cut_off(targets: TargetClient) {
+    let acquired_at = Instant::now();
+    let Some(mut is_cut_off) = targets.subscribe_cut_off() else {
+        return std::future::pending().await;
+    };
+    loop {
+        if is_cut_off.wait_for(|is_cut_off| *is_cut_off).await.is_err() {
+            return std::future::pending().await;
+        }
+        let tenure_left = MIN_CUT_OFF_TENURE.saturating_sub(acquired_at.elapsed());
+        monoio::time::sleep(tenure_left).await;
+        if *is_cut_off.borrow() {
+            return;
+        }
+    }
+}
+
 /// Tracks the holder of the lease without competing for it, until `cancel` is cancelled. A stopping
-/// node needs it to hand its jobs to the next leader.
+/// node needs it to hand its jobs to the next leader, and a node that has resigned to follow it.
 pub async fn observe_leader(context: LeadershipContext, cancel: CancellationToken) {
     while cancel.run_until_cancelled(monoio::time::sleep(OBSERVER_POLL_INTERVAL)).await.is_some() {
         if !context.feed.is_watching_object_api() {
@@ -128,12 +166,14 @@
     }
 }
 
-/// Runs the leader's tasks until the lease is lost. Returns `None` if this node released it.
+/// Runs the leader's tasks until the lease is lost. Returns `None` if this node released it, because it
+/// stops or is cut off from the targets.
 async fn lead_until_lost(
     context: &LeadershipContext,
     held: HeldLease,
-    cancel: &CancellationToken,
+    stop: &CancellationToken,
 ) -> Option<LeaseCandidate> {
+    let cancel = stop.child_token();
     let lease_token = held.token();
     let Bounds { lease, fencing_checked, job_retention, .. } = *context.bounds.borrow();
     // Orders of two successive holders must be at least one lease duration apart, unless targets
@@ -149,6 +189,14 @@
     let leader = Leader { vm: context.vm.clone(), address: context.address };
     context.feed.set_leader(Some(leader));
     let tasks_cancel = cancel.child_token();
+    let (resign, cut_off) = (cancel.clone(), wait_until_cut_off(context.targets.clone()));
+    let watch_cancel = tasks_cancel.clone();
+    monoio::spawn(async move {
+        if watch_cancel.run_until_cancelled(cut_off).await.is_some() {
+            log::warn!(target: "lead", "resigning: links to targets are cut");
+            resign.cancel();
+        }
+    });
     let (version_follower, follow_cancel) = (context.follower.clone(), tasks_cancel.clone());
     monoio::spawn(async move { version_follower.follow_versions(follow_cancel).await });
     let (retirement_context, retirement_cancel) = (context.clone(), tasks_cancel.clone());
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -301,6 +301,7 @@
         batch: batch.clone(),
         usage: usage_holder,
         target_scaler,
+        targets: targets.clone(),
         is_leader: is_leader.clone(),
     };
     let candidate_task =
