Nodes that are cut off leave the leader's lease to others

A new leader now checks two targets before it leads, and a candidate that is cut off follows the lease without competing, unless nobody renews it for 5 s: then all candidates may be cut off, and one leads as well as it can. The test of the leader's links has a case with most nodes in the cut.

--- a/bins/decknode/src/leadership.rs
+++ b/bins/decknode/src/leadership.rs
@@ -10,7 +10,7 @@
 };
 
 use deck_batch::BatchService;
-use deck_core::{CancellationToken, object::LEASE_KIND};
+use deck_core::{CancellationToken, id::Revision, object::LEASE_KIND};
 use deck_duty::usage::UsageHolder;
 use deck_fleet::{Bounds, FleetFeed, Leader, ObjectFollower};
 use deck_plat::{
@@ -39,9 +39,11 @@
 /// Minimum time for which a leader that is cut off from the targets keeps the lease. Longer than the
 /// lease, so that leaders which are all cut off do not take turns within its duration.
 const MIN_CUT_OFF_TENURE: Duration = Duration::from_secs(4);
-/// Time for which a node that has resigned leaves the lease to others. Each candidate reads the lease
-/// several times meanwhile.
-const ABSTENTION_TIME: Duration = Duration::from_secs(5);
+/// Maximum time for which a new leader checks its links before it leads. Its lease stays valid meanwhile.
+const LINK_CHECK_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time without a change of the lease after which a node that is cut off competes for it. Each candidate
+/// reads the lease several times meanwhile.
+const UNCLAIMED_TIME: Duration = Duration::from_secs(5);
 
 /// Dependencies of leader election and of the leader's tasks.
 #[derive(Clone)]
@@ -87,16 +89,17 @@
         {
             return;
         }
+        let role = match abstain_while_cut_off(&context, &cancel).await {
+            Abstention::LeaseUnclaimed => CutOffRole::Leads,
+            Abstention::Ended => CutOffRole::Resigns,
+        };
         let mut poll_delay = LEASE_POLL_INTERVAL;
         candidate = match candidate.try_acquire().await {
-            AcquireResult::Held(held) => match lead_until_lost(&context, held, &cancel).await {
+            AcquireResult::Held(held) => match lead_until_lost(&context, held, role, &cancel).await
+            {
                 Some(candidate) => candidate,
                 None if cancel.is_cancelled() => return,
-                None => {
-                    let observe = observe_leader(context.clone(), cancel.clone());
-                    let _ = monoio::time::timeout(ABSTENTION_TIME, observe).await;
-                    new_candidate(&context)
-                }
+                None => new_candidate(&context),
             },
             AcquireResult::HeldElsewhere(candidate, record) => {
                 let address = record.address.parse().ok();
@@ -124,13 +127,57 @@
         .with_duration_source(Rc::new(move || bounds.borrow().lease))
 }
 
+/// What a leader does that is cut off from the targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CutOffRole {
+    /// It leaves the lease to others.
+    Resigns,
+    /// It leads as well as it can, because no other node has claimed the lease.
+    Leads,
+}
+
+/// Why a node no longer leaves the lease to others.
+enum Abstention {
+    /// It is not cut off from the targets.
+    Ended,
+    /// It is cut off, and no other node holds the lease.
+    LeaseUnclaimed,
+}
+
+/// Tracks the holder of the lease while this node is cut off from the targets and others hold the lease.
+async fn abstain_while_cut_off(
+    context: &LeadershipContext,
+    cancel: &CancellationToken,
+) -> Abstention {
+    let (mut last_revision, mut changed_at) = (None, Instant::now());
+    while context.targets.is_cut_off() {
+        if changed_at.elapsed() >= UNCLAIMED_TIME {
+            return Abstention::LeaseUnclaimed;
+        }
+        let pause = monoio::time::sleep(OBSERVER_POLL_INTERVAL);
+        if cancel.run_until_cancelled(pause).await.is_none() {
+            break;
+        }
+        if context.feed.is_watching_object_api()
+            && let Some(revision) = observe_lease(context).await
+            && last_revision != Some(revision)
+        {
+            (last_revision, changed_at) = (Some(revision), Instant::now());
+        }
+    }
+    Abstention::Ended
+}
+
 /// Waits until this node, which has just become the leader, has to resign: its links to the targets are
 /// cut while other nodes reach them.
-async fn wait_until_cut_off(targets: TargetClient) {
+async fn wait_until_cut_off(targets: TargetClient, role: CutOffRole) {
     let acquired_at = Instant::now();
     let Some(mut is_cut_off) = targets.subscribe_cut_off() else {
         return std::future::pending().await;
     };
+    if role == CutOffRole::Leads && is_cut_off.wait_for(|is_cut_off| !*is_cut_off).await.is_err() {
+        return std::future::pending().await;
+    }
     loop {
         if is_cut_off.wait_for(|is_cut_off| *is_cut_off).await.is_err() {
             return std::future::pending().await;
@@ -144,24 +191,31 @@
 }
 
 /// Tracks the holder of the lease without competing for it, until `cancel` is cancelled. A stopping
-/// node needs it to hand its jobs to the next leader, and a node that has resigned to follow it.
+/// node needs it to hand its jobs to the next leader.
 pub async fn observe_leader(context: LeadershipContext, cancel: CancellationToken) {
     while cancel.run_until_cancelled(monoio::time::sleep(OBSERVER_POLL_INTERVAL)).await.is_some() {
-        if !context.feed.is_watching_object_api() {
-            continue;
+        if context.feed.is_watching_object_api() {
+            observe_lease(&context).await;
         }
-        let record = match context.store.get_stale(LEASE_KIND, LEADER_LEASE_NAME).await {
-            Ok(Some(object)) => parse_record(&object),
-            Ok(None) => continue,
-            Err(error) => Err(error),
-        };
-        match record {
-            Ok(record) => {
-                let address = record.address.parse().ok().filter(|_| !record.holder.is_empty());
-                let leader = address.map(|address| Leader { vm: record.holder, address });
-                context.feed.set_leader(leader);
-            }
-            Err(error) => log::info!(target: "lead", "reading the lease failed error={error}"),
+    }
+}
+
+/// Reads the lease and reports its holder to the other nodes. Returns the revision of the lease.
+async fn observe_lease(context: &LeadershipContext) -> Option<Revision> {
+    let lease = match context.store.get_stale(LEASE_KIND, LEADER_LEASE_NAME).await {
+        Ok(lease) => parse_record(lease.as_ref()?).map(|record| (record, lease)),
+        Err(error) => Err(error),
+    };
+    match lease {
+        Ok((record, lease)) => {
+            let address = record.address.parse().ok().filter(|_| !record.holder.is_empty());
+            let leader = address.map(|address| Leader { vm: record.holder, address });
+            context.feed.set_leader(leader);
+            lease.map(|lease| lease.revision)
+        }
+        Err(error) => {
+            log::info!(target: "lead", "reading the lease failed error={error}");
+            None
         }
     }
 }
@@ -171,8 +225,17 @@
 async fn lead_until_lost(
     context: &LeadershipContext,
     held: HeldLease,
+    role: CutOffRole,
     stop: &CancellationToken,
 ) -> Option<LeaseCandidate> {
+    let is_cut_off = monoio::time::timeout(LINK_CHECK_TIMEOUT, context.targets.check_links());
+    if role == CutOffRole::Resigns && is_cut_off.await.unwrap_or(false) {
+        log::warn!(target: "lead", "not leading: links to targets are cut");
+        if let Err(error) = held.release().await {
+            log::warn!(target: "lead", "release failed error={error}");
+        }
+        return None;
+    }
     let cancel = stop.child_token();
     let lease_token = held.token();
     let Bounds { lease, fencing_checked, job_retention, .. } = *context.bounds.borrow();
@@ -189,7 +252,7 @@
     let leader = Leader { vm: context.vm.clone(), address: context.address };
     context.feed.set_leader(Some(leader));
     let tasks_cancel = cancel.child_token();
-    let (resign, cut_off) = (cancel.clone(), wait_until_cut_off(context.targets.clone()));
+    let (resign, cut_off) = (cancel.clone(), wait_until_cut_off(context.targets.clone(), role));
     let watch_cancel = tasks_cancel.clone();
     monoio::spawn(async move {
         if watch_cancel.run_until_cancelled(cut_off).await.is_some() {
--- a/bins/decknode/tests/cut_off.rs
+++ b/bins/decknode/tests/cut_off.rs
@@ -159,12 +159,14 @@
 }
 
 /// Guards against a leader that keeps its lease while its links to the engines are cut, so that no
-/// engine changes its weights although other nodes could order it.
-#[test_case(LinkCut::Hang; "links hang")]
-#[test_case(LinkCut::Close; "links are closed")]
-fn weights_are_changed_while_links_of_the_leader_are_cut(cut: LinkCut) {
+/// engine changes its weights although other nodes could order it, and against nodes that take the lease
+/// although they are cut off too.
+#[test_case(LinkCut::Hang, 1; "links hang")]
+#[test_case(LinkCut::Close, 1; "links are closed")]
+#[test_case(LinkCut::Close, 3; "links of most nodes are closed")]
+fn weights_are_changed_while_links_of_the_leader_are_cut(cut: LinkCut, cut_nodes: usize) {
     run(async {
-        let fleet = start_fleet(3, 1, &[]).await;
+        let fleet = start_fleet(cut_nodes + 2, cut_nodes, &[]).await;
         let mut warm_up = fleet.submit(0, 1, 1).await;
         fleet.read_until_complete(&mut warm_up).await;
         fleet.set_target_links_cut(Some(cut));
--- a/crates/reach/src/client.rs
+++ b/crates/reach/src/client.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use deck_core::{CancellationToken, id::TargetId};
+use deck_core::{CancellationToken, hash::rendezvous_score, id::TargetId};
 use deck_fleet::FleetView;
 use deck_net::{Body, BufferedResponse, Client, ClientResponse, ConnectObserver, NetError};
 use futures_util::future::{Either, join_all, select};
@@ -26,6 +26,8 @@
 const MAX_PROBES: usize = 8;
 /// Maximum number of nodes that are asked to relay a request.
 const MAX_RELAY_ATTEMPTS: usize = 3;
+/// Number of targets by which a node checks its links.
+const CHECKED_TARGETS: usize = 2;
 /// Timeout of a check at another node, which itself tries to connect.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(700);
 /// Maximum size of the answer to a check.
@@ -218,7 +220,10 @@
             let answer = self.nodes.call(node, request, CHECK_TIMEOUT, MAX_CHECK_BYTES).await;
             let outcome = answer.ok().and_then(|mut a| RelayOutcome::take_from(&mut a.headers));
             match outcome {
-                Some(RelayOutcome::Answered) => return true,
+                Some(RelayOutcome::Answered) => {
+                    relaying.paths.borrow_mut().record_relayed(Instant::now());
+                    return true;
+                }
                 Some(RelayOutcome::Unreachable | RelayOutcome::Broken) => return false,
                 Some(RelayOutcome::CutOff) | None => relaying.avoid(node),
             }
@@ -375,6 +380,29 @@
         self.relaying.as_ref().map(|relaying| relaying.is_cut_off.subscribe())
     }
 
+    /// Returns whether the links of this node are cut while other nodes reach the targets.
+    pub fn is_cut_off(&self) -> bool {
+        self.relaying.as_ref().is_some_and(|relaying| *relaying.is_cut_off.borrow())
+    }
+
+    /// Tries to connect to a few targets, and returns whether the links of this node are cut while other
+    /// nodes reach the targets. For a node that may not have sent a request for a while.
+    pub async fn check_links(&self) -> bool {
+        let Some(relaying) = &self.relaying else { return false };
+        let own_address = relaying.dependencies.own_address.to_string();
+        let mut targets = relaying.dependencies.view.targets();
+        targets.sort_by_key(|target| rendezvous_score(&own_address, &target.id));
+        targets.truncate(CHECKED_TARGETS);
+        let checks = targets.iter().map(|target| self.targets.can_connect(target.address));
+        let is_any_reached = join_all(checks).await.contains(&true);
+        if let Some(target) = targets.first().filter(|_| !is_any_reached) {
+            let target = TargetAddress { id: &target.id, address: target.address };
+            self.accepts_connections(target).await;
+        }
+        self.update_cut_off(relaying);
+        self.is_cut_off()
+    }
+
     /// Returns the number of targets that are out of reach.
     pub fn unreachable_count(&self) -> usize {
         let relaying = self.relaying.as_ref();
