reach: the check of a new leader's links asks other nodes in any case

In a cut that resets connections, the pool still held connections that had not been used since; the check took them for a sign of working links, and the node led for 4 s without reaching an engine.

--- a/crates/reach/src/client.rs
+++ b/crates/reach/src/client.rs
@@ -211,9 +211,12 @@
     /// Returns whether a target still accepts connections after one of its connections has failed, as
     /// far as this node or the nodes that relay its requests can tell.
     pub async fn accepts_connections(&self, target: TargetAddress<'_>) -> bool {
-        if self.accepts_direct_connections(target.address).await {
-            return true;
-        }
+        self.accepts_direct_connections(target.address).await
+            || self.is_reached_by_others(target).await
+    }
+
+    /// Returns whether another node can connect to a target.
+    async fn is_reached_by_others(&self, target: TargetAddress<'_>) -> bool {
         let Some(relaying) = &self.relaying else { return false };
         for node in relaying.choose_nodes() {
             let Ok(request) = check_request(target) else { return false };
@@ -397,7 +400,7 @@
         let is_any_reached = join_all(checks).await.contains(&true);
         if let Some(target) = targets.first().filter(|_| !is_any_reached) {
             let target = TargetAddress { id: &target.id, address: target.address };
-            self.accepts_connections(target).await;
+            self.is_reached_by_others(target).await;
         }
         self.update_cut_off(relaying);
         self.is_cut_off()
--- a/crates/reach/tests/relay.rs
+++ b/crates/reach/tests/relay.rs
@@ -14,7 +14,10 @@
 use deck_platform::PlatformWire;
 use deck_reach::{RelayDependencies, RelayService, TargetAddress, TargetClient};
 use deck_route::{Router, RouterOptions};
-use deck_testkit::raw::{RawExchange, RawServer};
+use deck_testkit::{
+    proxy::{LinkCut, Proxy},
+    raw::{RawExchange, RawServer},
+};
 use http::{Method, Request, Response, StatusCode};
 use test_case::test_case;
 
@@ -297,3 +300,32 @@
         assert!(!node.targets.accepts_connections(address).await);
     });
 }
+
+/// Guards against a node that takes its links for sound because connections from before the cut are
+/// still in its pool.
+#[test]
+fn check_of_links_does_not_rely_on_open_connections() {
+    run(async {
+        let server = RawServer::start(|call| {
+            call.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+            std::thread::sleep(Duration::from_secs(5));
+        });
+        let relay = start_node(server.address, Vec::new());
+        let links: Vec<Proxy> = (0..2).map(|_| Proxy::start(server.address)).collect();
+        let node = start_node(links[0].address, vec![relay.address]);
+        let second = Target { id: "t-1".to_owned(), ..target(links[1].address) };
+        node.view.set_targets(vec![target(links[0].address), second.clone()], Instant::now());
+        let second_at_relay = Target { address: server.address, ..second };
+        relay.view.set_targets(vec![target(server.address), second_at_relay], Instant::now());
+        assert!(!node.targets.check_links().await);
+        for link in &links {
+            link.set_cut(Some(LinkCut::Refuse));
+        }
+        // The proxies apply a cut within 20 ms.
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        assert!(node.targets.check_links().await);
+        links.iter().for_each(|link| link.set_cut(None));
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        assert!(!node.targets.check_links().await);
+    });
+}
