Answers without a final status are no answers

But the status 101, which nobody asks for, and statuses from 600 on were passed on as answers of the target.

The client now treats such an answer as a broken exchange: a request that may be repeated goes to another target, any other one ends with 502.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -463,6 +463,10 @@
         }
         connection.head_budget.start();
         match connection.sender.try_send_request(request).await {
+            Ok(response) if !is_final_status(response.status()) => {
+                let message = format!("status {} is no answer", response.status().as_u16());
+                Err((NetError::Exchange(address, message), None))
+            }
             Ok(response) => {
                 connection.head_budget.stop();
                 let (head, body): (_, Incoming) = Response::into_parts(response);
@@ -689,6 +693,12 @@
     }
 }
 
+/// Returns whether a status is that of an answer: neither informational, as a switch of the protocol that
+/// no request asks for, nor beyond the classes of RFC 9110, section 15.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Margin subtracted from the server's keep-alive timeout, so that a request on a reused connection
 /// arrives before the server closes it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
