--- a/crates/batch/src/item_run.rs
+++ b/crates/batch/src/item_run.rs
@@ -397,6 +397,11 @@
                     target.software_version.as_deref(),
                 ),
             }
+            // A faulty engine may send events without end.
+            if progress.held_bytes() > runner.deps.job_store.max_text_bytes() {
+                *progress = Progress::default();
+                return RunOutcome::Broken("the text is too large for any result".to_owned());
+            }
         }
         if !events.is_empty() {
             item_state.waiting_since.set(None);
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -173,6 +173,11 @@
         self.event_ends.push(self.text.len());
     }
 
+    /// Returns the memory that the text and the ends of its events take.
+    pub fn held_bytes(&self) -> usize {
+        self.text.len() + self.event_ends.len() * size_of::<usize>()
+    }
+
     /// Returns whether an engine of the given software version may append to the text.
     pub fn fits_software(&self, software_version: Option<&str>) -> bool {
         self.last_event == 0 || self.software_version.as_deref() == software_version
--- a/crates/batch/src/job_store.rs
+++ b/crates/batch/src/job_store.rs
@@ -98,6 +98,11 @@
         Self { store, max_object_bytes }
     }
 
+    /// Returns the size from which on a text fits into no object.
+    pub fn max_text_bytes(&self) -> usize {
+        self.max_object_bytes
+    }
+
     /// Stores a job with `runner` at `address` as the node that runs it.
     ///
     /// The items are stored before the record, because a job exists from the moment its record
