An engine whose orders fail takes no load from the others

A call without an answer left no trace in the planner's input.

The planner now knows engines whose last order had no answer or no effect. They rest, longer each time, are ordered one at a time, and do not count among the concurrent loads. If most engines fail, all are treated alike.

--- a/crates/swap/src/lib.rs
+++ b/crates/swap/src/lib.rs
@@ -8,6 +8,6 @@
 pub mod runners;
 pub mod weight_updater;
 
-pub use plan::{EngineSnapshot, ModelSnapshot, PlanOptions, PlannedLoad, plan_loads};
+pub use plan::{EngineHealth, EngineSnapshot, ModelSnapshot, PlanOptions, PlannedLoad, plan_loads};
 pub use runners::{RunnerManager, RunnerManagerDependencies};
 pub use weight_updater::{WeightUpdater, WeightUpdaterOptions};
--- a/crates/swap/src/plan.rs
+++ b/crates/swap/src/plan.rs
@@ -51,6 +51,20 @@
     pub free_slots: u32,
     /// Time per event of the fastest recent run, in milliseconds; `None` if unknown.
     pub min_event_ms: Option<f64>,
+    /// Whether the engine carries out orders.
+    pub health: EngineHealth,
+}
+
+/// Whether an engine carries out orders, as far as its last ones show.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum EngineHealth {
+    /// Its last order had its effect, or it has had none.
+    #[default]
+    Sound,
+    /// Its last order failed; it may be ordered again.
+    Failing,
+    /// As [`EngineHealth::Failing`], and not to be ordered yet.
+    Resting,
 }
 
 /// Planner input: published version and demand of one model.
@@ -98,11 +112,16 @@
     assigned: &[Option<usize>],
     options: &PlanOptions,
 ) -> Vec<PlannedLoad> {
-    let loading = engines.iter().filter(|engine| engine.is_loading).count();
-    let available_loads = max_concurrent_loads(engines.len(), options).saturating_sub(loading);
-    if available_loads == 0 {
-        return Vec::new();
-    }
+    let failing_count = engines.iter().filter(|e| e.health != EngineHealth::Sound).count();
+    // If most engines fail, the cause is not theirs, and all are treated alike.
+    let is_failing = |engine: &EngineSnapshot| {
+        engine.health != EngineHealth::Sound && failing_count * 2 <= engines.len()
+    };
+    let (failing, sound): (Vec<&EngineSnapshot>, Vec<_>) =
+        engines.iter().filter(|engine| engine.is_loading).partition(|engine| is_failing(engine));
+    let available_loads = max_concurrent_loads(engines.len(), options).saturating_sub(sound.len());
+    // Engines that may not carry out their order take no load from the others, one at a time.
+    let retries_left = usize::from(failing.is_empty());
     let lag = |engine: &EngineSnapshot, model: usize| {
         let published = models[model].published_version?;
         Some(published.saturating_sub(engine.versions[model]?))
@@ -119,6 +138,9 @@
     let mut outdated: Vec<(usize, usize, u64)> = Vec::new();
     for (index, engine) in engines.iter().enumerate().filter(|(_, engine)| !engine.is_loading) {
         let Some(model) = assigned[index] else { continue };
+        if is_failing(engine) && engine.health == EngineHealth::Resting {
+            continue;
+        }
         if let Some(lag) = lag(engine, model).filter(|lag| *lag > 0) {
             outdated.push((index, model, lag));
         }
@@ -133,13 +155,16 @@
         let version = models[model_index].published_version?;
         Some(PlannedLoad { target: engines[index].target.clone(), model_index, version })
     };
+    let (retried, outdated): (Vec<_>, Vec<_>) =
+        outdated.into_iter().partition(|(index, ..)| is_failing(&engines[*index]));
     let unusable_count =
         outdated.iter().filter(|(_, _, lag)| *lag > options.max_version_lag).count();
     let reserved = (max_concurrent_loads(engines.len(), options) as f64
         * options.reserved_weight_load_fraction)
         .floor() as usize;
     let count = unusable_count.max(available_loads.saturating_sub(reserved)).min(available_loads);
-    outdated.into_iter().filter_map(planned_load).take(count).collect()
+    let loads = outdated.into_iter().take(count).chain(retried.into_iter().take(retries_left));
+    loads.filter_map(planned_load).collect()
 }
 
 /// Returns how many of `count` engines may load weights concurrently; at least one.
--- a/crates/swap/src/weight_updater.rs
+++ b/crates/swap/src/weight_updater.rs
@@ -25,12 +25,16 @@
 use tokio::sync::Notify;
 
 use crate::plan::{
-    self, EngineSnapshot, ModelSnapshot, PlanOptions, assign_engines, plan_loads_for_assignment,
+    self, EngineHealth, EngineSnapshot, ModelSnapshot, PlanOptions, assign_engines,
+    plan_loads_for_assignment,
 };
 
 /// Maximum size of the response to an order or a report request.
 const MAX_RESPONSE_BYTES: usize = 1024 * 1024;
 
+/// Number of failed orders after which the rest of an engine grows no more.
+const MAX_REST_DOUBLINGS: u32 = 5;
+
 /// Timing and planning options for load orders.
 #[derive(Debug, Clone)]
 pub struct WeightUpdaterOptions {
@@ -85,6 +89,8 @@
     order_ended: Notify,
     /// Number of orders accepted by each process of a target, keyed by target id and start time.
     accepted_orders: RefCell<HashMap<(TargetId, u64), u64>>,
+    /// Engines whose last order failed.
+    failed_orders: RefCell<HashMap<TargetId, FailedOrders>>,
     /// Number of engines for each model of a service, from the last planning round.
     engine_quotas: RefCell<HashMap<PoolName, Vec<usize>>>,
     /// Model that each engine is assigned to, from the last planning round.
@@ -93,6 +99,14 @@
     initial_targets: RefCell<HashMap<PoolName, usize>>,
 }
 
+/// Orders of one engine that failed one after the other.
+#[derive(Debug, Clone, Copy)]
+struct FailedOrders {
+    count: u32,
+    /// When the engine may be ordered again.
+    rests_until: Instant,
+}
+
 impl WeightUpdater {
     /// Creates an instance that sends orders with `vm` as the lease holder.
     pub fn new(
@@ -114,6 +128,7 @@
             options,
             order_ended: Notify::new(),
             accepted_orders: RefCell::default(),
+            failed_orders: RefCell::default(),
             engine_quotas: RefCell::default(),
             assigned_models: RefCell::default(),
             initial_targets: RefCell::default(),
@@ -180,6 +195,8 @@
         // watcher, which sends versions only to nodes that request them.
         self.inner.view.request_versions(Instant::now());
         self.inner.engines.retain_known(&self.inner.view);
+        let is_known = |id: &TargetId| self.inner.view.target(id).is_some();
+        self.inner.failed_orders.borrow_mut().retain(|id, _| is_known(id));
         let mut assigned_models = HashMap::new();
         for service in configuration.services.values() {
             let Some(engine) = &service.engine else { continue };
@@ -239,6 +256,7 @@
             is_loading: engines.loading_model(target).is_some(),
             free_slots: target.slots.saturating_sub(engine_load.active_runs),
             min_event_ms: engine_load.best_event_ms,
+            health: self.inner.engine_health(&target.id),
         }
     }
 
@@ -278,7 +296,7 @@
             Some(count) => count,
             None => match self.fetch_report(target).await {
                 Some(report) => report.accepted_orders,
-                None => return monoio::time::sleep(self.options.max_plan_interval).await,
+                None => return self.record_failed_order(target),
             },
         };
         if !token.is_valid() {
@@ -303,14 +321,23 @@
         match reply {
             Some(WeightLoadReply::Accepted) => {
                 self.accepted_orders.borrow_mut().insert(key, expected_orders + 1);
-                self.wait_until_loaded(target, model, version).await;
+                if !self.wait_until_loaded(target, model, version).await {
+                    self.record_failed_order(target);
+                }
+            }
+            Some(WeightLoadReply::AlreadyDone) => {
+                self.failed_orders.borrow_mut().remove(&target.id);
+                self.engines.set_version(target, model, version);
             }
-            Some(WeightLoadReply::AlreadyDone) => self.engines.set_version(target, model, version),
             Some(WeightLoadReply::Conflict) | None => {
                 // The order may still take effect. Forgetting the count makes the next order read
                 // it from the target's report, so that an order delivered late is refused by its
                 // count.
                 self.accepted_orders.borrow_mut().remove(&key);
+                // Other engines need not wait for one that does not answer.
+                if reply.is_none() {
+                    self.record_failed_order(target);
+                }
                 self.wait_until_loaded(target, model, version).await;
             }
             Some(WeightLoadReply::StaleFencing) => {
@@ -324,7 +351,13 @@
     }
 
     /// Polls a target until it reports the version, is no longer busy, or the order times out.
-    async fn wait_until_loaded(&self, target: &Target, model: &str, version: WeightVersion) {
+    /// Returns whether it has reported the version or answered that it is not busy.
+    async fn wait_until_loaded(
+        &self,
+        target: &Target,
+        model: &str,
+        version: WeightVersion,
+    ) -> bool {
         let started_at = Instant::now();
         let deadline = started_at + self.options.order_timeout;
         monoio::time::sleep(self.options.initial_poll_delay).await;
@@ -336,15 +369,35 @@
                 }
                 if reported.is_some_and(|(_, reported)| *reported >= version) || !report.busy {
                     if reported.is_some_and(|(_, reported)| *reported >= version) {
+                        self.failed_orders.borrow_mut().remove(&target.id);
                         self.observer.on_weights_loaded(started_at.elapsed());
                     }
                     let (id, ms) = (&target.id, started_at.elapsed().as_millis());
                     log::info!(target: "swap", "order ended target={id} model={model} version={version} shown={reported:?} ms={ms}");
-                    return;
+                    return true;
                 }
             }
             monoio::time::sleep(self.options.poll_interval).await;
         }
+        false
+    }
+
+    /// Records that an order of a target had no answer or no effect. The target rests before its next
+    /// order, longer each time.
+    fn record_failed_order(&self, target: &Target) {
+        let mut failed_orders = self.failed_orders.borrow_mut();
+        let count = failed_orders.get(&target.id).map_or(1, |failed| failed.count + 1);
+        let rest = self.options.max_plan_interval * (1 << count.min(MAX_REST_DOUBLINGS)) / 2;
+        let rests_until = Instant::now() + rest;
+        failed_orders.insert(target.id.clone(), FailedOrders { count, rests_until });
+    }
+
+    fn engine_health(&self, target: &str) -> EngineHealth {
+        match self.failed_orders.borrow().get(target) {
+            None => EngineHealth::Sound,
+            Some(failed) if Instant::now() < failed.rests_until => EngineHealth::Resting,
+            Some(_) => EngineHealth::Failing,
+        }
     }
 
     /// Queries the report of a target; `None` if there is no valid response.
--- a/crates/swap/tests/orders.rs
+++ b/crates/swap/tests/orders.rs
@@ -192,3 +192,82 @@
     };
     deck_net::runtime::run(test).expect("runtime");
 }
+
+/// Engine that loads a version at once, or whose answers do not end.
+fn start_loading_engine(
+    loaded: Rc<Cell<u64>>,
+    is_endless: bool,
+    cancel: &CancellationToken,
+) -> SocketAddr {
+    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("bind");
+    let address = listener.local_addr().expect("address");
+    let orders = Rc::new(Cell::new(0_u64));
+    let serve = move |request: http::Request<hyper::body::Incoming>| {
+        let (loaded, orders) = (loaded.clone(), orders.clone());
+        async move {
+            if is_endless {
+                let (sender, body) = Body::stream();
+                monoio::spawn(async move {
+                    while sender.send("0123456789abcdef").await.is_ok() {
+                        monoio::time::sleep(Duration::from_millis(10)).await;
+                    }
+                });
+                return Response::new(body);
+            }
+            if *request.method() == Method::POST {
+                let body = deck_net::server::read_body(request.into_body(), 1 << 16).await;
+                let body: serde_json::Value =
+                    serde_json::from_slice(&body.expect("body")).expect("json");
+                loaded.set(body["Version"].as_u64().expect("a version"));
+                orders.set(orders.get() + 1);
+                return Response::builder().status(202).body(Body::empty()).expect("response");
+            }
+            let (version, orders) = (loaded.get(), orders.get());
+            Response::new(Body::full(format!(
+                r#"{{"Models": [{{"Name": "m", "Version": {version}}}], "Busy": false, "Seq": {orders}}}"#
+            )))
+        }
+    };
+    monoio::spawn(deck_net::serve(listener, Default::default(), cancel.clone(), serve));
+    address
+}
+
+/// Guards against one engine whose answers do not end and that is ordered first in each round, so that
+/// the other engines get no new version.
+#[test]
+fn engine_whose_answers_do_not_end_does_not_stop_the_loads_of_others() {
+    let test = async {
+        let (cancel, view) = (CancellationToken::new(), view());
+        let loaded: Vec<Rc<Cell<u64>>> = (0..4).map(|_| Rc::new(Cell::new(1))).collect();
+        let targets = loaded.iter().enumerate().map(|(index, loaded)| Target {
+            id: format!("e{index}"),
+            service: "s".to_owned(),
+            address: start_loading_engine(loaded.clone(), index == 0, &cancel),
+            data_centre: "a".to_owned(),
+            state: TargetState::Ready,
+            slots: 8,
+            software_version: None,
+            models: vec![("m".to_owned(), 1)],
+            started_at_ms: 1,
+            lifetime: Default::default(),
+        });
+        view.set_targets(targets.collect(), Instant::now());
+        let held = acquire_lease(Duration::from_secs(60)).await;
+        let (token, stop, weight_updater) = (held.token(), cancel.clone(), weight_updater(&view));
+        monoio::spawn(async move { weight_updater.run(token, Instant::now(), stop).await });
+        for version in 2..6 {
+            view.set_published_version("m".to_owned(), version);
+            let published_at = Instant::now();
+            let is_loaded = || loaded[1..].iter().all(|loaded| loaded.get() == version);
+            // Three loads, one after the other, of 0.9 s each until their reports are read, and one
+            // call to the engine in trouble.
+            while !is_loaded() && published_at.elapsed() < Duration::from_secs(5) {
+                monoio::time::sleep(Duration::from_millis(20)).await;
+            }
+            let versions: Vec<u64> = loaded.iter().map(|loaded| loaded.get()).collect();
+            assert!(is_loaded(), "version {version}: {versions:?}");
+        }
+        cancel.cancel();
+    };
+    deck_net::runtime::run(test).expect("runtime");
+}
--- a/crates/swap/tests/plan.rs
+++ b/crates/swap/tests/plan.rs
@@ -2,7 +2,7 @@
 
 use deck_fleet::ModelDemand;
 use deck_swap::{
-    EngineSnapshot, ModelSnapshot, PlanOptions, PlannedLoad,
+    EngineHealth, EngineSnapshot, ModelSnapshot, PlanOptions, PlannedLoad,
     plan::{assign_engines, engine_quotas, max_concurrent_loads},
     plan_loads,
 };
@@ -37,6 +37,7 @@
         is_loading: false,
         free_slots,
         min_event_ms: None,
+        health: EngineHealth::Sound,
     }
 }
 
@@ -229,3 +230,47 @@
     let loads = plan_loads(&engines, &[model("m", 5)], &options);
     assert_eq!(target_ids(&loads), ["e1", "e2"]);
 }
+
+/// Engines with version 1, of which the first ones have the given health.
+fn engines_with_health(count: usize, health: &[EngineHealth]) -> Vec<EngineSnapshot> {
+    let mut engines: Vec<_> = (0..count).map(|index| engine(index, &[1], 8)).collect();
+    for (engine, health) in engines.iter_mut().zip(health) {
+        engine.health = *health;
+    }
+    engines
+}
+
+/// Guards against one engine in trouble, which is behind most and so comes first, that stops the loads of
+/// all others.
+#[test]
+fn failing_engine_takes_no_load_from_the_others() {
+    let mut engines = engines_with_health(4, &[EngineHealth::Failing]);
+    let plan = |engines: &[_]| plan_loads(engines, &[model("m", 3)], &PlanOptions::default());
+    assert_eq!(target_ids(&plan(&engines)), ["e1", "e0"], "it is ordered beside a sound one");
+    engines[0].is_loading = true;
+    assert_eq!(target_ids(&plan(&engines)), ["e1"]);
+    engines[1].is_loading = true;
+    assert!(plan(&engines).is_empty(), "sound engines load one at a time");
+    let resting = engines_with_health(4, &[EngineHealth::Resting]);
+    assert_eq!(target_ids(&plan(&resting)), ["e1"]);
+}
+
+/// Guards against several engines in trouble that are ordered at the same time.
+#[test]
+fn failing_engines_are_ordered_one_at_a_time() {
+    let mut engines = engines_with_health(4, &[EngineHealth::Failing; 2]);
+    engines[2].versions = vec![Some(3)];
+    engines[3].versions = vec![Some(3)];
+    let plan = |engines: &[_]| plan_loads(engines, &[model("m", 3)], &PlanOptions::default());
+    assert_eq!(target_ids(&plan(&engines)), ["e0"]);
+    engines[0].is_loading = true;
+    assert!(plan(&engines).is_empty());
+}
+
+/// Guards against engines that wait for their turn as failing ones after an outage of most of them.
+#[test]
+fn engines_that_mostly_fail_are_treated_alike() {
+    let engines = engines_with_health(9, &[EngineHealth::Resting; 5]);
+    let loads = plan_loads(&engines, &[model("m", 3)], &PlanOptions::default());
+    assert_eq!(loads.len(), 2);
+}
