--- a/bins/decknode/tests/soak.rs
+++ b/bins/decknode/tests/soak.rs
@@ -2,7 +2,7 @@
 //! nodes, an object API that is down or loses responses, interrupted streams, failed reward calls,
 //! connections that are cut, silent in one direction, slow or reset, and a lost disk; and faults
 //! that last longer than a takeover: long pauses, late writes, targets that refuse work and
-//! connections that fall silent.
+//! connections that fall silent; and nodes whose links to all targets are cut, again and again.
 //!
 //! `SOAK_SEEDS=100..150 cargo test -p decknode --test soak` runs other seeds than those below.
 //! `SOAK_STEPS` sets the number of steps of a run.
@@ -17,7 +17,7 @@
 use deck_net::http::{Method, StatusCode};
 use deck_testkit::{
     EVENT_WAIT_TIMEOUT,
-    proxy::{Direction, Proxy},
+    proxy::{Direction, LinkCut, Proxy},
 };
 use futures_util::future::{join, join_all};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -39,6 +39,14 @@
 /// 30: a paused runner stored and showed its results 1.8 s after the takeover, and the next runner,
 /// which had none to store, never looked for them.
 const LONG_FAULT_SEEDS: [u64; 2] = [1, 30];
+/// Seeds of the CI run with cut links to the targets. A seed that has ever failed stays here too.
+const CUT_SEEDS: [u64; 2] = [1, 2];
+/// Number of nodes whose links to the targets are cut; one more node reaches the targets.
+const CUT_NODES: usize = 2;
+/// Range of the duration of a cut, in milliseconds.
+const CUT_MS: Range<u64> = 500..6000;
+/// Options of the stand-in in the runs with cut links; most jobs outlast the start of a cut.
+const CUT_PLATFORM_OPTIONS: [&str; 2] = ["--event-ms", "30"];
 /// Number of fault kinds of processes and of the platform.
 const PROCESS_FAULTS: u64 = 7;
 /// Number of all fault kinds, including those of connections and disks.
@@ -97,6 +105,10 @@
     has_long_faults: bool,
     /// When the faults of connections end; `None` without such faults.
     proxy_faults_end_at: Option<Instant>,
+    /// Whether the links of some nodes to the targets are cut now and then.
+    has_cuts: bool,
+    /// When the current cut ends; `None` without one.
+    cut_ends_at: Option<Instant>,
     /// When the targets execute work again; `None` while they do.
     refusals_end_at: Option<Instant>,
     /// Number of checks of the results that have been read so far.
@@ -218,6 +230,17 @@
         }
     }
 
+    /// Cuts the links of some nodes to the targets in half of the cases, unless they are cut.
+    fn start_cut(&mut self) {
+        if self.cut_ends_at.is_some() || self.draw(2) == 0 {
+            return;
+        }
+        let cuts = [LinkCut::Hang, LinkCut::Close, LinkCut::Refuse];
+        let cut = cuts[self.draw(cuts.len() as u64) as usize];
+        self.fleet.set_target_links_cut(Some(cut));
+        self.cut_ends_at = Some(Instant::now() + self.draw_duration(CUT_MS));
+    }
+
     /// Returns the duration of a long fault: half of them last longer than a takeover and the time
     /// after it.
     fn draw_long_duration(&mut self) -> Duration {
@@ -252,6 +275,10 @@
         if self.proxy_faults_end_at.is_some_and(|at| at <= now) {
             self.end_proxy_faults();
         }
+        if self.cut_ends_at.is_some_and(|at| at <= now) {
+            self.fleet.set_target_links_cut(None);
+            self.cut_ends_at = None;
+        }
         if self.refusals_end_at.is_some_and(|at| at <= now) {
             self.fleet.set_faults(json!({"refuse_work": false})).await;
             self.refusals_end_at = None;
@@ -335,11 +362,16 @@
     /// what was read before and submits another job if few are open.
     async fn run_step(&mut self) {
         self.end_due_faults(Instant::now()).await;
-        if self.has_long_faults {
+        if self.has_long_faults || self.has_cuts {
             let pause = self.draw_duration(LONG_FAULT_STEP_PAUSE_MS);
             monoio::time::sleep(pause).await;
+        }
+        if self.has_long_faults {
             self.start_long_faults().await;
         }
+        if self.has_cuts {
+            self.start_cut();
+        }
         // With long faults, half of the steps start no other fault.
         if !self.has_long_faults || self.draw(2) == 0 {
             self.start_fault().await;
@@ -400,15 +432,33 @@
     }
 }
 
-/// Runs the test with one seed and the first `fault_kinds` kinds of faults, and with long faults if
-/// `has_long_faults` is set.
-fn run_soak(seed: u64, fault_kinds: u64, has_long_faults: bool) {
+/// Further faults of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FurtherFaults {
+    None,
+    /// Faults that last longer than a takeover.
+    Long,
+    /// Cut links to the targets.
+    Cuts,
+}
+
+/// Runs the test with one seed, the first `fault_kinds` kinds of faults and further ones.
+fn run_soak(seed: u64, fault_kinds: u64, further_faults: FurtherFaults) {
+    let has_long_faults = further_faults == FurtherFaults::Long;
+    let has_cuts = further_faults == FurtherFaults::Cuts;
     println!("seed {seed}");
     let steps = std::env::var("SOAK_STEPS").ok().and_then(|steps| steps.parse().ok());
     let default_steps = if has_long_faults { LONG_FAULT_STEPS } else { DEFAULT_STEPS };
     let steps = steps.unwrap_or(default_steps);
     run(async {
         let fleet = match fault_kinds {
+            _ if has_cuts => {
+                let options = &CUT_PLATFORM_OPTIONS;
+                let mut fleet =
+                    Fleet::configured_with_target_links(CUT_NODES + 1, CUT_NODES, options).await;
+                fleet.start_nodes();
+                fleet
+            }
             PROCESS_FAULTS => Fleet::start(3),
             _ if has_long_faults => {
                 Fleet::start_with_platform_options(3, &LONG_FAULT_PLATFORM_OPTIONS).await
@@ -429,6 +479,8 @@
             fault_kinds,
             has_long_faults,
             proxy_faults_end_at,
+            has_cuts,
+            cut_ends_at: None,
             refusals_end_at: None,
             check_count: 0,
             non_idempotent_statuses,
@@ -447,7 +499,7 @@
 #[test]
 fn promises_hold_under_random_faults() {
     for seed in seeds(&PROCESS_FAULT_SEEDS) {
-        run_soak(seed, PROCESS_FAULTS, false);
+        run_soak(seed, PROCESS_FAULTS, FurtherFaults::None);
     }
 }
 
@@ -456,7 +508,7 @@
 #[test]
 fn promises_hold_while_links_fail() {
     for seed in seeds(&PROXY_SEEDS) {
-        run_soak(seed, ALL_FAULTS, false);
+        run_soak(seed, ALL_FAULTS, FurtherFaults::None);
     }
 }
 
@@ -465,7 +517,16 @@
 #[test]
 fn read_results_stay_readable_under_long_faults() {
     for seed in seeds(&LONG_FAULT_SEEDS) {
-        run_soak(seed, ALL_FAULTS, true);
+        run_soak(seed, ALL_FAULTS, FurtherFaults::Long);
+    }
+}
+
+/// Guards the same guarantees while nodes lose their links to all targets, which hang, close or refuse
+/// connections, and are killed, stopped or paused meanwhile.
+#[test]
+fn promises_hold_while_links_to_targets_are_cut() {
+    for seed in seeds(&CUT_SEEDS) {
+        run_soak(seed, PROCESS_FAULTS, FurtherFaults::Cuts);
     }
 }
 
