--- a/crates/reach/src/client.rs
+++ b/crates/reach/src/client.rs
@@ -11,7 +11,11 @@
 use deck_core::{CancellationToken, hash::rendezvous_score, id::TargetId};
 use deck_fleet::FleetView;
 use deck_net::{Body, BufferedResponse, Client, ClientResponse, ConnectObserver, NetError};
-use futures_util::future::{Either, join_all, select};
+use futures_util::{
+    StreamExt,
+    future::{Either, join_all, select},
+    stream::FuturesUnordered,
+};
 use http::Request;
 use tokio::sync::watch;
 
@@ -217,21 +221,38 @@
 
     /// Returns whether another node can connect to a target.
     async fn is_reached_by_others(&self, target: TargetAddress<'_>) -> bool {
-        let Some(relaying) = &self.relaying else { return false };
-        for node in relaying.choose_nodes() {
-            let Ok(request) = check_request(target) else { return false };
+        self.find_node_that_reaches(target).await.is_some()
+    }
+
+    /// Returns a node that reaches targets; `None` if none of those that were asked does.
+    pub async fn find_reaching_node(&self) -> Option<SocketAddr> {
+        let targets = self.relaying.as_ref()?.dependencies.view.targets();
+        let target = targets.first()?;
+        let target = TargetAddress { id: &target.id, address: target.address };
+        self.find_node_that_reaches(target).await
+    }
+
+    async fn find_node_that_reaches(&self, target: TargetAddress<'_>) -> Option<SocketAddr> {
+        let relaying = self.relaying.as_ref()?;
+        // All are asked at the same time: one that is cut off itself may not know it yet.
+        let checks = relaying.choose_nodes().into_iter().map(|node| async move {
+            let request = check_request(target).ok()?;
             let answer = self.nodes.call(node, request, CHECK_TIMEOUT, MAX_CHECK_BYTES).await;
-            let outcome = answer.ok().and_then(|mut a| RelayOutcome::take_from(&mut a.headers));
-            match outcome {
-                Some(RelayOutcome::Answered) => {
-                    relaying.paths.borrow_mut().record_relayed(Instant::now());
-                    return true;
-                }
-                Some(RelayOutcome::Unreachable | RelayOutcome::Broken) => return false,
-                Some(RelayOutcome::CutOff) | None => relaying.avoid(node),
+            match RelayOutcome::take_from(&mut answer.ok()?.headers)? {
+                RelayOutcome::Answered => return Some(node),
+                RelayOutcome::CutOff => relaying.avoid(node),
+                RelayOutcome::Unreachable | RelayOutcome::Broken => {}
+            }
+            None
+        });
+        let mut checks: FuturesUnordered<_> = checks.collect();
+        while let Some(reaching) = checks.next().await {
+            if reaching.is_some() {
+                relaying.paths.borrow_mut().record_relayed(Instant::now());
+                return reaching;
             }
         }
-        false
+        None
     }
 
     /// Returns whether a target accepts connections over the links of this node. A connection that is
--- a/crates/reach/tests/relay.rs
+++ b/crates/reach/tests/relay.rs
@@ -329,3 +329,22 @@
         assert!(!node.targets.check_links().await);
     });
 }
+
+/// Guards against a node that takes its links for sound because the node that it asks first is cut off too
+/// and does not know it.
+#[test]
+fn check_of_links_asks_several_nodes() {
+    run(async {
+        let server = RawServer::start(|_| {});
+        let cut_off: Vec<Node> = (0..2).map(|_| start_node(closed_address(), Vec::new())).collect();
+        let relay = start_node(server.address, Vec::new());
+        let nodes = cut_off.iter().chain([&relay]).map(|node| node.address).collect();
+        let node = start_node(closed_address(), nodes);
+        let second = Target { id: "t-1".to_owned(), ..target(closed_address()) };
+        node.view.set_targets(vec![target(node.target_address()), second.clone()], Instant::now());
+        let second_at_relay = Target { address: server.address, ..second };
+        relay.view.set_targets(vec![target(server.address), second_at_relay], Instant::now());
+        assert!(node.targets.check_links().await);
+        assert_eq!(node.targets.find_reaching_node().await, Some(relay.address));
+    });
+}
