Cut-off candidates invite a node that reaches the targets to lead

In a large fleet only the three nodes that follow the object API compete for the leader's lease.

A candidate that is cut off and finds the lease free for longer than the others need to claim it now asks a node through which it reaches the targets to compete.

--- a/bins/decknode/src/leadership.rs
+++ b/bins/decknode/src/leadership.rs
@@ -5,6 +5,7 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -13,11 +14,17 @@
 use deck_core::{CancellationToken, id::Revision, object::LEASE_KIND};
 use deck_duty::usage::UsageHolder;
 use deck_fleet::{Bounds, FleetFeed, Leader, ObjectFollower};
+use deck_net::{
+    Body, Client,
+    http::{Method, Request},
+};
 use deck_plat::{
     AcquireResult, HeldLease, LeaseCandidate, LeaseEnd, LeaseOptions, Store, lease::parse_record,
 };
 use deck_reach::TargetClient;
 use deck_swap::{RunnerManager, RunnerManagerDependencies, WeightUpdater};
+use futures_util::future::select;
+use tokio::sync::Notify;
 
 use crate::{
     scaling::{self, TargetScaler},
@@ -41,6 +48,12 @@
 const MIN_CUT_OFF_TENURE: Duration = Duration::from_secs(4);
 /// Maximum time for which a new leader checks its links before it leads. Its lease stays valid meanwhile.
 const LINK_CHECK_TIMEOUT: Duration = Duration::from_millis(800);
+/// Path of the invitation of another node to compete for the lease.
+pub const INVITATION_PATH: &str = "/peer/lead";
+/// Timeout of an invitation.
+const INVITATION_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum size of the answer to an invitation.
+const MAX_ANSWER_BYTES: usize = 4096;
 /// Time without a change of the lease after which a node that is cut off competes for it. Each candidate
 /// reads the lease several times meanwhile.
 const UNCLAIMED_TIME: Duration = Duration::from_secs(5);
@@ -74,6 +87,10 @@
     pub target_scaler: TargetScaler,
     /// Client for requests to targets, which knows whether this node is cut off from them.
     pub targets: TargetClient,
+    /// HTTP client for calls to other nodes.
+    pub client: Client,
+    /// Notified when a node that may not lead well invites this one to compete for the lease.
+    pub invitations: Rc<Notify>,
     /// Set while this node holds the lease; read by the metrics.
     pub is_leader: Rc<Cell<bool>>,
 }
@@ -84,9 +101,12 @@
     let mut candidate = new_candidate(&context);
     while !cancel.is_cancelled() {
         // Watchers compete for the lease and report its holder to other nodes. A node that reaches
-        // no watcher follows the object API itself and also competes.
-        if cancel.run_until_cancelled(context.feed.wait_until_watching_object_api()).await.is_none()
-        {
+        // no watcher follows the object API itself and also competes, and so does one that is invited.
+        let (watching, invited) = (
+            pin!(context.feed.wait_until_watching_object_api()),
+            pin!(context.invitations.notified()),
+        );
+        if cancel.run_until_cancelled(select(watching, invited)).await.is_none() {
             return;
         }
         let role = match abstain_while_cut_off(&context, &cancel).await {
@@ -150,6 +170,7 @@
     cancel: &CancellationToken,
 ) -> Abstention {
     let (mut last_revision, mut changed_at) = (None, Instant::now());
+    let mut invited_at = Instant::now();
     while context.targets.is_cut_off() {
         if changed_at.elapsed() >= UNCLAIMED_TIME {
             return Abstention::LeaseUnclaimed;
@@ -164,10 +185,25 @@
         {
             (last_revision, changed_at) = (Some(revision), Instant::now());
         }
+        // The other candidates have had the time to claim a lease that was released.
+        let is_free = context.feed.leader().is_none() && changed_at.elapsed() > LEASE_POLL_INTERVAL;
+        if is_free && invited_at.elapsed() > LEASE_POLL_INTERVAL {
+            invited_at = Instant::now();
+            invite_candidate(context).await;
+        }
     }
     Abstention::Ended
 }
 
+/// Invites a node that reaches the targets to compete for the lease.
+async fn invite_candidate(context: &LeadershipContext) {
+    let Some(node) = context.targets.find_reaching_node().await else { return };
+    let request = Request::builder().method(Method::POST).uri(INVITATION_PATH).body(Body::empty());
+    let Ok(request) = request else { return };
+    let answer = context.client.call(node, request, INVITATION_TIMEOUT, MAX_ANSWER_BYTES).await;
+    log::info!(target: "lead", "invited to lead node={node} answered={}", answer.is_ok());
+}
+
 /// Waits until this node, which has just become the leader, has to resign: its links to the targets are
 /// cut while other nodes reach them.
 async fn wait_until_cut_off(targets: TargetClient, role: CutOffRole) {
--- a/bins/decknode/src/process.rs
+++ b/bins/decknode/src/process.rs
@@ -52,11 +52,13 @@
 };
 
 use hyper::body::Incoming;
+use tokio::sync::Notify;
 
 use crate::{
     client_limits::ClientLimits,
     frontend::{Frontend, StopDeadline},
-    leadership, loop_delay,
+    leadership::{self, INVITATION_PATH},
+    loop_delay,
     metrics::{GaugeState, NodeMetrics},
     node_registry,
     scaling::TargetScaler,
@@ -267,6 +269,7 @@
         WeightUpdaterOptions::default(),
     );
     let (batch_jobs, duty_client) = (batch.clone(), client.clone());
+    let (node_client, invitations) = (client.clone(), Rc::new(Notify::new()));
     let runners = RunnerManagerDependencies {
         view: view.clone(),
         engines: engines.clone(),
@@ -302,6 +305,8 @@
         usage: usage_holder,
         target_scaler,
         targets: targets.clone(),
+        client: node_client,
+        invitations: invitations.clone(),
         is_leader: is_leader.clone(),
     };
     let candidate_task =
@@ -352,6 +357,7 @@
         origins,
         usage: usage.clone(),
         target_relay,
+        invitations,
     };
     serve_peers(&settings, peer_service, client_limits.peer_options(), background_cancel.clone())?;
     let frontend_cancel = CancellationToken::new();
@@ -579,6 +585,8 @@
     usage: Option<UsageExchange>,
     /// Sends requests to targets for nodes whose links to them are cut.
     target_relay: RelayService,
+    /// Notified when another node invites this one to compete for the leader's lease.
+    invitations: Rc<Notify>,
 }
 
 impl PeerService {
@@ -596,6 +604,10 @@
             RUNNER_TABLE_PATH => self.receive_runner_table(request).await,
             relay::RELAY_PATH => serve_relayed_call(&*self.object_api, request).await,
             USAGE_PATH => self.serve_usage(request).await,
+            INVITATION_PATH => {
+                self.invitations.notify_one();
+                empty_response(StatusCode::OK)
+            }
             path if path == CHECK_PATH || is_relayed_request(path) => {
                 self.target_relay.serve(request).await
             }
--- a/bins/decknode/tests/cut_off.rs
+++ b/bins/decknode/tests/cut_off.rs
@@ -76,6 +76,25 @@
     requests.iter().filter(|(_, status)| *status == Some(StatusCode::OK)).count()
 }
 
+/// Waits until all engines have a version.
+async fn assert_engines_have_version(fleet: &Fleet, version: u64, max_time: Duration) {
+    let published_at = Instant::now();
+    let engines_with_version = async || {
+        let path = "/v1/objects/servers";
+        let list = fleet.call(fleet.object_api, Method::GET, path, &[], Vec::new()).await;
+        let list: Value = serde_json::from_slice(&list.expect("list").1).expect("json");
+        let entries = list["Items"].as_array().expect("entries").iter();
+        let engines = entries.filter(|entry| entry["Spec"]["Service"] == "models");
+        let versions = engines.map(|entry| entry["Spec"]["Models"][0]["Version"] == version);
+        versions.collect::<Vec<bool>>()
+    };
+    while published_at.elapsed() < max_time && engines_with_version().await.contains(&false) {
+        monoio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let changed = engines_with_version().await;
+    assert!(!changed.contains(&false), "engines with the version: {changed:?}");
+}
+
 /// Starts nodes of which the first `cut_nodes` have links that can be cut. The first node leads.
 async fn start_fleet(entry_nodes: usize, cut_nodes: usize, options: &[&str]) -> Fleet {
     let mut fleet = Fleet::configured_with_target_links(entry_nodes, cut_nodes, options).await;
@@ -171,22 +190,7 @@
         fleet.read_until_complete(&mut warm_up).await;
         fleet.set_target_links_cut(Some(cut));
         fleet.publish_version(2).await;
-        let published_at = Instant::now();
-        let engines_with_version = async || {
-            let path = "/v1/objects/servers";
-            let list = fleet.call(fleet.object_api, Method::GET, path, &[], Vec::new()).await;
-            let list: Value = serde_json::from_slice(&list.expect("list").1).expect("json");
-            let entries = list["Items"].as_array().expect("entries").iter();
-            let engines = entries.filter(|entry| entry["Spec"]["Service"] == "models");
-            let versions = engines.map(|entry| entry["Spec"]["Models"][0]["Version"] == 2);
-            versions.collect::<Vec<bool>>()
-        };
-        while published_at.elapsed() < VERSION_TIME && engines_with_version().await.contains(&false)
-        {
-            monoio::time::sleep(Duration::from_millis(50)).await;
-        }
-        let changed = engines_with_version().await;
+        assert_engines_have_version(&fleet, 2, VERSION_TIME).await;
         fleet.set_target_links_cut(None);
-        assert!(!changed.contains(&false), "engines with the version: {changed:?}");
     });
 }
