reach: targets out of reach take turns in being probed

Read once more: each round took all targets that were due, recorded an attempt for each and then tried only the first eight, always the same ones. While eight targets stayed down, no other target was found in reach again by the probes, and requests to it went on through other nodes.

The targets whose last attempt is longest ago now come first, and an attempt is recorded only for those that are tried. The new test in crates/reach/tests/paths.rs failed before: 4 of 20 targets were probed in five rounds of four.

--- a/crates/reach/src/paths.rs
+++ b/crates/reach/src/paths.rs
@@ -116,7 +116,7 @@
     }
 
     /// Returns at most `max_count` targets to which connections should be tried now, and records the
-    /// attempts: those out of reach that are due and, if another node reaches what this node does not,
+    /// attempts: those out of reach that are due, longest ago first, and, if another node reaches what this node does not,
     /// one of the others, which shows whether all links are cut.
     pub fn start_probes(
         &mut self,
@@ -124,9 +124,15 @@
         max_count: usize,
         now: Instant,
     ) -> Vec<SocketAddr> {
-        let mut probes = self.unreachable();
+        let mut by_last_attempt: Vec<(Instant, SocketAddr)> = self
+            .unreachable
+            .iter()
+            .map(|(target, entry)| (entry.last_attempt_at, *target))
+            .collect();
+        by_last_attempt.sort_unstable();
+        let mut probes: Vec<SocketAddr> =
+            by_last_attempt.into_iter().take(max_count).map(|(_, target)| target).collect();
         probes.retain(|target| self.start_retry(*target, now));
-        probes.truncate(max_count);
         let is_extent_unknown = self.failures.as_ref().is_some_and(|streak| {
             streak.targets.len() < MIN_UNREACHABLE_TARGETS
                 && self.relayed_at.is_some_and(|at| at >= streak.first_failed_at)
--- a/crates/reach/tests/paths.rs
+++ b/crates/reach/tests/paths.rs
@@ -86,6 +86,22 @@
     assert_eq!(paths.start_probes(&known, 1, now + Duration::from_secs(1)).len(), 1);
 }
 
+/// Guards against targets that are never tried again while others, which stay out of reach, come first.
+#[test]
+fn targets_out_of_reach_take_turns_in_being_probed() {
+    let mut paths = TargetPaths::default();
+    let now = Instant::now();
+    let known: Vec<SocketAddr> = (1..=20).map(address).collect();
+    for target in &known {
+        paths.record_connect_failed(*target, now);
+    }
+    let rounds = (1..=5).map(|round| now + Duration::from_millis(600) * round);
+    let probed: Vec<Vec<SocketAddr>> = rounds.map(|at| paths.start_probes(&known, 4, at)).collect();
+    assert!(probed.iter().all(|probes| probes.len() == 4), "{probed:?}");
+    let distinct: HashSet<&SocketAddr> = probed.iter().flatten().collect();
+    assert_eq!(distinct.len(), known.len(), "{probed:?}");
+}
+
 /// Guards against targets that are gone and still count as evidence of a cut.
 #[test]
 fn targets_that_are_gone_are_forgotten() {
