reach: a caller's header does not decide whether its request is repeatable

Read once more: a caller that sent x-relay-repeatable itself made a relayed request, which may run once only, count as repeatable at the relaying node, which then gave it up at a silent target. The header is removed before the request is handed on. The new test in crates/reach/tests/relay.rs failed before.

--- a/crates/reach/src/relay.rs
+++ b/crates/reach/src/relay.rs
@@ -229,6 +229,7 @@
     let id = HeaderValue::from_str(target.id);
     let id = id.map_err(|error| not_sent(format!("target id: {error}")))?;
     request.headers_mut().insert(TARGET_HEADER, id);
+    request.headers_mut().remove(REPEATABLE_HEADER);
     if is_repeatable {
         request.headers_mut().insert(REPEATABLE_HEADER, HeaderValue::from_static("1"));
     }
--- a/crates/reach/tests/relay.rs
+++ b/crates/reach/tests/relay.rs
@@ -227,6 +227,31 @@
     });
 }
 
+/// Guards against a header of a caller that bears the name of one of the relay and decides whether the
+/// request may run more than once: it would be given up at a silent target that is out of reach.
+#[test]
+fn header_of_a_caller_does_not_make_a_request_repeatable() {
+    run(async {
+        let target_link = RawServer::start(|_| std::thread::sleep(Duration::from_secs(3)));
+        let link = Proxy::start(target_link.address);
+        let relay = start_node(link.address, Vec::new());
+        let node = start_node(closed_address(), vec![relay.address]);
+        node.learn_that_target_is_out_of_reach().await;
+        let mut request = request("/");
+        request.headers_mut().insert("x-relay-repeatable", "1".parse().expect("value"));
+        let id = TARGET.to_owned();
+        let address = TargetAddress { id: &id, address: node.target_address() };
+        let cut = async {
+            monoio::time::sleep(Duration::from_millis(200)).await;
+            link.set_cut(Some(LinkCut::Hang));
+        };
+        let send = node.targets.send(address, request, false);
+        let send = monoio::time::timeout(Duration::from_millis(1500), send);
+        let (sent, ()) = futures_util::future::join(send, cut).await;
+        assert!(sent.is_err(), "the request was given up");
+    });
+}
+
 /// Guards against requests that are refused because the first node that is asked cannot relay them:
 /// its links are cut too, it is gone, it does not know the target, or it is of a version that does not
 /// relay.
