Simplify: what targets state, pumps of bodies and addresses are in one place

No change of behaviour. What a target says of itself in a response was recorded by the same lines in three crates (FleetView::record_statements); two crates waited for a chunk or the end of the receiver by hand (BodySender::run_until_closed); the address of a target was put together in five places (From<&Target>). The time of the last attempt needs no struct of its own, the guarded read of a stream uses the plain one, and clearing the faults of a proxy also ends a cut.

--- a/bins/decknode/src/leadership.rs
+++ b/bins/decknode/src/leadership.rs
@@ -264,8 +264,8 @@
     role: CutOffRole,
     stop: &CancellationToken,
 ) -> Option<LeaseCandidate> {
-    let is_cut_off = monoio::time::timeout(LINK_CHECK_TIMEOUT, context.targets.check_links());
-    if role == CutOffRole::Resigns && is_cut_off.await.unwrap_or(false) {
+    let link_check = monoio::time::timeout(LINK_CHECK_TIMEOUT, context.targets.check_links());
+    if role == CutOffRole::Resigns && link_check.await.unwrap_or(false) {
         log::warn!(target: "lead", "not leading: links to targets are cut");
         if let Err(error) = held.release().await {
             log::warn!(target: "lead", "release failed error={error}");
--- a/crates/batch/src/item_run.rs
+++ b/crates/batch/src/item_run.rs
@@ -9,7 +9,6 @@
 use deck_core::{CancellationToken, id::WeightVersion, wall_clock::unix_time_ms};
 use deck_fleet::{DispatchMetadata, ItemRunOutcome, ResponseMetadata, RunGuard, Target};
 use deck_net::{ClientResponse, sse::may_be_event_stream};
-use deck_reach::TargetAddress;
 use http::{Method, Request, StatusCode};
 
 use crate::{
@@ -235,8 +234,7 @@
         return RunOutcome::Withheld;
     }
     let sent_at = Instant::now();
-    let address = TargetAddress { id: &target.id, address: target.address };
-    let send = runner.deps.client.send(address, request, true);
+    let send = runner.deps.client.send(target.into(), request, true);
     let response = match monoio::time::timeout(runner.options.first_event_timeout, send).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) if error.may_have_been_sent() => {
@@ -248,13 +246,7 @@
     item_state.response_received.set(true);
     let status = response.status;
     let metadata = runner.deps.protocol.decode_response_metadata(status, &response.headers);
-    if metadata.leaving {
-        runner.deps.view.mark_leaving(target, Instant::now());
-    }
-    if metadata.is_from_target {
-        let limits = runner.deps.view.limits();
-        limits.record(target, metadata.requests_per_s, sent_at, Instant::now());
-    }
+    runner.deps.view.record_statements(target, &metadata, sent_at);
     if metadata.request_id.as_ref().is_some_and(|id| *id != item_state.item.id) {
         return RunOutcome::Broken("response carries another request id".to_owned());
     }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -18,7 +18,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    Configuration, ConfigurationCurrency, KnownVersions, Target, TargetLimits, TargetState,
+    Configuration, ConfigurationCurrency, KnownVersions, ResponseMetadata, Target, TargetLimits,
+    TargetState,
     change_log::TargetChangeLog,
     config::{ConfigurationVersion, ModelName},
     software::SoftwareHistory,
@@ -480,6 +481,23 @@
         }
     }
 
+    /// Records what a target says of itself in a response to a request that was sent at `sent_at`: that
+    /// it is leaving, and the request rate that it names.
+    pub fn record_statements(
+        &self,
+        target: &Target,
+        metadata: &ResponseMetadata,
+        sent_at: Instant,
+    ) {
+        let now = Instant::now();
+        if metadata.leaving {
+            self.mark_leaving(target, now);
+        }
+        if metadata.is_from_target {
+            self.limits().record(target, metadata.requests_per_s, sent_at, now);
+        }
+    }
+
     /// Records that a target announced in a response that it is leaving. This process of the target
     /// receives no further requests, even if lists still show it as ready.
     ///
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -207,12 +207,8 @@
     ) -> Result<Reply, AttemptError> {
         let (status, headers) = (response.status, response.headers.clone());
         let metadata = self.protocol.decode_response_metadata(status, &headers);
-        if let Some(target_entry) = target_entry.as_deref().filter(|_| metadata.leaving) {
-            self.fleet_view.mark_leaving(target_entry, Instant::now());
-        }
-        if let Some(target_entry) = target_entry.as_deref().filter(|_| metadata.is_from_target) {
-            let (limits, now) = (self.fleet_view.limits(), Instant::now());
-            limits.record(target_entry, metadata.requests_per_s, sent_at, now);
+        if let Some(target_entry) = target_entry.as_deref() {
+            self.fleet_view.record_statements(target_entry, &metadata, sent_at);
         }
         if metadata.request_id.as_ref().is_some_and(|id| *id != self.request_id) {
             return Err(AttemptError::Unknown("answer to another request".to_owned()));
--- a/crates/forward/src/reply.rs
+++ b/crates/forward/src/reply.rs
@@ -9,7 +9,6 @@
     Body, ClientResponse, NetError, hop_by_hop::strip_hop_by_hop, server::json_response,
 };
 use deck_reach::TargetClient;
-use futures_util::future::Either;
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, header};
 
 use crate::{
@@ -97,11 +96,8 @@
 
     /// As [`StreamingBody::next_chunk`], but fails when the target is silent and out of reach.
     pub(crate) async fn next_chunk_within_reach(&mut self) -> Result<Option<Bytes>, NetError> {
-        if !self.prefix.is_empty() {
-            return Ok(Some(std::mem::take(&mut self.prefix)));
-        }
-        let sender = self.response.address();
-        self.client.unless_out_of_reach(sender, self.response.chunk()).await
+        let (client, sender) = (self.client.clone(), self.response.address());
+        client.unless_out_of_reach(sender, self.next_chunk()).await
     }
 
     /// Records that the body was received to its end, so the request has not crashed the target.
@@ -137,7 +133,7 @@
             let (sender, body) = Body::stream();
             monoio::spawn(async move {
                 loop {
-                    let next = run_until_stopped(streaming.next_chunk(), sender.closed()).await;
+                    let next = sender.run_until_closed(streaming.next_chunk()).await;
                     // The caller has disconnected: dropping the body closes the target's connection.
                     let Some(next) = next else { return };
                     match next {
@@ -163,18 +159,6 @@
     response
 }
 
-/// Returns the result of `work`, or `None` if `stop` completes first.
-pub(crate) async fn run_until_stopped<T>(
-    work: impl Future<Output = T>,
-    stop: impl Future<Output = ()>,
-) -> Option<T> {
-    let (work, stop) = (std::pin::pin!(work), std::pin::pin!(stop));
-    match futures_util::future::select(work, stop).await {
-        Either::Left((result, _)) => Some(result),
-        Either::Right(_) => None,
-    }
-}
-
 /// Returns the response for an error that this node itself produced. The response's extensions hold
 /// the error's [`ErrorKind`](deck_core::error::ErrorKind).
 pub fn error_response(error: &CallError, request_id: &str) -> Response<Body> {
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -18,7 +18,6 @@
     AttemptError, ReplyBody, StreamingBody,
     attempt::{AttemptContext, RequiredVersion},
     forwarder::{Forwarder, RequestProgress},
-    reply::run_until_stopped,
     resume::{OriginKey, failed_outcome},
 };
 
@@ -176,7 +175,7 @@
         let time_left = STALL_TIMEOUT.saturating_sub(waiting_since.elapsed());
         let chunk = monoio::time::timeout(time_left, body.next_chunk_within_reach());
         // The caller has disconnected: dropping the body closes the target's connection.
-        let Some(next) = run_until_stopped(chunk, sender.closed()).await else { return };
+        let Some(next) = sender.run_until_closed(chunk).await else { return };
         let stall_error =
             || NetError::Body(format!("no event for {} ms", STALL_TIMEOUT.as_millis()));
         match next.unwrap_or_else(|_| Err(stall_error())) {
@@ -218,8 +217,7 @@
         }
         splitter = EventSplitter::default();
         waiting_since = Instant::now();
-        let Some(Some(next)) =
-            run_until_stopped(resumption.resume_after(last_event), sender.closed()).await
+        let Some(Some(next)) = sender.run_until_closed(resumption.resume_after(last_event)).await
         else {
             return;
         };
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -2,11 +2,12 @@
 
 use std::{
     convert::Infallible,
-    pin::Pin,
+    pin::{Pin, pin},
     task::{Context, Poll},
 };
 
 use bytes::Bytes;
+use futures_util::future::{Either, select};
 use http_body::{Frame, SizeHint};
 use tokio::sync::mpsc;
 
@@ -97,6 +98,15 @@
     pub async fn closed(&self) {
         self.sender.closed().await;
     }
+
+    /// Returns the result of `work`, or `None` if the receiver is dropped first.
+    pub async fn run_until_closed<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let (work, closed) = (pin!(work), pin!(self.closed()));
+        match select(work, closed).await {
+            Either::Left((result, _)) => Some(result),
+            Either::Right(_) => None,
+        }
+    }
 }
 
 impl http_body::Body for Body {
--- a/crates/reach/src/client.rs
+++ b/crates/reach/src/client.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use deck_core::{CancellationToken, hash::rendezvous_score, id::TargetId};
-use deck_fleet::FleetView;
+use deck_fleet::{FleetView, Target};
 use deck_net::{Body, BufferedResponse, Client, ClientResponse, ConnectObserver, NetError};
 use futures_util::{
     StreamExt,
@@ -50,6 +50,12 @@
     pub address: SocketAddr,
 }
 
+impl<'a> From<&'a Target> for TargetAddress<'a> {
+    fn from(target: &'a Target) -> Self {
+        Self { id: &target.id, address: target.address }
+    }
+}
+
 /// What a [`TargetClient`] needs to send requests through other nodes.
 pub struct RelayDependencies {
     /// Current targets.
@@ -227,9 +233,7 @@
     /// Returns a node that reaches targets; `None` if none of those that were asked does.
     pub async fn find_reaching_node(&self) -> Option<SocketAddr> {
         let targets = self.relaying.as_ref()?.dependencies.view.targets();
-        let target = targets.first()?;
-        let target = TargetAddress { id: &target.id, address: target.address };
-        self.find_node_that_reaches(target).await
+        self.find_node_that_reaches((&**targets.first()?).into()).await
     }
 
     async fn find_node_that_reaches(&self, target: TargetAddress<'_>) -> Option<SocketAddr> {
@@ -420,8 +424,7 @@
         let checks = targets.iter().map(|target| self.targets.can_connect(target.address));
         let is_any_reached = join_all(checks).await.contains(&true);
         if let Some(target) = targets.first().filter(|_| !is_any_reached) {
-            let target = TargetAddress { id: &target.id, address: target.address };
-            self.is_reached_by_others(target).await;
+            self.is_reached_by_others((&**target).into()).await;
         }
         self.update_cut_off(relaying);
         self.is_cut_off()
--- a/crates/reach/src/paths.rs
+++ b/crates/reach/src/paths.rs
@@ -25,21 +25,14 @@
 /// are cut.
 #[derive(Debug, Default)]
 pub struct TargetPaths {
-    /// Targets to which the last connection attempt failed.
-    unreachable: HashMap<SocketAddr, Unreachable>,
+    /// Targets to which the last connection attempt failed, and when one last began or failed.
+    unreachable: HashMap<SocketAddr, Instant>,
     /// Consecutive failed attempts; `None` if the last attempt to any target succeeded.
     failures: Option<FailureStreak>,
     /// When another node last delivered the answer of a target.
     relayed_at: Option<Instant>,
 }
 
-/// Target out of reach.
-#[derive(Debug, Clone, Copy)]
-struct Unreachable {
-    /// When the last connection attempt began or failed.
-    last_attempt_at: Instant,
-}
-
 /// Failed connection attempts without a successful one in between.
 #[derive(Debug)]
 struct FailureStreak {
@@ -57,7 +50,7 @@
 
     /// Records that no connection to a target was established.
     pub fn record_connect_failed(&mut self, target: SocketAddr, now: Instant) {
-        self.unreachable.insert(target, Unreachable { last_attempt_at: now });
+        self.unreachable.insert(target, now);
         let streak = self
             .failures
             .get_or_insert_with(|| FailureStreak { first_failed_at: now, targets: Vec::new() });
@@ -106,9 +99,9 @@
     /// targets that are not known to be out of reach.
     pub fn start_retry(&mut self, target: SocketAddr, now: Instant) -> bool {
         match self.unreachable.get_mut(&target) {
-            Some(entry) if now.duration_since(entry.last_attempt_at) < RETRY_INTERVAL => false,
-            Some(entry) => {
-                entry.last_attempt_at = now;
+            Some(last_attempt_at) if now.duration_since(*last_attempt_at) < RETRY_INTERVAL => false,
+            Some(last_attempt_at) => {
+                *last_attempt_at = now;
                 true
             }
             None => true,
@@ -124,14 +117,9 @@
         max_count: usize,
         now: Instant,
     ) -> Vec<SocketAddr> {
-        let mut by_last_attempt: Vec<(Instant, SocketAddr)> = self
-            .unreachable
-            .iter()
-            .map(|(target, entry)| (entry.last_attempt_at, *target))
-            .collect();
-        by_last_attempt.sort_unstable();
-        let mut probes: Vec<SocketAddr> =
-            by_last_attempt.into_iter().take(max_count).map(|(_, target)| target).collect();
+        let mut probes = self.unreachable();
+        probes.sort_unstable_by_key(|target| (self.unreachable[target], *target));
+        probes.truncate(max_count);
         probes.retain(|target| self.start_retry(*target, now));
         let is_extent_unknown = self.failures.as_ref().is_some_and(|streak| {
             streak.targets.len() < MIN_UNREACHABLE_TARGETS
--- a/crates/reach/src/relay.rs
+++ b/crates/reach/src/relay.rs
@@ -8,7 +8,6 @@
     hop_by_hop::strip_hop_by_hop,
     server::{read_body, text_response},
 };
-use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
 
@@ -142,8 +141,8 @@
         *target_request.uri_mut() = uri;
         *target_request.headers_mut() = parts.headers;
         let sent_at = Instant::now();
-        let address = TargetAddress { id: &target.id, address: target.address };
-        let response = self.targets.send_direct(address, target_request, is_repeatable).await;
+        let response =
+            self.targets.send_direct((&*target).into(), target_request, is_repeatable).await;
         let response = response.map_err(|error| match error.may_have_been_sent() {
             true => (RelayOutcome::Broken, error.to_string()),
             false if self.targets.are_links_cut() => (RelayOutcome::CutOff, error.to_string()),
@@ -156,13 +155,7 @@
     /// Records what a target says of itself in a response, as this node sends requests to it too.
     fn record_statements(&self, target: &Target, response: &ClientResponse, sent_at: Instant) {
         let metadata = self.protocol.decode_response_metadata(response.status, &response.headers);
-        if metadata.leaving {
-            self.view.mark_leaving(target, Instant::now());
-        }
-        if metadata.is_from_target {
-            let limits = self.view.limits();
-            limits.record(target, metadata.requests_per_s, sent_at, Instant::now());
-        }
+        self.view.record_statements(target, &metadata, sent_at);
     }
 }
 
@@ -177,15 +170,9 @@
     set_outcome(&mut passed_on, RelayOutcome::Answered);
     monoio::spawn(async move {
         loop {
-            let chunk = {
-                let (next, closed) =
-                    (std::pin::pin!(response.chunk()), std::pin::pin!(sender.closed()));
-                match select(next, closed).await {
-                    Either::Left((chunk, _)) => chunk,
-                    // Dropping the response closes the target's connection.
-                    Either::Right(_) => return,
-                }
-            };
+            let next = sender.run_until_closed(response.chunk()).await;
+            // Dropping the response closes the target's connection.
+            let Some(chunk) = next else { return };
             match chunk {
                 Ok(Some(chunk)) => {
                     if sender.send(chunk).await.is_err() {
--- a/crates/swap/src/weight_updater.rs
+++ b/crates/swap/src/weight_updater.rs
@@ -19,7 +19,7 @@
 };
 use deck_net::{BufferedResponse, NetError};
 use deck_plat::LeaseToken;
-use deck_reach::{TargetAddress, TargetClient};
+use deck_reach::TargetClient;
 use futures_util::future::select;
 use http::StatusCode;
 use tokio::sync::Notify;
@@ -311,7 +311,7 @@
         };
         let request = self.protocol.weight_load_request(&target.id, &order);
         // Orders of two nodes are those of two holders, so no other node relays them.
-        let (address, timeout) = (target_address(target), self.options.call_timeout);
+        let (address, timeout) = (target.into(), self.options.call_timeout);
         let reply = self.client.call_direct(address, request, timeout, MAX_RESPONSE_BYTES).await;
         let reply = self.record_reply(target, reply);
         let reply = reply.map(|reply| self.protocol.decode_weight_load_reply(reply.status));
@@ -403,7 +403,7 @@
     /// Queries the report of a target; `None` if there is no valid response.
     async fn fetch_report(&self, target: &Target) -> Option<TargetReport> {
         let request = self.protocol.target_report_request(&target.id);
-        let (address, timeout) = (target_address(target), self.options.call_timeout);
+        let (address, timeout) = (target.into(), self.options.call_timeout);
         let response = self.client.call(address, request, timeout, MAX_RESPONSE_BYTES).await;
         let response = self.record_reply(target, response)?;
         if response.status != StatusCode::OK {
@@ -442,7 +442,3 @@
         }
     }
 }
-
-fn target_address(target: &Target) -> TargetAddress<'_> {
-    TargetAddress { id: &target.id, address: target.address }
-}
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -86,7 +86,7 @@
                 let address = listener.local_addr().expect("address");
                 sender.send(address).expect("the receiver waits");
                 let mut listener = Some(listener);
-                while !thread_faults.is_stopped.load(Ordering::Relaxed) {
+                while !thread_faults.is_stopped() {
                     let cut = thread_faults.cut();
                     if cut.is_some() {
                         listener = None;
@@ -149,8 +149,7 @@
 
     /// Clears all faults; closed and silent connections are not restored.
     pub fn clear_faults(&self) {
-        self.set_blocked(Direction::ToTarget, false);
-        self.set_blocked(Direction::FromTarget, false);
+        self.set_cut(None);
         self.set_delay(Duration::ZERO);
     }
 }
@@ -231,10 +230,8 @@
     generations: Generations,
     faults: &Faults,
 ) {
-    let must_close = || {
-        faults.is_stopped.load(Ordering::Relaxed)
-            || Generations::current(faults).closing != generations.closing
-    };
+    let must_close =
+        || faults.is_stopped() || Generations::current(faults).closing != generations.closing;
     let is_held_back = || {
         faults.is_blocked[direction as usize].load(Ordering::Relaxed)
             || Generations::current(faults).silent != generations.silent
