--- a/bins/decknode/tests/metrics.rs
+++ b/bins/decknode/tests/metrics.rs
@@ -17,6 +17,18 @@
     metrics::{GaugeState, METRICS, NodeMetrics, RequestPurpose},
 };
 
+/// Returns the metrics page of a node that sends all requests over its own links.
+fn render(
+    metrics: &NodeMetrics,
+    view: &FleetView,
+    engines: &EngineRegistry,
+    open_jobs: usize,
+    is_leader: bool,
+) -> String {
+    let targets = &Client::default().into();
+    metrics.render(&GaugeState { view, engines, open_jobs, is_leader, targets })
+}
+
 /// Page that documents the metrics; its rows must equal those in the code.
 const REFERENCE_PAGE: &str = include_str!("../../../docs/metrics.md");
 
@@ -89,14 +101,7 @@
     let engines = EngineRegistry::default();
     let view = view_with_engines(&engines, &[9, 9, 8, 2]);
     view.confirm_configuration(4, BootInstant::now());
-    let state = GaugeState {
-        view: &view,
-        engines: &engines,
-        open_jobs: 2,
-        is_leader: true,
-        targets: &Client::default().into(),
-    };
-    let text = metrics.render(&state);
+    let text = render(&metrics, &view, &engines, 2, true);
     for row in METRICS {
         assert!(text.contains(&format!("# TYPE {} {}\n", row.name, row.kind)), "{}", row.name);
         assert_eq!(row.name.ends_with("_total"), row.kind == "counter", "{}", row.name);
@@ -132,14 +137,7 @@
     }
     let engines = EngineRegistry::default();
     let view = FleetView::new(Router::new(RouterOptions::default()));
-    let state = GaugeState {
-        view: &view,
-        engines: &engines,
-        open_jobs: 0,
-        is_leader: false,
-        targets: &Client::default().into(),
-    };
-    let text = metrics.render(&state);
+    let text = render(&metrics, &view, &engines, 0, false);
     assert_eq!(text.matches("decknode_requests_total{").count(), 65);
     assert!(text.contains("route=\"other\",status=\"200\"} 436"), "{text}");
 }
@@ -157,14 +155,7 @@
         monoio::time::sleep(Duration::from_millis(1)).await;
         let engines = EngineRegistry::default();
         let view = view_with_engines(&engines, &[]);
-        let state = GaugeState {
-            view: &view,
-            engines: &engines,
-            open_jobs: 0,
-            is_leader: false,
-            targets: &Client::default().into(),
-        };
-        let text = metrics.render(&state);
+        let text = render(&metrics, &view, &engines, 0, false);
         let sum = "decknode_loop_delay_seconds_sum ";
         let sum = text.lines().find_map(|line| line.strip_prefix(sum)).expect("a measurement");
         assert!(sum.parse::<f64>().expect("seconds") >= 0.5, "{text}");
--- a/crates/batch/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -5,10 +5,10 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use deck_batch::{
-    BatchOptions, BatchService, CheckpointClient, JobStore, Runner, RunnerOptions,
-    peer_client::BatchPeerClient, runner::RunnerDependencies,
+    BatchOptions, BatchService, CheckpointClient, JobStore, Runner, RunnerOptions, StoreJobOutcome,
+    job::Job, peer_client::BatchPeerClient, runner::RunnerDependencies,
 };
-use deck_core::{CancellationToken, id::new_incarnation};
+use deck_core::{CancellationToken, boot_clock::BootInstant, id::new_incarnation};
 use deck_fleet::{
     BatchJob, BatchLimits, Bounds, CallerLimits, Configuration, EngineConfig, EngineRegistry,
     FleetFeed, FleetFeedOptions, FleetView, Item, ObjectFollower, ObjectFollowerOptions, Observer,
@@ -111,6 +111,13 @@
     Node { runner, service, job_store, view, checkpoints, cancel }
 }
 
+/// Stores a job as one that the node runs, and starts it there.
+pub async fn start_job(node: &Node, job: BatchJob) -> Rc<Job> {
+    let stored = node.job_store.store_job(&job, "vm-1", ([127, 0, 0, 1], 1).into()).await;
+    let StoreJobOutcome::Stored(record, revision) = stored else { panic!("not stored") };
+    node.runner.start_job(&job.id, record, revision, BootInstant::now(), job.items)
+}
+
 /// Returns a configuration whose only route runs jobs of the model `m` on the service `s`.
 pub fn rollout_configuration(single_version: bool) -> Configuration {
     let engine = EngineConfig { slots: 8, tokens_per_event: 1, models: vec!["m".to_owned()] };
--- a/crates/batch/tests/endless.rs
+++ b/crates/batch/tests/endless.rs
@@ -43,12 +43,7 @@
         node.view.set_configuration(common::rollout_configuration(false));
         node.view.set_targets(vec![common::engine("e", engine.address)], Instant::now());
         let job = common::job("job", vec![common::item("i0")]);
-        let stored = node.job_store.store_job(&job, "vm-1", ([127, 0, 0, 1], 1).into()).await;
-        let deck_batch::StoreJobOutcome::Stored(record, revision) = stored else {
-            panic!("not stored")
-        };
-        let written_at = deck_core::boot_clock::BootInstant::now();
-        let job = node.runner.start_job("job", record, revision, written_at, job.items);
+        let job = common::start_job(&node, job).await;
         eventually("the item is complete", async || job.is_complete()).await;
         let taken_bytes = engine.endless_response_bytes();
         assert!(taken_bytes < MAX_TAKEN_BYTES, "{taken_bytes} bytes");
--- a/crates/batch/tests/limits.rs
+++ b/crates/batch/tests/limits.rs
@@ -38,12 +38,7 @@
         node.view.set_targets(vec![common::engine("e", engine.address)], Instant::now());
         let items: Vec<_> = (0..60).map(|number| common::item(&format!("i{number}"))).collect();
         let job = common::job("job", items);
-        let stored = node.job_store.store_job(&job, "vm-1", ([127, 0, 0, 1], 1).into()).await;
-        let deck_batch::StoreJobOutcome::Stored(record, revision) = stored else {
-            panic!("not stored")
-        };
-        let written_at = deck_core::boot_clock::BootInstant::now();
-        let job = node.runner.start_job("job", record, revision, written_at, job.items);
+        let job = common::start_job(&node, job).await;
         eventually("all items have run", async || job.is_complete()).await;
         let received = received.lock().expect("lock").clone();
         let counted: Vec<Instant> =
--- a/crates/swap/tests/orders.rs
+++ b/crates/swap/tests/orders.rs
@@ -72,10 +72,10 @@
     deck_net::runtime::run(test).expect("runtime");
 }
 
-/// Lists an engine with an old version in `view`.
-fn list_engine(view: &FleetView, address: SocketAddr) {
-    let target = Target {
-        id: "e0".to_owned(),
+/// Returns the entry of an engine with an old version.
+fn engine(id: &str, address: SocketAddr) -> Target {
+    Target {
+        id: id.to_owned(),
         service: "s".to_owned(),
         address,
         data_centre: "a".to_owned(),
@@ -85,8 +85,12 @@
         models: vec![("m".to_owned(), 1)],
         started_at_ms: 1,
         lifetime: Default::default(),
-    };
-    view.set_targets(vec![target], Instant::now());
+    }
+}
+
+/// Lists an engine with an old version in `view`.
+fn list_engine(view: &FleetView, address: SocketAddr) {
+    view.set_targets(vec![engine("e0", address)], Instant::now());
 }
 
 /// Starts an engine with an old version that has seen a later fencing number, and lists it in `view`.
@@ -239,17 +243,9 @@
     let test = async {
         let (cancel, view) = (CancellationToken::new(), view());
         let loaded: Vec<Rc<Cell<u64>>> = (0..4).map(|_| Rc::new(Cell::new(1))).collect();
-        let targets = loaded.iter().enumerate().map(|(index, loaded)| Target {
-            id: format!("e{index}"),
-            service: "s".to_owned(),
-            address: start_loading_engine(loaded.clone(), index == 0, &cancel),
-            data_centre: "a".to_owned(),
-            state: TargetState::Ready,
-            slots: 8,
-            software_version: None,
-            models: vec![("m".to_owned(), 1)],
-            started_at_ms: 1,
-            lifetime: Default::default(),
+        let targets = loaded.iter().enumerate().map(|(index, loaded)| {
+            let address = start_loading_engine(loaded.clone(), index == 0, &cancel);
+            engine(&format!("e{index}"), address)
         });
         view.set_targets(targets.collect(), Instant::now());
         let held = acquire_lease(Duration::from_secs(60)).await;
